--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,99 @@
+// Package api defines the wire types of the caller API: completion requests,
+// token events, event ids and problem documents.
+package api
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Header names used between callers, VMs and backend servers.
+const (
+	HeaderGenerationID   = "X-Generation-Id"
+	HeaderPriority       = "X-Priority"
+	HeaderOrganisation   = "X-Organisation"
+	HeaderFencingToken   = "X-Fencing-Token"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderLastEventID    = "Last-Event-ID"
+	HeaderReplayed       = "Idempotent-Replayed"
+)
+
+// Content types of responses.
+const (
+	ContentTypeEventStream = "text/event-stream"
+	ContentTypeProblem     = "application/problem+json"
+	ContentTypeJSON        = "application/json"
+)
+
+// Stream markers. A stream that ends without DoneMarker or an error event is truncated.
+const (
+	DoneMarker = "[DONE]"
+	EventError = "error"
+)
+
+// CompletionRequest is the body of POST /v1/completions.
+type CompletionRequest struct {
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+	// MaxTokens bounds the length of the answer in tokens. Zero leaves it to the engine.
+	MaxTokens int `json:"max_tokens,omitempty"`
+	// Stream selects server-sent events instead of one JSON document.
+	Stream bool `json:"stream,omitempty"`
+}
+
+// Completion is the data of one token event, or the whole answer of a
+// request that did not ask for a stream.
+type Completion struct {
+	ID      string   `json:"id"`
+	Model   string   `json:"model,omitempty"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is one alternative of a completion. vanillaarch serves exactly one.
+type Choice struct {
+	Index        int    `json:"index"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// EventID names a token by its generation and its offset, counted from 1.
+type EventID struct {
+	Generation string
+	Offset     int
+}
+
+// String returns the form used in the id field of server-sent events.
+func (id EventID) String() string {
+	return id.Generation + ":" + strconv.Itoa(id.Offset)
+}
+
+// ParseEventID parses the form written by EventID.String.
+// It returns an *InvalidEventIDError for any other input.
+func ParseEventID(s string) (EventID, error) {
+	generation, offset, ok := strings.Cut(s, ":")
+	if !ok {
+		return EventID{}, &InvalidEventIDError{Value: s}
+	}
+	if _, err := ParseGenerationID(generation); err != nil {
+		return EventID{}, &InvalidEventIDError{Value: s}
+	}
+	n, err := strconv.Atoi(offset)
+	if err != nil || n < 0 {
+		return EventID{}, &InvalidEventIDError{Value: s}
+	}
+	return EventID{Generation: generation, Offset: n}, nil
+}
+
+// InvalidEventIDError reports an event id or generation id that cannot be parsed.
+type InvalidEventIDError struct{ Value string }
+
+func (e *InvalidEventIDError) Error() string {
+	return "invalid event id " + strconv.Quote(e.Value)
+}
--- /dev/null
+++ b/backend/engine.go
@@ -0,0 +1,170 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// dialTimeout bounds a new connection. Zones are at most 1.5 ms apart, so a
+// dial that takes longer will not succeed.
+const dialTimeout = time.Second
+
+// maxIdlePerBackend bounds kept connections to one engine.
+const maxIdlePerBackend = 64
+
+// Target locates a backend server.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Engines is the client of all inference engines.
+type Engines struct {
+	http *http.Client
+}
+
+// NewEngines returns a client with its own connection pool.
+func NewEngines() *Engines {
+	return &Engines{http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerBackend,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}}
+}
+
+// Close releases idle connections.
+func (e *Engines) Close() { e.http.CloseIdleConnections() }
+
+// StartOptions are the parameters of a new generation.
+type StartOptions struct {
+	Generation   api.GenerationID
+	Organisation string
+	// Priority is honoured by the engine when memory runs out; 0 is lowest.
+	Priority int
+	// FirstToken bounds the wait for the first token.
+	FirstToken time.Duration
+	// Idle bounds the gap between tokens.
+	Idle time.Duration
+}
+
+// Start starts a generation. Errors are *NotSentError, *RejectedError,
+// *UncertainError or *StalledError.
+func (e *Engines) Start(ctx context.Context, t Target, r api.CompletionRequest, o StartOptions) (*Stream, error) {
+	r.Stream = true
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode completion request")
+	}
+	h := http.Header{}
+	h.Set("Content-Type", api.ContentTypeJSON)
+	h.Set(api.HeaderGenerationID, o.Generation.String())
+	h.Set(api.HeaderPriority, strconv.Itoa(o.Priority))
+	h.Set(api.HeaderOrganisation, o.Organisation)
+	return e.open(ctx, t, openOptions{
+		method: http.MethodPost, path: "/v1/completions", header: h, body: body,
+		generation: o.Generation, first: o.FirstToken, idle: o.Idle,
+	})
+}
+
+// Resume continues a generation after the token at offset, over a new
+// connection if the old one is stalled. A *RejectedError with status 404 means
+// that the engine no longer has the generation.
+func (e *Engines) Resume(ctx context.Context, t Target, g api.GenerationID, offset int, first, idle time.Duration) (*Stream, error) {
+	return e.open(ctx, t, openOptions{
+		method: http.MethodGet,
+		path:   "/v1/generations/" + g.String() + "?offset=" + strconv.Itoa(offset),
+		header: http.Header{}, generation: g, offset: offset, first: first, idle: idle,
+	})
+}
+
+// Cancel ends a generation. Cancelling an unknown generation is not an error.
+func (e *Engines) Cancel(ctx context.Context, t Target, g api.GenerationID) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+t.Address+"/v1/generations/"+g.String(), nil)
+	if err != nil {
+		return errors.Wrap(err, "cancel request")
+	}
+	resp, err := e.http.Do(req)
+	if err != nil {
+		return &UncertainError{Backend: t.ID, Cause: err}
+	}
+	return resp.Body.Close()
+}
+
+// CloseIdle drops idle connections, so that the next request dials anew.
+// It is called after a stall, because idle connections on the same path may
+// have gone silent as well.
+func (e *Engines) CloseIdle() { e.http.CloseIdleConnections() }
+
+type openOptions struct {
+	method, path string
+	header       http.Header
+	body         []byte
+	generation   api.GenerationID
+	offset       int
+	first, idle  time.Duration
+}
+
+func (e *Engines) open(ctx context.Context, t Target, o openOptions) (*Stream, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stalled := &StalledError{Backend: t.ID, Generation: o.generation.String()}
+	watchdog := time.AfterFunc(o.first, func() { cancel(stalled) })
+	resp, err := e.send(ctx, t, o)
+	if err != nil {
+		watchdog.Stop()
+		cause := context.Cause(ctx)
+		cancel(nil)
+		if _, ok := errors.Into[*NotSentError](err); !ok && errors.Is(cause, error(stalled)) {
+			return nil, stalled
+		}
+		return nil, err
+	}
+	return newStream(ctx, cancel, watchdog, stalled, resp.Body, t, o), nil
+}
+
+func (e *Engines) send(ctx context.Context, t Target, o openOptions) (*http.Response, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	var body io.Reader
+	if o.body != nil {
+		body = opaque(o.body)
+	}
+	req, err := http.NewRequestWithContext(ctx, o.method, "http://"+t.Address+o.path, body)
+	if err != nil {
+		return nil, &NotSentError{Backend: t.ID, Cause: err}
+	}
+	req.Header = o.header
+	req.ContentLength = int64(len(o.body))
+	telemetry.Inject(ctx, req.Header)
+	resp, err := e.http.Do(req)
+	if err != nil {
+		if !sent.Load() {
+			return nil, &NotSentError{Backend: t.ID, Cause: err}
+		}
+		return nil, &UncertainError{Backend: t.ID, Cause: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, &RejectedError{Backend: t.ID, Status: resp.StatusCode}
+	}
+	return resp, nil
+}
+
+// opaque hides the type of the reader from net/http, which then cannot rewind
+// the body and so cannot repeat the request by itself.
+func opaque(body []byte) io.Reader { return struct{ io.Reader }{bytes.NewReader(body)} }
--- /dev/null
+++ b/backend/errors.go
@@ -0,0 +1,94 @@
+// Package backend has the HTTP clients for inference engines and plain
+// services. Neither client repeats a request by itself.
+package backend
+
+import "fmt"
+
+// NotSentError reports that no byte of a request left for the backend server.
+type NotSentError struct {
+	Backend string
+	Cause   error
+}
+
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("backend %s: request not sent: %v", e.Backend, e.Cause)
+}
+
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// UncertainError reports a request that may have reached the backend server
+// and got no complete answer.
+type UncertainError struct {
+	Backend string
+	Cause   error
+}
+
+func (e *UncertainError) Error() string {
+	return fmt.Sprintf("backend %s: result unknown: %v", e.Backend, e.Cause)
+}
+
+func (e *UncertainError) Unwrap() error { return e.Cause }
+
+// RejectedError reports that an engine refused to start or resume a generation.
+type RejectedError struct {
+	Backend string
+	Status  int
+}
+
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("backend %s: rejected with status %d", e.Backend, e.Status)
+}
+
+// StalledError reports a stream on which nothing arrived within the idle timeout.
+type StalledError struct {
+	Backend    string
+	Generation string
+}
+
+func (e *StalledError) Error() string {
+	return fmt.Sprintf("backend %s: stream %s is stalled", e.Backend, e.Generation)
+}
+
+// TruncatedError reports a stream that ended without its finish marker.
+type TruncatedError struct {
+	Backend    string
+	Generation string
+	Cause      error
+}
+
+func (e *TruncatedError) Error() string {
+	return fmt.Sprintf("backend %s: stream %s ended without finish marker: %v", e.Backend, e.Generation, e.Cause)
+}
+
+func (e *TruncatedError) Unwrap() error { return e.Cause }
+
+// MismatchError reports an event that belongs to another generation or skips tokens.
+type MismatchError struct {
+	Backend string
+	Want    string
+	Got     string
+}
+
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("backend %s: got event %q, want %q", e.Backend, e.Got, e.Want)
+}
+
+// FailedError reports an error event sent by the engine.
+type FailedError struct {
+	Backend string
+	Detail  string
+}
+
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("backend %s: generation failed: %s", e.Backend, e.Detail)
+}
+
+// TooLargeError reports an answer above the configured limit.
+type TooLargeError struct {
+	Backend string
+	Limit   int64
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("backend %s: answer exceeds %d bytes", e.Backend, e.Limit)
+}
--- /dev/null
+++ b/backend/service.go
@@ -0,0 +1,109 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// Services is the client of plain services.
+type Services struct {
+	repeatable    *http.Client
+	nonRepeatable *http.Client
+	limit         int64
+}
+
+// NewServices returns a client that accepts answers of at most limit bytes.
+func NewServices(limit int64) *Services {
+	return &Services{
+		repeatable: &http.Client{Transport: serviceTransport(false), CheckRedirect: keepRedirect},
+		// A connection used once cannot break between two requests, which is
+		// when net/http would send the second one again.
+		nonRepeatable: &http.Client{Transport: serviceTransport(true), CheckRedirect: keepRedirect},
+		limit:         limit,
+	}
+}
+
+// keepRedirect returns redirects to the caller, since following a 307 would
+// send the request a second time.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func serviceTransport(single bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerBackend,
+		IdleConnTimeout:     30 * time.Second,
+		DisableKeepAlives:   single,
+		DisableCompression:  true,
+	}
+}
+
+// Close releases idle connections.
+func (s *Services) Close() { s.repeatable.CloseIdleConnections() }
+
+// Call is one call of a plain service.
+type Call struct {
+	Path           string
+	ContentType    string
+	Body           []byte
+	Organisation   string
+	IdempotencyKey string
+	NonRepeatable  bool
+}
+
+// Response is the answer of a plain service.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Do sends the call once. Errors are *NotSentError, *UncertainError or *TooLargeError.
+func (s *Services) Do(ctx context.Context, t Target, c Call) (*Response, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address+c.Path, opaque(c.Body))
+	if err != nil {
+		return nil, &NotSentError{Backend: t.ID, Cause: err}
+	}
+	req.ContentLength = int64(len(c.Body))
+	req.Header.Set("Content-Type", c.ContentType)
+	req.Header.Set(api.HeaderOrganisation, c.Organisation)
+	if c.IdempotencyKey != "" {
+		req.Header.Set(api.HeaderIdempotencyKey, c.IdempotencyKey)
+	}
+	telemetry.Inject(ctx, req.Header)
+	client := s.repeatable
+	if c.NonRepeatable {
+		client = s.nonRepeatable
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if !sent.Load() {
+			return nil, &NotSentError{Backend: t.ID, Cause: err}
+		}
+		return nil, &UncertainError{Backend: t.ID, Cause: err}
+	}
+	defer resp.Body.Close()
+	return s.read(resp, t)
+}
+
+func (s *Services) read(resp *http.Response, t Target) (*Response, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, s.limit+1))
+	if err != nil {
+		return nil, &UncertainError{Backend: t.ID, Cause: err}
+	}
+	if int64(len(body)) > s.limit {
+		return nil, &TooLargeError{Backend: t.ID, Limit: s.limit}
+	}
+	return &Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/bundle/document.go
@@ -0,0 +1,147 @@
+// Package bundle defines the versioned bundle that operators sign and roll
+// out, its validation, and its storage in the key-value service.
+package bundle
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Document is the content of a bundle. It is immutable under its version.
+type Document struct {
+	// Version is positive and rises with each rollout.
+	Version int64    `json:"version"`
+	Tenants []Tenant `json:"tenants"`
+	Models  []Model  `json:"models"`
+	Routes  []Route  `json:"routes"`
+}
+
+// Tenant is an independent member business that shares the pool and the budget.
+type Tenant struct {
+	Name string `json:"name"`
+	// Share is the part of the budget that the tenant may draw, above 0 and at most 1.
+	Share         float64        `json:"share"`
+	Weights       Weights        `json:"weights"`
+	Organisations []Organisation `json:"organisations"`
+}
+
+// Weights states how much the tenant values each measure. They are relative.
+type Weights struct {
+	StallTime         float64 `json:"stall_time"`
+	Preemptions       float64 `json:"preemptions"`
+	InterTokenLatency float64 `json:"inter_token_latency"`
+}
+
+// Organisation is a customer of a tenant.
+type Organisation struct {
+	Name string `json:"name"`
+	// Weight divides the tenant's share between its organisations. Default 1.
+	Weight float64 `json:"weight,omitempty"`
+	// APIKeySHA256 lists the SHA-256 digests of the keys, in hex.
+	APIKeySHA256 []string `json:"api_key_sha256"`
+}
+
+// Model is a model that callers can name.
+type Model struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+	// Adapters lists the adapters that engines load with the model.
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// Route is a call to a plain service.
+type Route struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	// Path is the path on the backend server, starting with a slash.
+	Path string `json:"path"`
+	// NonRepeatable marks calls that run at most once.
+	NonRepeatable bool `json:"non_repeatable,omitempty"`
+	// TimeoutMS bounds one call in milliseconds. Default 10,000.
+	TimeoutMS int `json:"timeout_ms,omitempty"`
+}
+
+// defaultRouteTimeout bounds calls of routes that state no timeout.
+const defaultRouteTimeout = 10 * time.Second
+
+// Timeout returns the limit of one call.
+func (r Route) Timeout() time.Duration {
+	if r.TimeoutMS <= 0 {
+		return defaultRouteTimeout
+	}
+	return time.Duration(r.TimeoutMS) * time.Millisecond
+}
+
+// Fault is one violation found in a document.
+type Fault struct {
+	Path    string
+	Message string
+}
+
+func (f Fault) String() string { return f.Path + ": " + f.Message }
+
+// InvalidError lists all faults of a document.
+type InvalidError struct{ Faults []Fault }
+
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return "invalid bundle: " + strings.Join(lines, "; ")
+}
+
+// Parse reads a document in JSON with comments and validates it as a whole.
+// It returns an *InvalidError that lists every fault.
+func Parse(data []byte) (*Document, error) {
+	std, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: err.Error()}}}
+	}
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	var doc Document
+	if err := dec.Decode(&doc); err != nil {
+		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: err.Error()}}}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: "data after the document"}}}
+	}
+	if faults := doc.Validate(); len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	return &doc, nil
+}
+
+// Encode returns the canonical JSON form of the document.
+func (d *Document) Encode() ([]byte, error) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode bundle")
+	}
+	return data, nil
+}
+
+// Digest returns the SHA-256 digest of encoded content, in hex.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+// APIKeyDigest returns the form in which a bundle stores an API key.
+func APIKeyDigest(key string) string { return Digest([]byte(key)) }
+
+type faults []Fault
+
+func (f *faults) add(path, format string, args ...any) {
+	*f = append(*f, Fault{Path: path, Message: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/bundle/store.go
@@ -0,0 +1,276 @@
+package bundle
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/vanillaarch/vanillaarch/kv"
+)
+
+// Keys of the key-value service.
+const (
+	HeadKey       = "bundle/head"
+	versionPrefix = "bundle/v/"
+)
+
+// Signed is a document with its signature. It is what VMs exchange, so that
+// each of them verifies the content for itself.
+type Signed struct {
+	Version int64  `json:"version"`
+	Content []byte `json:"content"`
+	Digest  string `json:"digest"`
+	// Signature is the Ed25519 signature of the content.
+	Signature []byte `json:"signature,omitempty"`
+}
+
+// Sign validates doc and signs its canonical form.
+func Sign(doc *Document, key ed25519.PrivateKey) (*Signed, error) {
+	if f := doc.Validate(); len(f) > 0 {
+		return nil, &InvalidError{Faults: f}
+	}
+	content, err := doc.Encode()
+	if err != nil {
+		return nil, err
+	}
+	s := &Signed{Version: doc.Version, Content: content, Digest: Digest(content)}
+	if key != nil {
+		s.Signature = ed25519.Sign(key, content)
+	}
+	return s, nil
+}
+
+// Open verifies a signed bundle and returns its index. With no keys the
+// signature is not checked; the digest and the content always are.
+func (s *Signed) Open(keys []ed25519.PublicKey) (*Index, error) {
+	if Digest(s.Content) != s.Digest {
+		return nil, &SignatureError{Version: s.Version, Reason: "digest does not match the content"}
+	}
+	if !verified(s, keys) {
+		return nil, &SignatureError{Version: s.Version, Reason: "no trusted key verifies the signature"}
+	}
+	doc, err := Parse(s.Content)
+	if err != nil {
+		return nil, err
+	}
+	if doc.Version != s.Version {
+		return nil, &SignatureError{Version: s.Version, Reason: "content carries another version"}
+	}
+	return NewIndex(doc, s.Digest), nil
+}
+
+func verified(s *Signed, keys []ed25519.PublicKey) bool {
+	if len(keys) == 0 {
+		return true
+	}
+	for _, k := range keys {
+		if ed25519.Verify(k, s.Content, s.Signature) {
+			return true
+		}
+	}
+	return false
+}
+
+// SignatureError reports a bundle whose content cannot be trusted.
+type SignatureError struct {
+	Version int64
+	Reason  string
+}
+
+func (e *SignatureError) Error() string {
+	return fmt.Sprintf("bundle version %d rejected: %s", e.Version, e.Reason)
+}
+
+// Head names the bundle in force.
+type Head struct {
+	Version int64  `json:"version"`
+	Digest  string `json:"digest"`
+	// Operation identifies the rollout that wrote the head.
+	Operation string `json:"operation"`
+	Operator  string `json:"operator,omitempty"`
+}
+
+// ConflictError reports that another rollout won, and names the version in force.
+type ConflictError struct {
+	Wanted  int64
+	InForce Head
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("rollout of version %d refused: version %d is in force (operator %q)",
+		e.Wanted, e.InForce.Version, e.InForce.Operator)
+}
+
+// ImmutableError reports a second content for a version that is already stored.
+type ImmutableError struct{ Version int64 }
+
+func (e *ImmutableError) Error() string {
+	return fmt.Sprintf("bundle version %d is already stored with other content", e.Version)
+}
+
+// Store keeps bundles in the key-value service.
+type Store struct {
+	kv interface {
+		kv.Getter
+		kv.Swapper
+	}
+}
+
+// NewStore returns a store on top of the key-value service.
+func NewStore(s interface {
+	kv.Getter
+	kv.Swapper
+},
+) *Store {
+	return &Store{kv: s}
+}
+
+func versionKey(v int64) string { return fmt.Sprintf("%s%d", versionPrefix, v) }
+
+// Put stores a signed bundle under its version. Storing the same content again
+// is not an error; other content is an *ImmutableError.
+func (s *Store) Put(ctx context.Context, b *Signed) error {
+	value, err := json.Marshal(b)
+	if err != nil {
+		return errors.Wrap(err, "encode signed bundle")
+	}
+	key := versionKey(b.Version)
+	_, err = s.kv.CompareAndSwap(ctx, key, value, 0, 0)
+	if err == nil {
+		return nil
+	}
+	if !isAmbiguous(err) {
+		return errors.Wrap(err, "store bundle")
+	}
+	entry, getErr := s.readBack(ctx, key)
+	if getErr != nil {
+		return errors.Wrap(err, "store bundle")
+	}
+	if !bytes.Equal(entry.Value, value) {
+		return &ImmutableError{Version: b.Version}
+	}
+	return nil
+}
+
+// Get returns the bundle stored under a version.
+func (s *Store) Get(ctx context.Context, version int64) (*Signed, error) {
+	entry, err := s.kv.Get(ctx, versionKey(version))
+	if err != nil {
+		return nil, errors.Wrap(err, "read bundle")
+	}
+	var b Signed
+	if err := json.Unmarshal(entry.Value, &b); err != nil {
+		return nil, errors.Wrap(err, "decode bundle")
+	}
+	return &b, nil
+}
+
+// Head returns the head and its revision. A missing head is a zero Head.
+func (s *Store) Head(ctx context.Context) (Head, int64, error) {
+	entry, err := s.kv.Get(ctx, HeadKey)
+	if _, ok := errors.Into[*kv.NotFoundError](err); ok {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, errors.Wrap(err, "read head")
+	}
+	return DecodeHead(entry)
+}
+
+// DecodeHead parses the entry of HeadKey.
+func DecodeHead(entry kv.Entry) (Head, int64, error) {
+	var h Head
+	if err := json.Unmarshal(entry.Value, &h); err != nil {
+		return Head{}, 0, errors.Wrap(err, "decode head")
+	}
+	return h, entry.Revision, nil
+}
+
+// Rollout moves the head to a stored version. The head only moves upwards: if
+// the version in force is the same or higher, Rollout returns a *ConflictError.
+func (s *Store) Rollout(ctx context.Context, version int64, operator string) (Head, error) {
+	b, err := s.Get(ctx, version)
+	if err != nil {
+		return Head{}, err
+	}
+	head, revision, err := s.Head(ctx)
+	if err != nil {
+		return Head{}, err
+	}
+	if head.Version >= version {
+		return Head{}, &ConflictError{Wanted: version, InForce: head}
+	}
+	next := Head{Version: version, Digest: b.Digest, Operation: uuid.NewString(), Operator: operator}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Head{}, errors.Wrap(err, "encode head")
+	}
+	_, err = s.kv.CompareAndSwap(ctx, HeadKey, value, revision, 0)
+	if err == nil {
+		return next, nil
+	}
+	if !isAmbiguous(err) {
+		return Head{}, errors.Wrap(err, "move head")
+	}
+	return s.settle(ctx, next, err)
+}
+
+// settle decides a rollout whose write conflicted or lost its answer by
+// reading the head back. The operation id tells whose write took effect.
+func (s *Store) settle(ctx context.Context, next Head, cause error) (Head, error) {
+	entry, err := s.readBack(ctx, HeadKey)
+	if err != nil {
+		return Head{}, errors.Wrap(cause, "rollout result unknown")
+	}
+	head, _, err := DecodeHead(entry)
+	if err != nil {
+		return Head{}, err
+	}
+	switch {
+	case head.Operation == next.Operation:
+		return next, nil
+	case head.Version >= next.Version:
+		return Head{}, &ConflictError{Wanted: next.Version, InForce: head}
+	default:
+		// A lower version is in force. A delayed write may still take effect.
+		return Head{}, errors.Wrap(cause, "rollout has not taken effect")
+	}
+}
+
+// isAmbiguous reports whether a read must decide if the write took effect.
+func isAmbiguous(err error) bool {
+	if _, ok := errors.Into[*kv.ConflictError](err); ok {
+		return true
+	}
+	_, ok := errors.Into[*kv.UncertainError](err)
+	return ok
+}
+
+// Attempts and pause of the read that settles a write.
+const (
+	readBackAttempts = 5
+	readBackPause    = 200 * time.Millisecond
+)
+
+func (s *Store) readBack(ctx context.Context, key string) (kv.Entry, error) {
+	var err error
+	for range readBackAttempts {
+		var entry kv.Entry
+		entry, err = s.kv.Get(ctx, key)
+		if err == nil {
+			return entry, nil
+		}
+		select {
+		case <-ctx.Done():
+			return kv.Entry{}, ctx.Err()
+		case <-time.After(readBackPause):
+		}
+	}
+	return kv.Entry{}, err
+}
--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,248 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/vanillaarch/vanillaarch/kv"
+)
+
+const keyPrefix = "claim/"
+
+// Bounds of the reads and writes that settle a claim.
+const (
+	settleAttempts = 4
+	settlePause    = 50 * time.Millisecond
+	abandonPeriod  = 30 * time.Second
+	abandonPause   = 500 * time.Millisecond
+	// maxAbandoning bounds goroutines that withdraw claims during an outage.
+	maxAbandoning = 256
+)
+
+// Store is the part of the key-value service that claims need.
+type Store interface {
+	kv.Getter
+	kv.Swapper
+}
+
+// Options configure a Manager.
+type Options struct {
+	VM             string
+	Retention      time.Duration
+	ClockTolerance time.Duration
+	Now            func() time.Time
+}
+
+// Manager creates claims.
+type Manager struct {
+	store     Store
+	opts      Options
+	ctx       context.Context
+	cancel    context.CancelFunc
+	abandoned sync.WaitGroup
+	slots     chan struct{}
+}
+
+// NewManager returns a manager on top of the key-value service.
+func NewManager(store Store, opts Options) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{store: store, opts: opts, ctx: ctx, cancel: cancel, slots: make(chan struct{}, maxAbandoning)}
+}
+
+// Close ends background work.
+func (m *Manager) Close() {
+	m.cancel()
+	m.abandoned.Wait()
+}
+
+// Claim is the right to send one call once.
+type Claim struct {
+	m        *Manager
+	key      string
+	record   Record
+	revision int64
+}
+
+// Key returns the key under which the claim of an organisation is stored.
+func Key(organisation, idempotencyKey string) string {
+	return keyPrefix + organisation + "/" + idempotencyKey
+}
+
+// CheckKey checks form and age of an idempotency key. Errors are
+// *InvalidKeyError and *ExpiredKeyError.
+func (m *Manager) CheckKey(key string) error {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 || id.String() != key {
+		return &InvalidKeyError{Reason: "must be a version 7 UUID in lower case"}
+	}
+	created := time.Unix(id.Time().UnixTime())
+	age := m.opts.Now().Sub(created)
+	if age < -m.opts.ClockTolerance {
+		return &InvalidKeyError{Reason: "its time lies in the future"}
+	}
+	if age > m.opts.Retention-m.opts.ClockTolerance {
+		return &ExpiredKeyError{Age: age}
+	}
+	return nil
+}
+
+// Begin establishes a claim. Errors are *InvalidKeyError, *ExpiredKeyError,
+// *ExistsError, *MismatchError and *UnavailableError. Without a claim the call
+// must not be sent.
+func (m *Manager) Begin(ctx context.Context, organisation, key, fingerprint string) (*Claim, error) {
+	if err := m.CheckKey(key); err != nil {
+		return nil, err
+	}
+	c := &Claim{m: m, key: Key(organisation, key), record: Record{
+		Operation: uuid.NewString(), VM: m.opts.VM, State: StateStarted,
+		Fingerprint: fingerprint, Created: m.opts.Now(),
+	}}
+	err := c.create(ctx, 0)
+	existing, ok := errors.Into[*ExistsError](err)
+	if ok && existing.Record.State == StateAbandoned && existing.Record.Fingerprint == fingerprint {
+		err = c.create(ctx, c.revision)
+		existing, ok = errors.Into[*ExistsError](err)
+	}
+	switch {
+	case err == nil:
+		return c, nil
+	case ok && existing.Record.Fingerprint != fingerprint:
+		return nil, &MismatchError{}
+	case ok:
+		return nil, existing
+	}
+	c.withdraw()
+	return nil, &UnavailableError{Cause: err}
+}
+
+// create writes the claim if the key is at revision prev. On a conflict it
+// leaves the revision found in c.revision.
+func (c *Claim) create(ctx context.Context, prev int64) error {
+	value, err := c.record.encode()
+	if err != nil {
+		return err
+	}
+	revision, err := c.m.store.CompareAndSwap(ctx, c.key, value, prev, 0)
+	if err == nil {
+		c.revision = revision
+		return nil
+	}
+	if !ambiguous(err) {
+		return err
+	}
+	record, revision, readErr := c.m.readBack(ctx, c.key)
+	if readErr != nil {
+		return err
+	}
+	c.revision = revision
+	if record.Operation == c.record.Operation {
+		return nil
+	}
+	return &ExistsError{Record: record}
+}
+
+func ambiguous(err error) bool {
+	if _, ok := errors.Into[*kv.ConflictError](err); ok {
+		return true
+	}
+	_, ok := errors.Into[*kv.UncertainError](err)
+	return ok
+}
+
+func (m *Manager) readBack(ctx context.Context, key string) (Record, int64, error) {
+	var lastErr error
+	for attempt := range settleAttempts {
+		if attempt > 0 && !sleep(ctx, settlePause) {
+			return Record{}, 0, ctx.Err()
+		}
+		entry, err := m.store.Get(ctx, key)
+		if err == nil {
+			record, err := decode(entry.Value)
+			return record, entry.Revision, err
+		}
+		lastErr = err
+	}
+	return Record{}, 0, lastErr
+}
+
+// Complete records the result. A failure leaves the claim started, so that
+// later attempts get outcome unknown.
+func (c *Claim) Complete(ctx context.Context, result Result) error {
+	if len(result.Body) > MaxRecordedBody {
+		result.Body, result.BodyDropped = nil, true
+	}
+	c.record.State, c.record.Result = StateCompleted, &result
+	value, err := c.record.encode()
+	if err != nil {
+		return err
+	}
+	for attempt := range settleAttempts {
+		if attempt > 0 && !sleep(ctx, settlePause) {
+			return ctx.Err()
+		}
+		_, err = c.m.store.CompareAndSwap(ctx, c.key, value, c.revision, 0)
+		if err == nil {
+			return nil
+		}
+		if _, ok := errors.Into[*kv.ConflictError](err); ok {
+			// Only the holder writes a started claim, so an earlier attempt took effect.
+			return nil
+		}
+	}
+	return errors.Wrap(err, "record result")
+}
+
+// Abandon withdraws the claim in the background. It must only be called when
+// no byte of the call was sent.
+func (c *Claim) Abandon() { c.withdraw() }
+
+// withdraw marks the claim abandoned. It also covers a creation whose answer
+// was lost: an abandoned record written first makes a delayed creation fail.
+func (c *Claim) withdraw() {
+	select {
+	case c.m.slots <- struct{}{}:
+	default:
+		return // The claim stays started; retries get outcome unknown.
+	}
+	c.m.abandoned.Go(func() {
+		defer func() { <-c.m.slots }()
+		ctx, cancel := context.WithTimeout(c.m.ctx, abandonPeriod)
+		defer cancel()
+		c.record.State = StateAbandoned
+		for c.writeAbandoned(ctx) != nil && sleep(ctx, abandonPause) {
+		}
+	})
+}
+
+func (c *Claim) writeAbandoned(ctx context.Context) error {
+	value, err := c.record.encode()
+	if err != nil {
+		return nil
+	}
+	_, err = c.m.store.CompareAndSwap(ctx, c.key, value, c.revision, 0)
+	if err == nil || !ambiguous(err) {
+		return err
+	}
+	record, revision, readErr := c.m.readBack(ctx, c.key)
+	if readErr != nil {
+		return readErr
+	}
+	if record.Operation != c.record.Operation || record.State != StateStarted {
+		return nil
+	}
+	c.revision = revision
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,265 @@
+// Package client is the library for callers of vanillaarch. It streams
+// answers, resumes a lost stream on any VM, and returns typed errors.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/vanillaarch/vanillaarch/api"
+)
+
+// Bounds of resumes.
+const (
+	defaultResumes = 10
+	resumePause    = 100 * time.Millisecond
+)
+
+// Options configure a Client.
+type Options struct {
+	// Addresses are the base URLs of the VMs or of the balancer.
+	Addresses []string
+	APIKey    string
+	// HTTP is the HTTP client. Default http.DefaultClient.
+	HTTP *http.Client
+	// Resumes bounds consecutive resumes without a token. Default 10.
+	Resumes int
+}
+
+// Client calls vanillaarch.
+type Client struct {
+	opts Options
+	next atomic.Uint64
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.HTTP == nil {
+		o.HTTP = http.DefaultClient
+	}
+	if o.Resumes == 0 {
+		o.Resumes = defaultResumes
+	}
+	return &Client{opts: o}
+}
+
+// Token is one token of an answer.
+type Token struct {
+	ID   api.EventID
+	Text string
+}
+
+// TruncatedError reports a stream that ended without an end marker and could
+// not be resumed.
+type TruncatedError struct{ Last api.EventID }
+
+func (e *TruncatedError) Error() string { return fmt.Sprintf("stream cut after %s", e.Last) }
+
+// OrderError reports a token out of order or from another generation.
+type OrderError struct {
+	Last api.EventID
+	Got  string
+}
+
+func (e *OrderError) Error() string { return fmt.Sprintf("event %q after %s", e.Got, e.Last) }
+
+// Stream requests an answer and passes each token to receive, once and in
+// order. A lost connection is resumed on the next address. Errors are
+// *api.Problem, *TruncatedError, *OrderError or those of receive.
+func (c *Client) Stream(ctx context.Context, r api.CompletionRequest, receive func(Token) error) error {
+	r.Stream = true
+	body, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	s := &stream{receive: receive}
+	for failures := 0; ; failures++ {
+		before := s.last.Offset
+		done, err := c.read(ctx, s, body)
+		if done {
+			return err
+		}
+		if s.last.Offset > before {
+			failures = 0
+		}
+		if s.last.Generation == "" {
+			return errors.Wrap(err, "connection lost before the first token")
+		}
+		if failures >= c.opts.Resumes {
+			return &TruncatedError{Last: s.last}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(resumePause):
+		}
+	}
+}
+
+type stream struct {
+	receive func(Token) error
+	last    api.EventID
+}
+
+// read follows one connection. done is false if the stream may be resumed.
+func (c *Client) read(ctx context.Context, s *stream, body []byte) (done bool, err error) {
+	req, err := c.request(ctx, http.MethodPost, "/v1/completions", body)
+	if err != nil {
+		return true, err
+	}
+	if s.last.Generation != "" {
+		req.Header.Set(api.HeaderLastEventID, s.last.String())
+	}
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		p := readProblem(resp)
+		return !resumable(p, s), p
+	}
+	return s.follow(resp.Body)
+}
+
+// resumable reports whether another VM may still resume the stream.
+func resumable(p *api.Problem, s *stream) bool {
+	return s.last.Generation != "" && p.Outcome == api.OutcomeNotRun && p.Status == http.StatusServiceUnavailable
+}
+
+func (s *stream) follow(body io.Reader) (done bool, err error) {
+	for event, err := range sse.Read(body, nil) {
+		switch {
+		case err != nil:
+			return false, err
+		case event.Type == api.EventError:
+			var p api.Problem
+			if err := json.Unmarshal([]byte(event.Data), &p); err != nil {
+				return true, errors.Wrap(err, "decode problem")
+			}
+			return true, &p
+		case event.Data == api.DoneMarker:
+			return true, nil
+		}
+		if err := s.accept(event); err != nil {
+			return true, err
+		}
+	}
+	return false, &TruncatedError{Last: s.last}
+}
+
+func (s *stream) accept(event sse.Event) error {
+	id, err := api.ParseEventID(event.LastEventID)
+	if err != nil || id.Offset != s.last.Offset+1 || (s.last.Generation != "" && id.Generation != s.last.Generation) {
+		return &OrderError{Last: s.last, Got: event.LastEventID}
+	}
+	var data api.Completion
+	if err := json.Unmarshal([]byte(event.Data), &data); err != nil || len(data.Choices) != 1 {
+		return &OrderError{Last: s.last, Got: event.Data}
+	}
+	s.last = id
+	return s.receive(Token{ID: id, Text: data.Choices[0].Text})
+}
+
+// Complete requests a whole answer without a stream.
+func (c *Client) Complete(ctx context.Context, r api.CompletionRequest) (*api.Completion, error) {
+	r.Stream = false
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	req, err := c.request(ctx, http.MethodPost, "/v1/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "completion")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, readProblem(resp)
+	}
+	var out api.Completion
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil, errors.Wrap(err, "decode completion")
+	}
+	return &out, nil
+}
+
+// ServiceResult is the answer of a plain service.
+type ServiceResult struct {
+	Status int
+	Body   []byte
+	// Replayed says that the answer comes from the record of an earlier call.
+	Replayed bool
+}
+
+// NewIdempotencyKey returns a key for one non-repeatable call. Reuse it for
+// retries of the same call.
+func NewIdempotencyKey() (string, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", errors.Wrap(err, "idempotency key")
+	}
+	return id.String(), nil
+}
+
+// Call calls a plain service. The key may be empty for repeatable routes.
+func (c *Client) Call(ctx context.Context, route, key string, body []byte) (*ServiceResult, error) {
+	req, err := c.request(ctx, http.MethodPost, "/v1/services/"+route, body)
+	if err != nil {
+		return nil, err
+	}
+	if key != "" {
+		req.Header.Set(api.HeaderIdempotencyKey, key)
+	}
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "service call")
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get("Content-Type") == api.ContentTypeProblem {
+		return nil, readProblem(resp)
+	}
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "service answer")
+	}
+	return &ServiceResult{Status: resp.StatusCode, Body: data, Replayed: resp.Header.Get(api.HeaderReplayed) != ""}, nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+	base := c.opts.Addresses[c.next.Add(1)%uint64(len(c.opts.Addresses))]
+	// The body has no GetBody, so net/http does not repeat a call that carries
+	// an idempotency key on its own.
+	req, err := http.NewRequestWithContext(ctx, method, base+path, struct{ io.Reader }{bytes.NewReader(body)})
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Authorization", "Bearer "+c.opts.APIKey)
+	req.Header.Set("Content-Type", api.ContentTypeJSON)
+	return req, nil
+}
+
+func readProblem(resp *http.Response) *api.Problem {
+	p := &api.Problem{Status: resp.StatusCode, Outcome: api.OutcomeUnknown}
+	if err := json.NewDecoder(resp.Body).Decode(p); err != nil {
+		p.Detail = "the answer is not a problem document"
+	}
+	if seconds, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s"); err == nil {
+		p.RetryAfter = seconds
+	}
+	return p
+}
--- /dev/null
+++ b/cmd/vanillaarchd/main.go
@@ -0,0 +1,6 @@
+// Command vanillaarchd runs one entry VM.
+package main
+
+import "github.com/vanillaarch/vanillaarch/internal/daemon"
+
+func main() { daemon.Main() }
--- /dev/null
+++ b/config/load.go
@@ -0,0 +1,172 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/go-playground/validator/v10"
+	"github.com/tailscale/hujson"
+)
+
+// Fault is one violation, located by its path in the file.
+type Fault struct {
+	Path    string
+	Message string
+}
+
+func (f Fault) String() string { return f.Path + ": " + f.Message }
+
+// InvalidError lists all faults of a configuration.
+type InvalidError struct{ Faults []Fault }
+
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return "invalid configuration: " + strings.Join(lines, "; ")
+}
+
+// Load reads and checks a file. Violations are an *InvalidError.
+func Load(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration")
+	}
+	return Parse(data)
+}
+
+// Parse checks JSON with comments, applies defaults and returns the
+// configuration. Violations are an *InvalidError that lists all of them.
+func Parse(data []byte) (*Config, error) {
+	std, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: err.Error()}}}
+	}
+	faults := unknownFields(std)
+	var c Config
+	dec := json.NewDecoder(bytes.NewReader(std))
+	if err := dec.Decode(&c); err != nil {
+		return nil, &InvalidError{Faults: append(faults, decodeFault(err))}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		faults = append(faults, Fault{Path: "$", Message: "data after the configuration"})
+	}
+	c.ApplyDefaults()
+	faults = append(faults, c.Validate()...)
+	if len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	return &c, nil
+}
+
+func decodeFault(err error) Fault {
+	if te, ok := errors.Into[*json.UnmarshalTypeError](err); ok {
+		return Fault{Path: te.Field, Message: fmt.Sprintf("must be a %s, is a %s", te.Type, te.Value)}
+	}
+	return Fault{Path: "$", Message: err.Error()}
+}
+
+// Validate returns every fault of the configuration, or nil.
+func (c *Config) Validate() []Fault {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	var faults []Fault
+	if err := v.Struct(c); err != nil {
+		fields, ok := errors.Into[validator.ValidationErrors](err)
+		if !ok {
+			return []Fault{{Path: "$", Message: err.Error()}}
+		}
+		for _, f := range fields {
+			_, path, _ := strings.Cut(f.Namespace(), ".")
+			faults = append(faults, Fault{Path: path, Message: describe(f)})
+		}
+	}
+	return append(faults, c.crossChecks()...)
+}
+
+// crossChecks finds values that are valid alone and not together.
+func (c *Config) crossChecks() []Fault {
+	var faults []Fault
+	if c.Peers.SuspectAfter < 2*c.Peers.HeartbeatInterval {
+		faults = append(faults, Fault{
+			Path:    "peers.suspect_after",
+			Message: "must be at least twice peers.heartbeat_interval, or one lost heartbeat makes a peer suspect",
+		})
+	}
+	if c.Claims.ClockTolerance >= c.Claims.Retention {
+		faults = append(faults, Fault{
+			Path:    "claims.clock_tolerance",
+			Message: "must be below claims.retention, or every key counts as expired",
+		})
+	}
+	return faults
+}
+
+func describe(f validator.FieldError) string {
+	value := f.Value()
+	if d, ok := value.(Duration); ok {
+		value = d.Std()
+	}
+	switch f.Tag() {
+	case "required":
+		return "is required"
+	case "required_with":
+		return "is required with " + f.Param()
+	case "tcp_addr":
+		return fmt.Sprintf("must be IP:port, is %q", value)
+	case "url":
+		return fmt.Sprintf("must be a URL, is %q", value)
+	case "gte":
+		return fmt.Sprintf("must be at least %s, is %v", f.Param(), value)
+	case "lte":
+		return fmt.Sprintf("must be at most %s, is %v", f.Param(), value)
+	case "oneof":
+		return fmt.Sprintf("must be one of %s, is %q", f.Param(), value)
+	default:
+		return fmt.Sprintf("must satisfy %s=%s, is %v", f.Tag(), f.Param(), value)
+	}
+}
+
+// unknownFields lists the fields of the document that Config does not have.
+func unknownFields(data []byte) []Fault {
+	var doc any
+	if json.Unmarshal(data, &doc) != nil {
+		return nil
+	}
+	var faults []Fault
+	walkUnknown(doc, reflect.TypeFor[Config](), "", &faults)
+	sort.Slice(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+func walkUnknown(doc any, t reflect.Type, path string, faults *[]Fault) {
+	object, ok := doc.(map[string]any)
+	if !ok || t.Kind() != reflect.Struct {
+		return
+	}
+	known := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		known[name] = t.Field(i).Type
+	}
+	for name, value := range object {
+		p := strings.TrimPrefix(path+"."+name, ".")
+		ft, ok := known[name]
+		if !ok {
+			*faults = append(*faults, Fault{Path: p, Message: "unknown field"})
+			continue
+		}
+		walkUnknown(value, ft, p, faults)
+	}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,152 @@
+// Package control runs the single goroutine that owns a VM's control state.
+// It receives typed messages and publishes immutable snapshots, which traffic
+// goroutines read through an atomic pointer.
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// mailboxSize bounds messages that wait for the control goroutine. Traffic
+// goroutines block when it is full.
+const mailboxSize = 4096
+
+// Message changes control state. Apply runs on the control goroutine and must not block.
+type Message interface {
+	Apply(s *State)
+}
+
+// State is owned by the control goroutine.
+type State struct {
+	Now    time.Time
+	Signed *bundle.Signed
+	Bundle *bundle.Index
+	VMs    *vmlist.List
+	// Suspect holds the ids of entry VMs that peers have not heard from.
+	Suspect map[string]bool
+
+	log   *zap.Logger
+	dirty bool
+}
+
+// Changed makes the loop publish a new snapshot after the message.
+func (s *State) Changed() { s.dirty = true }
+
+// Snapshot is an immutable view of the control state.
+type Snapshot struct {
+	Signed *bundle.Signed
+	// Bundle is nil until a bundle is in force.
+	Bundle *bundle.Index
+	VMs    *vmlist.List
+	// Engines maps a model to the live engines that have it loaded.
+	Engines map[string][]vmlist.VM
+	// Services maps a service to its live backend servers.
+	Services map[string][]vmlist.VM
+	// Backends holds all listed backend servers by id, leaving ones included.
+	Backends map[string]vmlist.VM
+	// EntryVMs holds live entry VMs that are not suspect, in the order of the list.
+	EntryVMs []vmlist.VM
+}
+
+// Loop is the control goroutine.
+type Loop struct {
+	mailbox  chan Message
+	snapshot atomic.Pointer[Snapshot]
+	state    State
+	done     chan struct{}
+	now      func() time.Time
+}
+
+// NewLoop returns a loop that must be run with Run.
+func NewLoop(log *zap.Logger, now func() time.Time) *Loop {
+	l := &Loop{
+		mailbox: make(chan Message, mailboxSize),
+		state:   State{VMs: &vmlist.List{}, Suspect: map[string]bool{}, log: log},
+		done:    make(chan struct{}),
+		now:     now,
+	}
+	l.publish()
+	return l
+}
+
+// Snapshot returns the latest view.
+func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
+
+// Post sends a message. It returns false when the loop has ended.
+func (l *Loop) Post(m Message) bool {
+	select {
+	case l.mailbox <- m:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Every posts a message at an interval until ctx ends.
+func (l *Loop) Every(ctx context.Context, interval time.Duration, m Message) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !l.Post(m) {
+				return
+			}
+		}
+	}
+}
+
+// Run applies messages until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.mailbox:
+			l.state.Now = l.now()
+			m.Apply(&l.state)
+			if l.state.dirty {
+				l.state.dirty = false
+				l.publish()
+			}
+		}
+	}
+}
+
+func (l *Loop) publish() { l.snapshot.Store(newSnapshot(&l.state)) }
+
+func newSnapshot(s *State) *Snapshot {
+	snap := &Snapshot{
+		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs,
+		Engines: map[string][]vmlist.VM{}, Services: map[string][]vmlist.VM{}, Backends: map[string]vmlist.VM{},
+	}
+	for _, vm := range s.VMs.VMs {
+		if vm.Role == vmlist.RoleEntry {
+			if vm.State == vmlist.StateLive && !s.Suspect[vm.ID] {
+				snap.EntryVMs = append(snap.EntryVMs, vm)
+			}
+			continue
+		}
+		snap.Backends[vm.ID] = vm
+		if vm.State != vmlist.StateLive {
+			continue
+		}
+		for _, m := range vm.Models {
+			snap.Engines[m] = append(snap.Engines[m], vm)
+		}
+		for _, svc := range vm.Services {
+			snap.Services[svc] = append(snap.Services[svc], vm)
+		}
+	}
+	return snap
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,64 @@
+// Package dispatch decides which engine runs a request and when.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+)
+
+// Ask is a request for the right to start a generation.
+type Ask struct {
+	Tenant       string
+	Organisation string
+	Model        string
+	// PromptTokens is an estimate of the length of the prompt.
+	PromptTokens int
+	// PrefixHashes are chained hashes of the prompt's blocks, for cache affinity.
+	PrefixHashes []uint64
+	MaxTokens    int
+	// Excluded lists backend servers that failed this request before.
+	Excluded []string
+}
+
+// Ticket is the right to run one generation on a backend server. Each ticket
+// must be released once.
+type Ticket interface {
+	Backend() backend.Target
+	Priority() int
+	// Progress reports the total of tokens so far.
+	Progress(tokens int)
+	// Preempted reports that the engine pushed the generation aside.
+	Preempted()
+	// Release ends the ticket with the total of tokens.
+	Release(tokens int)
+}
+
+// Admission hands out tickets.
+type Admission interface {
+	// Acquire waits for a ticket. Errors are *QueueFullError,
+	// *QueueTimeoutError and *NoBackendError; nothing ran in any of these cases.
+	Acquire(ctx context.Context, a Ask) (Ticket, error)
+}
+
+// QueueFullError reports that too many requests are waiting.
+type QueueFullError struct{ Organisation string }
+
+func (e *QueueFullError) Error() string {
+	return fmt.Sprintf("queue of organisation %s is full", e.Organisation)
+}
+
+// QueueTimeoutError reports that no engine had room in time.
+type QueueTimeoutError struct{ Model string }
+
+func (e *QueueTimeoutError) Error() string {
+	return fmt.Sprintf("no engine of model %s had room in time", e.Model)
+}
+
+// NoBackendError reports that no live engine has the model.
+type NoBackendError struct{ Model string }
+
+func (e *NoBackendError) Error() string {
+	return fmt.Sprintf("no live engine has model %s", e.Model)
+}
--- /dev/null
+++ b/dispatch/local.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// localPoll is the pause between looks for room while all engines are full.
+const localPoll = 20 * time.Millisecond
+
+// Local admits with the knowledge of one VM only: least outstanding requests
+// and a fixed limit of streams for each engine. It serves as the bypass of a
+// silent dispatcher.
+type Local struct {
+	snapshot func() *control.Snapshot
+	limit    int
+	queue    int
+	timeout  time.Duration
+
+	mu      sync.Mutex
+	running map[string]int
+	waiting int
+}
+
+// NewLocal returns an admission of at most limit streams for each engine and
+// at most queue waiting requests.
+func NewLocal(snapshot func() *control.Snapshot, limit, queue int, timeout time.Duration) *Local {
+	return &Local{snapshot: snapshot, limit: limit, queue: queue, timeout: timeout, running: map[string]int{}}
+}
+
+// Acquire implements Admission.
+func (l *Local) Acquire(ctx context.Context, a Ask) (Ticket, error) {
+	if t, err := l.try(a); t != nil || err != nil {
+		return t, err
+	}
+	if !l.enter() {
+		return nil, &QueueFullError{Organisation: a.Organisation}
+	}
+	defer l.leave()
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, &QueueTimeoutError{Model: a.Model}
+		case <-time.After(localPoll):
+		}
+		if t, err := l.try(a); t != nil || err != nil {
+			return t, err
+		}
+	}
+}
+
+func (l *Local) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting >= l.queue {
+		return false
+	}
+	l.waiting++
+	return true
+}
+
+func (l *Local) leave() {
+	l.mu.Lock()
+	l.waiting--
+	l.mu.Unlock()
+}
+
+// try returns a ticket, or nil without an error when all engines are full.
+func (l *Local) try(a Ask) (Ticket, error) {
+	engines := l.snapshot().Engines[a.Model]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best *vmlist.VM
+	usable := 0
+	for i := range engines {
+		vm := &engines[i]
+		if slices.Contains(a.Excluded, vm.ID) {
+			continue
+		}
+		usable++
+		if l.running[vm.ID] < l.limit && (best == nil || l.running[vm.ID] < l.running[best.ID]) {
+			best = vm
+		}
+	}
+	if usable == 0 {
+		return nil, &NoBackendError{Model: a.Model}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	l.running[best.ID]++
+	return &localTicket{local: l, target: backend.Target{ID: best.ID, Address: best.Address}}, nil
+}
+
+type localTicket struct {
+	local  *Local
+	target backend.Target
+	once   sync.Once
+}
+
+func (t *localTicket) Backend() backend.Target { return t.target }
+func (t *localTicket) Priority() int           { return 0 }
+func (t *localTicket) Progress(int)            {}
+func (t *localTicket) Preempted()              {}
+
+func (t *localTicket) Release(int) {
+	t.once.Do(func() {
+		t.local.mu.Lock()
+		defer t.local.mu.Unlock()
+		if t.local.running[t.target.ID]--; t.local.running[t.target.ID] == 0 {
+			delete(t.local.running, t.target.ID)
+		}
+	})
+}
--- /dev/null
+++ b/frontend/completion.go
@@ -0,0 +1,131 @@
+package frontend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+)
+
+// bytesPerToken estimates the length of a prompt, which the engine tokenises later.
+const bytesPerToken = 4
+
+// Bounds of a request.
+const (
+	// bodyTimeout bounds the time in which a caller sends the body.
+	bodyTimeout  = 30 * time.Second
+	maxModelName = 128
+	maxTokens    = 1 << 20
+)
+
+func (f *Frontend) completion(c *call) error {
+	if id := c.Request().Header.Get(api.HeaderLastEventID); id != "" {
+		return f.resume(c, id)
+	}
+	request, err := f.readCompletion(c)
+	if err != nil {
+		return err
+	}
+	f.budget.Attempt(c.identity.Organisation)
+	r := &relay{
+		f: f, c: c, request: request, sink: newSink(c, request),
+		ask: dispatch.Ask{
+			Tenant: c.identity.Tenant, Organisation: c.identity.Organisation, Model: request.Model,
+			PromptTokens: 1 + len(request.Prompt)/bytesPerToken, PrefixHashes: dispatch.PrefixHashes(request.Prompt),
+			MaxTokens: request.MaxTokens,
+		},
+	}
+	return r.run()
+}
+
+func (f *Frontend) readCompletion(c *call) (api.CompletionRequest, error) {
+	var r api.CompletionRequest
+	body, err := f.readBody(c)
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(body, &r); err != nil {
+		return r, invalid("the body is not a completion request: " + err.Error())
+	}
+	switch {
+	case r.Model == "" || len(r.Model) > maxModelName:
+		return r, invalid(fmt.Sprintf("model must have 1 to %d bytes", maxModelName))
+	case r.Prompt == "":
+		return r, invalid("prompt must not be empty")
+	case r.MaxTokens < 0 || r.MaxTokens > maxTokens:
+		return r, invalid(fmt.Sprintf("max_tokens must be between 0 and %d", maxTokens))
+	}
+	if _, ok := c.index.Model(r.Model); !ok {
+		return r, api.NewProblem(api.ProblemUnknownModel, http.StatusNotFound, api.OutcomeNotRun,
+			"the bundle in force has no such model")
+	}
+	return r, nil
+}
+
+func (f *Frontend) readBody(c *call) ([]byte, error) {
+	limit := f.Config.Limits.BodyBytes
+	control := http.NewResponseController(c.Response())
+	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err == nil {
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
+		return nil, api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
+			fmt.Sprintf("the body exceeds %d bytes", limit))
+	}
+	if err != nil {
+		return nil, invalid("the body could not be read").WithCause(err)
+	}
+	return body, nil
+}
+
+func invalid(detail string) *api.Problem {
+	return api.NewProblem(api.ProblemInvalidRequest, http.StatusBadRequest, api.OutcomeNotRun, detail)
+}
+
+func (f *Frontend) resumeByID(c *call) error {
+	id := c.Request().Header.Get(api.HeaderLastEventID)
+	generation := c.Param("generation")
+	if id == "" {
+		id = generation + ":0"
+	}
+	if event, err := api.ParseEventID(id); err == nil && event.Generation != generation {
+		return invalid("Last-Event-ID names another generation")
+	}
+	return f.resume(c, id)
+}
+
+// resume continues a stream that the caller lost, possibly on another VM.
+func (f *Frontend) resume(c *call, id string) error {
+	event, err := api.ParseEventID(id)
+	if err != nil {
+		return invalid(err.Error())
+	}
+	generation, err := api.ParseGenerationID(event.Generation)
+	if err != nil {
+		return invalid(err.Error())
+	}
+	vm, ok := f.Snapshot().Backends[generation.Backend]
+	if !ok {
+		return generationGone(nil)
+	}
+	r := &relay{
+		f: f, c: c, sink: newSink(c, api.CompletionRequest{Stream: true}),
+		target: backend.Target{ID: vm.ID, Address: vm.Address}, generation: generation,
+		offset: event.Offset, seen: true, started: time.Now(),
+	}
+	c.generation = generation.String()
+	return r.resumeOnly()
+}
+
+func generationGone(cause error) *api.Problem {
+	return api.NewProblem(api.ProblemGenerationGone, http.StatusGone, api.OutcomeFailed,
+		"the generation can no longer be resumed").WithCause(cause)
+}
--- /dev/null
+++ b/frontend/failure.go
@@ -0,0 +1,92 @@
+package frontend
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+)
+
+// Retry-After values of refusals.
+const (
+	retryAfterQueue   = 2 * time.Second
+	retryAfterBackend = time.Second
+)
+
+// notStarted reports whether an error proves that no generation runs.
+func notStarted(err error) bool {
+	if _, ok := errors.Into[*backend.NotSentError](err); ok {
+		return true
+	}
+	if _, ok := errors.Into[*backend.RejectedError](err); ok {
+		return true
+	}
+	return isAdmission(err)
+}
+
+func isAdmission(err error) bool {
+	if _, ok := errors.Into[*dispatch.QueueFullError](err); ok {
+		return true
+	}
+	if _, ok := errors.Into[*dispatch.QueueTimeoutError](err); ok {
+		return true
+	}
+	_, ok := errors.Into[*dispatch.NoBackendError](err)
+	return ok
+}
+
+// restartable reports whether another engine may succeed.
+func restartable(err error) bool { return !isAdmission(err) && !isAnswerTooLarge(err) }
+
+func isAnswerTooLarge(err error) bool {
+	p, ok := errors.Into[*api.Problem](err)
+	return ok && p.Kind() == api.ProblemAnswerTooLarge
+}
+
+// resumable reports whether the same generation may go on over a new connection.
+func resumable(err error) bool {
+	if _, ok := errors.Into[*backend.StalledError](err); ok {
+		return true
+	}
+	if _, ok := errors.Into[*backend.TruncatedError](err); ok {
+		return true
+	}
+	if _, ok := errors.Into[*backend.UncertainError](err); ok {
+		return true
+	}
+	_, ok := errors.Into[*backend.MismatchError](err)
+	return ok
+}
+
+// asFailure maps an error before the first byte of the answer to a problem.
+func asFailure(err error) *api.Problem {
+	if p, ok := errors.Into[*api.Problem](err); ok {
+		return p
+	}
+	if _, ok := errors.Into[*dispatch.QueueFullError](err); ok {
+		return refusal(api.ProblemQueueFull, http.StatusTooManyRequests, "too many requests are waiting", retryAfterQueue, err)
+	}
+	if _, ok := errors.Into[*dispatch.QueueTimeoutError](err); ok {
+		return refusal(api.ProblemQueueTimeout, http.StatusServiceUnavailable, "no engine had room in time", retryAfterQueue, err)
+	}
+	if _, ok := errors.Into[*dispatch.NoBackendError](err); ok {
+		return refusal(api.ProblemNoBackend, http.StatusServiceUnavailable, "no backend server is available", retryAfterBackend, err)
+	}
+	if notStarted(err) {
+		return refusal(api.ProblemBackendUnavailable, http.StatusServiceUnavailable, "the backend server refused the request", retryAfterBackend, err)
+	}
+	if _, ok := errors.Into[*backend.FailedError](err); ok {
+		return api.NewProblem(api.ProblemBackendFailed, http.StatusBadGateway, api.OutcomeFailed,
+			"the backend server reported a failure").WithCause(err)
+	}
+	return api.NewProblem(api.ProblemBackendUnavailable, http.StatusBadGateway, api.OutcomeUnknown,
+		"the backend server stopped answering").WithCause(err)
+}
+
+func refusal(t api.ProblemType, status int, detail string, after time.Duration, cause error) *api.Problem {
+	return api.NewProblem(t, status, api.OutcomeNotRun, detail).WithRetryAfter(after).WithCause(cause)
+}
--- /dev/null
+++ b/frontend/frontend.go
@@ -0,0 +1,231 @@
+// Package frontend serves the caller API: it authenticates callers, obtains a
+// ticket for an engine, relays tokens, resumes streams and drains.
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/claim"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/retry"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// Options are the collaborators of a Frontend.
+type Options struct {
+	Config    *config.Config
+	Snapshot  func() *control.Snapshot
+	Admission dispatch.Admission
+	Engines   *backend.Engines
+	Services  *backend.Services
+	Claims    *claim.Manager
+	Log       *zap.Logger
+	Tracer    trace.Tracer
+	Metrics   metrics.Registry
+}
+
+// Frontend handles requests of callers.
+type Frontend struct {
+	Options
+	budget  *retry.Budget
+	drain   drainState
+	counter counters
+	nextSvc atomic.Uint64
+	// background tracks cancellations that outlive their request.
+	background sync.WaitGroup
+}
+
+// New returns a frontend.
+func New(o Options) *Frontend {
+	return &Frontend{
+		Options: o,
+		budget:  retry.NewBudget(o.Config.Limits.RetryRatio),
+		counter: newCounters(o.Metrics),
+	}
+}
+
+// Close waits for background work.
+func (f *Frontend) Close() { f.background.Wait() }
+
+// Register adds the caller API to an echo instance.
+func (f *Frontend) Register(e *echo.Echo) {
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", f.readyz)
+	e.POST("/v1/completions", f.tracked("frontend.completion", f.completion))
+	e.GET("/v1/generations/:generation", f.tracked("frontend.resume", f.resumeByID))
+	e.POST("/v1/services/:route", f.tracked("frontend.service", f.service))
+}
+
+// call is the state of one request of a caller.
+type call struct {
+	echo.Context
+	ctx      context.Context
+	index    *bundle.Index
+	identity bundle.Identity
+	span     trace.Span
+	log      *zap.Logger
+	// answerLimit bounds an answer that is not streamed, in bytes.
+	answerLimit int64
+	// generation and tokens are filled in for the log line of the request.
+	generation string
+	tokens     int
+}
+
+type handler func(c *call) error
+
+// tracked wraps a handler with drain accounting, authentication, a span and
+// the log line of the request.
+func (f *Frontend) tracked(name string, h handler) echo.HandlerFunc {
+	return func(ec echo.Context) error {
+		start := time.Now()
+		ctx, span := f.Tracer.Start(telemetry.Extract(ec.Request().Context(), ec.Request().Header), name,
+			trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(telemetry.AttrVM.String(f.Config.VMID)))
+		defer span.End()
+		c := &call{
+			Context: ec, ctx: ctx, span: span, answerLimit: f.Config.Limits.AnswerBytes,
+			log: f.Log.With(zap.String("trace", telemetry.TraceID(ctx))),
+		}
+		f.counter.requests.Inc(1)
+		err := f.admit(c, name, h)
+		problem := asProblem(err)
+		if problem != nil {
+			problem.TraceID = telemetry.TraceID(ctx)
+			span.SetAttributes(telemetry.AttrOutcome.String(string(problem.Outcome)))
+			f.counter.failed(problem.Outcome)
+			if !ec.Response().Committed {
+				err = writeProblem(ec, problem)
+			} else {
+				err = nil
+			}
+		}
+		f.logRequest(c, name, problem, time.Since(start))
+		return err
+	}
+}
+
+func (f *Frontend) admit(c *call, name string, h handler) error {
+	release, ok := f.drain.enter(name + " " + telemetry.TraceID(c.ctx))
+	if !ok {
+		return api.NewProblem(api.ProblemDraining, http.StatusServiceUnavailable, api.OutcomeNotRun,
+			"the VM is draining").WithRetryAfter(time.Second)
+	}
+	defer release()
+	if err := f.authenticate(c); err != nil {
+		return err
+	}
+	return h(c)
+}
+
+func (f *Frontend) authenticate(c *call) error {
+	c.index = f.Snapshot().Bundle
+	if c.index == nil {
+		return api.NewProblem(api.ProblemNoBundle, http.StatusServiceUnavailable, api.OutcomeNotRun,
+			"no bundle is in force on this VM").WithRetryAfter(time.Second)
+	}
+	scheme, key, _ := strings.Cut(c.Request().Header.Get("Authorization"), " ")
+	identity, ok := c.index.Identify(key)
+	if !strings.EqualFold(scheme, "Bearer") || !ok {
+		return api.NewProblem(api.ProblemUnauthorised, http.StatusUnauthorized, api.OutcomeNotRun,
+			"the API key is missing or unknown")
+	}
+	c.identity = identity
+	c.span.SetAttributes(telemetry.AttrOrganisation.String(identity.Organisation))
+	return nil
+}
+
+func (f *Frontend) logRequest(c *call, name string, p *api.Problem, elapsed time.Duration) {
+	fields := []zap.Field{
+		zap.String("kind", name), zap.String("organisation", c.identity.Organisation),
+		zap.String("generation", c.generation), zap.Int("tokens", c.tokens), zap.Duration("elapsed", elapsed),
+	}
+	if p == nil {
+		c.log.Info("request_done", fields...)
+		return
+	}
+	fields = append(fields, zap.String("problem", string(p.Kind())), zap.String("outcome", string(p.Outcome)),
+		zap.String("detail", p.Detail))
+	if p.Cause != nil {
+		fields = append(fields, zap.NamedError("cause", p.Cause))
+	}
+	c.log.Warn("request_failed", fields...)
+}
+
+// asProblem returns the problem document of an error, or nil.
+func asProblem(err error) *api.Problem {
+	if err == nil {
+		return nil
+	}
+	if p, ok := errors.Into[*api.Problem](err); ok {
+		return p
+	}
+	return api.NewProblem(api.ProblemInternal, http.StatusInternalServerError, api.OutcomeUnknown,
+		"internal error").WithCause(err)
+}
+
+func (f *Frontend) readyz(c echo.Context) error {
+	switch {
+	case f.drain.draining():
+		return c.String(http.StatusServiceUnavailable, "draining\n")
+	case f.Snapshot().Bundle == nil:
+		return c.String(http.StatusServiceUnavailable, "no bundle\n")
+	default:
+		return c.String(http.StatusOK, "ready\n")
+	}
+}
+
+type counters struct {
+	requests, tokens, restarts, resumes, preemptions, notRun, unknown, failedN metrics.Counter
+	firstToken, gap                                                            metrics.Histogram
+}
+
+// sampleSize and sampleAlpha are the usual parameters of go-metrics' decaying
+// samples, which weigh the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+func newCounters(r metrics.Registry) counters {
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return counters{
+		requests:    metrics.GetOrRegisterCounter("frontend.requests", r),
+		tokens:      metrics.GetOrRegisterCounter("frontend.tokens", r),
+		restarts:    metrics.GetOrRegisterCounter("frontend.restarts", r),
+		resumes:     metrics.GetOrRegisterCounter("frontend.resumes", r),
+		preemptions: metrics.GetOrRegisterCounter("frontend.preemptions", r),
+		notRun:      metrics.GetOrRegisterCounter("frontend.outcome.not_run", r),
+		unknown:     metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
+		failedN:     metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
+		firstToken:  histogram("frontend.first_token_us"),
+		gap:         histogram("frontend.token_gap_us"),
+	}
+}
+
+func (c *counters) failed(o api.Outcome) {
+	switch o {
+	case api.OutcomeNotRun:
+		c.notRun.Inc(1)
+	case api.OutcomeUnknown:
+		c.unknown.Inc(1)
+	default:
+		c.failedN.Inc(1)
+	}
+}
--- /dev/null
+++ b/frontend/service.go
@@ -0,0 +1,184 @@
+package frontend
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/claim"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// recordTimeout bounds the write of a result, which goes on after the caller left.
+const recordTimeout = 5 * time.Second
+
+// service calls a plain service.
+func (f *Frontend) service(c *call) error {
+	route, ok := c.index.Route(c.Param("route"))
+	if !ok {
+		return api.NewProblem(api.ProblemUnknownRoute, http.StatusNotFound, api.OutcomeNotRun,
+			"the bundle in force has no such route")
+	}
+	body, err := f.readBody(c)
+	if err != nil {
+		return err
+	}
+	request := backend.Call{
+		Path: route.Path, ContentType: c.Request().Header.Get("Content-Type"), Body: body,
+		Organisation: c.identity.Organisation, IdempotencyKey: c.Request().Header.Get(api.HeaderIdempotencyKey),
+		NonRepeatable: route.NonRepeatable,
+	}
+	if route.NonRepeatable {
+		return f.callOnce(c, route, request)
+	}
+	return f.callRepeatable(c, route, request)
+}
+
+// callRepeatable tries other backend servers while nothing is known to have failed for good.
+func (f *Frontend) callRepeatable(c *call, route bundle.Route, request backend.Call) error {
+	f.budget.Attempt(c.identity.Organisation)
+	ctx, cancel := context.WithTimeout(c.ctx, route.Timeout())
+	defer cancel()
+	candidates := f.serviceBackends(route)
+	var lastErr error
+	for i, vm := range candidates {
+		if i == maxAttempts || (i > 0 && !f.budget.Take(c.identity.Organisation)) {
+			break
+		}
+		response, err := f.callBackend(ctx, vm, request)
+		if err == nil {
+			return c.Blob(response.Status, response.ContentType, response.Body)
+		}
+		lastErr = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if lastErr == nil {
+		return noServiceBackend()
+	}
+	return asFailure(lastErr)
+}
+
+// callOnce sends a non-repeatable call under a claim.
+func (f *Frontend) callOnce(c *call, route bundle.Route, request backend.Call) error {
+	candidates := f.serviceBackends(route)
+	if len(candidates) == 0 {
+		return noServiceBackend()
+	}
+	ctx, span := f.Tracer.Start(c.ctx, "claim.begin")
+	held, err := f.Claims.Begin(ctx, c.identity.Organisation, request.IdempotencyKey, fingerprint(route, request))
+	span.End()
+	if err != nil {
+		return f.claimProblem(c, err)
+	}
+	// The call goes on when the caller leaves, so that its result is recorded.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), route.Timeout())
+	defer cancel()
+	response, err := f.callFirstReachable(ctx, candidates, request)
+	if err != nil {
+		return f.callOnceFailed(held, err)
+	}
+	f.record(ctx, c, held, response)
+	return c.Blob(response.Status, response.ContentType, response.Body)
+}
+
+// callFirstReachable moves to the next backend server only if no byte was sent.
+func (f *Frontend) callFirstReachable(ctx context.Context, candidates []vmlist.VM, request backend.Call) (*backend.Response, error) {
+	var err error
+	for _, vm := range candidates[:min(len(candidates), maxAttempts)] {
+		var response *backend.Response
+		response, err = f.callBackend(ctx, vm, request)
+		if _, ok := errors.Into[*backend.NotSentError](err); !ok {
+			return response, err
+		}
+	}
+	return nil, err
+}
+
+func (f *Frontend) callOnceFailed(held *claim.Claim, err error) error {
+	if _, ok := errors.Into[*backend.NotSentError](err); ok {
+		held.Abandon()
+		return refusal(api.ProblemBackendUnavailable, http.StatusServiceUnavailable,
+			"no backend server could be reached", retryAfterBackend, err)
+	}
+	return api.NewProblem(api.ProblemOutcomeUnknown, http.StatusBadGateway, api.OutcomeUnknown,
+		"the call was sent and its result is not known").WithCause(err)
+}
+
+func (f *Frontend) record(ctx context.Context, c *call, held *claim.Claim, r *backend.Response) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	ctx, span := f.Tracer.Start(ctx, "claim.complete")
+	defer span.End()
+	err := held.Complete(ctx, claim.Result{Status: r.Status, ContentType: r.ContentType, Body: r.Body})
+	if err != nil {
+		c.log.Warn("claim_result_not_recorded", zap.Error(err))
+	}
+}
+
+// claimProblem maps a failed claim. A recorded result is the answer itself.
+func (f *Frontend) claimProblem(c *call, err error) error {
+	if exists, ok := errors.Into[*claim.ExistsError](err); ok {
+		return f.replayed(c, exists)
+	}
+	if _, ok := errors.Into[*claim.InvalidKeyError](err); ok {
+		return api.NewProblem(api.ProblemIdempotencyKey, http.StatusBadRequest, api.OutcomeNotRun, err.Error())
+	}
+	if _, ok := errors.Into[*claim.ExpiredKeyError](err); ok {
+		return api.NewProblem(api.ProblemIdempotencyExpired, http.StatusConflict, api.OutcomeUnknown, err.Error())
+	}
+	if _, ok := errors.Into[*claim.MismatchError](err); ok {
+		return api.NewProblem(api.ProblemIdempotencyMismatch, http.StatusUnprocessableEntity, api.OutcomeNotRun, err.Error())
+	}
+	return refusal(api.ProblemClaimUnavailable, http.StatusServiceUnavailable,
+		"the claim could not be established", retryAfterBackend, err)
+}
+
+func (f *Frontend) replayed(c *call, exists *claim.ExistsError) error {
+	result := exists.Record.Result
+	if exists.Record.State != claim.StateCompleted || result == nil || result.BodyDropped {
+		return api.NewProblem(api.ProblemOutcomeUnknown, http.StatusConflict, api.OutcomeUnknown,
+			"an earlier attempt holds the claim and its result is not known").WithCause(exists)
+	}
+	c.Response().Header().Set(api.HeaderReplayed, "true")
+	return c.Blob(result.Status, result.ContentType, result.Body)
+}
+
+func (f *Frontend) callBackend(ctx context.Context, vm vmlist.VM, request backend.Call) (*backend.Response, error) {
+	ctx, span := f.Tracer.Start(ctx, "service.call", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(telemetry.AttrBackend.String(vm.ID)))
+	defer span.End()
+	return f.Services.Do(ctx, backend.Target{ID: vm.ID, Address: vm.Address}, request)
+}
+
+// serviceBackends returns the live backend servers of a route in rotation.
+func (f *Frontend) serviceBackends(route bundle.Route) []vmlist.VM {
+	all := f.Snapshot().Services[route.Service]
+	if len(all) == 0 {
+		return nil
+	}
+	first := int(f.nextSvc.Add(1) % uint64(len(all)))
+	return append(append([]vmlist.VM(nil), all[first:]...), all[:first]...)
+}
+
+func noServiceBackend() *api.Problem {
+	return refusal(api.ProblemNoBackend, http.StatusServiceUnavailable, "no backend server is available", retryAfterBackend, nil)
+}
+
+func fingerprint(route bundle.Route, request backend.Call) string {
+	h := sha256.New()
+	h.Write([]byte(route.Name + "\x00" + request.ContentType + "\x00"))
+	h.Write(request.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/frontend/sink.go
@@ -0,0 +1,145 @@
+package frontend
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+)
+
+// sink receives the answer of one request.
+type sink interface {
+	// token delivers one token.
+	token(g api.GenerationID, t backend.Token) error
+	// started reports whether the caller has received a byte of the answer.
+	started() bool
+	// reset forgets tokens that the caller has not received.
+	reset()
+	finish() error
+	// fail ends the answer with a problem and returns it.
+	fail(p *api.Problem) error
+}
+
+func newSink(c *call, r api.CompletionRequest) sink {
+	if r.Stream {
+		return &eventSink{c: c}
+	}
+	return &documentSink{c: c, request: r}
+}
+
+// eventSink streams server-sent events.
+type eventSink struct {
+	c         *call
+	committed bool
+}
+
+func (s *eventSink) started() bool { return s.committed }
+func (s *eventSink) reset()        {}
+
+func (s *eventSink) commit() {
+	if s.committed {
+		return
+	}
+	s.committed = true
+	h := s.c.Response().Header()
+	h.Set(echo.HeaderContentType, api.ContentTypeEventStream)
+	h.Set("Cache-Control", "no-store")
+	s.c.Response().WriteHeader(http.StatusOK)
+}
+
+func (s *eventSink) token(g api.GenerationID, t backend.Token) error {
+	id := api.EventID{Generation: g.String(), Offset: t.Offset}
+	data, err := json.Marshal(api.Completion{
+		ID:      g.String(),
+		Choices: []api.Choice{{Text: t.Text, FinishReason: t.FinishReason}},
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode token")
+	}
+	return s.send(sse.Message{ID: sse.ID(id.String())}, string(data))
+}
+
+func (s *eventSink) send(m sse.Message, data string) error {
+	s.commit()
+	m.AppendData(data)
+	if _, err := m.WriteTo(s.c.Response()); err != nil {
+		return errors.Wrap(err, "write event")
+	}
+	s.c.Response().Flush()
+	return nil
+}
+
+func (s *eventSink) finish() error { return s.send(sse.Message{}, api.DoneMarker) }
+
+func (s *eventSink) fail(p *api.Problem) error {
+	if !s.committed {
+		return p
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		return errors.Wrap(err, "encode problem")
+	}
+	if err := s.send(sse.Message{Type: sse.Type(api.EventError)}, string(data)); err != nil {
+		p.Cause = errors.Join(p.Cause, err)
+	}
+	return p
+}
+
+// documentSink collects the whole answer and sends it as one JSON document.
+type documentSink struct {
+	c          *call
+	request    api.CompletionRequest
+	generation string
+	text       strings.Builder
+	tokens     int
+	reason     string
+}
+
+func (s *documentSink) started() bool { return false }
+
+func (s *documentSink) reset() {
+	s.text.Reset()
+	s.tokens, s.reason = 0, ""
+}
+
+func (s *documentSink) token(g api.GenerationID, t backend.Token) error {
+	limit := s.c.answerLimit
+	if int64(s.text.Len()+len(t.Text)) > limit {
+		return api.NewProblem(api.ProblemAnswerTooLarge, http.StatusBadGateway, api.OutcomeFailed,
+			fmt.Sprintf("the answer exceeds %d bytes; request a stream", limit))
+	}
+	s.generation, s.reason = g.String(), t.FinishReason
+	s.text.WriteString(t.Text)
+	s.tokens++
+	return nil
+}
+
+func (s *documentSink) finish() error {
+	return s.c.JSON(http.StatusOK, api.Completion{
+		ID: s.generation, Model: s.request.Model,
+		Choices: []api.Choice{{Text: s.text.String(), FinishReason: s.reason}},
+		Usage:   &api.Usage{PromptTokens: 1 + len(s.request.Prompt)/bytesPerToken, CompletionTokens: s.tokens},
+	})
+}
+
+func (s *documentSink) fail(p *api.Problem) error { return p }
+
+func writeProblem(c echo.Context, p *api.Problem) error {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return errors.Wrap(err, "encode problem")
+	}
+	if p.RetryAfter > 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	return c.Blob(p.Status, api.ContentTypeProblem, data)
+}
--- /dev/null
+++ b/http.go
@@ -0,0 +1,150 @@
+package vanillaarch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+)
+
+// Time limits of the HTTP servers. Answers have no write limit, since a
+// generation can last twenty minutes. http.Server.ReadTimeout stays unset: its
+// deadline also ends the background read that watches for a closed connection,
+// which cancels the context of a running answer.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	closeTimeout      = 2 * time.Second
+)
+
+// httpServers are the listeners for callers and operators.
+type httpServers struct {
+	servers   []*http.Server
+	listeners []net.Listener
+	tls       [2]string
+	wg        sync.WaitGroup
+}
+
+func (s *Server) listen() (*httpServers, error) {
+	callers := newEcho()
+	s.front.Register(callers)
+	admin := newEcho()
+	admin.GET("/status", s.status)
+	admin.GET("/metrics", s.writeMetrics)
+	h := &httpServers{tls: [2]string{s.cfg.TLS.CertFile, s.cfg.TLS.KeyFile}}
+	if err := h.add(s.cfg.Listen.HTTP, callers, s.cfg.Limits.HeaderBytes); err != nil {
+		return nil, err
+	}
+	if s.cfg.Listen.Admin != "" {
+		if err := h.add(s.cfg.Listen.Admin, admin, s.cfg.Limits.HeaderBytes); err != nil {
+			h.close()
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+func (h *httpServers) add(address string, handler http.Handler, headerBytes int) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	h.listeners = append(h.listeners, l)
+	h.servers = append(h.servers, &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	})
+	return nil
+}
+
+// serve starts the servers. The first one, for callers, uses TLS if it is configured.
+func (h *httpServers) serve(log *zap.Logger) {
+	for i, server := range h.servers {
+		h.wg.Go(func() {
+			var err error
+			if i == 0 && h.tls[0] != "" {
+				err = server.ServeTLS(h.listeners[i], h.tls[0], h.tls[1])
+			} else {
+				err = server.Serve(h.listeners[i])
+			}
+			if !errors.Is(err, http.ErrServerClosed) {
+				log.Error("http_server_failed", zap.Error(err))
+			}
+		})
+	}
+}
+
+// close ends the servers. Requests in progress were drained before.
+func (h *httpServers) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for i, server := range h.servers {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+		_ = h.listeners[i].Close()
+	}
+	h.wg.Wait()
+}
+
+// Status is the answer of the admin endpoint /status.
+type Status struct {
+	VM            string   `json:"vm"`
+	BundleVersion int64    `json:"bundle_version"`
+	BundleDigest  string   `json:"bundle_digest,omitempty"`
+	VMListVersion int64    `json:"vm_list_version"`
+	EntryVMs      []string `json:"entry_vms"`
+	Active        int      `json:"active_requests"`
+}
+
+func (s *Server) status(c echo.Context) error {
+	snap := s.loop.Snapshot()
+	st := Status{VM: s.cfg.VMID, VMListVersion: snap.VMs.Revision, Active: len(s.front.Active())}
+	if snap.Bundle != nil {
+		st.BundleVersion, st.BundleDigest = snap.Bundle.Version(), snap.Bundle.Digest
+	}
+	for _, vm := range snap.EntryVMs {
+		st.EntryVMs = append(st.EntryVMs, vm.ID)
+	}
+	return c.JSON(http.StatusOK, st)
+}
+
+func (s *Server) writeMetrics(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	metrics.WriteJSONOnce(s.metrics, c.Response())
+	return nil
+}
+
+// Addresses are the addresses that a server listens on, as IP:port. They
+// differ from the configuration where that names port 0.
+type Addresses struct {
+	HTTP  string
+	Peer  string
+	Admin string
+}
+
+// Addresses returns the addresses in use.
+func (s *Server) Addresses() Addresses {
+	a := Addresses{HTTP: s.http.listeners[0].Addr().String()}
+	if len(s.http.listeners) > 1 {
+		a.Admin = s.http.listeners[1].Addr().String()
+	}
+	return a
+}
+
+// Snapshot returns the current view of the control state.
+func (s *Server) Snapshot() *control.Snapshot { return s.loop.Snapshot() }
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,31 @@
+// Package cli implements the operators' command line. Commands change state;
+// queries (get ...) only read.
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// Main runs the command line and exits.
+func Main() {
+	if err := NewCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "vanillaarch:", err)
+		os.Exit(1)
+	}
+}
+
+// NewCommand returns the root command.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "vanillaarch",
+		Short:         "Operate vanillaarch",
+		Long:          "Operate vanillaarch. Commands change state; queries (get ...) only read.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newBundleCommand(), newGetCommand(), newCheckConfigCommand(), newDemoCommand(), newCompleteCommand(), newCallCommand())
+	return root
+}
--- /dev/null
+++ b/internal/cli/get.go
@@ -0,0 +1,168 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaarch/vanillaarch"
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+func newGetCommand() *cobra.Command {
+	var p platformFlags
+	cmd := &cobra.Command{Use: "get", Short: "Read state"}
+	p.register(cmd)
+	cmd.AddCommand(newGetBundle(&p), newGetVMs(&p), newGetBackends(&p))
+	return cmd
+}
+
+func newGetBundle(p *platformFlags) *cobra.Command {
+	return &cobra.Command{
+		Use: "bundle", Short: "Print the bundle in force", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client := p.kvClient()
+			defer client.Close()
+			store := bundle.NewStore(client)
+			head, _, err := store.Head(cmd.Context())
+			if err != nil {
+				return err
+			}
+			signed, err := store.Get(cmd.Context(), head.Version)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "version=%d digest=%s operator=%s\n%s\n",
+				head.Version, head.Digest, head.Operator, signed.Content)
+			return nil
+		},
+	}
+}
+
+func newGetVMs(p *platformFlags) *cobra.Command {
+	return &cobra.Command{
+		Use: "vms", Short: "List entry VMs with the bundle version in force on each", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			rows, err := fetchStatuses(cmd.Context(), p)
+			if err != nil {
+				return err
+			}
+			printStatuses(cmd.OutOrStdout(), rows)
+			return nil
+		},
+	}
+}
+
+func newGetBackends(p *platformFlags) *cobra.Command {
+	return &cobra.Command{
+		Use: "backends", Short: "List backend servers", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			list, err := fetchList(cmd.Context(), p)
+			if err != nil {
+				return err
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+			fmt.Fprintln(w, "ID\tROLE\tSTATE\tZONE\tADDRESS\tMODELS\tSERVICES")
+			for _, vm := range list.VMs {
+				if vm.Role != vmlist.RoleEntry {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%v\n", vm.ID, vm.Role, vm.State, vm.Zone, vm.Address, vm.Models, vm.Services)
+				}
+			}
+			return w.Flush()
+		},
+	}
+}
+
+func fetchList(ctx context.Context, p *platformFlags) (*vmlist.List, error) {
+	client := p.vmListClient()
+	defer client.Close()
+	return client.Fetch(ctx, 0)
+}
+
+// vmStatus is one row of the list of entry VMs.
+type vmStatus struct {
+	VM     vmlist.VM
+	Status vanillaarch.Status
+	Err    error
+}
+
+// statusTimeout bounds the question to one VM.
+const statusTimeout = 2 * time.Second
+
+// fetchStatuses asks each live entry VM for its status.
+func fetchStatuses(ctx context.Context, p *platformFlags) ([]vmStatus, error) {
+	list, err := fetchList(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	var rows []vmStatus
+	for _, vm := range list.VMs {
+		if vm.Role == vmlist.RoleEntry && vm.State == vmlist.StateLive {
+			rows = append(rows, vmStatus{VM: vm})
+		}
+	}
+	var wg sync.WaitGroup
+	for i := range rows {
+		wg.Go(func() { rows[i].Err = fetchStatus(ctx, rows[i].VM, &rows[i].Status) })
+	}
+	wg.Wait()
+	return rows, nil
+}
+
+func fetchStatus(ctx context.Context, vm vmlist.VM, out *vanillaarch.Status) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.AdminAddress+"/status", nil)
+	if err != nil {
+		return errors.Wrap(err, "status request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "status")
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+func printStatuses(out io.Writer, rows []vmStatus) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "VM\tZONE\tBUNDLE\tACTIVE\tERROR")
+	for _, r := range rows {
+		message := "-"
+		if r.Err != nil {
+			message = r.Err.Error()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", r.VM.ID, r.VM.Zone, r.Status.BundleVersion, r.Status.Active, message)
+	}
+	_ = w.Flush()
+}
+
+func newCheckConfigCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check-config FILE", Short: "Check a daemon configuration and list every fault", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			cfg, err := config.Load(args[0])
+			invalid, ok := errors.Into[*config.InvalidError](err)
+			if ok {
+				for _, f := range invalid.Faults {
+					fmt.Fprintln(cmd.OutOrStdout(), f)
+				}
+			}
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "configuration of %s is valid\n", cfg.VMID)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,66 @@
+// Package daemon implements the vanillaarchd command, which runs one entry VM.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// Main runs the daemon and exits.
+func Main() {
+	if err := newCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "vanillaarchd:", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:           "vanillaarchd --config FILE",
+		Short:         "Run one entry VM",
+		Long:          "Run one entry VM. SIGTERM drains it; a second signal ends it at once and names what it cuts.",
+		Example:       "  vanillaarchd --config /etc/vanillaarch/vm.jsonc",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return run(file) },
+	}
+	cmd.Flags().StringVar(&file, "config", "", "configuration file, JSON with comments")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+func run(file string) error {
+	cfg, err := config.Load(file)
+	if err != nil {
+		return err
+	}
+	log := telemetry.NewLogger(os.Stderr, cfg.Log.Level, cfg.VMID)
+	server, err := vanillaarch.New(cfg, vanillaarch.Options{Log: log})
+	if err != nil {
+		return errors.Wrap(err, "start")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		log.Info("signal_received", zap.Stringer("signal", <-signals))
+		cancel()
+		log.Warn("signal_received", zap.Stringer("signal", <-signals), zap.Bool("abort", true))
+		server.Abort()
+	}()
+	return server.Run(ctx)
+}
--- /dev/null
+++ b/internal/standin/kv.go
@@ -0,0 +1,222 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/kv"
+)
+
+// KV is a key-value service in memory.
+type KV struct {
+	faultSwitch
+	mux *http.ServeMux
+
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]kvEntry
+	leases   map[kv.LeaseID]*kvLease
+	lastID   kv.LeaseID
+	changed  chan struct{}
+	calls    map[string]int64
+}
+
+type kvEntry struct {
+	value    []byte
+	revision int64
+	lease    kv.LeaseID
+}
+
+type kvLease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// NewKV returns an empty key-value service.
+func NewKV() *KV {
+	s := &KV{
+		mux: http.NewServeMux(), entries: map[string]kvEntry{}, leases: map[kv.LeaseID]*kvLease{},
+		changed: make(chan struct{}), calls: map[string]int64{},
+	}
+	s.mux.HandleFunc("PUT /faults", s.serveFaults)
+	s.mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Calls()) })
+	s.handle("GET /v1/kv/{key}", "get", s.get)
+	s.handle("PUT /v1/kv/{key}", "put", s.put)
+	s.handle("POST /v1/leases", "lease", s.grant)
+	s.handle("PUT /v1/leases/{id}", "lease", s.keepAlive)
+	s.handle("DELETE /v1/leases/{id}", "lease", s.revoke)
+	return s
+}
+
+func (s *KV) handle(pattern, kind string, h http.HandlerFunc) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		s.count(kind, r)
+		if !s.before(w, r) {
+			return
+		}
+		h(w, r)
+	})
+}
+
+func (s *KV) count(kind string, r *http.Request) {
+	if r.URL.Query().Has("after") {
+		kind = "watch"
+	}
+	s.mu.Lock()
+	s.calls[kind]++
+	s.mu.Unlock()
+}
+
+// Calls returns the number of calls by kind: get, put, watch, lease.
+func (s *KV) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int64, len(s.calls))
+	for k, v := range s.calls {
+		out[k] = v
+	}
+	return out
+}
+
+// ServeHTTP implements http.Handler.
+func (s *KV) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// expire drops lapsed leases and their keys. The lock is held.
+func (s *KV) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *KV) dropLease(id kv.LeaseID) {
+	delete(s.leases, id)
+	for key, e := range s.entries {
+		if e.lease == id {
+			delete(s.entries, key)
+		}
+	}
+}
+
+func (s *KV) get(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
+	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		s.expire(time.Now())
+		e, ok := s.entries[key]
+		changed := s.changed
+		s.mu.Unlock()
+		if !query.Has("after") || (ok && e.revision > after) {
+			writeEntry(w, e, ok)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeEntry(w http.ResponseWriter, e kvEntry, ok bool) {
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set(kv.HeaderRevision, strconv.FormatInt(e.revision, 10))
+	_, _ = w.Write(e.value)
+}
+
+func (s *KV) put(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, kv.MaxValueBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	prev, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	lease, _ := strconv.ParseInt(r.Header.Get(kv.HeaderLease), 10, 64)
+	status, revision := s.swap(key, value, prev, kv.LeaseID(lease))
+	if s.Get().LoseAnswers {
+		drop(w)
+		return
+	}
+	w.Header().Set(kv.HeaderRevision, strconv.FormatInt(revision, 10))
+	w.WriteHeader(status)
+}
+
+func (s *KV) swap(key string, value []byte, prev int64, lease kv.LeaseID) (status int, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	current := s.entries[key]
+	if current.revision != prev {
+		return http.StatusPreconditionFailed, current.revision
+	}
+	if _, ok := s.leases[lease]; lease != 0 && !ok {
+		return http.StatusNotFound, 0
+	}
+	s.revision++
+	s.entries[key] = kvEntry{value: value, revision: s.revision, lease: lease}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return http.StatusOK, s.revision
+}
+
+type leaseBody struct {
+	ID    kv.LeaseID `json:"id"`
+	TTLMS int64      `json:"ttl_ms"`
+}
+
+func (s *KV) grant(w http.ResponseWriter, r *http.Request) {
+	var body leaseBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTLMS <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.lastID++
+	ttl := time.Duration(body.TTLMS) * time.Millisecond
+	body.ID = s.lastID
+	s.leases[body.ID] = &kvLease{ttl: ttl, expires: time.Now().Add(ttl)}
+	s.mu.Unlock()
+	writeJSON(w, body)
+}
+
+func (s *KV) keepAlive(w http.ResponseWriter, r *http.Request) {
+	s.withLease(w, r, func(l *kvLease, _ kv.LeaseID) { l.expires = time.Now().Add(l.ttl) })
+}
+
+func (s *KV) revoke(w http.ResponseWriter, r *http.Request) {
+	s.withLease(w, r, func(_ *kvLease, id kv.LeaseID) { s.dropLease(id) })
+}
+
+func (s *KV) withLease(w http.ResponseWriter, r *http.Request, apply func(*kvLease, kv.LeaseID)) {
+	n, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	id := kv.LeaseID(n)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	l, ok := s.leases[id]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	apply(l, id)
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/vanillaarch/vanillaarch/api"
+)
+
+// Service is a plain service that counts the runs of each idempotency key.
+type Service struct {
+	faultSwitch
+	mux *http.ServeMux
+	// total counts runs.
+	total atomic.Int64
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// NewService returns a plain service.
+func NewService() *Service {
+	s := &Service{mux: http.NewServeMux(), runs: map[string]int{}}
+	s.mux.HandleFunc("PUT /faults", s.serveFaults)
+	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
+	s.mux.HandleFunc("POST /", s.call)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Runs returns the number of runs of each idempotency key.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, v := range s.runs {
+		out[k] = v
+	}
+	return out
+}
+
+// Total returns the number of runs.
+func (s *Service) Total() int64 { return s.total.Load() }
+
+// call runs one call. With LoseAnswers the call runs and the connection closes.
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || !s.before(w, r) {
+		return
+	}
+	run := s.total.Add(1)
+	s.mu.Lock()
+	s.runs[r.Header.Get(api.HeaderIdempotencyKey)]++
+	s.mu.Unlock()
+	if s.Get().LoseAnswers {
+		drop(w)
+		return
+	}
+	writeJSON(w, map[string]any{"run": run, "organisation": r.Header.Get(api.HeaderOrganisation), "echo": string(body)})
+}
--- /dev/null
+++ b/internal/standin/standincmd/standincmd.go
@@ -0,0 +1,103 @@
+// Package standincmd implements the standin command, which runs one test double.
+package standincmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// Main runs the command and exits.
+func Main() {
+	root := &cobra.Command{
+		Use:          "standin",
+		Short:        "Test doubles of the platform and of backend servers",
+		Long:         "Each stand-in accepts PUT /faults with a JSON document that switches its faults.",
+		SilenceUsage: true,
+	}
+	var listen string
+	root.PersistentFlags().StringVar(&listen, "listen", "127.0.0.1:0", "address as IP:port")
+	root.AddCommand(kvCommand(&listen), vmListCommand(&listen), engineCommand(&listen), serviceCommand(&listen))
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func kvCommand(listen *string) *cobra.Command {
+	return &cobra.Command{
+		Use: "kv", Short: "Key-value service", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(*listen, standin.NewKV()) },
+	}
+}
+
+func serviceCommand(listen *string) *cobra.Command {
+	return &cobra.Command{
+		Use: "service", Short: "Plain service", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(*listen, standin.NewService()) },
+	}
+}
+
+func engineCommand(listen *string) *cobra.Command {
+	var o standin.EngineOptions
+	cmd := &cobra.Command{
+		Use: "engine", Short: "Inference engine", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(*listen, standin.NewEngine(o)) },
+	}
+	cmd.Flags().StringVar(&o.ID, "id", "engine", "id of the engine")
+	cmd.Flags().DurationVar(&o.TokenInterval, "token-interval", 10*time.Millisecond, "time between tokens of one stream")
+	return cmd
+}
+
+func vmListCommand(listen *string) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use: "vmlist", Short: "List of live and leaving VMs", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			vms, err := readVMs(file)
+			if err != nil {
+				return err
+			}
+			return serve(*listen, standin.NewVMList(vms...))
+		},
+	}
+	cmd.Flags().StringVar(&file, "file", "", "JSON list of VMs")
+	return cmd
+}
+
+func readVMs(file string) ([]vmlist.VM, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read VMs")
+	}
+	var vms []vmlist.VM
+	if err := json.Unmarshal(data, &vms); err != nil {
+		return nil, errors.Wrap(err, "decode VMs")
+	}
+	return vms, nil
+}
+
+func serve(listen string, h http.Handler) error {
+	s, err := standin.Listen(listen, h)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening", s.Address())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	s.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/standin/vmlist.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// VMList is the platform's list of VMs.
+type VMList struct {
+	faultSwitch
+	mux *http.ServeMux
+
+	mu   sync.Mutex
+	list vmlist.List
+}
+
+// NewVMList returns a list with the given VMs.
+func NewVMList(vms ...vmlist.VM) *VMList {
+	s := &VMList{mux: http.NewServeMux(), list: vmlist.List{Revision: 1, VMs: vms}}
+	s.mux.HandleFunc("PUT /faults", s.serveFaults)
+	s.mux.HandleFunc("GET /v1/vms", s.get)
+	s.mux.HandleFunc("PUT /v1/vms/{id}", s.put)
+	s.mux.HandleFunc("DELETE /v1/vms/{id}", func(_ http.ResponseWriter, r *http.Request) { s.Remove(r.PathValue("id")) })
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *VMList) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Put adds or replaces a VM.
+func (s *VMList) Put(vm vmlist.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Revision++
+	s.list.VMs = append(without(s.list.VMs, vm.ID), vm)
+}
+
+// Remove deletes a VM.
+func (s *VMList) Remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Revision++
+	s.list.VMs = without(s.list.VMs, id)
+}
+
+// SetState changes the state of a VM.
+func (s *VMList) SetState(id string, state vmlist.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vms := append([]vmlist.VM(nil), s.list.VMs...)
+	for i := range vms {
+		if vms[i].ID == id {
+			vms[i].State = state
+		}
+	}
+	s.list.Revision++
+	s.list.VMs = vms
+}
+
+func without(vms []vmlist.VM, id string) []vmlist.VM {
+	out := make([]vmlist.VM, 0, len(vms)+1)
+	for _, vm := range vms {
+		if vm.ID != id {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (s *VMList) get(w http.ResponseWriter, r *http.Request) {
+	if !s.before(w, r) {
+		return
+	}
+	known, _ := strconv.ParseInt(r.URL.Query().Get("known"), 10, 64)
+	s.mu.Lock()
+	list := s.list
+	s.mu.Unlock()
+	if known == list.Revision {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, list)
+}
+
+func (s *VMList) put(w http.ResponseWriter, r *http.Request) {
+	var vm vmlist.VM
+	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	vm.ID = r.PathValue("id")
+	s.Put(vm)
+}
--- /dev/null
+++ b/kv/kv.go
@@ -0,0 +1,120 @@
+// Package kv is the interface to the platform's key-value service, with its
+// HTTP client. The service holds all state that must outlive a VM.
+package kv
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the service holds.
+const MaxValueBytes = 1 << 20
+
+// LeaseID names a lease. Zero means no lease.
+type LeaseID int64
+
+// Entry is a key with its value and revision. Revisions rise with each write.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Getter reads keys.
+type Getter interface {
+	// Get returns the entry of key, a *NotFoundError, or an *UnavailableError.
+	Get(ctx context.Context, key string) (Entry, error)
+}
+
+// Swapper writes keys conditionally.
+type Swapper interface {
+	// CompareAndSwap writes value if the key's revision is prev; prev 0 creates
+	// the key. It returns the new revision. A failed comparison is a
+	// *ConflictError; a write that may have taken effect is an *UncertainError;
+	// a write that surely did not is an *UnavailableError.
+	CompareAndSwap(ctx context.Context, key string, value []byte, prev int64, lease LeaseID) (int64, error)
+}
+
+// Watcher waits for changes.
+type Watcher interface {
+	// Watch returns the entry of key once its revision is above after. It
+	// returns ErrWatchTimeout when nothing changed during wait.
+	Watch(ctx context.Context, key string, after int64, wait time.Duration) (Entry, error)
+}
+
+// Leaser manages leases. Keys attached to a lease disappear when it lapses.
+type Leaser interface {
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	KeepAlive(ctx context.Context, id LeaseID) error
+	RevokeLease(ctx context.Context, id LeaseID) error
+}
+
+// Store is the whole interface to the service.
+type Store interface {
+	Getter
+	Swapper
+	Watcher
+	Leaser
+}
+
+// NotFoundError reports a key or lease that does not exist.
+type NotFoundError struct{ Key string }
+
+func (e *NotFoundError) Error() string { return fmt.Sprintf("kv: key %q not found", e.Key) }
+
+// ConflictError reports a failed comparison and the revision in force.
+type ConflictError struct {
+	Key      string
+	Revision int64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("kv: key %q is at revision %d", e.Key, e.Revision)
+}
+
+// UnavailableError reports an operation that had no effect because the
+// service could not be reached or refused it.
+type UnavailableError struct {
+	Op    string
+	Cause error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("kv: %s: service unavailable: %v", e.Op, e.Cause)
+}
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UncertainError reports a write whose answer was lost. The write may have
+// taken effect; only a read settles it.
+type UncertainError struct {
+	Key   string
+	Cause error
+}
+
+func (e *UncertainError) Error() string {
+	return fmt.Sprintf("kv: write of %q has an unknown result: %v", e.Key, e.Cause)
+}
+
+func (e *UncertainError) Unwrap() error { return e.Cause }
+
+// WatchTimeoutError reports that nothing changed while a watch waited.
+type WatchTimeoutError struct{ Key string }
+
+func (e *WatchTimeoutError) Error() string { return fmt.Sprintf("kv: no change of %q", e.Key) }
+
+// ValueTooLargeError reports a value above MaxValueBytes.
+type ValueTooLargeError struct {
+	Key  string
+	Size int
+}
+
+func (e *ValueTooLargeError) Error() string {
+	return fmt.Sprintf("kv: value of %q has %d bytes, at most %d are allowed", e.Key, e.Size, MaxValueBytes)
+}
+
+// StatusError reports an HTTP status that the protocol does not define.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,58 @@
+// Package retry bounds repeated attempts.
+package retry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// maxStoredRetries bounds the retries that an idle organisation saves up.
+const maxStoredRetries = 10
+
+// Budget allows retries in proportion to first attempts, for each
+// organisation, so that a failing pool does not get more load from retries.
+type Budget struct {
+	ratio float64
+
+	mu     sync.Mutex
+	stored map[string]float64
+}
+
+// NewBudget returns a budget of ratio retries for each first attempt.
+func NewBudget(ratio float64) *Budget {
+	return &Budget{ratio: ratio, stored: map[string]float64{}}
+}
+
+// Attempt records a first attempt. Only organisations of the bundle may be
+// passed, since each of them takes an entry.
+func (b *Budget) Attempt(organisation string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stored, ok := b.stored[organisation]
+	if !ok {
+		stored = 1 // The first failure of an organisation may always be retried.
+	}
+	b.stored[organisation] = min(stored+b.ratio, maxStoredRetries)
+}
+
+// Take reports whether a retry is allowed, and charges it.
+func (b *Budget) Take(organisation string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stored[organisation] < 1 {
+		return false
+	}
+	b.stored[organisation]--
+	return true
+}
+
+// Backoff returns the pause before the given retry, counted from 1, as an
+// exponential step with full jitter.
+func Backoff(retry int, base, limit time.Duration) time.Duration {
+	step := limit
+	if retry < 16 {
+		step = min(base<<(retry-1), limit)
+	}
+	return time.Duration(rand.Int64N(int64(step) + 1))
+}
--- /dev/null
+++ b/sync.go
@@ -0,0 +1,104 @@
+package vanillaarch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/kv"
+)
+
+// Waits of the reads from the platform.
+const (
+	watchWait       = 25 * time.Second
+	watchErrorPause = 500 * time.Millisecond
+)
+
+// watchBundle follows the head in the key-value service.
+func (s *Server) watchBundle(ctx context.Context) {
+	var revision int64
+	for ctx.Err() == nil {
+		entry, err := s.kv.Watch(ctx, bundle.HeadKey, revision, watchWait)
+		if _, ok := errors.Into[*kv.WatchTimeoutError](err); ok {
+			continue
+		}
+		if err == nil {
+			var head bundle.Head
+			if head, revision, err = bundle.DecodeHead(entry); err == nil {
+				err = s.fetchBundle(ctx, head, "watch")
+			}
+			if err != nil {
+				revision = 0 // Read the same head again after the pause.
+			}
+		}
+		if err != nil && !sleep(ctx, watchErrorPause) {
+			return
+		}
+	}
+}
+
+// readBundleFallback reads the head at a jittered interval, in case a watch
+// has gone silent.
+func (s *Server) readBundleFallback(ctx context.Context) {
+	for {
+		interval := s.cfg.Bundle.FallbackInterval.Std()
+		if !sleep(ctx, interval/2+rand.N(interval)) {
+			return
+		}
+		head, _, err := s.bundles.Head(ctx)
+		if err == nil && head.Version > 0 {
+			err = s.fetchBundle(ctx, head, "fallback")
+		}
+		if err != nil {
+			s.log.Debug("bundle_fallback_failed", zap.Error(err))
+		}
+	}
+}
+
+// fetchBundle reads, verifies and announces the bundle that the head names.
+func (s *Server) fetchBundle(ctx context.Context, head bundle.Head, source string) error {
+	if current := s.loop.Snapshot().Bundle; current != nil && current.Version() >= head.Version {
+		return nil
+	}
+	signed, err := s.bundles.Get(ctx, head.Version)
+	if err != nil {
+		return err
+	}
+	index, err := signed.Open(s.keys)
+	if err != nil {
+		s.log.Error("bundle_rejected", zap.Int64("version", head.Version), zap.Error(err))
+		return err
+	}
+	s.loop.Post(control.BundleReceived{Signed: signed, Index: index, Source: source})
+	return nil
+}
+
+// readVMList polls the platform's VM list.
+func (s *Server) readVMList(ctx context.Context) {
+	for {
+		list, err := s.vms.Fetch(ctx, s.loop.Snapshot().VMs.Revision)
+		switch {
+		case err != nil:
+			s.log.Debug("vm_list_failed", zap.Error(err))
+		case list != nil:
+			s.loop.Post(control.VMListReceived{List: list, Source: "platform"})
+		}
+		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/telemetry/log.go
@@ -0,0 +1,29 @@
+// Package telemetry sets up logs, metrics and traces.
+package telemetry
+
+import (
+	"io"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs for each
+// event. An unknown level counts as info.
+func NewLogger(w io.Writer, level, vm string) *zap.Logger {
+	lvl, err := zapcore.ParseLevel(level)
+	if err != nil {
+		lvl = zapcore.InfoLevel
+	}
+	enc := zap.NewProductionEncoderConfig()
+	enc.TimeKey = "time"
+	enc.MessageKey = "event"
+	enc.EncodeTime = func(t time.Time, e zapcore.PrimitiveArrayEncoder) {
+		e.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
+	}
+	enc.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), lvl)
+	return zap.New(core).With(zap.String("vm", vm))
+}
--- /dev/null
+++ b/vanillaarch.go
@@ -0,0 +1,172 @@
+// Package vanillaarch serves generated text of unknown length from a shared
+// pool of inference engines. A Server is one entry VM.
+package vanillaarch
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/claim"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/frontend"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// Options are the collaborators of a Server that its configuration does not name.
+type Options struct {
+	Log *zap.Logger
+	// SpanProcessors receive spans in addition to the configured exporter.
+	SpanProcessors []sdktrace.SpanProcessor
+}
+
+// Server is one entry VM.
+type Server struct {
+	cfg     *config.Config
+	log     *zap.Logger
+	keys    []ed25519.PublicKey
+	kv      *kv.Client
+	bundles *bundle.Store
+	vms     *vmlist.Client
+	loop    *control.Loop
+	engines *backend.Engines
+	service *backend.Services
+	claims  *claim.Manager
+	front   *frontend.Frontend
+	tracing *telemetry.Tracing
+	metrics metrics.Registry
+	http    *httpServers
+
+	abort     chan struct{}
+	abortOnce sync.Once
+}
+
+// New returns a server that listens on its addresses. Run must be called to serve.
+func New(cfg *config.Config, o Options) (*Server, error) {
+	keys, err := parseKeys(cfg.Bundle.PublicKeys)
+	if err != nil {
+		return nil, err
+	}
+	tracing, err := telemetry.NewTracing(cfg.Trace.File, cfg.Trace.Ratio, o.SpanProcessors...)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		cfg: cfg, log: o.Log, keys: keys, tracing: tracing,
+		kv:      kv.NewClient(cfg.Platform.KV, cfg.Platform.KVTimeout.Std()),
+		vms:     vmlist.NewClient(cfg.Platform.VMList, cfg.Platform.KVTimeout.Std()),
+		loop:    control.NewLoop(o.Log, time.Now),
+		engines: backend.NewEngines(),
+		service: backend.NewServices(cfg.Limits.AnswerBytes),
+		metrics: metrics.NewRegistry(),
+		abort:   make(chan struct{}),
+	}
+	s.bundles = bundle.NewStore(s.kv)
+	s.claims = claim.NewManager(s.kv, claim.Options{
+		VM: cfg.VMID, Retention: cfg.Claims.Retention.Std(), ClockTolerance: cfg.Claims.ClockTolerance.Std(), Now: time.Now,
+	})
+	s.front = frontend.New(frontend.Options{
+		Config: cfg, Snapshot: s.loop.Snapshot, Admission: s.admission(), Engines: s.engines, Services: s.service,
+		Claims: s.claims, Log: o.Log, Tracer: tracing.Tracer(), Metrics: s.metrics,
+	})
+	if s.http, err = s.listen(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Server) admission() dispatch.Admission {
+	return dispatch.NewLocal(s.loop.Snapshot, s.cfg.Dispatch.EngineStreams, s.cfg.Limits.Queued, s.cfg.Timeouts.Queue.Std())
+}
+
+func parseKeys(hexKeys []string) ([]ed25519.PublicKey, error) {
+	keys := make([]ed25519.PublicKey, 0, len(hexKeys))
+	for _, h := range hexKeys {
+		b, err := hex.DecodeString(h)
+		if err != nil || len(b) != ed25519.PublicKeySize {
+			return nil, &config.InvalidError{Faults: []config.Fault{{Path: "bundle.public_keys", Message: "not an Ed25519 key in hex"}}}
+		}
+		keys = append(keys, b)
+	}
+	return keys, nil
+}
+
+// Run serves until ctx ends, then drains: /readyz fails during the notice
+// time, new work is refused, and running answers go on until they end or the
+// drain limit passes. It returns a *CutError if answers were cut.
+func (s *Server) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var background sync.WaitGroup
+	for _, task := range []func(context.Context){s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList} {
+		background.Go(func() { task(work) })
+	}
+	s.http.serve(s.log)
+	s.log.Info("vm_started", zap.String("http", s.cfg.Listen.HTTP), zap.String("zone", s.cfg.Zone))
+	<-ctx.Done()
+	cut := s.drain()
+	s.http.close()
+	stop()
+	background.Wait()
+	s.release()
+	if len(cut) > 0 {
+		s.log.Error("vm_stopped", zap.Int("cut", len(cut)), zap.Strings("requests", cut))
+		return &CutError{Requests: cut}
+	}
+	s.log.Info("vm_stopped", zap.Int("cut", 0))
+	return nil
+}
+
+// CutError names the requests that a stop has cut.
+type CutError struct{ Requests []string }
+
+func (e *CutError) Error() string { return fmt.Sprintf("stop cut %d requests", len(e.Requests)) }
+
+// Abort ends a drain at once.
+func (s *Server) Abort() { s.abortOnce.Do(func() { close(s.abort) }) }
+
+func (s *Server) drain() (cut []string) {
+	s.log.Info("drain_started", zap.Int("active", len(s.front.Active())))
+	s.front.Notice()
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Timeouts.DrainNotice.Std()+s.cfg.Timeouts.Drain.Std())
+	defer cancel()
+	go func() {
+		select {
+		case <-s.abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	select {
+	case <-time.After(s.cfg.Timeouts.DrainNotice.Std()):
+	case <-ctx.Done():
+	}
+	return s.front.Drain(ctx)
+}
+
+func (s *Server) release() {
+	s.front.Close()
+	s.claims.Close()
+	s.engines.Close()
+	s.service.Close()
+	s.kv.Close()
+	s.vms.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := s.tracing.Close(ctx); err != nil {
+		s.log.Warn("trace_close_failed", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/vmlist/vmlist.go
@@ -0,0 +1,141 @@
+// Package vmlist reads the platform's list of live and leaving VMs. The list
+// covers the entry VMs and the backend servers, and lags behind reality.
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// maxListBytes bounds the size of a list. 13,000 entries take about 4 MB.
+const maxListBytes = 16 << 20
+
+// Role says what runs on a VM.
+type Role string
+
+// Roles of VMs.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+)
+
+// State is the platform's view of a VM.
+type State string
+
+// States of VMs.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// VM is one entry of the list.
+type VM struct {
+	ID     string `json:"id"`
+	Role   Role   `json:"role"`
+	State  State  `json:"state"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Address is the HTTP address, as IP:port.
+	Address string `json:"address"`
+	// PeerAddress is the address for messages between entry VMs, as IP:port.
+	PeerAddress string `json:"peer_address,omitempty"`
+	// AdminAddress is the address for operators, as IP:port.
+	AdminAddress string `json:"admin_address,omitempty"`
+	// Models lists the models that an engine has loaded.
+	Models []string `json:"models,omitempty"`
+	// Services lists the services that a plain backend server offers.
+	Services []string `json:"services,omitempty"`
+	// ChecksFencing says that the backend server refuses orders with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// ChecksIssuer says that the backend server verifies who gives it an order.
+	ChecksIssuer bool `json:"checks_issuer,omitempty"`
+}
+
+// List is a version of the VM list. A higher revision is newer.
+type List struct {
+	Revision int64 `json:"revision"`
+	VMs      []VM  `json:"vms"`
+}
+
+// UnavailableError reports that the VM list could not be read.
+type UnavailableError struct{ Cause error }
+
+func (e *UnavailableError) Error() string { return fmt.Sprintf("vm list unavailable: %v", e.Cause) }
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// StatusError reports an unexpected HTTP status.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// Decode parses a list and rejects entries without an id.
+func Decode(data []byte) (*List, error) {
+	var l List
+	if err := json.Unmarshal(data, &l); err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	for i, vm := range l.VMs {
+		if vm.ID == "" {
+			return nil, &UnavailableError{Cause: &EntryError{Index: i}}
+		}
+	}
+	return &l, nil
+}
+
+// EntryError reports a list entry without an id.
+type EntryError struct{ Index int }
+
+func (e *EntryError) Error() string { return "vm list entry " + strconv.Itoa(e.Index) + " has no id" }
+
+// Client reads the list over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the VM list at base.
+func NewClient(base string, timeout time.Duration) *Client {
+	return &Client{base: base, http: &http.Client{
+		Timeout:   timeout,
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext},
+	}}
+}
+
+// Close releases idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Fetch returns the current list, or nil if its revision is still known.
+func (c *Client) Fetch(ctx context.Context, known int64) (*List, error) {
+	u := c.base + "/v1/vms?known=" + strconv.FormatInt(known, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "vm list request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return nil, nil
+	default:
+		return nil, &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	return Decode(data)
+}
