Measure the slopes of control state and of the token relay

Cause: docs/CAPACITY.md needs costs that are worked out from measured slopes.

Ruled out: testing.Benchmark in the command (pulls the testing flags into the operators' program); separate processes (a process of this project starts none).

Change: package capacity and `vanillaarch capacity`; the relay's cost is the difference between callers that use a VM and callers that use the engine directly.

--- a/backend/stream.go
+++ b/backend/stream.go
@@ -129,3 +129,6 @@
 	s.stop()
 	_ = s.body.Close()
 }
+
+// Done reports whether the finish marker was read.
+func (s *Stream) Done() bool { return s.done }
--- /dev/null
+++ b/capacity/capacity.go
@@ -0,0 +1,129 @@
+// Package capacity measures how the cost of each role grows, and extrapolates
+// it to the size that docs/CAPACITY.md designs for.
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"syscall"
+	"text/tabwriter"
+	"time"
+)
+
+// Sizes that docs/CAPACITY.md designs for.
+const (
+	TargetVMs           = 510
+	TargetWorkers       = 12_000
+	TargetOrganisations = 2_400
+	TargetTokensPerSec  = 4_400_000
+	TargetRequestsPerS  = 14_000
+	// TargetStreams is the number of streams of one VM: 14,000 requests/s of
+	// 314 tokens each at 56 ms a token, over 510 VMs.
+	TargetStreams = 483
+)
+
+// Point is one measurement.
+type Point struct {
+	Size  float64
+	Value float64
+}
+
+// Series is a measured quantity at several sizes.
+type Series struct {
+	Role     string
+	Quantity string
+	// SizeUnit and ValueUnit name what Size and Value count.
+	SizeUnit  string
+	ValueUnit string
+	Points    []Point
+	// Target is the size to extrapolate to.
+	Target float64
+}
+
+// Fit returns the least-squares line value = base + slope*size.
+func (s Series) Fit() (base, slope float64) {
+	n := float64(len(s.Points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range s.Points {
+		sx += p.Size
+		sy += p.Value
+		sxx += p.Size * p.Size
+		sxy += p.Size * p.Value
+	}
+	d := n*sxx - sx*sx
+	if d == 0 {
+		return sy / n, 0
+	}
+	slope = (n*sxy - sx*sy) / d
+	return (sy - slope*sx) / n, slope
+}
+
+// AtTarget returns the extrapolated value.
+func (s Series) AtTarget() float64 {
+	base, slope := s.Fit()
+	return base + slope*s.Target
+}
+
+// Print writes a table of series.
+func Print(w io.Writer, all []Series) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "ROLE\tQUANTITY\tMEASURED\tSLOPE\tAT TARGET")
+	for _, s := range all {
+		_, slope := s.Fit()
+		measured := ""
+		for i, p := range s.Points {
+			if i > 0 {
+				measured += ", "
+			}
+			measured += fmt.Sprintf("%g: %.4g", p.Size, p.Value)
+		}
+		fmt.Fprintf(t, "%s\t%s (%s)\t%s\t%.4g per %s\t%.4g at %g\n",
+			s.Role, s.Quantity, s.ValueUnit, measured, slope, s.SizeUnit, s.AtTarget(), s.Target)
+	}
+	return t.Flush()
+}
+
+// measure returns a series of f at several sizes.
+func measure(s Series, sizes []int, f func(n int) (float64, error)) (Series, error) {
+	for _, n := range sizes {
+		v, err := f(n)
+		if err != nil {
+			return s, err
+		}
+		s.Points = append(s.Points, Point{Size: float64(n), Value: v})
+	}
+	return s, nil
+}
+
+// minimumRun is the least time over which an operation is repeated.
+const minimumRun = 200 * time.Millisecond
+
+// perOperation returns the mean time of f in microseconds.
+func perOperation(f func()) float64 {
+	f() // The first call pays for caches.
+	runs := 0
+	start := time.Now()
+	for time.Since(start) < minimumRun {
+		f()
+		runs++
+	}
+	return float64(time.Since(start).Microseconds()) / float64(runs)
+}
+
+// cpuTime returns the processor time of the process.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heapBytes returns the live heap after a collection.
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/capacity/relay.go
@@ -0,0 +1,150 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/client"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+)
+
+// Parameters of the relay measurement. Engines at 56 ms a token match the
+// design's gap between tokens.
+const (
+	relayTokens   = 60
+	relayInterval = 56 * time.Millisecond
+	relayLimit    = 60 * time.Second
+)
+
+var streamSizes = []int{50, 200, 800}
+
+// Relay measures processor time of a forwarded token and memory of a stream in
+// one VM, as the difference between callers that use the VM and callers that
+// use the engine directly.
+func Relay() ([]Series, error) {
+	cpu := Series{Role: "frontend", Quantity: "forwarded token", SizeUnit: "stream", ValueUnit: "µs of CPU", Target: TargetStreams}
+	mem := Series{Role: "frontend", Quantity: "streams", SizeUnit: "stream", ValueUnit: "bytes of heap", Target: TargetStreams}
+	first := Series{Role: "frontend", Quantity: "added time to first token", SizeUnit: "stream", ValueUnit: "µs", Target: TargetStreams}
+	for _, n := range streamSizes {
+		cluster, err := relayCluster(n)
+		if err != nil {
+			return nil, err
+		}
+		direct, err := runStreams(n, func(ctx context.Context, i int, mark func()) error {
+			return directStream(ctx, cluster.Engines[0], mark)
+		})
+		if err != nil {
+			cluster.Close()
+			return nil, err
+		}
+		caller := cluster.Client(localcluster.APIKey)
+		relayed, err := runStreams(n, func(ctx context.Context, i int, mark func()) error {
+			return relayedStream(ctx, caller, i, mark)
+		})
+		cluster.Close()
+		if err != nil {
+			return nil, err
+		}
+		tokens := float64(n * relayTokens)
+		cpu.Points = append(cpu.Points, Point{float64(n), float64((relayed.cpu - direct.cpu).Microseconds()) / tokens})
+		mem.Points = append(mem.Points, Point{float64(n), relayed.heap - direct.heap})
+		first.Points = append(first.Points, Point{float64(n), float64((relayed.firstToken - direct.firstToken).Microseconds())})
+	}
+	return []Series{cpu, mem, first}, nil
+}
+
+func relayCluster(streams int) (*localcluster.Cluster, error) {
+	cluster, err := localcluster.Start(localcluster.Options{
+		VMs: 1, Engines: 1, TokenInterval: relayInterval,
+		Configure: func(c *config.Config) { c.Dispatch.EngineStreams = streams },
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayLimit)
+	defer cancel()
+	if err := cluster.RollOut(ctx, localcluster.Document(1)); err != nil {
+		cluster.Close()
+		return nil, err
+	}
+	return cluster, nil
+}
+
+// streamCost is what a set of concurrent streams took.
+type streamCost struct {
+	cpu        time.Duration
+	heap       float64
+	firstToken time.Duration
+}
+
+// runStreams runs n streams at once. The heap is read while all of them run.
+func runStreams(n int, run func(ctx context.Context, i int, mark func()) error) (streamCost, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), relayLimit)
+	defer cancel()
+	var cost streamCost
+	var wg sync.WaitGroup
+	waits := make([]time.Duration, n)
+	failures := make([]error, n)
+	heapBefore := heapBytes()
+	cpuBefore := cpuTime()
+	for i := range n {
+		wg.Go(func() {
+			start := time.Now()
+			failures[i] = run(ctx, i, func() {
+				if waits[i] == 0 {
+					waits[i] = time.Since(start)
+				}
+			})
+		})
+	}
+	time.Sleep(relayInterval * relayTokens / 2)
+	cost.heap = heapBytes() - heapBefore
+	wg.Wait()
+	cost.cpu = cpuTime() - cpuBefore
+	var total time.Duration
+	for _, w := range waits {
+		total += w
+	}
+	cost.firstToken = total / time.Duration(n)
+	runtime.GC()
+	return cost, errors.Join(failures...)
+}
+
+func prompt(i int) string { return fmt.Sprintf("capacity %d [tokens=%d]", i, relayTokens) }
+
+func relayedStream(ctx context.Context, c *client.Client, i int, mark func()) error {
+	return c.Stream(ctx, api.CompletionRequest{Model: localcluster.Model, Prompt: prompt(i)}, func(client.Token) error {
+		mark()
+		return nil
+	})
+}
+
+// directStream reads the engine without a VM in between.
+func directStream(ctx context.Context, e *localcluster.Backend, mark func()) error {
+	engines := backend.NewEngines()
+	defer engines.Close()
+	target := backend.Target{ID: e.ID, Address: e.Server.Address()}
+	stream, err := engines.Start(ctx, target, api.CompletionRequest{Model: localcluster.Model, Prompt: prompt(0)},
+		backend.StartOptions{Generation: api.NewGenerationID(e.ID), FirstToken: relayLimit, Idle: relayLimit})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		if _, err := stream.Next(); err != nil {
+			if stream.Done() {
+				return nil
+			}
+			return err
+		}
+		mark()
+	}
+}
--- /dev/null
+++ b/internal/cli/capacity.go
@@ -0,0 +1,26 @@
+package cli
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaarch/vanillaarch/capacity"
+)
+
+func newCapacityCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "capacity", Short: "Measure the slopes behind docs/CAPACITY.md", Args: cobra.NoArgs,
+		Long: "Measure the cost of each role at several sizes in this process and extrapolate it to the size that " +
+			"docs/CAPACITY.md designs for. Takes about a minute; run it on an otherwise idle machine.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var all []capacity.Series
+			for _, run := range []func() ([]capacity.Series, error){capacity.State, capacity.Relay} {
+				series, err := run()
+				if err != nil {
+					return err
+				}
+				all = append(all, series...)
+			}
+			return capacity.Print(cmd.OutOrStdout(), all)
+		},
+	}
+}
