--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"syscall"
 	"testing"
@@ -31,7 +32,9 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = processes{}
-			return nil
+			root, err := filepath.Abs("../..")
+			env.Setenv("REPO", root)
+			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"addresses": addresses,
