Let programs of script tests exit without the race detector's wait

Cause: the race runtime sleeps one second at each exit, so a script with six programs took 6.5 s.

Ruled out: slow watches and slow shutdown (the VMs' logs show 0.1 s each).

Change: GORACE=atexit_sleep_ms=0 for the programs of a script; the test binary itself keeps the default.

Conclusion: scripts can start many programs.

--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -34,6 +34,8 @@
 			env.Values[processesKey{}] = processes{}
 			root, err := filepath.Abs("../..")
 			env.Setenv("REPO", root)
+			// The race detector otherwise makes each program wait a second before it exits.
+			env.Setenv("GORACE", "atexit_sleep_ms=0")
 			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
