Build backend lookups once a VM list and parse canonical bundles as plain JSON

Cause: at the design size a bundle changes every 2.8 s. Each change rebuilt the lookups of 12,000 workers (7.0 ms) and passed 313 kB through the comment parser.

Change: control keeps the lookups of the current VM list; Signed.Open reads its content, which is canonical JSON, without the comment parser.

--- a/bundle/document.go
+++ b/bundle/document.go
@@ -107,7 +107,12 @@
 	if err != nil {
 		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: err.Error()}}}
 	}
-	dec := json.NewDecoder(bytes.NewReader(std))
+	return parseCanonical(std)
+}
+
+// parseCanonical reads a document in plain JSON and validates it as a whole.
+func parseCanonical(data []byte) (*Document, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	var doc Document
 	if err := dec.Decode(&doc); err != nil {
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -55,7 +55,7 @@
 	if !verified(s, keys) {
 		return nil, &SignatureError{Version: s.Version, Reason: "no trusted key verifies the signature"}
 	}
-	doc, err := Parse(s.Content)
+	doc, err := parseCanonical(s.Content)
 	if err != nil {
 		return nil, err
 	}
--- a/capacity/state.go
+++ b/capacity/state.go
@@ -22,7 +22,7 @@
 // State measures the control state of one VM: VM list, snapshot and bundle.
 func State() ([]Series, error) {
 	measures := []func() (Series, error){
-		listBytes, listDecode, snapshotBuild, snapshotMemory, bundleBytes, bundleOpen, bundleMemory,
+		listBytes, listDecode, snapshotBuild, snapshotBundle, snapshotMemory, bundleBytes, bundleOpen, bundleMemory,
 	}
 	var all []Series
 	for _, m := range measures {
@@ -123,6 +123,27 @@
 	return loop, func() { cancel(); <-done }
 }
 
+// snapshotBundle measures the snapshot of a new bundle while the VM list stays.
+func snapshotBundle() (Series, error) {
+	s := Series{Role: "control", Quantity: "snapshot for a bundle", SizeUnit: "worker", ValueUnit: "µs", Target: TargetWorkers}
+	return measure(s, workerSizes, func(n int) (float64, error) {
+		loop, stop := runLoop()
+		defer stop()
+		publish(loop, workers(n))
+		doc := organisations(24)
+		return perOperation(func() {
+			next := *doc
+			doc = &next
+			doc.Version++
+			index := bundle.NewIndex(doc, "")
+			loop.Post(control.BundleReceived{Signed: &bundle.Signed{Version: doc.Version}, Index: index, Source: "capacity"})
+			for b := loop.Snapshot().Bundle; b == nil || b.Version() != doc.Version; b = loop.Snapshot().Bundle {
+				runtime.Gosched()
+			}
+		}), nil
+	})
+}
+
 func snapshotMemory() (Series, error) {
 	s := Series{Role: "control", Quantity: "VM list and snapshot", SizeUnit: "worker", ValueUnit: "bytes of heap", Target: TargetWorkers}
 	return measure(s, workerSizes, func(n int) (float64, error) {
--- a/control/control.go
+++ b/control/control.go
@@ -32,8 +32,9 @@
 	// Suspect holds the ids of entry VMs that peers have not heard from.
 	Suspect map[string]bool
 
-	log   *zap.Logger
-	dirty bool
+	log      *zap.Logger
+	dirty    bool
+	backends *backendIndex
 }
 
 // Changed makes the loop publish a new snapshot after the message.
@@ -123,30 +124,54 @@
 	}
 }
 
-func (l *Loop) publish() { l.snapshot.Store(newSnapshot(&l.state)) }
-
-func newSnapshot(s *State) *Snapshot {
+func (l *Loop) publish() {
+	s := &l.state
+	if s.backends == nil || s.backends.list != s.VMs {
+		s.backends = newBackendIndex(s.VMs)
+	}
 	snap := &Snapshot{
 		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs,
-		Engines: map[string][]vmlist.VM{}, Services: map[string][]vmlist.VM{}, Backends: map[string]vmlist.VM{},
+		Engines: s.backends.engines, Services: s.backends.services, Backends: s.backends.byID,
+	}
+	for _, vm := range s.backends.entry {
+		if !s.Suspect[vm.ID] {
+			snap.EntryVMs = append(snap.EntryVMs, vm)
+		}
+	}
+	l.snapshot.Store(snap)
+}
+
+// backendIndex holds the lookups of one VM list. It is built once for each
+// list, since bundles change far more often than VMs.
+type backendIndex struct {
+	list     *vmlist.List
+	engines  map[string][]vmlist.VM
+	services map[string][]vmlist.VM
+	byID     map[string]vmlist.VM
+	entry    []vmlist.VM
+}
+
+func newBackendIndex(list *vmlist.List) *backendIndex {
+	ix := &backendIndex{
+		list: list, engines: map[string][]vmlist.VM{}, services: map[string][]vmlist.VM{}, byID: map[string]vmlist.VM{},
 	}
-	for _, vm := range s.VMs.VMs {
+	for _, vm := range list.VMs {
 		if vm.Role == vmlist.RoleEntry {
-			if vm.State == vmlist.StateLive && !s.Suspect[vm.ID] {
-				snap.EntryVMs = append(snap.EntryVMs, vm)
+			if vm.State == vmlist.StateLive {
+				ix.entry = append(ix.entry, vm)
 			}
 			continue
 		}
-		snap.Backends[vm.ID] = vm
+		ix.byID[vm.ID] = vm
 		if vm.State != vmlist.StateLive {
 			continue
 		}
 		for _, m := range vm.Models {
-			snap.Engines[m] = append(snap.Engines[m], vm)
+			ix.engines[m] = append(ix.engines[m], vm)
 		}
 		for _, svc := range vm.Services {
-			snap.Services[svc] = append(snap.Services[svc], vm)
+			ix.services[svc] = append(ix.services[svc], vm)
 		}
 	}
-	return snap
+	return ix
 }
