Add rendezvous hashing over VMs

Cause: dispatchers, watchers and heartbeat targets must be chosen by every VM alone from the VM list. Ruled out: a hash ring with virtual nodes, which needs more state for the same balance at these sizes. Change: rendezvous.Owner and rendezvous.Top, with xxhash over key and VM id. Figures: 4000 keys on 20 VMs, each VM between 120 and 280 (200 expected). Conclusion: independent of list order; removal of a VM moves only its keys.

--- /dev/null
+++ b/rendezvous/rendezvous.go
@@ -0,0 +1,60 @@
+// Package rendezvous assigns keys to VMs by rendezvous hashing: every VM that
+// knows the same VMs computes the same owner, and a VM that joins or leaves
+// moves only the keys that it owns.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// separator keeps the pairs ("a", "bc") and ("ab", "c") apart.
+var separator = []byte{0}
+
+// Owner returns the id of the VM with the highest score for the key, or "" if
+// there are no VMs. The order of vms has no influence.
+func Owner(key string, vms []vmlist.VM) string {
+	var owner string
+	var best uint64
+	for _, vm := range vms {
+		s := score(key, vm.ID)
+		if owner == "" || s > best || s == best && vm.ID < owner {
+			owner, best = vm.ID, s
+		}
+	}
+	return owner
+}
+
+// Top returns the ids of the n VMs with the highest scores for the key, highest
+// first, or of all VMs if there are fewer.
+func Top(key string, vms []vmlist.VM, n int) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	all := make([]scored, 0, len(vms))
+	for _, vm := range vms {
+		all = append(all, scored{vm.ID, score(key, vm.ID)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]string, 0, min(n, len(all)))
+	for _, s := range all[:min(n, len(all))] {
+		ids = append(ids, s.id)
+	}
+	return ids
+}
+
+func score(key, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write(separator)
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
--- /dev/null
+++ b/rendezvous/rendezvous_test.go
@@ -0,0 +1,42 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/vanillaarch/vanillaarch/rendezvous"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// Guards against a hash that depends on the order of the list, overloads one
+// VM, or moves keys of VMs that did not change.
+func TestOwnerIsStableAndBalanced(t *testing.T) {
+	var vms, reversed []vmlist.VM
+	for i := range 20 {
+		vms = append(vms, vmlist.VM{ID: fmt.Sprintf("vm-%d", i)})
+		reversed = append([]vmlist.VM{vms[i]}, reversed...)
+	}
+	counts := map[string]int{}
+	for k := range 4000 {
+		key := fmt.Sprintf("group-%d", k)
+		owner := rendezvous.Owner(key, vms)
+		counts[owner]++
+		if got := rendezvous.Owner(key, reversed); got != owner {
+			t.Fatalf("owner of %s depends on the order: %s and %s", key, owner, got)
+		}
+		if top := rendezvous.Top(key, vms, 3); len(top) != 3 || top[0] != owner {
+			t.Fatalf("top of %s is %v, owner %s", key, top, owner)
+		}
+		if after := rendezvous.Owner(key, vms[1:]); owner != vms[0].ID && after != owner {
+			t.Fatalf("key %s moved from %s to %s although its owner stayed", key, owner, after)
+		}
+	}
+	for id, n := range counts {
+		if n < 120 || n > 280 { // 200 expected, standard deviation 14
+			t.Errorf("%s owns %d of 4000 keys", id, n)
+		}
+	}
+	if got := rendezvous.Owner("k", nil); got != "" {
+		t.Errorf("owner without VMs is %q", got)
+	}
+}
