Suspect silent VMs and spread suspicions with heartbeats

Cause: dispatcher and watcher roles must move within seconds when a VM fails, with messages per VM that do not grow with the fleet. Ruled out: one ring with several successors (news needs a linear number of steps); suspicions listed by observation only (they reach neighbours, not the fleet); unconditional re-suspicion (one broken link makes the fleet flap). Change: heartbeats go to one successor in each of fanout pseudo-random rings. Statuses carry incarnations; a suspected VM refutes with a higher one. Acknowledgements correct older statuses. Messages list at most 64 statuses. Conclusion: heartbeats per VM are constant.

--- /dev/null
+++ b/membership/core.go
@@ -0,0 +1,232 @@
+// Package membership keeps each VM's view of which entry VMs run. A VM sends
+// heartbeats to a few peers and suspects those of its neighbours that it has
+// not heard for the suspicion time. Suspicions spread with the heartbeats; the
+// suspected VM refutes them with a higher incarnation as soon as it hears of
+// them.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+)
+
+// Limits of the decisions.
+const (
+	// maxStatuses bounds the statuses in a message, about 20 bytes each.
+	maxStatuses = 64
+	// spreadTime is how long a change is repeated in heartbeats.
+	spreadTime = 5 * time.Second
+	// maxGraceDoublings bounds the patience with a VM that others hear and this
+	// one does not: 2 s become 64 s at most.
+	maxGraceDoublings = 5
+)
+
+// Change says that a VM became suspect, or is no longer.
+type Change struct {
+	VM      string
+	Suspect bool
+}
+
+// Effects are what an event asks for.
+type Effects struct {
+	Changes []Change
+	// Push asks for a heartbeat to all targets at once.
+	Push bool
+}
+
+// Core decides. It is single-threaded and deterministic: time enters only as
+// an argument.
+type Core struct {
+	self         string
+	fanout       int
+	suspectAfter time.Duration
+	incarnation  uint64
+	targets      []string
+	// watched maps the VMs that send heartbeats or acknowledgements to this one
+	// to what was heard of them.
+	watched map[string]*observation
+	// records holds all listed VMs but this one.
+	records  map[string]*record
+	lastTick time.Time
+}
+
+type observation struct {
+	heard time.Time
+	// refuted counts refutations since the VM was last heard directly.
+	refuted int
+}
+
+type record struct {
+	incarnation uint64
+	suspect     bool
+	changed     time.Time
+}
+
+// NewCore returns the decisions of one VM. The incarnation must be higher than
+// in any earlier run of the VM.
+func NewCore(self string, fanout int, suspectAfter time.Duration, incarnation uint64) *Core {
+	return &Core{
+		self: self, fanout: fanout, suspectAfter: suspectAfter, incarnation: incarnation,
+		watched: map[string]*observation{}, records: map[string]*record{},
+	}
+}
+
+// Targets returns the peers that get heartbeats.
+func (c *Core) Targets() []string { return c.targets }
+
+// Incarnation returns the incarnation of this VM.
+func (c *Core) Incarnation() uint64 { return c.incarnation }
+
+// SetVMs replaces the ids of the entry VMs.
+func (c *Core) SetVMs(now time.Time, ids []string) Effects {
+	if !slices.Contains(ids, c.self) {
+		ids = append(slices.Clone(ids), c.self)
+	}
+	all := targets(ids, c.fanout)
+	c.targets = all[c.self]
+	watched := map[string]*observation{}
+	for id, to := range all {
+		if id == c.self || !slices.Contains(to, c.self) && !slices.Contains(c.targets, id) {
+			continue
+		}
+		if watched[id] = c.watched[id]; watched[id] == nil {
+			watched[id] = &observation{heard: now}
+		}
+	}
+	c.watched = watched
+	e := Effects{Push: true}
+	records := make(map[string]*record, len(ids))
+	for _, id := range ids {
+		if id != c.self {
+			records[id] = cmp.Or(c.records[id], &record{})
+		}
+	}
+	for id, r := range c.records {
+		if records[id] == nil && r.suspect {
+			e.Changes = append(e.Changes, Change{VM: id})
+		}
+	}
+	c.records = records
+	return e
+}
+
+// Receive takes the incarnation and the statuses of a heartbeat or an acknowledgement.
+func (c *Core) Receive(now time.Time, from string, incarnation uint64, statuses []*peerpb.Status) Effects {
+	var e Effects
+	if o := c.watched[from]; o != nil {
+		o.heard, o.refuted = now, 0
+	}
+	c.apply(now, from, incarnation, false, &e)
+	for _, s := range statuses {
+		c.apply(now, s.GetVm(), s.GetIncarnation(), s.GetSuspect(), &e)
+	}
+	return e
+}
+
+func (c *Core) apply(now time.Time, vm string, incarnation uint64, suspect bool, e *Effects) {
+	if vm == c.self {
+		if suspect && incarnation >= c.incarnation {
+			c.incarnation = incarnation + 1
+			e.Push = true
+		}
+		return
+	}
+	r := c.records[vm]
+	if r == nil || !newer(incarnation, suspect, r) {
+		return
+	}
+	r.incarnation = incarnation
+	if r.suspect == suspect {
+		return
+	}
+	c.mark(now, vm, suspect, e)
+	if o := c.watched[vm]; o != nil && !suspect && now.Sub(o.heard) > c.suspectAfter {
+		o.heard = now
+		o.refuted = min(o.refuted+1, maxGraceDoublings)
+	}
+}
+
+func newer(incarnation uint64, suspect bool, r *record) bool {
+	return incarnation > r.incarnation || incarnation == r.incarnation && suspect && !r.suspect
+}
+
+func (c *Core) mark(now time.Time, vm string, suspect bool, e *Effects) {
+	r := c.records[vm]
+	r.suspect, r.changed = suspect, now
+	e.Changes = append(e.Changes, Change{VM: vm, Suspect: suspect})
+	e.Push = true
+}
+
+// Tick suspects watched VMs that were not heard. It must be called more often
+// than the suspicion time: a longer gap means that this VM was paused itself,
+// and counts for nothing.
+func (c *Core) Tick(now time.Time) Effects {
+	var e Effects
+	gap := now.Sub(c.lastTick)
+	paused := !c.lastTick.IsZero() && gap > c.suspectAfter/2
+	c.lastTick = now
+	for id, o := range c.watched {
+		if paused {
+			o.heard = o.heard.Add(gap)
+		}
+		if !c.records[id].suspect && now.Sub(o.heard) > c.suspectAfter<<o.refuted {
+			c.mark(now, id, true, &e)
+		}
+	}
+	return e
+}
+
+// Statuses returns what a heartbeat tells about other VMs: the latest changes first.
+func (c *Core) Statuses(now time.Time) []*peerpb.Status {
+	var ids []string
+	for id, r := range c.records {
+		if r.suspect || !r.changed.IsZero() && now.Sub(r.changed) < spreadTime {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(c.records[b].changed.Compare(c.records[a].changed), cmp.Compare(a, b))
+	})
+	var out []*peerpb.Status
+	for _, id := range ids[:min(len(ids), maxStatuses)] {
+		out = append(out, c.status(id))
+	}
+	return out
+}
+
+// Corrections returns statuses that are newer than those of a heartbeat,
+// including a suspicion of its sender.
+func (c *Core) Corrections(from string, incarnation uint64, statuses []*peerpb.Status) []*peerpb.Status {
+	var out []*peerpb.Status
+	correct := func(vm string, incarnation uint64, suspect bool) {
+		r := c.records[vm]
+		if r != nil && newer(r.incarnation, r.suspect, &record{incarnation: incarnation, suspect: suspect}) {
+			out = append(out, c.status(vm))
+		}
+	}
+	correct(from, incarnation, false)
+	for _, s := range statuses[:min(len(statuses), maxStatuses)] {
+		correct(s.GetVm(), s.GetIncarnation(), s.GetSuspect())
+	}
+	return out
+}
+
+func (c *Core) status(id string) *peerpb.Status {
+	r := c.records[id]
+	return &peerpb.Status{Vm: id, Incarnation: r.incarnation, Suspect: r.suspect}
+}
+
+// Suspects returns the ids of suspect VMs in order.
+func (c *Core) Suspects() []string {
+	var ids []string
+	for id, r := range c.records {
+		if r.suspect {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/membership/core_test.go
@@ -0,0 +1,187 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+)
+
+const (
+	testSuspectAfter = 2 * time.Second
+	testHeartbeat    = 500 * time.Millisecond
+	testStep         = 25 * time.Millisecond
+)
+
+// network runs cores under a virtual clock. A message takes one step.
+type network struct {
+	now     time.Time
+	ids     []string
+	cores   map[string]*Core
+	frozen  map[string]bool
+	blocked map[[2]string]bool
+	queue   []packet
+	push    map[string]bool
+	sent    map[string]int
+	changes int
+}
+
+type packet struct {
+	from, to    string
+	ack         bool
+	incarnation uint64
+	statuses    []*peerpb.Status
+}
+
+func newNetwork(n int) *network {
+	w := &network{
+		now: time.Unix(1000, 0), cores: map[string]*Core{}, frozen: map[string]bool{},
+		blocked: map[[2]string]bool{}, push: map[string]bool{}, sent: map[string]int{},
+	}
+	for i := range n {
+		w.ids = append(w.ids, fmt.Sprintf("vm-%d", i))
+	}
+	for _, id := range w.ids {
+		w.cores[id] = NewCore(id, 4, testSuspectAfter, 1)
+		w.cores[id].SetVMs(w.now, w.ids)
+	}
+	return w
+}
+
+func (w *network) effects(id string, e Effects) {
+	w.push[id] = w.push[id] || e.Push
+	w.changes += len(e.Changes)
+}
+
+func (w *network) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(testStep)
+		w.deliver()
+		for i, id := range w.ids {
+			if w.frozen[id] {
+				continue
+			}
+			c := w.cores[id]
+			w.effects(id, c.Tick(w.now))
+			due := (w.now.Sub(time.Unix(1000, 0))/testStep+time.Duration(i))%(testHeartbeat/testStep) == 0
+			if !due && !w.push[id] {
+				continue
+			}
+			w.push[id] = false
+			for _, to := range c.Targets() {
+				w.sent[id]++
+				w.queue = append(w.queue, packet{from: id, to: to, incarnation: c.Incarnation(), statuses: c.Statuses(w.now)})
+			}
+		}
+	}
+}
+
+func (w *network) deliver() {
+	queue := w.queue
+	w.queue = nil
+	for _, p := range queue {
+		if w.frozen[p.to] || w.blocked[[2]string{p.from, p.to}] {
+			continue
+		}
+		c := w.cores[p.to]
+		if !p.ack {
+			w.queue = append(w.queue, packet{
+				from: p.to, to: p.from, ack: true, incarnation: c.Incarnation(),
+				statuses: c.Corrections(p.from, p.incarnation, p.statuses),
+			})
+		}
+		w.effects(p.to, c.Receive(w.now, p.from, p.incarnation, p.statuses))
+	}
+}
+
+// suspecting returns how many running VMs suspect exactly the given ones.
+func (w *network) suspecting(want ...string) int {
+	n := 0
+	for id, c := range w.cores {
+		if !w.frozen[id] && slices.Equal(c.Suspects(), want) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a silent VM that part of the fleet never suspects, against a
+// suspicion that outlives its cause, and against traffic that grows with the fleet.
+func TestSilenceIsKnownEverywhereAndCleared(t *testing.T) {
+	for _, n := range []int{2, 5, 20, 60, 150} {
+		w := newNetwork(n)
+		w.run(10 * time.Second)
+		if got := w.suspecting(); got != n {
+			t.Fatalf("%d VMs: %d suspect nobody", n, got)
+		}
+		if max := 10 * 2 * 4; w.sent["vm-1"] > max+4 {
+			t.Errorf("%d VMs: %d heartbeats in 10 s, want %d", n, w.sent["vm-1"], max)
+		}
+		w.frozen["vm-1"] = true
+		w.run(3 * time.Second)
+		if got := w.suspecting("vm-1"); got != n-1 {
+			t.Errorf("%d VMs: %d suspect vm-1 alone after 3 s", n, got)
+		}
+		w.run(30 * time.Second)
+		w.frozen["vm-1"] = false
+		w.run(time.Second)
+		if got := w.suspecting(); got != n {
+			t.Errorf("%d VMs: %d suspect nobody 1 s after the return", n, got)
+		}
+	}
+}
+
+// Guards against a VM that loses one link and is suspected and cleared by the
+// whole fleet over and over again.
+func TestBrokenLinkDoesNotFlap(t *testing.T) {
+	w := newNetwork(20)
+	w.run(5 * time.Second)
+	to := w.cores["vm-1"].Targets()[0]
+	w.blocked[[2]string{"vm-1", to}], w.blocked[[2]string{to, "vm-1"}] = true, true
+	w.run(5 * time.Minute)
+	// Each of the two ends may raise about one suspicion for each doubling and
+	// then one for each 64 s; each is seen and cleared by 20 VMs.
+	if limit := 2 * (maxGraceDoublings + 5) * 2 * 20; w.changes > limit {
+		t.Errorf("%d changes in 5 minutes, want at most %d", w.changes, limit)
+	}
+}
+
+// Guards against a VM that was paused and then blames all others for the silence.
+func TestOwnPauseBlamesNobody(t *testing.T) {
+	c := NewCore("a", 4, testSuspectAfter, 1)
+	now := time.Unix(1000, 0)
+	c.SetVMs(now, []string{"a", "b", "c"})
+	c.Tick(now)
+	if e := c.Tick(now.Add(time.Minute)); len(e.Changes) != 0 {
+		t.Errorf("after a pause of a minute: %+v", e.Changes)
+	}
+}
+
+// Guards against views that depend on the order in which news arrives.
+func TestOrderOfNewsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOf(rapid.Custom(func(t *rapid.T) *peerpb.Status {
+			return &peerpb.Status{
+				Vm: rapid.SampledFrom([]string{"b", "c"}).Draw(t, "vm"), Suspect: rapid.Bool().Draw(t, "suspect"),
+				Incarnation: rapid.Uint64Range(1, 4).Draw(t, "incarnation"),
+			}
+		})).Draw(t, "news")
+		now := time.Unix(1000, 0)
+		var views [][]string
+		for _, order := range [][]*peerpb.Status{news, rapid.Permutation(news).Draw(t, "order")} {
+			c := NewCore("a", 4, testSuspectAfter, 1)
+			c.SetVMs(now, []string{"a", "b", "c"})
+			for _, s := range order {
+				c.Receive(now, "b", 0, []*peerpb.Status{s})
+			}
+			views = append(views, c.Suspects())
+		}
+		if !slices.Equal(views[0], views[1]) {
+			t.Fatalf("views differ: %v", views)
+		}
+	})
+}
--- /dev/null
+++ b/membership/service.go
@@ -0,0 +1,191 @@
+package membership
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/peer"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+)
+
+// ticksPerHeartbeat is how often silence is checked in a heartbeat interval.
+// It bounds the delay of a suspicion to a quarter of the interval.
+const ticksPerHeartbeat = 4
+
+// Options configure a Service.
+type Options struct {
+	VM                              string
+	Fanout                          int
+	HeartbeatInterval, SuspectAfter time.Duration
+	// Versions returns the versions that heartbeats offer.
+	Versions func() (bundle, vmList int64)
+	// Changed is called for each change of a suspicion.
+	Changed func(Change)
+	Log     *zap.Logger
+}
+
+// PeerView is what a peer said last.
+type PeerView struct {
+	VM             string    `json:"vm"`
+	BundleVersion  int64     `json:"bundle_version"`
+	VMListRevision int64     `json:"vm_list_revision"`
+	Heard          time.Time `json:"heard"`
+}
+
+// Service runs the decisions against the clock and the transport.
+type Service struct {
+	opts      Options
+	transport peer.Transport
+	started   time.Time
+	push      chan struct{}
+
+	mu       sync.Mutex
+	core     *Core
+	sequence uint64
+	peers    map[string]PeerView
+	heard    time.Time
+}
+
+// NewService returns a service; Run must be called to send heartbeats.
+func NewService(o Options) *Service {
+	now := time.Now()
+	return &Service{
+		opts: o, started: now, heard: now, push: make(chan struct{}, 1), peers: map[string]PeerView{},
+		// The start time rises from run to run without being stored.
+		core: NewCore(o.VM, o.Fanout, o.SuspectAfter, uint64(now.UnixMilli())),
+	}
+}
+
+// Run sends heartbeats and checks for silence until ctx ends.
+func (s *Service) Run(ctx context.Context, transport peer.Transport) {
+	s.transport = transport
+	ticker := time.NewTicker(s.opts.HeartbeatInterval / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.push:
+			s.heartbeat()
+		case now := <-ticker.C:
+			s.apply(func() Effects { return s.core.Tick(now) })
+			if n%ticksPerHeartbeat == 0 {
+				s.heartbeat()
+			}
+		}
+	}
+}
+
+// apply runs an event and carries out its effects. Changes are reported under
+// the lock, so that they arrive in order.
+func (s *Service) apply(event func() Effects) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := event()
+	for _, c := range e.Changes {
+		s.opts.Changed(c)
+	}
+	if e.Push {
+		s.Push()
+	}
+}
+
+// Push sends a heartbeat to all targets at once. Several calls in a row are one.
+func (s *Service) Push() {
+	select {
+	case s.push <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) heartbeat() {
+	h := s.Heartbeat()
+	m := &peerpb.Envelope{Body: &peerpb.Envelope_Membership{
+		Membership: &peerpb.Membership{Message: &peerpb.Membership_Heartbeat{Heartbeat: h}},
+	}}
+	s.mu.Lock()
+	to := slices.Clone(s.core.Targets())
+	s.mu.Unlock()
+	for _, id := range to {
+		if err := s.transport.Send(id, m); err != nil {
+			s.opts.Log.Debug("heartbeat_not_sent", zap.String("peer", id), zap.Error(err))
+		}
+	}
+}
+
+// Heartbeat returns a heartbeat of this VM.
+func (s *Service) Heartbeat() *peerpb.Heartbeat {
+	bundle, vmList := s.opts.Versions()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	return &peerpb.Heartbeat{
+		Sequence: s.sequence, BundleVersion: bundle, VmListRevision: vmList,
+		Incarnation: s.core.Incarnation(), Statuses: s.core.Statuses(time.Now()),
+	}
+}
+
+// Ack returns the answer to a heartbeat.
+func (s *Service) Ack(from string, h *peerpb.Heartbeat) *peerpb.HeartbeatAck {
+	bundle, vmList := s.opts.Versions()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &peerpb.HeartbeatAck{
+		BundleVersion: bundle, VmListRevision: vmList, Incarnation: s.core.Incarnation(),
+		Statuses: s.core.Corrections(from, h.GetIncarnation(), h.GetStatuses()),
+	}
+}
+
+// Receive takes a heartbeat or an acknowledgement from a peer.
+func (s *Service) Receive(from string, m *peerpb.Membership) {
+	if h := m.GetHeartbeat(); h != nil {
+		s.receive(from, h.GetIncarnation(), h.GetStatuses(), h.GetBundleVersion(), h.GetVmListRevision())
+	}
+	if a := m.GetHeartbeatAck(); a != nil {
+		s.receive(from, a.GetIncarnation(), a.GetStatuses(), a.GetBundleVersion(), a.GetVmListRevision())
+	}
+}
+
+func (s *Service) receive(from string, incarnation uint64, statuses []*peerpb.Status, bundle, vmList int64) {
+	now := time.Now()
+	s.apply(func() Effects {
+		s.heard = now
+		s.peers[from] = PeerView{VM: from, BundleVersion: bundle, VMListRevision: vmList, Heard: now}
+		return s.core.Receive(now, from, incarnation, statuses)
+	})
+}
+
+// SetVMs replaces the ids of the entry VMs.
+func (s *Service) SetVMs(ids []string) {
+	s.apply(func() Effects {
+		for id := range s.peers {
+			if !slices.Contains(ids, id) {
+				delete(s.peers, id)
+			}
+		}
+		return s.core.SetVMs(time.Now(), ids)
+	})
+}
+
+// Isolated reports that no peer was heard for the suspicion time.
+func (s *Service) Isolated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.heard) > s.opts.SuspectAfter
+}
+
+// View returns what peers said last, and the suspect VMs, in order.
+func (s *Service) View() (peers []PeerView, suspects []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		peers = append(peers, p)
+	}
+	slices.SortFunc(peers, func(a, b PeerView) int { return cmp.Compare(a.VM, b.VM) })
+	return peers, s.core.Suspects()
+}
