Fetch newer bundles and VM lists from peers

Cause: VMs must get a new bundle without a call to the key-value service each, and while that service is out. Ruled out: pushing documents (a VM would get up to fanout copies); one fetch at a time (a peer that offers a version and never delivers it blocks others). Content is verified with the VM's keys before it is posted to the control loop. Conclusion: a rapid property over orders of good, unsigned and mislabelled bundles ends at the highest trusted version and never goes down.

--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,105 @@
+package gossip
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func signed(t interface{ Fatal(...any) }, version int64, key ed25519.PrivateKey) []byte {
+	s, err := bundle.Sign(&bundle.Document{
+		Version: version,
+		Tenants: []bundle.Tenant{{
+			Name: "t", Share: 1, Weights: bundle.Weights{StallTime: 1},
+			Organisations: []bundle.Organisation{{Name: "o", APIKeySHA256: []string{bundle.APIKeyDigest("k")}}},
+		}},
+		Models: []bundle.Model{{Name: "m", Version: "1"}},
+	}, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+// Guards against a bundle that is replaced by an older one, or by one that no
+// trusted key signed: any order of documents ends at the highest trusted
+// version, and no snapshot goes down on the way.
+func TestVersionsNeverGoDown(t *testing.T) {
+	public, trusted, _ := ed25519.GenerateKey(nil)
+	_, stranger, _ := ed25519.GenerateKey(nil)
+	rapid.Check(t, func(t *rapid.T) {
+		loop := control.NewLoop(zap.NewNop(), time.Now)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go loop.Run(ctx)
+		g := New(Sources(loop, []ed25519.PublicKey{public}), zap.NewNop())
+		var highest, last int64
+		for range rapid.IntRange(1, 12).Draw(t, "documents") {
+			version := rapid.Int64Range(1, 9).Draw(t, "version")
+			announced, key := version, trusted
+			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			case 0:
+				key = stranger
+			case 1:
+				announced++
+			default:
+				highest = max(highest, version)
+			}
+			g.handle(time.Now(), message{"p", &peerpb.Membership{Message: &peerpb.Membership_Document{Document: &peerpb.Document{
+				Kind: KindBundle, Version: announced, Content: signed(t, version, key),
+			}}}})
+			now := g.sources[KindBundle].Version()
+			if now < last {
+				t.Fatalf("version went from %d down to %d", last, now)
+			}
+			last = now
+		}
+		for deadline := time.Now().Add(time.Second); g.sources[KindBundle].Version() != highest; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("version %d in force, want %d", g.sources[KindBundle].Version(), highest)
+			}
+		}
+	})
+}
+
+// Guards against a peer that offers a high version and never delivers it, or
+// delivers rubbish, and so keeps this VM from the version that others have;
+// and against the same version fetched from every peer that offers it.
+func TestFetchIsSharedOutAndSurvivesBadPeers(t *testing.T) {
+	e, now := NewExchange(), time.Unix(1000, 0)
+	if !e.Offer(now, "bad", KindBundle, 99) || !e.Offer(now, "a", KindBundle, 7) {
+		t.Fatal("offers refused")
+	}
+	if e.Offer(now, "b", KindBundle, 7) {
+		t.Error("version 7 is fetched twice")
+	}
+	if e.Offer(now.Add(fetchTimeout), "bad", KindBundle, 99) {
+		t.Error("asked again a peer that did not deliver")
+	}
+	if !e.Offer(now.Add(fetchTimeout), "b", KindBundle, 7) {
+		t.Error("no other peer is asked after the timeout")
+	}
+	if !e.Wanted("b", KindBundle, 7) {
+		t.Error("version 7 refused")
+	}
+	e.Hold(KindBundle, 7)
+	if e.Wanted("a", KindBundle, 7) || e.Offer(now.Add(fetchTimeout), "c", KindBundle, 6) {
+		t.Error("a version that is held is wanted again")
+	}
+}
--- /dev/null
+++ b/gossip/sources.go
@@ -0,0 +1,87 @@
+package gossip
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// sourcePeer prefixes the source of documents that came from a peer.
+const sourcePeer = "peer "
+
+// Sources returns the bundle and the VM list of a control loop. A bundle must
+// be signed by one of the keys, if there are any.
+func Sources(loop *control.Loop, keys []ed25519.PublicKey) map[peerpb.DocumentKind]Source {
+	return map[peerpb.DocumentKind]Source{
+		KindBundle: &bundles{loop: loop, keys: keys},
+		KindVMList: &vmLists{loop: loop},
+	}
+}
+
+type bundles struct {
+	loop *control.Loop
+	keys []ed25519.PublicKey
+}
+
+func (b *bundles) Version() int64 {
+	if ix := b.loop.Snapshot().Bundle; ix != nil {
+		return ix.Version()
+	}
+	return 0
+}
+
+func (b *bundles) Encode() (int64, []byte, error) {
+	signed := b.loop.Snapshot().Signed
+	content, err := json.Marshal(signed)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "encode bundle")
+	}
+	return signed.Version, content, nil
+}
+
+func (b *bundles) Accept(content []byte, version int64, from string) error {
+	var signed bundle.Signed
+	if err := json.Unmarshal(content, &signed); err != nil {
+		return errors.Wrap(err, "decode bundle")
+	}
+	if signed.Version != version {
+		return &VersionError{Announced: version, Carried: signed.Version}
+	}
+	index, err := signed.Open(b.keys)
+	if err != nil {
+		return err
+	}
+	b.loop.Post(control.BundleReceived{Signed: &signed, Index: index, Source: sourcePeer + from})
+	return nil
+}
+
+type vmLists struct{ loop *control.Loop }
+
+func (v *vmLists) Version() int64 { return v.loop.Snapshot().VMs.Revision }
+
+func (v *vmLists) Encode() (int64, []byte, error) {
+	list := v.loop.Snapshot().VMs
+	content, err := json.Marshal(list)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "encode VM list")
+	}
+	return list.Revision, content, nil
+}
+
+func (v *vmLists) Accept(content []byte, version int64, from string) error {
+	list, err := vmlist.Decode(content)
+	if err != nil {
+		return err
+	}
+	if list.Revision != version {
+		return &VersionError{Announced: version, Carried: list.Revision}
+	}
+	v.loop.Post(control.VMListReceived{List: list, Source: sourcePeer + from})
+	return nil
+}
