Run the peer listener and let three VMs per region read the platform

Cause: every VM held a watch and polled the VM list, so calls grew with VMs. Change: the root package runs transport, membership and gossip. Three VMs per region, by rendezvous over the live ones, hold the watch and poll the list; a VM without a first bundle or list, an unlisted one, and one that hears no peer read for themselves. The fallback interval grows with the region.

--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,9 @@
 	state    State
 	done     chan struct{}
 	now      func() time.Time
+
+	subscribersMu sync.Mutex
+	subscribers   []chan struct{}
 }
 
 // NewLoop returns a loop that must be run with Run.
@@ -79,6 +83,16 @@
 // Snapshot returns the latest view.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
+// Subscribe returns a channel that signals new snapshots. Signals that nobody
+// has taken yet count as one.
+func (l *Loop) Subscribe() <-chan struct{} {
+	c := make(chan struct{}, 1)
+	l.subscribersMu.Lock()
+	defer l.subscribersMu.Unlock()
+	l.subscribers = append(l.subscribers, c)
+	return c
+}
+
 // Post sends a message. It returns false when the loop has ended.
 func (l *Loop) Post(m Message) bool {
 	select {
@@ -123,7 +137,17 @@
 	}
 }
 
-func (l *Loop) publish() { l.snapshot.Store(newSnapshot(&l.state)) }
+func (l *Loop) publish() {
+	l.snapshot.Store(newSnapshot(&l.state))
+	l.subscribersMu.Lock()
+	defer l.subscribersMu.Unlock()
+	for _, c := range l.subscribers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
 
 func newSnapshot(s *State) *Snapshot {
 	snap := &Snapshot{
--- a/http.go
+++ b/http.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/membership"
 )
 
 // Time limits of the HTTP servers. Answers have no write limit, since a
@@ -109,11 +110,17 @@
 	VMListVersion int64    `json:"vm_list_version"`
 	EntryVMs      []string `json:"entry_vms"`
 	Active        int      `json:"active_requests"`
+	// Watcher says that the VM reads from the platform on behalf of its region.
+	Watcher bool `json:"watcher"`
+	// Peers holds the peers that exchange heartbeats with the VM.
+	Peers    []membership.PeerView `json:"peers"`
+	Suspects []string              `json:"suspects,omitempty"`
 }
 
 func (s *Server) status(c echo.Context) error {
 	snap := s.loop.Snapshot()
-	st := Status{VM: s.cfg.VMID, VMListVersion: snap.VMs.Revision, Active: len(s.front.Active())}
+	st := Status{VM: s.cfg.VMID, VMListVersion: snap.VMs.Revision, Active: len(s.front.Active()), Watcher: s.watcher.Load()}
+	st.Peers, st.Suspects = s.members.View()
 	if snap.Bundle != nil {
 		st.BundleVersion, st.BundleDigest = snap.Bundle.Version(), snap.Bundle.Digest
 	}
@@ -139,7 +146,7 @@
 
 // Addresses returns the addresses in use.
 func (s *Server) Addresses() Addresses {
-	a := Addresses{HTTP: s.http.listeners[0].Addr().String()}
+	a := Addresses{HTTP: s.http.listeners[0].Addr().String(), Peer: s.peers.Addr()}
 	if len(s.http.listeners) > 1 {
 		a.Admin = s.http.listeners[1].Addr().String()
 	}
--- /dev/null
+++ b/peers.go
@@ -0,0 +1,139 @@
+package vanillaarch
+
+import (
+	"context"
+	"slices"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/gossip"
+	"github.com/vanillaarch/vanillaarch/membership"
+	"github.com/vanillaarch/vanillaarch/peer"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/rendezvous"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// Who reads from the platform.
+const (
+	// watchersPerRegion is the number of VMs of a region that hold the watch on
+	// the bundle head and poll the VM list. One can fail and one can be paused.
+	watchersPerRegion = 3
+	watcherKeyPrefix  = "platform/"
+	// fallbackGroup is the number of VMs that share one fallback interval: a
+	// region makes at most about this many reads in it, however many VMs it has.
+	fallbackGroup = 10
+)
+
+// listenPeers opens the peer listener and builds what rests on it.
+func (s *Server) listenPeers() error {
+	sources := gossip.Sources(s.loop, s.keys)
+	s.gossip = gossip.New(sources, s.log)
+	s.members = membership.NewService(membership.Options{
+		VM: s.cfg.VMID, Fanout: s.cfg.Peers.Fanout,
+		HeartbeatInterval: s.cfg.Peers.HeartbeatInterval.Std(), SuspectAfter: s.cfg.Peers.SuspectAfter.Std(),
+		Versions: func() (int64, int64) {
+			return sources[gossip.KindBundle].Version(), sources[gossip.KindVMList].Version()
+		},
+		Changed: func(c membership.Change) {
+			s.loop.Post(control.SuspicionChanged{VM: c.VM, Suspect: c.Suspect})
+		},
+		Log: s.log,
+	})
+	var err error
+	s.peers, err = peer.Listen(peer.Options{
+		VM: s.cfg.VMID, Listen: s.cfg.Listen.Peer, TLS: s.cfg.TLS,
+		HeartbeatInterval: s.cfg.Peers.HeartbeatInterval.Std(), SuspectAfter: s.cfg.Peers.SuspectAfter.Std(),
+		Handler: s.receive, Probe: s.members.Heartbeat, Ack: s.members.Ack, Log: s.log,
+	})
+	return err
+}
+
+// receive sorts messages of peers.
+func (s *Server) receive(from string, m *peerpb.Envelope) {
+	if x := m.GetMembership(); x != nil {
+		s.members.Receive(from, x)
+		s.gossip.Receive(from, x)
+		return
+	}
+	if s.onDispatch != nil {
+		s.onDispatch(from, m)
+	}
+}
+
+// Peers returns the transport to other entry VMs.
+func (s *Server) Peers() peer.Transport { return s.peers }
+
+// PeerStats returns the counters of the transport.
+func (s *Server) PeerStats() peer.Stats { return s.peers.Stats() }
+
+func (s *Server) peerTasks() []func(context.Context) {
+	return []func(context.Context){
+		s.peers.Run,
+		func(ctx context.Context) { s.members.Run(ctx, s.peers) },
+		func(ctx context.Context) { s.gossip.Run(ctx, s.peers) },
+		s.followSnapshots,
+	}
+}
+
+// followSnapshots tells the parts that talk to peers about a new VM list, and
+// peers about new versions.
+func (s *Server) followSnapshots(ctx context.Context) {
+	changed := s.loop.Subscribe()
+	var vms *vmlist.List
+	var bundle int64
+	for {
+		snap := s.loop.Snapshot()
+		if snap.VMs != vms {
+			vms = snap.VMs
+			s.peers.SetVMs(vms.VMs)
+			s.members.SetVMs(entryIDs(vms.VMs))
+		}
+		if snap.Bundle != nil && snap.Bundle.Version() != bundle {
+			bundle = snap.Bundle.Version()
+			s.members.Push()
+		}
+		s.watcher.Store(s.isWatcher(snap))
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func entryIDs(vms []vmlist.VM) []string {
+	var ids []string
+	for _, vm := range vms {
+		if vm.Role == vmlist.RoleEntry {
+			ids = append(ids, vm.ID)
+		}
+	}
+	return ids
+}
+
+// isWatcher reports whether this VM reads from the platform: as one of the
+// watchers of its region, or because no peer can tell it what it needs.
+func (s *Server) isWatcher(snap *control.Snapshot) bool {
+	if snap.Bundle == nil || snap.VMs.Revision == 0 {
+		return true
+	}
+	if !slices.Contains(entryIDs(snap.VMs.VMs), s.cfg.VMID) {
+		return true
+	}
+	top := rendezvous.Top(watcherKeyPrefix+s.cfg.Region, s.regionVMs(snap), watchersPerRegion)
+	return slices.Contains(top, s.cfg.VMID)
+}
+
+// regionVMs returns the live VMs of this VM's region.
+func (s *Server) regionVMs(snap *control.Snapshot) []vmlist.VM {
+	var vms []vmlist.VM
+	for _, vm := range snap.EntryVMs {
+		if vm.Region == s.cfg.Region {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// readsPlatform is true for watchers and for a VM that hears no peer.
+func (s *Server) readsPlatform() bool { return s.watcher.Load() || s.members.Isolated() }
--- a/sync.go
+++ b/sync.go
@@ -15,14 +15,21 @@
 
 // Waits of the reads from the platform.
 const (
+	// roleCheck is the time between looks at whether this VM is a watcher now.
+	roleCheck       = 200 * time.Millisecond
 	watchWait       = 25 * time.Second
 	watchErrorPause = 500 * time.Millisecond
 )
 
-// watchBundle follows the head in the key-value service.
+// watchBundle follows the head in the key-value service while this VM is a watcher.
 func (s *Server) watchBundle(ctx context.Context) {
 	var revision int64
 	for ctx.Err() == nil {
+		if !s.readsPlatform() {
+			revision = 0 // The role may return after changes.
+			sleep(ctx, roleCheck)
+			continue
+		}
 		entry, err := s.kv.Watch(ctx, bundle.HeadKey, revision, watchWait)
 		if _, ok := errors.Into[*kv.WatchTimeoutError](err); ok {
 			continue
@@ -42,12 +49,11 @@
 	}
 }
 
-// readBundleFallback reads the head at a jittered interval, in case a watch
-// has gone silent.
+// readBundleFallback reads the head at a jittered interval, in case watches
+// and peers have gone silent.
 func (s *Server) readBundleFallback(ctx context.Context) {
 	for {
-		interval := s.cfg.Bundle.FallbackInterval.Std()
-		if !sleep(ctx, interval/2+rand.N(interval)) {
+		if !sleep(ctx, s.fallbackWait()) {
 			return
 		}
 		head, _, err := s.bundles.Head(ctx)
@@ -60,6 +66,14 @@
 	}
 }
 
+// fallbackWait returns the time to the next fallback read. It grows with the
+// region, so that the reads of all VMs together do not.
+func (s *Server) fallbackWait() time.Duration {
+	vms := len(s.regionVMs(s.loop.Snapshot()))
+	interval := s.cfg.Bundle.FallbackInterval.Std() * time.Duration(max(1, vms/fallbackGroup))
+	return interval/2 + rand.N(interval)
+}
+
 // fetchBundle reads, verifies and announces the bundle that the head names.
 func (s *Server) fetchBundle(ctx context.Context, head bundle.Head, source string) error {
 	if current := s.loop.Snapshot().Bundle; current != nil && current.Version() >= head.Version {
@@ -78,9 +92,10 @@
 	return nil
 }
 
-// readVMList polls the platform's VM list.
+// readVMList polls the platform's VM list while this VM is a watcher, and at
+// the fallback interval otherwise.
 func (s *Server) readVMList(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		list, err := s.vms.Fetch(ctx, s.loop.Snapshot().VMs.Revision)
 		switch {
 		case err != nil:
@@ -91,6 +106,11 @@
 		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()) {
 			return
 		}
+		for fallback := time.Now().Add(s.fallbackWait()); !s.readsPlatform() && time.Now().Before(fallback); {
+			if !sleep(ctx, roleCheck) {
+				return
+			}
+		}
 	}
 }
 
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -21,7 +22,10 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/frontend"
+	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/membership"
+	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -50,6 +54,15 @@
 	metrics metrics.Registry
 	http    *httpServers
 
+	// peers is the transport to other entry VMs.
+	peers   *peer.Sessions
+	members *membership.Service
+	gossip  *gossip.Gossip
+	// onDispatch receives dispatch messages of peers. It is set before Run, or nil.
+	onDispatch peer.Handler
+	// watcher says that this VM reads from the platform on behalf of its region.
+	watcher atomic.Bool
+
 	abort     chan struct{}
 	abortOnce sync.Once
 }
@@ -82,7 +95,11 @@
 		Config: cfg, Snapshot: s.loop.Snapshot, Admission: s.admission(), Engines: s.engines, Services: s.service,
 		Claims: s.claims, Log: o.Log, Tracer: tracing.Tracer(), Metrics: s.metrics,
 	})
+	if err := s.listenPeers(); err != nil {
+		return nil, err
+	}
 	if s.http, err = s.listen(); err != nil {
+		s.peers.Close()
 		return nil, err
 	}
 	return s, nil
@@ -111,7 +128,8 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	for _, task := range []func(context.Context){s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList} {
+	tasks := append(s.peerTasks(), s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList)
+	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
 	s.http.serve(s.log)
