Report a lost rollout race as a conflict

Cause: of two operators who read the same head, the one with the higher version could lose the compare-and-swap to the lower one. Its error was not a *ConflictError and called the result open, although the write was refused. Seen before the change, TestConcurrentRolloutsHaveOneWinner: round 0: version 1: <nil>, version 2: rollout has not taken effect: kv: key "bundle/head" is at revision 3 Ruled out: trying again for the operator, who should first see what won. Change: a refused compare-and-swap is a ConflictError naming the version in force, whatever its number. Tests with a cluster in one process for the start of a VM during an outage, lost answers, failed VMs, leaving backend servers and TLS. Conclusion: exactly one of two concurrent rollouts succeeds.

--- a/bundle/store.go
+++ b/bundle/store.go
@@ -235,7 +235,9 @@
 	switch {
 	case head.Operation == next.Operation:
 		return next, nil
-	case head.Version >= next.Version:
+	case head.Version >= next.Version || isConflict(cause):
+		// A write that conflicted has not taken effect and never will, even if
+		// the version that won is lower.
 		return Head{}, &ConflictError{Wanted: next.Version, InForce: head}
 	default:
 		// A lower version is in force. A delayed write may still take effect.
@@ -245,10 +247,12 @@
 
 // isAmbiguous reports whether a read must decide if the write took effect.
 func isAmbiguous(err error) bool {
-	if _, ok := errors.Into[*kv.ConflictError](err); ok {
-		return true
-	}
-	_, ok := errors.Into[*kv.UncertainError](err)
+	_, uncertain := errors.Into[*kv.UncertainError](err)
+	return uncertain || isConflict(err)
+}
+
+func isConflict(err error) bool {
+	_, ok := errors.Into[*kv.ConflictError](err)
 	return ok
 }
 
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -204,6 +204,9 @@
 	return vm, nil
 }
 
+// KVURL returns the base URL of the key-value service.
+func (c *Cluster) KVURL() string { return c.kvServer.URL() }
+
 // Client returns a caller of the first organisation that uses all VMs.
 func (c *Cluster) Client(apiKey string) *client.Client {
 	urls := make([]string, len(c.VMs))
--- /dev/null
+++ b/internal/localcluster/cluster_test.go
@@ -0,0 +1,256 @@
+package localcluster_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+
+	"github.com/vanillaarch/vanillaarch/bundle"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/internal/testnet"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// failoverLimit is the promised time for suspicions and leaving backend servers.
+const failoverLimit = 3 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t testing.TB, o localcluster.Options) *localcluster.Cluster {
+	t.Helper()
+	c, err := localcluster.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func rollOut(t testing.TB, c *localcluster.Cluster, version int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := c.RollOut(ctx, localcluster.Document(version)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// waitAll waits until the condition holds on the snapshot of each VM.
+func waitAll(t testing.TB, vms []*localcluster.VM, limit time.Duration, what string, ok func(*control.Snapshot) bool) {
+	t.Helper()
+	begin := time.Now()
+	for _, vm := range vms {
+		for !ok(vm.Server.Snapshot()) {
+			if time.Since(begin) > limit {
+				t.Fatalf("%s: not on %s after %v", what, vm.ID, limit)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	t.Logf("%s: on %d VMs after %v", what, len(vms), time.Since(begin).Round(time.Millisecond))
+}
+
+func knows(version int64) func(*control.Snapshot) bool {
+	return func(s *control.Snapshot) bool { return s.Bundle != nil && s.Bundle.Version() == version }
+}
+
+func entries(n int) func(*control.Snapshot) bool {
+	return func(s *control.Snapshot) bool { return len(s.EntryVMs) == n }
+}
+
+func readyz(t *testing.T, vm *localcluster.VM) int {
+	t.Helper()
+	resp, err := http.Get(vm.URL() + "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer http.DefaultClient.CloseIdleConnections()
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a new VM that serves without a bundle, or never gets one,
+// while the key-value service is down.
+func TestNewVMGetsBundleFromPeersDuringOutage(t *testing.T) {
+	c := start(t, localcluster.Options{VMs: 3})
+	waitAll(t, c.VMs, failoverLimit, "list of 3 VMs", entries(3))
+	c.KV.Set(standin.Faults{Down: true})
+	early, err := c.AddVM()
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if got := readyz(t, early); got != http.StatusServiceUnavailable {
+		t.Errorf("/readyz without any bundle in the fleet: %d", got)
+	}
+	c.KV.Set(standin.Faults{})
+	rollOut(t, c, 1)
+	c.KV.Set(standin.Faults{Down: true})
+	late, err := c.AddVM()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitAll(t, []*localcluster.VM{late}, failoverLimit, "bundle on a new VM", knows(1))
+	if got := readyz(t, late); got != http.StatusOK {
+		t.Errorf("/readyz with a bundle of a peer: %d", got)
+	}
+}
+
+// gate holds back the first reads of the head until all operators have read it.
+type gate struct {
+	*kv.Client
+	readers *sync.WaitGroup
+	once    sync.Once
+}
+
+func (g *gate) Get(ctx context.Context, key string) (kv.Entry, error) {
+	e, err := g.Client.Get(ctx, key)
+	if key == bundle.HeadKey {
+		g.once.Do(func() {
+			g.readers.Done()
+			g.readers.Wait()
+		})
+	}
+	return e, err
+}
+
+// Guards against two operators who both believe that their bundle is in force:
+// whoever writes first wins, even with the lower version.
+func TestConcurrentRolloutsHaveOneWinner(t *testing.T) {
+	c := start(t, localcluster.Options{VMs: 3})
+	for round := range int64(5) {
+		var readers, done sync.WaitGroup
+		readers.Add(2)
+		results := map[int64]error{}
+		var mu sync.Mutex
+		for _, version := range []int64{2*round + 1, 2*round + 2} {
+			done.Go(func() {
+				client := kv.NewClient(c.KVURL(), time.Second)
+				defer client.Close()
+				store := bundle.NewStore(&gate{Client: client, readers: &readers})
+				signed, err := bundle.Sign(localcluster.Document(version), nil)
+				if err == nil {
+					err = store.Put(t.Context(), signed)
+				}
+				if err == nil {
+					_, err = store.Rollout(t.Context(), version, "operator")
+				}
+				mu.Lock()
+				results[version] = err
+				mu.Unlock()
+			})
+		}
+		done.Wait()
+		winner, loser := 2*round+1, 2*round+2
+		if results[winner] != nil {
+			winner, loser = loser, winner
+		}
+		conflict, ok := errors.Into[*bundle.ConflictError](results[loser])
+		if results[winner] != nil || !ok || conflict.InForce.Version != winner {
+			t.Fatalf("round %d: version %d: %v, version %d: %v", round, winner, results[winner], loser, results[loser])
+		}
+		waitAll(t, c.VMs, failoverLimit, "winner", knows(winner))
+	}
+}
+
+// Guards against a rollout that is reported as failed, or done twice, because
+// the answers to its writes were lost.
+func TestLostRolloutAnswerIsSettled(t *testing.T) {
+	c := start(t, localcluster.Options{VMs: 3})
+	rollOut(t, c, 1)
+	client := kv.NewClient(c.KVURL(), time.Second)
+	defer client.Close()
+	store := bundle.NewStore(client)
+	signed, err := bundle.Sign(localcluster.Document(2), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.KV.Set(standin.Faults{LoseAnswers: true})
+	if err := store.Put(t.Context(), signed); err != nil {
+		t.Fatal(err)
+	}
+	written, err := store.Rollout(t.Context(), 2, "ana")
+	if err != nil {
+		t.Fatal(err)
+	}
+	inForce, _, err := store.Head(t.Context())
+	if err != nil || inForce != written {
+		t.Errorf("head is %+v (%v), rollout reported %+v", inForce, err, written)
+	}
+	waitAll(t, c.VMs, failoverLimit, "rollout with lost answers", knows(2))
+}
+
+// Guards against a failed VM that keeps its roles, against a suspicion that
+// stays after the return, and against a leaving backend server that gets work.
+func TestFailedVMAndLeavingBackendDisappearEverywhere(t *testing.T) {
+	c := start(t, localcluster.Options{VMs: 20, Engines: 2, Configure: func(cfg *config.Config) {
+		cfg.Platform.VMListInterval = 0 // The default, as on real VMs.
+	}})
+	rollOut(t, c, 1)
+	waitAll(t, c.VMs, failoverLimit, "list of 20 VMs", entries(20))
+	time.Sleep(time.Second) // Heartbeats run.
+	c.VMList.SetState("engine-1", vmlist.StateLeaving)
+	waitAll(t, c.VMs, failoverLimit, "leaving engine", func(s *control.Snapshot) bool {
+		return len(s.Engines[localcluster.Model]) == 1
+	})
+	if err := c.VMs[7].Stop(); err != nil {
+		t.Fatal(err)
+	}
+	rest := slices.Concat(c.VMs[:7], c.VMs[8:])
+	waitAll(t, rest, failoverLimit, "stopped VM suspect", entries(19))
+}
+
+// Guards against a VM that serves callers in plain text although a certificate
+// is set, and against peers that can't talk under mutual TLS.
+func TestTLSForCallersAndPeers(t *testing.T) {
+	authority, err := testnet.NewAuthority(t.TempDir(), "fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var files config.TLS
+	c := start(t, localcluster.Options{VMs: 3, Configure: func(cfg *config.Config) {
+		if files, err = authority.Issue(cfg.VMID); err != nil {
+			t.Fatal(err)
+		}
+		cfg.TLS = files
+	}})
+	rollOut(t, c, 1)
+	c.KV.Set(standin.Faults{Down: true})
+	late, err := c.AddVM()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitAll(t, []*localcluster.VM{late}, failoverLimit, "bundle over mutual TLS", knows(1))
+	pem, err := os.ReadFile(files.CAFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(pem)
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Get("https://" + late.Server.Addresses().HTTP + "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("/readyz over TLS: %d", resp.StatusCode)
+	}
+	if got := readyz(t, late); got != http.StatusBadRequest {
+		t.Errorf("/readyz in plain text on a TLS port: %d", got)
+	}
+}
