--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -2,10 +2,13 @@
 package e2e
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
+	"slices"
 	"strconv"
 	"syscall"
 	"testing"
@@ -39,6 +42,7 @@
 			"signal":    signal,
 			"waitexit":  waitExit,
 			"waithttp":  waitHTTP,
+			"waitbody":  waitBody,
 			"substenv":  substEnv,
 		},
 	})
@@ -126,6 +130,29 @@
 	ts.Fatalf("%s: got %s, want %s", args[0], last, args[1])
 }
 
+// waitBody URL LIMIT PATTERN... waits until the body of a GET matches all patterns.
+func waitBody(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	client := &http.Client{Timeout: time.Second}
+	var body []byte
+	begin := time.Now()
+	for ; time.Since(begin) < limit; time.Sleep(pollPause) {
+		resp, err := client.Get(args[0])
+		if err != nil {
+			continue
+		}
+		body, _ = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		missing := slices.ContainsFunc(args[2:], func(p string) bool { return !regexp.MustCompile(p).Match(body) })
+		if !missing {
+			ts.Logf("after %v", time.Since(begin).Round(time.Millisecond))
+			return
+		}
+	}
+	ts.Fatalf("%s: not %v after %v: %s", args[0], args[2:], limit, body)
+}
+
 // substEnv FILE... replaces $NAME in files by the script's variables.
 func substEnv(ts *testscript.TestScript, _ bool, files []string) {
 	for _, file := range files {
