Follow a peer that replaced a dead session

Cause: the side that only received on a dead session kept sending on it for the suspicion time after the peer had dialled a new one. Seen before the change, TestSilentSessionIsReplaced: the other side still sends on the dead session Ruled out: switching to any newer session, which reorders messages when both VMs dial at once. Change: a new session closes older ones that the same side dialled, since a VM dials only without a working session. The cap on sessions of a peer goes: two are the most now. Figures: a reply after the replacement arrives within 150 ms; suspicion time 200 ms.

--- a/peer/session.go
+++ b/peer/session.go
@@ -34,14 +34,16 @@
 
 // session is an authenticated connection with its message stream.
 type session struct {
-	peer   string
-	raw    net.Conn
-	mux    *yamux.Session
-	stream *yamux.Stream
-	reader *bufio.Reader
-	queue  chan *peerpb.Envelope
-	done   chan struct{}
-	once   sync.Once
+	peer string
+	// dialled says that this VM opened the connection.
+	dialled bool
+	raw     net.Conn
+	mux     *yamux.Session
+	stream  *yamux.Stream
+	reader  *bufio.Reader
+	queue   chan *peerpb.Envelope
+	done    chan struct{}
+	once    sync.Once
 
 	progress progress
 }
@@ -77,7 +79,7 @@
 
 // newSession opens (dialled) or accepts the message stream.
 func newSession(raw, conn net.Conn, dialled bool) (*session, error) {
-	s := &session{raw: raw, queue: make(chan *peerpb.Envelope, queueMessages), done: make(chan struct{})}
+	s := &session{raw: raw, dialled: dialled, queue: make(chan *peerpb.Envelope, queueMessages), done: make(chan struct{})}
 	s.progress.active = time.Now()
 	var err error
 	if dialled {
--- a/peer/sessions.go
+++ b/peer/sessions.go
@@ -22,10 +22,6 @@
 	pendingMessages = 64
 	// maxHandshakes bounds connections whose identity is not known yet.
 	maxHandshakes = 64
-	// maxSessionsPerPeer bounds the sessions of one peer. Two are normal when
-	// both VMs dialled at once; more are left over from sessions that died on
-	// the peer's side only.
-	maxSessionsPerPeer = 4
 )
 
 // Options configure Sessions.
@@ -206,9 +202,15 @@
 	if s.closed || s.links[l.id] != l {
 		return false
 	}
-	if len(l.sessions) >= maxSessionsPerPeer {
-		i := slices.IndexFunc(l.sessions, func(y *session) bool { return y != l.current })
-		l.sessions[i].close()
+	// A VM dials only when it has no session that works. So an older session
+	// from the same side is dead, even if nothing on this side tells yet.
+	for _, y := range l.sessions {
+		if y.dialled == x.dialled {
+			y.close()
+			if l.current == y {
+				l.current = nil
+			}
+		}
 	}
 	l.sessions = append(l.sessions, x)
 	l.failures, l.notBefore = 0, time.Time{}
@@ -241,7 +243,7 @@
 		return
 	}
 	l.current = nil
-	if n := len(l.sessions); n > 0 {
+	if n := len(l.sessions); n > 0 { // The last one is the newest.
 		l.use(l.sessions[n-1])
 	}
 }
--- a/peer/sessions_test.go
+++ b/peer/sessions_test.go
@@ -129,6 +129,16 @@
 	if s := a.Stats(); s.Replaced == 0 || s.Opened < 2 {
 		t.Errorf("session was not replaced: %+v", s)
 	}
+	// The other side must follow at once: it has sent nothing that could tell
+	// it that the old session is dead.
+	if err := b.send("a", "reply"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-a.got:
+	case <-time.After(150 * time.Millisecond):
+		t.Error("the other side still sends on the dead session")
+	}
 	t.Logf("replaced after %v with a suspicion time of 200ms", time.Since(begin))
 }
 
