Keep an unlisted VM from suspecting its peers

Cause: peers refuse a VM until the VM list has reached them, so a new VM would suspect all that it watches after 2 s. Change: a VM that is not listed watches nobody. Conclusion: covered by a test with a virtual clock.

--- a/membership/core.go
+++ b/membership/core.go
@@ -80,16 +80,18 @@
 // Incarnation returns the incarnation of this VM.
 func (c *Core) Incarnation() uint64 { return c.incarnation }
 
-// SetVMs replaces the ids of the entry VMs.
+// SetVMs replaces the ids of the entry VMs. While this VM is not listed, it
+// suspects nobody, since its peers refuse to answer it.
 func (c *Core) SetVMs(now time.Time, ids []string) Effects {
-	if !slices.Contains(ids, c.self) {
+	listed := slices.Contains(ids, c.self)
+	if !listed {
 		ids = append(slices.Clone(ids), c.self)
 	}
 	all := targets(ids, c.fanout)
 	c.targets = all[c.self]
 	watched := map[string]*observation{}
 	for id, to := range all {
-		if id == c.self || !slices.Contains(to, c.self) && !slices.Contains(c.targets, id) {
+		if id == c.self || !listed || !slices.Contains(to, c.self) && !slices.Contains(c.targets, id) {
 			continue
 		}
 		if watched[id] = c.watched[id]; watched[id] == nil {
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -161,6 +161,20 @@
 	}
 }
 
+// Guards against a new VM that suspects all peers, which refuse to answer it
+// until the VM list has reached them.
+func TestUnlistedVMSuspectsNobody(t *testing.T) {
+	c := NewCore("a", 4, testSuspectAfter, 1)
+	now := time.Unix(1000, 0)
+	c.SetVMs(now, []string{"b", "c"})
+	for range 200 {
+		now = now.Add(testStep)
+		if e := c.Tick(now); len(e.Changes) != 0 {
+			t.Fatalf("unlisted VM: %+v", e.Changes)
+		}
+	}
+}
+
 // Guards against views that depend on the order in which news arrives.
 func TestOrderOfNewsDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
