--- a/peer/sessions_test.go
+++ b/peer/sessions_test.go
@@ -223,6 +223,16 @@
 					t.Error("no message arrived")
 				}
 			}
+			a.SetVMs(nil) // A VM that leaves the list is cut off at once.
+			time.Sleep(20 * time.Millisecond)
+			for len(a.got) > 0 {
+				<-a.got
+			}
+			_ = m.send("a", "late")
+			time.Sleep(50 * time.Millisecond)
+			if len(a.got) > 0 {
+				t.Error("a message of a VM that left the list arrived")
+			}
 			if n := len(m.got); !c.connected && (n > 0 || m.Stats().Opened > 0 || a.Stats().Opened > 0) {
 				t.Errorf("stranger got %d messages, sessions %+v", n, m.Stats())
 			}
