Count peer traffic in the metrics

Cause: bytes, replaced sessions and refused connections were visible to tests only. Change: five gauges read the counters of the transport. Conclusion: /metrics shows them.

--- a/peers.go
+++ b/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/membership"
@@ -45,7 +47,23 @@
 		HeartbeatInterval: s.cfg.Peers.HeartbeatInterval.Std(), SuspectAfter: s.cfg.Peers.SuspectAfter.Std(),
 		Handler: s.receive, Probe: s.members.Heartbeat, Ack: s.members.Ack, Log: s.log,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	s.registerPeerMetrics()
+	return nil
+}
+
+func (s *Server) registerPeerMetrics() {
+	for name, value := range map[string]func(peer.Stats) int64{
+		"peer.bytes_sent":        func(st peer.Stats) int64 { return st.BytesSent },
+		"peer.bytes_received":    func(st peer.Stats) int64 { return st.BytesReceived },
+		"peer.sessions_opened":   func(st peer.Stats) int64 { return st.Opened },
+		"peer.sessions_replaced": func(st peer.Stats) int64 { return st.Replaced },
+		"peer.refused":           func(st peer.Stats) int64 { return st.Refused },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, s.metrics, func() int64 { return value(s.peers.Stats()) })
+	}
 }
 
 // receive sorts messages of peers.
