Log errors of the HTTP servers as events

Cause: net/http writes TLS handshake errors and panics to standard error in a format of its own; seen in the TLS test as http: TLS handshake error from ...: client sent an HTTP request to an HTTPS server Change: http.Server.ErrorLog writes through the logger, at level warn. Conclusion: one key=value line per event.

--- a/http.go
+++ b/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -31,6 +32,7 @@
 	servers   []*http.Server
 	listeners []net.Listener
 	tls       [2]string
+	errorLog  *log.Logger
 	wg        sync.WaitGroup
 }
 
@@ -40,7 +42,11 @@
 	admin := newEcho()
 	admin.GET("/status", s.status)
 	admin.GET("/metrics", s.writeMetrics)
-	h := &httpServers{tls: [2]string{s.cfg.TLS.CertFile, s.cfg.TLS.KeyFile}}
+	errorLog, err := zap.NewStdLogAt(s.log.Named("http"), zap.WarnLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "log of HTTP servers")
+	}
+	h := &httpServers{tls: [2]string{s.cfg.TLS.CertFile, s.cfg.TLS.KeyFile}, errorLog: errorLog}
 	if err := h.add(s.cfg.Listen.HTTP, callers, s.cfg.Limits.HeaderBytes); err != nil {
 		return nil, err
 	}
@@ -67,7 +73,7 @@
 	h.listeners = append(h.listeners, l)
 	h.servers = append(h.servers, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: h.errorLog,
 	})
 	return nil
 }
