Check that a region keeps three watchers after a failure

Cause: the test did not look at the watchers. Change: it stops a watcher, counts the watchers and changes the VM list again. Conclusion: three before, three after.

--- a/internal/localcluster/cluster_test.go
+++ b/internal/localcluster/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"net/http"
 	"os"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
+	"github.com/vanillaarch/vanillaarch"
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
@@ -193,8 +195,8 @@
 	waitAll(t, c.VMs, failoverLimit, "rollout with lost answers", knows(2))
 }
 
-// Guards against a failed VM that keeps its roles, against a suspicion that
-// stays after the return, and against a leaving backend server that gets work.
+// Guards against a failed VM that keeps its roles, a region that loses its
+// watchers, and a leaving backend server that gets work.
 func TestFailedVMAndLeavingBackendDisappearEverywhere(t *testing.T) {
 	c := start(t, localcluster.Options{VMs: 20, Engines: 2, Configure: func(cfg *config.Config) {
 		cfg.Platform.VMListInterval = 0 // The default, as on real VMs.
@@ -206,11 +208,42 @@
 	waitAll(t, c.VMs, failoverLimit, "leaving engine", func(s *control.Snapshot) bool {
 		return len(s.Engines[localcluster.Model]) == 1
 	})
-	if err := c.VMs[7].Stop(); err != nil {
+	before := watchers(t, c.VMs)
+	failed := slices.IndexFunc(c.VMs, func(vm *localcluster.VM) bool { return vm.ID == before[0] })
+	if err := c.VMs[failed].Stop(); err != nil {
 		t.Fatal(err)
 	}
-	rest := slices.Concat(c.VMs[:7], c.VMs[8:])
+	rest := slices.Concat(c.VMs[:failed], c.VMs[failed+1:])
 	waitAll(t, rest, failoverLimit, "stopped VM suspect", entries(19))
+	if after := watchers(t, rest); len(before) != 3 || len(after) != 3 {
+		t.Errorf("watchers were %v, are %v, want 3", before, after)
+	}
+	c.VMList.SetState("engine-2", vmlist.StateLeaving)
+	waitAll(t, rest, failoverLimit, "second leaving engine", func(s *control.Snapshot) bool {
+		return len(s.Engines[localcluster.Model]) == 0
+	})
+}
+
+// watchers returns the VMs that read from the platform for their region.
+func watchers(t *testing.T, vms []*localcluster.VM) (ids []string) {
+	t.Helper()
+	defer http.DefaultClient.CloseIdleConnections()
+	for _, vm := range vms {
+		resp, err := http.Get("http://" + vm.Server.Addresses().Admin + "/status")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var st vanillaarch.Status
+		err = json.NewDecoder(resp.Body).Decode(&st)
+		_ = resp.Body.Close()
+		if err != nil || len(st.Peers) < 4 {
+			t.Fatalf("status of %s: %v, %d peers", vm.ID, err, len(st.Peers))
+		}
+		if st.Watcher {
+			ids = append(ids, vm.ID)
+		}
+	}
+	return ids
 }
 
 // Guards against a VM that serves callers in plain text although a certificate
