--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,9 +33,8 @@
 	// Suspect holds the ids of entry VMs that peers have not heard from.
 	Suspect map[string]bool
 
-	log      *zap.Logger
-	dirty    bool
-	backends *backendIndex
+	log   *zap.Logger
+	dirty bool
 }
 
 // Changed makes the loop publish a new snapshot after the message.
@@ -54,6 +54,8 @@
 	Backends map[string]vmlist.VM
 	// EntryVMs holds live entry VMs that are not suspect, in the order of the list.
 	EntryVMs []vmlist.VM
+	// entries holds live entry VMs, suspect ones included.
+	entries []vmlist.VM
 }
 
 // Loop is the control goroutine.
@@ -63,6 +65,9 @@
 	state    State
 	done     chan struct{}
 	now      func() time.Time
+
+	subscribersMu sync.Mutex
+	subscribers   []chan struct{}
 }
 
 // NewLoop returns a loop that must be run with Run.
@@ -80,6 +85,16 @@
 // Snapshot returns the latest view.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
+// Subscribe returns a channel that signals new snapshots. Signals that nobody
+// has taken yet count as one.
+func (l *Loop) Subscribe() <-chan struct{} {
+	c := make(chan struct{}, 1)
+	l.subscribersMu.Lock()
+	defer l.subscribersMu.Unlock()
+	l.subscribers = append(l.subscribers, c)
+	return c
+}
+
 // Post sends a message. It returns false when the loop has ended.
 func (l *Loop) Post(m Message) bool {
 	select {
@@ -125,53 +140,55 @@
 }
 
 func (l *Loop) publish() {
-	s := &l.state
-	if s.backends == nil || s.backends.list != s.VMs {
-		s.backends = newBackendIndex(s.VMs)
+	l.snapshot.Store(newSnapshot(&l.state, l.snapshot.Load()))
+	l.subscribersMu.Lock()
+	defer l.subscribersMu.Unlock()
+	for _, c := range l.subscribers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
 	}
-	snap := &Snapshot{
-		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs,
-		Engines: s.backends.engines, Services: s.backends.services, Backends: s.backends.byID,
+}
+
+// newSnapshot returns the view of a state. It shares what depends on the VM
+// list alone with the previous view while the list is the same, so that other
+// changes do not cost time in proportion to the fleet.
+func newSnapshot(s *State, previous *Snapshot) *Snapshot {
+	snap := &Snapshot{Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs}
+	if previous != nil && previous.VMs == s.VMs {
+		snap.Engines, snap.Services, snap.Backends = previous.Engines, previous.Services, previous.Backends
+		snap.entries = previous.entries
+	} else {
+		snap.addVMs(s.VMs.VMs)
 	}
-	for _, vm := range s.backends.entry {
+	for _, vm := range snap.entries {
 		if !s.Suspect[vm.ID] {
 			snap.EntryVMs = append(snap.EntryVMs, vm)
 		}
 	}
-	l.snapshot.Store(snap)
+	return snap
 }
 
-// backendIndex holds the lookups of one VM list. It is built once for each
-// list, since bundles change far more often than VMs.
-type backendIndex struct {
-	list     *vmlist.List
-	engines  map[string][]vmlist.VM
-	services map[string][]vmlist.VM
-	byID     map[string]vmlist.VM
-	entry    []vmlist.VM
-}
-
-func newBackendIndex(list *vmlist.List) *backendIndex {
-	ix := &backendIndex{
-		list: list, engines: map[string][]vmlist.VM{}, services: map[string][]vmlist.VM{}, byID: map[string]vmlist.VM{},
-	}
-	for _, vm := range list.VMs {
+func (snap *Snapshot) addVMs(vms []vmlist.VM) {
+	snap.Engines, snap.Services = map[string][]vmlist.VM{}, map[string][]vmlist.VM{}
+	snap.Backends = map[string]vmlist.VM{}
+	for _, vm := range vms {
 		if vm.Role == vmlist.RoleEntry {
 			if vm.State == vmlist.StateLive {
-				ix.entry = append(ix.entry, vm)
+				snap.entries = append(snap.entries, vm)
 			}
 			continue
 		}
-		ix.byID[vm.ID] = vm
+		snap.Backends[vm.ID] = vm
 		if vm.State != vmlist.StateLive {
 			continue
 		}
 		for _, m := range vm.Models {
-			ix.engines[m] = append(ix.engines[m], vm)
+			snap.Engines[m] = append(snap.Engines[m], vm)
 		}
 		for _, svc := range vm.Services {
-			ix.services[svc] = append(ix.services[svc], vm)
+			snap.Services[svc] = append(snap.Services[svc], vm)
 		}
 	}
-	return ix
 }
--- a/http.go
+++ b/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/membership"
 )
 
 // Time limits of the HTTP servers. Answers have no write limit, since a
@@ -30,6 +32,7 @@
 	servers   []*http.Server
 	listeners []net.Listener
 	tls       [2]string
+	errorLog  *log.Logger
 	wg        sync.WaitGroup
 }
 
@@ -39,7 +42,11 @@
 	admin := newEcho()
 	admin.GET("/status", s.status)
 	admin.GET("/metrics", s.writeMetrics)
-	h := &httpServers{tls: [2]string{s.cfg.TLS.CertFile, s.cfg.TLS.KeyFile}}
+	errorLog, err := zap.NewStdLogAt(s.log.Named("http"), zap.WarnLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "log of HTTP servers")
+	}
+	h := &httpServers{tls: [2]string{s.cfg.TLS.CertFile, s.cfg.TLS.KeyFile}, errorLog: errorLog}
 	if err := h.add(s.cfg.Listen.HTTP, callers, s.cfg.Limits.HeaderBytes); err != nil {
 		return nil, err
 	}
@@ -66,7 +73,7 @@
 	h.listeners = append(h.listeners, l)
 	h.servers = append(h.servers, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: h.errorLog,
 	})
 	return nil
 }
@@ -109,11 +116,17 @@
 	VMListVersion int64    `json:"vm_list_version"`
 	EntryVMs      []string `json:"entry_vms"`
 	Active        int      `json:"active_requests"`
+	// Watcher says that the VM reads from the platform on behalf of its region.
+	Watcher bool `json:"watcher"`
+	// Peers holds the peers that exchange heartbeats with the VM.
+	Peers    []membership.PeerView `json:"peers"`
+	Suspects []string              `json:"suspects,omitempty"`
 }
 
 func (s *Server) status(c echo.Context) error {
 	snap := s.loop.Snapshot()
-	st := Status{VM: s.cfg.VMID, VMListVersion: snap.VMs.Revision, Active: len(s.front.Active())}
+	st := Status{VM: s.cfg.VMID, VMListVersion: snap.VMs.Revision, Active: len(s.front.Active()), Watcher: s.watcher.Load()}
+	st.Peers, st.Suspects = s.members.View()
 	if snap.Bundle != nil {
 		st.BundleVersion, st.BundleDigest = snap.Bundle.Version(), snap.Bundle.Digest
 	}
@@ -139,7 +152,7 @@
 
 // Addresses returns the addresses in use.
 func (s *Server) Addresses() Addresses {
-	a := Addresses{HTTP: s.http.listeners[0].Addr().String()}
+	a := Addresses{HTTP: s.http.listeners[0].Addr().String(), Peer: s.peers.Addr()}
 	if len(s.http.listeners) > 1 {
 		a.Admin = s.http.listeners[1].Addr().String()
 	}
