Keep the outcome of an attempt that may have run

Cause: relay and service calls kept only the error of the last attempt, so an attempt that may have started a generation, followed by one that could not be sent or admitted, ended with outcome not_run. Every status other than 200 also counted as proof that an engine started nothing, and so did a 404 or a failed dial of a resume.

Change: the relay notes whether any start may have taken effect and then reports unknown; only statuses that refuse a request prove that nothing started; a service call keeps the error that allows a run.

--- a/backend/errors.go
+++ b/backend/errors.go
@@ -2,7 +2,10 @@
 // services. Neither client repeats a request by itself.
 package backend
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // NotSentError reports that no byte of a request left for the backend server.
 type NotSentError struct {
@@ -39,6 +42,21 @@
 	return fmt.Sprintf("backend %s: rejected with status %d", e.Backend, e.Status)
 }
 
+// ProvesNotStarted reports whether the status, as the answer to a start,
+// proves that no generation runs. Statuses outside the list, such as 500 or
+// 504, are also sent by an engine that failed after it had started.
+func (e *RejectedError) ProvesNotStarted() bool {
+	switch e.Status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
+		http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge, http.StatusUnsupportedMediaType,
+		http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusRequestHeaderFieldsTooLarge,
+		http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // StalledError reports a stream on which nothing arrived within the idle timeout.
 type StalledError struct {
 	Backend    string
--- a/frontend/failure.go
+++ b/frontend/failure.go
@@ -17,13 +17,14 @@
 	retryAfterBackend = time.Second
 )
 
-// notStarted reports whether an error proves that no generation runs.
+// notStarted reports whether an error of a ticket or of a start proves that no
+// generation runs. Errors of a resume never prove it.
 func notStarted(err error) bool {
 	if _, ok := errors.Into[*backend.NotSentError](err); ok {
 		return true
 	}
-	if _, ok := errors.Into[*backend.RejectedError](err); ok {
-		return true
+	if rejected, ok := errors.Into[*backend.RejectedError](err); ok {
+		return rejected.ProvesNotStarted()
 	}
 	return isAdmission(err)
 }
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -43,9 +43,12 @@
 	offset     int
 	// seen says that the caller has received a token, after which only the
 	// same generation may go on.
-	seen      bool
-	started   time.Time
-	lastToken time.Time
+	seen bool
+	// mayHaveRun says that an attempt may have started a generation, after
+	// which the request cannot end with the outcome not_run.
+	mayHaveRun bool
+	started    time.Time
+	lastToken  time.Time
 }
 
 // run obtains tickets and relays until the answer is complete. It starts
@@ -64,10 +67,10 @@
 			return r.sink.fail(r.interrupted(err))
 		}
 		if !restartable(err) || attempt == maxAttempts {
-			return asFailure(err)
+			return r.failure(err)
 		}
 		if !r.f.budget.Take(r.c.identity.Organisation) {
-			return asFailure(err)
+			return r.failure(err)
 		}
 		r.f.counter.restarts.Inc(1)
 		r.c.log.Warn("generation_restarted", zap.String("backend", r.target.ID),
@@ -91,18 +94,32 @@
 	r.sink.reset()
 	r.c.generation = r.generation.String()
 	defer func() { ticket.Release(r.offset) }()
+	started := false
 	err = r.stream(func(ctx context.Context) (*backend.Stream, error) {
-		return r.f.Engines.Start(ctx, r.target, r.request, backend.StartOptions{
+		stream, err := r.f.Engines.Start(ctx, r.target, r.request, backend.StartOptions{
 			Generation: r.generation, Organisation: r.c.identity.Organisation, Priority: ticket.Priority(),
 			FirstToken: r.f.Config.Timeouts.FirstToken.Std(), Idle: r.f.Config.Timeouts.StreamIdle.Std(),
 		})
+		started = err == nil || !notStarted(err)
+		return stream, err
 	})
-	if err != nil && !r.seen && !notStarted(err) {
+	r.mayHaveRun = r.mayHaveRun || started
+	if err != nil && !r.seen && started {
 		r.cancelGeneration()
 	}
 	return err
 }
 
+// failure maps the error of the last attempt in view of the earlier ones.
+func (r *relay) failure(err error) *api.Problem {
+	p := asFailure(err)
+	if p.Outcome != api.OutcomeNotRun || !r.mayHaveRun {
+		return p
+	}
+	return api.NewProblem(api.ProblemBackendUnavailable, http.StatusBadGateway, api.OutcomeUnknown,
+		"an attempt may have started a generation").WithCause(err)
+}
+
 // stream opens the generation and follows it, resuming over new connections
 // when it stalls or breaks.
 func (r *relay) stream(open func(context.Context) (*backend.Stream, error)) error {
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, route.Timeout())
 	defer cancel()
 	candidates := f.serviceBackends(route)
-	var lastErr error
+	var failure error
 	for i, vm := range candidates {
 		if i == maxAttempts || (i > 0 && !f.budget.Take(c.identity.Organisation)) {
 			break
@@ -59,15 +59,24 @@
 		if err == nil {
 			return c.Blob(response.Status, response.ContentType, response.Body)
 		}
-		lastErr = err
+		failure = graver(failure, err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	if lastErr == nil {
+	if failure == nil {
 		return noServiceBackend()
 	}
-	return asFailure(lastErr)
+	return asFailure(failure)
+}
+
+// graver returns the later of two errors of one call, unless only the earlier
+// one allows that the call ran.
+func graver(earlier, later error) error {
+	if _, ok := errors.Into[*backend.NotSentError](later); ok && earlier != nil {
+		return earlier
+	}
+	return later
 }
 
 // callOnce sends a non-repeatable call under a claim.
