Withdraw the replacement of an abandoned claim whose answer was lost

Cause: Begin replaced an abandoned claim once. If that write was lost or delayed, the read-back still showed the abandoned record, and the caller got outcome unknown for a call that nobody would run. The delayed write could then take effect and leave the key started for the whole retention time.

Change: the replacement is repeated a bounded number of times and then withdrawn like a creation, with a typed cause and outcome not_run.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -103,13 +103,17 @@
 	}}
 	err := c.create(ctx, 0)
 	existing, ok := errors.Into[*ExistsError](err)
-	if ok && existing.Record.State == StateAbandoned && existing.Record.Fingerprint == fingerprint {
+	for attempt := 0; attempt < settleAttempts && ok && existing.replaceableBy(c); attempt++ {
 		err = c.create(ctx, c.revision)
 		existing, ok = errors.Into[*ExistsError](err)
 	}
 	switch {
 	case err == nil:
 		return c, nil
+	case ok && existing.replaceableBy(c):
+		// A replacement whose answer was lost may still take effect, so it is
+		// withdrawn like a creation.
+		err = &ContendedError{Holder: existing.Record.VM}
 	case ok && existing.Record.Fingerprint != fingerprint:
 		return nil, &MismatchError{}
 	case ok:
--- a/claim/record.go
+++ b/claim/record.go
@@ -96,6 +96,17 @@
 	return fmt.Sprintf("claim is %s by %s", e.Record.State, e.Record.VM)
 }
 
+func (e *ExistsError) replaceableBy(c *Claim) bool {
+	return e.Record.State == StateAbandoned && e.Record.Fingerprint == c.record.Fingerprint
+}
+
+// ContendedError reports an abandoned claim that could not be replaced.
+type ContendedError struct{ Holder string }
+
+func (e *ContendedError) Error() string {
+	return fmt.Sprintf("claim abandoned by %s could not be replaced", e.Holder)
+}
+
 // MismatchError reports a key that was used for another request.
 type MismatchError struct{}
 
