Choose a service's backend server at the moment of each attempt

Cause: the list of backend servers was read once, before the claim was made. A slow key-value service or a slow first attempt then let a call go to a server that the VM had known to be leaving for seconds.

Without one left, the claim is abandoned and the call is not_run.

Before: TestServiceLeavesDuringCall failed for both routes ("a leaving service got 1 calls"). After: it passes. The tests of P4 against lost answers, outages, late writes, a service that closes after its run, two VMs with one key, and an expired key land with this change and passed from the start.

--- a/frontend/service.go
+++ b/frontend/service.go
@@ -49,10 +49,10 @@
 	f.budget.Attempt(c.identity.Organisation)
 	ctx, cancel := context.WithTimeout(c.ctx, route.Timeout())
 	defer cancel()
-	candidates := f.serviceBackends(route)
+	next := f.serviceRotation(route)
 	var failure error
-	for i, vm := range candidates {
-		if i == maxAttempts || (i > 0 && !f.budget.Take(c.identity.Organisation)) {
+	for vm, ok := next(); ok; vm, ok = next() {
+		if failure != nil && !f.budget.Take(c.identity.Organisation) {
 			break
 		}
 		response, err := f.callBackend(ctx, vm, request)
@@ -81,8 +81,7 @@
 
 // callOnce sends a non-repeatable call under a claim.
 func (f *Frontend) callOnce(c *call, route bundle.Route, request backend.Call) error {
-	candidates := f.serviceBackends(route)
-	if len(candidates) == 0 {
+	if len(f.Snapshot().Services[route.Service]) == 0 {
 		return noServiceBackend()
 	}
 	ctx, span := f.Tracer.Start(c.ctx, "claim.begin")
@@ -94,7 +93,7 @@
 	// The call goes on when the caller leaves, so that its result is recorded.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), route.Timeout())
 	defer cancel()
-	response, err := f.callFirstReachable(ctx, candidates, request)
+	response, err := f.callFirstReachable(ctx, route, request)
 	if err != nil {
 		return f.callOnceFailed(held, err)
 	}
@@ -103,9 +102,10 @@
 }
 
 // callFirstReachable moves to the next backend server only if no byte was sent.
-func (f *Frontend) callFirstReachable(ctx context.Context, candidates []vmlist.VM, request backend.Call) (*backend.Response, error) {
-	var err error
-	for _, vm := range candidates[:min(len(candidates), maxAttempts)] {
+func (f *Frontend) callFirstReachable(ctx context.Context, route bundle.Route, request backend.Call) (*backend.Response, error) {
+	next := f.serviceRotation(route)
+	var err error = &backend.NotSentError{Backend: route.Service, Cause: noServiceBackend()}
+	for vm, ok := next(); ok; vm, ok = next() {
 		var response *backend.Response
 		response, err = f.callBackend(ctx, vm, request)
 		if _, ok := errors.Into[*backend.NotSentError](err); !ok {
@@ -171,14 +171,23 @@
 	return f.Services.Do(ctx, backend.Target{ID: vm.ID, Address: vm.Address}, request)
 }
 
-// serviceBackends returns the live backend servers of a route in rotation.
-func (f *Frontend) serviceBackends(route bundle.Route) []vmlist.VM {
-	all := f.Snapshot().Services[route.Service]
-	if len(all) == 0 {
-		return nil
+// serviceRotation yields up to maxAttempts backend servers of a route, each
+// once. It looks at the snapshot of the moment, since a backend server may have
+// begun to leave while a claim or an earlier attempt took its time.
+func (f *Frontend) serviceRotation(route bundle.Route) func() (vmlist.VM, bool) {
+	turn := f.nextSvc.Add(1)
+	tried := make(map[string]bool, maxAttempts)
+	return func() (vmlist.VM, bool) {
+		live := f.Snapshot().Services[route.Service]
+		for i := range live {
+			vm := live[(turn+uint64(i))%uint64(len(live))]
+			if len(tried) < maxAttempts && !tried[vm.ID] {
+				tried[vm.ID] = true
+				return vm, true
+			}
+		}
+		return vmlist.VM{}, false
 	}
-	first := int(f.nextSvc.Add(1) % uint64(len(all)))
-	return append(append([]vmlist.VM(nil), all[first:]...), all[:first]...)
 }
 
 func noServiceBackend() *api.Problem {
--- /dev/null
+++ b/internal/localcluster/calls_test.go
@@ -0,0 +1,201 @@
+package localcluster_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/client"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+func wantProblem(t *testing.T, err error, kind api.ProblemType, outcome api.Outcome) *api.Problem {
+	t.Helper()
+	p := problemOf(t, err)
+	if p.Kind() != kind || p.Outcome != outcome {
+		t.Fatalf("got %s with outcome %s, want %s with outcome %s (%s)", p.Kind(), p.Outcome, kind, outcome, p.Detail)
+	}
+	return p
+}
+
+func newKey(t *testing.T) string {
+	t.Helper()
+	key, err := client.NewIdempotencyKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func clientOf(vm *localcluster.VM) *client.Client {
+	return client.New(client.Options{Addresses: []string{vm.URL()}, APIKey: localcluster.APIKey})
+}
+
+func book(ctx context.Context, vm *localcluster.VM, key string) (*client.ServiceResult, error) {
+	return clientOf(vm).Call(ctx, localcluster.BookingRoute, key, []byte(`{"amount":1}`))
+}
+
+// TestClaimFaults guards P4 and P3 against a key-value service that loses
+// answers, is down, or is slower than the time limit of a call, so that its
+// writes take effect late. A call that was told not_run can run afterwards.
+func TestClaimFaults(t *testing.T) {
+	cases := map[string]struct {
+		faults standin.Faults
+		notRun bool
+	}{
+		"answers lost":                  {standin.Faults{LoseAnswers: true}, false},
+		"down":                          {standin.Faults{Down: true}, true},
+		"refuses":                       {standin.Faults{Refuse: true}, true},
+		"writes delayed past the limit": {standin.Faults{DelayMS: 450}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, ctx := startCluster(t, localcluster.Options{VMs: 2, Services: 1})
+			key := newKey(t)
+			c.KV.Set(tc.faults)
+			_, err := book(ctx, c.VMs[0], key)
+			if tc.notRun {
+				p := wantProblem(t, err, api.ProblemClaimUnavailable, api.OutcomeNotRun)
+				if p.RetryAfter == 0 {
+					t.Error("the rejection has no Retry-After")
+				}
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			if runs := c.Services[0].Service.Total(); (runs == 0) != tc.notRun {
+				t.Fatalf("the call ran %d times", runs)
+			}
+			c.KV.Set(standin.Faults{})
+			eventually(t, "a retry elsewhere gets the answer", func() bool {
+				result, err := book(ctx, c.VMs[1], key)
+				return err == nil && result.Replayed != tc.notRun
+			})
+			if runs := c.Services[0].Service.Total(); runs != 1 {
+				t.Fatalf("the call ran %d times", runs)
+			}
+		})
+	}
+}
+
+// TestServiceClosesAfterRun guards against a second run when a service runs a
+// call and closes the connection. net/http repeats a request by itself on a
+// reused connection if it carries an Idempotency-Key and its body can be rewound.
+func TestServiceClosesAfterRun(t *testing.T) {
+	c, ctx := startCluster(t, localcluster.Options{VMs: 2, Services: 1})
+	service := c.Services[0].Service
+	caller := clientOf(c.VMs[0])
+	for _, route := range []string{localcluster.BookingRoute, localcluster.LookupRoute} {
+		for _, body := range []string{"{}", ""} {
+			if _, err := caller.Call(ctx, route, newKey(t), []byte(body)); err != nil { // Opens a connection to reuse.
+				t.Fatal(err)
+			}
+			service.Set(standin.Faults{LoseAnswers: true})
+			key := newKey(t)
+			_, err := caller.Call(ctx, route, key, []byte(body))
+			if p := problemOf(t, err); p.Outcome != api.OutcomeUnknown {
+				t.Errorf("%s: got outcome %s, want unknown", route, p.Outcome)
+			}
+			service.Set(standin.Faults{})
+			if route == localcluster.BookingRoute {
+				_, err := clientOf(c.VMs[1]).Call(ctx, route, key, []byte(body))
+				wantProblem(t, err, api.ProblemOutcomeUnknown, api.OutcomeUnknown)
+			}
+			if runs := service.Runs()[key]; runs != 1 {
+				t.Errorf("%s with body %q ran %d times", route, body, runs)
+			}
+		}
+	}
+}
+
+// TestSameKeyAtOnce guards against two runs when several VMs get the same key
+// at the same moment.
+func TestSameKeyAtOnce(t *testing.T) {
+	c, ctx := startCluster(t, localcluster.Options{VMs: 3, Services: 2})
+	for range 5 {
+		key := newKey(t)
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Go(func() {
+				if _, err := book(ctx, c.VMs[i%3], key); err != nil && problemOf(t, err).Outcome != api.OutcomeUnknown {
+					t.Errorf("got %v, want the answer or outcome unknown", err)
+				}
+			})
+		}
+		wg.Wait()
+		if runs := c.Services[0].Service.Runs()[key] + c.Services[1].Service.Runs()[key]; runs != 1 {
+			t.Errorf("the call ran %d times", runs)
+		}
+	}
+}
+
+// TestExpiredKey guards against a run under a key whose claim may be gone.
+func TestExpiredKey(t *testing.T) {
+	c, ctx := startCluster(t, localcluster.Options{VMs: 1, Services: 1})
+	id, _ := uuid.NewV7()
+	at := time.Now().Add(-24 * time.Hour).UnixMilli()
+	for i := range 6 {
+		id[i] = byte(at >> (8 * (5 - i)))
+	}
+	_, err := book(ctx, c.VMs[0], id.String())
+	wantProblem(t, err, api.ProblemIdempotencyExpired, api.OutcomeUnknown)
+	if runs := c.Services[0].Service.Total(); runs != 0 {
+		t.Errorf("the call ran %d times", runs)
+	}
+}
+
+// TestServiceLeavesDuringCall guards P5 against a call that goes to a backend
+// server which the VM list named as leaving while the claim was being made, or
+// while another backend server kept the call waiting.
+func TestServiceLeavesDuringCall(t *testing.T) {
+	for _, route := range []string{localcluster.BookingRoute, localcluster.LookupRoute} {
+		t.Run(route, func(t *testing.T) {
+			c, ctx := startCluster(t, localcluster.Options{VMs: 1, Configure: func(cfg *config.Config) {
+				cfg.Limits.RetryRatio = 1
+			}})
+			var leaving atomic.Bool
+			var late atomic.Int64
+			addBackend(t, c, vmlist.RoleService, "leaver", func(http.ResponseWriter, *http.Request) {
+				if leaving.Load() {
+					late.Add(1)
+				}
+			})
+			addBackend(t, c, vmlist.RoleService, "slow", func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(400 * time.Millisecond)
+				hangUp(w)
+			})
+			if route == localcluster.BookingRoute {
+				c.KV.Set(standin.Faults{DelayMS: 400})
+			}
+			live := func(n int) func() bool {
+				return func() bool { return len(c.VMs[0].Server.Snapshot().Services[localcluster.Service]) == n }
+			}
+			for range 2 { // The rotation starts with each of the two in turn.
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					_, _ = clientOf(c.VMs[0]).Call(ctx, route, newKey(t), []byte("{}"))
+				}()
+				time.Sleep(50 * time.Millisecond)
+				c.VMList.SetState("leaver", vmlist.StateLeaving)
+				eventually(t, "the VM knows who leaves", live(1))
+				leaving.Store(true)
+				<-done
+				leaving.Store(false)
+				c.VMList.SetState("leaver", vmlist.StateLive)
+				eventually(t, "the VM knows who is back", live(2))
+			}
+			if late.Load() != 0 {
+				t.Errorf("a leaving service got %d calls", late.Load())
+			}
+		})
+	}
+}
