Treat an answer without a length as incomplete

Cause: an HTTP/1.1 answer with neither Content-Length nor chunks ends when the connection closes, so a service that breaks in the middle of it handed a cut body to the caller with status 200, and the claim recorded it.

Change: such an answer is an UncertainError with an UndelimitedError as cause; the caller gets outcome unknown. Streams of engines have a finish marker and are not affected.

Before: TestUndelimitedAnswer failed for both routes (a cut answer looks whole: "{\"booked\":"). After: it passes.

--- a/backend/errors.go
+++ b/backend/errors.go
@@ -32,6 +32,12 @@
 
 func (e *UncertainError) Unwrap() error { return e.Cause }
 
+// UndelimitedError reports an answer with neither a length nor chunks. Its end
+// cannot be told from a broken connection.
+type UndelimitedError struct{}
+
+func (e *UndelimitedError) Error() string { return "the answer has neither a length nor chunks" }
+
 // RejectedError reports that an engine refused to start or resume a generation.
 type RejectedError struct {
 	Backend string
--- a/backend/service.go
+++ b/backend/service.go
@@ -98,6 +98,9 @@
 }
 
 func (s *Services) read(resp *http.Response, t Target) (*Response, error) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, &UncertainError{Backend: t.ID, Cause: &UndelimitedError{}}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.limit+1))
 	if err != nil {
 		return nil, &UncertainError{Backend: t.ID, Cause: err}
--- a/internal/localcluster/calls_test.go
+++ b/internal/localcluster/calls_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -199,3 +202,26 @@
 		})
 	}
 }
+
+// TestUndelimitedAnswer guards P2 against a service whose answer has neither a
+// length nor chunks, so that a cut one looks whole.
+func TestUndelimitedAnswer(t *testing.T) {
+	c, ctx := startCluster(t, localcluster.Options{VMs: 1})
+	addBackend(t, c, vmlist.RoleService, "undelimited", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n{\"booked\":")
+		_ = conn.(*net.TCPConn).Close()
+	})
+	for _, route := range []string{localcluster.BookingRoute, localcluster.LookupRoute} {
+		result, err := c.Client(localcluster.APIKey).Call(ctx, route, newKey(t), []byte("{}"))
+		if err == nil {
+			t.Errorf("%s: a cut answer looks whole: %q", route, result.Body)
+		} else if p := problemOf(t, err); p.Outcome != api.OutcomeUnknown {
+			t.Errorf("%s: got outcome %s, want unknown", route, p.Outcome)
+		}
+	}
+}
