Send the trace id in the error event of a stream

Cause: the trace id was set after the error event had been written, so only problems before the first byte carried it.

Before: TestStreamFaults failed with "the error event carries no trace id" in every case that ends with an error. After: it passes.

--- a/frontend/sink.go
+++ b/frontend/sink.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
 // sink receives the answer of one request.
@@ -84,6 +85,7 @@
 	if !s.committed {
 		return p
 	}
+	p.TraceID = telemetry.TraceID(s.c.ctx)
 	data, err := json.Marshal(p)
 	if err != nil {
 		return errors.Wrap(err, "encode problem")
--- a/internal/localcluster/streams_test.go
+++ b/internal/localcluster/streams_test.go
@@ -78,7 +78,10 @@
 			case tc.whole && (err != nil || tokens != length):
 				t.Errorf("got %d tokens and error %v", tokens, err)
 			case !tc.whole:
-				wantProblem(t, err, api.ProblemStreamInterrupted, api.OutcomeFailed)
+				p := wantProblem(t, err, api.ProblemStreamInterrupted, api.OutcomeFailed)
+				if p.TraceID == "" {
+					t.Error("the error event carries no trace id")
+				}
 			}
 			if n := c.Engines[0].Engine.Started() + c.Engines[1].Engine.Started(); n != 1 {
 				t.Errorf("%d generations were started", n)
