Notice a caller that leaves a stream resumed with POST

Cause: a resume through POST /v1/completions left the body unread, and net/http watches for a closed connection only after the body was read. The request of a caller that left a silent stream went on until the resumes were used up.

Change: the body is read, within the usual limits, before the resume.

Before: TestCallerLeavesResumedStream failed ("the request goes on after its caller left"). After: it passes.

--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -27,6 +27,10 @@
 
 func (f *Frontend) completion(c *call) error {
 	if id := c.Request().Header.Get(api.HeaderLastEventID); id != "" {
+		// The server notices that a caller left only after the body was read.
+		if _, err := f.readBody(c); err != nil {
+			return err
+		}
 		return f.resume(c, id)
 	}
 	request, err := f.readCompletion(c)
--- a/internal/localcluster/streams_test.go
+++ b/internal/localcluster/streams_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch"
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
@@ -246,3 +247,50 @@
 	}
 	wg.Wait()
 }
+
+// TestCallerLeavesResumedStream guards against a request that goes on for a
+// caller who left while the stream was silent.
+func TestCallerLeavesResumedStream(t *testing.T) {
+	c, ctx := startCluster(t, localcluster.Options{VMs: 1, Engines: 1, Configure: nil})
+	vm := c.VMs[0]
+	generation := ""
+	_ = clientOf(vm).Stream(ctx, prompt(10000), func(token client.Token) error {
+		generation = token.ID.Generation
+		return io.ErrClosedPipe
+	})
+	for _, e := range c.Engines {
+		e.Engine.Set(standin.Faults{DelayMS: 5000})
+	}
+	short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(short, http.MethodPost, vm.URL()+"/v1/completions", strings.NewReader(`{"model":"quotes"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+localcluster.APIKey)
+	req.Header.Set(api.HeaderLastEventID, generation+":1")
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+	deadline := time.Now().Add(150 * time.Millisecond)
+	for activeRequests(t, vm) > 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the request goes on after its caller left")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func activeRequests(t *testing.T, vm *localcluster.VM) int {
+	t.Helper()
+	resp, err := http.Get("http://" + vm.Server.Addresses().Admin + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var s vanillaarch.Status
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		t.Fatal(err)
+	}
+	return s.Active
+}
