End an aborted drain at once

Cause: after a second signal the HTTP servers were still shut down gracefully, which waited 2 s for the answers that the abort had already cut.

Change: connections of cut requests are closed at once; their handlers get 500 ms to notice before the clients they use are closed. The time limit of a request body becomes timeouts.body, so that a test can shorten it.

Before: TestAbortedDrain failed with "the stop took 2.01s". After: it passes with a limit of 1 s.

--- a/config/config.go
+++ b/config/config.go
@@ -117,6 +117,8 @@
 	FirstToken Duration `json:"first_token,omitempty" validate:"gte=0"`
 	// StreamIdle bounds the gap between tokens before a resume. Default 3s.
 	StreamIdle Duration `json:"stream_idle,omitempty" validate:"gte=0"`
+	// Body bounds the time in which a caller sends the body of a request. Default 30s.
+	Body Duration `json:"body,omitempty" validate:"gte=0"`
 	// DrainNotice is the time between a failing /readyz and the refusal of new work. Default 5s.
 	DrainNotice Duration `json:"drain_notice,omitempty" validate:"gte=0"`
 	// Drain bounds the wait for running streams after the notice. Default 20m.
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -19,8 +19,6 @@
 
 // Bounds of a request.
 const (
-	// bodyTimeout bounds the time in which a caller sends the body.
-	bodyTimeout  = 30 * time.Second
 	maxModelName = 128
 	maxTokens    = 1 << 20
 )
@@ -76,7 +74,7 @@
 func (f *Frontend) readBody(c *call) ([]byte, error) {
 	limit := f.Config.Limits.BodyBytes
 	control := http.NewResponseController(c.Response())
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err == nil {
+	if err := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())); err == nil {
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
--- a/http.go
+++ b/http.go
@@ -23,6 +23,8 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	closeTimeout      = 2 * time.Second
+	// cutTimeout bounds the wait for handlers whose connections were closed.
+	cutTimeout = 500 * time.Millisecond
 )
 
 // httpServers are the listeners for callers and operators.
@@ -101,6 +103,14 @@
 	h.wg.Wait()
 }
 
+// abort closes all connections.
+func (h *httpServers) abort() {
+	for _, server := range h.servers {
+		_ = server.Close()
+	}
+	h.wg.Wait()
+}
+
 // Status is the answer of the admin endpoint /status.
 type Status struct {
 	VM            string   `json:"vm"`
--- /dev/null
+++ b/internal/localcluster/stop_test.go
@@ -0,0 +1,190 @@
+package localcluster_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch"
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/client"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+func getStatus(t *testing.T, url string) int {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestDrain guards P6: a planned stop that cuts an answer, refuses work while
+// balancers still send it, or refuses it with anything but not_run.
+func TestDrain(t *testing.T) {
+	const length, notice = 80, 300 * time.Millisecond
+	c, ctx := startCluster(t, localcluster.Options{VMs: 1, Engines: 1, Services: 1, Configure: func(cfg *config.Config) {
+		cfg.Timeouts.DrainNotice = config.Duration(notice)
+	}})
+	vm, caller := c.VMs[0], clientOf(c.VMs[0])
+	c.Services[0].Service.Set(standin.Faults{DelayMS: 700})
+	var wg sync.WaitGroup
+	running := make(chan struct{})
+	wg.Go(func() {
+		tokens, err := checkedStream(ctx, t, caller, prompt(length), func(offset int) {
+			if offset == 3 {
+				close(running)
+			}
+		})
+		if err != nil || tokens != length {
+			t.Errorf("got %d tokens and error %v", tokens, err)
+		}
+	})
+	for _, route := range []string{localcluster.BookingRoute, localcluster.LookupRoute} {
+		wg.Go(func() {
+			if _, err := caller.Call(ctx, route, newKey(t), []byte("{}")); err != nil {
+				t.Errorf("%s: %v", route, err)
+			}
+		})
+	}
+	<-running
+	vm.BeginStop()
+	eventually(t, "/readyz fails", func() bool { return getStatus(t, vm.URL()+"/readyz") == http.StatusServiceUnavailable })
+	if tokens, err := checkedStream(ctx, t, caller, prompt(5), nil); err != nil || tokens != 5 {
+		t.Errorf("during the notice: got %d tokens and error %v", tokens, err)
+	}
+	time.Sleep(notice)
+	_, err := caller.Complete(ctx, prompt(5))
+	if p := wantProblem(t, err, api.ProblemDraining, api.OutcomeNotRun); p.RetryAfter == 0 {
+		t.Error("the rejection has no Retry-After")
+	}
+	wg.Wait()
+	if err := vm.Stop(); err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+}
+
+// TestAbortedDrain guards against a second signal that waits, and against cut
+// answers that nobody logs or that look whole.
+func TestAbortedDrain(t *testing.T) {
+	var logs lockedBuffer
+	c, ctx := startCluster(t, localcluster.Options{VMs: 1, Engines: 1, Logs: &logs})
+	vm := c.VMs[0]
+	running, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		caller := client.New(client.Options{Addresses: []string{vm.URL()}, APIKey: localcluster.APIKey, Resumes: 1})
+		_, err := checkedStream(ctx, t, caller, prompt(100000), func(offset int) {
+			if offset == 3 {
+				close(running)
+			}
+		})
+		ended <- err
+	}()
+	<-running
+	vm.BeginStop()
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	vm.Server.Abort()
+	err := vm.Stop()
+	if elapsed := time.Since(begun); elapsed > time.Second {
+		t.Errorf("the stop took %s", elapsed)
+	}
+	if cut, ok := errors.Into[*vanillaarch.CutError](err); !ok || len(cut.Requests) != 1 {
+		t.Errorf("the stop ended with %v, want a CutError with one request", err)
+	}
+	if !strings.Contains(logs.String(), "frontend.completion") {
+		t.Error("the log does not name the cut request")
+	}
+	if <-ended == nil {
+		t.Error("the cut answer looks whole")
+	}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// TestLongAnswer guards against answers that end with the time limit of the
+// request body, which is 30 s by default and 200 ms here.
+func TestLongAnswer(t *testing.T) {
+	const length = 100
+	c, ctx := startCluster(t, localcluster.Options{VMs: 1, Engines: 1, Services: 1, Configure: func(cfg *config.Config) {
+		cfg.Timeouts.Body = config.Duration(200 * time.Millisecond)
+	}})
+	caller := c.Client(localcluster.APIKey)
+	c.Services[0].Service.Set(standin.Faults{DelayMS: 500})
+	if tokens, err := checkedStream(ctx, t, caller, prompt(length), nil); err != nil || tokens != length {
+		t.Errorf("stream: got %d tokens and error %v", tokens, err)
+	}
+	if _, err := caller.Complete(ctx, prompt(length)); err != nil {
+		t.Errorf("document: %v", err)
+	}
+	if _, err := caller.Call(ctx, localcluster.BookingRoute, newKey(t), []byte("{}")); err != nil {
+		t.Errorf("call: %v", err)
+	}
+}
+
+// TestEngineLeaves guards P5: an engine that gets new work more than 3 s after
+// the VM list names it as leaving, although the list answers slowly, or that
+// loses the streams that run on it.
+func TestEngineLeaves(t *testing.T) {
+	const limit = 3 * time.Second
+	c, ctx := startCluster(t, localcluster.Options{VMs: 2, Engines: 2, Configure: func(cfg *config.Config) {
+		cfg.Platform.VMListInterval = 0 // The default.
+		cfg.Dispatch.EngineStreams = 4  // Requests wait for room.
+	}})
+	leaver := c.Engines[0].Engine
+	c.VMList.Set(standin.Faults{DelayMS: 1500})
+	var wg sync.WaitGroup
+	for _, vm := range c.VMs {
+		for range 2 {
+			wg.Go(func() {
+				if tokens, err := checkedStream(ctx, t, clientOf(vm), prompt(400), nil); err != nil || tokens != 400 {
+					t.Errorf("long stream: got %d tokens and error %v", tokens, err)
+				}
+			})
+		}
+	}
+	eventually(t, "streams on both engines", func() bool { return leaver.Started() == 2 })
+	load, stop := context.WithCancel(ctx)
+	for i := range 20 {
+		wg.Go(func() {
+			for load.Err() == nil {
+				_, _ = clientOf(c.VMs[i%2]).Complete(load, prompt(3))
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	c.VMList.SetState("engine-1", vmlist.StateLeaving)
+	time.Sleep(limit)
+	before := leaver.Started()
+	time.Sleep(300 * time.Millisecond)
+	if after := leaver.Started(); after != before {
+		t.Errorf("the leaving engine got %d generations after %s", after-before, limit)
+	}
+	stop()
+	wg.Wait()
+}
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -118,7 +118,7 @@
 	s.log.Info("vm_started", zap.String("http", s.cfg.Listen.HTTP), zap.String("zone", s.cfg.Zone))
 	<-ctx.Done()
 	cut := s.drain()
-	s.http.close()
+	s.closeHTTP(len(cut) > 0)
 	stop()
 	background.Wait()
 	s.release()
@@ -157,6 +157,19 @@
 	return s.front.Drain(ctx)
 }
 
+// closeHTTP ends the HTTP servers. Connections that carry cut requests are
+// closed at once, and their handlers get a moment to notice.
+func (s *Server) closeHTTP(cut bool) {
+	if !cut {
+		s.http.close()
+		return
+	}
+	s.http.abort()
+	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
+	defer cancel()
+	s.front.Drain(ctx)
+}
+
 func (s *Server) release() {
 	s.front.Close()
 	s.claims.Close()
