--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -2,17 +2,21 @@
 package e2e
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/internal/cli"
 	"github.com/vanillaarch/vanillaarch/internal/daemon"
 	"github.com/vanillaarch/vanillaarch/internal/standin/standincmd"
@@ -31,7 +35,9 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = processes{}
-			return nil
+			key, err := client.NewIdempotencyKey()
+			env.Setenv("KEY", key)
+			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"addresses": addresses,
@@ -39,6 +45,8 @@
 			"signal":    signal,
 			"waitexit":  waitExit,
 			"waithttp":  waitHTTP,
+			"waitbody":  waitBody,
+			"put":       put,
 			"substenv":  substEnv,
 		},
 	})
@@ -126,6 +134,39 @@
 	ts.Fatalf("%s: got %s, want %s", args[0], last, args[1])
 }
 
+// waitBody URL REGEXP waits until the body that a GET answers with matches.
+func waitBody(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := regexp.Compile(args[1])
+	ts.Check(err)
+	client := &http.Client{Timeout: time.Second}
+	body := ""
+	for deadline := time.Now().Add(pollLimit); time.Now().Before(deadline); time.Sleep(pollPause) {
+		resp, err := client.Get(args[0])
+		if err != nil {
+			body = err.Error()
+			continue
+		}
+		data, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if body = string(data); want.MatchString(body) {
+			return
+		}
+	}
+	ts.Fatalf("%s: got %s, want %s", args[0], body, args[1])
+}
+
+// put URL BODY sends a PUT and expects status 200.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	req, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(args[1]))
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	ts.Check(resp.Body.Close())
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("%s: got status %d", args[0], resp.StatusCode)
+	}
+}
+
 // substEnv FILE... replaces $NAME in files by the script's variables.
 func substEnv(ts *testscript.TestScript, _ bool, files []string) {
 	for _, file := range files {
