Replay traces over engine models under a virtual clock

Cause: decision logic needs a measure before it is written, with a baseline in the same run.

Change: internal/enginemodel models one engine (continuous batching, key-value blocks, prefix cache, priorities, preemption, resume, cancel, lagging reports, cache events with gaps). Package replay reads traces, drives a dispatch.Core with the frontend's restarts and resumes, and judges stated outcomes. internal/tracegen makes the traces; 'vanillaarch trace generate' writes them, 'vanillaarch trace capacity' shows the capacity behind them, 'vanillaarch replay' compares a policy with the baseline. replay.Policies is the registry.

Ruled out: loads stated as an arrival rate; the heavy tail of output lengths made 95% of the capacity 86% on one trace. Arrivals are now cut where their true lengths add up to the load. Steps of at most 512 prompt tokens; 2048 is nearer to what engines use by default.

--- a/dispatch/baseline.go
+++ b/dispatch/baseline.go
@@ -10,7 +10,7 @@
 	// BaselineVMs is the number of VMs that decide alone.
 	BaselineVMs = 20
 	// BaselineLimit is the fixed limit of streams of one engine, divided among the VMs.
-	BaselineLimit = 40
+	BaselineLimit = 48
 	// BaselineQueue is the number of requests that wait at one VM before it rejects.
 	BaselineQueue = 1024
 )
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,6 +26,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBundleCommand(), newGetCommand(), newCheckConfigCommand(), newDemoCommand(), newCompleteCommand(), newCallCommand())
+	root.AddCommand(newBundleCommand(), newGetCommand(), newCheckConfigCommand(), newDemoCommand(), newCompleteCommand(), newCallCommand(),
+		newReplayCommand(), newTraceCommand())
 	return root
 }
--- /dev/null
+++ b/internal/cli/replay.go
@@ -0,0 +1,209 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/replay"
+)
+
+// OutcomesMissedError reports stated outcomes that a replay did not show.
+type OutcomesMissedError struct{ Missed, Stated int }
+
+func (e *OutcomesMissedError) Error() string {
+	return fmt.Sprintf("%d of %d stated outcomes missed", e.Missed, e.Stated)
+}
+
+// replayFlags are the flags of the replay command.
+type replayFlags struct {
+	trace, outcomes, policy string
+	json                    bool
+	baselineLimit           int
+}
+
+func newReplayCommand() *cobra.Command {
+	var f replayFlags
+	cmd := &cobra.Command{
+		Use: "replay", Short: "Replay a trace under a policy and the baseline", Args: cobra.NoArgs,
+		Long: "Replay a trace over engine models under a virtual clock, with the chosen policy and the baseline in the same run. " +
+			"The exit code is 1 when a stated outcome is missed.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return runReplay(cmd.OutOrStdout(), f) },
+	}
+	cmd.Flags().StringVar(&f.trace, "trace", "", "trace file, compressed if its name ends in .gz")
+	cmd.Flags().StringVar(&f.outcomes, "outcomes", "", "file of stated outcomes")
+	cmd.Flags().StringVar(&f.policy, "policy", "central-fifo", fmt.Sprintf("one of %v", replay.PolicyNames()))
+	cmd.Flags().BoolVar(&f.json, "json", false, "print JSON lines in place of tables")
+	cmd.Flags().IntVar(&f.baselineLimit, "baseline-limit", dispatch.BaselineLimit, "the baseline's limit of streams of one engine")
+	_ = cmd.MarkFlagRequired("trace")
+	return cmd
+}
+
+func runReplay(out io.Writer, f replayFlags) error {
+	var stated []replay.Outcome
+	if f.outcomes != "" {
+		var err error
+		if stated, err = replay.ReadOutcomes(f.outcomes); err != nil {
+			return err
+		}
+	}
+	baseline, err := f.baseline()
+	if err != nil {
+		return err
+	}
+	report, err := replayPolicy(f.trace, f.policy)
+	if err != nil {
+		return err
+	}
+	verdicts, err := judge(stated, report, baseline)
+	if err != nil {
+		return err
+	}
+	if err := printReplay(out, f.json, baseline, report, verdicts); err != nil {
+		return err
+	}
+	return missed(verdicts)
+}
+
+// baseline replays with the baseline policy.
+func (f replayFlags) baseline() (*replay.Report, error) {
+	return replayFile(f.trace, replay.BaselinePolicy, dispatch.NewBaselineWith(dispatch.BaselineOptions{
+		VMs: dispatch.BaselineVMs, Limit: f.baselineLimit, Queue: dispatch.BaselineQueue,
+	}))
+}
+
+func replayPolicy(path, policy string) (*replay.Report, error) {
+	core, err := replay.NewPolicy(policy)
+	if err != nil {
+		return nil, err
+	}
+	return replayFile(path, policy, core)
+}
+
+func replayFile(path, policy string, core dispatch.Core) (*replay.Report, error) {
+	trace, err := replay.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	report, err := replay.Run(trace, core, replay.Options{})
+	if err != nil {
+		return nil, errors.Wrap(err, "replay")
+	}
+	report.Policy = policy
+	return report, nil
+}
+
+// judge compares the report with each reference; another trace is replayed
+// with the same policy, once.
+func judge(stated []replay.Outcome, report, baseline *replay.Report) ([]replay.Verdict, error) {
+	others := map[string]*replay.Report{}
+	var verdicts []replay.Verdict
+	for _, o := range stated {
+		reference := baseline
+		if o.Against == replay.AgainstTrace {
+			if others[o.Trace] == nil {
+				other, err := replayPolicy(o.Trace, report.Policy)
+				if err != nil {
+					return nil, err
+				}
+				others[o.Trace] = other
+			}
+			reference = others[o.Trace]
+		}
+		verdicts = append(verdicts, o.Judge(report, reference)...)
+	}
+	return verdicts, nil
+}
+
+func missed(verdicts []replay.Verdict) error {
+	e := &OutcomesMissedError{Stated: len(verdicts)}
+	for _, v := range verdicts {
+		if !v.Met {
+			e.Missed++
+		}
+	}
+	if e.Missed > 0 {
+		return e
+	}
+	return nil
+}
+
+func printReplay(out io.Writer, asJSON bool, baseline, report *replay.Report, verdicts []replay.Verdict) error {
+	if !asJSON {
+		printTables(out, baseline, report)
+		printVerdicts(out, verdicts)
+		return nil
+	}
+	enc := json.NewEncoder(out)
+	for _, r := range []*replay.Report{baseline, report} {
+		if err := enc.Encode(r); err != nil {
+			return errors.Wrap(err, "write report")
+		}
+	}
+	for i := range verdicts {
+		if err := enc.Encode(&verdicts[i]); err != nil {
+			return errors.Wrap(err, "write verdict")
+		}
+	}
+	return nil
+}
+
+// replayRows are the rows of the table that compares two policies.
+var replayRows = []string{
+	"first_token_p50_ms", "first_token_p95_ms", "first_token_p99_ms",
+	"stall_p50_ms", "stall_p95_ms", "stall_p99_ms", "gap_p50_ms", "gap_p95_ms", "gap_p99_ms",
+	"preemptions", "tokens_per_second", "completed", "not_completed", "failed",
+}
+
+func printTables(out io.Writer, baseline, report *replay.Report) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "%s\t%s\t%s\tratio\t\n", report.Trace, baseline.Policy, report.Policy)
+	for _, name := range replayRows {
+		b, r := replay.Metrics[name](baseline.Total), replay.Metrics[name](report.Total)
+		ratio := "-"
+		if b != 0 {
+			ratio = fmt.Sprintf("%.3f", r/b)
+		}
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%s\t\n", name, b, r, ratio)
+	}
+	_ = w.Flush()
+	fmt.Fprintln(out)
+	fmt.Fprintf(w, "organisation\tpolicy\trequests\trejected\ttimed out\tfailed\tstall p99 ms\tgap p99 ms\tpreemptions\ttokens/s\tshare\tentitlement\t\n")
+	for i := range report.Organisations {
+		for _, r := range []*replay.Report{baseline, report} {
+			g := r.Organisations[i]
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%.1f\t%.4f\t%.4f\t\n", g.Organisation, r.Policy, g.Requests, g.Rejected,
+				g.TimedOut, g.Failed+g.Unfinished, g.Stall.P99, g.Gap.P99, g.Preemptions, g.TokensPerSecond, g.Share, g.Entitlement)
+		}
+	}
+	_ = w.Flush()
+}
+
+func printVerdicts(out io.Writer, verdicts []replay.Verdict) {
+	if len(verdicts) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "\noutcome\tscope\tagainst\tmax\tmin\tvalue\treference\tratio\tmet\t\n")
+	for _, v := range verdicts {
+		scope := v.Scope
+		if v.Organisation != "" {
+			scope = v.Organisation
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.1f\t%.1f\t%.3f\t%t\t\n", v.Metric, scope, v.Against, bound(v.Max), bound(v.Min),
+			v.Value, v.Reference, v.Ratio, v.Met)
+	}
+	_ = w.Flush()
+}
+
+func bound(x *float64) string {
+	if x == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", *x)
+}
--- /dev/null
+++ b/internal/tracegen/traces.go
@@ -0,0 +1,80 @@
+package tracegen
+
+import (
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
+	"github.com/vanillaarch/vanillaarch/replay"
+)
+
+// Parameters of the committed traces.
+const (
+	// traceSeed and traceDuration apply to all of them. 7 minutes let queues build
+	// and the longest outputs, of about 4 minutes, end.
+	traceSeed     = 20261204
+	traceDuration = 7 * time.Minute
+	// faultLoad leaves room to recover from faults and floods.
+	faultLoad = 0.8
+)
+
+// Set makes all traces of both tenants.
+func Set() ([]*replay.Trace, error) {
+	var traces []*replay.Trace
+	for _, p := range []Profile{rafmagnstilbod(), fellos()} {
+		results, err := MeasureCapacity(p, enginemodel.DefaultSettings())
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range variants(p) {
+			o.Name, o.Seed, o.Duration = p.Tenant+"-"+o.Name, traceSeed, traceDuration
+			traces = append(traces, Generate(p, results[0], o))
+		}
+	}
+	return traces, nil
+}
+
+// variants lists the traces of a tenant. Floods and reclaimed engines are
+// replayed with the first tenant, stalled streams with both.
+func variants(p Profile) []Options {
+	list := []Options{
+		{Name: "70", Load: 0.70},
+		{Name: "95", Load: 0.95},
+		{Name: "130", Load: 1.30},
+		{Name: "stall", Load: faultLoad, Faults: stalls(p.Engines)},
+	}
+	if p.Tenant != rafmagnstilbod().Tenant {
+		return list
+	}
+	flood := &Flood{Organisation: p.orgs[3].name, From: time.Minute, Until: 4 * time.Minute, Load: 0.8}
+	return append(list,
+		Options{Name: "calm", Load: faultLoad},
+		Options{Name: "flood", Load: faultLoad, Flood: flood},
+		Options{Name: "reclaim", Load: faultLoad, Faults: reclaims()},
+	)
+}
+
+// reclaims takes 4 of the engines, half of them with notice. Two come back.
+func reclaims() []replay.Fault {
+	return []replay.Fault{
+		{AtMicros: micros(80 * time.Second), Kind: replay.FaultReclaim, Engine: replay.EngineID(1), DurationMS: 60_000},
+		{AtMicros: micros(110 * time.Second), Kind: replay.FaultReclaim, Engine: replay.EngineID(4), NoticeMS: 5_000},
+		{AtMicros: micros(110 * time.Second), Kind: replay.FaultReclaim, Engine: replay.EngineID(7), DurationMS: 90_000, NoticeMS: 5_000},
+		{AtMicros: micros(150 * time.Second), Kind: replay.FaultReclaim, Engine: replay.EngineID(9)},
+	}
+}
+
+// stalls silences the streams of a third of the engines, in turn for good, for
+// longer and for less than the idle timeout.
+func stalls(engines int) []replay.Fault {
+	var faults []replay.Fault
+	durations := []int64{0, 10_000, 1_500}
+	for i := 0; i < engines; i += 3 {
+		faults = append(faults, replay.Fault{
+			AtMicros: micros(time.Duration(60+12*i) * time.Second), Kind: replay.FaultStall,
+			Engine: replay.EngineID(i), DurationMS: durations[i/3%len(durations)],
+		})
+	}
+	return faults
+}
+
+func micros(d time.Duration) int64 { return d.Microseconds() }
--- /dev/null
+++ b/replay/faults.go
@@ -0,0 +1,84 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
+)
+
+// schedule plans the effects of a fault.
+func (r *run) schedule(f Fault) {
+	e := r.byID[f.Engine]
+	at := epoch.Add(time.Duration(f.AtMicros) * time.Microsecond)
+	lasts := time.Duration(f.DurationMS) * time.Millisecond
+	switch f.Kind {
+	case FaultReclaim:
+		if f.NoticeMS > 0 {
+			r.at(at.Add(-time.Duration(f.NoticeMS)*time.Millisecond), func() {
+				e.leaving = true
+				r.after(r.opts.ListLag, r.listChanged)
+			})
+		}
+		r.at(at, func() { r.reclaim(e) })
+		if lasts > 0 {
+			r.at(at.Add(lasts), func() {
+				r.revive(e)
+				r.after(r.opts.ListLag, r.listChanged)
+			})
+		}
+	case FaultStall:
+		r.at(at, func() { r.freeze(e, lasts) })
+	}
+}
+
+// reclaim ends an engine. Its streams break at once.
+func (r *run) reclaim(e *engine) {
+	e.alive = false
+	r.after(r.opts.ListLag, r.listChanged)
+	for _, q := range r.connectedTo(e) {
+		r.closeConnection(q.connection)
+		r.broken(q, outcomeFailed)
+	}
+}
+
+// freeze stops delivery on the open connections of an engine.
+func (r *run) freeze(e *engine, lasts time.Duration) {
+	for _, q := range r.connectedTo(e) {
+		c := q.connection
+		c.frozen = true
+		if lasts == 0 {
+			continue
+		}
+		r.after(lasts, func() {
+			if q.connection != c || !e.alive {
+				return
+			}
+			c.frozen = false
+			if state, err := e.model.Attach(r.now, c.generation); err == nil {
+				e.model.Detach(r.now, c.generation)
+				r.catchUp(c, state)
+			}
+		})
+	}
+}
+
+// connectedTo returns the requests with a connection to an engine, in order of arrival.
+func (r *run) connectedTo(e *engine) []*request {
+	var list []*request
+	for _, q := range r.active() {
+		if q.connection != nil && q.connection.engine == e {
+			list = append(list, q)
+		}
+	}
+	return list
+}
+
+// catchUp delivers the tokens that a generation produced while its reader got none.
+func (r *run) catchUp(c *connection, state enginemodel.State) {
+	for offset := c.request.offset + 1; offset <= state.Produced; offset++ {
+		r.token(c, enginemodel.Event{
+			Kind: enginemodel.KindToken, At: r.now, ID: c.generation, Offset: offset,
+			Last: state.Finished && offset == state.Produced,
+		})
+	}
+}
--- /dev/null
+++ b/replay/request.go
@@ -0,0 +1,283 @@
+package replay
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
+)
+
+// maxPrefixBlocks bounds the hashes of a prompt, as in dispatch.PrefixHashes.
+const maxPrefixBlocks = 64
+
+// outcome is how a request ended.
+type outcome int
+
+const (
+	outcomeComplete outcome = iota
+	// outcomeRejected: the core took no request; nothing ran.
+	outcomeRejected
+	// outcomeTimeout: no grant came in time; nothing ran.
+	outcomeTimeout
+	// outcomeFailed: the stream ended before its end.
+	outcomeFailed
+	// outcomeUnfinished: the replay ended first.
+	outcomeUnfinished
+)
+
+// request is one request with its frontend.
+type request struct {
+	arrival  *Arrival
+	index    int
+	vm       string
+	ask      dispatch.Ask
+	id       dispatch.RequestID
+	arrived  time.Time
+	attempts int
+	resumes  int
+	granted  bool
+	done     bool
+	backend  string
+	priority int
+	outcome  outcome
+	// offset is the number of tokens that the caller has.
+	offset     int
+	lastData   time.Time
+	stalled    time.Duration
+	connection *connection
+	// engine and generation are those of the latest start.
+	engine     *engine
+	generation string
+}
+
+// connection is one connection of a frontend to a generation.
+type connection struct {
+	request    *request
+	engine     *engine
+	generation string
+	frozen     bool
+	// lastData is the time of the last token, or of the opening.
+	lastData time.Time
+	// patience bounds the wait for the first data.
+	patience time.Duration
+	received bool
+	// watches counts the renewals of the watch; older events are void.
+	watches int
+}
+
+func (r *run) arrive(i int, a *Arrival) {
+	q := &request{
+		arrival: a, index: i, vm: "vm-" + strconv.Itoa(i%r.opts.VMs+1), arrived: r.now, lastData: r.now,
+		ask: dispatch.Ask{
+			Tenant: a.Tenant, Organisation: a.Organisation, Model: a.Model, PromptTokens: a.PromptTokens,
+			PrefixHashes: PrefixHashes(a, i, r.opts.Engine.BlockTokens), MaxTokens: a.MaxTokens,
+		},
+	}
+	r.submit(q)
+}
+
+// PrefixHashes returns the chained hashes of the prompt's blocks: first those
+// of the common prefix, then blocks that no other prompt has.
+func PrefixHashes(a *Arrival, index, blockTokens int) []uint64 {
+	blocks := min(a.PromptTokens/blockTokens, maxPrefixBlocks)
+	shared := a.PrefixTokens / blockTokens
+	hashes := make([]uint64, 0, blocks)
+	d := xxhash.New()
+	_, _ = d.WriteString(a.Model) // never fails
+	for b := range blocks {
+		if b < shared {
+			_, _ = d.WriteString(a.Prefix + "/" + strconv.Itoa(b))
+		} else {
+			_, _ = d.WriteString(strconv.Itoa(index) + ":" + strconv.Itoa(b))
+		}
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
+
+// submit asks the core for a grant, under a new request id.
+func (r *run) submit(q *request) {
+	r.submitted++
+	q.id = dispatch.RequestID{VM: q.vm, Sequence: r.submitted}
+	q.granted = false
+	q.attempts++
+	attempt := q.attempts
+	ask := q.ask
+	ask.Excluded = slices.Clone(q.ask.Excluded)
+	if err := r.core.Submit(r.now, dispatch.Request{ID: q.id, Ask: ask}); err != nil {
+		r.complete(q, outcomeRejected)
+		return
+	}
+	r.requests[q.id] = q
+	r.dirty = true
+	r.after(r.opts.QueueTimeout, func() {
+		if q.attempts == attempt && !q.granted && !q.done {
+			r.core.Withdraw(r.now, q.id)
+			r.dirty = true
+			r.complete(q, outcomeTimeout)
+		}
+	})
+}
+
+// start opens the generation of a granted request.
+func (r *run) start(q *request) {
+	e, ok := r.byID[q.backend]
+	if !ok || !e.alive {
+		r.broken(q, outcomeFailed)
+		return
+	}
+	generation := r.newGeneration(e)
+	e.model.Start(r.now, enginemodel.Spec{
+		ID: generation, PromptTokens: q.ask.PromptTokens, Prefix: q.ask.PrefixHashes,
+		Length: q.arrival.length(), Priority: q.priority,
+	})
+	q.resumes, q.engine, q.generation = 0, e, generation
+	r.owners[generation] = q
+	r.connect(q, e, generation, r.opts.FirstToken)
+	r.poke(e)
+}
+
+// length is the true length within the limit of the request.
+func (a *Arrival) length() int {
+	if a.MaxTokens > 0 {
+		return min(a.Tokens, a.MaxTokens)
+	}
+	return a.Tokens
+}
+
+func (r *run) connect(q *request, e *engine, generation string, patience time.Duration) *connection {
+	c := &connection{request: q, engine: e, generation: generation, lastData: r.now, patience: patience}
+	q.connection = c
+	r.connections[generation] = c
+	r.watch(c)
+	return c
+}
+
+// watch closes a connection that delivers nothing for too long. One event waits
+// for each connection; it renews itself when data has arrived since.
+func (r *run) watch(c *connection) {
+	limit := c.patience
+	if c.received {
+		limit = r.opts.StreamIdle
+	}
+	c.watches++
+	watch := c.watches
+	r.at(c.lastData.Add(limit), func() {
+		switch {
+		case c.request.connection != c || c.watches != watch:
+		case c.received && c.lastData.Add(r.opts.StreamIdle).After(r.now):
+			r.watch(c)
+		default:
+			r.resume(c)
+		}
+	})
+}
+
+// resume continues a silent stream over a new connection.
+func (r *run) resume(c *connection) {
+	q, e := c.request, c.engine
+	r.closeConnection(c)
+	if q.resumes == maxResumes {
+		r.broken(q, outcomeFailed)
+		return
+	}
+	q.resumes++
+	r.meter.resumed(q)
+	state, err := e.model.Attach(r.now, c.generation)
+	if _, unknown := errors.AsType[*enginemodel.UnknownGenerationError](err); unknown {
+		r.broken(q, outcomeFailed)
+		return
+	}
+	next := r.connect(q, e, c.generation, r.opts.StreamIdle)
+	r.catchUp(next, state)
+}
+
+func (r *run) closeConnection(c *connection) {
+	if c.request.connection != c {
+		return
+	}
+	c.request.connection = nil
+	delete(r.connections, c.generation)
+	if c.engine.alive {
+		c.engine.model.Detach(r.now, c.generation)
+	}
+}
+
+// token passes a token to the caller.
+func (r *run) token(c *connection, ev enginemodel.Event) {
+	q := c.request
+	if q.done || q.connection != c {
+		return
+	}
+	at := ev.At.Add(2 * r.oneWay)
+	r.meter.token(q, at)
+	c.lastData = r.now
+	if !c.received {
+		c.received = true
+		r.watch(c)
+	}
+	q.offset, q.lastData, q.resumes = ev.Offset, at, 0
+	if ev.Preempted {
+		r.core.Preempted(r.now, q.id)
+		r.dirty = true
+	}
+	if ev.Last {
+		r.closeConnection(c)
+		r.release(q)
+		r.complete(q, outcomeComplete)
+		return
+	}
+	if q.offset%progressStep == 0 {
+		r.core.Progress(r.now, q.id, q.offset)
+		r.dirty = true
+	}
+}
+
+// release ends the grant of a request.
+func (r *run) release(q *request) {
+	delete(r.requests, q.id)
+	r.core.Finish(r.now, q.id, q.offset)
+	r.dirty = true
+}
+
+// broken follows the loss of a generation: another start while the caller has
+// no token, a failure otherwise.
+func (r *run) broken(q *request, why outcome) {
+	r.release(q)
+	if q.offset == 0 && q.engine != nil && q.engine.alive {
+		q.engine.model.Cancel(r.now, q.generation)
+	}
+	q.engine = nil
+	if q.offset > 0 || q.attempts >= maxAttempts {
+		r.complete(q, why)
+		return
+	}
+	if !slices.Contains(q.ask.Excluded, q.backend) {
+		q.ask.Excluded = append(q.ask.Excluded, q.backend)
+	}
+	r.meter.restarted(q)
+	r.submit(q)
+}
+
+// complete ends a request.
+func (r *run) complete(q *request, o outcome) {
+	delete(r.requests, q.id)
+	q.done, q.outcome = true, o
+	r.open--
+	r.meter.ended(q, o, r.now)
+}
+
+// active returns all requests known to the core or an engine, in order of arrival.
+func (r *run) active() []*request {
+	list := make([]*request, 0, len(r.requests))
+	for _, q := range r.requests {
+		list = append(list, q)
+	}
+	slices.SortFunc(list, func(a, b *request) int { return a.index - b.index })
+	return list
+}
--- /dev/null
+++ b/replay/run.go
@@ -0,0 +1,250 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
+)
+
+// Options are the parameters of a replay. The zero value of a field selects its default.
+type Options struct {
+	// Engine describes all engines.
+	Engine enginemodel.Settings
+	// VMs is the number of frontends, which get requests in rotation. Default 20.
+	VMs int
+	// QueueTimeout bounds the wait for a grant. Default 30 s.
+	QueueTimeout time.Duration
+	// FirstToken bounds the wait for the first token before a resume. Default 20 s.
+	FirstToken time.Duration
+	// StreamIdle bounds the gap between tokens before a resume. Default 3 s.
+	StreamIdle time.Duration
+	// ReportInterval is the time between load reports of an engine. Default 250 ms.
+	ReportInterval time.Duration
+	// ListLag is the time until a change of the list of VMs is known. Default 1 s.
+	ListLag time.Duration
+	// StallThreshold is the gap between tokens from which on the gap counts as
+	// stall time. Default 250 ms.
+	StallThreshold time.Duration
+	// Drain bounds the time after the last arrival. Default 10 min.
+	Drain time.Duration
+}
+
+// Bounds of attempts, as in package frontend.
+const (
+	maxAttempts  = 3
+	maxResumes   = 3
+	progressStep = 16
+)
+
+func (o *Options) applyDefaults() {
+	if o.Engine == (enginemodel.Settings{}) {
+		o.Engine = enginemodel.DefaultSettings()
+	}
+	setDefault(&o.VMs, dispatch.BaselineVMs)
+	setDefault(&o.QueueTimeout, 30*time.Second)
+	setDefault(&o.FirstToken, 20*time.Second)
+	setDefault(&o.StreamIdle, 3*time.Second)
+	setDefault(&o.ReportInterval, 250*time.Millisecond)
+	setDefault(&o.ListLag, time.Second)
+	setDefault(&o.StallThreshold, 250*time.Millisecond)
+	setDefault(&o.Drain, 10*time.Minute)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// run is the state of one replay.
+type run struct {
+	clock
+	opts        Options
+	trace       *Trace
+	core        dispatch.Core
+	end         time.Time
+	oneWay      time.Duration
+	engines     []*engine
+	byID        map[string]*engine
+	requests    map[dispatch.RequestID]*request
+	connections map[string]*connection
+	// owners maps a generation to its request, also while nobody reads it.
+	owners      map[string]*request
+	submitted   uint64
+	generations uint64
+	open        int
+	dirty       bool
+	meter       *meter
+}
+
+// engine is an engine with what the replay knows of it.
+type engine struct {
+	id      string
+	model   *enginemodel.Engine
+	alive   bool
+	leaving bool
+	// wake is the time of the next scheduled advance.
+	wake time.Time
+	// life counts the starts of the engine; events of an earlier life are void.
+	life          int
+	cacheSequence uint64
+}
+
+// Run replays a trace under a policy. It returns an *enginemodel.SettingError
+// when the options describe no engine.
+func Run(t *Trace, core dispatch.Core, o Options) (*Report, error) {
+	o.applyDefaults()
+	if o.Engine.Seed == 0 {
+		o.Engine.Seed = t.Header.Seed
+	}
+	if err := o.Engine.Validate(); err != nil {
+		return nil, err
+	}
+	r := &run{
+		clock: clock{now: epoch}, opts: o, trace: t, core: core, end: epoch.Add(t.Header.duration()),
+		oneWay: time.Duration(t.Header.OneWayMicros) * time.Microsecond,
+		byID:   map[string]*engine{}, requests: map[dispatch.RequestID]*request{},
+		connections: map[string]*connection{}, owners: map[string]*request{}, meter: newMeter(t, o),
+	}
+	r.open = len(t.Arrivals)
+	r.startEngines()
+	core.SetShares(r.now, t.Header.shares())
+	r.listChanged()
+	for _, f := range t.Faults {
+		r.schedule(f)
+	}
+	r.nextArrival(0)
+	r.after(o.ReportInterval, r.reports)
+	for limit := r.end.Add(o.Drain); r.open > 0 && r.now.Before(limit) && r.step(); {
+		r.grants()
+	}
+	return r.finish(), nil
+}
+
+func (r *run) startEngines() {
+	for i := range r.trace.Header.Engines {
+		e := &engine{id: EngineID(i)}
+		r.engines = append(r.engines, e)
+		r.byID[e.id] = e
+		r.revive(e)
+	}
+}
+
+// revive starts an engine with empty memory.
+func (r *run) revive(e *engine) {
+	settings := r.opts.Engine
+	settings.Seed += uint64(len(e.id)) + uint64(e.life)
+	e.model, _ = enginemodel.New(settings) // Run has validated the settings
+	e.alive, e.leaving, e.cacheSequence, e.wake = true, false, 0, time.Time{}
+	e.life++
+}
+
+// listChanged tells the core which engines may get new work.
+func (r *run) listChanged() {
+	backends := make([]dispatch.Backend, 0, len(r.engines))
+	for _, e := range r.engines {
+		if e.alive && !e.leaving {
+			backends = append(backends, dispatch.Backend{
+				ID: e.id, BlocksTotal: r.opts.Engine.Blocks, BlockTokens: r.opts.Engine.BlockTokens,
+			})
+		}
+	}
+	r.core.SetBackends(r.now, backends)
+	r.dirty = true
+}
+
+// nextArrival schedules arrival i, which schedules the one after it.
+func (r *run) nextArrival(i int) {
+	if i == len(r.trace.Arrivals) {
+		return
+	}
+	a := &r.trace.Arrivals[i]
+	r.at(epoch.Add(time.Duration(a.AtMicros)*time.Microsecond), func() {
+		r.nextArrival(i + 1)
+		r.arrive(i, a)
+	})
+}
+
+// reports passes load reports and cache events to the core.
+func (r *run) reports() {
+	for _, e := range r.engines {
+		if !e.alive {
+			continue
+		}
+		r.core.Load(r.now, e.id, e.model.Load(r.now))
+		for _, c := range e.model.CacheEvents(r.now, e.cacheSequence) {
+			e.cacheSequence = c.Sequence
+			r.core.CacheEvent(r.now, e.id, c)
+		}
+	}
+	r.dirty = true
+	r.after(r.opts.ReportInterval, r.reports)
+}
+
+// grants takes the grants that the core can give and starts their generations.
+func (r *run) grants() {
+	if !r.dirty {
+		return
+	}
+	r.dirty = false
+	for _, g := range r.core.Next(r.now) {
+		q, ok := r.requests[g.Request]
+		if !ok || q.granted {
+			continue
+		}
+		q.granted, q.backend, q.priority = true, g.Backend, g.Priority
+		attempt := q.attempts
+		// The grant goes to the frontend, the request from there to the engine.
+		r.after(2*r.oneWay, func() {
+			if q.attempts == attempt && !q.done {
+				r.start(q)
+			}
+		})
+	}
+}
+
+// poke schedules the next advance of an engine.
+func (r *run) poke(e *engine) {
+	due, ok := e.model.Due()
+	if !ok || due.Equal(e.wake) {
+		return
+	}
+	e.wake = due
+	life := e.life
+	r.at(due, func() {
+		if e.life != life || !e.alive || !e.wake.Equal(due) {
+			return
+		}
+		e.wake = time.Time{}
+		e.model.Advance(r.now, func(ev enginemodel.Event) { r.engineEvent(e, ev) })
+		r.poke(e)
+	})
+}
+
+func (r *run) engineEvent(e *engine, ev enginemodel.Event) {
+	if ev.Kind == enginemodel.KindPreempted {
+		r.meter.preempted(r.owners[ev.ID])
+		return
+	}
+	c, ok := r.connections[ev.ID]
+	if !ok {
+		return
+	}
+	switch ev.Kind {
+	case enginemodel.KindFailed:
+		r.closeConnection(c)
+		r.broken(c.request, outcomeFailed)
+	case enginemodel.KindToken:
+		if !c.frozen {
+			r.token(c, ev)
+		}
+	}
+}
+
+func (r *run) newGeneration(e *engine) string {
+	r.generations++
+	return fmt.Sprintf("%s.%08x", e.id, r.generations)
+}
