Test replay, baseline and traces; stall more streams

Cause: a replay that loses requests or depends on map order would compare policies wrongly.

The streams of each engine stall every 50 s. CacheEvents finds its first event by a binary search.

Ruled out: whole committed traces in the determinism test; with the race detector it ran for 37 s. It now runs 800 requests of one on 3 engines, with faults.

Conclusion: no fault found in the replay.

--- a/internal/enginemodel/report.go
+++ b/internal/enginemodel/report.go
@@ -1,6 +1,7 @@
 package enginemodel
 
 import (
+	"sort"
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/dispatch"
@@ -55,13 +56,12 @@
 func (e *Engine) CacheEvents(now time.Time, after uint64) []dispatch.CacheEvent {
 	var events []dispatch.CacheEvent
 	horizon := now.Add(-e.settings.CacheEventLag)
-	for _, x := range e.memory.events {
+	first := sort.Search(len(e.memory.events), func(i int) bool { return e.memory.events[i].Sequence > after })
+	for _, x := range e.memory.events[first:] {
 		if x.at.After(horizon) {
 			break
 		}
-		if x.Sequence > after {
-			events = append(events, x.CacheEvent)
-		}
+		events = append(events, x.CacheEvent)
 	}
 	return events
 }
--- a/internal/tracegen/traces.go
+++ b/internal/tracegen/traces.go
@@ -63,16 +63,18 @@
 	}
 }
 
-// stalls silences the streams of a third of the engines, in turn for good, for
-// longer and for less than the idle timeout.
+// stalls silences the streams of each engine every 50 seconds, in turn for good,
+// for longer and for less than the idle timeout.
 func stalls(engines int) []replay.Fault {
 	var faults []replay.Fault
 	durations := []int64{0, 10_000, 1_500}
-	for i := 0; i < engines; i += 3 {
-		faults = append(faults, replay.Fault{
-			AtMicros: micros(time.Duration(60+12*i) * time.Second), Kind: replay.FaultStall,
-			Engine: replay.EngineID(i), DurationMS: durations[i/3%len(durations)],
-		})
+	for round := range 7 {
+		for i := range engines {
+			at := time.Duration(20+50*round)*time.Second + time.Duration(3*i)*time.Second
+			faults = append(faults, replay.Fault{
+				AtMicros: micros(at), Kind: replay.FaultStall, Engine: replay.EngineID(i), DurationMS: durations[(i+round)%len(durations)],
+			})
+		}
 	}
 	return faults
 }
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,209 @@
+package replay
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/dispatch"
+)
+
+// small returns a trace of n requests, one each 50 ms, for two engines.
+func small(n, tokens int) *Trace {
+	t := &Trace{Header: Header{
+		Name: "small", Model: "m", Engines: 2, DurationMS: int64(n)*50 + 1, OneWayMicros: 500, Seed: 1,
+		Shares: []TenantShare{{Tenant: "t", Share: 1, Organisations: map[string]float64{"a": 3, "b": 1}}},
+	}}
+	for i := range n {
+		t.Arrivals = append(t.Arrivals, Arrival{
+			AtMicros: int64(i) * 50_000, Tenant: "t", Organisation: string(rune('a' + i%2)), Model: "m",
+			PromptTokens: 100 + i%7, Prefix: "p", PrefixTokens: 64, Tokens: tokens + i%50,
+		})
+	}
+	return t
+}
+
+func mustRun(t *testing.T, trace *Trace, policy string) *Report {
+	t.Helper()
+	core, err := NewPolicy(policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := Run(trace, core, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// Guards against results that depend on map order, the wall clock or earlier
+// runs, with which two policies could not be compared.
+func TestSameTraceGivesSameBytes(t *testing.T) {
+	trace, err := ReadFile("../testdata/traces/rafmagnstilbod-flood.jsonl.gz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Few requests on few engines keep the run with the race detector short.
+	trace.Arrivals, trace.Header.Engines, trace.Header.DurationMS = trace.Arrivals[:800], 3, 40_000
+	trace.Faults = []Fault{
+		{AtMicros: 10_000_000, Kind: FaultReclaim, Engine: "engine-1", DurationMS: 9_000},
+		{AtMicros: 15_000_000, Kind: FaultStall, Engine: "engine-2"},
+	}
+	for _, policy := range PolicyNames() {
+		var first []byte
+		for i := range 2 {
+			report := mustRun(t, trace, policy)
+			data, err := json.Marshal(report)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i == 0 {
+				first = data
+			} else if !bytes.Equal(first, data) {
+				t.Errorf("%s:\n%s\n%s", policy, first, data)
+			}
+			if report.Total.Resumes == 0 || report.Total.Restarts+report.Total.Failed == 0 || report.Total.TimedOut == 0 {
+				t.Errorf("%s: the trace exercises too little: %+v", policy, report.Total)
+			}
+		}
+	}
+}
+
+// Guards against requests that the replay loses, and against totals that differ
+// from the sum of organisations.
+func TestEachRequestEndsOnce(t *testing.T) {
+	trace := small(300, 200)
+	trace.Faults = []Fault{
+		{AtMicros: 4_000_000, Kind: FaultReclaim, Engine: "engine-1", DurationMS: 3000, NoticeMS: 1000},
+		{AtMicros: 9_000_000, Kind: FaultStall, Engine: "engine-2"},
+		{AtMicros: 11_000_000, Kind: FaultReclaim, Engine: "engine-1"},
+	}
+	for _, policy := range PolicyNames() {
+		r := mustRun(t, trace, policy)
+		sum := Group{}
+		for _, g := range append([]Group{r.Total}, r.Organisations...) {
+			if ended := g.Completed + g.Rejected + g.TimedOut + g.Failed + g.Unfinished; ended != g.Requests {
+				t.Errorf("%s: %q: %d of %d requests ended", policy, g.Organisation, ended, g.Requests)
+			}
+			if g.Organisation != "" {
+				sum.Requests += g.Requests
+				sum.Preemptions += g.Preemptions
+			}
+		}
+		if sum.Requests != r.Total.Requests || sum.Preemptions != r.Total.Preemptions || r.Total.Requests != 300 {
+			t.Errorf("%s: organisations add up to %+v, total %+v", policy, sum, r.Total)
+		}
+		if r.Total.Failed == 0 || r.Total.Resumes == 0 || r.Total.Unfinished != 0 {
+			t.Errorf("%s: faults without effect: %+v", policy, r.Total)
+		}
+	}
+}
+
+// Guards against a frontend that gives up a stream that it could resume, or
+// that starts a second generation after the caller has seen a token.
+func TestStalledStreamResumesAndReclaimedEngineFails(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		fault              Fault
+		stall              time.Duration
+		resumes, failures  int
+		restarts, complete int
+	}{
+		{"silent for good", Fault{Kind: FaultStall, AtMicros: 1_000_000}, 3 * time.Second, 1, 0, 0, 1},
+		{"silent for less than the idle timeout", Fault{Kind: FaultStall, AtMicros: 1_000_000, DurationMS: 2000}, 2 * time.Second, 0, 0, 0, 1},
+		{"reclaimed after tokens", Fault{Kind: FaultReclaim, AtMicros: 1_000_000}, 0, 0, 1, 0, 0},
+		{"reclaimed before tokens", Fault{Kind: FaultReclaim, AtMicros: 10_000}, 0, 0, 0, 1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			trace := small(1, 300)
+			c.fault.Engine = "engine-1"
+			trace.Faults = []Fault{c.fault}
+			r := mustRun(t, trace, "central-fifo").Total
+			stalled := time.Duration(r.Stall.Max * float64(time.Millisecond))
+			if r.Resumes != c.resumes || r.Failed != c.failures || r.Restarts != c.restarts || r.Completed != c.complete {
+				t.Errorf("%+v", r)
+			}
+			if stalled < c.stall || stalled > c.stall+250*time.Millisecond {
+				t.Errorf("stall time %s, want about %s", stalled, c.stall)
+			}
+		})
+	}
+}
+
+// silent is a policy that never grants.
+type silent struct{ dispatch.Core }
+
+func (silent) Next(time.Time) []dispatch.Grant { return nil }
+
+// Guards against waits that the stall time leaves out: a request that times out
+// in the queue has waited all that time.
+func TestQueueTimeoutIsStallTime(t *testing.T) {
+	r, err := Run(small(3, 10), silent{dispatch.NewBaseline()}, Options{QueueTimeout: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Total.TimedOut != 3 || r.Total.Stall.P50 < 4990 || r.Total.Stall.P50 > 5010 {
+		t.Errorf("%+v", r.Total)
+	}
+}
+
+// Guards against traces that are read differently from what was written, or
+// accepted with faults in them.
+func TestTraceFile(t *testing.T) {
+	trace := small(5, 10)
+	trace.Faults = []Fault{{AtMicros: 1, Kind: FaultStall, Engine: "engine-2", DurationMS: 5}}
+	var buf, again bytes.Buffer
+	if err := Write(&buf, trace); err != nil {
+		t.Fatal(err)
+	}
+	text := buf.String()
+	read, err := Read(&buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Write(&again, read); err != nil || again.String() != text {
+		t.Errorf("written again: %v\n%s\n%s", err, text, again.String())
+	}
+	for _, fault := range [][2]string{
+		{`"model":"m","prompt`, `"model":"x","prompt`},
+		{`"engine":"engine-2"`, `"engine":"engine-3"`},
+		{`"kind":"stall"`, `"kind":"other"`},
+		{`"at_us":200000`, `"at_us":1`},
+		{`{"header"`, `{"heading"`},
+	} {
+		var e *TraceError
+		if _, err := Read(strings.NewReader(strings.Replace(text, fault[0], fault[1], 1))); !errors.As(err, &e) {
+			t.Errorf("%s: %v, want a *TraceError", fault[1], err)
+		}
+	}
+}
+
+// Guards against outcomes that are judged met when they are not, also where the
+// reference is zero.
+func TestJudge(t *testing.T) {
+	third := 0.3333
+	report := func(stall float64, preemptions int) *Report {
+		g := Group{Organisation: "a", Preemptions: preemptions, Stall: Quantiles{P99: stall}}
+		return &Report{Total: g, Organisations: []Group{g, {Organisation: "b"}}}
+	}
+	stall := Outcome{Metric: "stall_p99_ms", Scope: ScopeTotal, Against: AgainstBaseline, Max: &third}
+	preempted := Outcome{Metric: "preemptions", Scope: ScopeOrganisations, Except: []string{"b"}, Against: AgainstBaseline, Max: &third}
+	for _, c := range []struct {
+		outcome   Outcome
+		got, base *Report
+		met       bool
+	}{
+		{stall, report(30, 0), report(100, 0), true},
+		{stall, report(40, 0), report(100, 0), false},
+		{preempted, report(0, 0), report(0, 0), true},
+		{preempted, report(0, 1), report(0, 0), false},
+	} {
+		v := c.outcome.Judge(c.got, c.base)
+		if len(v) != 1 || v[0].Met != c.met {
+			t.Errorf("%s: %+v, want met=%t", c.outcome.Metric, v, c.met)
+		}
+	}
+}
