Run the engine model behind the stand-in's HTTP interface

Cause: failure tests of the grant protocol need an engine that batches, fills its memory, preempts and reports with a lag, over HTTP.

The mode with a fixed token interval stays the default. Tokens of a generation come from a runner, of which there are two.

Ruled out: a goroutine for each engine; a timer that is set to the next step needs no shutdown.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"context"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,6 +14,8 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
 )
 
 // orphanLifetime is how long a generation goes on without a reader.
@@ -25,40 +27,57 @@
 // EngineOptions are the parameters of an engine.
 type EngineOptions struct {
 	ID string
-	// TokenInterval is the time between tokens of one stream.
+	// TokenInterval is the time between tokens of one stream. It applies when
+	// Model is nil.
 	TokenInterval time.Duration
+	// Model makes the engine batch, fill its memory, cache and preempt as the
+	// model does.
+	Model *enginemodel.Settings
 }
 
+// bytesPerToken and BlockTokens of the model's default settings match
+// dispatch.PrefixHashes, which hashes blocks of 64 bytes.
+const bytesPerToken = 4
+
 // Engine is an inference engine that produces verifiable tokens.
 type Engine struct {
 	faultSwitch
 	opts EngineOptions
 	mux  *http.ServeMux
 
+	runner runner
+
 	mu          sync.Mutex
 	generations map[string]*generation
 	started     int
 }
 
-// generation is one run. Its tokens come from the clock, so it goes on without a reader.
+// generation is one run. It goes on without a reader.
 type generation struct {
-	id       string
-	prompt   string
-	length   int
-	begun    time.Time
-	interval time.Duration
-	lastRead time.Time
-	cancel   context.CancelFunc
-	ctx      context.Context
+	id     string
+	prompt string
+	length int
 }
 
-// NewEngine returns an engine.
+// NewEngine returns an engine. It panics when the settings of the model are out
+// of range, as they come from the code of a test or from checked flags.
 func NewEngine(o EngineOptions) *Engine {
-	e := &Engine{opts: o, mux: http.NewServeMux(), generations: map[string]*generation{}}
+	e := &Engine{
+		opts: o, mux: http.NewServeMux(), generations: map[string]*generation{}, runner: newFixedRunner(o.TokenInterval),
+	}
+	if o.Model != nil {
+		model, err := newModelRunner(*o.Model)
+		if err != nil {
+			panic(err)
+		}
+		e.runner = model
+	}
 	e.mux.HandleFunc("PUT /faults", e.serveFaults)
 	e.mux.HandleFunc("POST /v1/completions", e.start)
 	e.mux.HandleFunc("GET /v1/generations/{id}", e.resume)
 	e.mux.HandleFunc("DELETE /v1/generations/{id}", e.cancelGeneration)
+	e.mux.HandleFunc("GET /load", e.serveLoad)
+	e.mux.HandleFunc("GET /cache-events", e.serveCacheEvents)
 	return e
 }
 
@@ -102,18 +121,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	priority, _ := strconv.Atoi(r.Header.Get(api.HeaderPriority)) // absent means the lowest
 	e.mu.Lock()
 	g, ok := e.generations[id]
 	if !ok {
-		ctx, cancel := context.WithCancel(context.Background())
-		g = &generation{
-			id: id, prompt: request.Prompt, length: answerLength(request), begun: time.Now(),
-			interval: e.opts.TokenInterval, lastRead: time.Now(), ctx: ctx, cancel: cancel,
-		}
+		g = &generation{id: id, prompt: request.Prompt, length: answerLength(request)}
 		e.generations[id] = g
 		e.started++
 	}
+	e.runner.start(enginemodel.Spec{
+		ID: id, PromptTokens: 1 + len(request.Prompt)/bytesPerToken, Prefix: dispatch.PrefixHashes(request.Prompt),
+		Length: g.length, Priority: priority,
+	})
 	e.mu.Unlock()
+	defer e.runner.detach(id)
 	e.stream(w, r, g, 0)
 }
 
@@ -124,13 +145,17 @@
 	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
 	e.mu.Lock()
 	g, ok := e.generations[r.PathValue("id")]
-	if ok && time.Since(g.lastRead) > orphanLifetime {
-		g.cancel()
+	if ok && !e.runner.attach(g.id) {
 		delete(e.generations, g.id)
 		ok = false
 	}
 	e.mu.Unlock()
-	if err != nil || !ok {
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	defer e.runner.detach(g.id)
+	if err != nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -141,11 +166,33 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if g, ok := e.generations[r.PathValue("id")]; ok {
-		g.cancel()
+		e.runner.cancel(g.id)
 		delete(e.generations, g.id)
 	}
 }
 
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if e.before(w, r) {
+		writeJSON(w, e.runner.load())
+	}
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	if !e.before(w, r) {
+		return
+	}
+	after, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("after"), "0"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	events := e.runner.cacheEvents(after)
+	if events == nil {
+		events = []dispatch.CacheEvent{}
+	}
+	writeJSON(w, events)
+}
+
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, offset int) {
 	w.Header().Set("Content-Type", api.ContentTypeEventStream)
 	w.WriteHeader(http.StatusOK)
@@ -153,7 +200,12 @@
 	_ = control.Flush()
 	sent := 0
 	for n := offset + 1; n <= g.length; n++ {
-		if !g.wait(r.Context(), n) {
+		token := e.runner.wait(r.Context(), g.id, n)
+		if token == tokenNever {
+			return
+		}
+		if token == tokenFailed {
+			writeFailure(w)
 			return
 		}
 		faults := e.Get()
@@ -170,38 +222,30 @@
 			copies = 2
 		}
 		for range copies {
-			writeToken(w, g, n, faults.Crossed)
+			writeToken(w, g, n, faults.Crossed, token == tokenPreempted)
 		}
 		_ = control.Flush()
 		sent++
-		e.touch(g)
 	}
 	m := sse.Message{}
 	m.AppendData(api.DoneMarker)
 	_, _ = m.WriteTo(w)
 }
 
-func (e *Engine) touch(g *generation) {
-	e.mu.Lock()
-	g.lastRead = time.Now()
-	e.mu.Unlock()
+// tokenData is the data of a token event.
+type tokenData struct {
+	api.Completion
+	Preempted bool `json:"preempted,omitempty"`
 }
 
-// wait blocks until token n exists.
-func (g *generation) wait(ctx context.Context, n int) bool {
-	timer := time.NewTimer(time.Until(g.begun.Add(time.Duration(n) * g.interval)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-g.ctx.Done():
-		return false
-	}
+// writeFailure ends a stream whose generation exceeds the engine's memory.
+func writeFailure(w http.ResponseWriter) {
+	m := sse.Message{Type: sse.Type(api.EventError)}
+	m.AppendData("the generation exceeds the memory of the engine")
+	_, _ = m.WriteTo(w)
 }
 
-func writeToken(w http.ResponseWriter, g *generation, n int, crossed bool) {
+func writeToken(w http.ResponseWriter, g *generation, n int, crossed, preempted bool) {
 	id := g.id
 	if crossed {
 		id = api.NewGenerationID("crossed").String()
@@ -210,7 +254,7 @@
 	if n == g.length {
 		choice.FinishReason = "stop"
 	}
-	data, err := json.Marshal(api.Completion{ID: id, Choices: []api.Choice{choice}})
+	data, err := json.Marshal(tokenData{Completion: api.Completion{ID: id, Choices: []api.Choice{choice}}, Preempted: preempted})
 	if err != nil {
 		return
 	}
--- a/internal/standin/standincmd/standincmd.go
+++ b/internal/standin/standincmd/standincmd.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -49,12 +50,30 @@
 
 func engineCommand(listen *string) *cobra.Command {
 	var o standin.EngineOptions
+	var model bool
+	settings := enginemodel.DefaultSettings()
 	cmd := &cobra.Command{
 		Use: "engine", Short: "Inference engine", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return serve(*listen, standin.NewEngine(o)) },
+		Long: "Inference engine. With --model it batches, fills its memory, caches prefixes and preempts; " +
+			"without, each stream has a token at a fixed interval.",
+		RunE: func(*cobra.Command, []string) error {
+			if model {
+				if err := settings.Validate(); err != nil {
+					return err
+				}
+				o.Model = &settings
+			}
+			return serve(*listen, standin.NewEngine(o))
+		},
 	}
 	cmd.Flags().StringVar(&o.ID, "id", "engine", "id of the engine")
 	cmd.Flags().DurationVar(&o.TokenInterval, "token-interval", 10*time.Millisecond, "time between tokens of one stream")
+	cmd.Flags().BoolVar(&model, "model", false, "run the model of a batching engine")
+	cmd.Flags().IntVar(&settings.Blocks, "blocks", settings.Blocks, "blocks of key-value memory, with --model")
+	cmd.Flags().IntVar(&settings.CacheBlocks, "cache-blocks", settings.CacheBlocks, "blocks of the prefix cache, with --model")
+	cmd.Flags().DurationVar(&settings.StepBase, "step", settings.StepBase, "duration of an empty step, with --model")
+	cmd.Flags().DurationVar(&settings.LoadLag, "load-lag", settings.LoadLag, "age of load reports, with --model")
+	cmd.Flags().DurationVar(&settings.CacheEventLag, "cache-event-lag", settings.CacheEventLag, "delay of cache events, with --model")
 	return cmd
 }
 
