Record a VM's requests as a trace

Cause: generated traces need a comparison with what callers send.

Change: replay.Recorder wraps an admission; the length is known when the ticket is released. Config fields trace_recorder.file and trace_recorder.model, off by default. A trace may hold its arrivals in any order and prefix hashes in place of a prefix.

Ruled out: a hook in the frontend's relay (a ticket carries all that is needed); writing lines in order of arrival (the longest stream would hold all others back).

Conclusion: a file holds the requests of one VM and one model; merging the files of several VMs is left open.

--- a/config/config.go
+++ b/config/config.go
@@ -52,6 +52,8 @@
 	Dispatch Dispatch `json:"dispatch"`
 	Log      Log      `json:"log"`
 	Trace    Trace    `json:"trace"`
+
+	TraceRecorder TraceRecorder `json:"trace_recorder"`
 }
 
 // Listen holds the addresses, as IP:port.
@@ -167,3 +169,11 @@
 	// Ratio is the sampled fraction of requests without a sampled parent. Default 1.
 	Ratio float64 `json:"ratio,omitempty" validate:"gte=0,lte=1"`
 }
+
+// TraceRecorder writes the requests of this VM in the format of package replay.
+type TraceRecorder struct {
+	// File is created; an existing file is an error. Empty records nothing.
+	File string `json:"file,omitempty"`
+	// Model is the model whose requests are recorded.
+	Model string `json:"model,omitempty" validate:"required_with=File"`
+}
--- a/replay/meter.go
+++ b/replay/meter.go
@@ -41,6 +41,7 @@
 
 func newMeter(t *Trace, o Options) *meter {
 	m := &meter{opts: o, end: epoch.Add(t.Header.duration()), total: newTally("", ""), orgs: map[string]*tally{}}
+	m.total.weight = 1
 	for _, s := range t.Header.Shares {
 		sum := 0.0
 		for _, org := range sortedKeys(s.Organisations) {
--- a/replay/request.go
+++ b/replay/request.go
@@ -84,6 +84,9 @@
 // PrefixHashes returns the chained hashes of the prompt's blocks: first those
 // of the common prefix, then blocks that no other prompt has.
 func PrefixHashes(a *Arrival, index, blockTokens int) []uint64 {
+	if a.PrefixHashes != nil {
+		return a.PrefixHashes
+	}
 	blocks := min(a.PromptTokens/blockTokens, maxPrefixBlocks)
 	shared := a.PrefixTokens / blockTokens
 	hashes := make([]uint64, 0, blocks)
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -5,11 +5,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,8 +43,9 @@
 	Model string `json:"model"`
 	// Engines is the number of engines, named engine-1 and so on.
 	Engines int `json:"engines"`
-	// DurationMS is the length of the time in which requests arrive.
-	DurationMS int64 `json:"duration_ms"`
+	// DurationMS is the length of the time in which requests arrive. Zero means
+	// until the last arrival.
+	DurationMS int64 `json:"duration_ms,omitempty"`
 	// OneWayMicros is the network delay between two processes.
 	OneWayMicros int64  `json:"one_way_us"`
 	Seed         uint64 `json:"seed"`
@@ -73,7 +76,9 @@
 	// Prefix names the text that prompts have in common, PrefixTokens is its length.
 	Prefix       string `json:"prefix,omitempty"`
 	PrefixTokens int    `json:"prefix_tokens,omitempty"`
-	MaxTokens    int    `json:"max_tokens,omitempty"`
+	// PrefixHashes of a recorded request take the place of Prefix.
+	PrefixHashes []uint64 `json:"prefix_hashes,omitempty"`
+	MaxTokens    int      `json:"max_tokens,omitempty"`
 	// Tokens is the true length of the output. Decisions never see it.
 	Tokens int `json:"tokens"`
 }
@@ -123,7 +128,8 @@
 	return Read(z)
 }
 
-// Read reads a trace.
+// Read reads a trace and brings its arrivals into the order of time; a recorder
+// writes them in the order in which they end.
 func Read(r io.Reader) (*Trace, error) {
 	t := &Trace{}
 	scanner := bufio.NewScanner(r)
@@ -141,9 +147,17 @@
 	if n == 0 {
 		return nil, &TraceError{Line: 1, Detail: "the trace is empty"}
 	}
+	t.normalise()
 	return t, nil
 }
 
+func (t *Trace) normalise() {
+	slices.SortStableFunc(t.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.AtMicros, b.AtMicros) })
+	if last := len(t.Arrivals) - 1; t.Header.DurationMS == 0 && last >= 0 {
+		t.Header.DurationMS = t.Arrivals[last].AtMicros/1000 + 1
+	}
+}
+
 func (t *Trace) add(n int, data []byte) error {
 	var l line
 	if err := json.Unmarshal(data, &l); err != nil {
@@ -165,20 +179,18 @@
 }
 
 func (h *Header) validate(n int) error {
-	if h.Engines < 1 || h.DurationMS < 1 || h.Model == "" {
-		return &TraceError{Line: n, Detail: "engines, duration_ms and model must be stated"}
+	if h.Engines < 1 || h.DurationMS < 0 || h.Model == "" {
+		return &TraceError{Line: n, Detail: "engines or model missing, or duration_ms below zero"}
 	}
 	return nil
 }
 
 func (t *Trace) addArrival(n int, a Arrival) error {
-	switch last := len(t.Arrivals) - 1; {
+	switch {
 	case a.Model != t.Header.Model:
 		return &TraceError{Line: n, Detail: "model " + a.Model + " is not the model of the engines"}
-	case a.PromptTokens < 1 || a.Tokens < 1 || a.PrefixTokens > a.PromptTokens:
-		return &TraceError{Line: n, Detail: "token counts out of range"}
-	case last >= 0 && a.AtMicros < t.Arrivals[last].AtMicros:
-		return &TraceError{Line: n, Detail: "arrivals are not in order of time"}
+	case a.PromptTokens < 1 || a.Tokens < 1 || a.PrefixTokens > a.PromptTokens || a.AtMicros < 0:
+		return &TraceError{Line: n, Detail: "time or token counts out of range"}
 	}
 	t.Arrivals = append(t.Arrivals, a)
 	return nil
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -22,6 +22,7 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/frontend"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/replay"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -49,6 +50,8 @@
 	tracing *telemetry.Tracing
 	metrics metrics.Registry
 	http    *httpServers
+	// recorder is nil unless the configuration names its file.
+	recorder *replay.Recorder
 
 	abort     chan struct{}
 	abortOnce sync.Once
@@ -78,8 +81,12 @@
 	s.claims = claim.NewManager(s.kv, claim.Options{
 		VM: cfg.VMID, Retention: cfg.Claims.Retention.Std(), ClockTolerance: cfg.Claims.ClockTolerance.Std(), Now: time.Now,
 	})
+	admission, err := s.recorded(s.admission())
+	if err != nil {
+		return nil, err
+	}
 	s.front = frontend.New(frontend.Options{
-		Config: cfg, Snapshot: s.loop.Snapshot, Admission: s.admission(), Engines: s.engines, Services: s.service,
+		Config: cfg, Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.service,
 		Claims: s.claims, Log: o.Log, Tracer: tracing.Tracer(), Metrics: s.metrics,
 	})
 	if s.http, err = s.listen(); err != nil {
@@ -92,6 +99,22 @@
 	return dispatch.NewLocal(s.loop.Snapshot, s.cfg.Dispatch.EngineStreams, s.cfg.Limits.Queued, s.cfg.Timeouts.Queue.Std())
 }
 
+// recorded wraps an admission with the recorder, if one is configured.
+func (s *Server) recorded(a dispatch.Admission) (dispatch.Admission, error) {
+	if s.cfg.TraceRecorder.File == "" {
+		return a, nil
+	}
+	recorder, err := replay.NewRecorder(replay.RecorderOptions{
+		File: s.cfg.TraceRecorder.File, Model: s.cfg.TraceRecorder.Model,
+		Snapshot: s.loop.Snapshot, Now: time.Now, Log: s.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.recorder = recorder
+	return recorder.Wrap(a), nil
+}
+
 func parseKeys(hexKeys []string) ([]ed25519.PublicKey, error) {
 	keys := make([]ed25519.PublicKey, 0, len(hexKeys))
 	for _, h := range hexKeys {
@@ -164,6 +187,11 @@
 	s.service.Close()
 	s.kv.Close()
 	s.vms.Close()
+	if s.recorder != nil {
+		if err := s.recorder.Close(); err != nil {
+			s.log.Warn("trace_record_failed", zap.Error(err))
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := s.tracing.Close(ctx); err != nil {
