--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/go-faster/errors"
@@ -25,6 +26,16 @@
 	trace, outcomes, policy string
 	json                    bool
 	baselineLimit           int
+	// weights of stall time, preemptions and inter-token latency replace those of
+	// the trace, unless there are none.
+	weights []float64
+}
+
+// WeightsError reports weights that are not three numbers of at least zero.
+type WeightsError struct{ Weights []float64 }
+
+func (e *WeightsError) Error() string {
+	return fmt.Sprintf("weights %v are not three numbers of at least zero", e.Weights)
 }
 
 func newReplayCommand() *cobra.Command {
@@ -40,6 +51,7 @@
 	cmd.Flags().StringVar(&f.policy, "policy", "central-fifo", fmt.Sprintf("one of %v", replay.PolicyNames()))
 	cmd.Flags().BoolVar(&f.json, "json", false, "print JSON lines in place of tables")
 	cmd.Flags().IntVar(&f.baselineLimit, "baseline-limit", dispatch.BaselineLimit, "the baseline's limit of streams of one engine")
+	cmd.Flags().Float64SliceVar(&f.weights, "weights", nil, "weights of stall time, preemptions and inter-token latency, in place of the trace's")
 	_ = cmd.MarkFlagRequired("trace")
 	return cmd
 }
@@ -56,11 +68,11 @@
 	if err != nil {
 		return err
 	}
-	report, err := replayPolicy(f.trace, f.policy)
+	report, err := f.replay(f.trace, f.policy)
 	if err != nil {
 		return err
 	}
-	verdicts, err := judge(stated, report, baseline)
+	verdicts, err := f.judge(stated, report, baseline)
 	if err != nil {
 		return err
 	}
@@ -72,24 +84,27 @@
 
 // baseline replays with the baseline policy.
 func (f replayFlags) baseline() (*replay.Report, error) {
-	return replayFile(f.trace, replay.BaselinePolicy, dispatch.NewBaselineWith(dispatch.BaselineOptions{
+	return f.replayCore(f.trace, replay.BaselinePolicy, dispatch.NewBaselineWith(dispatch.BaselineOptions{
 		VMs: dispatch.BaselineVMs, Limit: f.baselineLimit, Queue: dispatch.BaselineQueue,
 	}))
 }
 
-func replayPolicy(path, policy string) (*replay.Report, error) {
+func (f replayFlags) replay(path, policy string) (*replay.Report, error) {
 	core, err := replay.NewPolicy(policy)
 	if err != nil {
 		return nil, err
 	}
-	return replayFile(path, policy, core)
+	return f.replayCore(path, policy, core)
 }
 
-func replayFile(path, policy string, core dispatch.Core) (*replay.Report, error) {
+func (f replayFlags) replayCore(path, policy string, core dispatch.Core) (*replay.Report, error) {
 	trace, err := replay.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
+	if err := f.applyWeights(trace); err != nil {
+		return nil, err
+	}
 	report, err := replay.Run(trace, core, replay.Options{})
 	if err != nil {
 		return nil, errors.Wrap(err, "replay")
@@ -98,16 +113,30 @@
 	return report, nil
 }
 
+func (f replayFlags) applyWeights(t *replay.Trace) error {
+	if len(f.weights) == 0 {
+		return nil
+	}
+	if len(f.weights) != 3 || slices.Min(f.weights) < 0 {
+		return &WeightsError{Weights: f.weights}
+	}
+	for i := range t.Header.Shares {
+		s := &t.Header.Shares[i]
+		s.StallTime, s.Preemptions, s.InterTokenLatency = f.weights[0], f.weights[1], f.weights[2]
+	}
+	return nil
+}
+
 // judge compares the report with each reference; another trace is replayed
 // with the same policy, once.
-func judge(stated []replay.Outcome, report, baseline *replay.Report) ([]replay.Verdict, error) {
+func (f replayFlags) judge(stated []replay.Outcome, report, baseline *replay.Report) ([]replay.Verdict, error) {
 	others := map[string]*replay.Report{}
 	var verdicts []replay.Verdict
 	for _, o := range stated {
 		reference := baseline
 		if o.Against == replay.AgainstTrace {
 			if others[o.Trace] == nil {
-				other, err := replayPolicy(o.Trace, report.Policy)
+				other, err := f.replay(o.Trace, report.Policy)
 				if err != nil {
 					return nil, err
 				}
--- a/internal/cli/replay_test.go
+++ b/internal/cli/replay_test.go
@@ -25,11 +25,11 @@
 		return path
 	}
 	trace := write("short.jsonl", shortTrace)
-	run := func(outcomes string) (string, error) {
+	run := func(outcomes string, more ...string) (string, error) {
 		var out bytes.Buffer
 		cmd := NewCommand()
 		cmd.SetOut(&out)
-		cmd.SetArgs([]string{"replay", "--trace", trace, "--outcomes", write("outcomes.json", outcomes), "--json"})
+		cmd.SetArgs(append([]string{"replay", "--trace", trace, "--outcomes", write("outcomes.json", outcomes), "--json"}, more...))
 		err := cmd.Execute()
 		return out.String(), err
 	}
@@ -42,6 +42,10 @@
 	if second, _ := run(met); second != first {
 		t.Errorf("second run:\n%s\nfirst run:\n%s", second, first)
 	}
+	var weights *WeightsError
+	if _, err := run(met, "--weights", "1,2"); !errors.As(err, &weights) {
+		t.Errorf("two weights: %v", err)
+	}
 	var missed *OutcomesMissedError
 	if _, err := run(`[{"metric":"completed","scope":"total","against":"value","min":2}]`); !errors.As(err, &missed) {
 		t.Errorf("missed outcome: %v", err)
