Count the wait of rejected callers as stall time

Cause: requests that a policy rejected were left out of the stall percentiles, so a policy could meet the target by refusing work. A caller that is refused waits with nothing arriving just the same.

Ruled out: a fixed penalty for each rejection; it would hide how long the caller waits.

Change: a rejected caller tries again every 2 s, as Retry-After tells it, and gives up 30 s after its arrival. All of that is stall time. Reports count rejecting answers.

Before: TestRejectionsAreStallTime failed with "p50 stall 0 ms" for callers that gave up after 5 s. After: it passes.

--- a/replay/meter.go
+++ b/replay/meter.go
@@ -28,7 +28,9 @@
 	requests             int
 	outcomes             [outcomeUnfinished + 1]int
 	preemptions          int
-	resumes, restarts    int
+	// rejections counts answers, of which one request can get several.
+	rejections        int
+	resumes, restarts int
 	// windowTokens were delivered while requests arrived, tokens in all.
 	windowTokens, tokens    int64
 	firstToken, stalls, gap *hdrhistogram.Histogram
@@ -70,6 +72,7 @@
 }
 
 func (m *meter) preempted(q *request) { m.both(q, func(t *tally) { t.preemptions++ }) }
+func (m *meter) rejected(q *request)  { m.both(q, func(t *tally) { t.rejections++ }) }
 func (m *meter) resumed(q *request)   { m.both(q, func(t *tally) { t.resumes++ }) }
 func (m *meter) restarted(q *request) { m.both(q, func(t *tally) { t.restarts++ }) }
 
@@ -94,17 +97,16 @@
 	}
 }
 
-// ended records the end of a request. The wait before a failure is stall time;
-// a rejected request waits for nothing and has none.
+// ended records the end of a request. The wait before a failure is stall time,
+// and so is the wait of a caller that is rejected until it gives up: a policy
+// must not look better for refusing work.
 func (m *meter) ended(q *request, o outcome, now time.Time) {
 	if wait := now.Sub(q.lastData); o != outcomeComplete && (q.offset == 0 || wait >= m.opts.StallThreshold) {
 		q.stalled += wait
 	}
 	m.both(q, func(t *tally) {
 		t.outcomes[o]++
-		if o != outcomeRejected {
-			record(t.stalls, q.stalled)
-		}
+		record(t.stalls, q.stalled)
 	})
 }
 
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -211,3 +211,23 @@
 		}
 	}
 }
+
+// refusing rejects every request.
+type refusing struct{ dispatch.Core }
+
+func (refusing) Submit(time.Time, dispatch.Request) error {
+	return &dispatch.QueueFullError{Organisation: "any"}
+}
+
+// A policy must not improve its stall time by rejecting requests: the caller
+// tries again and waits, and its wait counts until it gives up.
+func TestRejectionsAreStallTime(t *testing.T) {
+	r, err := Run(small(3, 10), refusing{dispatch.NewBaseline()}, Options{Patience: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g := r.Total; g.Rejected != g.Requests || g.Stall.P50 < 4990 || g.Rejections <= g.Requests {
+		t.Errorf("%d of %d requests gave up after %d rejections, p50 stall %g ms; want all, retries, 5,000 ms",
+			g.Rejected, g.Requests, g.Rejections, g.Stall.P50)
+	}
+}
--- a/replay/report.go
+++ b/replay/report.go
@@ -21,19 +21,22 @@
 	Organisation string `json:"organisation,omitempty"`
 	Requests     int    `json:"requests"`
 	Completed    int    `json:"completed"`
-	// Rejected requests were not queued, TimedOut ones got no grant in time;
+	// Rejected requests were rejected until the caller gave up, TimedOut ones got
+	// no grant in time;
 	// Failed streams ended before their end; Unfinished ones were cut off by the
 	// end of the replay.
 	Rejected   int `json:"rejected"`
 	TimedOut   int `json:"timed_out"`
 	Failed     int `json:"failed"`
 	Unfinished int `json:"unfinished"`
+	// Rejections counts rejecting answers, of which one request can get several.
+	Rejections int `json:"rejections"`
 	// Preemptions counts how often a generation lost its memory.
 	Preemptions int `json:"preemptions"`
 	Resumes     int `json:"resumes"`
 	Restarts    int `json:"restarts"`
 	// FirstToken is the wait for the first token. Stall adds the gaps beyond the
-	// threshold and the wait before a failure, per request that was not rejected.
+	// threshold and the wait before a failure or until a rejected caller gives up, per request.
 	// Gap is the time between tokens of a stream.
 	FirstToken Quantiles `json:"first_token_ms"`
 	Stall      Quantiles `json:"stall_ms"`
@@ -80,7 +83,7 @@
 		Tenant: t.tenant, Organisation: t.organisation, Requests: t.requests,
 		Completed: t.outcomes[outcomeComplete], Rejected: t.outcomes[outcomeRejected], TimedOut: t.outcomes[outcomeTimeout],
 		Failed: t.outcomes[outcomeFailed], Unfinished: t.outcomes[outcomeUnfinished],
-		Preemptions: t.preemptions, Resumes: t.resumes, Restarts: t.restarts,
+		Rejections: t.rejections, Preemptions: t.preemptions, Resumes: t.resumes, Restarts: t.restarts,
 		FirstToken: quantiles(t.firstToken), Stall: quantiles(t.stalls), Gap: quantiles(t.gap),
 		TokensPerSecond: round(float64(t.windowTokens)/m.end.Sub(epoch).Seconds(), 10),
 		Entitlement:     round(t.weight, 10000),
--- a/replay/request.go
+++ b/replay/request.go
@@ -20,7 +20,7 @@
 
 const (
 	outcomeComplete outcome = iota
-	// outcomeRejected: the core took no request; nothing ran.
+	// outcomeRejected: the core took no request until the caller gave up; nothing ran.
 	outcomeRejected
 	// outcomeTimeout: no grant came in time; nothing ran.
 	outcomeTimeout
@@ -113,7 +113,8 @@
 	ask := q.ask
 	ask.Excluded = slices.Clone(q.ask.Excluded)
 	if err := r.core.Submit(r.now, dispatch.Request{ID: q.id, Ask: ask}); err != nil {
-		r.complete(q, outcomeRejected)
+		q.attempts--
+		r.rejected(q)
 		return
 	}
 	r.requests[q.id] = q
@@ -127,6 +128,18 @@
 	})
 }
 
+// rejected lets the caller try again until it gives up. Nothing ran, so the
+// attempt does not count against the bound of attempts.
+func (r *run) rejected(q *request) {
+	r.meter.rejected(q)
+	giveUp := q.arrived.Add(r.opts.Patience)
+	if again := r.now.Add(r.opts.RetryAfter); again.Before(giveUp) {
+		r.at(again, func() { r.submit(q) })
+		return
+	}
+	r.at(giveUp, func() { r.complete(q, outcomeRejected) })
+}
+
 // start opens the generation of a granted request.
 func (r *run) start(q *request) {
 	e, ok := r.byID[q.backend]
--- a/replay/run.go
+++ b/replay/run.go
@@ -16,6 +16,12 @@
 	VMs int
 	// QueueTimeout bounds the wait for a grant. Default 30 s.
 	QueueTimeout time.Duration
+	// Patience is how long after its arrival the caller of a rejected request
+	// goes on trying. Default 30 s.
+	Patience time.Duration
+	// RetryAfter is the time until a rejected caller tries again. Default 2 s, as
+	// frontends answer.
+	RetryAfter time.Duration
 	// FirstToken bounds the wait for the first token before a resume. Default 20 s.
 	FirstToken time.Duration
 	// StreamIdle bounds the gap between tokens before a resume. Default 3 s.
@@ -44,6 +50,8 @@
 	}
 	setDefault(&o.VMs, dispatch.BaselineVMs)
 	setDefault(&o.QueueTimeout, 30*time.Second)
+	setDefault(&o.Patience, 30*time.Second)
+	setDefault(&o.RetryAfter, 2*time.Second)
 	setDefault(&o.FirstToken, 20*time.Second)
 	setDefault(&o.StreamIdle, 3*time.Second)
 	setDefault(&o.ReportInterval, 250*time.Millisecond)
