--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,6 +31,7 @@
 		newGetCommand(), newCheckConfigCommand(),
 		newCompleteCommand(), newCallCommand(),
 		newDemoCommand(), newCapacityCommand(),
+		newReplayCommand(), newTraceCommand(),
 	)
 	return root
 }
