Take script ports from below the range of outgoing connections

Cause: a script chose free ports by listening on port 0 and closing. Until the program bound the port, any outgoing connection of another process could take it. test/e2e failed once in this way: a VM refused connections for 15 s.

Ruled out: more loopback addresses (only Linux answers on all of 127.0.0.0/8).

Change: ports come from 10,000 to 30,000 in turn, starting at a place that depends on the process id.

Conclusion: the choice no longer competes with ephemeral ports.

--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -2,6 +2,7 @@
 package e2e
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -68,13 +70,32 @@
 
 func running(ts *testscript.TestScript) processes { return ts.Value(processesKey{}).(processes) }
 
+// Ports of the scripts lie below the range that systems use for outgoing
+// connections, so that no other process takes one between its choice and its use.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+// nextPort is shared by all scripts. It starts at a place that depends on the
+// process, since other test binaries run at the same time.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 64 % (lastPort - firstPort)) }
+
 // addresses NAME... sets each variable to a free loopback address.
 func addresses(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		for {
+			port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if err != nil {
+				continue
+			}
+			ts.Setenv(name, l.Addr().String())
+			ts.Check(l.Close())
+			break
+		}
 	}
 }
 
