--- a/sync.go
+++ b/sync.go
@@ -53,7 +53,7 @@
 // and peers have gone silent.
 func (s *Server) readBundleFallback(ctx context.Context) {
 	for {
-		if !sleep(ctx, s.fallbackWait()) {
+		if !s.awaitFallback(ctx, func() bool { return false }) {
 			return
 		}
 		head, _, err := s.bundles.Head(ctx)
@@ -66,12 +66,23 @@
 	}
 }
 
-// fallbackWait returns the time to the next fallback read. It grows with the
-// region, so that the reads of all VMs together do not.
-func (s *Server) fallbackWait() time.Duration {
-	vms := len(s.regionVMs(s.loop.Snapshot()))
-	interval := s.cfg.Bundle.FallbackInterval.Std() * time.Duration(max(1, vms/fallbackGroup))
-	return interval/2 + rand.N(interval)
+// awaitFallback waits for the fallback interval or until the condition holds.
+// It returns false when ctx ends. The interval grows with the region, so that
+// the reads of all VMs together do not; a VM list that arrives during the wait
+// counts, or all VMs would read once soon after their start.
+func (s *Server) awaitFallback(ctx context.Context, until func() bool) bool {
+	begin, jitter := time.Now(), 0.5+rand.Float64()
+	for !until() {
+		groups := float64(len(s.regionVMs(s.loop.Snapshot()))) / fallbackGroup
+		interval := float64(s.cfg.Bundle.FallbackInterval.Std()) * max(1, groups)
+		if time.Since(begin) >= time.Duration(interval*jitter) {
+			break
+		}
+		if !sleep(ctx, roleCheck) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
 }
 
 // fetchBundle reads, verifies and announces the bundle that the head names.
@@ -106,10 +117,8 @@
 		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()) {
 			return
 		}
-		for fallback := time.Now().Add(s.fallbackWait()); !s.readsPlatform() && time.Now().Before(fallback); {
-			if !sleep(ctx, roleCheck) {
-				return
-			}
+		if !s.awaitFallback(ctx, s.readsPlatform) {
+			return
 		}
 	}
 }
