Test streams that are cut inside an event

The client library gets a stream without a length that is cut after each byte of an event: it resumes and gets each token once, or returns a TruncatedError.

--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,65 @@
+package client_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/client"
+)
+
+// TestCutEvents guards against a stream that fails, loses a token or looks
+// whole when its connection ends in the middle of an event. The answers have
+// no length, as behind a balancer that speaks HTTP/1.0.
+func TestCutEvents(t *testing.T) {
+	generation := api.NewGenerationID("engine-1").String()
+	event := func(n int) string {
+		return fmt.Sprintf("id: %s:%d\ndata: {\"choices\":[{\"text\":\"t%d \"}]}\n\n", generation, n, n)
+	}
+	for cut := range len(event(2)) {
+		for _, final := range []string{event(2) + "data: [DONE]\n\n", ""} {
+			t.Run(fmt.Sprintf("cut after %d bytes, whole %t", cut, final != ""), func(t *testing.T) {
+				t.Parallel()
+				text, err := streamCut(t, event(1)+event(2)[:cut], final)
+				_, truncated := errors.Into[*client.TruncatedError](err)
+				if whole := final != ""; whole != (err == nil && text == "t1 t2 ") || whole == truncated {
+					t.Errorf("got %q and error %v", text, err)
+				}
+			})
+		}
+	}
+}
+
+// streamCut streams from a server that sends one text at first and another
+// when the caller resumes after the first token.
+func streamCut(t *testing.T, first, resumed string) (text string, err error) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+		if last := r.Header.Get(api.HeaderLastEventID); last == "" {
+			fmt.Fprint(conn, first)
+		} else if strings.HasSuffix(last, ":1") {
+			fmt.Fprint(conn, resumed)
+		}
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c := client.New(client.Options{Addresses: []string{server.URL}, APIKey: "key", Resumes: 1})
+	err = c.Stream(ctx, api.CompletionRequest{}, func(token client.Token) error {
+		text += token.Text
+		return nil
+	})
+	return text, err
+}
