Give each limit a typed error

Before, TestLimits and TestRetryBudget failed in these cases: a slow body was invalid-request with status 400; the answer of a service above the limit was "the backend server stopped answering", and a lookup was repeated on another server; an unknown path had no problem document; a request that the retry budget did not let repeat ended as backend-unavailable.

Bodies and documents above their limit, full queues, unknown fields, trace ids and organisations that the bundle does not name passed from the start. A header above the limit gets status 431 from net/http without a problem document; its limit is up to 8 KiB above limits.header_bytes, since net/http adds room for its buffers.

--- a/api/problem.go
+++ b/api/problem.go
@@ -26,6 +26,8 @@
 const (
 	ProblemInvalidRequest      ProblemType = "invalid-request"
 	ProblemBodyTooLarge        ProblemType = "body-too-large"
+	ProblemBodyTimeout         ProblemType = "body-timeout"
+	ProblemNotFound            ProblemType = "not-found"
 	ProblemUnauthorised        ProblemType = "unauthorised"
 	ProblemUnknownModel        ProblemType = "unknown-model"
 	ProblemUnknownRoute        ProblemType = "unknown-route"
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -82,6 +83,10 @@
 		return nil, api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
 			fmt.Sprintf("the body exceeds %d bytes", limit))
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, api.NewProblem(api.ProblemBodyTimeout, http.StatusRequestTimeout, api.OutcomeNotRun,
+			fmt.Sprintf("the body did not arrive within %s", f.Config.Timeouts.Body.Std())).WithCause(err)
+	}
 	if err != nil {
 		return nil, invalid("the body could not be read").WithCause(err)
 	}
--- a/frontend/failure.go
+++ b/frontend/failure.go
@@ -9,6 +9,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/retry"
 )
 
 // Retry-After values of refusals.
@@ -68,6 +69,15 @@
 	if p, ok := errors.Into[*api.Problem](err); ok {
 		return p
 	}
+	if exhausted, ok := errors.Into[*retry.ExhaustedError](err); ok {
+		p := asFailure(exhausted.Cause)
+		return api.NewProblem(api.ProblemRetryBudget, p.Status, p.Outcome, "not repeated, since the retry budget is used up: "+p.Detail).
+			WithRetryAfter(p.RetryAfter).WithCause(err)
+	}
+	if _, ok := errors.Into[*backend.TooLargeError](err); ok {
+		return api.NewProblem(api.ProblemAnswerTooLarge, http.StatusBadGateway, api.OutcomeUnknown,
+			"the call was sent and its answer is too large").WithCause(err)
+	}
 	if _, ok := errors.Into[*dispatch.QueueFullError](err); ok {
 		return refusal(api.ProblemQueueFull, http.StatusTooManyRequests, "too many requests are waiting", retryAfterQueue, err)
 	}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -65,6 +65,7 @@
 
 // Register adds the caller API to an echo instance.
 func (f *Frontend) Register(e *echo.Echo) {
+	e.HTTPErrorHandler = routeFailed
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", f.readyz)
 	e.POST("/v1/completions", f.tracked("frontend.completion", f.completion))
@@ -72,6 +73,19 @@
 	e.POST("/v1/services/:route", f.tracked("frontend.service", f.service))
 }
 
+// routeFailed answers requests that match no route.
+func routeFailed(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	p := asProblem(err)
+	if he, ok := errors.Into[*echo.HTTPError](err); ok && he.Code < http.StatusInternalServerError {
+		p = api.NewProblem(api.ProblemNotFound, he.Code, api.OutcomeNotRun, "no such path or method")
+	}
+	p.TraceID = telemetry.TraceID(telemetry.Extract(c.Request().Context(), c.Request().Header))
+	_ = writeProblem(c, p) // The connection is gone if the write fails.
+}
+
 // call is the state of one request of a caller.
 type call struct {
 	echo.Context
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -76,7 +76,7 @@
 			return r.failure(err)
 		}
 		if !r.f.budget.Take(r.c.identity.Organisation) {
-			return r.failure(err)
+			return r.failure(&retry.ExhaustedError{Organisation: r.c.identity.Organisation, Cause: err})
 		}
 		r.f.counter.restarts.Inc(1)
 		r.c.log.Warn("generation_restarted", zap.String("backend", r.target.ID),
@@ -122,7 +122,11 @@
 	if p.Outcome != api.OutcomeNotRun || !r.mayHaveRun {
 		return p
 	}
-	return api.NewProblem(api.ProblemBackendUnavailable, http.StatusBadGateway, api.OutcomeUnknown,
+	kind := api.ProblemBackendUnavailable
+	if p.Kind() == api.ProblemRetryBudget {
+		kind = api.ProblemRetryBudget
+	}
+	return api.NewProblem(kind, http.StatusBadGateway, api.OutcomeUnknown,
 		"an attempt may have started a generation").WithCause(err)
 }
 
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/claim"
+	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -53,6 +54,7 @@
 	var failure error
 	for vm, ok := next(); ok; vm, ok = next() {
 		if failure != nil && !f.budget.Take(c.identity.Organisation) {
+			failure = &retry.ExhaustedError{Organisation: c.identity.Organisation, Cause: failure}
 			break
 		}
 		response, err := f.callBackend(ctx, vm, request)
@@ -60,7 +62,7 @@
 			return c.Blob(response.Status, response.ContentType, response.Body)
 		}
 		failure = graver(failure, err)
-		if ctx.Err() != nil {
+		if _, ok := errors.Into[*backend.TooLargeError](err); ok || ctx.Err() != nil {
 			break
 		}
 	}
@@ -121,6 +123,9 @@
 		return refusal(api.ProblemBackendUnavailable, http.StatusServiceUnavailable,
 			"no backend server could be reached", retryAfterBackend, err)
 	}
+	if _, ok := errors.Into[*backend.TooLargeError](err); ok {
+		return asFailure(err)
+	}
 	return api.NewProblem(api.ProblemOutcomeUnknown, http.StatusBadGateway, api.OutcomeUnknown,
 		"the call was sent and its result is not known").WithCause(err)
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -47,6 +48,27 @@
 	return true
 }
 
+// Organisations returns the number of organisations that the budget holds.
+func (b *Budget) Organisations() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.stored)
+}
+
+// ExhaustedError reports that a failed attempt was not repeated because the
+// retry budget of its organisation is used up.
+type ExhaustedError struct {
+	Organisation string
+	// Cause is the error of the attempt.
+	Cause error
+}
+
+func (e *ExhaustedError) Error() string {
+	return fmt.Sprintf("retry budget of organisation %s is used up: %v", e.Organisation, e.Cause)
+}
+
+func (e *ExhaustedError) Unwrap() error { return e.Cause }
+
 // Backoff returns the pause before the given retry, counted from 1, as an
 // exponential step with full jitter.
 func Backoff(retry int, base, limit time.Duration) time.Duration {
