Pause at least half of each step between retries

Cause: with full jitter all pauses of a series can be near zero, so six resumes could be used up within a fault of 50 ms, and the previous three often were not.

Change: half of each step is fixed, the other half jitter; the pauses of six resumes add up to at least 625 ms.

--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -21,7 +21,7 @@
 // Bounds of attempts. A resume that brings tokens starts the count anew.
 const (
 	maxAttempts = 3
-	// maxResumes rides out about a second of broken connections, after which
+	// maxResumes rides out half a second of broken connections, after which
 	// the answer would be lost. Before the first token another engine can take
 	// over, so fewer resumes are worth the wait.
 	maxResumes           = 6
--- a/internal/localcluster/streams_test.go
+++ b/internal/localcluster/streams_test.go
@@ -53,12 +53,12 @@
 		whole bool
 	}{
 		"duplicated tokens":           {standin.Faults{Duplicate: true}, 0, true},
-		"crossed answers for a while": {standin.Faults{Crossed: true}, 50 * time.Millisecond, true},
+		"crossed answers for a while": {standin.Faults{Crossed: true}, 150 * time.Millisecond, true},
 		"crossed answers":             {standin.Faults{Crossed: true}, 0, false},
 		"silent connection":           {standin.Faults{Stall: true}, 50 * time.Millisecond, true},
 		"silent connections":          {standin.Faults{Stall: true}, 0, false},
 		"truncated again and again":   {standin.Faults{TruncateAfter: 3}, 0, true},
-		"connections dropped a while": {standin.Faults{Down: true, TruncateAfter: 1}, 50 * time.Millisecond, true},
+		"connections dropped a while": {standin.Faults{Down: true, TruncateAfter: 1}, 150 * time.Millisecond, true},
 		"connections dropped":         {standin.Faults{Down: true, TruncateAfter: 1}, 0, false},
 	}
 	for name, tc := range cases {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -69,12 +69,13 @@
 
 func (e *ExhaustedError) Unwrap() error { return e.Cause }
 
-// Backoff returns the pause before the given retry, counted from 1, as an
-// exponential step with full jitter.
+// Backoff returns the pause before the given retry, counted from 1: at least
+// half of an exponential step, the rest with jitter. Full jitter can make all
+// pauses of a series short, so that a brief fault outlasts every retry.
 func Backoff(retry int, base, limit time.Duration) time.Duration {
 	step := limit
 	if retry < 16 {
 		step = min(base<<(retry-1), limit)
 	}
-	return time.Duration(rand.Int64N(int64(step) + 1))
+	return step/2 + time.Duration(rand.Int64N(int64(step-step/2)+1))
 }
