Finish withdrawing claims when a VM stops

Cause: a stop cancelled withdrawals in progress, so a call rejected as not_run right before a stop left its key started, and every retry got unknown.

Change: Close gives withdrawals one second before it cancels them.

Before: TestCloseWithdraws failed ("a retry got claim is started"). After: it passes.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -19,6 +19,7 @@
 	settlePause    = 50 * time.Millisecond
 	abandonPeriod  = 30 * time.Second
 	abandonPause   = 500 * time.Millisecond
+	closeGrace     = time.Second
 	// maxAbandoning bounds goroutines that withdraw claims during an outage.
 	maxAbandoning = 256
 )
@@ -53,10 +54,13 @@
 	return &Manager{store: store, opts: opts, ctx: ctx, cancel: cancel, slots: make(chan struct{}, maxAbandoning)}
 }
 
-// Close ends background work.
+// Close ends background work. Claims that are being withdrawn get a moment, so
+// that a stop does not leave the keys of rejected calls taken.
 func (m *Manager) Close() {
-	m.cancel()
+	timer := time.AfterFunc(closeGrace, m.cancel)
+	defer timer.Stop()
 	m.abandoned.Wait()
+	m.cancel()
 }
 
 // Claim is the right to send one call once.
