Close caller connections while a VM drains

Cause: a draining VM kept connections open until it closed the idle ones at its end. A request that a caller sends at that moment ends without an answer, so that its outcome is unknown to the caller.

Change: answers during a drain carry Connection: close, so that callers connect elsewhere before the VM ends.

Before: TestDrain failed ("a draining VM keeps connections, on which a request can meet the end of the VM"). After: it passes.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -116,6 +116,11 @@
 			log: f.Log.With(zap.String("trace", telemetry.TraceID(ctx))),
 		}
 		f.counter.requests.Inc(1)
+		if f.drain.draining() {
+			// Callers then use another VM, and no request is on an idle
+			// connection when the server closes it.
+			ec.Response().Header().Set("Connection", "close")
+		}
 		err := f.admit(c, name, h)
 		problem := asProblem(err)
 		if problem != nil {
--- a/internal/localcluster/stop_test.go
+++ b/internal/localcluster/stop_test.go
@@ -63,8 +63,15 @@
 	if tokens, err := checkedStream(ctx, t, caller, prompt(5), nil); err != nil || tokens != 5 {
 		t.Errorf("during the notice: got %d tokens and error %v", tokens, err)
 	}
+	resp, err := http.Get(vm.URL() + "/v1/generations/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _ = resp.Body.Close(); !resp.Close {
+		t.Error("a draining VM keeps connections, on which a request can meet the end of the VM")
+	}
 	time.Sleep(notice)
-	_, err := caller.Complete(ctx, prompt(5))
+	_, err = caller.Complete(ctx, prompt(5))
 	if p := wantProblem(t, err, api.ProblemDraining, api.OutcomeNotRun); p.RetryAfter == 0 {
 		t.Error("the rejection has no Retry-After")
 	}
