Do not take an engine for stalled while the caller reads slowly

Cause: the watchdog of a stream also ran while the frontend was blocked on the caller's connection. After one idle timeout the connection to the engine was given up, and an engine drops a generation that has no reader for 30 s, so a caller that paused for longer lost its answer.

Change: the watchdog runs only while the next token is awaited.

After: it passes.

--- a/backend/stream.go
+++ b/backend/stream.go
@@ -40,7 +40,10 @@
 	idle     time.Duration
 	next     func() (sse.Event, error, bool)
 	stop     func()
-	done     bool
+	// begun says that an event has arrived. Until then the watchdog runs from
+	// the moment of the request.
+	begun bool
+	done  bool
 	// Duplicates counts tokens that arrived again and were dropped.
 	Duplicates int
 }
@@ -66,11 +69,17 @@
 // io.EOF after the finish marker; any other end of the stream is a
 // *StalledError, *TruncatedError, *MismatchError or *FailedError.
 func (s *Stream) Next() (Token, error) {
+	if s.begun {
+		s.watchdog.Reset(s.idle)
+	}
+	// A caller that reads slowly does not make the engine stalled.
+	defer s.watchdog.Stop()
 	for {
 		event, err, ok := s.next()
 		if err != nil || !ok {
 			return Token{}, s.ended(err)
 		}
+		s.begun = true
 		s.watchdog.Reset(s.idle)
 		if event.Data == api.DoneMarker {
 			s.done = true
