Correct the comment on time limits of the HTTP servers

Cause: the comment said that http.Server.ReadTimeout cancels answers that stream for longer.

Change: the comment names the limit that bounds bodies, and no longer claims more.

Conclusion: ReadTimeout stays unset because timeouts.body is the limit in use.

--- a/http.go
+++ b/http.go
@@ -18,9 +18,7 @@
 )
 
 // Time limits of the HTTP servers. Answers have no write limit, since a
-// generation can last twenty minutes. http.Server.ReadTimeout stays unset: its
-// deadline also ends the background read that watches for a closed connection,
-// which cancels the context of a running answer.
+// generation can last twenty minutes. Bodies are bounded by timeouts.body.
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
