End a rejected restart once in a replay

Cause: a rejected submission gives its attempt number back, so the queue timeout of an earlier attempt took the number of a later one for its own and ended the request while its caller waited to try again. The request then ended twice.

Ruled out: counting rejections as attempts; the bound of attempts is for starts.

Change: the timeout compares request ids, which are never used twice.

--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -231,3 +231,35 @@
 			g.Rejected, g.Requests, g.Rejections, g.Stall.P50)
 	}
 }
+
+// moody is a policy that grants every request at once and rejects every second
+// submission, so that restarted requests are rejected as well.
+type moody struct {
+	dispatch.Core
+	submitted int
+}
+
+func (m *moody) Submit(now time.Time, r dispatch.Request) error {
+	if m.submitted++; m.submitted%2 == 0 {
+		return &dispatch.QueueFullError{Organisation: r.Organisation}
+	}
+	return m.Core.Submit(now, r)
+}
+
+// Guards against the queue timeout of an earlier attempt ending a request whose
+// restart was rejected and waits to try again: the request would end twice.
+func TestRejectedRestartEndsOnce(t *testing.T) {
+	trace := small(40, 200)
+	for i := range 4 {
+		at := int64(i+1) * 300_000
+		trace.Faults = append(trace.Faults, Fault{AtMicros: at, Kind: FaultReclaim, Engine: EngineID(i % 2), DurationMS: 200})
+	}
+	r, err := Run(trace, &moody{Core: dispatch.NewBaseline()}, Options{QueueTimeout: time.Second, Patience: 20 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := r.Total
+	if ended := g.Completed + g.Rejected + g.TimedOut + g.Failed + g.Unfinished; ended != g.Requests || g.Restarts == 0 {
+		t.Errorf("%d of %d requests ended after %d restarts", ended, g.Requests, g.Restarts)
+	}
+}
--- a/replay/request.go
+++ b/replay/request.go
@@ -109,7 +109,6 @@
 	q.id = dispatch.RequestID{VM: q.vm, Sequence: r.submitted}
 	q.granted = false
 	q.attempts++
-	attempt := q.attempts
 	ask := q.ask
 	ask.Excluded = slices.Clone(q.ask.Excluded)
 	if err := r.core.Submit(r.now, dispatch.Request{ID: q.id, Ask: ask}); err != nil {
@@ -119,9 +118,10 @@
 	}
 	r.requests[q.id] = q
 	r.dirty = true
+	id := q.id
 	r.after(r.opts.QueueTimeout, func() {
-		if q.attempts == attempt && !q.granted && !q.done {
-			r.core.Withdraw(r.now, q.id)
+		if q.id == id && !q.granted && !q.done {
+			r.core.Withdraw(r.now, id)
 			r.dirty = true
 			r.complete(q, outcomeTimeout)
 		}
