Record engines that do not respond in a circuit breaker

Cause: the local admission kept choosing a dead engine that the VM list still called live, and nothing else in the process knew of refused connections.

Ruled out: a method on dispatch.Ticket, because the engine client sees every connection already; a time after which an open entry closes by itself, because polls of GET /load close it with the first response.

Change: backend.Breaker opens after a refused connection or three failed queries in a row and closes with the next response. Engines.Query reads a JSON document for polls. dispatch.Local gets Try, which does not wait, and Restrict.

--- /dev/null
+++ b/backend/breaker.go
@@ -0,0 +1,83 @@
+package backend
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// pollFailures is the number of consecutive failures that open the breaker of
+// a backend server. A single lost poll is common under load.
+const pollFailures = 3
+
+// Breaker tracks backend servers that do not respond although the VM list
+// calls them live. An open entry closes with the next response. It is safe for
+// concurrent use.
+type Breaker struct {
+	mu       sync.Mutex
+	failures map[string]int
+	version  atomic.Uint64
+}
+
+// NewBreaker returns a breaker without entries.
+func NewBreaker() *Breaker { return &Breaker{failures: map[string]int{}} }
+
+// Failed counts a request without a response. It opens the entry after
+// several in a row.
+func (b *Breaker) Failed(id string) { b.add(id, 1) }
+
+// Refused opens the entry of a backend server that accepted no connection.
+func (b *Breaker) Refused(id string) { b.add(id, pollFailures) }
+
+func (b *Breaker) add(id string, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.failures[id]
+	b.failures[id] = min(before+n, pollFailures)
+	if before < pollFailures && b.failures[id] == pollFailures {
+		b.version.Add(1)
+	}
+}
+
+// Answered closes the entry.
+func (b *Breaker) Answered(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failures[id] == pollFailures {
+		b.version.Add(1)
+	}
+	delete(b.failures, id)
+}
+
+// Allowed reports whether the backend server may get new work.
+func (b *Breaker) Allowed(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failures[id] < pollFailures
+}
+
+// Open returns the ids of all open entries.
+func (b *Breaker) Open() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id, n := range b.failures {
+		if n == pollFailures {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Retain drops the entries of backend servers that are no longer listed.
+func (b *Breaker) Retain(listed func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.failures {
+		if !listed(id) {
+			delete(b.failures, id)
+		}
+	}
+}
+
+// Version changes whenever an entry opens or closes.
+func (b *Breaker) Version() uint64 { return b.version.Load() }
--- /dev/null
+++ b/backend/breaker_test.go
@@ -0,0 +1,91 @@
+package backend_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+)
+
+// Guards against engines that are chosen although they do not respond, against
+// one lost poll that excludes an engine, and against one that stays excluded
+// after it responds.
+func TestBreaker(t *testing.T) {
+	b := backend.NewBreaker()
+	v := b.Version()
+	b.Failed("a")
+	b.Failed("a")
+	if !b.Allowed("a") || b.Version() != v {
+		t.Error("two failures opened the breaker")
+	}
+	b.Answered("a")
+	b.Failed("a")
+	b.Failed("a")
+	if !b.Allowed("a") {
+		t.Error("failures before a response still count")
+	}
+	b.Failed("a")
+	b.Refused("b")
+	if b.Allowed("a") || b.Allowed("b") || !b.Allowed("c") || b.Version() == v || len(b.Open()) != 2 {
+		t.Errorf("open after failures: %v", b.Open())
+	}
+	v = b.Version()
+	b.Answered("a")
+	b.Retain(func(id string) bool { return id != "b" })
+	if !b.Allowed("a") || len(b.Open()) != 0 || b.Version() == v {
+		t.Errorf("open after a response: %v", b.Open())
+	}
+}
+
+// Guards against a client that does not record refused connections, that counts
+// a caller who left as a failed engine, or that takes status 503 for life.
+func TestEnginesRecordFailures(t *testing.T) {
+	status := atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(int(status.Load()))
+		_, _ = w.Write([]byte("{}"))
+	}))
+	defer server.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := backend.Target{ID: "dead", Address: l.Addr().String()}
+	_ = l.Close()
+	live := backend.Target{ID: "live", Address: server.Listener.Addr().String()}
+
+	e := backend.NewEngines()
+	defer e.Close()
+	start := func(ctx context.Context, to backend.Target) {
+		_, _ = e.Start(ctx, to, api.CompletionRequest{}, backend.StartOptions{FirstToken: time.Second, Idle: time.Second})
+	}
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	if start(left, dead); !e.Breaker().Allowed("dead") {
+		t.Error("a caller who left opened the breaker")
+	}
+	if start(context.Background(), dead); e.Breaker().Allowed("dead") {
+		t.Error("a refused connection did not open the breaker")
+	}
+	query := func() { _ = e.Query(context.Background(), live, "/load", &struct{}{}) }
+	status.Store(http.StatusServiceUnavailable)
+	for range 3 {
+		query()
+	}
+	if e.Breaker().Allowed("live") {
+		t.Error("three answers with status 503 did not open the breaker")
+	}
+	for _, s := range []int32{http.StatusNotFound, http.StatusOK} {
+		e.Breaker().Refused("live")
+		status.Store(s)
+		if query(); !e.Breaker().Allowed("live") {
+			t.Errorf("an answer with status %d did not close the breaker", s)
+		}
+	}
+}
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -33,12 +33,13 @@
 
 // Engines is the client of all inference engines.
 type Engines struct {
-	http *http.Client
+	http    *http.Client
+	breaker *Breaker
 }
 
 // NewEngines returns a client with its own connection pool.
 func NewEngines() *Engines {
-	return &Engines{http: &http.Client{Transport: &http.Transport{
+	return &Engines{breaker: NewBreaker(), http: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerBackend,
 		IdleConnTimeout:     30 * time.Second,
@@ -46,6 +47,9 @@
 	}}}
 }
 
+// Breaker returns the record of engines that do not respond.
+func (e *Engines) Breaker() *Breaker { return e.breaker }
+
 // Close releases idle connections.
 func (e *Engines) Close() { e.http.CloseIdleConnections() }
 
@@ -154,10 +158,16 @@
 	resp, err := e.http.Do(req)
 	if err != nil {
 		if !sent.Load() {
+			if ctx.Err() == nil {
+				e.breaker.Refused(t.ID)
+			}
 			return nil, &NotSentError{Backend: t.ID, Cause: err}
 		}
 		return nil, &UncertainError{Backend: t.ID, Cause: err}
 	}
+	if resp.StatusCode < http.StatusInternalServerError {
+		e.breaker.Answered(t.ID)
+	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
 		return nil, &RejectedError{Backend: t.ID, Status: resp.StatusCode}
--- /dev/null
+++ b/backend/query.go
@@ -0,0 +1,48 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// maxQueryBytes bounds the answer of a query.
+const maxQueryBytes = 4 << 20
+
+// Query reads a JSON document from an engine and records in the breaker
+// whether the engine responded. A *RejectedError with a status below 500 means
+// that the engine is alive and does not offer the document.
+func (e *Engines) Query(ctx context.Context, t Target, path string, into any) error {
+	err := e.query(ctx, t, path, into)
+	rejected, ok := errors.Into[*RejectedError](err)
+	switch {
+	case err == nil || ok && rejected.Status < http.StatusInternalServerError:
+		e.breaker.Answered(t.ID)
+	case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.breaker.Failed(t.ID)
+	}
+	return err
+}
+
+func (e *Engines) query(ctx context.Context, t Target, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+path, nil)
+	if err != nil {
+		return &NotSentError{Backend: t.ID, Cause: err}
+	}
+	resp, err := e.http.Do(req)
+	if err != nil {
+		return &UncertainError{Backend: t.ID, Cause: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 512)) // keeps the connection
+		return &RejectedError{Backend: t.ID, Status: resp.StatusCode}
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxQueryBytes)).Decode(into); err != nil {
+		return &UncertainError{Backend: t.ID, Cause: err}
+	}
+	return nil
+}
--- a/dispatch/local.go
+++ b/dispatch/local.go
@@ -22,6 +22,7 @@
 	limit    int
 	queue    int
 	timeout  time.Duration
+	usable   func(vmlist.VM) bool
 
 	mu      sync.Mutex
 	running map[string]int
@@ -31,12 +32,22 @@
 // NewLocal returns an admission of at most limit streams for each engine and
 // at most queue waiting requests.
 func NewLocal(snapshot func() *control.Snapshot, limit, queue int, timeout time.Duration) *Local {
-	return &Local{snapshot: snapshot, limit: limit, queue: queue, timeout: timeout, running: map[string]int{}}
+	return &Local{
+		snapshot: snapshot, limit: limit, queue: queue, timeout: timeout, running: map[string]int{},
+		usable: func(vmlist.VM) bool { return true },
+	}
+}
+
+// Restrict limits the choice to engines for which usable returns true. It must
+// be called before the first Acquire or Try.
+func (l *Local) Restrict(usable func(vmlist.VM) bool) *Local {
+	l.usable = usable
+	return l
 }
 
 // Acquire implements Admission.
 func (l *Local) Acquire(ctx context.Context, a Ask) (Ticket, error) {
-	if t, err := l.try(a); t != nil || err != nil {
+	if t, err := l.Try(a); t != nil || err != nil {
 		return t, err
 	}
 	if !l.enter() {
@@ -51,7 +62,7 @@
 			return nil, &QueueTimeoutError{Model: a.Model}
 		case <-time.After(localPoll):
 		}
-		if t, err := l.try(a); t != nil || err != nil {
+		if t, err := l.Try(a); t != nil || err != nil {
 			return t, err
 		}
 	}
@@ -73,8 +84,9 @@
 	l.mu.Unlock()
 }
 
-// try returns a ticket, or nil without an error when all engines are full.
-func (l *Local) try(a Ask) (Ticket, error) {
+// Try returns a ticket, or nil without an error when all engines are full.
+// Errors are *NoBackendError. It does not wait.
+func (l *Local) Try(a Ask) (Ticket, error) {
 	engines := l.snapshot().Engines[a.Model]
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -82,7 +94,7 @@
 	usable := 0
 	for i := range engines {
 		vm := &engines[i]
-		if slices.Contains(a.Excluded, vm.ID) {
+		if slices.Contains(a.Excluded, vm.ID) || !l.usable(*vm) {
 			continue
 		}
 		usable++
