Add the grant protocol between frontends and dispatchers

Cause: each VM admitted with its own knowledge only, so fair shares and engine windows did not hold across VMs.

Change: dispatch/grant has a Manager whose state is owned by the control goroutine. The dispatcher side runs one dispatch.Core for each group that rendezvous hashing assigns to this VM. The frontend side asks, reports progress in batches, declares its grants after a role move, and bypasses a dispatcher that does not respond. Groups come from halving the space of hashed engine ids, so that an engine that joins or leaves changes one group only. Keepalives every 100 ms while requests wait detect a dispatcher that went silent; complete ones every 2 s list what the frontend holds, which repairs lost messages. A new dispatcher grants nothing for up to 100 ms until the frontends have declared, then half of its window for up to 1 s.

Ruled out: half of the window alone. Acknowledging each release was also ruled out, because the complete keepalive repairs more kinds of loss.

--- /dev/null
+++ b/dispatch/grant/link.go
@@ -0,0 +1,239 @@
+package grant
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+)
+
+// link is what a frontend knows of one dispatcher.
+type link struct {
+	vm string
+	// awaiting is when the first message without an answer was sent.
+	awaiting time.Time
+	silent   bool
+
+	number      uint64
+	keepaliveAt time.Time
+	syncAt      time.Time
+	// unsettled says that the dispatcher may hold state of this VM. It ends
+	// when the dispatcher has acknowledged a complete keepalive without entries.
+	unsettled bool
+	settling  uint64
+	// declared holds the groups for which this VM has declared its grants.
+	declared map[string]bool
+	finished []*peerpb.StreamProgress
+}
+
+func (f *frontend) link(vm string) *link {
+	l := f.links[vm]
+	if l == nil {
+		l = &link{vm: vm, declared: map[string]bool{}}
+		f.links[vm] = l
+	}
+	return l
+}
+
+func (l *link) expect(now time.Time) {
+	if l.awaiting.IsZero() {
+		l.awaiting = now
+	}
+}
+
+func (l *link) overdue(now time.Time, limit time.Duration) bool {
+	return !l.silent && !l.awaiting.IsZero() && now.Sub(l.awaiting) >= limit
+}
+
+// idle reports whether nothing is left to tell the dispatcher.
+func (l *link) idle() bool { return !l.unsettled && len(l.finished) == 0 }
+
+// heard takes any message as a sign of life.
+func (f *frontend) heard(vm string) {
+	l := f.links[vm]
+	if l == nil {
+		return
+	}
+	l.awaiting = time.Time{}
+	if l.silent {
+		l.silent = false
+		f.declareDue = true
+		f.m.opts.Log.Info("dispatcher_responds", zap.String("peer", vm))
+	}
+}
+
+// keepalives sends keepalives to the dispatchers that need one.
+func (f *frontend) keepalives() {
+	asked := map[string]bool{}
+	for _, r := range f.waiting {
+		asked[r.to] = true
+	}
+	for vm, l := range f.links {
+		if vm == f.m.opts.VM {
+			l.unsettled = false // loopback loses no messages
+			continue
+		}
+		if _, listed := f.m.view.entry[vm]; !listed && !f.owns(vm) {
+			continue
+		}
+		complete := l.unsettled && !l.silent && f.m.now.Sub(l.syncAt) >= syncInterval
+		if complete || (asked[vm] || l.silent) && f.m.now.Sub(l.keepaliveAt) >= keepaliveInterval {
+			f.keepalive(l, complete)
+		}
+	}
+}
+
+func (f *frontend) keepalive(l *link, complete bool) {
+	l.number++
+	l.keepaliveAt = f.m.now
+	k := &peerpb.Keepalive{Number: l.number, Complete: complete}
+	if complete {
+		l.syncAt = f.m.now
+		f.list(l, k)
+	}
+	if f.m.send(l.vm, &peerpb.Dispatch{Message: &peerpb.Dispatch_Keepalive{Keepalive: k}}) == nil {
+		l.expect(f.m.now)
+	}
+}
+
+// list fills in what the dispatcher should hold for this VM.
+func (f *frontend) list(l *link, k *peerpb.Keepalive) {
+	k.Waiting = f.waitingSequences(func(r *request) bool { return r.to == l.vm })
+	for s, t := range f.held {
+		if t.knownBy == l.vm {
+			k.Held = append(k.Held, s)
+		}
+	}
+	slices.Sort(k.Held)
+	if l.settling = 0; len(k.Waiting)+len(k.Held) == 0 {
+		l.settling = l.number
+		return
+	}
+	k.Base = min(first(k.Waiting), first(k.Held))
+	for _, s := range [][]uint64{k.Waiting, k.Held} {
+		for i := range s {
+			s[i] -= k.Base
+		}
+	}
+}
+
+// first returns the lowest of sorted sequences, or the highest value for none.
+func first(sequences []uint64) uint64 {
+	if len(sequences) == 0 {
+		return ^uint64(0)
+	}
+	return sequences[0]
+}
+
+// acknowledged takes the answer to a keepalive.
+func (f *frontend) acknowledged(from string, b *peerpb.KeepaliveAck) {
+	l := f.link(from)
+	if l.settling != 0 && b.Number == l.settling {
+		l.settling, l.unsettled = 0, false
+	}
+	for _, s := range b.Unknown {
+		if t := f.held[s]; t != nil && t.knownBy == from {
+			t.knownBy = ""
+			f.declareDue = true
+		}
+		if r := f.waiting[s]; r != nil && r.to == from && f.m.now.Sub(r.sent) > inFlight {
+			delete(f.waiting, s)
+			f.route(r)
+		}
+	}
+}
+
+// reportProgress sends a batch to each dispatcher with news.
+func (f *frontend) reportProgress() {
+	due := map[string]bool{}
+	for _, t := range f.held {
+		if t.knownBy != "" && t.due() {
+			due[t.knownBy] = true
+		}
+	}
+	for vm := range due {
+		if l := f.link(vm); !l.silent {
+			f.flush(l)
+		}
+	}
+}
+
+// flush sends the progress of all streams of a dispatcher that are due.
+func (f *frontend) flush(l *link) {
+	streams := l.finished
+	l.finished = nil
+	for _, t := range f.held {
+		if t.knownBy == l.vm && t.due() {
+			streams = append(streams, encodeProgress(t))
+		}
+	}
+	if len(streams) == 0 {
+		return
+	}
+	slices.SortFunc(streams, func(a, b *peerpb.StreamProgress) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	p := &peerpb.Progress{Streams: streams, Base: streams[0].Sequence}
+	for _, s := range streams {
+		s.Sequence -= p.Base
+	}
+	// A release that is lost is made good by the next complete keepalive.
+	_ = f.m.send(l.vm, &peerpb.Dispatch{Message: &peerpb.Dispatch_Progress{Progress: p}})
+}
+
+// declareAll tells each dispatcher about grants that it may not know.
+func (f *frontend) declareAll() {
+	f.declareDue = false
+	grants := map[*group][]*ticket{}
+	missing := map[*group]bool{}
+	for _, t := range f.held {
+		g := f.m.view.groupOf[placement{t.ask.Model, t.target.ID}]
+		if g == nil {
+			g = f.m.view.groups[t.group] // the engine is leaving
+		}
+		if g == nil {
+			continue
+		}
+		t.group = g.name
+		grants[g] = append(grants[g], t)
+		missing[g] = missing[g] || t.knownBy != g.owner
+	}
+	for _, g := range f.m.view.groups {
+		l := f.link(g.owner)
+		if !missing[g] && (l.declared[g.name] || g.region != f.m.opts.Region) {
+			continue
+		}
+		if l.silent || !f.declare(l, g, grants[g]) {
+			f.declareDue = f.declareDue || !l.silent // heard sets it again
+		}
+	}
+}
+
+func (f *frontend) declare(l *link, g *group, tickets []*ticket) bool {
+	slices.SortFunc(tickets, func(a, b *ticket) int { return cmp.Compare(a.sequence, b.sequence) })
+	d := &peerpb.Declare{Grants: make([]*peerpb.HeldGrant, 0, len(tickets))}
+	for _, t := range tickets {
+		d.Grants = append(d.Grants, encodeHeld(t))
+	}
+	if f.m.send(l.vm, &peerpb.Dispatch{Group: g.name, Message: &peerpb.Dispatch_Declare{Declare: d}}) != nil {
+		return false
+	}
+	l.declared[g.name] = true
+	for _, t := range tickets {
+		t.knownBy = l.vm
+	}
+	l.unsettled = l.unsettled || len(tickets) > 0
+	return true
+}
+
+// forgetDeclarations makes this VM declare again to dispatchers whose role moved.
+func (f *frontend) forgetDeclarations() {
+	for vm, l := range f.links {
+		for name := range l.declared {
+			if g := f.m.view.groups[name]; g == nil || g.owner != vm {
+				delete(l.declared, name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/grant/network_test.go
@@ -0,0 +1,309 @@
+package grant
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/peer"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// fcfs is a core that serves in order of arrival under a fixed limit of streams.
+type fcfs struct {
+	limit    int
+	reduced  bool
+	backends []dispatch.Backend
+	queue    []dispatch.Request
+	running  map[dispatch.RequestID]string
+	tokens   map[dispatch.RequestID]int
+}
+
+func (c *fcfs) SetShares(time.Time, []dispatch.TenantShare)        {}
+func (c *fcfs) SetBackends(_ time.Time, b []dispatch.Backend)      { c.backends = b }
+func (c *fcfs) Progress(_ time.Time, id dispatch.RequestID, n int) { c.tokens[id] = n }
+func (c *fcfs) Preempted(time.Time, dispatch.RequestID)            {}
+func (c *fcfs) Finish(_ time.Time, id dispatch.RequestID, _ int)   { delete(c.running, id) }
+func (c *fcfs) Declare(_ time.Time, h dispatch.Held)               { c.running[h.Request] = h.Backend }
+func (c *fcfs) Load(time.Time, string, dispatch.LoadReport)        {}
+func (c *fcfs) CacheEvent(time.Time, string, dispatch.CacheEvent)  {}
+func (c *fcfs) Waiting() map[string]int                            { return map[string]int{"": len(c.queue)} }
+func (c *fcfs) ReduceWindow(_ time.Time, reduced bool)             { c.reduced = reduced }
+func (c *fcfs) Submit(_ time.Time, r dispatch.Request) error {
+	if len(c.backends) == 0 {
+		return &dispatch.NoBackendError{Model: r.Model}
+	}
+	c.queue = append(c.queue, r)
+	return nil
+}
+
+func (c *fcfs) Withdraw(_ time.Time, id dispatch.RequestID) {
+	c.queue = slices.DeleteFunc(c.queue, func(r dispatch.Request) bool { return r.ID == id })
+}
+
+func (c *fcfs) on(engine string) (n int) {
+	for _, e := range c.running {
+		if e == engine {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *fcfs) Next(time.Time) []dispatch.Grant {
+	limit := c.limit
+	if c.reduced {
+		limit /= 2
+	}
+	var grants []dispatch.Grant
+	for _, b := range c.backends {
+		for n := c.on(b.ID); n < limit; n++ {
+			i := slices.IndexFunc(c.queue, func(r dispatch.Request) bool { return !slices.Contains(r.Excluded, b.ID) })
+			if i < 0 {
+				break
+			}
+			r := c.queue[i]
+			c.queue = slices.Delete(c.queue, i, i+1)
+			c.running[r.ID] = b.ID
+			grants = append(grants, dispatch.Grant{Request: r.ID, Backend: b.ID})
+		}
+	}
+	return grants
+}
+
+// network is an in-memory peer.Transport between nodes of one test.
+type network struct {
+	ctx   context.Context
+	delay time.Duration
+
+	mu       sync.Mutex
+	nodes    map[string]*node
+	queues   map[[2]string]chan parcel
+	cut      map[[2]string]bool
+	dropRate float64
+	copies   int
+	rand     *rand.Rand
+	messages int
+	bytes    int
+}
+
+// parcel is a message on its way.
+type parcel struct {
+	data []byte
+	due  time.Time
+}
+
+// node is a VM of the network.
+type node struct {
+	id   string
+	net  *network
+	loop *control.Loop
+	m    *Manager
+}
+
+// Send implements peer.Transport.
+func (n *node) Send(to string, m *peerpb.Envelope) error {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	w := n.net
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.messages++
+	w.bytes += len(data)
+	if w.cut[[2]string{n.id, to}] || w.rand.Float64() < w.dropRate {
+		return nil
+	}
+	pair := [2]string{n.id, to}
+	if w.queues[pair] == nil {
+		w.queues[pair] = make(chan parcel, 1024)
+		go w.carry(w.queues[pair], n.id, w.nodes[to])
+	}
+	for range w.copies {
+		select {
+		case w.queues[pair] <- parcel{data, time.Now().Add(w.delay)}:
+		default:
+			return &peer.QueueFullError{Peer: to}
+		}
+	}
+	return nil
+}
+
+func (w *network) carry(queue chan parcel, from string, to *node) {
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case p := <-queue:
+			if wait := time.Until(p.due); wait > 0 && !pause(w.ctx, wait) {
+				return
+			}
+			var m peerpb.Envelope
+			if proto.Unmarshal(p.data, &m) == nil {
+				to.m.Receive(from, m.GetDispatch())
+			}
+		}
+	}
+}
+
+// set changes the faults of the network.
+func (w *network) set(change func(*network)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w)
+}
+
+// freeze stops the control goroutine of a node until the returned function is called.
+func (n *node) freeze(t testing.TB) (thaw func()) {
+	f := frozen(make(chan struct{}))
+	n.loop.Post(f)
+	thaw = sync.OnceFunc(func() { close(f) })
+	t.Cleanup(thaw)
+	return thaw
+}
+
+type frozen chan struct{}
+
+func (f frozen) Apply(*control.State) { <-f }
+
+// cluster is a network of nodes that agree on a VM list.
+type cluster struct {
+	*network
+	t    testing.TB
+	list *vmlist.List
+	// lost is a frozen node that the others suspect.
+	lost *node
+}
+
+const testModel = "quotes"
+
+// newCluster starts nodes in front of engines that run limit streams each.
+func newCluster(t testing.TB, nodes, engines, limit int) *cluster {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	c := &cluster{t: t, list: &vmlist.List{}, network: &network{
+		ctx: ctx, delay: time.Millisecond, nodes: map[string]*node{}, queues: map[[2]string]chan parcel{},
+		cut: map[[2]string]bool{}, copies: 1, rand: rand.New(rand.NewPCG(1, 2)),
+	}}
+	for i := range engines {
+		c.list.VMs = append(c.list.VMs, vmlist.VM{
+			ID: fmt.Sprintf("engine-%d", i), Role: vmlist.RoleEngine, State: vmlist.StateLive, Region: "r", Models: []string{testModel},
+		})
+	}
+	for i := range nodes {
+		id := fmt.Sprintf("vm-%d", i)
+		c.list.VMs = append(c.list.VMs, vmlist.VM{ID: id, Role: vmlist.RoleEntry, State: vmlist.StateLive, Region: "r"})
+		n := &node{id: id, net: c.network, loop: control.NewLoop(zap.NewNop(), time.Now)}
+		n.m = New(Options{
+			VM: id, Region: "r", Loop: n.loop, Transport: n, Breaker: backend.NewBreaker(), Log: zap.NewNop(),
+			NewCore: func() dispatch.Core {
+				return &fcfs{limit: limit, running: map[dispatch.RequestID]string{}, tokens: map[dispatch.RequestID]int{}}
+			},
+			BypassAfter: 250 * time.Millisecond, QueueTimeout: 30 * time.Second, LocalStreams: 2, GroupSize: 32,
+			Queued: 100, QueuedPerOrganisation: 100,
+		})
+		c.nodes[id] = n
+	}
+	for _, n := range c.nodes {
+		go n.loop.Run(ctx)
+		go n.m.Run(ctx)
+	}
+	c.publish()
+	time.Sleep(1200 * time.Millisecond) // ends the reduced window
+	return c
+}
+
+// publish gives all nodes the current list.
+func (c *cluster) publish() {
+	c.list = &vmlist.List{Revision: c.list.Revision + 1, VMs: slices.Clone(c.list.VMs)}
+	for _, n := range c.nodes {
+		n.loop.Post(control.VMListReceived{List: c.list})
+	}
+}
+
+// suspect makes all other nodes suspect one.
+func (c *cluster) suspect(id string, suspect bool) {
+	for _, n := range c.nodes {
+		if n.id != id {
+			n.loop.Post(control.SuspicionChanged{VM: id, Suspect: suspect})
+		}
+	}
+}
+
+// lose freezes a node and makes the others suspect it.
+func (c *cluster) lose(n *node) {
+	c.suspect(n.id, true)
+	n.freeze(c.t)
+	c.lost = n
+}
+
+// owner returns the dispatcher of the only group and the other nodes, in order.
+func (c *cluster) owner() (owner *node, others []*node) {
+	for _, id := range slices.Sorted(maps.Keys(c.nodes)) {
+		n := c.nodes[id]
+		if n == c.lost {
+			continue
+		}
+		if q := n.queues(c.t); len(q.Groups) == 1 && q.Groups[0].Owned {
+			owner = n
+		} else {
+			others = append(others, n)
+		}
+	}
+	if owner == nil {
+		c.t.Fatal("no VM dispatches the group")
+	}
+	return owner, others
+}
+
+func (n *node) queues(t testing.TB) Queues {
+	t.Helper()
+	q, err := n.m.Queues(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return q
+}
+
+// granted returns the number of grants that the node's cores hold.
+func (n *node) granted(t testing.TB) (total int) {
+	for _, g := range n.queues(t).Groups {
+		total += g.Granted
+	}
+	return total
+}
+
+func (n *node) acquire(ctx context.Context) (*ticket, error) {
+	t, err := n.m.Acquire(ctx, dispatch.Ask{Tenant: "t", Organisation: "o", Model: testModel, PromptTokens: 100})
+	if err != nil {
+		return nil, err
+	}
+	return t.(*ticket), nil
+}
+
+// mustAcquire returns n tickets.
+func (n *node) mustAcquire(t testing.TB, count int) []*ticket {
+	t.Helper()
+	var tickets []*ticket
+	for range count {
+		tk, err := n.acquire(context.Background())
+		if err != nil {
+			t.Fatalf("acquire on %s: %v", n.id, err)
+		}
+		tickets = append(tickets, tk)
+	}
+	return tickets
+}
--- /dev/null
+++ b/dispatch/grant/poll.go
@@ -0,0 +1,133 @@
+package grant
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+)
+
+// Intervals of the polls of an engine.
+const (
+	pollInterval = 200 * time.Millisecond
+	// pollTimeout bounds one poll. An engine that takes longer counts as failed.
+	pollTimeout = 500 * time.Millisecond
+	// cachePolls is the number of load polls for each read of cache events,
+	// which engines publish late anyway.
+	cachePolls = 5
+	// unsupportedPolls is the same after an engine said that it has none.
+	unsupportedPolls = 150
+	// targetsInterval is the time between checks of the set of polled engines.
+	targetsInterval = 100 * time.Millisecond
+)
+
+// pollTargets returns the engines of the groups that this VM dispatches, and
+// those whose breaker is open, which only an answer can close.
+func (m *Manager) pollTargets() *[]backend.Target {
+	targets := []backend.Target{}
+	seen := map[string]bool{}
+	add := func(id string) {
+		vm, ok := m.view.snap.Backends[id]
+		if ok && !seen[id] {
+			seen[id] = true
+			targets = append(targets, backend.Target{ID: id, Address: vm.Address})
+		}
+	}
+	for _, c := range m.dispatcher.cores {
+		for _, vm := range c.group.engines {
+			add(vm.ID)
+		}
+	}
+	for _, id := range m.opts.Breaker.Open() {
+		add(id)
+	}
+	return &targets
+}
+
+// Poll reads the load of engines until ctx ends.
+func (m *Manager) Poll(ctx context.Context, engines *backend.Engines) {
+	running := map[backend.Target]context.CancelFunc{}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for pause(ctx, targetsInterval) {
+		wanted := map[backend.Target]bool{}
+		for _, t := range *m.targets.Load() {
+			wanted[t] = true
+			if running[t] == nil {
+				pollCtx, cancel := context.WithCancel(ctx)
+				running[t] = cancel
+				p := &poller{m: m, engines: engines, target: t}
+				wg.Go(func() { p.run(pollCtx) })
+			}
+		}
+		for t, cancel := range running {
+			if !wanted[t] {
+				cancel()
+				delete(running, t)
+			}
+		}
+	}
+	for _, cancel := range running {
+		cancel()
+	}
+}
+
+// poller polls one engine.
+type poller struct {
+	m       *Manager
+	engines *backend.Engines
+	target  backend.Target
+	// after is the last sequence of cache events that was read.
+	after uint64
+	// untilCache counts polls until the next read of cache events.
+	untilCache int
+}
+
+func (p *poller) run(ctx context.Context) {
+	for pause(ctx, pollInterval*3/4+rand.N(pollInterval/2)) {
+		var report dispatch.LoadReport
+		if p.query(ctx, "/load", &report) == nil {
+			p.m.opts.Loop.Post(loadReport{p.m, p.target.ID, report})
+		}
+		if p.untilCache--; p.untilCache <= 0 {
+			p.untilCache = cachePolls
+			p.cache(ctx)
+		}
+	}
+}
+
+func (p *poller) query(ctx context.Context, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return p.engines.Query(ctx, p.target, path, into)
+}
+
+func (p *poller) cache(ctx context.Context) {
+	var events []dispatch.CacheEvent
+	err := p.query(ctx, "/cache-events?after="+strconv.FormatUint(p.after, 10), &events)
+	if rejected, ok := errors.Into[*backend.RejectedError](err); ok && rejected.Status < http.StatusInternalServerError {
+		p.untilCache = unsupportedPolls
+		return
+	}
+	if err != nil || len(events) == 0 {
+		return
+	}
+	p.after = events[len(events)-1].Sequence
+	p.m.opts.Loop.Post(cacheEvents{p.m, p.target.ID, events})
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/dispatch/grant/queues.go
@@ -0,0 +1,85 @@
+package grant
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// Queues is the state of the grant protocol on one VM.
+type Queues struct {
+	VM string `json:"vm"`
+	// Groups are those that this VM dispatches.
+	Groups []GroupQueue `json:"groups"`
+	// Waiting counts requests of this VM at dispatchers, Parked those that
+	// wait for a bypass, Held the grants in use, Bypassed those among them
+	// that no dispatcher gave.
+	Waiting  int `json:"waiting"`
+	Parked   int `json:"parked"`
+	Held     int `json:"held"`
+	Bypassed int `json:"bypassed"`
+	// Silent lists dispatchers that do not respond.
+	Silent []string `json:"silent,omitempty"`
+	// OpenBreakers lists engines that do not respond.
+	OpenBreakers []string `json:"open_breakers,omitempty"`
+	// Totals since the start of the process.
+	Grants     int64 `json:"grants_total"`
+	Bypasses   int64 `json:"bypasses_total"`
+	LateGrants int64 `json:"late_grants_total"`
+}
+
+// GroupQueue is the queue of one group of engines.
+type GroupQueue struct {
+	Group   string `json:"group"`
+	Engines int    `json:"engines"`
+	// Owned is false while the state of a group that moved is kept.
+	Owned   bool `json:"owned"`
+	Reduced bool `json:"reduced"`
+	Granted int  `json:"granted"`
+	Queued  int  `json:"queued"`
+	// Waiting counts queued requests by organisation.
+	Waiting map[string]int `json:"waiting,omitempty"`
+}
+
+// Queues returns the current state. The error is that of ctx.
+func (m *Manager) Queues(ctx context.Context) (Queues, error) {
+	done := make(chan Queues, 1)
+	m.opts.Loop.Post(query{m, done})
+	select {
+	case q := <-done:
+		return q, nil
+	case <-ctx.Done():
+		return Queues{}, errors.Wrap(ctx.Err(), "read queues")
+	}
+}
+
+func (m *Manager) queues() Queues {
+	f := m.frontend
+	q := Queues{
+		VM: m.opts.VM, Groups: []GroupQueue{}, Waiting: len(f.waiting), Parked: len(f.parked), Held: len(f.held),
+		OpenBreakers: m.opts.Breaker.Open(), Grants: f.counters.Grants, Bypasses: f.counters.Bypasses,
+		LateGrants: f.counters.LateGrants,
+	}
+	for _, t := range f.held {
+		if t.local != nil {
+			q.Bypassed++
+		}
+	}
+	for vm, l := range f.links {
+		if l.silent {
+			q.Silent = append(q.Silent, vm)
+		}
+	}
+	for name, c := range m.dispatcher.cores {
+		q.Groups = append(q.Groups, GroupQueue{
+			Group: name, Engines: len(c.group.engines), Owned: c.owned, Reduced: c.reduced,
+			Granted: c.granted, Queued: c.queued, Waiting: c.core.Waiting(),
+		})
+	}
+	slices.Sort(q.Silent)
+	slices.Sort(q.OpenBreakers)
+	slices.SortFunc(q.Groups, func(a, b GroupQueue) int { return cmp.Compare(a.Group, b.Group) })
+	return q
+}
--- /dev/null
+++ b/dispatch/grant/ticket.go
@@ -0,0 +1,58 @@
+package grant
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+)
+
+// ticket is a grant that this VM holds.
+type ticket struct {
+	m        *Manager
+	sequence uint64
+	ask      dispatch.Ask
+	target   backend.Target
+	priority int
+	// local is set when the ticket was taken by bypass.
+	local dispatch.Ticket
+
+	once        sync.Once
+	tokens      atomic.Int64
+	preemptions atomic.Int64
+
+	// The fields below are owned by the control goroutine.
+
+	// knownBy is the dispatcher that counts the ticket, "" if none does.
+	knownBy             string
+	group               string
+	reportedTokens      int64
+	reportedPreemptions int64
+}
+
+// Backend implements dispatch.Ticket.
+func (t *ticket) Backend() backend.Target { return t.target }
+
+// Priority implements dispatch.Ticket.
+func (t *ticket) Priority() int { return t.priority }
+
+// Progress implements dispatch.Ticket.
+func (t *ticket) Progress(tokens int) { t.tokens.Store(int64(tokens)) }
+
+// Preempted implements dispatch.Ticket.
+func (t *ticket) Preempted() { t.preemptions.Add(1) }
+
+// Release implements dispatch.Ticket.
+func (t *ticket) Release(tokens int) {
+	t.once.Do(func() {
+		t.tokens.Store(int64(tokens))
+		t.m.opts.Loop.Post(release{t.m, t})
+	})
+}
+
+// due reports whether the next progress batch must name the ticket.
+func (t *ticket) due() bool {
+	return t.tokens.Load()-t.reportedTokens >= max(progressStep, t.reportedTokens/progressFraction) ||
+		t.preemptions.Load() != t.reportedPreemptions
+}
