Add the fair policy of a dispatcher

Change: flowcontrol holds a two-level fair queue by virtual time, an estimator of remaining output length, and the projected memory of an engine. scheduling chooses an engine by filters, scorers and a picker over a bounded number of candidates. dispatch.NewFair joins them.

Ruled out: scanning all engines for each request, because the cost would grow with the group; an index by room gives the candidates in O(log n).

--- /dev/null
+++ b/dispatch/fair.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/flowcontrol"
+	"github.com/vanillaarch/vanillaarch/scheduling"
+)
+
+// Defaults of FairOptions.
+const (
+	// DefaultQueuePerOrganisation and DefaultQueueTotal count waiting requests.
+	DefaultQueuePerOrganisation = 512
+	DefaultQueueTotal           = 8192
+)
+
+// FairOptions are the parameters of the fair policy. Zero values select defaults.
+type FairOptions struct {
+	// QueuePerOrganisation and QueueTotal bound waiting requests.
+	QueuePerOrganisation, QueueTotal int
+	// WarmUp is how long after the first call the core admits at a reduced
+	// window, because grants of another dispatcher may not be declared yet.
+	WarmUp time.Duration
+	// Window selects how an engine's room is judged.
+	Window flowcontrol.Policy
+	// ShrinkOnPreemption shrinks an engine's window on a preemption.
+	ShrinkOnPreemption bool
+	// Preemption selects whom engines preempt first.
+	Preemption PreemptionOrder
+	// ChargeEstimate charges the estimated length at the grant and corrects it
+	// at the end, instead of charging tokens as they are produced.
+	ChargeEstimate bool
+}
+
+// fair is the fair policy of one group of engines.
+type fair struct {
+	opts      FairOptions
+	tuning    tuning
+	queue     *flowcontrol.Queue[*waitingRequest]
+	estimator *flowcontrol.Estimator
+	gaps      flowcontrol.GapModel
+	prefixes  *scheduling.PrefixIndex
+	index     *scheduling.Index
+	chain     scheduling.Chain
+	engines   map[string]*engine
+	handles   map[int]*engine
+	lastID    int
+	waiting   map[RequestID]*flowcontrol.Item[*waitingRequest]
+	streams   map[RequestID]*stream
+	warmUntil time.Time
+
+	// Buffers of a routing decision, reused.
+	top        []int
+	matches    []scheduling.Match
+	candidates []scheduling.Candidate
+}
+
+// waitingRequest is a request in the queue.
+type waitingRequest struct {
+	Request
+	// blockedSince is when the request was first passed over for lack of room.
+	blockedSince time.Time
+}
+
+// NewFair returns the fair policy: organisations are served by share and
+// weight, and each engine takes as much as its memory is expected to hold.
+func NewFair(o FairOptions) Core {
+	if o.QueuePerOrganisation == 0 {
+		o.QueuePerOrganisation = DefaultQueuePerOrganisation
+	}
+	if o.QueueTotal == 0 {
+		o.QueueTotal = DefaultQueueTotal
+	}
+	return &fair{
+		opts:   o,
+		tuning: newTuning(nil),
+		queue: flowcontrol.NewQueue[*waitingRequest](flowcontrol.Limits{
+			PerOrganisation: o.QueuePerOrganisation, Total: o.QueueTotal,
+		}),
+		estimator: flowcontrol.NewEstimator(),
+		prefixes:  scheduling.NewPrefixIndex(),
+		index:     scheduling.NewIndex(),
+		chain: scheduling.Chain{
+			Filters: []scheduling.Filter{scheduling.NotExcluded{}, scheduling.HasRoom{}},
+			Scorers: []scheduling.Weighted{
+				{Scorer: scheduling.FreeMemory{}, Weight: freeMemoryWeight},
+				{Scorer: scheduling.SmallBatch{}, Weight: smallBatchWeight},
+				{Scorer: scheduling.CachedPrefix{}, Weight: cachedPrefixWeight},
+			},
+			Picker: scheduling.Best{},
+		},
+		engines: map[string]*engine{},
+		handles: map[int]*engine{},
+		waiting: map[RequestID]*flowcontrol.Item[*waitingRequest]{},
+		streams: map[RequestID]*stream{},
+	}
+}
+
+// SetShares implements Core. Waiting requests of organisations that are no
+// longer entitled are dropped.
+func (f *fair) SetShares(now time.Time, shares []TenantShare) {
+	f.warm(now)
+	tenants := make([]flowcontrol.Tenant, 0, len(shares))
+	for _, s := range shares {
+		t := flowcontrol.Tenant{Name: s.Tenant, Share: s.Share}
+		for name, weight := range s.Organisations {
+			t.Organisations = append(t.Organisations, flowcontrol.Organisation{Name: name, Weight: weight})
+		}
+		tenants = append(tenants, t)
+	}
+	for _, r := range f.queue.SetShares(tenants) {
+		delete(f.waiting, r.ID)
+	}
+	f.estimator.Retain(f.queue.Entitled)
+	f.tuning = newTuning(shares)
+	f.refreshAll(now)
+}
+
+// warm starts the warm-up at the first call.
+func (f *fair) warm(now time.Time) {
+	if f.warmUntil.IsZero() {
+		f.warmUntil = now.Add(f.opts.WarmUp)
+	}
+}
+
+// Submit implements Core.
+func (f *fair) Submit(now time.Time, r Request) error {
+	f.warm(now)
+	if f.waiting[r.ID] != nil || f.streams[r.ID] != nil {
+		return nil // a repeated message
+	}
+	if !f.usable(r.Excluded) {
+		return &NoBackendError{Model: r.Model}
+	}
+	item := f.queue.Push(r.Organisation, &waitingRequest{Request: r})
+	if item == nil {
+		return &QueueFullError{Organisation: r.Organisation}
+	}
+	f.waiting[r.ID] = item
+	return nil
+}
+
+// usable reports whether an engine is left that the request does not exclude.
+func (f *fair) usable(excluded []string) bool {
+	left := f.index.Len()
+	for i, id := range excluded {
+		if e := f.engines[id]; e != nil && e.live && !slices.Contains(excluded[:i], id) {
+			left--
+		}
+	}
+	return left > 0
+}
+
+// Withdraw implements Core.
+func (f *fair) Withdraw(_ time.Time, id RequestID) {
+	if item := f.waiting[id]; item != nil {
+		f.queue.Remove(item)
+		delete(f.waiting, id)
+	}
+}
+
+// Waiting implements Core.
+func (f *fair) Waiting() map[string]int { return f.queue.Waiting() }
--- /dev/null
+++ b/dispatch/fairengine.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/flowcontrol"
+)
+
+const (
+	// unknownStreams is the limit of streams of an engine whose memory is not known yet.
+	unknownStreams = 4
+	// maxStreams bounds the batch of an engine while the gap model has no fit.
+	maxStreams = 256
+	// warmUpPart is the part of an engine's memory that is granted during the warm-up.
+	warmUpPart = 0.5
+	// excessReports is the number of load reports that must agree that an engine
+	// holds memory of streams that this core does not know.
+	excessReports = 4
+	// shrinkFactor, growPerSecond and minWindowPart shape the window of an engine
+	// that shrinks on a preemption.
+	shrinkFactor  = 0.9
+	growPerSecond = 0.01
+	minWindowPart = 0.5
+	// shrinkInterval joins the preemptions of one shortage.
+	shrinkInterval = time.Second
+)
+
+// engine is the state of an engine that is live or has streams.
+type engine struct {
+	id          string
+	handle      int
+	live        bool
+	blocks      int
+	blockTokens int
+	window      *flowcontrol.Window
+	// current is the memory that known streams hold, in tokens.
+	current float64
+	// excess holds the memory beyond current of the last load reports, in tokens.
+	excess [excessReports]float64
+	report int
+	// part is the part of memory that the window uses, changed at partAt.
+	part   float64
+	partAt time.Time
+}
+
+// SetBackends implements Core. Streams of a removed engine continue.
+func (f *fair) SetBackends(now time.Time, backends []Backend) {
+	f.warm(now)
+	listed := make(map[string]bool, len(backends))
+	for _, b := range backends {
+		listed[b.ID] = true
+		e := f.engine(b.ID)
+		e.live = true
+		e.resize(b.BlocksTotal, b.BlockTokens)
+		f.refresh(now, e)
+	}
+	f.retain(listed)
+}
+
+// retain stops grants to engines that are not listed.
+func (f *fair) retain(listed map[string]bool) {
+	var gone []*engine
+	for id, e := range f.engines {
+		if !listed[id] {
+			gone = append(gone, e)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *engine) int { return cmp.Compare(a.handle, b.handle) })
+	for _, e := range gone {
+		e.live = false
+		f.index.Remove(e.handle)
+		f.prefixes.Drop(e.handle)
+		f.forget(e)
+	}
+}
+
+// engine returns the state of an engine, creating it if needed.
+func (f *fair) engine(id string) *engine {
+	e := f.engines[id]
+	if e == nil {
+		f.lastID++
+		e = &engine{id: id, handle: f.lastID, window: flowcontrol.NewWindow(f.opts.Window), part: 1}
+		f.engines[id] = e
+		f.handles[e.handle] = e
+	}
+	return e
+}
+
+// forget drops the state of an engine that is not live and has no streams.
+func (f *fair) forget(e *engine) {
+	if !e.live && e.window.Streams() == 0 {
+		delete(f.engines, e.id)
+		delete(f.handles, e.handle)
+	}
+}
+
+func (e *engine) resize(blocks, blockTokens int) {
+	if blocks > 0 && blockTokens > 0 {
+		e.blocks, e.blockTokens = blocks, blockTokens
+	}
+}
+
+// Load implements Core.
+func (f *fair) Load(now time.Time, backend string, r LoadReport) {
+	e := f.engines[backend]
+	if e == nil {
+		return
+	}
+	e.resize(r.BlocksTotal, r.BlockTokens)
+	e.excess[e.report%excessReports] = float64(r.BlocksUsed*r.BlockTokens) - e.current
+	e.report++
+	f.refresh(now, e)
+}
+
+// unknown returns the memory held by streams that this core does not know: the
+// least excess of the last reports, since single reports lag behind.
+func (e *engine) unknown() float64 {
+	if e.report < excessReports {
+		return 0
+	}
+	least := e.excess[0]
+	for _, x := range e.excess[1:] {
+		least = min(least, x)
+	}
+	return max(least, 0)
+}
+
+// CacheEvent implements Core.
+func (f *fair) CacheEvent(_ time.Time, backend string, c CacheEvent) {
+	if e := f.engines[backend]; e != nil && e.live {
+		f.prefixes.Update(e.handle, c.Sequence, c.Stored, c.Evicted, c.Cleared)
+	}
+}
+
+// free returns the part of memory that stays free at the projected peak with one
+// more stream, negative without room.
+func (f *fair) free(now time.Time, e *engine, extra flowcontrol.Usage) float64 {
+	if e.blocks == 0 {
+		return 1 - float64(e.window.Streams())/unknownStreams
+	}
+	total := float64(e.blocks * e.blockTokens)
+	usable := total * (1 - f.tuning.headroom) * e.windowPart(now)
+	if now.Before(f.warmUntil) {
+		usable *= warmUpPart
+	}
+	return (usable - e.unknown() - e.window.Demand(extra)) / total
+}
+
+func (e *engine) windowPart(now time.Time) float64 {
+	return min(1, e.part+growPerSecond*now.Sub(e.partAt).Seconds())
+}
+
+// shrink reduces the window after a preemption.
+func (e *engine) shrink(now time.Time) {
+	if now.Sub(e.partAt) < shrinkInterval {
+		return
+	}
+	e.part = max(minWindowPart, e.windowPart(now)*shrinkFactor)
+	e.partAt = now
+}
+
+// streamLimit returns the batch limit of engines.
+func (f *fair) streamLimit() int {
+	if f.opts.Window == flowcontrol.FixedPolicy {
+		return flowcontrol.FixedStreams
+	}
+	if n, ok := f.gaps.BatchLimit(f.tuning.batchPart); ok {
+		return min(n, maxStreams)
+	}
+	return maxStreams
+}
+
+// refresh updates an engine's place in the index.
+func (f *fair) refresh(now time.Time, e *engine) {
+	if !e.live {
+		return
+	}
+	n := e.window.Streams()
+	room := f.free(now, e, flowcontrol.Usage{})
+	if limit := f.streamLimit(); n >= limit {
+		room = min(room, float64(limit-n-1)/float64(limit))
+	} else {
+		room = min(room, float64(limit-n)/float64(limit))
+	}
+	f.index.Set(e.handle, room)
+}
+
+func (f *fair) refreshAll(now time.Time) {
+	for _, e := range f.engines {
+		f.refresh(now, e)
+	}
+}
--- /dev/null
+++ b/dispatch/fairnext.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/scheduling"
+)
+
+// PreemptionOrder selects whom engines preempt first.
+type PreemptionOrder int
+
+// Orders of preemption.
+const (
+	// LowestShareFirst preempts streams of organisations that are ahead of their share.
+	LowestShareFirst PreemptionOrder = iota
+	// LeastWorkFirst preempts streams that are cheap to compute anew.
+	LeastWorkFirst
+	// LongestRemainderFirst preempts streams that are expected to run for longest.
+	LongestRemainderFirst
+)
+
+const (
+	// candidatesByRoom and candidatesByPrefix bound the engines of a routing decision.
+	candidatesByRoom   = 8
+	candidatesByPrefix = 4
+	// maxPassed bounds the organisations passed over in one call of Next.
+	maxPassed = 8
+	// passTime is how long smaller requests may pass a request that does not
+	// fit. After it, engines are left to free memory for it.
+	passTime = 500 * time.Millisecond
+	// priorityLevels is the number of priorities, and leadPerLevel the tokens
+	// ahead of the share that lower the priority by one.
+	priorityLevels = 16
+	leadPerLevel   = 1024.0
+)
+
+// Next implements Core.
+func (f *fair) Next(now time.Time) []Grant {
+	f.warm(now)
+	var grants []Grant
+	defer f.queue.Unpark()
+	for passed := 0; passed < maxPassed && f.hasRoom(); {
+		item := f.queue.Peek()
+		if item == nil {
+			break
+		}
+		r := item.Value
+		e := f.choose(now, r)
+		if e == nil {
+			if f.reserves(now, r) {
+				break
+			}
+			f.queue.Park(item)
+			passed++
+			continue
+		}
+		f.queue.Pop(item)
+		delete(f.waiting, r.ID)
+		grants = append(grants, f.grant(now, r, e))
+	}
+	return grants
+}
+
+// hasRoom reports whether any engine may have room.
+func (f *fair) hasRoom() bool {
+	room, ok := f.index.Most()
+	return ok && room > 0
+}
+
+// reserves reports whether a request that does not fit has waited for so long
+// that no other may pass it. One that excludes engines never holds up others.
+func (f *fair) reserves(now time.Time, r *waitingRequest) bool {
+	if len(r.Excluded) > 0 {
+		return false
+	}
+	if r.blockedSince.IsZero() {
+		r.blockedSince = now
+	}
+	return now.Sub(r.blockedSince) >= passTime
+}
+
+// choose returns the engine that runs a request, or nil if none has room.
+func (f *fair) choose(now time.Time, r *waitingRequest) *engine {
+	request := scheduling.Request{PromptTokens: float64(r.PromptTokens), Prefix: r.PrefixHashes, Excluded: r.Excluded}
+	f.candidates = f.candidates[:0]
+	f.matches = f.prefixes.Lookup(r.PrefixHashes, candidatesByPrefix, f.matches[:0])
+	for _, m := range f.matches {
+		f.consider(now, r, f.handles[m.Handle], m.Blocks)
+	}
+	// Excluded engines take no place of others.
+	f.top = f.index.Top(candidatesByRoom+len(r.Excluded), f.top[:0])
+	for _, handle := range f.top {
+		if !f.considered(handle) {
+			f.consider(now, r, f.handles[handle], 0)
+		}
+	}
+	c, ok := f.chain.Choose(&request, f.candidates)
+	if !ok {
+		return nil
+	}
+	return f.handles[c.Handle]
+}
+
+func (f *fair) considered(handle int) bool {
+	for i := range f.candidates {
+		if f.candidates[i].Handle == handle {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fair) consider(now time.Time, r *waitingRequest, e *engine, prefixBlocks int) {
+	usage := f.usage(&r.Ask, 0, e.blockTokens)
+	f.candidates = append(f.candidates, scheduling.Candidate{
+		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage),
+		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: prefixBlocks,
+	})
+}
+
+// grant starts a stream and charges its prompt.
+func (f *fair) grant(now time.Time, r *waitingRequest, e *engine) Grant {
+	priority := f.priority(r)
+	s := f.start(now, r.ID, &r.Ask, e, 0)
+	f.charge(s, float64(r.PromptTokens))
+	if f.opts.ChargeEstimate {
+		f.charge(s, f.estimate(r))
+	}
+	return Grant{Request: r.ID, Backend: e.id, Priority: priority}
+}
+
+// estimate returns the median length of a request that starts.
+func (f *fair) estimate(r *waitingRequest) float64 {
+	length := f.estimator.Remaining(r.Organisation, r.Model, 0, 0.5)
+	if r.MaxTokens > 0 {
+		length = min(length, float64(r.MaxTokens))
+	}
+	return length
+}
+
+// priority returns the static priority with which an engine runs a request.
+// Engines preempt the lowest first, of these the one that started last.
+func (f *fair) priority(r *waitingRequest) int {
+	level := 0.0
+	switch f.opts.Preemption {
+	case LeastWorkFirst:
+		level = math.Log2(float64(max(r.PromptTokens, 1)))
+	case LongestRemainderFirst:
+		level = priorityLevels - 1 - math.Log2(f.estimate(r))
+	default:
+		level = priorityLevels/2 - f.queue.Lead(r.Organisation)/leadPerLevel
+	}
+	return int(min(max(level, 0), priorityLevels-1))
+}
--- /dev/null
+++ b/dispatch/fairstream.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/flowcontrol"
+)
+
+const (
+	// estimateGrowth and estimateTokens space the estimates of a stream's
+	// remainder: the next one is due when its tokens have grown by this factor and number.
+	estimateGrowth = 1.1
+	estimateTokens = 8
+)
+
+// stream is a granted request.
+type stream struct {
+	id           RequestID
+	organisation string
+	model        string
+	promptTokens int
+	maxTokens    int
+	engine       *engine
+	usage        flowcontrol.Usage
+	tokens       int
+	tokensAt     time.Time
+	// nextEstimate is the number of tokens at which the remainder is estimated anew.
+	nextEstimate int
+	// charged is what the organisation has paid in tokens.
+	charged float64
+}
+
+// usage projects a stream's memory at the quantile of the tuning.
+func (f *fair) usage(a *Ask, tokens, blockTokens int) flowcontrol.Usage {
+	remaining := f.estimator.Remaining(a.Organisation, a.Model, tokens, f.tuning.quantile)
+	if a.MaxTokens > 0 {
+		remaining = max(1, min(remaining, float64(a.MaxTokens-tokens)))
+	}
+	// Half a block is the mean loss by rounding up.
+	return flowcontrol.Usage{
+		Current:   float64(a.PromptTokens+tokens) + float64(blockTokens)/2,
+		Remaining: remaining,
+	}
+}
+
+// start counts a granted request against its engine.
+func (f *fair) start(now time.Time, id RequestID, a *Ask, e *engine, tokens int) *stream {
+	s := &stream{
+		id: id, organisation: a.Organisation, model: a.Model, promptTokens: a.PromptTokens, maxTokens: a.MaxTokens,
+		engine: e, usage: f.usage(a, tokens, e.blockTokens), tokens: tokens,
+	}
+	s.nextEstimate = estimateAfter(tokens)
+	f.streams[id] = s
+	e.window.Add(s.usage)
+	e.current += s.usage.Current
+	f.refresh(now, e)
+	return s
+}
+
+func estimateAfter(tokens int) int { return int(float64(tokens)*estimateGrowth) + estimateTokens }
+
+// charge makes an organisation pay for tokens.
+func (f *fair) charge(s *stream, tokens float64) {
+	s.charged += tokens
+	f.queue.Charge(s.organisation, tokens)
+}
+
+// Progress implements Core.
+func (f *fair) Progress(now time.Time, id RequestID, tokens int) {
+	s := f.streams[id]
+	if s == nil || tokens <= s.tokens {
+		return
+	}
+	added := tokens - s.tokens
+	if !s.tokensAt.IsZero() && now.After(s.tokensAt) {
+		f.gaps.Learn(s.engine.window.Streams(), now.Sub(s.tokensAt)/time.Duration(added))
+	}
+	s.tokens, s.tokensAt = tokens, now
+	if !f.opts.ChargeEstimate {
+		f.charge(s, float64(added))
+	}
+	f.grow(now, s, added)
+}
+
+// grow updates the memory of a stream that produced tokens.
+func (f *fair) grow(now time.Time, s *stream, added int) {
+	usage := flowcontrol.Usage{
+		Current:   s.usage.Current + float64(added),
+		Remaining: max(1, s.usage.Remaining-float64(added)),
+	}
+	if s.tokens >= s.nextEstimate {
+		s.nextEstimate = estimateAfter(s.tokens)
+		a := Ask{Organisation: s.organisation, Model: s.model, PromptTokens: s.promptTokens, MaxTokens: s.maxTokens}
+		usage = f.usage(&a, s.tokens, s.engine.blockTokens)
+	}
+	f.replace(now, s, usage)
+}
+
+func (f *fair) replace(now time.Time, s *stream, usage flowcontrol.Usage) {
+	e := s.engine
+	e.window.Remove(s.usage)
+	e.window.Add(usage)
+	e.current += usage.Current - s.usage.Current
+	s.usage = usage
+	f.refresh(now, e)
+}
+
+// Preempted implements Core.
+func (f *fair) Preempted(now time.Time, id RequestID) {
+	s := f.streams[id]
+	if s == nil {
+		return
+	}
+	s.tokensAt = time.Time{} // the pause is not a gap of the batch
+	if f.opts.ShrinkOnPreemption {
+		s.engine.shrink(now)
+		f.refresh(now, s.engine)
+	}
+}
+
+// Finish implements Core.
+func (f *fair) Finish(now time.Time, id RequestID, tokens int) {
+	s := f.streams[id]
+	if s == nil {
+		return
+	}
+	tokens = max(tokens, s.tokens)
+	if f.opts.ChargeEstimate {
+		f.charge(s, float64(s.promptTokens+tokens)-s.charged)
+	} else {
+		f.charge(s, float64(tokens-s.tokens))
+	}
+	if f.queue.Entitled(s.organisation) {
+		f.estimator.Learn(s.organisation, s.model, tokens)
+	}
+	delete(f.streams, id)
+	e := s.engine
+	e.window.Remove(s.usage)
+	if e.current -= s.usage.Current; e.window.Streams() == 0 {
+		e.current = 0
+	}
+	f.refresh(now, e)
+	f.forget(e)
+}
+
+// Declare implements Core.
+func (f *fair) Declare(now time.Time, h Held) {
+	f.warm(now)
+	if f.streams[h.Request] != nil {
+		return
+	}
+	f.Withdraw(now, h.Request)
+	f.start(now, h.Request, &h.Ask, f.engine(h.Backend), h.Tokens)
+}
--- /dev/null
+++ b/dispatch/fairtuning.go
@@ -0,0 +1,51 @@
+package dispatch
+
+// Weights of the scorers in a routing decision.
+const (
+	freeMemoryWeight   = 1.0
+	smallBatchWeight   = 1.0
+	cachedPrefixWeight = 1.0
+)
+
+// tuning holds the decisions that follow from the tenants' weights of the three metrics.
+type tuning struct {
+	// quantile of the remaining length at which streams count against a window.
+	quantile float64
+	// headroom is the part of an engine's memory that is not granted.
+	headroom float64
+	// batchPart is the part of an engine's greatest token rate at which its
+	// batch is limited.
+	batchPart float64
+}
+
+// Bounds of the tuning. A high weight of preemptions leaves more memory free; a
+// high weight of the gap between tokens limits batches, at the cost of queueing.
+const (
+	minQuantile, maxQuantile   = 0.5, 0.9
+	minHeadroom, maxHeadroom   = 0.02, 0.10
+	minBatchPart, maxBatchPart = 0.50, 0.80
+)
+
+// newTuning averages the weights over tenants by share.
+func newTuning(shares []TenantShare) tuning {
+	var stall, preemptions, gap float64
+	for _, s := range shares {
+		if total := s.StallTime + s.Preemptions + s.InterTokenLatency; total > 0 {
+			stall += s.Share * s.StallTime / total
+			preemptions += s.Share * s.Preemptions / total
+			gap += s.Share * s.InterTokenLatency / total
+		}
+	}
+	total := stall + preemptions + gap
+	if total == 0 {
+		stall, preemptions, gap, total = 1, 1, 1, 3
+	}
+	return tuning{
+		quantile:  between(minQuantile, maxQuantile, preemptions/total),
+		headroom:  between(minHeadroom, maxHeadroom, preemptions/total),
+		batchPart: between(maxBatchPart, minBatchPart, gap/total),
+	}
+}
+
+// between interpolates from low at 0 to high at 1.
+func between(low, high, part float64) float64 { return low + (high-low)*part }
--- /dev/null
+++ b/flowcontrol/estimator.go
@@ -0,0 +1,142 @@
+package flowcontrol
+
+import "math"
+
+const (
+	// bucketsPerOctave sets the resolution of a length histogram: bounds grow by 2^(1/4), 19%.
+	bucketsPerOctave = 4
+	// maxLengthOctaves bounds learned lengths at 2^16 tokens.
+	maxLengthOctaves = 16
+	lengthBuckets    = bucketsPerOctave*maxLengthOctaves + 1
+	// minSamples is the weight of finished generations at least as long as the
+	// current one that a histogram needs before it is used.
+	minSamples = 16
+	// maxSamples is the weight at which a histogram is halved, so that it
+	// follows changes within some hundred generations.
+	maxSamples = 1024
+	// priorMedian is the median length in tokens that is assumed without samples.
+	priorMedian = 256
+)
+
+// lengthBounds holds the upper bound of each bucket in tokens.
+var lengthBounds = func() (bounds [lengthBuckets]float64) {
+	for i := range bounds {
+		bounds[i] = math.Exp2(float64(i) / bucketsPerOctave)
+	}
+	return bounds
+}()
+
+func lengthBucket(tokens float64) int {
+	if tokens <= 1 {
+		return 0
+	}
+	return min(int(math.Ceil(math.Log2(tokens)*bucketsPerOctave)), lengthBuckets-1)
+}
+
+// lengths is a histogram of output lengths with a bounded number of log-spaced buckets.
+type lengths struct {
+	counts [lengthBuckets]float64
+	total  float64
+}
+
+func (l *lengths) learn(tokens int) {
+	l.counts[lengthBucket(float64(tokens))]++
+	l.total++
+	if l.total < maxSamples {
+		return
+	}
+	l.total = 0
+	for i := range l.counts {
+		l.counts[i] /= 2
+		l.total += l.counts[i]
+	}
+}
+
+// quantile returns the length that a generation of more than tokens tokens does
+// not exceed with probability q. It reports false with too few samples.
+func (l *lengths) quantile(tokens int, q float64) (float64, bool) {
+	first := lengthBucket(float64(tokens) + 1)
+	var tail float64
+	for i := first; i < lengthBuckets; i++ {
+		tail += l.counts[i]
+	}
+	if tail < minSamples {
+		return 0, false
+	}
+	left := tail * q
+	for i := first; i < lengthBuckets; i++ {
+		if left <= l.counts[i] {
+			return interpolate(i, left/l.counts[i]), true
+		}
+		left -= l.counts[i]
+	}
+	return lengthBounds[lengthBuckets-1], true
+}
+
+func interpolate(bucket int, part float64) float64 {
+	low := 0.0
+	if bucket > 0 {
+		low = lengthBounds[bucket-1]
+	}
+	return low + (lengthBounds[bucket]-low)*part
+}
+
+type lengthKey struct{ organisation, model string }
+
+// Estimator predicts the remaining length of a generation from the tokens it
+// has produced so far. It learns a histogram for each organisation and model,
+// falls back to that of the model, and then to a heavy-tailed prior.
+type Estimator struct {
+	organisations map[lengthKey]*lengths
+	models        map[string]*lengths
+}
+
+// NewEstimator returns an estimator without samples.
+func NewEstimator() *Estimator {
+	return &Estimator{organisations: map[lengthKey]*lengths{}, models: map[string]*lengths{}}
+}
+
+// Retain drops the histograms of organisations that are not entitled.
+func (e *Estimator) Retain(entitled func(organisation string) bool) {
+	for key := range e.organisations {
+		if !entitled(key.organisation) {
+			delete(e.organisations, key)
+		}
+	}
+}
+
+// Learn adds the length of a finished generation.
+func (e *Estimator) Learn(organisation, model string, tokens int) {
+	if tokens <= 0 {
+		return
+	}
+	key := lengthKey{organisation, model}
+	if e.organisations[key] == nil {
+		e.organisations[key] = &lengths{}
+	}
+	if e.models[model] == nil {
+		e.models[model] = &lengths{}
+	}
+	e.organisations[key].learn(tokens)
+	e.models[model].learn(tokens)
+}
+
+// Remaining returns how many more tokens a generation produces, at most with
+// probability q, given that it has produced tokens. It is at least 1.
+func (e *Estimator) Remaining(organisation, model string, tokens int, q float64) float64 {
+	for _, l := range [...]*lengths{e.organisations[lengthKey{organisation, model}], e.models[model]} {
+		if l == nil {
+			continue
+		}
+		if length, ok := l.quantile(tokens, q); ok {
+			return max(1, length-float64(tokens))
+		}
+	}
+	return priorRemaining(tokens, q)
+}
+
+// priorRemaining is the conditional quantile of the distribution with
+// P(length > x) = 1/(1 + x/priorMedian).
+func priorRemaining(tokens int, q float64) float64 {
+	return max(1, (priorMedian+float64(tokens))*q/(1-q))
+}
--- /dev/null
+++ b/flowcontrol/gap.go
@@ -0,0 +1,47 @@
+package flowcontrol
+
+import "time"
+
+// gapDecay forgets old observations within some thousand tokens.
+const gapDecay = 0.9995
+
+// minGapSamples is the weight of observations before the model is used.
+const minGapSamples = 200
+
+// GapModel learns how the gap between the tokens of a stream grows with the
+// batch of its engine: gap = base + slope * streams. It is a least squares fit
+// with exponential forgetting, in constant time and memory.
+type GapModel struct{ n, x, y, xx, xy float64 }
+
+// Learn adds the mean gap of tokens produced in a batch of streams.
+func (g *GapModel) Learn(streams int, gap time.Duration) {
+	x, y := float64(streams), gap.Seconds()
+	g.n = g.n*gapDecay + 1
+	g.x = g.x*gapDecay + x
+	g.y = g.y*gapDecay + y
+	g.xx = g.xx*gapDecay + x*x
+	g.xy = g.xy*gapDecay + x*y
+}
+
+// Fit returns base and slope in seconds. It reports false while the
+// observations do not determine both as positive.
+func (g *GapModel) Fit() (base, slope float64, ok bool) {
+	d := g.n*g.xx - g.x*g.x
+	if g.n < minGapSamples || d < 1e-3*g.n*g.n {
+		return 0, 0, false
+	}
+	slope = (g.n*g.xy - g.x*g.y) / d
+	base = (g.y - slope*g.x) / g.n
+	return base, slope, base > 0 && slope > 0
+}
+
+// BatchLimit returns the number of streams at which an engine produces part of
+// its greatest token rate (which it approaches as the batch grows). It reports
+// false while the gap is not known.
+func (g *GapModel) BatchLimit(part float64) (int, bool) {
+	base, slope, ok := g.Fit()
+	if !ok {
+		return 0, false
+	}
+	return max(1, int(part/(1-part)*base/slope)), true
+}
--- /dev/null
+++ b/flowcontrol/heap.go
@@ -0,0 +1,76 @@
+package flowcontrol
+
+import "container/heap"
+
+const notInHeap = -1
+
+// flow is a party that competes by virtual time.
+type flow struct {
+	vtime, weight float64
+	// order breaks ties, so that equal calls give equal results.
+	order int
+	index int
+}
+
+func (f *flow) state() *flow { return f }
+
+type hasFlow interface {
+	comparable
+	state() *flow
+}
+
+// flowHeap orders active flows by virtual time.
+type flowHeap[F hasFlow] struct{ items []F }
+
+func (h *flowHeap[F]) Len() int { return len(h.items) }
+
+func (h *flowHeap[F]) Less(i, j int) bool {
+	a, b := h.items[i].state(), h.items[j].state()
+	if a.vtime != b.vtime {
+		return a.vtime < b.vtime
+	}
+	return a.order < b.order
+}
+
+func (h *flowHeap[F]) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].state().index, h.items[j].state().index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap[F]) Push(x any) {
+	f := x.(F)
+	f.state().index = len(h.items)
+	h.items = append(h.items, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap[F]) Pop() any {
+	last := len(h.items) - 1
+	f := h.items[last]
+	var zero F
+	h.items[last] = zero
+	h.items = h.items[:last]
+	f.state().index = notInHeap
+	return f
+}
+
+func (h *flowHeap[F]) top() F { return h.items[0] }
+
+func (h *flowHeap[F]) push(f F) { heap.Push(h, f) }
+
+func (h *flowHeap[F]) remove(f F) { heap.Remove(h, f.state().index) }
+
+func (h *flowHeap[F]) fix(f F) {
+	if i := f.state().index; i != notInHeap {
+		heap.Fix(h, i)
+	}
+}
+
+// virtual advances the virtual time to that of the lowest active flow and returns it.
+func (h *flowHeap[F]) virtual(v *float64) float64 {
+	if len(h.items) > 0 {
+		*v = max(*v, h.items[0].state().vtime)
+	}
+	return *v
+}
--- /dev/null
+++ b/flowcontrol/queue.go
@@ -0,0 +1,298 @@
+// Package flowcontrol holds the admission logic of a dispatcher: a two-level
+// fair queue, an estimator of output lengths and the admission window of an
+// engine. Nothing in it reads a clock or depends on map iteration order.
+package flowcontrol
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxDebt bounds, in tokens, how far an organisation that becomes active can
+// be behind the others because of capacity it used while nobody else waited.
+const maxDebt = 16384
+
+// Tenant is the entitlement of a tenant.
+type Tenant struct {
+	Name string
+	// Share is the part of the pool.
+	Share         float64
+	Organisations []Organisation
+}
+
+// Organisation is the entitlement of an organisation within its tenant. Names
+// are unique across tenants.
+type Organisation struct {
+	Name   string
+	Weight float64
+}
+
+// Limits bounds the number of waiting requests.
+type Limits struct {
+	// PerOrganisation and Total count requests.
+	PerOrganisation, Total int
+}
+
+// Item is a waiting request in a Queue.
+type Item[T any] struct {
+	Value      T
+	org        *orgQueue[T]
+	prev, next *Item[T]
+}
+
+// Organisation returns the name of the organisation that the item belongs to.
+func (i *Item[T]) Organisation() string { return i.org.name }
+
+// Queue is a two-level fair queue: it serves the tenant with the lowest virtual
+// time, and within it the organisation with the lowest virtual time. Virtual
+// time advances by charged tokens divided by share or weight. Operations take
+// O(log n) time in the number of tenants and organisations.
+type Queue[T any] struct {
+	limits  Limits
+	tenants map[string]*tenantQueue[T]
+	orgs    map[string]*orgQueue[T]
+	active  flowHeap[*tenantQueue[T]]
+	parked  []*orgQueue[T]
+	virtual float64
+	length  int
+}
+
+type tenantQueue[T any] struct {
+	flow
+	active  flowHeap[*orgQueue[T]]
+	virtual float64
+}
+
+type orgQueue[T any] struct {
+	flow
+	name        string
+	tenant      *tenantQueue[T]
+	first, last *Item[T]
+	length      int
+	parked      bool
+}
+
+// NewQueue returns a queue without entitlements.
+func NewQueue[T any](limits Limits) *Queue[T] {
+	return &Queue[T]{limits: limits, tenants: map[string]*tenantQueue[T]{}, orgs: map[string]*orgQueue[T]{}}
+}
+
+// SetShares replaces the entitlements. It returns the waiting requests of
+// organisations that are no longer entitled.
+func (q *Queue[T]) SetShares(tenants []Tenant) []T {
+	q.Unpark()
+	tenants = slices.Clone(tenants)
+	slices.SortFunc(tenants, func(a, b Tenant) int { return cmp.Compare(a.Name, b.Name) })
+	old := q.orgs
+	oldTenants := q.tenants
+	q.tenants = make(map[string]*tenantQueue[T], len(tenants))
+	q.orgs = make(map[string]*orgQueue[T], len(old))
+	q.active = flowHeap[*tenantQueue[T]]{}
+	for i, t := range tenants {
+		tq := oldTenants[t.Name]
+		if tq == nil {
+			tq = &tenantQueue[T]{}
+			tq.vtime = q.virtual
+		}
+		tq.flow = flow{vtime: tq.vtime, weight: positive(t.Share), order: i, index: notInHeap}
+		tq.active = flowHeap[*orgQueue[T]]{}
+		q.tenants[t.Name] = tq
+		q.setOrganisations(tq, t.Organisations, old)
+		if tq.active.Len() > 0 {
+			q.active.push(tq)
+		}
+	}
+	return q.dropped(old)
+}
+
+func (q *Queue[T]) setOrganisations(tq *tenantQueue[T], orgs []Organisation, old map[string]*orgQueue[T]) {
+	orgs = slices.Clone(orgs)
+	slices.SortFunc(orgs, func(a, b Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	for i, o := range orgs {
+		oq := old[o.Name]
+		if oq == nil {
+			oq = &orgQueue[T]{name: o.Name}
+			oq.vtime = tq.virtual
+		} else if oq.tenant != tq {
+			oq.vtime = tq.virtual
+		}
+		oq.flow = flow{vtime: oq.vtime, weight: positive(o.Weight), order: i, index: notInHeap}
+		oq.tenant = tq
+		q.orgs[o.Name] = oq
+		if oq.length > 0 {
+			tq.active.push(oq)
+		}
+	}
+}
+
+func (q *Queue[T]) dropped(old map[string]*orgQueue[T]) []T {
+	var names []string
+	for name := range old {
+		if q.orgs[name] == nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var values []T
+	for _, name := range names {
+		for i := old[name].first; i != nil; i = i.next {
+			values = append(values, i.Value)
+			q.length--
+		}
+	}
+	return values
+}
+
+// Push queues a request. It returns nil if the organisation has no entitlement
+// or a limit is reached.
+func (q *Queue[T]) Push(organisation string, value T) *Item[T] {
+	oq := q.orgs[organisation]
+	if oq == nil || oq.length >= q.limits.PerOrganisation || q.length >= q.limits.Total {
+		return nil
+	}
+	item := &Item[T]{Value: value, org: oq, prev: oq.last}
+	if oq.last == nil {
+		oq.first = item
+	} else {
+		oq.last.next = item
+	}
+	oq.last = item
+	oq.length++
+	q.length++
+	if oq.length == 1 {
+		oq.vtime = activation(oq.vtime, oq.weight, oq.tenant.active.virtual(&oq.tenant.virtual))
+		q.activate(oq)
+	}
+	return item
+}
+
+// activation returns the virtual time with which a flow joins the active ones:
+// no credit for the time it was idle, and a bounded debt.
+func activation(vtime, weight, virtual float64) float64 {
+	return min(max(vtime, virtual), virtual+maxDebt/weight)
+}
+
+func (q *Queue[T]) activate(oq *orgQueue[T]) {
+	t := oq.tenant
+	t.active.push(oq)
+	if t.index == notInHeap {
+		t.vtime = activation(t.vtime, t.weight, q.active.virtual(&q.virtual))
+		q.active.push(t)
+	}
+}
+
+func (q *Queue[T]) deactivate(oq *orgQueue[T]) {
+	t := oq.tenant
+	t.active.remove(oq)
+	if t.active.Len() == 0 {
+		q.active.remove(t)
+	}
+}
+
+// Peek returns the item to serve next, or nil.
+func (q *Queue[T]) Peek() *Item[T] {
+	if q.active.Len() == 0 {
+		return nil
+	}
+	return q.active.top().active.top().first
+}
+
+// Pop removes the item that Peek returned, because it is served.
+func (q *Queue[T]) Pop(item *Item[T]) {
+	oq := item.org
+	q.virtual = max(q.virtual, oq.tenant.vtime)
+	oq.tenant.virtual = max(oq.tenant.virtual, oq.vtime)
+	q.Remove(item)
+}
+
+// Remove takes a waiting item out of the queue.
+func (q *Queue[T]) Remove(item *Item[T]) {
+	oq := item.org
+	if item.prev == nil {
+		oq.first = item.next
+	} else {
+		item.prev.next = item.next
+	}
+	if item.next == nil {
+		oq.last = item.prev
+	} else {
+		item.next.prev = item.prev
+	}
+	oq.length--
+	q.length--
+	if oq.length == 0 && oq.index != notInHeap {
+		q.deactivate(oq)
+	}
+}
+
+// Park passes over the organisation of the item until Unpark.
+func (q *Queue[T]) Park(item *Item[T]) {
+	oq := item.org
+	oq.parked = true
+	q.deactivate(oq)
+	q.parked = append(q.parked, oq)
+}
+
+// Unpark ends the effect of Park.
+func (q *Queue[T]) Unpark() {
+	for _, oq := range q.parked {
+		oq.parked = false
+		if oq.length == 0 {
+			continue
+		}
+		t := oq.tenant
+		t.active.push(oq)
+		if t.index == notInHeap {
+			q.active.push(t)
+		}
+	}
+	q.parked = q.parked[:0]
+}
+
+// Charge advances the virtual time of an organisation and its tenant. Negative
+// tokens correct an earlier charge.
+func (q *Queue[T]) Charge(organisation string, tokens float64) {
+	oq := q.orgs[organisation]
+	if oq == nil || tokens == 0 {
+		return
+	}
+	oq.vtime += tokens / oq.weight
+	oq.tenant.active.fix(oq)
+	oq.tenant.vtime += tokens / oq.tenant.weight
+	q.active.fix(oq.tenant)
+}
+
+// Lead returns how many tokens an organisation is ahead of the virtual time of
+// the queue, summed over both levels. It is negative for one that is owed tokens.
+func (q *Queue[T]) Lead(organisation string) float64 {
+	oq := q.orgs[organisation]
+	if oq == nil {
+		return 0
+	}
+	t := oq.tenant
+	return (oq.vtime-t.active.virtual(&t.virtual))*oq.weight + (t.vtime-q.active.virtual(&q.virtual))*t.weight
+}
+
+// Entitled reports whether the organisation is in the entitlements.
+func (q *Queue[T]) Entitled(organisation string) bool { return q.orgs[organisation] != nil }
+
+// Len returns the number of waiting requests.
+func (q *Queue[T]) Len() int { return q.length }
+
+// Waiting returns the number of waiting requests of each organisation that has any.
+func (q *Queue[T]) Waiting() map[string]int {
+	waiting := map[string]int{}
+	for name, oq := range q.orgs {
+		if oq.length > 0 {
+			waiting[name] = oq.length
+		}
+	}
+	return waiting
+}
+
+func positive(weight float64) float64 {
+	if weight > 0 {
+		return weight
+	}
+	return 1
+}
--- /dev/null
+++ b/scheduling/index.go
@@ -0,0 +1,107 @@
+package scheduling
+
+import "container/heap"
+
+// Index orders engines by room, most first. Changes take O(log n) time, and the
+// k engines with the most room are found in O(k log k) time.
+type Index struct {
+	heap roomHeap
+}
+
+type roomEntry struct {
+	handle int
+	room   float64
+}
+
+type roomHeap struct {
+	entries []roomEntry
+	at      map[int]int
+}
+
+// NewIndex returns an empty index.
+func NewIndex() *Index { return &Index{heap: roomHeap{at: map[int]int{}}} }
+
+// Set adds an engine or changes its room.
+func (x *Index) Set(handle int, room float64) {
+	if i, ok := x.heap.at[handle]; ok {
+		if x.heap.entries[i].room != room {
+			x.heap.entries[i].room = room
+			heap.Fix(&x.heap, i)
+		}
+		return
+	}
+	heap.Push(&x.heap, roomEntry{handle, room})
+}
+
+// Remove takes an engine out of the index.
+func (x *Index) Remove(handle int) {
+	if i, ok := x.heap.at[handle]; ok {
+		heap.Remove(&x.heap, i)
+	}
+}
+
+// Len returns the number of engines.
+func (x *Index) Len() int { return len(x.heap.entries) }
+
+// Most returns the greatest room, or false without engines.
+func (x *Index) Most() (float64, bool) {
+	if len(x.heap.entries) == 0 {
+		return 0, false
+	}
+	return x.heap.entries[0].room, true
+}
+
+// Top appends the handles of the k engines with the most room, most first.
+func (x *Index) Top(k int, handles []int) []int {
+	if len(x.heap.entries) == 0 {
+		return handles
+	}
+	// frontier holds positions whose parents have been taken.
+	frontier := make([]int, 1, k+1)
+	for range min(k, len(x.heap.entries)) {
+		best := 0
+		for i := range frontier {
+			if x.heap.Less(frontier[i], frontier[best]) {
+				best = i
+			}
+		}
+		at := frontier[best]
+		handles = append(handles, x.heap.entries[at].handle)
+		frontier[best] = frontier[len(frontier)-1]
+		frontier = frontier[:len(frontier)-1]
+		for child := 2*at + 1; child <= 2*at+2 && child < len(x.heap.entries); child++ {
+			frontier = append(frontier, child)
+		}
+	}
+	return handles
+}
+
+func (h *roomHeap) Len() int { return len(h.entries) }
+
+func (h *roomHeap) Less(i, j int) bool {
+	if h.entries[i].room != h.entries[j].room {
+		return h.entries[i].room > h.entries[j].room
+	}
+	return h.entries[i].handle < h.entries[j].handle
+}
+
+func (h *roomHeap) Swap(i, j int) {
+	h.entries[i], h.entries[j] = h.entries[j], h.entries[i]
+	h.at[h.entries[i].handle], h.at[h.entries[j].handle] = i, j
+}
+
+// Push implements heap.Interface.
+func (h *roomHeap) Push(x any) {
+	e := x.(roomEntry)
+	h.at[e.handle] = len(h.entries)
+	h.entries = append(h.entries, e)
+}
+
+// Pop implements heap.Interface.
+func (h *roomHeap) Pop() any {
+	last := len(h.entries) - 1
+	e := h.entries[last]
+	h.entries = h.entries[:last]
+	delete(h.at, e.handle)
+	return e
+}
--- /dev/null
+++ b/scheduling/prefix.go
@@ -0,0 +1,152 @@
+package scheduling
+
+// maxIndexedBlocks bounds the index entries of one engine, in blocks.
+const maxIndexedBlocks = 1 << 16
+
+// maxHolders bounds the engines recorded for one block, so that an update does
+// not grow with the group. More holders than that do not improve a choice.
+const maxHolders = 32
+
+// PrefixIndex records which engines have which prompt blocks cached, from their
+// cache events. It is approximate: events are late, and a gap in the sequence
+// drops all entries of that engine.
+type PrefixIndex struct {
+	holders map[uint64][]holder
+	engines map[int]*cached
+}
+
+// holder is an engine that has a block; at is the entry's position in its list.
+type holder struct {
+	handle int
+	at     int
+}
+
+type cached struct {
+	sequence uint64
+	blocks   []blockRef
+}
+
+// blockRef is a cached block and the position of the engine among its holders.
+type blockRef struct {
+	hash uint64
+	at   int
+}
+
+// NewPrefixIndex returns an empty index.
+func NewPrefixIndex() *PrefixIndex {
+	return &PrefixIndex{holders: map[uint64][]holder{}, engines: map[int]*cached{}}
+}
+
+// Update applies a cache event of an engine.
+func (x *PrefixIndex) Update(handle int, sequence uint64, stored, evicted []uint64, cleared bool) {
+	c := x.engines[handle]
+	if c == nil {
+		c = &cached{}
+		x.engines[handle] = c
+	} else if sequence <= c.sequence {
+		return
+	} else if sequence != c.sequence+1 {
+		x.clear(c)
+	}
+	c.sequence = sequence
+	if cleared {
+		x.clear(c)
+	}
+	for _, hash := range evicted {
+		x.evict(handle, c, hash)
+	}
+	for _, hash := range stored {
+		x.store(handle, c, hash)
+	}
+}
+
+// Drop removes an engine.
+func (x *PrefixIndex) Drop(handle int) {
+	if c := x.engines[handle]; c != nil {
+		x.clear(c)
+		delete(x.engines, handle)
+	}
+}
+
+func (x *PrefixIndex) store(handle int, c *cached, hash uint64) {
+	if len(c.blocks) >= maxIndexedBlocks || len(x.holders[hash]) >= maxHolders || x.find(handle, hash) >= 0 {
+		return
+	}
+	x.holders[hash] = append(x.holders[hash], holder{handle: handle, at: len(c.blocks)})
+	c.blocks = append(c.blocks, blockRef{hash: hash, at: len(x.holders[hash]) - 1})
+}
+
+func (x *PrefixIndex) evict(handle int, c *cached, hash uint64) {
+	if at := x.find(handle, hash); at >= 0 {
+		x.remove(c, x.holders[hash][at].at)
+	}
+}
+
+func (x *PrefixIndex) find(handle int, hash uint64) int {
+	for i, h := range x.holders[hash] {
+		if h.handle == handle {
+			return i
+		}
+	}
+	return -1
+}
+
+func (x *PrefixIndex) clear(c *cached) {
+	for len(c.blocks) > 0 {
+		x.remove(c, len(c.blocks)-1)
+	}
+}
+
+// remove deletes the entry at a position of the engine's list, moving the last
+// entry of each of the two lists into the place that becomes free.
+func (x *PrefixIndex) remove(c *cached, at int) {
+	ref := c.blocks[at]
+	holders := x.holders[ref.hash]
+	last := len(holders) - 1
+	if ref.at != last {
+		moved := holders[last]
+		holders[ref.at] = moved
+		x.engines[moved.handle].blocks[moved.at].at = ref.at
+	}
+	if last == 0 {
+		delete(x.holders, ref.hash)
+	} else {
+		x.holders[ref.hash] = holders[:last]
+	}
+	end := len(c.blocks) - 1
+	if at != end {
+		c.blocks[at] = c.blocks[end]
+		x.holders[c.blocks[at].hash][c.blocks[at].at].at = at
+	}
+	c.blocks = c.blocks[:end]
+}
+
+// Match is an engine with the number of leading prompt blocks it has cached.
+type Match struct {
+	Handle, Blocks int
+}
+
+// Lookup appends at most limit engines that have leading blocks of the prompt
+// cached, those with the most blocks first.
+func (x *PrefixIndex) Lookup(prefix []uint64, limit int, matches []Match) []Match {
+	for i := len(prefix) - 1; i >= 0; i-- {
+		for _, h := range x.holders[prefix[i]] {
+			if len(matches) >= limit {
+				return matches
+			}
+			if !matched(matches, h.handle) {
+				matches = append(matches, Match{Handle: h.handle, Blocks: i + 1})
+			}
+		}
+	}
+	return matches
+}
+
+func matched(matches []Match, handle int) bool {
+	for _, m := range matches {
+		if m.Handle == handle {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/scheduling/scheduling.go
@@ -0,0 +1,142 @@
+// Package scheduling chooses the engine that runs a request, by filters,
+// scorers and a picker.
+package scheduling
+
+import "slices"
+
+// Request is what a choice depends on.
+type Request struct {
+	// PromptTokens and ExpectedTokens are lengths in tokens.
+	PromptTokens, ExpectedTokens float64
+	Prefix                       []uint64
+	Excluded                     []string
+}
+
+// Candidate is an engine under consideration.
+type Candidate struct {
+	ID string
+	// Handle identifies the engine to the caller.
+	Handle int
+	// Free is the projected free part of memory with the request admitted, negative without room.
+	Free float64
+	// Streams and StreamLimit are the batch size and its limit.
+	Streams, StreamLimit int
+	// PrefixBlocks is the number of the prompt's blocks that the engine has cached.
+	PrefixBlocks int
+}
+
+// Filter removes engines that cannot take a request.
+type Filter interface {
+	Keep(r *Request, c *Candidate) bool
+}
+
+// Scorer rates an engine for a request; higher is better.
+type Scorer interface {
+	Score(r *Request, c *Candidate) float64
+}
+
+// Picker chooses one of the rated engines. It returns its position, or -1.
+type Picker interface {
+	Pick(candidates []Candidate, scores []float64) int
+}
+
+// Weighted is a scorer with its weight.
+type Weighted struct {
+	Scorer
+	Weight float64
+}
+
+// Chain applies filters, the weighted sum of scorers, and a picker. It is not
+// safe for concurrent use.
+type Chain struct {
+	Filters []Filter
+	Scorers []Weighted
+	Picker  Picker
+	kept    []Candidate
+	scores  []float64
+}
+
+// Choose returns the chosen candidate, or false if none is left.
+func (c *Chain) Choose(r *Request, candidates []Candidate) (Candidate, bool) {
+	c.kept, c.scores = c.kept[:0], c.scores[:0]
+	for i := range candidates {
+		if !c.keep(r, &candidates[i]) {
+			continue
+		}
+		score := 0.0
+		for _, s := range c.Scorers {
+			score += s.Weight * s.Score(r, &candidates[i])
+		}
+		c.kept = append(c.kept, candidates[i])
+		c.scores = append(c.scores, score)
+	}
+	at := c.Picker.Pick(c.kept, c.scores)
+	if at < 0 {
+		return Candidate{}, false
+	}
+	return c.kept[at], true
+}
+
+func (c *Chain) keep(r *Request, candidate *Candidate) bool {
+	for _, f := range c.Filters {
+		if !f.Keep(r, candidate) {
+			return false
+		}
+	}
+	return true
+}
+
+// NotExcluded removes engines in the request's exclusion list.
+type NotExcluded struct{}
+
+// Keep implements Filter.
+func (NotExcluded) Keep(r *Request, c *Candidate) bool { return !slices.Contains(r.Excluded, c.ID) }
+
+// HasRoom removes engines without projected memory or at their stream limit.
+// An idle engine always has room, so that a request of any size makes progress.
+type HasRoom struct{}
+
+// Keep implements Filter.
+func (HasRoom) Keep(_ *Request, c *Candidate) bool {
+	return c.Streams == 0 || (c.Free >= 0 && c.Streams < c.StreamLimit)
+}
+
+// FreeMemory rates by projected free memory.
+type FreeMemory struct{}
+
+// Score implements Scorer.
+func (FreeMemory) Score(_ *Request, c *Candidate) float64 { return c.Free }
+
+// SmallBatch rates by free places in the batch.
+type SmallBatch struct{}
+
+// Score implements Scorer.
+func (SmallBatch) Score(_ *Request, c *Candidate) float64 {
+	return 1 - float64(c.Streams)/float64(max(c.StreamLimit, 1))
+}
+
+// CachedPrefix rates by the cached part of the prompt.
+type CachedPrefix struct{}
+
+// Score implements Scorer.
+func (CachedPrefix) Score(r *Request, c *Candidate) float64 {
+	if len(r.Prefix) == 0 {
+		return 0
+	}
+	return float64(c.PrefixBlocks) / float64(len(r.Prefix))
+}
+
+// Best picks the highest score; the lower handle wins a tie.
+type Best struct{}
+
+// Pick implements Picker.
+func (Best) Pick(candidates []Candidate, scores []float64) int {
+	best := -1
+	for i := range candidates {
+		if best < 0 || scores[i] > scores[best] ||
+			(scores[i] == scores[best] && candidates[i].Handle < candidates[best].Handle) {
+			best = i
+		}
+	}
+	return best
+}
