Check the fair policy with random calls

Cause: a request that excludes every live engine at the head of its organisation held up the requests behind it; TestFairProperties failed with 'request {vm 2} waits while engine e1 is idle' after 95 random runs.

Change: Next looks at up to 8 requests behind one that excludes engines. Properties: work conservation, exclusion, bounded queues, equal results, no state left, and service by weight within one request.

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -46,6 +46,9 @@
 	engines   map[string]*engine
 	handles   map[int]*engine
 	lastID    int
+	// order lists live engines, rotation is the one refreshed last.
+	order     []*engine
+	rotation  int
 	waiting   map[RequestID]*flowcontrol.Item[*waitingRequest]
 	streams   map[RequestID]*stream
 	warmUntil time.Time
--- /dev/null
+++ b/dispatch/fair_property_test.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// driver calls a Core at random and checks what it returns.
+type driver struct {
+	t       *rapid.T
+	cores   [2]Core
+	now     time.Time
+	live    []string
+	waiting map[RequestID]Request
+	running map[RequestID]string
+	tokens  map[RequestID]int
+	ids     []RequestID
+	next    uint64
+}
+
+var (
+	allEngines       = []string{"e1", "e2", "e3"}
+	allOrganisations = []string{"a", "b", "c"}
+)
+
+func newDriver(t *rapid.T) *driver {
+	d := &driver{t: t, now: epoch, waiting: map[RequestID]Request{}, running: map[RequestID]string{}, tokens: map[RequestID]int{}}
+	for i := range d.cores {
+		d.cores[i] = NewFair(FairOptions{QueuePerOrganisation: 4, QueueTotal: 8})
+	}
+	d.each(func(c Core) {
+		c.SetShares(d.now, []TenantShare{
+			{Tenant: "t1", Share: 0.7, Organisations: map[string]float64{"a": 1, "b": 2}, StallTime: 1},
+			{Tenant: "t2", Share: 0.3, Organisations: map[string]float64{"c": 1}, Preemptions: 1},
+		})
+	})
+	d.setBackends(allEngines)
+	return d
+}
+
+func (d *driver) each(call func(Core)) {
+	for _, c := range d.cores {
+		call(c)
+	}
+}
+
+func (d *driver) setBackends(ids []string) {
+	d.live = ids
+	var backends []Backend
+	for _, id := range ids {
+		backends = append(backends, Backend{ID: id, BlocksTotal: 100, BlockTokens: 16})
+	}
+	d.each(func(c Core) { c.SetBackends(d.now, backends) })
+}
+
+func (d *driver) changeBackends() {
+	d.setBackends(rapid.SliceOfNDistinct(rapid.SampledFrom(allEngines), 0, 3, rapid.ID[string]).Draw(d.t, "live"))
+}
+
+func (d *driver) submit() {
+	d.next++
+	r := request(d.next, rapid.SampledFrom(allOrganisations).Draw(d.t, "organisation"))
+	r.PromptTokens = rapid.IntRange(1, 2000).Draw(d.t, "prompt")
+	r.Excluded = rapid.SliceOfN(rapid.SampledFrom(allEngines), 0, 2).Draw(d.t, "excluded")
+	var errs [2]error
+	for i, c := range d.cores {
+		errs[i] = c.Submit(d.now, r)
+	}
+	if !reflect.DeepEqual(errs[0], errs[1]) {
+		d.t.Fatalf("equal calls gave %v and %v", errs[0], errs[1])
+	}
+	if errs[0] == nil {
+		d.waiting[r.ID] = r
+	}
+}
+
+// pickRunning draws a granted request.
+func (d *driver) pickRunning() (RequestID, bool) {
+	if len(d.ids) == 0 {
+		return RequestID{}, false
+	}
+	return rapid.SampledFrom(d.ids).Draw(d.t, "running"), true
+}
+
+func (d *driver) progress() {
+	if id, ok := d.pickRunning(); ok {
+		d.tokens[id] += rapid.IntRange(1, 200).Draw(d.t, "tokens")
+		d.each(func(c Core) { c.Progress(d.now, id, d.tokens[id]) })
+	}
+}
+
+func (d *driver) preempted() {
+	if id, ok := d.pickRunning(); ok {
+		d.each(func(c Core) { c.Preempted(d.now, id) })
+	}
+}
+
+func (d *driver) finish() {
+	if id, ok := d.pickRunning(); ok {
+		d.end(id)
+	}
+}
+
+func (d *driver) end(id RequestID) {
+	d.each(func(c Core) { c.Finish(d.now, id, d.tokens[id]) })
+	delete(d.running, id)
+	d.ids = slices.DeleteFunc(d.ids, func(x RequestID) bool { return x == id })
+}
+
+func (d *driver) withdraw() {
+	id := RequestID{VM: "vm", Sequence: rapid.Uint64Range(1, d.next+1).Draw(d.t, "withdrawn")}
+	d.each(func(c Core) { c.Withdraw(d.now, id) })
+	delete(d.waiting, id)
+}
+
+func (d *driver) grant() {
+	d.now = d.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(d.t, "ms")) * time.Millisecond)
+	grants := d.cores[0].Next(d.now)
+	if again := d.cores[1].Next(d.now); !reflect.DeepEqual(grants, again) {
+		d.t.Fatalf("equal calls gave %v and %v", grants, again)
+	}
+	for _, g := range grants {
+		r, ok := d.waiting[g.Request]
+		if !ok || !slices.Contains(d.live, g.Backend) || slices.Contains(r.Excluded, g.Backend) || g.Priority < 0 {
+			d.t.Fatalf("grant %+v of %+v with live engines %v", g, r, d.live)
+		}
+		delete(d.waiting, g.Request)
+		d.running[g.Request] = g.Backend
+		d.ids = append(d.ids, g.Request)
+	}
+	d.conserves()
+}
+
+// conserves fails if a request waits although an engine that it may use is idle.
+func (d *driver) conserves() {
+	for _, id := range d.live {
+		idle := true
+		for _, used := range d.running {
+			idle = idle && used != id
+		}
+		for _, r := range d.waiting {
+			if idle && !slices.Contains(r.Excluded, id) {
+				d.t.Fatalf("request %v waits while engine %s is idle", r.ID, id)
+			}
+		}
+	}
+}
+
+func (d *driver) bounded() {
+	waiting, total := d.cores[0].Waiting(), 0
+	for organisation, n := range waiting {
+		if total += n; n > 4 {
+			d.t.Fatalf("%d requests of %s wait, limit 4", n, organisation)
+		}
+	}
+	if total > 8 || total != len(d.waiting) {
+		d.t.Fatalf("%d requests wait, limit 8, expected %d", total, len(d.waiting))
+	}
+}
+
+// Guards against grants to excluded or removed engines, idle engines while work
+// waits, unbounded queues, results that depend on map order, and state that
+// stays after the last request.
+func TestFairProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDriver(t)
+		steps := map[string]func(){
+			"submit": d.submit, "progress": d.progress, "preempted": d.preempted, "finish": d.finish,
+			"withdraw": d.withdraw, "grant": d.grant, "backends": d.changeBackends,
+		}
+		names := []string{"submit", "submit", "submit", "grant", "grant", "progress", "preempted", "finish", "withdraw", "backends"}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			steps[rapid.SampledFrom(names).Draw(t, "step")]()
+			d.bounded()
+		}
+		for id := range d.waiting {
+			d.each(func(c Core) { c.Withdraw(d.now, id) })
+		}
+		for _, id := range slices.Clone(d.ids) {
+			d.end(id)
+		}
+		d.setBackends(nil)
+		if left := d.cores[0].(*fair).left(); left != "" {
+			t.Fatalf("state left after all requests: %s", left)
+		}
+	})
+}
+
+// left describes the state that remains of requests and engines.
+func (f *fair) left() string {
+	n := []int{len(f.waiting), len(f.streams), len(f.engines), len(f.handles), len(f.order), f.index.Len(), f.queue.Len()}
+	if slices.Max(n) == 0 {
+		return ""
+	}
+	return fmt.Sprint(n)
+}
+
+// Guards against an organisation that gets more than its share while another
+// waits: with one engine that runs one stream at a time, the service of two
+// organisations by weight differs by at most one request of each.
+func TestFairShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const prompt, maxTokens = 50, 400
+		f := NewFair(FairOptions{})
+		f.SetShares(epoch, []TenantShare{{Tenant: "t", Share: 1, Organisations: map[string]float64{"a": 1, "b": 3}}})
+		f.SetBackends(epoch, []Backend{{ID: "e", BlocksTotal: 1, BlockTokens: 16}})
+		weights, served := map[string]float64{"a": 1, "b": 3}, map[string]float64{}
+		owner := map[RequestID]string{}
+		for i := range uint64(80) {
+			r := request(i, []string{"a", "b"}[i%2])
+			r.PromptTokens = prompt
+			owner[r.ID] = r.Organisation
+			if err := f.Submit(epoch, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for f.Waiting()["a"] > 0 && f.Waiting()["b"] > 0 {
+			grants := f.Next(epoch)
+			if len(grants) != 1 {
+				t.Fatalf("%d grants on an idle engine that runs one stream", len(grants))
+			}
+			length := rapid.IntRange(1, maxTokens).Draw(t, "length")
+			f.Finish(epoch, grants[0].Request, length)
+			served[owner[grants[0].Request]] += float64(prompt + length)
+			lead := served["a"]/weights["a"] - served["b"]/weights["b"]
+			if lead > prompt+maxTokens || lead < -(prompt+maxTokens) {
+				t.Fatalf("service by weight differs by %.0f tokens: %v", lead, served)
+			}
+		}
+	})
+}
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -18,6 +18,8 @@
 	// excessReports is the number of load reports that must agree that an engine
 	// holds memory of streams that this core does not know.
 	excessReports = 4
+	// excessLifetime is how long that memory is believed without a new report.
+	excessLifetime = 5 * time.Second
 	// shrinkFactor, growPerSecond and minWindowPart shape the window of an engine
 	// that shrinks on a preemption.
 	shrinkFactor  = 0.9
@@ -38,8 +40,9 @@
 	// current is the memory that known streams hold, in tokens.
 	current float64
 	// excess holds the memory beyond current of the last load reports, in tokens.
-	excess [excessReports]float64
-	report int
+	excess   [excessReports]float64
+	report   int
+	reportAt time.Time
 	// part is the part of memory that the window uses, changed at partAt.
 	part   float64
 	partAt time.Time
@@ -52,7 +55,10 @@
 	for _, b := range backends {
 		listed[b.ID] = true
 		e := f.engine(b.ID)
-		e.live = true
+		if !e.live {
+			e.live = true
+			f.order = append(f.order, e)
+		}
 		e.resize(b.BlocksTotal, b.BlockTokens)
 		f.refresh(now, e)
 	}
@@ -68,6 +74,7 @@
 		}
 	}
 	slices.SortFunc(gone, func(a, b *engine) int { return cmp.Compare(a.handle, b.handle) })
+	f.order = slices.DeleteFunc(f.order, func(e *engine) bool { return !listed[e.id] })
 	for _, e := range gone {
 		e.live = false
 		f.index.Remove(e.handle)
@@ -111,13 +118,14 @@
 	e.resize(r.BlocksTotal, r.BlockTokens)
 	e.excess[e.report%excessReports] = float64(r.BlocksUsed*r.BlockTokens) - e.current
 	e.report++
+	e.reportAt = now
 	f.refresh(now, e)
 }
 
 // unknown returns the memory held by streams that this core does not know: the
 // least excess of the last reports, since single reports lag behind.
-func (e *engine) unknown() float64 {
-	if e.report < excessReports {
+func (e *engine) unknown(now time.Time) float64 {
+	if e.report < excessReports || now.Sub(e.reportAt) > excessLifetime {
 		return 0
 	}
 	least := e.excess[0]
@@ -145,7 +153,7 @@
 	if now.Before(f.warmUntil) {
 		usable *= warmUpPart
 	}
-	return (usable - e.unknown() - e.window.Demand(extra)) / total
+	return (usable - e.unknown(now) - e.window.Demand(extra)) / total
 }
 
 func (e *engine) windowPart(now time.Time) float64 {
@@ -188,7 +196,16 @@
 }
 
 func (f *fair) refreshAll(now time.Time) {
-	for _, e := range f.engines {
+	for _, e := range f.order {
 		f.refresh(now, e)
 	}
 }
+
+// refreshNext updates one engine in rotation, since room changes with time and
+// with the gap model too.
+func (f *fair) refreshNext(now time.Time) {
+	if len(f.order) > 0 {
+		f.rotation = (f.rotation + 1) % len(f.order)
+		f.refresh(now, f.order[f.rotation])
+	}
+}
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/flowcontrol"
 	"github.com/vanillaarch/vanillaarch/scheduling"
 )
 
@@ -26,6 +27,9 @@
 	candidatesByPrefix = 4
 	// maxPassed bounds the organisations passed over in one call of Next.
 	maxPassed = 8
+	// maxBehind bounds the requests of an organisation considered behind one
+	// that excludes engines.
+	maxBehind = 8
 	// passTime is how long smaller requests may pass a request that does not
 	// fit. After it, engines are left to free memory for it.
 	passTime = 500 * time.Millisecond
@@ -38,30 +42,47 @@
 // Next implements Core.
 func (f *fair) Next(now time.Time) []Grant {
 	f.warm(now)
+	if f.queue.Len() == 0 {
+		return nil
+	}
+	f.refreshNext(now)
 	var grants []Grant
 	defer f.queue.Unpark()
 	for passed := 0; passed < maxPassed && f.hasRoom(); {
-		item := f.queue.Peek()
-		if item == nil {
+		first := f.queue.Peek()
+		if first == nil {
 			break
 		}
-		r := item.Value
-		e := f.choose(now, r)
-		if e == nil {
-			if f.reserves(now, r) {
-				break
-			}
-			f.queue.Park(item)
-			passed++
+		if item, e := f.place(now, first); e != nil {
+			f.queue.Pop(item)
+			delete(f.waiting, item.Value.ID)
+			grants = append(grants, f.grant(now, item.Value, e))
 			continue
 		}
-		f.queue.Pop(item)
-		delete(f.waiting, r.ID)
-		grants = append(grants, f.grant(now, r, e))
+		if f.reserves(now, first.Value) {
+			break
+		}
+		f.queue.Park(first)
+		passed++
 	}
 	return grants
 }
 
+// place finds an engine for the first request of an organisation. Requests that
+// exclude engines do not hold up those behind them.
+func (f *fair) place(now time.Time, item *flowcontrol.Item[*waitingRequest]) (*flowcontrol.Item[*waitingRequest], *engine) {
+	for range maxBehind {
+		if e := f.choose(now, item.Value); e != nil {
+			return item, e
+		}
+		if len(item.Value.Excluded) == 0 || item.Behind() == nil {
+			break
+		}
+		item = item.Behind()
+	}
+	return nil, nil
+}
+
 // hasRoom reports whether any engine may have room.
 func (f *fair) hasRoom() bool {
 	room, ok := f.index.Most()
--- a/flowcontrol/queue.go
+++ b/flowcontrol/queue.go
@@ -43,6 +43,9 @@
 // Organisation returns the name of the organisation that the item belongs to.
 func (i *Item[T]) Organisation() string { return i.org.name }
 
+// Behind returns the item that waits behind this one in its organisation, or nil.
+func (i *Item[T]) Behind() *Item[T] { return i.next }
+
 // Queue is a two-level fair queue: it serves the tenant with the lowest virtual
 // time, and within it the organisation with the lowest virtual time. Virtual
 // time advances by charged tokens divided by share or weight. Operations take
@@ -197,7 +200,7 @@
 	return q.active.top().active.top().first
 }
 
-// Pop removes the item that Peek returned, because it is served.
+// Pop removes an item of the organisation that Peek returned, because it is served.
 func (q *Queue[T]) Pop(item *Item[T]) {
 	oq := item.org
 	q.virtual = max(q.virtual, oq.tenant.vtime)
