--- a/control/control.go
+++ b/control/control.go
@@ -53,6 +53,8 @@
 	Backends map[string]vmlist.VM
 	// EntryVMs holds live entry VMs that are not suspect, in the order of the list.
 	EntryVMs []vmlist.VM
+	// entries holds live entry VMs, suspect ones included.
+	entries []vmlist.VM
 }
 
 // Loop is the control goroutine.
@@ -123,17 +125,34 @@
 	}
 }
 
-func (l *Loop) publish() { l.snapshot.Store(newSnapshot(&l.state)) }
-
-func newSnapshot(s *State) *Snapshot {
-	snap := &Snapshot{
-		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs,
-		Engines: map[string][]vmlist.VM{}, Services: map[string][]vmlist.VM{}, Backends: map[string]vmlist.VM{},
+func (l *Loop) publish() { l.snapshot.Store(newSnapshot(&l.state, l.snapshot.Load())) }
+
+// newSnapshot returns the view of a state. It shares what depends on the VM
+// list alone with the previous view while the list is the same, so that other
+// changes do not cost time in proportion to the fleet.
+func newSnapshot(s *State, previous *Snapshot) *Snapshot {
+	snap := &Snapshot{Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs}
+	if previous != nil && previous.VMs == s.VMs {
+		snap.Engines, snap.Services, snap.Backends = previous.Engines, previous.Services, previous.Backends
+		snap.entries = previous.entries
+	} else {
+		snap.addVMs(s.VMs.VMs)
+	}
+	for _, vm := range snap.entries {
+		if !s.Suspect[vm.ID] {
+			snap.EntryVMs = append(snap.EntryVMs, vm)
+		}
 	}
-	for _, vm := range s.VMs.VMs {
+	return snap
+}
+
+func (snap *Snapshot) addVMs(vms []vmlist.VM) {
+	snap.Engines, snap.Services = map[string][]vmlist.VM{}, map[string][]vmlist.VM{}
+	snap.Backends = map[string]vmlist.VM{}
+	for _, vm := range vms {
 		if vm.Role == vmlist.RoleEntry {
-			if vm.State == vmlist.StateLive && !s.Suspect[vm.ID] {
-				snap.EntryVMs = append(snap.EntryVMs, vm)
+			if vm.State == vmlist.StateLive {
+				snap.entries = append(snap.entries, vm)
 			}
 			continue
 		}
@@ -148,5 +167,4 @@
 			snap.Services[svc] = append(snap.Services[svc], vm)
 		}
 	}
-	return snap
 }
