Reject requests whose expected wait is too long, and add benchmarks

Cause: at overload a queue bounded by number alone lets requests wait until the frontend gives up on them; a caller is better off with an accurate not_run at once.

Change: an organisation's drain predicts the wait of a request that joins its line; beyond a limit that follows from the weight of stall time it is rejected.

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -47,8 +48,10 @@
 	handles   map[int]*engine
 	lastID    int
 	// order lists live engines, rotation is the one refreshed last.
-	order     []*engine
-	rotation  int
+	order    []*engine
+	rotation int
+	// drains holds how fast each organisation's requests leave the queue.
+	drains    map[string]*flowcontrol.Drain
 	waiting   map[RequestID]*flowcontrol.Item[*waitingRequest]
 	streams   map[RequestID]*stream
 	warmUntil time.Time
@@ -95,6 +98,7 @@
 		},
 		engines: map[string]*engine{},
 		handles: map[int]*engine{},
+		drains:  map[string]*flowcontrol.Drain{},
 		waiting: map[RequestID]*flowcontrol.Item[*waitingRequest]{},
 		streams: map[RequestID]*stream{},
 	}
@@ -116,6 +120,7 @@
 		delete(f.waiting, r.ID)
 	}
 	f.estimator.Retain(f.queue.Entitled)
+	maps.DeleteFunc(f.drains, func(name string, _ *flowcontrol.Drain) bool { return !f.queue.Entitled(name) })
 	f.tuning = newTuning(shares)
 	f.refreshAll(now)
 }
@@ -136,14 +141,32 @@
 	if !f.usable(r.Excluded) {
 		return &NoBackendError{Model: r.Model}
 	}
+	drain, length := f.drain(r.Organisation), f.queue.LenOf(r.Organisation)
+	if drain.Wait(now, length) > f.tuning.maxWait {
+		return &QueueFullError{Organisation: r.Organisation}
+	}
 	item := f.queue.Push(r.Organisation, &waitingRequest{Request: r})
 	if item == nil {
 		return &QueueFullError{Organisation: r.Organisation}
 	}
+	drain.Joined(now, length)
 	f.waiting[r.ID] = item
 	return nil
 }
 
+// drain returns the drain of an organisation. It is not kept for one without
+// entitlement, whose requests are never queued.
+func (f *fair) drain(organisation string) *flowcontrol.Drain {
+	d := f.drains[organisation]
+	if d == nil {
+		d = &flowcontrol.Drain{}
+		if f.queue.Entitled(organisation) {
+			f.drains[organisation] = d
+		}
+	}
+	return d
+}
+
 // usable reports whether an engine is left that the request does not exclude.
 func (f *fair) usable(excluded []string) bool {
 	left := f.index.Len()
--- /dev/null
+++ b/dispatch/fair_bench_test.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchSizes are the numbers of engines, organisations or streams.
+var benchSizes = []int{10, 100, 1_000, 10_000}
+
+// benchFair returns a core with engines, organisations and running streams.
+func benchFair(b *testing.B, engines, organisations, streams int) *fair {
+	f := NewFair(FairOptions{QueuePerOrganisation: 1 << 20, QueueTotal: 1 << 20}).(*fair)
+	weights := map[string]float64{}
+	for i := range organisations {
+		weights[fmt.Sprintf("org-%d", i)] = 1
+	}
+	f.SetShares(epoch, []TenantShare{{Tenant: "t", Share: 1, Organisations: weights}})
+	var backends []Backend
+	for i := range engines {
+		backends = append(backends, Backend{ID: fmt.Sprintf("e-%d", i), BlocksTotal: 1 << 20, BlockTokens: 16})
+	}
+	f.SetBackends(epoch, backends)
+	for i := range streams {
+		f.Declare(epoch, Held{
+			Grant: Grant{Request: RequestID{VM: "s", Sequence: uint64(i)}, Backend: backends[i%engines].ID},
+			Ask:   benchAsk(i % organisations),
+		})
+	}
+	b.ResetTimer()
+	b.ReportAllocs()
+	return f
+}
+
+func benchAsk(organisation int) Ask {
+	return Ask{
+		Organisation: fmt.Sprintf("org-%d", organisation), Model: "m", PromptTokens: 300, MaxTokens: 1000,
+		PrefixHashes: []uint64{1, 2, 3, 4, 5, 6, 7, 8},
+	}
+}
+
+func perSize(b *testing.B, what string, run func(b *testing.B, n int)) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("%s=%d", what, n), func(b *testing.B) { run(b, n) })
+	}
+}
+
+func BenchmarkRouting(b *testing.B) {
+	perSize(b, "engines", func(b *testing.B, n int) {
+		f := benchFair(b, n, 10, n)
+		for i := range n {
+			f.CacheEvent(epoch, fmt.Sprintf("e-%d", i), CacheEvent{Sequence: 1, Stored: []uint64{1, 2, 3, 4}})
+		}
+		r := &waitingRequest{Request: Request{Ask: benchAsk(0)}}
+		b.ResetTimer()
+		for b.Loop() {
+			f.choose(epoch, r)
+		}
+	})
+}
+
+// grantCycle measures Submit, Next with one grant, and Finish.
+func grantCycle(b *testing.B, f *fair, organisations int) {
+	asks := make([]Ask, organisations)
+	for i := range asks {
+		asks[i] = benchAsk(i)
+	}
+	b.ResetTimer()
+	for i := 0; b.Loop(); i++ {
+		id := RequestID{VM: "b", Sequence: uint64(i)}
+		if err := f.Submit(epoch, Request{ID: id, Ask: asks[i%organisations]}); err != nil {
+			b.Fatal(err)
+		}
+		if len(f.Next(epoch)) != 1 {
+			b.Fatal("no grant")
+		}
+		f.Finish(epoch, id, 100)
+	}
+}
+
+func BenchmarkGrant(b *testing.B) {
+	perSize(b, "engines", func(b *testing.B, n int) { grantCycle(b, benchFair(b, n, 10, 0), 10) })
+	perSize(b, "organisations", func(b *testing.B, n int) { grantCycle(b, benchFair(b, 100, n, 0), n) })
+	perSize(b, "streams", func(b *testing.B, n int) { grantCycle(b, benchFair(b, 1000, 10, n), 10) })
+}
+
+func BenchmarkProgress(b *testing.B) {
+	perSize(b, "streams", func(b *testing.B, n int) {
+		f := benchFair(b, 100, 100, n)
+		now := epoch
+		for i := 0; b.Loop(); i++ {
+			now = now.Add(time.Millisecond)
+			f.Progress(now, RequestID{VM: "s", Sequence: uint64(i % n)}, 16*(1+i/n))
+		}
+	})
+}
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -142,6 +142,7 @@
 
 // grant starts a stream and charges its prompt.
 func (f *fair) grant(now time.Time, r *waitingRequest, e *engine) Grant {
+	f.drain(r.Organisation).Served(now)
 	priority := f.priority(r)
 	s := f.start(now, r.ID, &r.Ask, e, 0)
 	f.charge(s, float64(r.PromptTokens))
--- a/dispatch/fairtuning.go
+++ b/dispatch/fairtuning.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // Weights of the scorers in a routing decision.
 const (
 	freeMemoryWeight   = 1.0
@@ -16,6 +18,8 @@
 	// batchPart is the part of an engine's greatest token rate at which its
 	// batch is limited.
 	batchPart float64
+	// maxWait is the expected wait beyond which a request is rejected instead of queued.
+	maxWait time.Duration
 }
 
 // Bounds of the tuning. A high weight of preemptions leaves more memory free; a
@@ -24,6 +28,7 @@
 	minQuantile, maxQuantile   = 0.5, 0.9
 	minHeadroom, maxHeadroom   = 0.02, 0.10
 	minBatchPart, maxBatchPart = 0.50, 0.80
+	minWait, maxWait           = 3 * time.Second, 8 * time.Second
 )
 
 // newTuning averages the weights over tenants by share.
@@ -44,6 +49,7 @@
 		quantile:  between(minQuantile, maxQuantile, preemptions/total),
 		headroom:  between(minHeadroom, maxHeadroom, preemptions/total),
 		batchPart: between(maxBatchPart, minBatchPart, gap/total),
+		maxWait:   time.Duration(between(float64(maxWait), float64(minWait), stall/total)),
 	}
 }
 
--- /dev/null
+++ b/flowcontrol/drain.go
@@ -0,0 +1,37 @@
+package flowcontrol
+
+import "time"
+
+// drainGain is the weight of a new observation of the drain interval.
+const drainGain = 0.1
+
+// Drain measures how fast a waiting line is served and predicts the wait of a
+// request that joins it.
+type Drain struct {
+	// interval is the mean time between requests served while others wait.
+	interval float64
+	// from is the start of the interval that is running.
+	from time.Time
+}
+
+// Joined notes a request that joins a line of the given length.
+func (d *Drain) Joined(now time.Time, length int) {
+	if length == 0 {
+		d.from = now
+	}
+}
+
+// Served notes that a request has left the line to be served.
+func (d *Drain) Served(now time.Time) {
+	d.interval += drainGain * (now.Sub(d.from).Seconds() - d.interval)
+	d.from = now
+}
+
+// Wait predicts the wait of a request that joins a line of the given length.
+func (d *Drain) Wait(now time.Time, length int) time.Duration {
+	if length == 0 {
+		return 0
+	}
+	interval := max(d.interval, now.Sub(d.from).Seconds()*drainGain)
+	return time.Duration(float64(length) * interval * float64(time.Second))
+}
--- a/flowcontrol/queue.go
+++ b/flowcontrol/queue.go
@@ -279,6 +279,14 @@
 // Entitled reports whether the organisation is in the entitlements.
 func (q *Queue[T]) Entitled(organisation string) bool { return q.orgs[organisation] != nil }
 
+// LenOf returns the number of waiting requests of an organisation.
+func (q *Queue[T]) LenOf(organisation string) int {
+	if oq := q.orgs[organisation]; oq != nil {
+		return oq.length
+	}
+	return 0
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int { return q.length }
 
