--- /dev/null
+++ b/flowcontrol/flowcontrol_test.go
@@ -0,0 +1,125 @@
+package flowcontrol
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against an organisation that saves up credit while idle and then
+// starves the others.
+func TestQueueGivesNoCreditForIdleTime(t *testing.T) {
+	q := NewQueue[int](Limits{PerOrganisation: 100, Total: 100})
+	q.SetShares([]Tenant{{Name: "t", Share: 1, Organisations: []Organisation{{"busy", 1}, {"idle", 1}}}})
+	serve := func() string {
+		item := q.Peek()
+		q.Pop(item)
+		q.Charge(item.Organisation(), 100)
+		return item.Organisation()
+	}
+	for range 50 {
+		q.Push("busy", 0)
+	}
+	for range 40 {
+		serve()
+	}
+	for range 10 {
+		q.Push("idle", 0)
+	}
+	idle := 0
+	for range 10 {
+		if serve() == "idle" {
+			idle++
+		}
+	}
+	if idle < 4 || idle > 6 {
+		t.Fatalf("the returning organisation got %d of 10 grants, want half", idle)
+	}
+}
+
+// Guards against an estimate that ignores the tokens produced so far, the
+// organisation's own lengths, or the fallback for one without samples.
+func TestEstimator(t *testing.T) {
+	e := NewEstimator()
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 400 {
+		e.Learn("short", "m", 10+rng.IntN(10))
+		e.Learn("long", "m", 2000+rng.IntN(1000))
+	}
+	for _, c := range []struct {
+		organisation string
+		tokens       int
+		min, max     float64
+	}{
+		{"short", 0, 10, 22},
+		{"long", 0, 1900, 3200},
+		{"long", 1900, 300, 1100},
+		{"new", 0, 10, 3200},                // half of the model's generations are short
+		{"new", 100, 1800, 3100},            // those that pass 100 tokens are long
+		{"long", 40000, 40000, math.Inf(1)}, // beyond all samples: the prior
+	} {
+		if got := e.Remaining(c.organisation, "m", c.tokens, 0.5); got < c.min || got > c.max {
+			t.Errorf("median remainder of %s after %d tokens is %.0f, want %.0f to %.0f", c.organisation, c.tokens, got, c.min, c.max)
+		}
+	}
+}
+
+// Guards against a window that underestimates the peak of memory: it is compared
+// to a simulation of streams that grow at the same rate and end.
+func TestWindowPeakMatchesSimulation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := NewWindow(PeakPolicy)
+		var streams []Usage
+		for range rapid.IntRange(1, 20).Draw(t, "streams") {
+			u := Usage{
+				Current:   float64(rapid.IntRange(1, 2000).Draw(t, "current")),
+				Remaining: float64(rapid.IntRange(1, 3000).Draw(t, "remaining")),
+			}
+			streams = append(streams, u)
+			w.Add(u)
+		}
+		peak := 0.0
+		for _, end := range streams {
+			total := 0.0
+			for _, u := range streams {
+				if u.Remaining >= end.Remaining {
+					total += u.Current + end.Remaining
+				}
+			}
+			peak = max(peak, total)
+		}
+		// Streams of a bucket differ by up to 19% in their remainder.
+		if got := w.Demand(Usage{}); got < 0.8*peak || got > 1.2*peak {
+			t.Fatalf("projected peak %.0f, simulated %.0f", got, peak)
+		}
+		for _, u := range streams {
+			w.Remove(u)
+		}
+		if got := w.Demand(Usage{}); got != 0 || w.Streams() != 0 {
+			t.Fatalf("an idle engine is projected to hold %v", got)
+		}
+	})
+}
+
+// Guards against a gap model that does not recover a linear dependence.
+func TestGapModelFindsBatchLimit(t *testing.T) {
+	var g GapModel
+	if _, ok := g.BatchLimit(0.5); ok {
+		t.Fatal("a limit without observations")
+	}
+	for i := range 1000 {
+		n := 5 + i%30
+		g.Learn(n, gapOf(n))
+	}
+	// Half of the greatest rate is reached where slope * n equals base.
+	if n, ok := g.BatchLimit(0.5); !ok || !slices.Contains([]int{19, 20, 21}, n) {
+		t.Fatalf("batch limit %d, %v, want 20", n, ok)
+	}
+}
+
+// gapOf is 20 ms and 1 ms for each stream.
+func gapOf(streams int) time.Duration { return time.Duration(20+streams) * time.Millisecond }
