Count shared prompt blocks once and space the starts of an engine

Cause: organisations share prompt prefixes, so engines hold less memory than the sum over streams, and the window left a fifth of the batch unused. Several prompts that start in one step widen the gap of all streams of that engine.

Change: scheduling.Residency counts prompt blocks of running streams once. A grant waits for two steps after the grant before it on the same engine, unless that is idle. The quantile and the headroom start lower (0.35 and 3%).

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -88,7 +88,7 @@
 		prefixes:  scheduling.NewPrefixIndex(),
 		index:     scheduling.NewIndex(),
 		chain: scheduling.Chain{
-			Filters: []scheduling.Filter{scheduling.NotExcluded{}, scheduling.HasRoom{}},
+			Filters: []scheduling.Filter{scheduling.NotExcluded{}, scheduling.HasRoom{}, scheduling.NotStarting{}},
 			Scorers: []scheduling.Weighted{
 				{Scorer: scheduling.FreeMemory{}, Weight: freeMemoryWeight},
 				{Scorer: scheduling.SmallBatch{}, Weight: smallBatchWeight},
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/flowcontrol"
+	"github.com/vanillaarch/vanillaarch/scheduling"
 )
 
 const (
@@ -20,6 +21,9 @@
 	excessReports = 4
 	// excessLifetime is how long that memory is believed without a new report.
 	excessLifetime = 5 * time.Second
+	// startSteps is how many steps an engine is expected to take until a granted
+	// prompt is processed.
+	startSteps = 2
 	// shrinkFactor, growPerSecond and minWindowPart shape the window of an engine
 	// that shrinks on a preemption.
 	shrinkFactor  = 0.9
@@ -37,12 +41,15 @@
 	blocks      int
 	blockTokens int
 	window      *flowcontrol.Window
+	residency   *scheduling.Residency
 	// current is the memory that known streams hold, in tokens.
 	current float64
 	// excess holds the memory beyond current of the last load reports, in tokens.
 	excess   [excessReports]float64
 	report   int
 	reportAt time.Time
+	// grantAt is the time of the last grant.
+	grantAt time.Time
 	// part is the part of memory that the window uses, changed at partAt.
 	part   float64
 	partAt time.Time
@@ -88,7 +95,7 @@
 	e := f.engines[id]
 	if e == nil {
 		f.lastID++
-		e = &engine{id: id, handle: f.lastID, window: flowcontrol.NewWindow(f.opts.Window), part: 1}
+		e = &engine{id: id, handle: f.lastID, window: flowcontrol.NewWindow(f.opts.Window), residency: scheduling.NewResidency(), part: 1}
 		f.engines[id] = e
 		f.handles[e.handle] = e
 	}
@@ -116,7 +123,7 @@
 		return
 	}
 	e.resize(r.BlocksTotal, r.BlockTokens)
-	e.excess[e.report%excessReports] = float64(r.BlocksUsed*r.BlockTokens) - e.current
+	e.excess[e.report%excessReports] = float64(r.BlocksUsed*r.BlockTokens) - e.current - e.orphaned()
 	e.report++
 	e.reportAt = now
 	f.refresh(now, e)
@@ -135,6 +142,9 @@
 	return max(least, 0)
 }
 
+// orphaned returns the memory that no running stream counts as its own, in tokens.
+func (e *engine) orphaned() float64 { return float64(e.residency.Orphans() * e.blockTokens) }
+
 // CacheEvent implements Core.
 func (f *fair) CacheEvent(_ time.Time, backend string, c CacheEvent) {
 	if e := f.engines[backend]; e != nil && e.live {
@@ -153,7 +163,7 @@
 	if now.Before(f.warmUntil) {
 		usable *= warmUpPart
 	}
-	return (usable - e.unknown(now) - e.window.Demand(extra)) / total
+	return (usable - e.unknown(now) - e.orphaned() - e.window.Demand(extra)) / total
 }
 
 func (e *engine) windowPart(now time.Time) float64 {
@@ -169,6 +179,11 @@
 	e.partAt = now
 }
 
+// starting reports whether the engine is expected to process a granted prompt.
+func (f *fair) starting(now time.Time, e *engine) bool {
+	return now.Sub(e.grantAt) < startSteps*f.gaps.Gap(e.window.Streams())
+}
+
 // streamLimit returns the batch limit of engines.
 func (f *fair) streamLimit() int {
 	if f.opts.Window == flowcontrol.FixedPolicy {
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -133,10 +133,12 @@
 }
 
 func (f *fair) consider(now time.Time, r *waitingRequest, e *engine, prefixBlocks int) {
-	usage := f.usage(&r.Ask, 0, e.blockTokens)
+	shared := e.residency.Shared(r.PrefixHashes)
+	usage := f.usage(&r.Ask, 0, shared, e.blockTokens)
 	f.candidates = append(f.candidates, scheduling.Candidate{
 		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage),
-		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: prefixBlocks,
+		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: max(prefixBlocks, shared),
+		Starting: f.starting(now, e),
 	})
 }
 
@@ -144,6 +146,7 @@
 func (f *fair) grant(now time.Time, r *waitingRequest, e *engine) Grant {
 	f.drain(r.Organisation).Served(now)
 	priority := f.priority(r)
+	e.grantAt = now
 	s := f.start(now, r.ID, &r.Ask, e, 0)
 	f.charge(s, float64(r.PromptTokens))
 	if f.opts.ChargeEstimate {
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -20,34 +20,38 @@
 	model        string
 	promptTokens int
 	maxTokens    int
-	engine       *engine
-	usage        flowcontrol.Usage
-	tokens       int
-	tokensAt     time.Time
+	prefix       []uint64
+	// shared is the number of prompt blocks that other streams count as their own.
+	shared   int
+	engine   *engine
+	usage    flowcontrol.Usage
+	tokens   int
+	tokensAt time.Time
 	// nextEstimate is the number of tokens at which the remainder is estimated anew.
 	nextEstimate int
 	// charged is what the organisation has paid in tokens.
 	charged float64
 }
 
-// usage projects a stream's memory at the quantile of the tuning.
-func (f *fair) usage(a *Ask, tokens, blockTokens int) flowcontrol.Usage {
+// usage projects a stream's memory at the quantile of the tuning. Shared blocks
+// of its prompt do not count.
+func (f *fair) usage(a *Ask, tokens, shared, blockTokens int) flowcontrol.Usage {
 	remaining := f.estimator.Remaining(a.Organisation, a.Model, tokens, f.tuning.quantile)
 	if a.MaxTokens > 0 {
 		remaining = max(1, min(remaining, float64(a.MaxTokens-tokens)))
 	}
+	own := max(a.PromptTokens-shared*blockTokens, 0) + tokens
 	// Half a block is the mean loss by rounding up.
-	return flowcontrol.Usage{
-		Current:   float64(a.PromptTokens+tokens) + float64(blockTokens)/2,
-		Remaining: remaining,
-	}
+	return flowcontrol.Usage{Current: float64(own) + float64(blockTokens)/2, Remaining: remaining}
 }
 
 // start counts a granted request against its engine.
 func (f *fair) start(now time.Time, id RequestID, a *Ask, e *engine, tokens int) *stream {
+	shared := e.residency.Add(a.PrefixHashes)
 	s := &stream{
 		id: id, organisation: a.Organisation, model: a.Model, promptTokens: a.PromptTokens, maxTokens: a.MaxTokens,
-		engine: e, usage: f.usage(a, tokens, e.blockTokens), tokens: tokens,
+		prefix: a.PrefixHashes, shared: shared,
+		engine: e, usage: f.usage(a, tokens, shared, e.blockTokens), tokens: tokens,
 	}
 	s.nextEstimate = estimateAfter(tokens)
 	f.streams[id] = s
@@ -91,7 +95,7 @@
 	if s.tokens >= s.nextEstimate {
 		s.nextEstimate = estimateAfter(s.tokens)
 		a := Ask{Organisation: s.organisation, Model: s.model, PromptTokens: s.promptTokens, MaxTokens: s.maxTokens}
-		usage = f.usage(&a, s.tokens, s.engine.blockTokens)
+		usage = f.usage(&a, s.tokens, s.shared, s.engine.blockTokens)
 	}
 	f.replace(now, s, usage)
 }
@@ -135,6 +139,7 @@
 	}
 	delete(f.streams, id)
 	e := s.engine
+	e.residency.Remove(s.prefix, s.shared)
 	e.window.Remove(s.usage)
 	if e.current -= s.usage.Current; e.window.Streams() == 0 {
 		e.current = 0
--- a/dispatch/fairtuning.go
+++ b/dispatch/fairtuning.go
@@ -25,8 +25,8 @@
 // Bounds of the tuning. A high weight of preemptions leaves more memory free; a
 // high weight of the gap between tokens limits batches, at the cost of queueing.
 const (
-	minQuantile, maxQuantile   = 0.5, 0.9
-	minHeadroom, maxHeadroom   = 0.02, 0.10
+	minQuantile, maxQuantile   = 0.35, 0.9
+	minHeadroom, maxHeadroom   = 0.03, 0.13
 	minBatchPart, maxBatchPart = 0.50, 0.80
 	minWait, maxWait           = 3 * time.Second, 8 * time.Second
 )
--- a/flowcontrol/gap.go
+++ b/flowcontrol/gap.go
@@ -35,6 +35,15 @@
 	return base, slope, base > 0 && slope > 0
 }
 
+// Gap returns the expected gap in a batch of streams, zero while it is not known.
+func (g *GapModel) Gap(streams int) time.Duration {
+	base, slope, ok := g.Fit()
+	if !ok {
+		return 0
+	}
+	return time.Duration((base + slope*float64(streams)) * float64(time.Second))
+}
+
 // BatchLimit returns the number of streams at which an engine produces part of
 // its greatest token rate (which it approaches as the batch grows). It reports
 // false while the gap is not known.
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -23,6 +23,8 @@
 	Streams, StreamLimit int
 	// PrefixBlocks is the number of the prompt's blocks that the engine has cached.
 	PrefixBlocks int
+	// Starting is set while the engine processes the prompt of a request granted before.
+	Starting bool
 }
 
 // Filter removes engines that cannot take a request.
@@ -101,6 +103,13 @@
 	return c.Streams == 0 || (c.Free >= 0 && c.Streams < c.StreamLimit)
 }
 
+// NotStarting removes engines that process a prompt granted before. Several
+// prompts in one step would widen the gap between tokens of all its streams.
+type NotStarting struct{}
+
+// Keep implements Filter.
+func (NotStarting) Keep(_ *Request, c *Candidate) bool { return c.Streams == 0 || !c.Starting }
+
 // FreeMemory rates by projected free memory.
 type FreeMemory struct{}
 
