--- a/peer/sessions_test.go
+++ b/peer/sessions_test.go
@@ -129,6 +129,16 @@
 	if s := a.Stats(); s.Replaced == 0 || s.Opened < 2 {
 		t.Errorf("session was not replaced: %+v", s)
 	}
+	// The other side must follow at once: it has sent nothing that could tell
+	// it that the old session is dead.
+	if err := b.send("a", "reply"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-a.got:
+	case <-time.After(150 * time.Millisecond):
+		t.Error("the other side still sends on the dead session")
+	}
 	t.Logf("replaced after %v with a suspicion time of 200ms", time.Since(begin))
 }
 
@@ -213,6 +223,16 @@
 					t.Error("no message arrived")
 				}
 			}
+			a.SetVMs(nil) // A VM that leaves the list is cut off at once.
+			time.Sleep(20 * time.Millisecond)
+			for len(a.got) > 0 {
+				<-a.got
+			}
+			_ = m.send("a", "late")
+			time.Sleep(50 * time.Millisecond)
+			if len(a.got) > 0 {
+				t.Error("a message of a VM that left the list arrived")
+			}
 			if n := len(m.got); !c.connected && (n > 0 || m.Stats().Opened > 0 || a.Stats().Opened > 0) {
 				t.Errorf("stranger got %d messages, sessions %+v", n, m.Stats())
 			}
