Admit through the grant protocol and show the queues

Cause: the daemon admitted with the local policy; nothing enforced shares or engine windows across VMs.

Change: the root package runs grant.Manager with the fair policy over the peer transport, GET /queues on the admin address serves its state, and `vanillaarch get queues` prints groups and frontends of all VMs. dispatch.engine_streams becomes a bound in addition to the memory window; its default rises from 32 to 256, because 32 was the whole admission limit before. Requests of organisations that a dispatcher's bundle does not name are asked again.

Ruled out: charging tokens only as they are produced. Grants come in bursts before their tokens are charged, and a queue that runs empty gets no credit. The daemon charges the estimated length at the grant and corrects it.

--- a/config/config.go
+++ b/config/config.go
@@ -148,7 +148,8 @@
 	// LocalStreams bounds the streams for each engine that a VM starts while it
 	// bypasses a dispatcher. Default 2.
 	LocalStreams int `json:"local_streams,omitempty" validate:"gte=0"`
-	// EngineStreams bounds the streams of one engine. Default 32.
+	// EngineStreams bounds the streams of one engine, in addition to what its
+	// memory is expected to hold. Default 256.
 	EngineStreams int `json:"engine_streams,omitempty" validate:"gte=0"`
 	// GroupSize is the largest number of backend servers of one dispatcher. Default 32.
 	GroupSize int `json:"group_size,omitempty" validate:"gte=0"`
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -25,7 +25,7 @@
 	defaultSuspectAfter      = Duration(2 * time.Second)
 	defaultBypassAfter       = Duration(250 * time.Millisecond)
 	defaultLocalStreams      = 2
-	defaultEngineStreams     = 32
+	defaultEngineStreams     = 256
 	defaultGroupSize         = 32
 	defaultLogLevel          = "info"
 	defaultTraceRatio        = 1.0
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -20,6 +20,9 @@
 type FairOptions struct {
 	// QueuePerOrganisation and QueueTotal bound waiting requests.
 	QueuePerOrganisation, QueueTotal int
+	// EngineStreams bounds the streams of one engine in addition to its memory.
+	// Default 256.
+	EngineStreams int
 	// WarmUp is how long after the first call the core admits at a reduced
 	// window, because grants of another dispatcher may not be declared yet.
 	WarmUp time.Duration
@@ -78,6 +81,9 @@
 	if o.QueueTotal == 0 {
 		o.QueueTotal = DefaultQueueTotal
 	}
+	if o.EngineStreams == 0 {
+		o.EngineStreams = maxStreams
+	}
 	return &fair{
 		opts:   o,
 		tuning: newTuning(nil),
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -12,7 +12,7 @@
 const (
 	// unknownStreams is the limit of streams of an engine whose memory is not known yet.
 	unknownStreams = 4
-	// maxStreams bounds the batch of an engine while the gap model has no fit.
+	// maxStreams is the default of FairOptions.EngineStreams.
 	maxStreams = 256
 	// warmUpPart is the part of an engine's memory that is granted during the warm-up.
 	warmUpPart = 0.5
@@ -156,7 +156,7 @@
 // more stream, negative without room.
 func (f *fair) free(now time.Time, e *engine, extra flowcontrol.Usage) float64 {
 	if e.blocks == 0 {
-		return 1 - float64(e.window.Streams())/unknownStreams
+		return 1 - float64(e.window.Streams())/float64(min(unknownStreams, f.opts.EngineStreams))
 	}
 	total := float64(e.blocks * e.blockTokens)
 	usable := total * (1 - f.tuning.headroom) * e.windowPart(now)
@@ -190,9 +190,9 @@
 		return flowcontrol.FixedStreams
 	}
 	if n, ok := f.gaps.BatchLimit(f.tuning.batchPart); ok {
-		return min(n, maxStreams)
+		return min(n, f.opts.EngineStreams)
 	}
-	return maxStreams
+	return f.opts.EngineStreams
 }
 
 // refresh updates an engine's place in the index.
--- a/dispatch/grant/network_test.go
+++ b/dispatch/grant/network_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/peer"
@@ -221,6 +222,10 @@
 		go n.loop.Run(ctx)
 		go n.m.Run(ctx)
 	}
+	document := &bundle.Document{Version: 1, Tenants: []bundle.Tenant{{Name: "t", Share: 1, Organisations: []bundle.Organisation{{Name: "o"}}}}}
+	for _, n := range c.nodes {
+		n.loop.Post(control.BundleReceived{Index: bundle.NewIndex(document, "")})
+	}
 	c.publish()
 	time.Sleep(1200 * time.Millisecond) // ends the reduced window
 	return c
--- a/http.go
+++ b/http.go
@@ -40,6 +40,7 @@
 	admin := newEcho()
 	admin.GET("/status", s.status)
 	admin.GET("/metrics", s.writeMetrics)
+	admin.GET("/queues", s.queues)
 	h := &httpServers{tls: [2]string{s.cfg.TLS.CertFile, s.cfg.TLS.KeyFile}}
 	if err := h.add(s.cfg.Listen.HTTP, callers, s.cfg.Limits.HeaderBytes); err != nil {
 		return nil, err
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -23,7 +23,7 @@
 	var p platformFlags
 	cmd := &cobra.Command{Use: "get", Short: "Read state"}
 	p.register(cmd)
-	cmd.AddCommand(newGetBundle(&p), newGetVMs(&p), newGetBackends(&p))
+	cmd.AddCommand(newGetBundle(&p), newGetVMs(&p), newGetBackends(&p), newGetQueues(&p))
 	return cmd
 }
 
@@ -113,25 +113,26 @@
 	}
 	var wg sync.WaitGroup
 	for i := range rows {
-		wg.Go(func() { rows[i].Err = fetchStatus(ctx, rows[i].VM, &rows[i].Status) })
+		wg.Go(func() { rows[i].Err = fetchAdmin(ctx, rows[i].VM, "/status", &rows[i].Status) })
 	}
 	wg.Wait()
 	return rows, nil
 }
 
-func fetchStatus(ctx context.Context, vm vmlist.VM, out *vanillaarch.Status) error {
+// fetchAdmin reads a document from the admin address of a VM.
+func fetchAdmin(ctx context.Context, vm vmlist.VM, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.AdminAddress+"/status", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.AdminAddress+path, nil)
 	if err != nil {
-		return errors.Wrap(err, "status request")
+		return errors.Wrap(err, "admin request")
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "status")
+		return errors.Wrap(err, "admin")
 	}
 	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(out)
+	return json.NewDecoder(resp.Body).Decode(into)
 }
 
 func printStatuses(out io.Writer, rows []vmStatus) {
--- /dev/null
+++ b/internal/cli/queues.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/vanillaarch/vanillaarch/dispatch/grant"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+func newGetQueues(p *platformFlags) *cobra.Command {
+	return &cobra.Command{
+		Use: "queues", Short: "List the groups of engines with their dispatchers and queues", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			list, err := fetchList(cmd.Context(), p)
+			if err != nil {
+				return err
+			}
+			rows := fetchQueues(cmd.Context(), list)
+			if err := printGroups(cmd.OutOrStdout(), rows); err != nil {
+				return err
+			}
+			return printFrontends(cmd.OutOrStdout(), rows)
+		},
+	}
+}
+
+// vmQueues is the answer of one entry VM.
+type vmQueues struct {
+	id     string
+	queues grant.Queues
+	err    error
+}
+
+// fetchQueues asks each live entry VM for its queues.
+func fetchQueues(ctx context.Context, list *vmlist.List) []vmQueues {
+	var vms []vmlist.VM
+	for _, vm := range list.VMs {
+		if vm.Role == vmlist.RoleEntry && vm.State == vmlist.StateLive {
+			vms = append(vms, vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b vmlist.VM) int { return cmp.Compare(a.ID, b.ID) })
+	rows := make([]vmQueues, len(vms))
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		rows[i].id = vm.ID
+		wg.Go(func() { rows[i].err = fetchAdmin(ctx, vm, "/queues", &rows[i].queues) })
+	}
+	wg.Wait()
+	return rows
+}
+
+func printGroups(out io.Writer, rows []vmQueues) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "GROUP\tDISPATCHER\tENGINES\tGRANTED\tQUEUED\tSTATE\tWAITING")
+	for _, r := range rows {
+		for _, g := range r.queues.Groups {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%v\n", g.Group, r.id, g.Engines, g.Granted, g.Queued, groupState(g), g.Waiting)
+		}
+	}
+	return w.Flush()
+}
+
+func groupState(g grant.GroupQueue) string {
+	switch {
+	case !g.Owned:
+		return "moved"
+	case g.Reduced:
+		return "reduced"
+	default:
+		return "normal"
+	}
+}
+
+func printFrontends(out io.Writer, rows []vmQueues) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "\nVM\tWAITING\tPARKED\tHELD\tBYPASSED\tSILENT\tOPEN BREAKERS\tERROR")
+	for _, r := range rows {
+		message := "-"
+		if r.err != nil {
+			message = r.err.Error()
+		}
+		q := r.queues
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%v\t%v\t%s\n", r.id, q.Waiting, q.Parked, q.Held, q.Bypassed, q.Silent, q.OpenBreakers, message)
+	}
+	return w.Flush()
+}
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -20,7 +20,7 @@
 	"github.com/vanillaarch/vanillaarch/claim"
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
-	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/dispatch/grant"
 	"github.com/vanillaarch/vanillaarch/frontend"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/kv"
@@ -52,6 +52,7 @@
 	front   *frontend.Frontend
 	tracing *telemetry.Tracing
 	metrics metrics.Registry
+	grants  *grant.Manager
 	http    *httpServers
 
 	// peers is the transport to other entry VMs.
@@ -91,13 +92,13 @@
 	s.claims = claim.NewManager(s.kv, claim.Options{
 		VM: cfg.VMID, Retention: cfg.Claims.Retention.Std(), ClockTolerance: cfg.Claims.ClockTolerance.Std(), Now: time.Now,
 	})
+	if err := s.listenPeers(); err != nil {
+		return nil, err
+	}
 	s.front = frontend.New(frontend.Options{
 		Config: cfg, Snapshot: s.loop.Snapshot, Admission: s.admission(), Engines: s.engines, Services: s.service,
 		Claims: s.claims, Log: o.Log, Tracer: tracing.Tracer(), Metrics: s.metrics,
 	})
-	if err := s.listenPeers(); err != nil {
-		return nil, err
-	}
 	if s.http, err = s.listen(); err != nil {
 		s.peers.Close()
 		return nil, err
@@ -105,10 +106,6 @@
 	return s, nil
 }
 
-func (s *Server) admission() dispatch.Admission {
-	return dispatch.NewLocal(s.loop.Snapshot, s.cfg.Dispatch.EngineStreams, s.cfg.Limits.Queued, s.cfg.Timeouts.Queue.Std())
-}
-
 func parseKeys(hexKeys []string) ([]ed25519.PublicKey, error) {
 	keys := make([]ed25519.PublicKey, 0, len(hexKeys))
 	for _, h := range hexKeys {
@@ -128,7 +125,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	tasks := append(s.peerTasks(), s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList)
+	tasks := append(append(s.peerTasks(), s.grantTasks()...), s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList)
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
