Rearrange the heartbeat rings only when entry VMs change

Cause: each revision of the VM list sorted all rings, also when a backend server changed. Change: ids are compared first. A new revision is still offered at once.

--- a/peers.go
+++ b/peers.go
@@ -97,19 +97,22 @@
 // peers about new versions.
 func (s *Server) followSnapshots(ctx context.Context) {
 	changed := s.loop.Subscribe()
-	var vms *vmlist.List
-	var bundle int64
+	last := &control.Snapshot{}
+	var known []string
 	for {
 		snap := s.loop.Snapshot()
-		if snap.VMs != vms {
-			vms = snap.VMs
-			s.peers.SetVMs(vms.VMs)
-			s.members.SetVMs(entryIDs(vms.VMs))
+		if snap.VMs != last.VMs {
+			s.peers.SetVMs(snap.VMs.VMs)
+			// Most changes of the list are about backend servers.
+			if ids := entryIDs(snap.VMs.VMs); !slices.Equal(ids, known) {
+				known = ids
+				s.members.SetVMs(ids)
+			}
 		}
-		if snap.Bundle != nil && snap.Bundle.Version() != bundle {
-			bundle = snap.Bundle.Version()
+		if snap.VMs != last.VMs || snap.Bundle != last.Bundle {
 			s.members.Push()
 		}
+		last = snap
 		s.watcher.Store(s.isWatcher(snap))
 		select {
 		case <-ctx.Done():
