--- a/peers.go
+++ b/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/membership"
@@ -45,7 +47,23 @@
 		HeartbeatInterval: s.cfg.Peers.HeartbeatInterval.Std(), SuspectAfter: s.cfg.Peers.SuspectAfter.Std(),
 		Handler: s.receive, Probe: s.members.Heartbeat, Ack: s.members.Ack, Log: s.log,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	s.registerPeerMetrics()
+	return nil
+}
+
+func (s *Server) registerPeerMetrics() {
+	for name, value := range map[string]func(peer.Stats) int64{
+		"peer.bytes_sent":        func(st peer.Stats) int64 { return st.BytesSent },
+		"peer.bytes_received":    func(st peer.Stats) int64 { return st.BytesReceived },
+		"peer.sessions_opened":   func(st peer.Stats) int64 { return st.Opened },
+		"peer.sessions_replaced": func(st peer.Stats) int64 { return st.Replaced },
+		"peer.refused":           func(st peer.Stats) int64 { return st.Refused },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, s.metrics, func() int64 { return value(s.peers.Stats()) })
+	}
 }
 
 // receive sorts messages of peers.
@@ -79,19 +97,22 @@
 // peers about new versions.
 func (s *Server) followSnapshots(ctx context.Context) {
 	changed := s.loop.Subscribe()
-	var vms *vmlist.List
-	var bundle int64
+	last := &control.Snapshot{}
+	var known []string
 	for {
 		snap := s.loop.Snapshot()
-		if snap.VMs != vms {
-			vms = snap.VMs
-			s.peers.SetVMs(vms.VMs)
-			s.members.SetVMs(entryIDs(vms.VMs))
+		if snap.VMs != last.VMs {
+			s.peers.SetVMs(snap.VMs.VMs)
+			// Most changes of the list are about backend servers.
+			if ids := entryIDs(snap.VMs.VMs); !slices.Equal(ids, known) {
+				known = ids
+				s.members.SetVMs(ids)
+			}
 		}
-		if snap.Bundle != nil && snap.Bundle.Version() != bundle {
-			bundle = snap.Bundle.Version()
+		if snap.VMs != last.VMs || snap.Bundle != last.Bundle {
 			s.members.Push()
 		}
+		last = snap
 		s.watcher.Store(s.isWatcher(snap))
 		select {
 		case <-ctx.Done():
