Test dispatcher and engine loss with real daemons and processes

Cause: the bypass, the move of the role and the breaker were tested over the in-memory transport only.

The in-memory test of unusable engines now covers the case that only the dispatcher knows, because with daemons the frontends' own breakers hide a dispatcher that ignores its breaker.

--- a/dispatch/grant/grant_test.go
+++ b/dispatch/grant/grant_test.go
@@ -205,24 +205,27 @@
 	})
 }
 
-// Guards against grants for engines that leave or refuse connections.
+// Guards against grants for engines that leave or do not respond, whether the
+// dispatcher or only the frontend knows.
 func TestUnusableEnginesGetNoGrants(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3, 3, 2)
-		_, others := c.owner()
+		owner, others := c.owner()
 		for i := range c.list.VMs {
 			if c.list.VMs[i].ID == "engine-0" {
 				c.list.VMs[i].State = vmlist.StateLeaving
 			}
 		}
 		c.publish()
-		others[0].m.opts.Breaker.Refused("engine-1") // only this frontend knows
-		time.Sleep(10 * time.Millisecond)
-		for range 2 {
-			if tk := others[0].mustAcquire(t, 1)[0]; tk.target.ID != "engine-2" {
-				t.Errorf("granted %s", tk.target.ID)
+		for i, knows := range []*node{others[0], owner} {
+			knows.m.opts.Breaker.Refused("engine-1")
+			time.Sleep(10 * time.Millisecond)
+			if tk := others[i].mustAcquire(t, 1)[0]; tk.target.ID != "engine-2" {
+				t.Errorf("granted %s although %s knows better", tk.target.ID, knows.id)
 			}
+			knows.m.opts.Breaker.Answered("engine-1")
 		}
+		owner.m.opts.Breaker.Refused("engine-1")
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		if tk, err := others[0].acquire(ctx); err == nil {
--- /dev/null
+++ b/internal/localcluster/dispatch_test.go
@@ -0,0 +1,140 @@
+package localcluster_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/client"
+	"github.com/vanillaarch/vanillaarch/dispatch/grant"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+)
+
+// queuesOf reads GET /queues of a VM.
+func queuesOf(t testing.TB, vm *localcluster.VM) (q grant.Queues) {
+	t.Helper()
+	resp, err := http.Get("http://" + vm.Server.Addresses().Admin + "/queues")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer http.DefaultClient.CloseIdleConnections()
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&q); err != nil {
+		t.Fatal(err)
+	}
+	return q
+}
+
+// dispatcherOf returns the index of the VM that dispatches the only group.
+func dispatcherOf(t testing.TB, vms []*localcluster.VM) int {
+	t.Helper()
+	i := slices.IndexFunc(vms, func(vm *localcluster.VM) bool {
+		groups := queuesOf(t, vm).Groups
+		return len(groups) == 1 && groups[0].Owned
+	})
+	if i < 0 {
+		t.Fatal("no VM dispatches the group")
+	}
+	return i
+}
+
+// probe calls one VM again and again and records the waits for the first token.
+type probe struct {
+	mu      sync.Mutex
+	longest time.Duration
+	calls   int
+	errors  []string
+}
+
+func (p *probe) run(ctx context.Context, c *client.Client) {
+	for ctx.Err() == nil {
+		start, first := time.Now(), time.Duration(0)
+		err := c.Stream(ctx, api.CompletionRequest{Model: localcluster.Model, Prompt: "x [tokens=20]"}, func(client.Token) error {
+			if first == 0 {
+				first = time.Since(start)
+			}
+			return nil
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		p.mu.Lock()
+		if p.calls++; err != nil {
+			p.errors = append(p.errors, err.Error())
+		}
+		p.longest = max(p.longest, first)
+		p.mu.Unlock()
+	}
+}
+
+// take returns the record since the last call.
+func (p *probe) take() (longest time.Duration, calls int, errors []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	longest, calls, errors = p.longest, p.calls, p.errors
+	p.longest, p.calls, p.errors = 0, 0, nil
+	return longest, calls, errors
+}
+
+// Guards against streams that a lost dispatcher interrupts, against callers who
+// wait for it, and against requests sent to a dead engine that the VM list
+// still calls live.
+func TestDispatcherAndEngineLoss(t *testing.T) {
+	const (
+		// longestWait allows for the bypass, 400 ms, and the first token.
+		longestWait = 600 * time.Millisecond
+		// closedWithin bounds the time until no VM uses a dead engine.
+		closedWithin = time.Second
+	)
+	c := start(t, localcluster.Options{VMs: 5, Engines: 3})
+	rollOut(t, c, 1)
+	time.Sleep(1500 * time.Millisecond) // the dispatcher's window is no longer reduced
+	lost := dispatcherOf(t, c.VMs)
+	rest := slices.Concat(c.VMs[:lost], c.VMs[lost+1:])
+
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	var p probe
+	for _, vm := range rest {
+		caller := client.New(client.Options{
+			Addresses: []string{vm.URL()}, APIKey: localcluster.APIKey, HTTP: &http.Client{Transport: transport},
+		})
+		wg.Go(func() { p.run(ctx, caller) })
+	}
+	expectNoErrors := func(what string) {
+		t.Helper()
+		longest, calls, errors := p.take()
+		t.Logf("%s: %d calls, longest wait for the first token %v", what, calls, longest.Round(time.Millisecond))
+		if calls == 0 || len(errors) > 0 || longest > longestWait {
+			t.Errorf("%s: %d calls, longest wait %v, errors %v", what, calls, longest, errors)
+		}
+	}
+	time.Sleep(time.Second)
+	expectNoErrors("normal")
+
+	c.VMs[lost].Server.Abort()
+	_ = c.VMs[lost].Stop()
+	time.Sleep(4 * time.Second)
+	expectNoErrors("dispatcher lost")
+	owner := rest[dispatcherOf(t, rest)]
+
+	c.Engines[0].Server.Close()
+	time.Sleep(closedWithin)
+	p.take() // streams of the dead engine break
+	q := queuesOf(t, owner)
+	if fmt.Sprint(q.OpenBreakers) != "[engine-1]" {
+		t.Errorf("dispatcher %s does not exclude the dead engine: %+v", owner.ID, q)
+	}
+	time.Sleep(time.Second)
+	expectNoErrors("engine dead")
+}
