Halve the size of progress reports and keep an isolated dispatcher serving

Cause: progress took about 8 bytes per stream and report, which made it the largest part of the protocol's traffic. A dispatcher that lost its connection to all engines refused every request, although frontends could reach the engines.

Change: progress batches are parallel packed lists with steps between sequences; the lists of complete keepalives use steps too. Requests omit the tenant, which the dispatcher's bundle names. A dispatcher that reaches none of three or more engines goes on granting; frontends refuse engines that they cannot reach. A grant without waiting resets the known queue length of its group.

Ruled out: fewer reports, because the dispatcher projects memory from them.

--- a/dispatch/grant/bench_test.go
+++ b/dispatch/grant/bench_test.go
@@ -65,8 +65,8 @@
 func TestTrafficAtTargetLoad(t *testing.T) {
 	const (
 		vms, seconds = 2, 20
-		maxBytes     = 215 // per request, without prefix hashes
-		maxMessages  = 8.5
+		maxBytes     = 172 // per request, without prefix hashes
+		maxMessages  = 4.1
 	)
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, vms, 32, 1000)
@@ -94,7 +94,7 @@
 	for pause(ctx, time.Second/scaleRequests) {
 		go func() {
 			tk, err := n.m.Acquire(ctx, dispatch.Ask{
-				Tenant: "t", Organisation: "o", Model: testModel, PromptTokens: 1000, MaxTokens: 4096,
+				Tenant: testTenant, Organisation: testOrganisation, Model: testModel, PromptTokens: 1000, MaxTokens: 4096,
 			})
 			if err != nil {
 				return
--- a/dispatch/grant/dispatcher.go
+++ b/dispatch/grant/dispatcher.go
@@ -170,13 +170,18 @@
 	}
 }
 
+// setBackendsOf excludes engines that do not respond. If none of several
+// responds, the fault is more likely between this VM and the engines, and
+// frontends decide by their own connections.
 func (d *dispatcher) setBackendsOf(c *groupCore) {
-	backends := make([]dispatch.Backend, 0, len(c.group.engines))
-	for _, id := range c.group.engines {
-		if d.m.opts.Breaker.Allowed(id) {
-			r := d.reports[id]
-			backends = append(backends, dispatch.Backend{ID: id, BlocksTotal: r.BlocksTotal, BlockTokens: r.BlockTokens})
-		}
+	engines := slices.DeleteFunc(slices.Clone(c.group.engines), func(id string) bool { return !d.m.opts.Breaker.Allowed(id) })
+	if len(engines) == 0 && len(c.group.engines) >= isolatedEngines {
+		engines = c.group.engines
+	}
+	backends := make([]dispatch.Backend, 0, len(engines))
+	for _, id := range engines {
+		r := d.reports[id]
+		backends = append(backends, dispatch.Backend{ID: id, BlocksTotal: r.BlocksTotal, BlockTokens: r.BlockTokens})
 	}
 	c.core.SetBackends(d.m.now, backends)
 }
@@ -194,7 +199,7 @@
 	}
 	c.usedAt = d.m.now
 	id := dispatch.RequestID{VM: from, Sequence: r.Sequence}
-	if err := c.core.Submit(d.m.now, dispatch.Request{ID: id, Ask: decodeAsk(c.group.model, r)}); err != nil {
+	if err := c.core.Submit(d.m.now, dispatch.Request{ID: id, Ask: d.m.view.decodeAsk(c.group.model, r)}); err != nil {
 		d.reject(from, r.Sequence, asRejection(err))
 		return
 	}
@@ -281,18 +286,18 @@
 }
 
 // progress charges running streams and takes back finished ones.
-func (d *dispatcher) progress(from string, p *peerpb.Progress) {
+func (d *dispatcher) progress(from string, b *peerpb.Progress) {
 	touched := map[*groupCore]bool{}
-	for _, s := range p.Streams {
-		e := d.entries[from][p.Base+s.Sequence]
+	for _, p := range decodeProgress(b) {
+		e := d.entries[from][p.sequence]
 		if e == nil {
 			continue
 		}
 		touched[e.core] = true
-		if s.Unreachable {
+		if p.unreachable && e.granted {
 			d.m.opts.Breaker.Refused(e.grant.Backend)
 		}
-		d.advance(e, s)
+		d.advance(e, p)
 	}
 	if d.m.opts.Breaker.Version() != d.m.breakerAt {
 		d.setBackends()
@@ -302,12 +307,12 @@
 	}
 }
 
-func (d *dispatcher) advance(e *entry, s *peerpb.StreamProgress) {
-	tokens := max(e.tokens, int(s.Tokens))
-	if e.granted && s.Preempted {
+func (d *dispatcher) advance(e *entry, p progress) {
+	tokens := max(e.tokens, p.tokens)
+	if e.granted && p.preempted {
 		e.core.core.Preempted(d.m.now, e.id)
 	}
-	if s.Finished {
+	if p.finished {
 		e.tokens = tokens
 		d.drop(e)
 		return
--- a/dispatch/grant/frontend.go
+++ b/dispatch/grant/frontend.go
@@ -225,10 +225,10 @@
 	}
 	if t.knownBy != "" {
 		l := f.link(t.knownBy)
-		s := encodeProgress(t)
-		s.Finished = true
-		s.Unreachable = t.tokens.Load() == 0 && !f.m.opts.Breaker.Allowed(t.target.ID)
-		l.finished = append(l.finished, s)
+		p := t.report()
+		p.finished = true
+		p.unreachable = p.tokens == 0 && !f.m.opts.Breaker.Allowed(t.target.ID)
+		l.finished = append(l.finished, p)
 		f.flush(l)
 	}
 }
@@ -263,6 +263,9 @@
 		return
 	}
 	f.counters.Grants++
+	if !r.received {
+		f.lengths[r.group] = 0 // granted without waiting
+	}
 	t := &ticket{
 		sequence: b.Sequence, target: backend.Target{ID: vm.ID, Address: vm.Address}, priority: int(b.Priority), knownBy: from,
 	}
@@ -276,7 +279,7 @@
 // refuse releases a grant that is not used.
 func (f *frontend) refuse(from string, sequence uint64) {
 	l := f.link(from)
-	l.finished = append(l.finished, &peerpb.StreamProgress{Sequence: sequence, Finished: true})
+	l.finished = append(l.finished, progress{sequence: sequence, finished: true})
 	l.unsettle()
 	f.flush(l)
 }
@@ -384,6 +387,11 @@
 			delete(f.links, vm)
 		}
 	}
+	for name := range f.lengths {
+		if f.m.view.groups[name] == nil {
+			delete(f.lengths, name)
+		}
+	}
 	f.declareDue = true
 }
 
--- a/dispatch/grant/grant_test.go
+++ b/dispatch/grant/grant_test.go
@@ -234,6 +234,20 @@
 	})
 }
 
+// Guards against a dispatcher that is cut off from all engines and refuses work
+// that frontends could run.
+func TestIsolatedDispatcherGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, isolatedEngines, 2)
+		owner, others := c.owner()
+		for i := range isolatedEngines {
+			owner.m.opts.Breaker.Refused(fmt.Sprintf("engine-%d", i))
+		}
+		time.Sleep(50 * time.Millisecond)
+		others[0].mustAcquire(t, 1)
+	})
+}
+
 // Guards against a waiting list without bounds, and against errors without a type.
 func TestRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dispatch/grant/link.go
+++ b/dispatch/grant/link.go
@@ -26,7 +26,7 @@
 	settling  uint64
 	// declared holds the groups for which this VM has declared its grants.
 	declared map[string]bool
-	finished []*peerpb.StreamProgress
+	finished []progress
 }
 
 func (f *frontend) link(vm string) *link {
@@ -116,11 +116,7 @@
 		return
 	}
 	k.Base = min(first(k.Waiting), first(k.Held))
-	for _, s := range [][]uint64{k.Waiting, k.Held} {
-		for i := range s {
-			s[i] -= k.Base
-		}
-	}
+	k.Waiting, k.Held = differences(k.Base, k.Waiting), differences(k.Base, k.Held)
 }
 
 // first returns the lowest of sorted sequences, or the highest value for none.
@@ -172,23 +168,18 @@
 
 // flush sends the progress of all streams of a dispatcher that are due.
 func (f *frontend) flush(l *link) {
-	streams := l.finished
+	reports := l.finished
 	l.finished = nil
 	for _, t := range f.held {
 		if t.knownBy == l.vm && t.due() {
-			streams = append(streams, encodeProgress(t))
+			reports = append(reports, t.report())
 		}
 	}
-	if len(streams) == 0 {
+	if len(reports) == 0 {
 		return
 	}
-	slices.SortFunc(streams, func(a, b *peerpb.StreamProgress) int { return cmp.Compare(a.Sequence, b.Sequence) })
-	p := &peerpb.Progress{Streams: streams, Base: streams[0].Sequence}
-	for _, s := range streams {
-		s.Sequence -= p.Base
-	}
 	// A release that is lost is made good by the next complete keepalive.
-	_ = f.m.send(l.vm, &peerpb.Dispatch{Message: &peerpb.Dispatch_Progress{Progress: p}})
+	_ = f.m.send(l.vm, &peerpb.Dispatch{Message: &peerpb.Dispatch_Progress{Progress: encodeProgress(reports)}})
 }
 
 // declareAll tells each dispatcher about grants that it may not know.
--- a/dispatch/grant/network_test.go
+++ b/dispatch/grant/network_test.go
@@ -189,7 +189,11 @@
 	lost *node
 }
 
-const testModel = "quotes"
+const (
+	testModel        = "quotes"
+	testTenant       = "rafmagnstilbod"
+	testOrganisation = "reykjavik-electric"
+)
 
 // newCluster starts nodes in front of engines that run limit streams each.
 func newCluster(t testing.TB, nodes, engines, limit int) *cluster {
@@ -222,7 +226,7 @@
 		go n.loop.Run(ctx)
 		go n.m.Run(ctx)
 	}
-	document := &bundle.Document{Version: 1, Tenants: []bundle.Tenant{{Name: "t", Share: 1, Organisations: []bundle.Organisation{{Name: "o"}}}}}
+	document := &bundle.Document{Version: 1, Tenants: []bundle.Tenant{{Name: testTenant, Share: 1, Organisations: []bundle.Organisation{{Name: testOrganisation}}}}}
 	for _, n := range c.nodes {
 		n.loop.Post(control.BundleReceived{Index: bundle.NewIndex(document, "")})
 	}
@@ -294,7 +298,7 @@
 }
 
 func (n *node) acquire(ctx context.Context) (*ticket, error) {
-	t, err := n.m.Acquire(ctx, dispatch.Ask{Tenant: "t", Organisation: "o", Model: testModel, PromptTokens: 100})
+	t, err := n.m.Acquire(ctx, dispatch.Ask{Tenant: testTenant, Organisation: testOrganisation, Model: testModel, PromptTokens: 100})
 	if err != nil {
 		return nil, err
 	}
--- a/dispatch/grant/reconcile.go
+++ b/dispatch/grant/reconcile.go
@@ -38,13 +38,13 @@
 	id := dispatch.RequestID{VM: from, Sequence: h.Sequence}
 	if e := d.entries[from][h.Sequence]; e != nil {
 		if e.granted && e.core == c && e.grant.Backend == h.Backend {
-			d.advance(e, &peerpb.StreamProgress{Tokens: h.Tokens})
+			d.advance(e, progress{tokens: int(h.Tokens)})
 			return
 		}
 		d.drop(e)
 	}
 	g := dispatch.Grant{Request: id, Backend: h.Backend, Priority: int(h.Priority)}
-	c.core.Declare(d.m.now, dispatch.Held{Grant: g, Ask: decodeAsk(c.group.model, h.Request), Tokens: int(h.Tokens)})
+	c.core.Declare(d.m.now, dispatch.Held{Grant: g, Ask: d.m.view.decodeAsk(c.group.model, h.Request), Tokens: int(h.Tokens)})
 	d.add(&entry{core: c, id: id, granted: true, at: d.m.now, grant: g, tokens: int(h.Tokens)})
 }
 
@@ -62,8 +62,7 @@
 // holds some that are not listed.
 func (d *dispatcher) compare(from string, k *peerpb.Keepalive) (unknown []uint64, unlisted bool) {
 	listed := map[uint64]bool{}
-	for _, offset := range k.Waiting {
-		s := k.Base + offset
+	for _, s := range sums(k.Base, k.Waiting) {
 		listed[s] = true
 		switch e := d.entries[from][s]; {
 		case e == nil:
@@ -72,8 +71,7 @@
 			d.answer(e)
 		}
 	}
-	for _, offset := range k.Held {
-		s := k.Base + offset
+	for _, s := range sums(k.Base, k.Held) {
 		if e := d.entries[from][s]; e == nil || !e.granted {
 			unknown = append(unknown, s)
 			continue
--- a/dispatch/grant/view.go
+++ b/dispatch/grant/view.go
@@ -45,12 +45,12 @@
 	entry     map[string]bool
 	declarers map[string][]vmlist.VM
 	shares    []dispatch.TenantShare
-	// organisations holds those that the bundle names.
-	organisations map[string]bool
+	// tenants maps the organisations that the bundle names to their tenants.
+	tenants map[string]string
 }
 
 // entitled reports whether the bundle in force names an organisation.
-func (v *view) entitled(organisation string) bool { return v.organisations[organisation] }
+func (v *view) entitled(organisation string) bool { return v.tenants[organisation] != "" }
 
 // adopt derives what changed in a snapshot. Its cost is proportional to the
 // fleet only if the VM list changed, which is much rarer than other changes.
@@ -151,7 +151,7 @@
 
 // setShares derives the entitlements that the bundle in force states.
 func (v *view) setShares() {
-	v.shares, v.organisations = nil, map[string]bool{}
+	v.shares, v.tenants = nil, map[string]string{}
 	if v.snap.Bundle == nil {
 		return
 	}
@@ -162,7 +162,7 @@
 		}
 		for _, o := range t.Organisations {
 			s.Organisations[o.Name] = cmp.Or(o.Weight, 1)
-			v.organisations[o.Name] = true
+			v.tenants[o.Name] = t.Name
 		}
 		v.shares = append(v.shares, s)
 	}
--- a/dispatch/grant/wire.go
+++ b/dispatch/grant/wire.go
@@ -1,33 +1,104 @@
 package grant
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 )
 
 func encodeAsk(sequence uint64, a dispatch.Ask) *peerpb.GrantRequest {
 	return &peerpb.GrantRequest{
-		Sequence: sequence, Tenant: a.Tenant, Organisation: a.Organisation, PromptTokens: uint32(a.PromptTokens),
+		Sequence: sequence, Organisation: a.Organisation, PromptTokens: uint32(a.PromptTokens),
 		PrefixHashes: a.PrefixHashes, MaxTokens: uint32(a.MaxTokens), Excluded: a.Excluded,
 	}
 }
 
-// decodeAsk completes a request with the model of its group.
-func decodeAsk(model string, r *peerpb.GrantRequest) dispatch.Ask {
+// decodeAsk completes a request with the model of its group and the tenant of
+// its organisation.
+func (v *view) decodeAsk(model string, r *peerpb.GrantRequest) dispatch.Ask {
 	return dispatch.Ask{
-		Tenant: r.GetTenant(), Organisation: r.GetOrganisation(), Model: model, PromptTokens: int(r.GetPromptTokens()),
-		PrefixHashes: r.GetPrefixHashes(), MaxTokens: int(r.GetMaxTokens()), Excluded: r.GetExcluded(),
+		Tenant: v.tenants[r.GetOrganisation()], Organisation: r.GetOrganisation(), Model: model,
+		PromptTokens: int(r.GetPromptTokens()), PrefixHashes: r.GetPrefixHashes(), MaxTokens: int(r.GetMaxTokens()),
+		Excluded: r.GetExcluded(),
 	}
 }
 
-// encodeProgress returns the state of a stream and marks it as reported.
-func encodeProgress(t *ticket) *peerpb.StreamProgress {
+// progress is the report on one stream.
+type progress struct {
+	sequence                         uint64
+	tokens                           int
+	preempted, finished, unreachable bool
+}
+
+// report returns the state of a ticket and marks it as reported.
+func (t *ticket) report() progress {
 	tokens, preemptions := t.tokens.Load(), t.preemptions.Load()
-	s := &peerpb.StreamProgress{
-		Sequence: t.sequence, Tokens: uint32(tokens), Preempted: preemptions != t.reportedPreemptions,
-	}
+	p := progress{sequence: t.sequence, tokens: int(tokens), preempted: preemptions != t.reportedPreemptions}
 	t.reportedTokens, t.reportedPreemptions = tokens, preemptions
-	return s
+	return p
+}
+
+// encodeProgress sorts the reports and returns them as one message.
+func encodeProgress(reports []progress) *peerpb.Progress {
+	slices.SortFunc(reports, func(a, b progress) int { return cmp.Compare(a.sequence, b.sequence) })
+	p := &peerpb.Progress{Base: reports[0].sequence}
+	last := p.Base
+	for _, r := range reports {
+		var flags peerpb.ProgressFlag
+		if r.preempted {
+			flags |= peerpb.ProgressFlag_PROGRESS_FLAG_PREEMPTED
+		}
+		if r.finished {
+			flags |= peerpb.ProgressFlag_PROGRESS_FLAG_FINISHED
+		}
+		if r.unreachable {
+			flags |= peerpb.ProgressFlag_PROGRESS_FLAG_UNREACHABLE
+		}
+		p.Steps = append(p.Steps, r.sequence-last)
+		p.Tokens = append(p.Tokens, uint32(r.tokens))
+		p.Flags = append(p.Flags, uint32(flags))
+		last = r.sequence
+	}
+	return p
+}
+
+// decodeProgress returns the reports of a message, none if its lists differ in length.
+func decodeProgress(p *peerpb.Progress) []progress {
+	if len(p.Tokens) != len(p.Steps) || len(p.Flags) != len(p.Steps) {
+		return nil
+	}
+	reports := make([]progress, len(p.Steps))
+	sequence := p.Base
+	for i, step := range p.Steps {
+		sequence += step
+		has := func(f peerpb.ProgressFlag) bool { return peerpb.ProgressFlag(p.Flags[i])&f != 0 }
+		reports[i] = progress{
+			sequence: sequence, tokens: int(p.Tokens[i]), preempted: has(peerpb.ProgressFlag_PROGRESS_FLAG_PREEMPTED),
+			finished:    has(peerpb.ProgressFlag_PROGRESS_FLAG_FINISHED),
+			unreachable: has(peerpb.ProgressFlag_PROGRESS_FLAG_UNREACHABLE),
+		}
+	}
+	return reports
+}
+
+// differences replaces ascending sequences by the steps between them.
+func differences(base uint64, sequences []uint64) []uint64 {
+	for i, s := range sequences {
+		sequences[i], base = s-base, s
+	}
+	return sequences
+}
+
+// sums is the inverse of differences. It leaves the message as it is.
+func sums(base uint64, steps []uint64) []uint64 {
+	out := make([]uint64, len(steps))
+	for i, step := range steps {
+		base += step
+		out[i] = base
+	}
+	return out
 }
 
 // encodeHeld omits the prefix hashes, which matter only for a choice of engine.
