--- a/config/config.go
+++ b/config/config.go
@@ -52,6 +52,8 @@
 	Dispatch Dispatch `json:"dispatch"`
 	Log      Log      `json:"log"`
 	Trace    Trace    `json:"trace"`
+
+	TraceRecorder TraceRecorder `json:"trace_recorder"`
 }
 
 // Listen holds the addresses, as IP:port.
@@ -117,6 +119,8 @@
 	FirstToken Duration `json:"first_token,omitempty" validate:"gte=0"`
 	// StreamIdle bounds the gap between tokens before a resume. Default 3s.
 	StreamIdle Duration `json:"stream_idle,omitempty" validate:"gte=0"`
+	// Body bounds the time in which a caller sends the body of a request. Default 30s.
+	Body Duration `json:"body,omitempty" validate:"gte=0"`
 	// DrainNotice is the time between a failing /readyz and the refusal of new work. Default 5s.
 	DrainNotice Duration `json:"drain_notice,omitempty" validate:"gte=0"`
 	// Drain bounds the wait for running streams after the notice. Default 20m.
@@ -168,3 +172,11 @@
 	// Ratio is the sampled fraction of requests without a sampled parent. Default 1.
 	Ratio float64 `json:"ratio,omitempty" validate:"gte=0,lte=1"`
 }
+
+// TraceRecorder writes the requests of this VM in the format of package replay.
+type TraceRecorder struct {
+	// File is created; an existing file is an error. Empty records nothing.
+	File string `json:"file,omitempty"`
+	// Model is the model whose requests are recorded.
+	Model string `json:"model,omitempty" validate:"required_with=File"`
+}
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -20,11 +20,17 @@
 
 // Bounds of attempts. A resume that brings tokens starts the count anew.
 const (
-	maxAttempts   = 3
-	maxResumes    = 3
-	resumeBase    = 50 * time.Millisecond
-	resumeLimit   = 500 * time.Millisecond
-	cancelTimeout = 2 * time.Second
+	maxAttempts = 3
+	// maxResumes rides out about a second of broken connections, after which
+	// the answer would be lost. Before the first token another engine can take
+	// over, so fewer resumes are worth the wait.
+	maxResumes           = 6
+	maxResumesFirstToken = 3
+	// maxSilentResumes bounds resumes of a silent stream, counted in idle timeouts.
+	maxSilentResumes = 3
+	resumeBase       = 50 * time.Millisecond
+	resumeLimit      = 500 * time.Millisecond
+	cancelTimeout    = 2 * time.Second
 	// progressStep is the number of tokens between progress reports.
 	progressStep = 16
 )
@@ -43,9 +49,12 @@
 	offset     int
 	// seen says that the caller has received a token, after which only the
 	// same generation may go on.
-	seen      bool
-	started   time.Time
-	lastToken time.Time
+	seen bool
+	// mayHaveRun says that an attempt may have started a generation, after
+	// which the request cannot end with the outcome not_run.
+	mayHaveRun bool
+	started    time.Time
+	lastToken  time.Time
 }
 
 // run obtains tickets and relays until the answer is complete. It starts
@@ -64,10 +73,10 @@
 			return r.sink.fail(r.interrupted(err))
 		}
 		if !restartable(err) || attempt == maxAttempts {
-			return asFailure(err)
+			return r.failure(err)
 		}
 		if !r.f.budget.Take(r.c.identity.Organisation) {
-			return asFailure(err)
+			return r.failure(err)
 		}
 		r.f.counter.restarts.Inc(1)
 		r.c.log.Warn("generation_restarted", zap.String("backend", r.target.ID),
@@ -91,23 +100,38 @@
 	r.sink.reset()
 	r.c.generation = r.generation.String()
 	defer func() { ticket.Release(r.offset) }()
+	started := false
 	err = r.stream(func(ctx context.Context) (*backend.Stream, error) {
-		return r.f.Engines.Start(ctx, r.target, r.request, backend.StartOptions{
+		stream, err := r.f.Engines.Start(ctx, r.target, r.request, backend.StartOptions{
 			Generation: r.generation, Organisation: r.c.identity.Organisation, Priority: ticket.Priority(),
 			FirstToken: r.f.Config.Timeouts.FirstToken.Std(), Idle: r.f.Config.Timeouts.StreamIdle.Std(),
 		})
+		started = err == nil || !notStarted(err)
+		return stream, err
 	})
-	if err != nil && !r.seen && !notStarted(err) {
+	r.mayHaveRun = r.mayHaveRun || started
+	if err != nil && !r.seen && started {
 		r.cancelGeneration()
 	}
 	return err
 }
 
+// failure maps the error of the last attempt in view of the earlier ones.
+func (r *relay) failure(err error) *api.Problem {
+	p := asFailure(err)
+	if p.Outcome != api.OutcomeNotRun || !r.mayHaveRun {
+		return p
+	}
+	return api.NewProblem(api.ProblemBackendUnavailable, http.StatusBadGateway, api.OutcomeUnknown,
+		"an attempt may have started a generation").WithCause(err)
+}
+
 // stream opens the generation and follows it, resuming over new connections
 // when it stalls or breaks.
 func (r *relay) stream(open func(context.Context) (*backend.Stream, error)) error {
 	err := r.follow("engine.stream", open)
-	for resumes := 1; err != nil && resumable(err) && r.c.ctx.Err() == nil && resumes <= maxResumes; resumes++ {
+	progress := time.Now()
+	for resumes := 1; err != nil && resumable(err) && r.c.ctx.Err() == nil && r.mayResume(resumes, progress); resumes++ {
 		r.f.counter.resumes.Inc(1)
 		r.c.log.Warn("stream_resumed", zap.String("backend", r.target.ID), zap.Int("offset", r.offset), zap.Error(err))
 		r.f.Engines.CloseIdle()
@@ -117,12 +141,19 @@
 		before := r.offset
 		err = r.follow("engine.resume", r.reopen)
 		if r.offset > before {
-			resumes = 0
+			resumes, progress = 0, time.Now()
 		}
 	}
 	return err
 }
 
+func (r *relay) mayResume(resumes int, progress time.Time) bool {
+	if !r.seen {
+		return resumes <= maxResumesFirstToken
+	}
+	return resumes <= maxResumes && time.Since(progress) < maxSilentResumes*r.f.Config.Timeouts.StreamIdle.Std()
+}
+
 func (r *relay) reopen(ctx context.Context) (*backend.Stream, error) {
 	return r.f.Engines.Resume(ctx, r.target, r.generation, r.offset,
 		r.f.Config.Timeouts.StreamIdle.Std(), r.f.Config.Timeouts.StreamIdle.Std())
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,7 +26,12 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBundleCommand(), newGetCommand(), newCheckConfigCommand(), newDemoCommand(), newCompleteCommand(), newCallCommand(),
-		newReplayCommand(), newTraceCommand())
+	root.AddCommand(
+		newBundleCommand(), newOrderCommand(),
+		newGetCommand(), newCheckConfigCommand(),
+		newCompleteCommand(), newCallCommand(),
+		newDemoCommand(), newCapacityCommand(),
+		newReplayCommand(), newTraceCommand(),
+	)
 	return root
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -42,6 +42,7 @@
 // Engine is an inference engine that produces verifiable tokens.
 type Engine struct {
 	faultSwitch
+	orderBook
 	opts EngineOptions
 	mux  *http.ServeMux
 
@@ -73,6 +74,7 @@
 		e.runner = model
 	}
 	e.mux.HandleFunc("PUT /faults", e.serveFaults)
+	e.handleOrders(e.mux, &e.faultSwitch)
 	e.mux.HandleFunc("POST /v1/completions", e.start)
 	e.mux.HandleFunc("GET /v1/generations/{id}", e.resume)
 	e.mux.HandleFunc("DELETE /v1/generations/{id}", e.cancelGeneration)
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -2,20 +2,25 @@
 package e2e
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/internal/cli"
 	"github.com/vanillaarch/vanillaarch/internal/daemon"
 	"github.com/vanillaarch/vanillaarch/internal/standin/standincmd"
@@ -34,7 +39,16 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = processes{}
-			return nil
+			root, err := filepath.Abs("../..")
+			if err != nil {
+				return err
+			}
+			env.Setenv("REPO", root)
+			// The race detector otherwise makes each program wait a second before it exits.
+			env.Setenv("GORACE", "atexit_sleep_ms=0")
+			key, err := client.NewIdempotencyKey()
+			env.Setenv("KEY", key)
+			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"addresses": addresses,
@@ -43,6 +57,7 @@
 			"waitexit":  waitExit,
 			"waithttp":  waitHTTP,
 			"waitbody":  waitBody,
+			"put":       put,
 			"substenv":  substEnv,
 		},
 	})
@@ -55,13 +70,32 @@
 
 func running(ts *testscript.TestScript) processes { return ts.Value(processesKey{}).(processes) }
 
+// Ports of the scripts lie below the range that systems use for outgoing
+// connections, so that no other process takes one between its choice and its use.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+// nextPort is shared by all scripts. It starts at a place that depends on the
+// process, since other test binaries run at the same time.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 64 % (lastPort - firstPort)) }
+
 // addresses NAME... sets each variable to a free loopback address.
 func addresses(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		for {
+			port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if err != nil {
+				continue
+			}
+			ts.Setenv(name, l.Addr().String())
+			ts.Check(l.Close())
+			break
+		}
 	}
 }
 
@@ -130,10 +164,12 @@
 	ts.Fatalf("%s: got %s, want %s", args[0], last, args[1])
 }
 
-// waitBody URL LIMIT PATTERN... waits until the body of a GET matches all patterns.
+// waitBody URL [LIMIT] PATTERN... waits until the body of a GET matches all patterns.
 func waitBody(ts *testscript.TestScript, _ bool, args []string) {
-	limit, err := time.ParseDuration(args[1])
-	ts.Check(err)
+	limit, patterns := pollLimit, args[1:]
+	if d, err := time.ParseDuration(args[1]); err == nil {
+		limit, patterns = d, args[2:]
+	}
 	client := &http.Client{Timeout: time.Second}
 	var body []byte
 	begin := time.Now()
@@ -144,13 +180,25 @@
 		}
 		body, _ = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		missing := slices.ContainsFunc(args[2:], func(p string) bool { return !regexp.MustCompile(p).Match(body) })
+		missing := slices.ContainsFunc(patterns, func(p string) bool { return !regexp.MustCompile(p).Match(body) })
 		if !missing {
 			ts.Logf("after %v", time.Since(begin).Round(time.Millisecond))
 			return
 		}
 	}
-	ts.Fatalf("%s: not %v after %v: %s", args[0], args[2:], limit, body)
+	ts.Fatalf("%s: not %v after %v: %s", args[0], patterns, limit, body)
+}
+
+// put URL BODY sends a PUT and expects status 200.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	req, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(args[1]))
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	ts.Check(resp.Body.Close())
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("%s: got status %d", args[0], resp.StatusCode)
+	}
 }
 
 // substEnv FILE... replaces $NAME in files by the script's variables.
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -20,12 +20,14 @@
 	"github.com/vanillaarch/vanillaarch/claim"
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/dispatch/grant"
 	"github.com/vanillaarch/vanillaarch/frontend"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/membership"
 	"github.com/vanillaarch/vanillaarch/peer"
+	"github.com/vanillaarch/vanillaarch/replay"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -54,6 +56,8 @@
 	metrics metrics.Registry
 	grants  *grant.Manager
 	http    *httpServers
+	// recorder is nil unless the configuration names its file.
+	recorder *replay.Recorder
 
 	// peers is the transport to other entry VMs.
 	peers   *peer.Sessions
@@ -95,8 +99,13 @@
 	if err := s.listenPeers(); err != nil {
 		return nil, err
 	}
+	admission, err := s.recorded(s.admission())
+	if err != nil {
+		s.peers.Close()
+		return nil, err
+	}
 	s.front = frontend.New(frontend.Options{
-		Config: cfg, Snapshot: s.loop.Snapshot, Admission: s.admission(), Engines: s.engines, Services: s.service,
+		Config: cfg, Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.service,
 		Claims: s.claims, Log: o.Log, Tracer: tracing.Tracer(), Metrics: s.metrics,
 	})
 	if s.http, err = s.listen(); err != nil {
@@ -106,6 +115,22 @@
 	return s, nil
 }
 
+// recorded wraps an admission with the recorder, if one is configured.
+func (s *Server) recorded(a dispatch.Admission) (dispatch.Admission, error) {
+	if s.cfg.TraceRecorder.File == "" {
+		return a, nil
+	}
+	recorder, err := replay.NewRecorder(replay.RecorderOptions{
+		File: s.cfg.TraceRecorder.File, Model: s.cfg.TraceRecorder.Model,
+		Snapshot: s.loop.Snapshot, Now: time.Now, Log: s.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.recorder = recorder
+	return recorder.Wrap(a), nil
+}
+
 func parseKeys(hexKeys []string) ([]ed25519.PublicKey, error) {
 	keys := make([]ed25519.PublicKey, 0, len(hexKeys))
 	for _, h := range hexKeys {
@@ -133,7 +158,7 @@
 	s.log.Info("vm_started", zap.String("http", s.cfg.Listen.HTTP), zap.String("zone", s.cfg.Zone))
 	<-ctx.Done()
 	cut := s.drain()
-	s.http.close()
+	s.closeHTTP(len(cut) > 0)
 	stop()
 	background.Wait()
 	s.release()
@@ -172,6 +197,19 @@
 	return s.front.Drain(ctx)
 }
 
+// closeHTTP ends the HTTP servers. Connections that carry cut requests are
+// closed at once, and their handlers get a moment to notice.
+func (s *Server) closeHTTP(cut bool) {
+	if !cut {
+		s.http.close()
+		return
+	}
+	s.http.abort()
+	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
+	defer cancel()
+	s.front.Drain(ctx)
+}
+
 func (s *Server) release() {
 	s.front.Close()
 	s.claims.Close()
@@ -179,6 +217,11 @@
 	s.service.Close()
 	s.kv.Close()
 	s.vms.Close()
+	if s.recorder != nil {
+		if err := s.recorder.Close(); err != nil {
+			s.log.Warn("trace_record_failed", zap.Error(err))
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := s.tracing.Close(ctx); err != nil {
