Test that polls feed the core and end with the manager

Cause: the polls of load and cache events were covered by the daemons' tests only, which do not see what the core is told.

Change: a test polls a stand-in engine until its reports and cache events have arrived once and in order, then closes it and waits for its exclusion.

--- /dev/null
+++ b/dispatch/grant/poll_test.go
@@ -0,0 +1,99 @@
+package grant
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// recorder is a core that keeps what it is told about engines.
+type recorder struct {
+	fcfs
+	mu     sync.Mutex
+	blocks int
+	events []uint64
+	usable int
+}
+
+func (r *recorder) Load(_ time.Time, _ string, l dispatch.LoadReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.blocks = l.BlocksUsed
+}
+
+func (r *recorder) CacheEvent(_ time.Time, _ string, e dispatch.CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e.Sequence)
+}
+
+func (r *recorder) SetBackends(_ time.Time, b []dispatch.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usable = len(b)
+}
+
+// Guards against reports that do not reach the core, cache events that are read
+// twice, an engine that keeps its place after it died, and pollers that outlive
+// their manager.
+func TestPollsFeedTheCore(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			_ = json.NewEncoder(w).Encode(dispatch.LoadReport{BlocksUsed: 7, BlocksTotal: 100, BlockTokens: 16})
+			return
+		}
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		_ = json.NewEncoder(w).Encode([]dispatch.CacheEvent{{Sequence: after + 1}, {Sequence: after + 2}})
+	}))
+	core := &recorder{}
+	ctx, cancel := context.WithCancel(context.Background())
+	engines := backend.NewEngines()
+	loop := control.NewLoop(zap.NewNop(), time.Now)
+	m := New(Options{
+		VM: "vm", Region: "r", Loop: loop, Breaker: engines.Breaker(), Log: zap.NewNop(), GroupSize: 32,
+		NewCore: func() dispatch.Core { return core },
+	})
+	var wg sync.WaitGroup
+	wg.Go(func() { loop.Run(ctx) })
+	wg.Go(func() { m.Run(ctx) })
+	wg.Go(func() { m.Poll(ctx, engines) })
+	defer engines.Close()
+	defer wg.Wait()
+	defer cancel()
+	loop.Post(control.VMListReceived{List: &vmlist.List{Revision: 1, VMs: []vmlist.VM{{
+		ID: "engine", Role: vmlist.RoleEngine, State: vmlist.StateLive, Region: "r",
+		Address: server.Listener.Addr().String(), Models: []string{testModel},
+	}}}})
+	eventually := func(what string, ok func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			core.mu.Lock()
+			done := ok()
+			core.mu.Unlock()
+			if done {
+				return
+			}
+		}
+		t.Errorf("%s: core has blocks %d, events %v, %d engines", what, core.blocks, core.events, core.usable)
+	}
+	eventually("reports", func() bool {
+		return core.usable == 1 && core.blocks == 7 && len(core.events) >= 4 && slices.Equal(core.events[:4], []uint64{1, 2, 3, 4})
+	})
+	server.Close()
+	eventually("engine died", func() bool { return core.usable == 0 })
+}
