Keep grants and requests right when groups split and views differ

Cause: the random test now draws the size of groups and lets single VMs disagree about a suspicion. It failed in two ways. "acquire on vm-0: no live engine has model quotes": a dispatcher whose newer VM list had merged a group away refused the request instead of asking for another try, although another group had room. "vm-3 dispatches {Granted:1}": a grant that was declared to another VM and released there stayed in the core of its own VM, whose messages to itself were excluded from complete keepalives.

Ruled out: keeping refused engines in the request's list of exclusions, which would travel with each request.

Change: a group that is missing from the dispatcher's view is answered like other differing views; a frontend tries its other groups before it reports that no engine is there; a VM sends complete keepalives to itself too, without the network. A ticket notes the group in which its dispatcher counts it.

--- a/dispatch/grant/dispatcher.go
+++ b/dispatch/grant/dispatcher.go
@@ -128,6 +128,7 @@
 	}
 	c = &groupCore{group: g, core: d.m.opts.NewCore(), usedAt: d.m.now, declared: map[string]bool{}}
 	d.cores[name] = c
+	d.m.targets.Store(d.m.pollTargets())
 	c.core.SetShares(d.m.now, d.m.view.shares)
 	d.setBackendsOf(c)
 	d.reduce(c)
@@ -193,7 +194,7 @@
 		return
 	}
 	c := d.core(groupName)
-	if c == nil || !d.m.view.entitled(r.Organisation) {
+	if c == nil || d.m.view.groups[groupName] == nil || !d.m.view.entitled(r.Organisation) {
 		d.reject(from, r.Sequence, peerpb.RejectReason_REJECT_REASON_VIEWS_DIFFER)
 		return
 	}
--- a/dispatch/grant/frontend.go
+++ b/dispatch/grant/frontend.go
@@ -29,7 +29,9 @@
 	received bool
 	// retryAt delays a parked request.
 	retryAt time.Time
-	ticket  *ticket
+	// avoid lists groups without an engine for the request.
+	avoid  []string
+	ticket *ticket
 }
 
 type outcome struct {
@@ -110,7 +112,7 @@
 
 // route sends a request to a dispatcher, or bypasses a silent one.
 func (f *frontend) route(r *request) {
-	g := f.pick(r.ask)
+	g := f.pick(r)
 	if g == nil {
 		f.finish(r, outcome{err: &dispatch.NoBackendError{Model: r.ask.Model}})
 		return
@@ -122,11 +124,11 @@
 
 // pick chooses a group by the power of two choices. Groups whose dispatcher
 // does not respond are chosen only if there is no other.
-func (f *frontend) pick(a dispatch.Ask) *group {
+func (f *frontend) pick(r *request) *group {
 	var silent, responsive []*group
-	for _, g := range f.m.view.candidates[a.Model] {
+	for _, g := range f.m.view.candidates[r.ask.Model] {
 		switch {
-		case !g.offers(a.Excluded):
+		case !g.offers(r.ask.Excluded) || slices.Contains(r.avoid, g.name):
 		case f.link(g.owner).silent:
 			silent = append(silent, g)
 		default:
@@ -266,14 +268,12 @@
 	if !r.received {
 		f.lengths[r.group] = 0 // granted without waiting
 	}
-	t := &ticket{
-		sequence: b.Sequence, target: backend.Target{ID: vm.ID, Address: vm.Address}, priority: int(b.Priority), knownBy: from,
-	}
-	if g := f.m.view.groupOf[placement{r.ask.Model, vm.ID}]; g != nil {
-		t.group = g.name
-		f.declareDue = f.declareDue || g.owner != from
-	}
-	f.hold(r, t)
+	g := f.m.view.groupOf[placement{r.ask.Model, vm.ID}]
+	f.declareDue = f.declareDue || g != nil && (g.owner != from || g.name != r.group)
+	f.hold(r, &ticket{
+		sequence: b.Sequence, target: backend.Target{ID: vm.ID, Address: vm.Address}, priority: int(b.Priority),
+		knownBy: from, group: r.group,
+	})
 }
 
 // refuse releases a grant that is not used.
@@ -294,7 +294,8 @@
 	case peerpb.RejectReason_REJECT_REASON_QUEUE_FULL:
 		f.finish(r, outcome{err: &dispatch.QueueFullError{Organisation: r.ask.Organisation}})
 	case peerpb.RejectReason_REJECT_REASON_NO_BACKEND:
-		f.finish(r, outcome{err: &dispatch.NoBackendError{Model: r.ask.Model}})
+		r.avoid = append(r.avoid, r.group)
+		f.route(r)
 	default:
 		r.retryAt = f.m.now.Add(retryPause)
 		f.parked = append(f.parked, r)
--- a/dispatch/grant/grant_test.go
+++ b/dispatch/grant/grant_test.go
@@ -234,6 +234,31 @@
 	})
 }
 
+// Guards against grants that stay with the former group of their engine when a
+// new engine splits the group, although one VM dispatches all parts.
+func TestSplitMovesGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 4, 2, func(o *Options) { o.GroupSize = 4 })
+		n := c.nodes["vm-0"]
+		n.mustAcquire(t, 8)
+		c.list.VMs = append(c.list.VMs, vmlist.VM{
+			ID: "engine-4", Role: vmlist.RoleEngine, State: vmlist.StateLive, Region: "r", Models: []string{testModel},
+		})
+		c.publish()
+		time.Sleep(2 * lingerFor)
+		q, granted := n.queues(t), 0
+		for _, g := range q.Groups {
+			granted += g.Granted
+			if !g.Owned || g.Granted > 2*g.Engines {
+				t.Errorf("group after the split: %+v", g)
+			}
+		}
+		if len(q.Groups) < 2 || granted != 8 {
+			t.Errorf("%d groups know %d of 8 grants", len(q.Groups), granted)
+		}
+	})
+}
+
 // Guards against a dispatcher that is cut off from all engines and refuses work
 // that frontends could run.
 func TestIsolatedDispatcherGoesOn(t *testing.T) {
--- a/dispatch/grant/link.go
+++ b/dispatch/grant/link.go
@@ -75,15 +75,14 @@
 		asked[r.to] = true
 	}
 	for vm, l := range f.links {
-		if vm == f.m.opts.VM {
-			l.unsettled = false // loopback loses no messages
-			continue
-		}
-		if !f.m.view.entry[vm] && !f.owns(vm) {
+		// This VM needs no sign of its own life, but its dispatcher may hold
+		// grants that were declared to another VM since.
+		alive := vm == f.m.opts.VM
+		if !alive && !f.m.view.entry[vm] && !f.owns(vm) {
 			continue
 		}
 		complete := l.unsettled && !l.silent && f.m.now.Sub(l.syncAt) >= syncInterval
-		if complete || (asked[vm] || l.silent) && f.m.now.Sub(l.keepaliveAt) >= keepaliveInterval {
+		if complete || !alive && (asked[vm] || l.silent) && f.m.now.Sub(l.keepaliveAt) >= keepaliveInterval {
 			f.keepalive(l, complete)
 		}
 	}
@@ -195,9 +194,8 @@
 		if g == nil {
 			continue
 		}
-		t.group = g.name
 		grants[g] = append(grants[g], t)
-		missing[g] = missing[g] || t.knownBy != g.owner
+		missing[g] = missing[g] || t.knownBy != g.owner || t.group != g.name
 	}
 	for _, g := range f.m.view.groups {
 		l := f.link(g.owner)
@@ -221,7 +219,7 @@
 	}
 	l.declared[g.name] = true
 	for _, t := range tickets {
-		t.knownBy = l.vm
+		t.knownBy, t.group = l.vm, g.name
 	}
 	if len(tickets) > 0 {
 		l.unsettle()
--- a/dispatch/grant/network_test.go
+++ b/dispatch/grant/network_test.go
@@ -196,7 +196,7 @@
 )
 
 // newCluster starts nodes in front of engines that run limit streams each.
-func newCluster(t testing.TB, nodes, engines, limit int) *cluster {
+func newCluster(t testing.TB, nodes, engines, limit int, change ...func(*Options)) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	c := &cluster{t: t, list: &vmlist.List{}, network: &network{
@@ -212,14 +212,18 @@
 		id := fmt.Sprintf("vm-%d", i)
 		c.list.VMs = append(c.list.VMs, vmlist.VM{ID: id, Role: vmlist.RoleEntry, State: vmlist.StateLive, Region: "r"})
 		n := &node{id: id, net: c.network, loop: control.NewLoop(zap.NewNop(), time.Now)}
-		n.m = New(Options{
+		o := Options{
 			VM: id, Region: "r", Loop: n.loop, Transport: n, Breaker: backend.NewBreaker(), Log: zap.NewNop(),
 			NewCore: func() dispatch.Core {
 				return &fcfs{limit: limit, running: map[dispatch.RequestID]string{}, tokens: map[dispatch.RequestID]int{}}
 			},
 			BypassAfter: 250 * time.Millisecond, QueueTimeout: 30 * time.Second, LocalStreams: 2, GroupSize: 32,
 			Queued: 100, QueuedPerOrganisation: 100,
-		})
+		}
+		for _, f := range change {
+			f(&o)
+		}
+		n.m = New(o)
 		c.nodes[id] = n
 	}
 	for _, n := range c.nodes {
--- a/dispatch/grant/property_test.go
+++ b/dispatch/grant/property_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -37,7 +38,7 @@
 	return step{
 		At: time.Duration(rapid.IntRange(0, int(propertyRun/time.Millisecond)).Draw(t, "at")) * time.Millisecond,
 		Kind: rapid.SampledFrom([]string{
-			"acquire", "acquire", "acquire", "acquire", "acquire", "impatient", "freeze", "suspect", "cut", "drop", "copies", "leave",
+			"acquire", "acquire", "acquire", "acquire", "acquire", "impatient", "freeze", "suspect", "disagree", "cut", "drop", "copies", "leave",
 		}).Draw(t, "kind"),
 		Node:   rapid.IntRange(0, propertyNodes-1).Draw(t, "node"),
 		Peer:   rapid.IntRange(0, propertyNodes-1).Draw(t, "peer"),
@@ -51,8 +52,9 @@
 func TestNoTicketIsLostOrDoubled(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := steps.Draw(rt, "steps")
+		groupSize := rapid.IntRange(1, propertyEngines).Draw(rt, "group size")
 		var faults []string
-		synctest.Test(t, func(t *testing.T) { faults = play(t, plan) })
+		synctest.Test(t, func(t *testing.T) { faults = play(t, plan, groupSize) })
 		if len(faults) > 0 {
 			rt.Fatalf("%v", faults)
 		}
@@ -75,8 +77,8 @@
 	r.faults = append(r.faults, fmt.Sprintf(format, args...))
 }
 
-func play(t *testing.T, plan []step) []string {
-	r := &run{cluster: newCluster(t, propertyNodes, propertyEngines, propertyLimit), tickets: map[string]bool{}}
+func play(t *testing.T, plan []step, groupSize int) []string {
+	r := &run{cluster: newCluster(t, propertyNodes, propertyEngines, propertyLimit, func(o *Options) { o.GroupSize = groupSize }), tickets: map[string]bool{}}
 	for _, s := range plan {
 		r.wg.Go(func() {
 			time.Sleep(s.At)
@@ -113,8 +115,9 @@
 	}
 	switch s.Kind {
 	case "acquire":
+		start := time.Now()
 		if err := r.use(n, time.Minute, s.Length/4); err != nil {
-			r.fault("acquire on %s at %v: %v", n.id, s.At, err)
+			r.fault("acquire on %s at %v ended after %v: %v", n.id, s.At, time.Since(start), err)
 		}
 	case "impatient":
 		_ = r.use(n, s.Length/100, s.Length/4)
@@ -123,6 +126,11 @@
 		during(func() {}, thaw)
 	case "suspect":
 		during(func() { r.suspect(n.id, true) }, func() { r.suspect(n.id, false) })
+	case "disagree":
+		one := func(suspect bool) func() {
+			return func() { r.nodes[pair[1]].loop.Post(control.SuspicionChanged{VM: n.id, Suspect: suspect}) }
+		}
+		during(one(true), one(false))
 	case "cut":
 		during(func() { r.set(func(w *network) { w.cut[pair] = true }) }, func() { r.set(func(w *network) { w.cut[pair] = false }) })
 	case "drop":
--- a/dispatch/grant/reconcile.go
+++ b/dispatch/grant/reconcile.go
@@ -159,5 +159,6 @@
 		}
 	}
 	delete(d.cores, name)
+	d.m.targets.Store(d.m.pollTargets())
 	d.m.opts.Log.Info("group_released", zap.String("group", name), zap.Duration("idle", d.m.now.Sub(c.usedAt).Truncate(time.Millisecond)))
 }
--- a/dispatch/grant/ticket.go
+++ b/dispatch/grant/ticket.go
@@ -24,9 +24,8 @@
 
 	// The fields below are owned by the control goroutine.
 
-	// knownBy is the dispatcher that counts the ticket, "" if none does.
-	knownBy             string
-	group               string
+	// knownBy is the dispatcher that counts the ticket in a group, "" if none does.
+	knownBy, group      string
 	reportedTokens      int64
 	reportedPreemptions int64
 }
