Close the reserve by how far an organisation is above its share

Cause: the whole reserve was closed at the first token above the share, so at 95% load organisations slightly above it waited while memory lay idle.

Change: the reserve closes over a range of half a share.

--- a/dispatch/fairaccount.go
+++ b/dispatch/fairaccount.go
@@ -11,6 +11,8 @@
 	// shareTolerance is how far above its share and the mean an organisation may
 	// be before the reserve is closed to it.
 	shareTolerance = 1.05
+	// shareRange is the distance above the tolerance at which all of the reserve is closed.
+	shareRange = 0.5
 	// minEntitled is the least part of the pool that an entitlement counts as.
 	minEntitled = 1e-6
 	// shareReserve is the part of each engine's memory that only organisations
@@ -82,16 +84,14 @@
 }
 
 // reserved returns the part of each engine's memory that the organisation must
-// leave free. The reserve is closed to organisations that are above their share
-// and above the mean over all held tokens: what some leave unused is there for
-// the others, and during a flood only the flooding organisation is above the mean.
+// leave free. It grows with the distance above the organisation's share and above
+// the mean over all held tokens: what some leave unused is there for the others,
+// and during a flood only the flooding organisation is far above the mean.
 func (f *fair) reserved(organisation string) float64 {
 	if f.held <= 0 {
 		return 0
 	}
 	mean := f.concentration / f.held / f.held
-	if f.overShare(organisation) > shareTolerance*max(1, mean) {
-		return shareReserve
-	}
-	return 0
+	above := f.overShare(organisation)/max(1, mean) - shareTolerance
+	return shareReserve * min(max(above/shareRange, 0), 1)
 }
--- a/dispatch/fairtuning.go
+++ b/dispatch/fairtuning.go
@@ -24,7 +24,7 @@
 // remainder. A high weight of the gap between tokens limits batches, at the cost
 // of queueing. A high weight of stall time rejects sooner.
 const (
-	minQuantile, maxQuantile   = 0.20, 0.95
+	minQuantile, maxQuantile   = 0.48, 0.98
 	minBatchPart, maxBatchPart = 0.50, 0.80
 	minWait, maxWait           = 3 * time.Second, 8 * time.Second
 )
