--- /dev/null
+++ b/dispatch/fairengine.go
@@ -0,0 +1,226 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/flowcontrol"
+	"github.com/vanillaarch/vanillaarch/scheduling"
+)
+
+const (
+	// unknownStreams is the limit of streams of an engine whose memory is not known yet.
+	unknownStreams = 4
+	// maxStreams is the default of FairOptions.EngineStreams.
+	maxStreams = 256
+	// warmUpPart is the part of an engine's memory that is granted during the warm-up.
+	warmUpPart = 0.5
+	// excessReports is the number of load reports that must agree that an engine
+	// holds memory of streams that this core does not know.
+	excessReports = 4
+	// excessLifetime is how long that memory is believed without a new report.
+	excessLifetime = 5 * time.Second
+	// startSteps is how many steps an engine is expected to take until a granted
+	// prompt is processed.
+	startSteps = 2
+	// shrinkFactor, growPerSecond and minWindowPart shape the window of an engine
+	// that shrinks on a preemption.
+	shrinkFactor  = 0.9
+	growPerSecond = 0.01
+	minWindowPart = 0.5
+	// shrinkInterval joins the preemptions of one shortage.
+	shrinkInterval = time.Second
+)
+
+// engine is the state of an engine that is live or has streams.
+type engine struct {
+	id          string
+	handle      int
+	live        bool
+	blocks      int
+	blockTokens int
+	window      *flowcontrol.Window
+	residency   *scheduling.Residency
+	// current is the memory that known streams hold, in tokens.
+	current float64
+	// excess holds the memory beyond current of the last load reports, in tokens.
+	excess   [excessReports]float64
+	report   int
+	reportAt time.Time
+	// grantAt is the time of the last grant.
+	grantAt time.Time
+	// part is the part of memory that the window uses, changed at partAt.
+	part   float64
+	partAt time.Time
+}
+
+// SetBackends implements Core. Streams of a removed engine continue.
+func (f *fair) SetBackends(now time.Time, backends []Backend) {
+	f.warm(now)
+	listed := make(map[string]bool, len(backends))
+	for _, b := range backends {
+		listed[b.ID] = true
+		e := f.engine(b.ID)
+		if !e.live {
+			e.live = true
+			f.order = append(f.order, e)
+		}
+		e.resize(b.BlocksTotal, b.BlockTokens)
+		f.refresh(now, e)
+	}
+	f.retain(listed)
+}
+
+// retain stops grants to engines that are not listed.
+func (f *fair) retain(listed map[string]bool) {
+	var gone []*engine
+	for id, e := range f.engines {
+		if !listed[id] {
+			gone = append(gone, e)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *engine) int { return cmp.Compare(a.handle, b.handle) })
+	f.order = slices.DeleteFunc(f.order, func(e *engine) bool { return !listed[e.id] })
+	for _, e := range gone {
+		e.live = false
+		f.index.Remove(e.handle)
+		f.prefixes.Drop(e.handle)
+		f.forget(e)
+	}
+}
+
+// engine returns the state of an engine, creating it if needed.
+func (f *fair) engine(id string) *engine {
+	e := f.engines[id]
+	if e == nil {
+		f.lastID++
+		e = &engine{id: id, handle: f.lastID, window: flowcontrol.NewWindow(f.opts.Window), residency: scheduling.NewResidency(), part: 1}
+		f.engines[id] = e
+		f.handles[e.handle] = e
+	}
+	return e
+}
+
+// forget drops the state of an engine that is not live and has no streams.
+func (f *fair) forget(e *engine) {
+	if !e.live && e.window.Streams() == 0 {
+		delete(f.engines, e.id)
+		delete(f.handles, e.handle)
+	}
+}
+
+func (e *engine) resize(blocks, blockTokens int) {
+	if blocks > 0 && blockTokens > 0 {
+		e.blocks, e.blockTokens = blocks, blockTokens
+	}
+}
+
+// Load implements Core.
+func (f *fair) Load(now time.Time, backend string, r LoadReport) {
+	e := f.engines[backend]
+	if e == nil {
+		return
+	}
+	e.resize(r.BlocksTotal, r.BlockTokens)
+	e.excess[e.report%excessReports] = float64(r.BlocksUsed*r.BlockTokens) - e.current - e.orphaned()
+	e.report++
+	e.reportAt = now
+	f.refresh(now, e)
+}
+
+// unknown returns the memory held by streams that this core does not know: the
+// least excess of the last reports, since single reports lag behind.
+func (e *engine) unknown(now time.Time) float64 {
+	if e.report < excessReports || now.Sub(e.reportAt) > excessLifetime {
+		return 0
+	}
+	least := e.excess[0]
+	for _, x := range e.excess[1:] {
+		least = min(least, x)
+	}
+	return max(least, 0)
+}
+
+// orphaned returns the memory that no running stream counts as its own, in tokens.
+func (e *engine) orphaned() float64 { return float64(e.residency.Orphans() * e.blockTokens) }
+
+// CacheEvent implements Core.
+func (f *fair) CacheEvent(_ time.Time, backend string, c CacheEvent) {
+	if e := f.engines[backend]; e != nil && e.live {
+		f.prefixes.Update(e.handle, c.Sequence, c.Stored, c.Evicted, c.Cleared)
+	}
+}
+
+// free returns the part of memory that stays free at the projected peak with one
+// more stream, less a reserved part; negative without room.
+func (f *fair) free(now time.Time, e *engine, extra flowcontrol.Usage, reserved float64) float64 {
+	if e.blocks == 0 {
+		return 1 - float64(e.window.Streams())/float64(min(unknownStreams, f.opts.EngineStreams))
+	}
+	total := float64(e.blocks * e.blockTokens)
+	usable := total * (1 - reserved) * e.windowPart(now)
+	if now.Before(f.warmUntil) {
+		usable *= warmUpPart
+	}
+	return (usable - e.unknown(now) - e.orphaned() - e.window.Demand(extra)) / total
+}
+
+func (e *engine) windowPart(now time.Time) float64 {
+	return min(1, e.part+growPerSecond*now.Sub(e.partAt).Seconds())
+}
+
+// shrink reduces the window after a preemption.
+func (e *engine) shrink(now time.Time) {
+	if now.Sub(e.partAt) < shrinkInterval {
+		return
+	}
+	e.part = max(minWindowPart, e.windowPart(now)*shrinkFactor)
+	e.partAt = now
+}
+
+// starting reports whether the engine is expected to process a granted prompt.
+func (f *fair) starting(now time.Time, e *engine) bool {
+	return now.Sub(e.grantAt) < startSteps*f.gaps.Gap(e.window.Streams())
+}
+
+// streamLimit returns the batch limit of engines.
+func (f *fair) streamLimit() int {
+	if f.opts.Window == flowcontrol.FixedPolicy {
+		return flowcontrol.FixedStreams
+	}
+	if n, ok := f.gaps.BatchLimit(f.tuning.batchPart); ok {
+		return min(n, f.opts.EngineStreams)
+	}
+	return f.opts.EngineStreams
+}
+
+// refresh updates an engine's place in the index.
+func (f *fair) refresh(now time.Time, e *engine) {
+	if !e.live {
+		return
+	}
+	n := e.window.Streams()
+	room := f.free(now, e, flowcontrol.Usage{}, 0)
+	if limit := f.streamLimit(); n >= limit {
+		room = min(room, float64(limit-n-1)/float64(limit))
+	} else {
+		room = min(room, float64(limit-n)/float64(limit))
+	}
+	f.index.Set(e.handle, room)
+}
+
+func (f *fair) refreshAll(now time.Time) {
+	for _, e := range f.order {
+		f.refresh(now, e)
+	}
+}
+
+// refreshNext updates one engine in rotation, since room changes with time and
+// with the gap model too.
+func (f *fair) refreshNext(now time.Time) {
+	if len(f.order) > 0 {
+		f.rotation = (f.rotation + 1) % len(f.order)
+		f.refresh(now, f.order[f.rotation])
+	}
+}
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -21,6 +21,7 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/dispatch/grant"
 	"github.com/vanillaarch/vanillaarch/frontend"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/kv"
@@ -53,6 +54,7 @@
 	front   *frontend.Frontend
 	tracing *telemetry.Tracing
 	metrics metrics.Registry
+	grants  *grant.Manager
 	http    *httpServers
 	// recorder is nil unless the configuration names its file.
 	recorder *replay.Recorder
@@ -94,17 +96,18 @@
 	s.claims = claim.NewManager(s.kv, claim.Options{
 		VM: cfg.VMID, Retention: cfg.Claims.Retention.Std(), ClockTolerance: cfg.Claims.ClockTolerance.Std(), Now: time.Now,
 	})
+	if err := s.listenPeers(); err != nil {
+		return nil, err
+	}
 	admission, err := s.recorded(s.admission())
 	if err != nil {
+		s.peers.Close()
 		return nil, err
 	}
 	s.front = frontend.New(frontend.Options{
 		Config: cfg, Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.service,
 		Claims: s.claims, Log: o.Log, Tracer: tracing.Tracer(), Metrics: s.metrics,
 	})
-	if err := s.listenPeers(); err != nil {
-		return nil, err
-	}
 	if s.http, err = s.listen(); err != nil {
 		s.peers.Close()
 		return nil, err
@@ -112,10 +115,6 @@
 	return s, nil
 }
 
-func (s *Server) admission() dispatch.Admission {
-	return dispatch.NewLocal(s.loop.Snapshot, s.cfg.Dispatch.EngineStreams, s.cfg.Limits.Queued, s.cfg.Timeouts.Queue.Std())
-}
-
 // recorded wraps an admission with the recorder, if one is configured.
 func (s *Server) recorded(a dispatch.Admission) (dispatch.Admission, error) {
 	if s.cfg.TraceRecorder.File == "" {
@@ -151,7 +150,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	tasks := append(s.peerTasks(), s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList)
+	tasks := append(append(s.peerTasks(), s.grantTasks()...), s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList)
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
