Read the VM list again when a call hangs

Cause: a hanging call held the reader for the 2 s limit of key-value calls, and a pause of 1 s came after it. A change that the call before had just missed was known after about 4 s, past the 3 s of P5.

Ruled out: ending a call at a limit below 1 s. A list that always takes 1.5 s, which TestEngineLeaves has, would then never be read.

Change: platform.vm_list_call_limit, default 700 ms. A call without an answer by then is overtaken by another; it ends after three limits, so at most three are under way, and its answer counts until then. The interval of 1 s is measured between the starts of calls. The VM list stand-in counts its reads, and stand-ins take hang_next.

Before: TestHangingList failed ("not on vm-1 after 3s").

--- a/config/config.go
+++ b/config/config.go
@@ -74,8 +74,11 @@
 	KVTimeout Duration `json:"kv_timeout,omitempty" validate:"gte=0"`
 	// VMList is the base URL of the VM list.
 	VMList string `json:"vm_list" validate:"required,url"`
-	// VMListInterval is the time between reads of the VM list. Default 1s.
+	// VMListInterval is the time between the starts of two reads of the VM list. Default 1s.
 	VMListInterval Duration `json:"vm_list_interval,omitempty" validate:"gte=0"`
+	// VMListCallLimit is the time after which a read of the VM list without an
+	// answer is overtaken by another. A read ends after three limits. Default 700ms.
+	VMListCallLimit Duration `json:"vm_list_call_limit,omitempty" validate:"gte=0"`
 }
 
 // Bundle controls how a bundle is accepted.
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -6,6 +6,7 @@
 const (
 	defaultKVTimeout         = Duration(2 * time.Second)
 	defaultVMListInterval    = Duration(time.Second)
+	defaultVMListCallLimit   = Duration(700 * time.Millisecond)
 	defaultFallbackInterval  = Duration(30 * time.Second)
 	defaultBodyBytes         = 1 << 20
 	defaultHeaderBytes       = 32 << 10
@@ -36,6 +37,7 @@
 func (c *Config) ApplyDefaults() {
 	set(&c.Platform.KVTimeout, defaultKVTimeout)
 	set(&c.Platform.VMListInterval, defaultVMListInterval)
+	set(&c.Platform.VMListCallLimit, defaultVMListCallLimit)
 	set(&c.Bundle.FallbackInterval, defaultFallbackInterval)
 	set(&c.Limits.BodyBytes, defaultBodyBytes)
 	set(&c.Limits.HeaderBytes, defaultHeaderBytes)
--- a/internal/localcluster/stop_test.go
+++ b/internal/localcluster/stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -195,3 +196,19 @@
 	stop()
 	wg.Wait()
 }
+
+// TestHangingList guards P5 against a list call that hangs. The engine begins
+// to leave right after an answer, which is the worst moment, and the next call
+// gets no answer.
+func TestHangingList(t *testing.T) {
+	c, _ := startCluster(t, localcluster.Options{VMs: 1, Engines: 2, Configure: func(cfg *config.Config) {
+		cfg.Platform.VMListInterval = 0 // The default.
+	}})
+	reads := c.VMList.Reads()
+	eventually(t, "a read", func() bool { return c.VMList.Reads() > reads })
+	c.VMList.Set(standin.Faults{HangNext: 1})
+	c.VMList.SetState("engine-1", vmlist.StateLeaving)
+	waitAll(t, c.VMs, failoverLimit, "leaving engine with a hanging call", func(s *control.Snapshot) bool {
+		return len(s.Engines[localcluster.Model]) == 1
+	})
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -19,6 +19,8 @@
 	Down bool `json:"down,omitempty"`
 	// DelayMS delays each answer by this many milliseconds.
 	DelayMS int `json:"delay_ms,omitempty"`
+	// HangNext holds this many of the next requests until their callers give up.
+	HangNext int `json:"hang_next,omitempty"`
 	// LoseAnswers drops the connection after the request took effect.
 	LoseAnswers bool `json:"lose_answers,omitempty"`
 	// Stall leaves streams open and sends nothing more on them; new
@@ -67,13 +69,28 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// take returns the faults in force for one request and counts it as hung.
+func (s *faultSwitch) take() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	if f.HangNext > 0 {
+		s.faults.HangNext--
+	}
+	return f
+}
+
 // before applies faults ahead of a request. It returns false when the request must not go on.
 func (s *faultSwitch) before(w http.ResponseWriter, r *http.Request) bool {
-	f := s.Get()
+	f := s.take()
 	if f.Down {
 		drop(w)
 		return false
 	}
+	if f.HangNext > 0 {
+		<-r.Context().Done()
+		return false
+	}
 	if f.DelayMS > 0 {
 		select {
 		case <-r.Context().Done():
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -16,6 +16,8 @@
 
 	mu   sync.Mutex
 	list vmlist.List
+	// reads counts the answered reads.
+	reads int
 }
 
 // NewVMList returns a list with the given VMs.
@@ -31,6 +33,13 @@
 // ServeHTTP implements http.Handler.
 func (s *VMList) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// Reads returns the number of answered reads.
+func (s *VMList) Reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // Put adds or replaces a VM.
 func (s *VMList) Put(vm vmlist.VM) {
 	s.mu.Lock()
@@ -78,6 +87,7 @@
 	known, _ := strconv.ParseInt(r.URL.Query().Get("known"), 10, 64)
 	s.mu.Lock()
 	list := s.list
+	s.reads++
 	s.mu.Unlock()
 	if known == list.Revision {
 		w.WriteHeader(http.StatusNotModified)
--- a/sync.go
+++ b/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +20,9 @@
 	roleCheck       = 200 * time.Millisecond
 	watchWait       = 25 * time.Second
 	watchErrorPause = 500 * time.Millisecond
+	// listReads bounds the reads of the VM list under way at once: each ends
+	// after this many call limits.
+	listReads = 3
 )
 
 // watchBundle follows the head in the key-value service while this VM is a watcher.
@@ -104,17 +108,30 @@
 }
 
 // readVMList polls the platform's VM list while this VM is a watcher, and at
-// the fallback interval otherwise.
+// the fallback interval otherwise. A call that exceeds its limit is overtaken by
+// another, and its answer still counts, since a list that is always slow must
+// not leave the VM without news. After a change that one call just missed, the
+// next begins at most one interval later; if it hangs, another begins one limit
+// later. The news therefore takes at most the interval and two limits.
 func (s *Server) readVMList(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for ctx.Err() == nil {
-		list, err := s.vms.Fetch(ctx, s.loop.Snapshot().VMs.Revision)
-		switch {
-		case err != nil:
-			s.log.Debug("vm_list_failed", zap.Error(err))
-		case list != nil:
-			s.loop.Post(control.VMListReceived{List: list, Source: "platform"})
+		begin, done := time.Now(), make(chan struct{})
+		calls.Go(func() {
+			defer close(done)
+			s.fetchVMList(ctx)
+		})
+		limit := time.NewTimer(s.cfg.Platform.VMListCallLimit.Std())
+		select {
+		case <-ctx.Done():
+		case <-limit.C:
+			s.log.Debug("vm_list_slow", zap.Duration("limit", s.cfg.Platform.VMListCallLimit.Std()))
+			continue
+		case <-done:
+			limit.Stop()
 		}
-		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()) {
+		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()-time.Since(begin)) {
 			return
 		}
 		if !s.awaitFallback(ctx, s.readsPlatform) {
@@ -123,6 +140,18 @@
 	}
 }
 
+// fetchVMList reads the list once. The loop ignores an answer that is older
+// than one of a later call.
+func (s *Server) fetchVMList(ctx context.Context) {
+	list, err := s.vms.Fetch(ctx, s.loop.Snapshot().VMs.Revision)
+	switch {
+	case err != nil:
+		s.log.Debug("vm_list_failed", zap.Error(err))
+	case list != nil:
+		s.loop.Post(control.VMListReceived{List: list, Source: "platform"})
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -83,7 +83,7 @@
 	s := &Server{
 		cfg: cfg, log: o.Log, keys: keys, tracing: tracing,
 		kv:      kv.NewClient(cfg.Platform.KV, cfg.Platform.KVTimeout.Std()),
-		vms:     vmlist.NewClient(cfg.Platform.VMList, cfg.Platform.KVTimeout.Std()),
+		vms:     vmlist.NewClient(cfg.Platform.VMList, listReads*cfg.Platform.VMListCallLimit.Std()),
 		loop:    control.NewLoop(o.Log, time.Now),
 		engines: backend.NewEngines(),
 		service: backend.NewServices(cfg.Limits.AnswerBytes),
