Report memory from stand-in engines with fixed intervals

Cause: since dispatchers admit by memory, an engine that reports none gets four streams. The fixed-interval stand-in reported none, so 'vanillaarch capacity' ended with queue-timeout for most of its streams.

Ruled out: a higher limit for engines of unknown memory; real engines report theirs.

Change: the stand-in reports 1 M tokens of memory; the relay measurement spreads its streams over 40 engines, since a dispatcher spaces the starts of one engine.

--- a/capacity/relay.go
+++ b/capacity/relay.go
@@ -22,6 +22,8 @@
 	relayTokens   = 60
 	relayInterval = 56 * time.Millisecond
 	relayLimit    = 60 * time.Second
+	// relayEngines share the streams, since a dispatcher spaces the starts of one engine.
+	relayEngines = 40
 )
 
 var streamSizes = []int{50, 200, 800}
@@ -39,7 +41,7 @@
 			return nil, err
 		}
 		direct, err := runStreams(n, func(ctx context.Context, i int, mark func()) error {
-			return directStream(ctx, cluster.Engines[0], mark)
+			return directStream(ctx, cluster.Engines[i%relayEngines], mark)
 		})
 		if err != nil {
 			cluster.Close()
@@ -63,7 +65,7 @@
 
 func relayCluster(streams int) (*localcluster.Cluster, error) {
 	cluster, err := localcluster.Start(localcluster.Options{
-		VMs: 1, Engines: 1, TokenInterval: relayInterval,
+		VMs: 1, Engines: relayEngines, TokenInterval: relayInterval,
 		Configure: func(c *config.Config) { c.Dispatch.EngineStreams = streams },
 	})
 	if err != nil {
--- a/internal/standin/generation.go
+++ b/internal/standin/generation.go
@@ -114,10 +114,17 @@
 	return tokenReady
 }
 
+// An engine with fixed intervals reports more memory than tests fill, since a
+// dispatcher trusts an engine of unknown memory with few streams only.
+const (
+	fixedBlocks      = 1 << 16
+	fixedBlockTokens = 16
+)
+
 func (f *fixedRunner) load() dispatch.LoadReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	report := dispatch.LoadReport{At: time.Now()}
+	report := dispatch.LoadReport{At: time.Now(), BlocksTotal: fixedBlocks, BlockTokens: fixedBlockTokens}
 	for _, run := range f.runs {
 		if run.ends.After(report.At) {
 			report.Running++
