Route by model version

Cause: the bundle names models with versions, but an engine counted for a model whatever version it had loaded, so a rollout of a new version went on using the old one.

Ruled out: a filter at each request; the lookups are shared and built once.

Change: an engine listed as name@version gets work only while the bundle in force names that version; an entry without a version counts always.

--- a/control/control.go
+++ b/control/control.go
@@ -54,10 +54,13 @@
 	Backends map[string]vmlist.VM
 	// EntryVMs holds live entry VMs that are not suspect, in the order of the list.
 	EntryVMs []vmlist.VM
-	// entries holds live entry VMs, suspect ones included.
-	entries []vmlist.VM
+	lookups  *lookups
 }
 
+// SameBackends reports whether two snapshots have the same backend servers
+// with the same models.
+func (s *Snapshot) SameBackends(other *Snapshot) bool { return s.lookups == other.lookups }
+
 // Loop is the control goroutine.
 type Loop struct {
 	mailbox  chan Message
@@ -152,43 +155,20 @@
 }
 
 // newSnapshot returns the view of a state. It shares what depends on the VM
-// list alone with the previous view while the list is the same, so that other
-// changes do not cost time in proportion to the fleet.
+// list and the models alone with the previous view while these are the same, so
+// that other changes do not cost time in proportion to the fleet.
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
 	snap := &Snapshot{Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs}
-	if previous != nil && previous.VMs == s.VMs {
-		snap.Engines, snap.Services, snap.Backends = previous.Engines, previous.Services, previous.Backends
-		snap.entries = previous.entries
+	if previous != nil && previous.VMs == s.VMs && sameModels(previous.Bundle, s.Bundle) {
+		snap.lookups = previous.lookups
 	} else {
-		snap.addVMs(s.VMs.VMs)
+		snap.lookups = newLookups(s.VMs.VMs, modelVersions(s.Bundle))
 	}
-	for _, vm := range snap.entries {
+	snap.Engines, snap.Services, snap.Backends = snap.lookups.engines, snap.lookups.services, snap.lookups.backends
+	for _, vm := range snap.lookups.entries {
 		if !s.Suspect[vm.ID] {
 			snap.EntryVMs = append(snap.EntryVMs, vm)
 		}
 	}
 	return snap
 }
-
-func (snap *Snapshot) addVMs(vms []vmlist.VM) {
-	snap.Engines, snap.Services = map[string][]vmlist.VM{}, map[string][]vmlist.VM{}
-	snap.Backends = map[string]vmlist.VM{}
-	for _, vm := range vms {
-		if vm.Role == vmlist.RoleEntry {
-			if vm.State == vmlist.StateLive {
-				snap.entries = append(snap.entries, vm)
-			}
-			continue
-		}
-		snap.Backends[vm.ID] = vm
-		if vm.State != vmlist.StateLive {
-			continue
-		}
-		for _, m := range vm.Models {
-			snap.Engines[m] = append(snap.Engines[m], vm)
-		}
-		for _, svc := range vm.Services {
-			snap.Services[svc] = append(snap.Services[svc], vm)
-		}
-	}
-}
--- a/dispatch/grant/view.go
+++ b/dispatch/grant/view.go
@@ -53,14 +53,14 @@
 func (v *view) entitled(organisation string) bool { return v.tenants[organisation] != "" }
 
 // adopt derives what changed in a snapshot. Its cost is proportional to the
-// fleet only if the VM list changed, which is much rarer than other changes.
+// fleet only if the VM list or a model changed, which is much rarer than other changes.
 func (v *view) adopt(snap *control.Snapshot) (groups, shares bool) {
 	old := v.snap
 	v.snap = snap
 	if shares = old == nil || old.Bundle != snap.Bundle; shares {
 		v.setShares()
 	}
-	members := old == nil || old.VMs != snap.VMs
+	members := old == nil || !old.SameBackends(snap)
 	if members {
 		v.cutAll()
 	}
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -50,7 +50,9 @@
 	PeerAddress string `json:"peer_address,omitempty"`
 	// AdminAddress is the address for operators, as IP:port.
 	AdminAddress string `json:"admin_address,omitempty"`
-	// Models lists the models that an engine has loaded.
+	// Models lists the models that an engine has loaded, as "name" or
+	// "name@version". An engine with a version gets work only while the bundle in
+	// force names that version.
 	Models []string `json:"models,omitempty"`
 	// Services lists the services that a plain backend server offers.
 	Services []string `json:"services,omitempty"`
