--- a/delta/delta.go
+++ b/delta/delta.go
@@ -44,7 +44,7 @@
 		return nil, &SizeError{Size: len(document)}
 	}
 	options := []zstd.EOption{
-		zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(true), zstd.WithWindowSize(window(len(base)+len(document))),
+		zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(true), zstd.WithWindowSize(window(len(base) + len(document))),
 	}
 	if len(base) > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base))
