Send documents between VMs as deltas

Cause: each changed bundle or VM list went whole to each VM.

Ruled out: JSON as the encoded form of a signed bundle (base64 shifts by a change and does not compress against its base); keeping received bytes as bases (a peer could pad them, and encoding again takes less than the verification); sending the version of the base (the fingerprint names it, and also tells different encodings apart).

Change: a document request carries the fingerprint of the requester's encoded version. A delta that does not fit leads to one request for the whole; a second one refuses the peer for a while. A change is encoded once for each base. SignedBundle in protobuf is the encoded form of a bundle. The documents of TestVersionsNeverGoDown are now compressed; its checks are the same.

--- /dev/null
+++ b/gossip/delta_test.go
@@ -0,0 +1,122 @@
+package gossip
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+)
+
+// memory is a Source of plain bytes.
+type memory struct {
+	version int64
+	content []byte
+}
+
+func (m *memory) Version() int64                 { return m.version }
+func (m *memory) Encode() (int64, []byte, error) { return m.version, m.content, nil }
+func (m *memory) Accept(content []byte, version int64, _ string) error {
+	m.version, m.content = version, content
+	return nil
+}
+
+// node is a VM of the tests with a bundle only.
+type node struct {
+	*Gossip
+	bundle *memory
+}
+
+func newNode() node {
+	m := &memory{}
+	return node{New(map[peerpb.DocumentKind]Source{KindBundle: m, KindVMList: &memory{}}, zap.NewNop()), m}
+}
+
+func (n node) set(version int64) {
+	n.bundle.version, n.bundle.content = version, text(version)
+	n.note(KindBundle)
+}
+
+// text returns a version that shares most of its 40 kB with the one before.
+func text(version int64) []byte {
+	var b bytes.Buffer
+	for i := range int64(1000) {
+		fmt.Fprintf(&b, "%x line %d of %d\n", i*i*7919, i, max(0, version-i))
+	}
+	return b.Bytes()
+}
+
+// pull lets n fetch what from holds, and returns the documents on the way.
+func (n node) pull(from node) (documents []*peerpb.Document) {
+	replies := n.offer(time.Now(), "peer", KindBundle, from.bundle.version)
+	for len(replies) > 0 {
+		for _, answer := range from.handle(time.Now(), message{"n", replies[0]}) {
+			documents = append(documents, answer.GetDocument())
+		}
+		replies = n.handle(time.Now(), message{"peer", &peerpb.Membership{
+			Message: &peerpb.Membership_Document{Document: documents[len(documents)-1]},
+		}})
+	}
+	return documents
+}
+
+// Guards against whole documents for small changes, against a change that is
+// encoded again for each peer, and against a VM that stays behind because a
+// delta does not fit: its version is too old, differs in its bytes, or the
+// delta is damaged.
+func TestChangesTravelAsDeltas(t *testing.T) {
+	a, b, c := newNode(), newNode(), newNode()
+	a.set(1)
+	whole := b.pull(a)
+	c.pull(a)
+	a.set(2)
+	first, second := b.pull(a), c.pull(a)
+	if len(first) != 1 || first[0].GetBaseFingerprint() == 0 || len(first[0].GetEncoded()) > len(whole[0].GetEncoded())/20 {
+		t.Errorf("delta of %d bytes, whole document %d", len(first[0].GetEncoded()), len(whole[0].GetEncoded()))
+	}
+	if &first[0].GetEncoded()[0] != &second[0].GetEncoded()[0] {
+		t.Error("the change was encoded for each peer")
+	}
+	b.note(KindBundle)
+	for kept := true; kept; _, kept = a.histories[KindBundle].Base(b.histories[KindBundle].Fingerprint()) {
+		a.set(a.bundle.version + 1)
+	}
+	if got := b.pull(a); len(got) != 1 || got[0].GetBaseFingerprint() != 0 || !bytes.Equal(b.bundle.content, a.bundle.content) {
+		t.Errorf("from a version that is not kept: %d documents", len(got))
+	}
+	a.set(a.bundle.version + 1)
+	c.bundle.content = append(bytes.Clone(c.bundle.content), ' ') // Another encoding of version 2.
+	c.bundle.version = 3
+	if got := c.pull(a); len(got) != 1 || !bytes.Equal(c.bundle.content, a.bundle.content) {
+		t.Errorf("from other bytes: %d documents", len(got))
+	}
+	a.set(a.bundle.version + 1)
+	c.note(KindBundle)
+	encoded, _, _ := a.histories[KindBundle].Encode(c.histories[KindBundle].Fingerprint())
+	encoded[len(encoded)-1] ^= 1
+	if got := c.pull(a); len(got) != 2 || got[1].GetBaseFingerprint() != 0 || !bytes.Equal(c.bundle.content, a.bundle.content) {
+		t.Errorf("from a damaged delta: %d documents", len(got))
+	}
+	if c.Stats().Unfit != 1 {
+		t.Errorf("stats %+v", c.Stats())
+	}
+}
+
+// Guards against a peer that makes a VM ask for whole documents forever.
+func TestSecondUnfitDeltaIsRefused(t *testing.T) {
+	n := newNode()
+	n.set(1)
+	now := time.Now()
+	bad := message{"bad", &peerpb.Membership{Message: &peerpb.Membership_Document{
+		Document: &peerpb.Document{Kind: KindBundle, Version: 9, Encoded: []byte("x"), BaseFingerprint: 7},
+	}}}
+	if n.offer(now, "bad", KindBundle, 9) == nil || n.handle(now, bad) == nil {
+		t.Fatal("the first unfit delta leads to no whole fetch")
+	}
+	if n.handle(now, bad) != nil || n.offer(now, "bad", KindBundle, 9) != nil {
+		t.Error("the peer was asked again")
+	}
+}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -37,6 +37,8 @@
 type fetch struct {
 	version int64
 	expires time.Time
+	// whole says that a delta of this peer did not fit.
+	whole bool
 }
 
 // NewExchange returns an exchange that holds nothing.
@@ -102,6 +104,18 @@
 	return version > s.held
 }
 
+// MayRetry reports whether a fetch from a peer is in progress that has not been
+// repeated yet. It must be called before Wanted.
+func (e *Exchange) MayRetry(from string, k peerpb.DocumentKind) bool {
+	f, ok := e.kind(k).fetches[from]
+	return ok && !f.whole
+}
+
+// Retry begins the one fetch of the whole document that follows a delta that did not fit.
+func (e *Exchange) Retry(now time.Time, from string, k peerpb.DocumentKind, version int64) {
+	e.kind(k).fetches[from] = fetch{version: version, expires: now.Add(fetchTimeout), whole: true}
+}
+
 // Refuse ignores further offers of a peer for a while.
 func (e *Exchange) Refuse(now time.Time, from string, k peerpb.DocumentKind) {
 	e.kind(k).refused[from] = now.Add(refusedTime)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,8 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/delta"
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 )
@@ -26,7 +28,8 @@
 type Source interface {
 	// Version returns the version in force, 0 if there is none.
 	Version() int64
-	// Encode returns the document in force with its version.
+	// Encode returns the document in force with its version. VMs that hold the
+	// same version must get the same bytes.
 	Encode() (version int64, content []byte, err error)
 	// Accept verifies a document and puts it in force if it is newer.
 	Accept(content []byte, version int64, from string) error
@@ -52,13 +55,34 @@
 	return fmt.Sprintf("announced as version %d, carries version %d", e.Announced, e.Carried)
 }
 
+// UnknownBaseError reports a delta against a version that is not kept.
+type UnknownBaseError struct{ Fingerprint uint64 }
+
+func (e *UnknownBaseError) Error() string {
+	return fmt.Sprintf("no version with fingerprint %016x is kept", e.Fingerprint)
+}
+
+// Stats counts what the exchange did.
+type Stats struct {
+	// Requests counts documents that were asked for, Deltas and Wholes those that were sent.
+	Requests, Deltas, Wholes int64
+	// EncodedBytes counts bytes of sent documents, without message overhead.
+	EncodedBytes int64
+	// Unfit counts received deltas that did not fit and led to a whole fetch.
+	Unfit int64
+	// Dropped counts messages for which the inbox had no room.
+	Dropped int64
+}
+
 // Gossip exchanges documents with peers.
 type Gossip struct {
-	sources  map[peerpb.DocumentKind]Source
-	exchange *Exchange
-	inbox    chan message
-	log      *zap.Logger
-	dropped  atomic.Int64
+	sources   map[peerpb.DocumentKind]Source
+	histories map[peerpb.DocumentKind]*History
+	exchange  *Exchange
+	inbox     chan message
+	log       *zap.Logger
+
+	requests, deltas, wholes, encodedBytes, unfit, dropped atomic.Int64
 }
 
 type message struct {
@@ -68,7 +92,20 @@
 
 // New returns an exchange of the given sources; Run must be called.
 func New(sources map[peerpb.DocumentKind]Source, log *zap.Logger) *Gossip {
-	return &Gossip{sources: sources, exchange: NewExchange(), inbox: make(chan message, inboxMessages), log: log}
+	return &Gossip{
+		sources: sources, exchange: NewExchange(), inbox: make(chan message, inboxMessages), log: log,
+		histories: map[peerpb.DocumentKind]*History{
+			KindBundle: NewHistory(BundleHistoryBytes), KindVMList: NewHistory(VMListHistoryBytes),
+		},
+	}
+}
+
+// Stats returns the counters.
+func (g *Gossip) Stats() Stats {
+	return Stats{
+		Requests: g.requests.Load(), Deltas: g.deltas.Load(), Wholes: g.wholes.Load(),
+		EncodedBytes: g.encodedBytes.Load(), Unfit: g.unfit.Load(), Dropped: g.dropped.Load(),
+	}
 }
 
 // Receive takes a message from a peer. It does not block.
@@ -99,12 +136,16 @@
 	return m.GetHeartbeat().GetBundleVersion(), m.GetHeartbeat().GetVmListRevision()
 }
 
-// Run handles messages until ctx ends.
-func (g *Gossip) Run(ctx context.Context, transport peer.Transport) {
+// Run handles messages until ctx ends. changed signals new versions of the
+// sources, which are kept as bases of deltas.
+func (g *Gossip) Run(ctx context.Context, transport peer.Transport, changed <-chan struct{}) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-changed:
+			g.note(KindBundle)
+			g.note(KindVMList)
 		case in := <-g.inbox:
 			for _, reply := range g.handle(time.Now(), in) {
 				g.send(transport, in.from, reply)
@@ -120,15 +161,30 @@
 	}
 }
 
+// note adds the version in force to the history of its kind.
+func (g *Gossip) note(k peerpb.DocumentKind) {
+	source, history := g.sources[k], g.histories[k]
+	if version := source.Version(); version == 0 || version == history.Version() {
+		return
+	}
+	version, content, err := source.Encode()
+	if err != nil {
+		g.log.Error("gossip_encode_failed", zap.Error(err))
+		return
+	}
+	history.Add(version, content)
+}
+
 func (g *Gossip) handle(now time.Time, in message) []*peerpb.Membership {
 	if r := in.m.GetDocumentRequest(); r != nil {
 		return g.answer(r)
 	}
 	if d := in.m.GetDocument(); d != nil {
-		if err := g.accept(now, in.from, d); err != nil {
+		replies, err := g.accept(now, in.from, d)
+		if err != nil {
 			g.log.Warn("gossip_document_rejected", zap.Error(err))
 		}
-		return nil
+		return replies
 	}
 	bundle, vmList := offers(in.m)
 	return append(g.offer(now, in.from, KindBundle, bundle), g.offer(now, in.from, KindVMList, vmList)...)
@@ -136,12 +192,17 @@
 
 func (g *Gossip) offer(now time.Time, from string, k peerpb.DocumentKind, version int64) []*peerpb.Membership {
 	g.exchange.Hold(k, g.sources[k].Version())
-	held := g.exchange.Held(k)
 	if !g.exchange.Offer(now, from, k, version) {
 		return nil
 	}
+	g.note(k)
+	return g.request(k, g.histories[k].Fingerprint())
+}
+
+func (g *Gossip) request(k peerpb.DocumentKind, fingerprint uint64) []*peerpb.Membership {
+	g.requests.Add(1)
 	return []*peerpb.Membership{{Message: &peerpb.Membership_DocumentRequest{
-		DocumentRequest: &peerpb.DocumentRequest{Kind: k, AboveVersion: held},
+		DocumentRequest: &peerpb.DocumentRequest{Kind: k, AboveVersion: g.exchange.Held(k), BaseFingerprint: fingerprint},
 	}}}
 }
 
@@ -150,29 +211,49 @@
 	if source == nil || source.Version() <= r.GetAboveVersion() {
 		return nil
 	}
-	version, content, err := source.Encode()
+	g.note(r.GetKind())
+	history := g.histories[r.GetKind()]
+	encoded, base, err := history.Encode(r.GetBaseFingerprint())
 	if err != nil {
 		g.log.Error("gossip_encode_failed", zap.Error(err))
 		return nil
 	}
-	return []*peerpb.Membership{{Message: &peerpb.Membership_Document{
-		Document: &peerpb.Document{Kind: r.GetKind(), Version: version, Content: content},
-	}}}
+	if base == 0 {
+		g.wholes.Add(1)
+	} else {
+		g.deltas.Add(1)
+	}
+	g.encodedBytes.Add(int64(len(encoded)))
+	return []*peerpb.Membership{{Message: &peerpb.Membership_Document{Document: &peerpb.Document{
+		Kind: r.GetKind(), Version: history.Version(), Encoded: encoded, BaseFingerprint: base,
+	}}}}
 }
 
-func (g *Gossip) accept(now time.Time, from string, d *peerpb.Document) error {
-	source := g.sources[d.GetKind()]
+// accept returns a request for the whole document if a delta does not fit.
+func (g *Gossip) accept(now time.Time, from string, d *peerpb.Document) ([]*peerpb.Membership, error) {
+	k := d.GetKind()
+	source := g.sources[k]
 	if source == nil {
-		return &RejectedError{From: from, Version: d.GetVersion(), Cause: &VersionError{Announced: d.GetVersion()}}
+		return nil, &RejectedError{From: from, Version: d.GetVersion(), Cause: &VersionError{Announced: d.GetVersion()}}
 	}
-	g.exchange.Hold(d.GetKind(), source.Version())
-	if !g.exchange.Wanted(from, d.GetKind(), d.GetVersion()) {
-		return nil
+	g.exchange.Hold(k, source.Version())
+	mayRetry := d.GetBaseFingerprint() != 0 && g.exchange.MayRetry(from, k)
+	if !g.exchange.Wanted(from, k, d.GetVersion()) {
+		return nil, nil
 	}
-	if err := source.Accept(d.GetContent(), d.GetVersion(), from); err != nil {
-		g.exchange.Refuse(now, from, d.GetKind())
-		return &RejectedError{From: from, Version: d.GetVersion(), Cause: err}
+	content, err := g.histories[k].Decode(d.GetEncoded(), d.GetBaseFingerprint())
+	if _, unfit := errors.Into[*delta.BaseError](err); unfit && mayRetry {
+		g.unfit.Add(1)
+		g.exchange.Retry(now, from, k, d.GetVersion())
+		return g.request(k, 0), nil
+	}
+	if err == nil {
+		err = source.Accept(content, d.GetVersion(), from)
+	}
+	if err != nil {
+		g.exchange.Refuse(now, from, k)
+		return nil, &RejectedError{From: from, Version: d.GetVersion(), Cause: err}
 	}
-	g.exchange.Hold(d.GetKind(), d.GetVersion())
-	return nil
+	g.exchange.Hold(k, d.GetVersion())
+	return nil, nil
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/ed25519"
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/delta"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 )
 
@@ -30,19 +30,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	content, err := json.Marshal(s)
+	content, err := s.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
 	return content
 }
 
+func compressed(t interface{ Fatal(...any) }, content []byte) []byte {
+	encoded, err := delta.Encode(nil, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
 // Guards against a bundle that is replaced by an older one, or by one that no
 // trusted key signed: any order of documents ends at the highest trusted
 // version, and no snapshot goes down on the way.
 func TestVersionsNeverGoDown(t *testing.T) {
 	public, trusted, _ := ed25519.GenerateKey(nil)
 	_, stranger, _ := ed25519.GenerateKey(nil)
+	documents := map[bool][][]byte{}
+	for version := range int64(10) {
+		documents[true] = append(documents[true], compressed(t, signed(t, max(1, version), trusted)))
+		documents[false] = append(documents[false], compressed(t, signed(t, max(1, version), stranger)))
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		loop := control.NewLoop(zap.NewNop(), time.Now)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -52,17 +65,17 @@
 		var highest, last int64
 		for range rapid.IntRange(1, 12).Draw(t, "documents") {
 			version := rapid.Int64Range(1, 9).Draw(t, "version")
-			announced, key := version, trusted
+			announced, isTrusted := version, true
 			switch rapid.IntRange(0, 3).Draw(t, "fault") {
 			case 0:
-				key = stranger
+				isTrusted = false
 			case 1:
 				announced++
 			default:
 				highest = max(highest, version)
 			}
 			g.handle(time.Now(), message{"p", &peerpb.Membership{Message: &peerpb.Membership_Document{Document: &peerpb.Document{
-				Kind: KindBundle, Version: announced, Content: signed(t, version, key),
+				Kind: KindBundle, Version: announced, Encoded: documents[isTrusted][version],
 			}}}})
 			now := g.sources[KindBundle].Version()
 			if now < last {
--- a/gossip/sources.go
+++ b/gossip/sources.go
@@ -38,17 +38,14 @@
 
 func (b *bundles) Encode() (int64, []byte, error) {
 	signed := b.loop.Snapshot().Signed
-	content, err := json.Marshal(signed)
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "encode bundle")
-	}
-	return signed.Version, content, nil
+	content, err := signed.Encode()
+	return signed.Version, content, err
 }
 
 func (b *bundles) Accept(content []byte, version int64, from string) error {
-	var signed bundle.Signed
-	if err := json.Unmarshal(content, &signed); err != nil {
-		return errors.Wrap(err, "decode bundle")
+	signed, err := bundle.DecodeSigned(content)
+	if err != nil {
+		return err
 	}
 	if signed.Version != version {
 		return &VersionError{Announced: version, Carried: signed.Version}
@@ -57,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	b.loop.Post(control.BundleReceived{Signed: &signed, Index: index, Source: sourcePeer + from})
+	b.loop.Post(control.BundleReceived{Signed: signed, Index: index, Source: sourcePeer + from})
 	return nil
 }
 
--- a/peers.go
+++ b/peers.go
@@ -55,6 +55,16 @@
 }
 
 func (s *Server) registerPeerMetrics() {
+	for name, value := range map[string]func(gossip.Stats) int64{
+		"gossip.requests":      func(st gossip.Stats) int64 { return st.Requests },
+		"gossip.deltas":        func(st gossip.Stats) int64 { return st.Deltas },
+		"gossip.wholes":        func(st gossip.Stats) int64 { return st.Wholes },
+		"gossip.encoded_bytes": func(st gossip.Stats) int64 { return st.EncodedBytes },
+		"gossip.unfit":         func(st gossip.Stats) int64 { return st.Unfit },
+		"gossip.dropped":       func(st gossip.Stats) int64 { return st.Dropped },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, s.metrics, func() int64 { return value(s.gossip.Stats()) })
+	}
 	for name, value := range map[string]func(peer.Stats) int64{
 		"peer.bytes_sent":        func(st peer.Stats) int64 { return st.BytesSent },
 		"peer.bytes_received":    func(st peer.Stats) int64 { return st.BytesReceived },
@@ -84,11 +94,14 @@
 // PeerStats returns the counters of the transport.
 func (s *Server) PeerStats() peer.Stats { return s.peers.Stats() }
 
+// GossipStats returns the counters of the exchange of documents.
+func (s *Server) GossipStats() gossip.Stats { return s.gossip.Stats() }
+
 func (s *Server) peerTasks() []func(context.Context) {
 	return []func(context.Context){
 		s.peers.Run,
 		func(ctx context.Context) { s.members.Run(ctx, s.peers) },
-		func(ctx context.Context) { s.gossip.Run(ctx, s.peers) },
+		func(ctx context.Context) { s.gossip.Run(ctx, s.peers, s.loop.Subscribe()) },
 		s.followSnapshots,
 	}
 }
