--- a/internal/localcluster/measure_test.go
+++ b/internal/localcluster/measure_test.go
@@ -1,11 +1,14 @@
 package localcluster_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
 )
 
@@ -20,7 +23,8 @@
 // BenchmarkFleet measures what the fleet costs at several sizes, with default
 // times: from the start of a rollout until the bundle is in force on every VM,
 // bytes that a VM sends on peer connections, and calls of the key-value
-// service, the operator's included. Use -benchtime 5x.
+// service, the operator's included; and documents that a VM receives from peers
+// for one changed organisation of 2,400. Use -benchtime 5x.
 func BenchmarkFleet(b *testing.B) {
 	for _, vms := range []int{5, 20, 60} {
 		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) { measureFleet(b, vms) })
@@ -31,22 +35,26 @@
 	c := start(b, localcluster.Options{VMs: vms, Configure: func(cfg *config.Config) {
 		cfg.Platform.VMListInterval = 0 // The default, as on real VMs.
 	}})
-	rollOut(b, c, 1)
+	rollOutFleet(b, c, 1)
 	waitAll(b, c.VMs, 30*time.Second, "VM list", entries(vms))
 	// Watches that VMs began before their first bundle end after 25 s.
 	time.Sleep(27 * time.Second)
 	version := int64(1)
-	var slowest, total time.Duration
-	var sent, rolloutCalls, quietCalls int64
+	var slowest, total, busy time.Duration
+	var sent, rolloutSent, rolloutCalls, quietCalls int64
+	before := documentsSent(c)
 	for b.Loop() {
 		version++
-		calls, begin := kvCalls(c), time.Now()
-		rollOut(b, c, version)
+		calls, bytes, begin := kvCalls(c), bytesSent(c), time.Now()
+		rollOutFleet(b, c, version)
 		took := time.Since(begin)
 		slowest, total = max(slowest, took), total+took
 		time.Sleep(settleTime)
 		rolloutCalls += kvCalls(c) - calls
-		bytes := bytesSent(c)
+		rolloutSent -= bytes
+		busy += time.Since(begin)
+		bytes = bytesSent(c)
+		rolloutSent += bytes
 		calls = kvCalls(c)
 		time.Sleep(quietTime)
 		sent, quietCalls = sent+bytesSent(c)-bytes, quietCalls+kvCalls(c)-calls
@@ -57,9 +65,52 @@
 	b.ReportMetric(float64(rolloutCalls)/n, "kvcalls/rollout")
 	b.ReportMetric(float64(sent)/seconds/float64(vms), "B/s/VM")
 	b.ReportMetric(float64(quietCalls)/seconds, "kvcalls/s")
+	quiet := float64(sent) / seconds * busy.Seconds()
+	b.ReportMetric((float64(rolloutSent)-quiet)/n/float64(vms), "B/VM/rollout")
+	after, each := documentsSent(c), n*float64(vms)
+	b.ReportMetric(float64(after.Requests-before.Requests)/each, "requests/VM/rollout")
+	b.ReportMetric(float64(after.Deltas-before.Deltas)/each, "deltas/VM/rollout")
+	b.ReportMetric(float64(after.Wholes-before.Wholes)/each, "wholes/VM/rollout")
+	b.ReportMetric(float64(after.EncodedBytes-before.EncodedBytes)/each, "docB/VM/rollout")
 	b.ReportMetric(0, "ns/op")
 }
 
+// fleetOrganisations is the number of organisations of the design size.
+const fleetOrganisations = 2400
+
+// rollOutFleet rolls out a bundle of the design size. One organisation differs
+// from the version before.
+func rollOutFleet(b *testing.B, c *localcluster.Cluster, version int64) {
+	b.Helper()
+	doc := localcluster.Document(version)
+	for i := range fleetOrganisations {
+		name := fmt.Sprintf("organisation-%d", i)
+		key := name
+		if i == fleetOrganisations/2 {
+			key = fmt.Sprintf("%s-%d", name, version)
+		}
+		doc.Tenants[0].Organisations = append(doc.Tenants[0].Organisations,
+			bundle.Organisation{Name: name, Weight: 1, APIKeySHA256: []string{bundle.APIKeyDigest(key)}})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := c.RollOut(ctx, doc); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// documentsSent returns the sum of what the VMs sent.
+func documentsSent(c *localcluster.Cluster) (sum gossip.Stats) {
+	for _, vm := range c.VMs {
+		s := vm.Server.GossipStats()
+		sum.Requests += s.Requests
+		sum.Deltas += s.Deltas
+		sum.Wholes += s.Wholes
+		sum.EncodedBytes += s.EncodedBytes
+	}
+	return sum
+}
+
 func bytesSent(c *localcluster.Cluster) (n int64) {
 	for _, vm := range c.VMs {
 		n += vm.Server.PeerStats().BytesSent
