Let the platform outvote a VM list that came from a peer

Cause: VM lists are unsigned and the highest revision wins. One wrong peer that announced its own list under a very high revision locked every VM out of all newer lists until it was restarted.

Ruled out: signing (the platform does not sign); a bound on the step between revisions (the platform promises none); one contradicting answer (a read can overlap with a change).

Change: when the platform answers twice in a row with a lower revision than a list that came from a peer, its list replaces that one, and the VM refuses the contradicted revision and higher ones from peers until the platform has reached it. A VM that saw one such answer reads again after platform.vm_list_interval; one that refuses revisions reads at the fallback interval without the factor for the size of the region.

Conclusion: remaining risk: until a VM's own reads, at most 1.5 fallback intervals times the region's VMs / 10 (about 8 minutes for 102 VMs), a wrong list stays in force on a VM that is no watcher. A platform that answers from a copy that lags by more than the interval costs the lag.

--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,13 @@
 	// Suspect holds the ids of entry VMs that peers have not heard from.
 	Suspect map[string]bool
 
+	// listFromPeer says that the platform has not confirmed the VM list yet, and
+	// contradictions counts its answers with a lower revision.
+	listFromPeer   bool
+	contradictions int
+	// listCeiling is the lowest revision that is refused from peers, or 0.
+	listCeiling int64
+
 	log   *zap.Logger
 	dirty bool
 }
@@ -46,6 +53,8 @@
 	// Bundle is nil until a bundle is in force.
 	Bundle *bundle.Index
 	VMs    *vmlist.List
+	// VMListCeiling is the lowest revision that is refused from peers, or 0.
+	VMListCeiling int64
 	// Engines maps a model to the live engines that have it loaded.
 	Engines map[string][]vmlist.VM
 	// Services maps a service to its live backend servers.
@@ -155,7 +164,7 @@
 // list alone with the previous view while the list is the same, so that other
 // changes do not cost time in proportion to the fleet.
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
-	snap := &Snapshot{Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs}
+	snap := &Snapshot{Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, VMListCeiling: s.listCeiling}
 	if previous != nil && previous.VMs == s.VMs {
 		snap.Engines, snap.Services, snap.Backends = previous.Engines, previous.Services, previous.Backends
 		snap.entries = previous.entries
--- a/control/messages.go
+++ b/control/messages.go
@@ -4,7 +4,6 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/bundle"
-	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // BundleReceived carries a verified bundle from the service or a peer. A
@@ -25,22 +24,6 @@
 	s.log.Info("bundle_in_force", zap.Int64("version", m.Index.Version()), zap.String("source", m.Source))
 }
 
-// VMListReceived carries a VM list. An older revision is ignored.
-type VMListReceived struct {
-	List   *vmlist.List
-	Source string
-}
-
-// Apply implements Message.
-func (m VMListReceived) Apply(s *State) {
-	if m.List.Revision <= s.VMs.Revision {
-		return
-	}
-	s.VMs = m.List
-	s.Changed()
-	s.log.Debug("vm_list_read", zap.Int64("revision", m.List.Revision), zap.String("source", m.Source))
-}
-
 // SuspicionChanged marks an entry VM suspect, or clears the mark.
 type SuspicionChanged struct {
 	VM      string
--- /dev/null
+++ b/control/vmlist.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// platformWins is the number of reads in a row in which the platform answers
+// with a lower revision than a peer announced, after which the platform's list
+// replaces that of the peer. One such answer can be a read that overlapped
+// with a change.
+const platformWins = 2
+
+// VMListReceived carries a VM list.
+//
+// A higher revision replaces a lower one, whoever sent it: lists are unsigned,
+// so one wrong peer can announce any list under any revision, and it spreads to
+// all VMs. It stays in force on a VM until the VM's own reads contradict it
+// platformWins times in a row; watchers read every platform.vm_list_interval,
+// other VMs at the fallback interval. From then on the VM refuses that revision
+// and higher ones from peers until the platform itself has reached it. A
+// platform that answers from a lagging copy can cause the same for as long as
+// it lags.
+type VMListReceived struct {
+	List     *vmlist.List
+	Source   string
+	FromPeer bool
+}
+
+// Apply implements Message.
+func (m VMListReceived) Apply(s *State) {
+	if m.FromPeer {
+		m.applyPeer(s)
+	} else {
+		m.applyPlatform(s)
+	}
+}
+
+func (m VMListReceived) applyPeer(s *State) {
+	if m.List.Revision > s.VMs.Revision && (s.listCeiling == 0 || m.List.Revision < s.listCeiling) {
+		m.replace(s)
+	}
+}
+
+func (m VMListReceived) applyPlatform(s *State) {
+	if m.List.Revision >= s.VMs.Revision {
+		s.confirmList(m.List.Revision)
+		if m.List.Revision > s.VMs.Revision {
+			m.replace(s)
+		}
+		return
+	}
+	if !s.listFromPeer {
+		return
+	}
+	if s.contradictions++; s.contradictions < platformWins {
+		return
+	}
+	s.listCeiling = s.VMs.Revision
+	s.log.Warn("vm_list_contradicted", zap.Int64("revision", s.VMs.Revision), zap.Int64("platform_revision", m.List.Revision))
+	m.replace(s)
+}
+
+func (m VMListReceived) replace(s *State) {
+	s.VMs, s.listFromPeer, s.contradictions = m.List, m.FromPeer, 0
+	s.Changed()
+	s.log.Debug("vm_list_read", zap.Int64("revision", m.List.Revision), zap.String("source", m.Source))
+}
+
+// VMListConfirmed says that the platform answered that a revision is current.
+type VMListConfirmed struct{ Revision int64 }
+
+// Apply implements Message.
+func (m VMListConfirmed) Apply(s *State) { s.confirmList(m.Revision) }
+
+// confirmList notes that the platform has reached a revision.
+func (s *State) confirmList(revision int64) {
+	if revision >= s.VMs.Revision {
+		s.contradictions = 0
+		s.listFromPeer = s.listFromPeer && revision > s.VMs.Revision
+	}
+	if s.listCeiling > 0 && revision >= s.listCeiling {
+		s.listCeiling = 0
+		s.Changed()
+	}
+}
--- /dev/null
+++ b/control/vmlist_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// Guards against a wrong revision of a peer that outlasts the platform's own
+// answers, against a newer list of a peer that is dropped because one read of
+// the platform overlapped with the change, and against a ceiling that stays
+// after the platform has passed it.
+func TestPlatformOutvotesPeersAfterTwoReads(t *testing.T) {
+	type step struct {
+		fromPeer  bool
+		revision  int64
+		confirmed bool
+		want      int64
+	}
+	for name, steps := range map[string][]step{
+		"wrong peer": {
+			{revision: 5, want: 5},
+			{fromPeer: true, revision: 900, want: 900},
+			{revision: 5, want: 900},
+			{revision: 6, want: 6},
+			{fromPeer: true, revision: 900, want: 6},
+			{fromPeer: true, revision: 901, want: 6},
+			{fromPeer: true, revision: 7, want: 7},
+			{revision: 900, want: 900},
+			{fromPeer: true, revision: 901, want: 901},
+		},
+		"overlapping reads": {
+			{fromPeer: true, revision: 5, want: 5},
+			{revision: 4, want: 5},
+			{fromPeer: true, revision: 6, want: 6},
+			{revision: 5, want: 6},
+			{confirmed: true, revision: 6, want: 6},
+			{revision: 5, want: 6},
+			{revision: 5, want: 6},
+		},
+	} {
+		s := &State{VMs: &vmlist.List{}, Suspect: map[string]bool{}, log: zap.NewNop()}
+		for i, x := range steps {
+			if x.confirmed {
+				VMListConfirmed{Revision: x.revision}.Apply(s)
+			} else {
+				VMListReceived{List: &vmlist.List{Revision: x.revision}, FromPeer: x.fromPeer}.Apply(s)
+			}
+			if s.VMs.Revision != x.want {
+				t.Errorf("%s, step %d: revision %d in force, want %d", name, i, s.VMs.Revision, x.want)
+			}
+		}
+	}
+}
--- a/gossip/delta_test.go
+++ b/gossip/delta_test.go
@@ -18,6 +18,7 @@
 }
 
 func (m *memory) Version() int64                 { return m.version }
+func (m *memory) Refuses(int64) bool             { return false }
 func (m *memory) Encode() (int64, []byte, error) { return m.version, m.content, nil }
 func (m *memory) Accept(content []byte, version int64, _ string) error {
 	m.version, m.content = version, content
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -62,6 +62,9 @@
 	s.held = max(s.held, version)
 }
 
+// Reset lowers the version that is held.
+func (e *Exchange) Reset(k peerpb.DocumentKind, version int64) { e.kind(k).held = version }
+
 // Offer takes a version that a peer holds, and returns true if it is to be
 // fetched from that peer now.
 func (e *Exchange) Offer(now time.Time, from string, k peerpb.DocumentKind, version int64) bool {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -28,6 +28,8 @@
 type Source interface {
 	// Version returns the version in force, 0 if there is none.
 	Version() int64
+	// Refuses reports whether a version is not to be taken from peers.
+	Refuses(version int64) bool
 	// Encode returns the document in force with its version. VMs that hold the
 	// same version must get the same bytes.
 	Encode() (version int64, content []byte, err error)
@@ -161,10 +163,16 @@
 	}
 }
 
-// note adds the version in force to the history of its kind.
+// note adds the version in force to the history of its kind. A version below
+// the last one means that the platform has contradicted peers.
 func (g *Gossip) note(k peerpb.DocumentKind) {
 	source, history := g.sources[k], g.histories[k]
-	if version := source.Version(); version == 0 || version == history.Version() {
+	version := source.Version()
+	if version < history.Version() {
+		g.exchange.Reset(k, version)
+	}
+	g.exchange.Hold(k, version)
+	if version == 0 || version == history.Version() {
 		return
 	}
 	version, content, err := source.Encode()
@@ -191,11 +199,10 @@
 }
 
 func (g *Gossip) offer(now time.Time, from string, k peerpb.DocumentKind, version int64) []*peerpb.Membership {
-	g.exchange.Hold(k, g.sources[k].Version())
-	if !g.exchange.Offer(now, from, k, version) {
+	g.note(k)
+	if g.sources[k].Refuses(version) || !g.exchange.Offer(now, from, k, version) {
 		return nil
 	}
-	g.note(k)
 	return g.request(k, g.histories[k].Fingerprint())
 }
 
@@ -236,9 +243,9 @@
 	if source == nil {
 		return nil, &RejectedError{From: from, Version: d.GetVersion(), Cause: &VersionError{Announced: d.GetVersion()}}
 	}
-	g.exchange.Hold(k, source.Version())
+	g.note(k)
 	mayRetry := d.GetBaseFingerprint() != 0 && g.exchange.MayRetry(from, k)
-	if !g.exchange.Wanted(from, k, d.GetVersion()) {
+	if !g.exchange.Wanted(from, k, d.GetVersion()) || source.Refuses(d.GetVersion()) {
 		return nil, nil
 	}
 	content, err := g.histories[k].Decode(d.GetEncoded(), d.GetBaseFingerprint())
--- a/gossip/sources.go
+++ b/gossip/sources.go
@@ -36,6 +36,9 @@
 	return 0
 }
 
+// Refuses is always false, since bundles are signed.
+func (b *bundles) Refuses(int64) bool { return false }
+
 func (b *bundles) Encode() (int64, []byte, error) {
 	signed := b.loop.Snapshot().Signed
 	content, err := signed.Encode()
@@ -62,6 +65,12 @@
 
 func (v *vmLists) Version() int64 { return v.loop.Snapshot().VMs.Revision }
 
+// Refuses keeps away from a revision that the platform has contradicted.
+func (v *vmLists) Refuses(version int64) bool {
+	ceiling := v.loop.Snapshot().VMListCeiling
+	return ceiling > 0 && version >= ceiling
+}
+
 func (v *vmLists) Encode() (int64, []byte, error) {
 	list := v.loop.Snapshot().VMs
 	content, err := json.Marshal(list)
@@ -79,6 +88,6 @@
 	if list.Revision != version {
 		return &VersionError{Announced: version, Carried: list.Revision}
 	}
-	v.loop.Post(control.VMListReceived{List: list, Source: sourcePeer + from})
+	v.loop.Post(control.VMListReceived{List: list, Source: sourcePeer + from, FromPeer: true})
 	return nil
 }
--- a/sync.go
+++ b/sync.go
@@ -116,22 +116,33 @@
 // the fallback interval otherwise.
 func (s *Server) readVMList(ctx context.Context) {
 	for ctx.Err() == nil {
-		list, err := s.vms.Fetch(ctx, s.loop.Snapshot().VMs.Revision)
+		begin, known := time.Now(), s.loop.Snapshot().VMs.Revision
+		list, err := s.vms.Fetch(ctx, known)
 		switch {
 		case err != nil:
 			s.log.Debug("vm_list_failed", zap.Error(err))
 		case list != nil:
 			s.loop.Post(control.VMListReceived{List: list, Source: "platform"})
+		default:
+			s.loop.Post(control.VMListConfirmed{Revision: known})
 		}
+		contradicts := list != nil && list.Revision < known
 		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()) {
 			return
 		}
-		if !s.awaitFallback(ctx, s.readsPlatform) {
+		due := func() bool { return contradicts || s.readsPlatform() || s.listOverdue(begin) }
+		if !s.awaitFallback(ctx, due) {
 			return
 		}
 	}
 }
 
+// listOverdue makes a VM that refuses revisions of peers read the platform at
+// the plain fallback interval, however large its region is.
+func (s *Server) listOverdue(last time.Time) bool {
+	return s.loop.Snapshot().VMListCeiling > 0 && time.Since(last) >= s.cfg.Bundle.FallbackInterval.Std()
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
