Start from seeds while the VM list service is down

Cause: a VM that started while the VM list service was down had no peers, and so neither VM list nor bundle, although every other VM had both.

Ruled out: storing the last list (VMs are diskless); answering VMs that the list does not have (membership of the fleet would rest on an id that anybody can send).

Change: peers.seeds in the configuration, a list of vm_id and address. They are the peers of a VM until a first VM list is known. With TLS a seed must present the certificate of its vm_id, as any peer must. Unknown fields are now also found within lists.

Conclusion: a VM that restarts, or that was listed before the outage, becomes ready. One that the platform had not listed before the outage still waits for the VM list service.

--- a/config/config.go
+++ b/config/config.go
@@ -143,6 +143,17 @@
 	HeartbeatInterval Duration `json:"heartbeat_interval,omitempty" validate:"gte=0"`
 	// SuspectAfter is the silence after which a peer is suspect. Default 2s.
 	SuspectAfter Duration `json:"suspect_after,omitempty" validate:"gte=0"`
+	// Seeds lists entry VMs that a starting VM asks for the VM list and the
+	// bundle. They are used only until a first VM list is known. Default none.
+	Seeds []Seed `json:"seeds,omitempty" validate:"max=64,unique=VMID,dive"`
+}
+
+// Seed locates an entry VM.
+type Seed struct {
+	// VMID is the VM's id in the VM list. With TLS its certificate must carry the id.
+	VMID string `json:"vm_id" validate:"required,max=64"`
+	// Address is the VM's address for other entry VMs, as IP:port.
+	Address string `json:"address" validate:"required,tcp_addr"`
 }
 
 // Dispatch controls admission to engines.
--- a/config/load.go
+++ b/config/load.go
@@ -127,6 +127,8 @@
 		return fmt.Sprintf("must be IP:port, is %q", value)
 	case "url":
 		return fmt.Sprintf("must be a URL, is %q", value)
+	case "unique":
+		return "must not repeat " + f.Param()
 	case "gte":
 		return fmt.Sprintf("must be at least %s, is %v", f.Param(), value)
 	case "lte":
@@ -151,6 +153,12 @@
 }
 
 func walkUnknown(doc any, t reflect.Type, path string, faults *[]Fault) {
+	if list, ok := doc.([]any); ok && t.Kind() == reflect.Slice {
+		for i, item := range list {
+			walkUnknown(item, t.Elem(), fmt.Sprintf("%s[%d]", path, i), faults)
+		}
+		return
+	}
 	object, ok := doc.(map[string]any)
 	if !ok || t.Kind() != reflect.Struct {
 		return
--- a/peers.go
+++ b/peers.go
@@ -106,15 +106,31 @@
 	}
 }
 
+// useSeeds makes the configured seeds the peers of a VM that knows no VM list.
+// The seeds accept this VM only if their VM list has it.
+func (s *Server) useSeeds() {
+	var vms []vmlist.VM
+	for _, seed := range s.cfg.Peers.Seeds {
+		if seed.VMID != s.cfg.VMID {
+			vms = append(vms, vmlist.VM{ID: seed.VMID, Role: vmlist.RoleEntry, PeerAddress: seed.Address})
+		}
+	}
+	if len(vms) > 0 {
+		s.peers.SetVMs(vms)
+		s.members.SetVMs(entryIDs(vms))
+	}
+}
+
 // followSnapshots tells the parts that talk to peers about a new VM list, and
 // peers about new versions.
 func (s *Server) followSnapshots(ctx context.Context) {
 	changed := s.loop.Subscribe()
+	s.useSeeds()
 	last := &control.Snapshot{}
 	var known []string
 	for {
 		snap := s.loop.Snapshot()
-		if snap.VMs != last.VMs {
+		if snap.VMs != last.VMs && snap.VMs.Revision > 0 {
 			s.peers.SetVMs(snap.VMs.VMs)
 			// Most changes of the list are about backend servers.
 			if ids := entryIDs(snap.VMs.VMs); !slices.Equal(ids, known) {
