--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -1,6 +1,7 @@
 // Package gossip spreads versioned documents between peers. Versions are
 // offered in heartbeats and fetched when they are newer; each receiver
-// verifies the content for itself; the highest version wins.
+// verifies the content for itself; the highest version wins. VM lists are
+// unsigned, so that rule has an exception: see control.VMListReceived.
 package gossip
 
 import (
