Measure how a changed VM spreads

Cause: the fleet benchmark counted documents for bundles only. Change: BenchmarkFleetVMList changes one of 1,000 workers.

--- a/internal/localcluster/measure_test.go
+++ b/internal/localcluster/measure_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // Times of an iteration: the calls of a rollout are counted until settleTime
@@ -31,6 +33,55 @@
 	}
 }
 
+// BenchmarkFleetVMList measures how one changed VM of listWorkers spreads.
+func BenchmarkFleetVMList(b *testing.B) {
+	for _, vms := range []int{5, 20, 60} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) { measureVMList(b, vms) })
+	}
+}
+
+// listWorkers keeps the lists of 60 VMs in one process below 200 MB.
+const listWorkers = 1000
+
+func measureVMList(b *testing.B, vms int) {
+	c := start(b, localcluster.Options{VMs: vms, Configure: func(cfg *config.Config) {
+		cfg.Platform.VMListInterval = 0 // The default, as on real VMs.
+	}})
+	for i := range listWorkers {
+		c.VMList.Put(vmlist.VM{
+			ID: fmt.Sprintf("worker-%d", i), Role: vmlist.RoleEngine, State: vmlist.StateLive, Zone: "zone-1",
+			Region: "region-1", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Models: []string{"measured"},
+		})
+	}
+	rollOut(b, c, 1)
+	live := listWorkers
+	known := func(s *control.Snapshot) bool { return len(s.Engines["measured"]) == live && len(s.EntryVMs) == vms }
+	waitAll(b, c.VMs, 30*time.Second, "VM list", known)
+	time.Sleep(settleTime)
+	before := documentsSent(c)
+	var total time.Duration
+	for b.Loop() {
+		live--
+		begin := time.Now()
+		c.VMList.SetState(fmt.Sprintf("worker-%d", live), vmlist.StateLeaving)
+		waitAll(b, c.VMs, 30*time.Second, "leaving worker", known)
+		total += time.Since(begin)
+		time.Sleep(settleTime)
+	}
+	b.ReportMetric(float64(total.Microseconds())/1000/float64(b.N), "ms/change")
+	reportDocuments(b, c, before, "change")
+	b.ReportMetric(0, "ns/op")
+}
+
+// reportDocuments reports what each VM sent for each iteration.
+func reportDocuments(b *testing.B, c *localcluster.Cluster, before gossip.Stats, unit string) {
+	after, each := documentsSent(c), float64(b.N*len(c.VMs))
+	b.ReportMetric(float64(after.Requests-before.Requests)/each, "requests/VM/"+unit)
+	b.ReportMetric(float64(after.Deltas-before.Deltas)/each, "deltas/VM/"+unit)
+	b.ReportMetric(float64(after.Wholes-before.Wholes)/each, "wholes/VM/"+unit)
+	b.ReportMetric(float64(after.EncodedBytes-before.EncodedBytes)/each, "docB/VM/"+unit)
+}
+
 func measureFleet(b *testing.B, vms int) {
 	c := start(b, localcluster.Options{VMs: vms, Configure: func(cfg *config.Config) {
 		cfg.Platform.VMListInterval = 0 // The default, as on real VMs.
@@ -67,11 +118,7 @@
 	b.ReportMetric(float64(quietCalls)/seconds, "kvcalls/s")
 	quiet := float64(sent) / seconds * busy.Seconds()
 	b.ReportMetric((float64(rolloutSent)-quiet)/n/float64(vms), "B/VM/rollout")
-	after, each := documentsSent(c), n*float64(vms)
-	b.ReportMetric(float64(after.Requests-before.Requests)/each, "requests/VM/rollout")
-	b.ReportMetric(float64(after.Deltas-before.Deltas)/each, "deltas/VM/rollout")
-	b.ReportMetric(float64(after.Wholes-before.Wholes)/each, "wholes/VM/rollout")
-	b.ReportMetric(float64(after.EncodedBytes-before.EncodedBytes)/each, "docB/VM/rollout")
+	reportDocuments(b, c, before, "rollout")
 	b.ReportMetric(0, "ns/op")
 }
 
