--- a/gossip/sources.go
+++ b/gossip/sources.go
@@ -36,19 +36,19 @@
 	return 0
 }
 
+// Refuses is always false, since bundles are signed.
+func (b *bundles) Refuses(int64) bool { return false }
+
 func (b *bundles) Encode() (int64, []byte, error) {
 	signed := b.loop.Snapshot().Signed
-	content, err := json.Marshal(signed)
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "encode bundle")
-	}
-	return signed.Version, content, nil
+	content, err := signed.Encode()
+	return signed.Version, content, err
 }
 
 func (b *bundles) Accept(content []byte, version int64, from string) error {
-	var signed bundle.Signed
-	if err := json.Unmarshal(content, &signed); err != nil {
-		return errors.Wrap(err, "decode bundle")
+	signed, err := bundle.DecodeSigned(content)
+	if err != nil {
+		return err
 	}
 	if signed.Version != version {
 		return &VersionError{Announced: version, Carried: signed.Version}
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	b.loop.Post(control.BundleReceived{Signed: &signed, Index: index, Source: sourcePeer + from})
+	b.loop.Post(control.BundleReceived{Signed: signed, Index: index, Source: sourcePeer + from})
 	return nil
 }
 
@@ -65,6 +65,12 @@
 
 func (v *vmLists) Version() int64 { return v.loop.Snapshot().VMs.Revision }
 
+// Refuses keeps away from a revision that the platform has contradicted.
+func (v *vmLists) Refuses(version int64) bool {
+	ceiling := v.loop.Snapshot().VMListCeiling
+	return ceiling > 0 && version >= ceiling
+}
+
 func (v *vmLists) Encode() (int64, []byte, error) {
 	list := v.loop.Snapshot().VMs
 	content, err := json.Marshal(list)
@@ -82,6 +88,6 @@
 	if list.Revision != version {
 		return &VersionError{Announced: version, Carried: list.Revision}
 	}
-	v.loop.Post(control.VMListReceived{List: list, Source: sourcePeer + from})
+	v.loop.Post(control.VMListReceived{List: list, Source: sourcePeer + from, FromPeer: true})
 	return nil
 }
--- a/peers.go
+++ b/peers.go
@@ -55,6 +55,16 @@
 }
 
 func (s *Server) registerPeerMetrics() {
+	for name, value := range map[string]func(gossip.Stats) int64{
+		"gossip.requests":      func(st gossip.Stats) int64 { return st.Requests },
+		"gossip.deltas":        func(st gossip.Stats) int64 { return st.Deltas },
+		"gossip.wholes":        func(st gossip.Stats) int64 { return st.Wholes },
+		"gossip.encoded_bytes": func(st gossip.Stats) int64 { return st.EncodedBytes },
+		"gossip.unfit":         func(st gossip.Stats) int64 { return st.Unfit },
+		"gossip.dropped":       func(st gossip.Stats) int64 { return st.Dropped },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, s.metrics, func() int64 { return value(s.gossip.Stats()) })
+	}
 	for name, value := range map[string]func(peer.Stats) int64{
 		"peer.bytes_sent":        func(st peer.Stats) int64 { return st.BytesSent },
 		"peer.bytes_received":    func(st peer.Stats) int64 { return st.BytesReceived },
@@ -84,24 +94,43 @@
 // PeerStats returns the counters of the transport.
 func (s *Server) PeerStats() peer.Stats { return s.peers.Stats() }
 
+// GossipStats returns the counters of the exchange of documents.
+func (s *Server) GossipStats() gossip.Stats { return s.gossip.Stats() }
+
 func (s *Server) peerTasks() []func(context.Context) {
 	return []func(context.Context){
 		s.peers.Run,
 		func(ctx context.Context) { s.members.Run(ctx, s.peers) },
-		func(ctx context.Context) { s.gossip.Run(ctx, s.peers) },
+		func(ctx context.Context) { s.gossip.Run(ctx, s.peers, s.loop.Subscribe()) },
 		s.followSnapshots,
 	}
 }
 
+// useSeeds makes the configured seeds the peers of a VM that knows no VM list.
+// The seeds accept this VM only if their VM list has it.
+func (s *Server) useSeeds() {
+	var vms []vmlist.VM
+	for _, seed := range s.cfg.Peers.Seeds {
+		if seed.VMID != s.cfg.VMID {
+			vms = append(vms, vmlist.VM{ID: seed.VMID, Role: vmlist.RoleEntry, PeerAddress: seed.Address})
+		}
+	}
+	if len(vms) > 0 {
+		s.peers.SetVMs(vms)
+		s.members.SetVMs(entryIDs(vms))
+	}
+}
+
 // followSnapshots tells the parts that talk to peers about a new VM list, and
 // peers about new versions.
 func (s *Server) followSnapshots(ctx context.Context) {
 	changed := s.loop.Subscribe()
+	s.useSeeds()
 	last := &control.Snapshot{}
 	var known []string
 	for {
 		snap := s.loop.Snapshot()
-		if snap.VMs != last.VMs {
+		if snap.VMs != last.VMs && snap.VMs.Revision > 0 {
 			s.peers.SetVMs(snap.VMs.VMs)
 			// Most changes of the list are about backend servers.
 			if ids := entryIDs(snap.VMs.VMs); !slices.Equal(ids, known) {
--- a/sync.go
+++ b/sync.go
@@ -91,22 +91,31 @@
 
 // fetchBundle reads, verifies and announces the bundle that the head names.
 func (s *Server) fetchBundle(ctx context.Context, head bundle.Head, source string) error {
-	if current := s.loop.Snapshot().Bundle; current != nil && current.Version() >= head.Version {
+	snap := s.loop.Snapshot()
+	if snap.Bundle != nil && snap.Bundle.Version() >= head.Version {
 		return nil
 	}
-	signed, err := s.bundles.Get(ctx, head.Version)
+	fetched, err := s.bundles.Fetch(ctx, head, snap.Signed, s.keys)
 	if err != nil {
+		s.logRejected(head.Version, err)
 		return err
 	}
-	index, err := signed.Open(s.keys)
-	if err != nil {
-		s.log.Error("bundle_rejected", zap.Int64("version", head.Version), zap.Error(err))
-		return err
+	if fetched.DeltaError != nil {
+		s.log.Warn("bundle_delta_unfit", zap.Int64("version", head.Version), zap.Error(fetched.DeltaError))
 	}
-	s.loop.Post(control.BundleReceived{Signed: signed, Index: index, Source: source})
+	s.loop.Post(control.BundleReceived{Signed: fetched.Signed, Index: fetched.Index, Source: source})
 	return nil
 }
 
+// logRejected logs a bundle that was read and failed verification.
+func (s *Server) logRejected(version int64, err error) {
+	_, untrusted := errors.Into[*bundle.SignatureError](err)
+	_, invalid := errors.Into[*bundle.InvalidError](err)
+	if untrusted || invalid {
+		s.log.Error("bundle_rejected", zap.Int64("version", version), zap.Error(err))
+	}
+}
+
 // readVMList polls the platform's VM list while this VM is a watcher, and at
 // the fallback interval otherwise. A call that exceeds its limit is overtaken by
 // another, and its answer still counts, since a list that is always slow must
@@ -117,39 +126,49 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for ctx.Err() == nil {
-		begin, done := time.Now(), make(chan struct{})
-		calls.Go(func() {
-			defer close(done)
-			s.fetchVMList(ctx)
-		})
+		begin, contradicts := time.Now(), make(chan bool, 1)
+		calls.Go(func() { contradicts <- s.fetchVMList(ctx) })
 		limit := time.NewTimer(s.cfg.Platform.VMListCallLimit.Std())
+		again := false
 		select {
 		case <-ctx.Done():
 		case <-limit.C:
 			s.log.Debug("vm_list_slow", zap.Duration("limit", s.cfg.Platform.VMListCallLimit.Std()))
 			continue
-		case <-done:
+		case again = <-contradicts:
 			limit.Stop()
 		}
 		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()-time.Since(begin)) {
 			return
 		}
-		if !s.awaitFallback(ctx, s.readsPlatform) {
+		due := func() bool { return again || s.readsPlatform() || s.listOverdue(begin) }
+		if !s.awaitFallback(ctx, due) {
 			return
 		}
 	}
 }
 
-// fetchVMList reads the list once. The loop ignores an answer that is older
-// than one of a later call.
-func (s *Server) fetchVMList(ctx context.Context) {
-	list, err := s.vms.Fetch(ctx, s.loop.Snapshot().VMs.Revision)
+// fetchVMList reads the list once, and reports whether the platform answered
+// with a lower revision than the one in force.
+func (s *Server) fetchVMList(ctx context.Context) (contradicts bool) {
+	known := s.loop.Snapshot().VMs.Revision
+	list, err := s.vms.Fetch(ctx, known)
 	switch {
 	case err != nil:
 		s.log.Debug("vm_list_failed", zap.Error(err))
 	case list != nil:
-		s.loop.Post(control.VMListReceived{List: list, Source: "platform"})
+		s.loop.Post(control.VMListReceived{List: list, Source: "platform", Known: known})
+		return list.Revision < known
+	default:
+		s.loop.Post(control.VMListConfirmed{Revision: known})
 	}
+	return false
+}
+
+// listOverdue makes a VM that refuses revisions of peers read the platform at
+// the plain fallback interval, however large its region is.
+func (s *Server) listOverdue(last time.Time) bool {
+	return s.loop.Snapshot().VMListCeiling > 0 && time.Since(last) >= s.cfg.Bundle.FallbackInterval.Std()
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
