--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -24,8 +24,8 @@
 	WarmUp time.Duration
 	// Window selects how an engine's room is judged.
 	Window flowcontrol.Policy
-	// ShrinkOnPreemption shrinks an engine's window on a preemption.
-	ShrinkOnPreemption bool
+	// KeepOnPreemption keeps an engine's window on a preemption instead of shrinking it.
+	KeepOnPreemption bool
 	// Preemption selects whom engines preempt first.
 	Preemption PreemptionOrder
 	// ChargeEstimate charges the estimated length at the grant and corrects it
@@ -68,6 +68,8 @@
 // waitingRequest is a request in the queue.
 type waitingRequest struct {
 	Request
+	// submitted is when the request joined the queue.
+	submitted time.Time
 	// blockedSince is when the request was first passed over for lack of room.
 	blockedSince time.Time
 }
@@ -148,7 +150,7 @@
 	if a == nil || a.drain.Wait(now, length) > f.tuning.maxWait {
 		return &QueueFullError{Organisation: r.Organisation}
 	}
-	item := f.queue.Push(r.Organisation, &waitingRequest{Request: r})
+	item := f.queue.Push(r.Organisation, &waitingRequest{Request: r, submitted: now})
 	if item == nil {
 		return &QueueFullError{Organisation: r.Organisation}
 	}
--- a/dispatch/fairaccount.go
+++ b/dispatch/fairaccount.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/vanillaarch/vanillaarch/flowcontrol"
 )
@@ -12,7 +13,11 @@
 	// be before the reserve is closed to it.
 	shareTolerance = 1.05
 	// shareRange is the distance above the tolerance at which all of the reserve is closed.
-	shareRange = 0.5
+	shareRange = 1.0
+	// agedWait is the wait after which a request may use a closed reserve, and
+	// maxAged bounds the streams of one engine that do.
+	agedWait = 500 * time.Millisecond
+	maxAged  = 2
 	// minEntitled is the least part of the pool that an entitlement counts as.
 	minEntitled = 1e-6
 	// shareReserve is the part of each engine's memory that only organisations
@@ -95,3 +100,20 @@
 	above := f.overShare(organisation)/max(1, mean) - shareTolerance
 	return shareReserve * min(max(above/shareRange, 0), 1)
 }
+
+// aged reports whether a request to which the reserve is closed has waited for
+// long enough to use it. Otherwise an organisation slightly above its share
+// would wait while memory lies idle, without a flood.
+func (f *fair) aged(now time.Time, r *waitingRequest) bool {
+	return now.Sub(r.submitted) >= agedWait && f.reserved(r.Organisation) > 0
+}
+
+// reservedOn returns the part of an engine's memory that a request must leave
+// free. The number of aged streams of an engine is bounded, so that a flood
+// does not take the reserve by waiting.
+func (f *fair) reservedOn(now time.Time, r *waitingRequest, e *engine) float64 {
+	if e.aged < maxAged && f.aged(now, r) {
+		return 0
+	}
+	return f.reserved(r.Organisation)
+}
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -48,6 +48,8 @@
 	excess   [excessReports]float64
 	report   int
 	reportAt time.Time
+	// aged is the number of streams that use the reserve because of their wait.
+	aged int
 	// grantAt is the time of the last grant.
 	grantAt time.Time
 	// part is the part of memory that the window uses, changed at partAt.
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -135,7 +135,7 @@
 	shared := e.residency.Shared(r.PrefixHashes)
 	usage := f.usage(&r.Ask, 0, shared, e.blockTokens)
 	f.candidates = append(f.candidates, scheduling.Candidate{
-		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage, f.reserved(r.Organisation)),
+		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage, f.reservedOn(now, r, e)),
 		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: f.prefixBlocks(prefixBlocks, shared),
 		Starting: f.starting(now, e),
 	})
@@ -146,7 +146,12 @@
 	f.accounts[r.Organisation].drain.Served(now)
 	priority := f.priority(r)
 	e.grantAt = now
+	aged := f.aged(now, r)
 	s := f.start(now, r.ID, &r.Ask, e, 0)
+	if aged {
+		s.aged = true
+		e.aged++
+	}
 	f.charge(s, float64(r.PromptTokens))
 	if f.opts.ChargeEstimate {
 		f.charge(s, f.estimate(r))
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -22,7 +22,9 @@
 	maxTokens    int
 	prefix       []uint64
 	// shared is the number of prompt blocks that other streams count as their own.
-	shared   int
+	shared int
+	// aged marks a stream that uses the reserve because of its wait.
+	aged     bool
 	engine   *engine
 	usage    flowcontrol.Usage
 	tokens   int
@@ -118,7 +120,7 @@
 		return
 	}
 	s.tokensAt = time.Time{} // the pause is not a gap of the batch
-	if f.opts.ShrinkOnPreemption {
+	if !f.opts.KeepOnPreemption {
 		s.engine.shrink(now)
 		f.refresh(now, s.engine)
 	}
@@ -142,6 +144,9 @@
 	delete(f.streams, id)
 	e := s.engine
 	e.residency.Remove(s.prefix, s.shared)
+	if s.aged {
+		e.aged--
+	}
 	f.hold(s.organisation, -s.usage.Current)
 	e.window.Remove(s.usage)
 	if e.current -= s.usage.Current; e.window.Streams() == 0 {
--- a/dispatch/fairtuning.go
+++ b/dispatch/fairtuning.go
@@ -24,9 +24,9 @@
 // remainder. A high weight of the gap between tokens limits batches, at the cost
 // of queueing. A high weight of stall time rejects sooner.
 const (
-	minQuantile, maxQuantile   = 0.48, 0.98
+	minQuantile, maxQuantile   = 0.38, 0.98
 	minBatchPart, maxBatchPart = 0.50, 0.80
-	minWait, maxWait           = 3 * time.Second, 8 * time.Second
+	minWait, maxWait           = 2500 * time.Millisecond, 3500 * time.Millisecond
 )
 
 // newTuning averages the weights over tenants by share.
