Bound aged streams to one of each engine

Change: one aged stream of an engine, after 1 s; the reserve closes over half a share above the mean.

--- a/dispatch/fairaccount.go
+++ b/dispatch/fairaccount.go
@@ -13,11 +13,11 @@
 	// be before the reserve is closed to it.
 	shareTolerance = 1.05
 	// shareRange is the distance above the tolerance at which all of the reserve is closed.
-	shareRange = 1.0
+	shareRange = 0.5
 	// agedWait is the wait after which a request may use a closed reserve, and
 	// maxAged bounds the streams of one engine that do.
-	agedWait = 500 * time.Millisecond
-	maxAged  = 2
+	agedWait = time.Second
+	maxAged  = 1
 	// minEntitled is the least part of the pool that an entitlement counts as.
 	minEntitled = 1e-6
 	// shareReserve is the part of each engine's memory that only organisations
