Keep the held memory of a returning organisation at zero or above

Cause: streams that started before an organisation lost its entitlement would take their memory from its new account when they end, found by reading.

Change: the account never falls below zero.

--- a/dispatch/fairaccount.go
+++ b/dispatch/fairaccount.go
@@ -70,6 +70,7 @@
 	if a == nil {
 		return
 	}
+	tokens = max(tokens, -a.held) // streams from before a time without entitlement
 	f.held += tokens
 	f.concentration += (2*a.held + tokens) * tokens / a.entitled
 	a.held += tokens
