Remove the alternative of one queue for each engine

Conclusion: one queue for the group. A request bound to an engine on arrival waits there while others have room.

--- a/replay/alternatives.go
+++ b/replay/alternatives.go
@@ -25,5 +25,4 @@
 	for name, options := range alternatives {
 		Policies[name] = func() dispatch.Core { return dispatch.NewFair(options) }
 	}
-	Policies["fair-per-engine"] = func() dispatch.Core { return dispatch.NewFairPerEngine(dispatch.FairOptions{}) }
 }
