--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -31,8 +31,6 @@
 	// ChargeEstimate charges the estimated length at the grant and corrects it
 	// at the end, instead of charging tokens as they are produced.
 	ChargeEstimate bool
-	// Affinity selects how engines with the prefix of a prompt are found.
-	Affinity Affinity
 }
 
 // fair is the fair policy of one group of engines.
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -104,7 +104,7 @@
 func (f *fair) choose(now time.Time, r *waitingRequest) *engine {
 	request := scheduling.Request{PromptTokens: float64(r.PromptTokens), Prefix: r.PrefixHashes, Excluded: r.Excluded}
 	f.candidates = f.candidates[:0]
-	f.findPrefix(r)
+	f.matches = f.prefixes.Lookup(r.PrefixHashes, candidatesByPrefix, f.matches[:0])
 	for _, m := range f.matches {
 		f.consider(now, r, f.handles[m.Handle], m.Blocks)
 	}
@@ -136,7 +136,7 @@
 	usage := f.usage(&r.Ask, 0, shared, e.blockTokens)
 	f.candidates = append(f.candidates, scheduling.Candidate{
 		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage, f.reservedOn(now, r, e)),
-		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: f.prefixBlocks(prefixBlocks, shared),
+		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: max(prefixBlocks, shared),
 		Starting: f.starting(now, e),
 	})
 }
--- a/replay/alternatives.go
+++ b/replay/alternatives.go
@@ -15,10 +15,6 @@
 	"fair-preempt-work":       {Preemption: dispatch.LeastWorkFirst},
 	"fair-preempt-longest":    {Preemption: dispatch.LongestRemainderFirst},
 	"fair-charge-estimate":    {ChargeEstimate: true},
-	"fair-affinity-running":   {Affinity: dispatch.AffinityRunning},
-	"fair-affinity-events":    {Affinity: dispatch.AffinityEvents},
-	"fair-affinity-hash":      {Affinity: dispatch.AffinityHash},
-	"fair-affinity-none":      {Affinity: dispatch.AffinityNone},
 }
 
 func init() {
