Remove the charge by estimate

Under a flood the p99 stall time of each other organisation is the same to the millisecond.

The charge as produced is kept because it needs no correction and does not depend on the estimator.

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -28,9 +28,6 @@
 	KeepOnPreemption bool
 	// Preemption selects whom engines preempt first.
 	Preemption PreemptionOrder
-	// ChargeEstimate charges the estimated length at the grant and corrects it
-	// at the end, instead of charging tokens as they are produced.
-	ChargeEstimate bool
 }
 
 // fair is the fair policy of one group of engines.
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -152,10 +152,7 @@
 		s.aged = true
 		e.aged++
 	}
-	f.charge(s, float64(r.PromptTokens))
-	if f.opts.ChargeEstimate {
-		f.charge(s, f.estimate(r))
-	}
+	f.queue.Charge(r.Organisation, float64(r.PromptTokens))
 	return Grant{Request: r.ID, Backend: e.id, Priority: priority}
 }
 
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -31,8 +31,6 @@
 	tokensAt time.Time
 	// nextEstimate is the number of tokens at which the remainder is estimated anew.
 	nextEstimate int
-	// charged is what the organisation has paid in tokens.
-	charged float64
 }
 
 // usage projects a stream's memory at the quantile of the tuning. Shared blocks
@@ -66,12 +64,6 @@
 
 func estimateAfter(tokens int) int { return int(float64(tokens)*estimateGrowth) + estimateTokens }
 
-// charge makes an organisation pay for tokens.
-func (f *fair) charge(s *stream, tokens float64) {
-	s.charged += tokens
-	f.queue.Charge(s.organisation, tokens)
-}
-
 // Progress implements Core.
 func (f *fair) Progress(now time.Time, id RequestID, tokens int) {
 	s := f.streams[id]
@@ -83,9 +75,7 @@
 		f.gaps.Learn(s.engine.window.Streams(), now.Sub(s.tokensAt)/time.Duration(added))
 	}
 	s.tokens, s.tokensAt = tokens, now
-	if !f.opts.ChargeEstimate {
-		f.charge(s, float64(added))
-	}
+	f.queue.Charge(s.organisation, float64(added))
 	f.grow(now, s, added)
 }
 
@@ -133,11 +123,7 @@
 		return
 	}
 	tokens = max(tokens, s.tokens)
-	if f.opts.ChargeEstimate {
-		f.charge(s, float64(s.promptTokens+tokens)-s.charged)
-	} else {
-		f.charge(s, float64(tokens-s.tokens))
-	}
+	f.queue.Charge(s.organisation, float64(tokens-s.tokens))
 	if f.queue.Entitled(s.organisation) {
 		f.estimator.Learn(s.organisation, s.model, tokens)
 	}
--- a/replay/alternatives.go
+++ b/replay/alternatives.go
@@ -14,7 +14,6 @@
 	"fair-window-prompt-keep": {Window: flowcontrol.PromptPolicy, KeepOnPreemption: true},
 	"fair-preempt-work":       {Preemption: dispatch.LeastWorkFirst},
 	"fair-preempt-longest":    {Preemption: dispatch.LongestRemainderFirst},
-	"fair-charge-estimate":    {ChargeEstimate: true},
 }
 
 func init() {
