--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -26,8 +26,6 @@
 	Window flowcontrol.Policy
 	// KeepOnPreemption keeps an engine's window on a preemption instead of shrinking it.
 	KeepOnPreemption bool
-	// Preemption selects whom engines preempt first.
-	Preemption PreemptionOrder
 }
 
 // fair is the fair policy of one group of engines.
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -8,19 +8,6 @@
 	"github.com/vanillaarch/vanillaarch/scheduling"
 )
 
-// PreemptionOrder selects whom engines preempt first.
-type PreemptionOrder int
-
-// Orders of preemption.
-const (
-	// LowestShareFirst preempts streams of organisations that are ahead of their share.
-	LowestShareFirst PreemptionOrder = iota
-	// LeastWorkFirst preempts streams that are cheap to compute anew.
-	LeastWorkFirst
-	// LongestRemainderFirst preempts streams that are expected to run for longest.
-	LongestRemainderFirst
-)
-
 const (
 	// candidatesByRoom and candidatesByPrefix bound the engines of a routing decision.
 	candidatesByRoom   = 8
@@ -156,26 +143,10 @@
 	return Grant{Request: r.ID, Backend: e.id, Priority: priority}
 }
 
-// estimate returns the median length of a request that starts.
-func (f *fair) estimate(r *waitingRequest) float64 {
-	length := f.estimator.Remaining(r.Organisation, r.Model, 0, 0.5)
-	if r.MaxTokens > 0 {
-		length = min(length, float64(r.MaxTokens))
-	}
-	return length
-}
-
 // priority returns the static priority with which an engine runs a request.
-// Engines preempt the lowest first, of these the one that started last.
+// Engines preempt the lowest first, of these the one that started last, so the
+// organisations that are furthest above their share lose their streams first.
 func (f *fair) priority(r *waitingRequest) int {
-	level := 0.0
-	switch f.opts.Preemption {
-	case LeastWorkFirst:
-		level = math.Log2(float64(max(r.PromptTokens, 1)))
-	case LongestRemainderFirst:
-		level = priorityLevels - 1 - math.Log2(f.estimate(r))
-	default:
-		level = priorityLevels/2 - 2*math.Log2(max(f.overShare(r.Organisation), 1.0/priorityLevels))
-	}
+	level := priorityLevels/2 - 2*math.Log2(max(f.overShare(r.Organisation), 1.0/priorityLevels))
 	return int(min(max(level, 0), priorityLevels-1))
 }
--- a/replay/alternatives.go
+++ b/replay/alternatives.go
@@ -12,8 +12,6 @@
 	"fair-window-fixed":       {Window: flowcontrol.FixedPolicy},
 	"fair-window-keep":        {KeepOnPreemption: true},
 	"fair-window-prompt-keep": {Window: flowcontrol.PromptPolicy, KeepOnPreemption: true},
-	"fair-preempt-work":       {Preemption: dispatch.LeastWorkFirst},
-	"fair-preempt-longest":    {Preemption: dispatch.LongestRemainderFirst},
 }
 
 func init() {
