--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -22,10 +22,6 @@
 	// WarmUp is how long after the first call the core admits at a reduced
 	// window, because grants of another dispatcher may not be declared yet.
 	WarmUp time.Duration
-	// Window selects how an engine's room is judged.
-	Window flowcontrol.Policy
-	// KeepOnPreemption keeps an engine's window on a preemption instead of shrinking it.
-	KeepOnPreemption bool
 }
 
 // fair is the fair policy of one group of engines.
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -97,7 +97,7 @@
 	e := f.engines[id]
 	if e == nil {
 		f.lastID++
-		e = &engine{id: id, handle: f.lastID, window: flowcontrol.NewWindow(f.opts.Window), residency: scheduling.NewResidency(), part: 1}
+		e = &engine{id: id, handle: f.lastID, window: &flowcontrol.Window{}, residency: scheduling.NewResidency(), part: 1}
 		f.engines[id] = e
 		f.handles[e.handle] = e
 	}
@@ -188,9 +188,6 @@
 
 // streamLimit returns the batch limit of engines.
 func (f *fair) streamLimit() int {
-	if f.opts.Window == flowcontrol.FixedPolicy {
-		return flowcontrol.FixedStreams
-	}
 	if n, ok := f.gaps.BatchLimit(f.tuning.batchPart); ok {
 		return min(n, maxStreams)
 	}
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -110,10 +110,8 @@
 		return
 	}
 	s.tokensAt = time.Time{} // the pause is not a gap of the batch
-	if !f.opts.KeepOnPreemption {
-		s.engine.shrink(now)
-		f.refresh(now, s.engine)
-	}
+	s.engine.shrink(now)
+	f.refresh(now, s.engine)
 }
 
 // Finish implements Core.
--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -2,25 +2,6 @@
 
 import "math"
 
-// Policy selects how an engine's window judges room.
-type Policy int
-
-// Policies of an admission window.
-const (
-	// PeakPolicy projects the peak of memory over time, with each stream at its
-	// estimated remainder and freed when it ends.
-	PeakPolicy Policy = iota
-	// SumPolicy adds all streams at their estimated full size.
-	SumPolicy
-	// PromptPolicy counts what streams use now, without a remainder.
-	PromptPolicy
-	// FixedPolicy limits the number of streams.
-	FixedPolicy
-)
-
-// FixedStreams is the limit of FixedPolicy.
-const FixedStreams = 16
-
 // Usage is the memory of one stream in tokens.
 type Usage struct {
 	// Current is what the stream holds now, Remaining what it is expected to add.
@@ -37,16 +18,12 @@
 
 // Window projects the memory that the running streams of one engine will take.
 // Operations take constant time: streams are grouped by remainder in a bounded
-// number of log-spaced buckets.
+// number of log-spaced buckets. The zero value is the window of an idle engine.
 type Window struct {
-	policy  Policy
 	buckets [remainderBuckets]remainderBucket
 	streams int
 }
 
-// NewWindow returns the window of an idle engine.
-func NewWindow(policy Policy) *Window { return &Window{policy: policy} }
-
 // Streams returns the number of running streams.
 func (w *Window) Streams() int { return w.streams }
 
@@ -67,33 +44,11 @@
 	w.streams += sign
 }
 
-// Demand returns the projected memory of the running streams and one more in
-// tokens. A zero extra gives that of the running streams.
+// Demand returns the projected peak of the memory of the running streams and one
+// more, in tokens. A zero extra gives that of the running streams. It follows the
+// streams from the longest remainder to the shortest: all grow at the same rate, so
+// when those of one bucket end, the longer ones have each grown by that remainder.
 func (w *Window) Demand(extra Usage) float64 {
-	switch w.policy {
-	case SumPolicy:
-		return w.sum(1) + extra.Current + extra.Remaining
-	case PromptPolicy:
-		return w.sum(0) + extra.Current
-	case FixedPolicy:
-		return 0
-	default:
-		return w.peak(extra)
-	}
-}
-
-func (w *Window) sum(remainder float64) float64 {
-	total := 0.0
-	for i := range w.buckets {
-		total += w.buckets[i].current + remainder*w.buckets[i].remaining
-	}
-	return total
-}
-
-// peak follows the streams from the longest remainder to the shortest. All
-// streams grow at the same rate, so when those of one bucket end, the longer
-// ones have each grown by that remainder.
-func (w *Window) peak(extra Usage) float64 {
 	at := -1
 	if extra.Current > 0 {
 		at = lengthBucket(extra.Remaining)
