--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -89,7 +89,7 @@
 
 // choose returns the engine that runs a request, or nil if none has room.
 func (f *fair) choose(now time.Time, r *waitingRequest) *engine {
-	request := scheduling.Request{PromptTokens: float64(r.PromptTokens), Prefix: r.PrefixHashes, Excluded: r.Excluded}
+	request := scheduling.Request{Prefix: r.PrefixHashes, Excluded: r.Excluded}
 	f.candidates = f.candidates[:0]
 	f.matches = f.prefixes.Lookup(r.PrefixHashes, candidatesByPrefix, f.matches[:0])
 	for _, m := range f.matches {
--- a/flowcontrol/queue.go
+++ b/flowcontrol/queue.go
@@ -72,7 +72,6 @@
 	tenant      *tenantQueue[T]
 	first, last *Item[T]
 	length      int
-	parked      bool
 }
 
 // NewQueue returns a queue without entitlements.
@@ -231,7 +230,6 @@
 // Park passes over the organisation of the item until Unpark.
 func (q *Queue[T]) Park(item *Item[T]) {
 	oq := item.org
-	oq.parked = true
 	q.deactivate(oq)
 	q.parked = append(q.parked, oq)
 }
@@ -239,7 +237,6 @@
 // Unpark ends the effect of Park.
 func (q *Queue[T]) Unpark() {
 	for _, oq := range q.parked {
-		oq.parked = false
 		if oq.length == 0 {
 			continue
 		}
@@ -265,17 +262,6 @@
 	q.active.fix(oq.tenant)
 }
 
-// Lead returns how many tokens an organisation is ahead of the virtual time of
-// the queue, summed over both levels. It is negative for one that is owed tokens.
-func (q *Queue[T]) Lead(organisation string) float64 {
-	oq := q.orgs[organisation]
-	if oq == nil {
-		return 0
-	}
-	t := oq.tenant
-	return (oq.vtime-t.active.virtual(&t.virtual))*oq.weight + (t.vtime-q.active.virtual(&q.virtual))*t.weight
-}
-
 // Entitled reports whether the organisation is in the entitlements.
 func (q *Queue[T]) Entitled(organisation string) bool { return q.orgs[organisation] != nil }
 
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -6,10 +6,10 @@
 
 // Request is what a choice depends on.
 type Request struct {
-	// PromptTokens and ExpectedTokens are lengths in tokens.
-	PromptTokens, ExpectedTokens float64
-	Prefix                       []uint64
-	Excluded                     []string
+	// Prefix holds the chained hashes of the prompt's blocks.
+	Prefix []uint64
+	// Excluded lists engines that must not run the request.
+	Excluded []string
 }
 
 // Candidate is an engine under consideration.
