Keep the reserve closed to an organisation that holds nearly all memory

Cause: the reserve closes above the mean over all held tokens, and an organisation that holds nearly all of them is that mean itself. TestFairKeepsRoomDuringFlood failed with 'grants during a flood: [], want the request of organisation c'.

Change: the mean counts as at most twice the entitlement. A second test guards that weights change how much an engine takes.

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -64,7 +64,9 @@
 }
 
 // NewFair returns the fair policy: organisations are served by share and
-// weight, and each engine takes as much as its memory is expected to hold.
+// weight, and each engine takes as much as its memory is expected to hold. Next
+// must be called regularly while requests wait, since room also appears with
+// time. A request of an organisation without entitlement gets a *QueueFullError.
 func NewFair(o FairOptions) Core {
 	if o.QueuePerOrganisation == 0 {
 		o.QueuePerOrganisation = DefaultQueuePerOrganisation
--- a/dispatch/fair_test.go
+++ b/dispatch/fair_test.go
@@ -46,3 +46,48 @@
 		t.Fatalf("grants after the declared ones ended: %v, want 1", g)
 	}
 }
+
+// fill submits requests of one organisation and returns how many are granted.
+func fill(t *testing.T, f Core, organisation string, requests uint64) int {
+	t.Helper()
+	granted := 0
+	for i := range requests {
+		if err := f.Submit(epoch, request(1000+i, organisation)); err != nil {
+			t.Fatal(err)
+		}
+		granted += len(f.Next(epoch))
+	}
+	return granted
+}
+
+// Guards against a flood of one organisation that fills engines so that another
+// within its share finds no room.
+func TestFairKeepsRoomDuringFlood(t *testing.T) {
+	f := newTestFair("e1")
+	// Organisation c holds little, so that a is above its share.
+	f.Declare(epoch, Held{Grant: Grant{Request: RequestID{VM: "old"}, Backend: "e1"}, Ask: request(0, "c").Ask})
+	if n := fill(t, f, "a", 200); n == 0 || n == 200 {
+		t.Fatalf("%d of 200 requests granted, want some but not all", n)
+	}
+	if err := f.Submit(epoch, request(1, "c")); err != nil {
+		t.Fatal(err)
+	}
+	if g := f.Next(epoch); len(g) != 1 || g[0].Request.Sequence != 1 {
+		t.Fatalf("grants during a flood: %v, want the request of organisation c", g)
+	}
+}
+
+// Guards against weights that do not change decisions: a high weight of
+// preemptions must leave more memory free.
+func TestFairWeightsChangeAdmission(t *testing.T) {
+	granted := func(stall, preemptions float64) int {
+		f := newTestFair("e1")
+		f.SetShares(epoch, []TenantShare{{
+			Tenant: "t1", Share: 1, Organisations: map[string]float64{"a": 1}, StallTime: stall, Preemptions: preemptions,
+		}})
+		return fill(t, f, "a", 200)
+	}
+	if few, many := granted(1, 9), granted(9, 1); few >= many {
+		t.Fatalf("%d grants with a high weight of preemptions, %d with a high weight of stall time", few, many)
+	}
+}
--- a/dispatch/fairaccount.go
+++ b/dispatch/fairaccount.go
@@ -14,6 +14,9 @@
 	shareTolerance = 1.05
 	// shareRange is the distance above the tolerance at which all of the reserve is closed.
 	shareRange = 0.5
+	// maxMean bounds the mean that an organisation is compared to, since one that
+	// holds nearly all memory is the mean itself.
+	maxMean = 2.0
 	// agedWait is the wait after which a request may use a closed reserve, and
 	// maxAged bounds the streams of one engine that do.
 	agedWait = time.Second
@@ -98,7 +101,7 @@
 		return 0
 	}
 	mean := f.concentration / f.held / f.held
-	above := f.overShare(organisation)/max(1, mean) - shareTolerance
+	above := f.overShare(organisation)/min(max(1, mean), maxMean) - shareTolerance
 	return shareReserve * min(max(above/shareRange, 0), 1)
 }
 
