--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -25,17 +25,6 @@
 	// WarmUp is how long after the first call the core admits at a reduced
 	// window, because grants of another dispatcher may not be declared yet.
 	WarmUp time.Duration
-	// Window selects how an engine's room is judged.
-	Window flowcontrol.Policy
-	// ShrinkOnPreemption shrinks an engine's window on a preemption.
-	ShrinkOnPreemption bool
-	// Preemption selects whom engines preempt first.
-	Preemption PreemptionOrder
-	// ChargeEstimate charges the estimated length at the grant and corrects it
-	// at the end, instead of charging tokens as they are produced.
-	ChargeEstimate bool
-	// Affinity selects how engines with the prefix of a prompt are found.
-	Affinity Affinity
 }
 
 // fair is the fair policy of one group of engines.
@@ -71,12 +60,16 @@
 // waitingRequest is a request in the queue.
 type waitingRequest struct {
 	Request
+	// submitted is when the request joined the queue.
+	submitted time.Time
 	// blockedSince is when the request was first passed over for lack of room.
 	blockedSince time.Time
 }
 
 // NewFair returns the fair policy: organisations are served by share and
-// weight, and each engine takes as much as its memory is expected to hold.
+// weight, and each engine takes as much as its memory is expected to hold. Next
+// must be called regularly while requests wait, since room also appears with
+// time. A request of an organisation without entitlement gets a *QueueFullError.
 func NewFair(o FairOptions) Core {
 	if o.QueuePerOrganisation == 0 {
 		o.QueuePerOrganisation = DefaultQueuePerOrganisation
@@ -154,7 +147,7 @@
 	if a == nil || a.drain.Wait(now, length) > f.tuning.maxWait {
 		return &QueueFullError{Organisation: r.Organisation}
 	}
-	item := f.queue.Push(r.Organisation, &waitingRequest{Request: r})
+	item := f.queue.Push(r.Organisation, &waitingRequest{Request: r, submitted: now})
 	if item == nil {
 		return &QueueFullError{Organisation: r.Organisation}
 	}
--- a/dispatch/fairaccount.go
+++ b/dispatch/fairaccount.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/vanillaarch/vanillaarch/flowcontrol"
 )
@@ -13,6 +14,13 @@
 	shareTolerance = 1.05
 	// shareRange is the distance above the tolerance at which all of the reserve is closed.
 	shareRange = 0.5
+	// maxMean bounds the mean that an organisation is compared to, since one that
+	// holds nearly all memory is the mean itself.
+	maxMean = 2.0
+	// agedWait is the wait after which a request may use a closed reserve, and
+	// maxAged bounds the streams of one engine that do.
+	agedWait = time.Second
+	maxAged  = 1
 	// minEntitled is the least part of the pool that an entitlement counts as.
 	minEntitled = 1e-6
 	// shareReserve is the part of each engine's memory that only organisations
@@ -65,6 +73,7 @@
 	if a == nil {
 		return
 	}
+	tokens = max(tokens, -a.held) // streams from before a time without entitlement
 	f.held += tokens
 	f.concentration += (2*a.held + tokens) * tokens / a.entitled
 	a.held += tokens
@@ -92,6 +101,23 @@
 		return 0
 	}
 	mean := f.concentration / f.held / f.held
-	above := f.overShare(organisation)/max(1, mean) - shareTolerance
+	above := f.overShare(organisation)/min(max(1, mean), maxMean) - shareTolerance
 	return shareReserve * min(max(above/shareRange, 0), 1)
 }
+
+// aged reports whether a request to which the reserve is closed has waited for
+// long enough to use it. Otherwise an organisation slightly above its share
+// would wait while memory lies idle, without a flood.
+func (f *fair) aged(now time.Time, r *waitingRequest) bool {
+	return now.Sub(r.submitted) >= agedWait && f.reserved(r.Organisation) > 0
+}
+
+// reservedOn returns the part of an engine's memory that a request must leave
+// free. The number of aged streams of an engine is bounded, so that a flood
+// does not take the reserve by waiting.
+func (f *fair) reservedOn(now time.Time, r *waitingRequest, e *engine) float64 {
+	if e.aged < maxAged && f.aged(now, r) {
+		return 0
+	}
+	return f.reserved(r.Organisation)
+}
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -8,19 +8,6 @@
 	"github.com/vanillaarch/vanillaarch/scheduling"
 )
 
-// PreemptionOrder selects whom engines preempt first.
-type PreemptionOrder int
-
-// Orders of preemption.
-const (
-	// LowestShareFirst preempts streams of organisations that are ahead of their share.
-	LowestShareFirst PreemptionOrder = iota
-	// LeastWorkFirst preempts streams that are cheap to compute anew.
-	LeastWorkFirst
-	// LongestRemainderFirst preempts streams that are expected to run for longest.
-	LongestRemainderFirst
-)
-
 const (
 	// candidatesByRoom and candidatesByPrefix bound the engines of a routing decision.
 	candidatesByRoom   = 8
@@ -102,9 +89,9 @@
 
 // choose returns the engine that runs a request, or nil if none has room.
 func (f *fair) choose(now time.Time, r *waitingRequest) *engine {
-	request := scheduling.Request{PromptTokens: float64(r.PromptTokens), Prefix: r.PrefixHashes, Excluded: r.Excluded}
+	request := scheduling.Request{Prefix: r.PrefixHashes, Excluded: r.Excluded}
 	f.candidates = f.candidates[:0]
-	f.findPrefix(r)
+	f.matches = f.prefixes.Lookup(r.PrefixHashes, candidatesByPrefix, f.matches[:0])
 	for _, m := range f.matches {
 		f.consider(now, r, f.handles[m.Handle], m.Blocks)
 	}
@@ -135,8 +122,8 @@
 	shared := e.residency.Shared(r.PrefixHashes)
 	usage := f.usage(&r.Ask, 0, shared, e.blockTokens)
 	f.candidates = append(f.candidates, scheduling.Candidate{
-		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage, f.reserved(r.Organisation)),
-		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: f.prefixBlocks(prefixBlocks, shared),
+		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage, f.reservedOn(now, r, e)),
+		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: max(prefixBlocks, shared),
 		Starting: f.starting(now, e),
 	})
 }
@@ -146,34 +133,20 @@
 	f.accounts[r.Organisation].drain.Served(now)
 	priority := f.priority(r)
 	e.grantAt = now
+	aged := f.aged(now, r)
 	s := f.start(now, r.ID, &r.Ask, e, 0)
-	f.charge(s, float64(r.PromptTokens))
-	if f.opts.ChargeEstimate {
-		f.charge(s, f.estimate(r))
+	if aged {
+		s.aged = true
+		e.aged++
 	}
+	f.queue.Charge(r.Organisation, float64(r.PromptTokens))
 	return Grant{Request: r.ID, Backend: e.id, Priority: priority}
 }
 
-// estimate returns the median length of a request that starts.
-func (f *fair) estimate(r *waitingRequest) float64 {
-	length := f.estimator.Remaining(r.Organisation, r.Model, 0, 0.5)
-	if r.MaxTokens > 0 {
-		length = min(length, float64(r.MaxTokens))
-	}
-	return length
-}
-
 // priority returns the static priority with which an engine runs a request.
-// Engines preempt the lowest first, of these the one that started last.
+// Engines preempt the lowest first, of these the one that started last, so the
+// organisations that are furthest above their share lose their streams first.
 func (f *fair) priority(r *waitingRequest) int {
-	level := 0.0
-	switch f.opts.Preemption {
-	case LeastWorkFirst:
-		level = math.Log2(float64(max(r.PromptTokens, 1)))
-	case LongestRemainderFirst:
-		level = priorityLevels - 1 - math.Log2(f.estimate(r))
-	default:
-		level = priorityLevels/2 - 2*math.Log2(max(f.overShare(r.Organisation), 1.0/priorityLevels))
-	}
+	level := priorityLevels/2 - 2*math.Log2(max(f.overShare(r.Organisation), 1.0/priorityLevels))
 	return int(min(max(level, 0), priorityLevels-1))
 }
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -22,15 +22,15 @@
 	maxTokens    int
 	prefix       []uint64
 	// shared is the number of prompt blocks that other streams count as their own.
-	shared   int
+	shared int
+	// aged marks a stream that uses the reserve because of its wait.
+	aged     bool
 	engine   *engine
 	usage    flowcontrol.Usage
 	tokens   int
 	tokensAt time.Time
 	// nextEstimate is the number of tokens at which the remainder is estimated anew.
 	nextEstimate int
-	// charged is what the organisation has paid in tokens.
-	charged float64
 }
 
 // usage projects a stream's memory at the quantile of the tuning. Shared blocks
@@ -64,12 +64,6 @@
 
 func estimateAfter(tokens int) int { return int(float64(tokens)*estimateGrowth) + estimateTokens }
 
-// charge makes an organisation pay for tokens.
-func (f *fair) charge(s *stream, tokens float64) {
-	s.charged += tokens
-	f.queue.Charge(s.organisation, tokens)
-}
-
 // Progress implements Core.
 func (f *fair) Progress(now time.Time, id RequestID, tokens int) {
 	s := f.streams[id]
@@ -81,9 +75,7 @@
 		f.gaps.Learn(s.engine.window.Streams(), now.Sub(s.tokensAt)/time.Duration(added))
 	}
 	s.tokens, s.tokensAt = tokens, now
-	if !f.opts.ChargeEstimate {
-		f.charge(s, float64(added))
-	}
+	f.queue.Charge(s.organisation, float64(added))
 	f.grow(now, s, added)
 }
 
@@ -118,10 +110,8 @@
 		return
 	}
 	s.tokensAt = time.Time{} // the pause is not a gap of the batch
-	if f.opts.ShrinkOnPreemption {
-		s.engine.shrink(now)
-		f.refresh(now, s.engine)
-	}
+	s.engine.shrink(now)
+	f.refresh(now, s.engine)
 }
 
 // Finish implements Core.
@@ -131,17 +121,16 @@
 		return
 	}
 	tokens = max(tokens, s.tokens)
-	if f.opts.ChargeEstimate {
-		f.charge(s, float64(s.promptTokens+tokens)-s.charged)
-	} else {
-		f.charge(s, float64(tokens-s.tokens))
-	}
+	f.queue.Charge(s.organisation, float64(tokens-s.tokens))
 	if f.queue.Entitled(s.organisation) {
 		f.estimator.Learn(s.organisation, s.model, tokens)
 	}
 	delete(f.streams, id)
 	e := s.engine
 	e.residency.Remove(s.prefix, s.shared)
+	if s.aged {
+		e.aged--
+	}
 	f.hold(s.organisation, -s.usage.Current)
 	e.window.Remove(s.usage)
 	if e.current -= s.usage.Current; e.window.Streams() == 0 {
