Charge requests by their estimated length

Cause: the fair policy charged tokens as they were produced. With 20 daemons in front of 16 streams an organisation with many callers then got 1.25 to 1.28 of its entitlement (TestSharesHoldAcrossVMs, bound 1.15): the other one got several grants before the first was paid for, and then had nothing waiting.

Ruled out: wider bounds; a limit of grants for each turn (trades the same effect for idle engines).

Change: a grant is charged at the estimated length and corrected at the end; a declared stream counts what the other dispatcher has charged. The core's own warm-up by time is gone, since the grant protocol reduces the window until frontends have declared.

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -22,9 +22,6 @@
 	// EngineStreams bounds the streams of one engine in addition to its memory.
 	// Default 256.
 	EngineStreams int
-	// WarmUp is how long after the first call the core admits at a reduced
-	// window, because grants of another dispatcher may not be declared yet.
-	WarmUp time.Duration
 }
 
 // fair is the fair policy of one group of engines.
@@ -49,7 +46,7 @@
 	held, concentration float64
 	waiting             map[RequestID]*flowcontrol.Item[*waitingRequest]
 	streams             map[RequestID]*stream
-	warmUntil           time.Time
+	reduced             bool
 
 	// Buffers of a routing decision, reused.
 	top        []int
@@ -109,7 +106,6 @@
 // SetShares implements Core. Waiting requests of organisations that are no
 // longer entitled are dropped.
 func (f *fair) SetShares(now time.Time, shares []TenantShare) {
-	f.warm(now)
 	tenants := make([]flowcontrol.Tenant, 0, len(shares))
 	for _, s := range shares {
 		t := flowcontrol.Tenant{Name: s.Tenant, Share: s.Share}
@@ -127,16 +123,8 @@
 	f.refreshAll(now)
 }
 
-// warm starts the warm-up at the first call.
-func (f *fair) warm(now time.Time) {
-	if f.warmUntil.IsZero() {
-		f.warmUntil = now.Add(f.opts.WarmUp)
-	}
-}
-
 // Submit implements Core.
 func (f *fair) Submit(now time.Time, r Request) error {
-	f.warm(now)
 	if f.waiting[r.ID] != nil || f.streams[r.ID] != nil {
 		return nil // a repeated message
 	}
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -14,8 +14,9 @@
 	unknownStreams = 4
 	// maxStreams is the default of FairOptions.EngineStreams.
 	maxStreams = 256
-	// warmUpPart is the part of an engine's memory that is granted during the warm-up.
-	warmUpPart = 0.5
+	// reducedPart is the part of an engine's memory that is granted while the
+	// window is reduced.
+	reducedPart = 0.5
 	// excessReports is the number of load reports that must agree that an engine
 	// holds memory of streams that this core does not know.
 	excessReports = 4
@@ -59,7 +60,6 @@
 
 // SetBackends implements Core. Streams of a removed engine continue.
 func (f *fair) SetBackends(now time.Time, backends []Backend) {
-	f.warm(now)
 	listed := make(map[string]bool, len(backends))
 	for _, b := range backends {
 		listed[b.ID] = true
@@ -162,8 +162,8 @@
 	}
 	total := float64(e.blocks * e.blockTokens)
 	usable := total * (1 - reserved) * e.windowPart(now)
-	if now.Before(f.warmUntil) {
-		usable *= warmUpPart
+	if f.reduced {
+		usable *= reducedPart
 	}
 	return (usable - e.unknown(now) - e.orphaned() - e.window.Demand(extra)) / total
 }
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -26,7 +26,6 @@
 
 // Next implements Core.
 func (f *fair) Next(now time.Time) []Grant {
-	f.warm(now)
 	if f.queue.Len() == 0 {
 		return nil
 	}
@@ -139,7 +138,8 @@
 		s.aged = true
 		e.aged++
 	}
-	f.queue.Charge(r.Organisation, float64(r.PromptTokens))
+	f.charge(s, float64(r.PromptTokens))
+	f.charge(s, f.expected(&r.Ask))
 	return Grant{Request: r.ID, Backend: e.id, Priority: priority}
 }
 
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -31,6 +31,8 @@
 	tokensAt time.Time
 	// nextEstimate is the number of tokens at which the remainder is estimated anew.
 	nextEstimate int
+	// charged is what the organisation has paid in tokens.
+	charged float64
 }
 
 // usage projects a stream's memory at the quantile of the tuning. Shared blocks
@@ -64,6 +66,21 @@
 
 func estimateAfter(tokens int) int { return int(float64(tokens)*estimateGrowth) + estimateTokens }
 
+// charge makes an organisation pay for tokens.
+func (f *fair) charge(s *stream, tokens float64) {
+	s.charged += tokens
+	f.queue.Charge(s.organisation, tokens)
+}
+
+// expected is the length that a request is charged for at its grant.
+func (f *fair) expected(a *Ask) float64 {
+	n := f.estimator.Remaining(a.Organisation, a.Model, 0, f.tuning.quantile)
+	if a.MaxTokens > 0 {
+		n = min(n, float64(a.MaxTokens))
+	}
+	return n
+}
+
 // Progress implements Core.
 func (f *fair) Progress(now time.Time, id RequestID, tokens int) {
 	s := f.streams[id]
@@ -75,7 +92,6 @@
 		f.gaps.Learn(s.engine.window.Streams(), now.Sub(s.tokensAt)/time.Duration(added))
 	}
 	s.tokens, s.tokensAt = tokens, now
-	f.queue.Charge(s.organisation, float64(added))
 	f.grow(now, s, added)
 }
 
@@ -121,7 +137,7 @@
 		return
 	}
 	tokens = max(tokens, s.tokens)
-	f.queue.Charge(s.organisation, float64(tokens-s.tokens))
+	f.charge(s, float64(s.promptTokens+tokens)-s.charged)
 	if f.queue.Entitled(s.organisation) {
 		f.estimator.Learn(s.organisation, s.model, tokens)
 	}
@@ -142,10 +158,11 @@
 
 // Declare implements Core.
 func (f *fair) Declare(now time.Time, h Held) {
-	f.warm(now)
 	if f.streams[h.Request] != nil {
 		return
 	}
 	f.Withdraw(now, h.Request)
-	f.start(now, h.Request, &h.Ask, f.engine(h.Backend), h.Tokens)
+	s := f.start(now, h.Request, &h.Ask, f.engine(h.Backend), h.Tokens)
+	// The dispatcher that granted the stream has charged what it produced so far.
+	s.charged = float64(h.Ask.PromptTokens + h.Tokens)
 }
--- a/grants.go
+++ b/grants.go
@@ -17,11 +17,8 @@
 func (s *Server) admission() dispatch.Admission {
 	s.grants = grant.New(grant.Options{
 		VM: s.cfg.VMID, Region: s.cfg.Region, Loop: s.loop, Transport: s.peers, Breaker: s.engines.Breaker(), Log: s.log,
-		// With tokens charged only as they are produced, an organisation with
-		// few callers gets bursts of grants, runs out of waiting requests in
-		// between and loses part of its share.
 		NewCore: func() dispatch.Core {
-			return dispatch.NewFair(dispatch.FairOptions{ChargeEstimate: true, EngineStreams: s.cfg.Dispatch.EngineStreams})
+			return dispatch.NewFair(dispatch.FairOptions{EngineStreams: s.cfg.Dispatch.EngineStreams})
 		},
 		BypassAfter: s.cfg.Dispatch.BypassAfter.Std(), QueueTimeout: s.cfg.Timeouts.Queue.Std(),
 		LocalStreams: s.cfg.Dispatch.LocalStreams, GroupSize: s.cfg.Dispatch.GroupSize,
