Limit concurrent loads of the fleet through slots

Cause: orders that load weights draw on a weight store whose rate is limited, and operators did not know of each other's loads.

Ruled out: one lease for all slots (a dead operator would keep its slot until the others end); freeing a slot when an order has an unknown result (the load may still run).

Change: load-model, load-adapter and load-version take one of order/slots/<n>, attached to the lease of the backend server, after the wait for the previous operator. After an unknown result the slot moves to a lease of its own for the lease time and the in-flight time; a repeated order takes it over. standin weights is a weight store with a rate and a concurrency; engine and service stand-ins load from it.

--- a/internal/cli/order.go
+++ b/internal/cli/order.go
@@ -29,7 +29,8 @@
 		Use: "order", Short: "Give an order to a backend server",
 		Long: "Give an order to a backend server under a lease with a fencing token. A backend server that ignores " +
 			"fencing tokens gets no order until orders of the previous operator can no longer arrive. If the result " +
-			"of an order is unknown, repeat it with the --id that the error names; each id is applied once.",
+			"of an order is unknown, repeat it with the --id that the error names; each id is applied once. Loads of " +
+			"weights hold one of --load-slots slots, and must end within the --lease time.",
 	}
 	f.platform.register(cmd)
 	flags := cmd.PersistentFlags()
@@ -38,6 +39,8 @@
 	flags.DurationVar(&f.limit, "limit", time.Minute, "limit of the command, waits included")
 	flags.DurationVar(&f.options.TTL, "lease", order.DefaultTTL, "lease time, such as 10s")
 	flags.DurationVar(&f.options.MaxInFlight, "in-flight", order.DefaultMaxInFlight, "longest time that the network may hold an order back")
+	flags.IntVar(&f.options.LoadSlots, "load-slots", order.DefaultLoadSlots, "loads that may run in the whole fleet; the same for all operators")
+	flags.BoolVar(&f.options.WaitForSlot, "wait", false, "wait for a slot when all loads that may run do")
 	cmd.AddCommand(
 		newOrderKind(&f, "load-model BACKEND MODEL", "Load a model", "engine-7 quotes",
 			func(args []string) order.Order { return order.Order{Kind: order.KindLoadModel, Model: args[1]} }),
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -23,6 +24,26 @@
 	checksFencing bool
 	highest       int64
 	applied       []AppliedOrder
+	loader        Loader
+}
+
+// SetLoader sets how an order that loads weights gets them before it is
+// answered. Without a loader it gets none.
+func (b *orderBook) SetLoader(l Loader) {
+	b.bookMu.Lock()
+	defer b.bookMu.Unlock()
+	b.loader = l
+}
+
+// load gets the weights that an order needs.
+func (b *orderBook) load(ctx context.Context, o order.Order) error {
+	b.bookMu.Lock()
+	loader := b.loader
+	b.bookMu.Unlock()
+	if loader == nil || o.Model == "" {
+		return nil
+	}
+	return loader(ctx, o.Model)
 }
 
 // SetChecksFencing switches whether orders with an old fencing token are refused.
@@ -66,6 +87,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if b.load(r.Context(), o) != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
 		status := b.apply(o, token)
 		if faults.Get().LoseAnswers {
 			drop(w)
--- a/internal/standin/standincmd/standincmd.go
+++ b/internal/standin/standincmd/standincmd.go
@@ -28,7 +28,8 @@
 	}
 	var listen string
 	root.PersistentFlags().StringVar(&listen, "listen", "127.0.0.1:0", "address as IP:port")
-	root.AddCommand(kvCommand(&listen), vmListCommand(&listen), engineCommand(&listen), serviceCommand(&listen))
+	root.AddCommand(kvCommand(&listen), vmListCommand(&listen), engineCommand(&listen), serviceCommand(&listen),
+		weightsCommand(&listen))
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -41,16 +42,55 @@
 	}
 }
 
+func weightsCommand(listen *string) *cobra.Command {
+	var o standin.WeightsOptions
+	cmd := &cobra.Command{
+		Use: "weights", Short: "Weight store", Args: cobra.NoArgs,
+		Long: "Weight store. GET /weights/{model} sends a model of zeroes; above --concurrency it answers 429.",
+		RunE: func(*cobra.Command, []string) error {
+			if o.BytesPerSecond <= 0 || o.Concurrency <= 0 || o.ModelBytes <= 0 {
+				return &weightsOptionsError{options: o}
+			}
+			return serve(*listen, standin.NewWeights(o))
+		},
+	}
+	cmd.Flags().Int64Var(&o.BytesPerSecond, "rate", 100<<20, "bytes per second of all downloads together")
+	cmd.Flags().IntVar(&o.Concurrency, "concurrency", 4, "downloads at once")
+	cmd.Flags().Int64Var(&o.ModelBytes, "size", 10<<20, "bytes of each model")
+	return cmd
+}
+
+// weightsOptionsError reports an option that is not positive.
+type weightsOptionsError struct{ options standin.WeightsOptions }
+
+func (e *weightsOptionsError) Error() string {
+	return fmt.Sprintf("--rate %d, --concurrency %d and --size %d must be positive",
+		e.options.BytesPerSecond, e.options.Concurrency, e.options.ModelBytes)
+}
+
+// loaderFlag adds --weights to a backend server.
+func loaderFlag(cmd *cobra.Command) func(interface{ SetLoader(standin.Loader) }) {
+	base := cmd.Flags().String("weights", "", "base URL of the weight store that load orders draw on; empty for none")
+	return func(s interface{ SetLoader(standin.Loader) }) {
+		if *base != "" {
+			s.SetLoader(standin.LoadFrom(*base, http.DefaultClient))
+		}
+	}
+}
+
 func serviceCommand(listen *string) *cobra.Command {
 	var checksFencing bool
+	var setLoader func(interface{ SetLoader(standin.Loader) })
 	cmd := &cobra.Command{
 		Use: "service", Short: "Plain service", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			service := standin.NewService()
 			service.SetChecksFencing(checksFencing)
+			setLoader(service)
 			return serve(*listen, service)
 		},
 	}
+	setLoader = loaderFlag(cmd)
 	cmd.Flags().BoolVar(&checksFencing, "checks-fencing", false, "refuse orders with an old fencing token")
 	return cmd
 }
@@ -59,6 +99,7 @@
 	var o standin.EngineOptions
 	var model, checksFencing bool
 	settings := enginemodel.DefaultSettings()
+	var setLoader func(interface{ SetLoader(standin.Loader) })
 	cmd := &cobra.Command{
 		Use: "engine", Short: "Inference engine", Args: cobra.NoArgs,
 		Long: "Inference engine. With --model it batches, fills its memory, caches prefixes and preempts; " +
@@ -72,9 +113,11 @@
 			}
 			engine := standin.NewEngine(o)
 			engine.SetChecksFencing(checksFencing)
+			setLoader(engine)
 			return serve(*listen, engine)
 		},
 	}
+	setLoader = loaderFlag(cmd)
 	cmd.Flags().BoolVar(&checksFencing, "checks-fencing", false, "refuse orders with an old fencing token")
 	cmd.Flags().StringVar(&o.ID, "id", "engine", "id of the engine")
 	cmd.Flags().DurationVar(&o.TokenInterval, "token-interval", 10*time.Millisecond, "time between tokens of one stream")
--- a/order/lease.go
+++ b/order/lease.go
@@ -49,6 +49,7 @@
 	vm        vmlist.VM
 	id        kv.LeaseID
 	operation string
+	operator  string
 	fence     fenceRecord
 	revision  int64
 	// renewed is the time read before the lease call that last succeeded.
@@ -57,8 +58,11 @@
 	lost bool
 	// quietUntil is the end of the wait for orders of the previous holder.
 	quietUntil time.Time
-	// unsettled holds the ids of orders that may still be on their way.
+	// unsettled holds the ids of orders that may still be on their way, and
+	// whether they load weights.
 	unsettled map[string]bool
+	// slot is the slot for loads, or nil.
+	slot *heldSlot
 }
 
 // Token returns the fencing token.
@@ -70,7 +74,10 @@
 // Acquire obtains the lease of a backend server. Errors are *HeldError and
 // *UnavailableError; the lease must be released.
 func (o *Orderer) Acquire(ctx context.Context, vm vmlist.VM, operator string) (*Lease, error) {
-	l := &Lease{o: o, vm: vm, operation: uuid.NewString(), renewed: o.opts.Now(), unsettled: map[string]bool{}}
+	l := &Lease{
+		o: o, vm: vm, operation: uuid.NewString(), operator: operator,
+		renewed: o.opts.Now(), unsettled: map[string]bool{},
+	}
 	var err error
 	if l.id, err = o.store.GrantLease(ctx, o.opts.TTL); err != nil {
 		// A lease whose answer was lost has no key and lapses by itself.
@@ -196,7 +203,9 @@
 
 // Release gives the lease up. If all orders were answered it records so, and
 // the next holder need not wait. A holder whose lease may have lapsed records
-// nothing, since orders of its successor may be on their way.
+// nothing, since orders of its successor may be on their way. The slot for loads
+// is freed, but for one of a load with an unknown result: it stays taken for the
+// lease time and the maximum in-flight time.
 func (l *Lease) Release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
@@ -206,6 +215,9 @@
 		// If the write is lost, the next holder waits.
 		_, _ = l.write(ctx, fencePrefix+l.vm.ID, settled, l.revision, 0)
 	}
+	if l.slot != nil && l.loading() && !l.keepSlot(ctx) {
+		return // The slot lapses with the lease.
+	}
 	l.revoke(ctx)
 }
 
--- a/order/order.go
+++ b/order/order.go
@@ -22,6 +22,13 @@
 // the maximum in-flight time. The same holds if the clock of the sender stands
 // still while its VM is suspended; the wall clock is read as well, which covers
 // a suspension after which the wall clock is corrected at once.
+//
+// Loads draw on a weight store with a limited rate. Each holds one of the slots
+// order/slots/<n>, attached to the lease of its holder, so the slot of a dead
+// operator becomes free with the lease. A load counts until its backend server
+// answers the order, so it must end within the lease time. If the result is
+// unknown, the slot stays taken for the lease time and the maximum in-flight
+// time; a load that runs for longer is no longer counted.
 package order
 
 import (
--- a/order/orderer.go
+++ b/order/orderer.go
@@ -23,6 +23,7 @@
 	DefaultTTL          = 10 * time.Second
 	DefaultMaxInFlight  = 5 * time.Second
 	DefaultMinRemaining = time.Second
+	DefaultLoadSlots    = 4
 	// renewalsPerTTL is the number of renewals in one lease time during a wait,
 	// so that one lost renewal does not end the lease.
 	renewalsPerTTL = 3
@@ -46,6 +47,11 @@
 	// MinRemaining is the least remaining lease time at which an order is
 	// sent. Default DefaultMinRemaining.
 	MinRemaining time.Duration
+	// LoadSlots is the number of loads that may run in the whole fleet. All
+	// operators must use the same number. Default DefaultLoadSlots.
+	LoadSlots int
+	// WaitForSlot says that a load waits for a slot when all are taken.
+	WaitForSlot bool
 	// Now reads the clock. Default time.Now.
 	Now func() time.Time
 	// Sleep waits for a span of Now's clock. Default a timer.
@@ -62,6 +68,7 @@
 	set(&o.TTL, DefaultTTL)
 	set(&o.MaxInFlight, DefaultMaxInFlight)
 	set(&o.MinRemaining, DefaultMinRemaining)
+	set(&o.LoadSlots, DefaultLoadSlots)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -79,8 +86,8 @@
 	}
 }
 
-func set(field *time.Duration, value time.Duration) {
-	if *field == 0 {
+func set[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
 		*field = value
 	}
 }
@@ -101,9 +108,11 @@
 	}}
 }
 
-// Send gives an order once, after the wait for orders of the previous holder.
-// Errors are *InvalidError, *LapsedError, *NotSentError, *StaleTokenError and
-// *RejectedError, after which the order had no effect, and *UncertainError.
+// Send gives an order once, after the wait for orders of the previous holder. A
+// load takes a slot first and keeps it until the lease is released. Errors are
+// *InvalidError, *LapsedError, *SlotsTakenError, *SlotUnavailableError,
+// *NotSentError, *StaleTokenError and *RejectedError, after which the order had
+// no effect, and *UncertainError.
 func (l *Lease) Send(ctx context.Context, order Order) error {
 	if err := order.Validate(); err != nil {
 		return err
@@ -115,6 +124,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
+	if order.loadsWeights() {
+		if err := l.takeSlot(ctx, order); err != nil {
+			return err
+		}
+	}
 	if err := l.check(); err != nil {
 		return err
 	}
@@ -122,7 +136,7 @@
 	defer cancel()
 	err = l.post(ctx, order.ID, body)
 	if _, ok := errors.Into[*UncertainError](err); ok {
-		l.unsettled[order.ID] = true
+		l.unsettled[order.ID] = order.loadsWeights()
 	} else if err == nil {
 		delete(l.unsettled, order.ID) // A late copy is one of an id already applied.
 	}
--- /dev/null
+++ b/order/slots.go
@@ -0,0 +1,202 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/kv"
+)
+
+const (
+	slotPrefix = "order/slots/"
+	// slotPoll is the time between looks for a free slot. Each look reads every
+	// slot, since a watch does not show that a key disappears.
+	slotPoll = time.Second
+)
+
+// SlotHolder names the holder of a slot for loads.
+type SlotHolder struct {
+	Slot     int    `json:"slot"`
+	Operator string `json:"operator"`
+	Backend  string `json:"backend"`
+	Order    string `json:"order"`
+}
+
+func (h SlotHolder) String() string {
+	return fmt.Sprintf("%q (order %s to %s)", h.Operator, h.Order, h.Backend)
+}
+
+// slotRecord is the value of a slot key. It disappears with the lease of its holder.
+type slotRecord struct {
+	SlotHolder
+	Operation string `json:"operation"`
+}
+
+// heldSlot is a slot of this lease.
+type heldSlot struct {
+	record   slotRecord
+	revision int64
+}
+
+// SlotsTakenError reports that as many loads run as are allowed. The order was not sent.
+type SlotsTakenError struct {
+	Holders []SlotHolder
+	// Cause is the end of the context during a wait, or nil.
+	Cause error
+}
+
+func (e *SlotsTakenError) Error() string {
+	names := make([]string, len(e.Holders))
+	for i, h := range e.Holders {
+		names[i] = h.String()
+	}
+	return fmt.Sprintf("all %d slots for loads are taken: %s", len(names), strings.Join(names, ", "))
+}
+
+func (e *SlotsTakenError) Unwrap() error { return e.Cause }
+
+// SlotUnavailableError reports that no slot could be established. The order was not sent.
+type SlotUnavailableError struct{ Cause error }
+
+func (e *SlotUnavailableError) Error() string {
+	return fmt.Sprintf("slot for loads not established: %v", e.Cause)
+}
+
+func (e *SlotUnavailableError) Unwrap() error { return e.Cause }
+
+// loadsWeights reports whether the order draws on the weight store.
+func (o Order) loadsWeights() bool {
+	return o.Kind == KindLoadModel || o.Kind == KindLoadAdapter || o.Kind == KindLoadVersion
+}
+
+// takeSlot takes a slot for a load, unless the lease has one. While it waits
+// for one it keeps the lease.
+func (l *Lease) takeSlot(ctx context.Context, order Order) error {
+	record := slotRecord{
+		SlotHolder: SlotHolder{Operator: l.operator, Backend: l.vm.ID, Order: order.ID}, Operation: l.operation,
+	}
+	for l.slot == nil {
+		holders, err := l.trySlots(ctx, record)
+		if _, ok := errors.Into[*kv.NotFoundError](err); ok {
+			l.lost = true
+			return l.check()
+		}
+		if err != nil {
+			return &SlotUnavailableError{Cause: err}
+		}
+		if l.slot != nil {
+			break
+		}
+		if !l.o.opts.WaitForSlot {
+			return &SlotsTakenError{Holders: holders}
+		}
+		pause := min(slotPoll, l.o.opts.TTL/renewalsPerTTL)
+		if err := l.o.opts.Sleep(ctx, pause/2+rand.N(pause/2)); err != nil {
+			return &SlotsTakenError{Holders: holders, Cause: err}
+		}
+		l.renew(ctx)
+		if err := l.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// trySlots looks at each slot once and sets l.slot, or returns the holders. A
+// slot that an earlier attempt at the same order left is taken over.
+func (l *Lease) trySlots(ctx context.Context, record slotRecord) ([]SlotHolder, error) {
+	limit := l.o.opts.LoadSlots
+	holders := make([]SlotHolder, 0, limit)
+	offset := rand.IntN(limit) // Operators that start at once try different slots first.
+	free := make([]int, 0, limit)
+	for i := range limit {
+		slot := (offset+i)%limit + 1
+		var found slotRecord
+		revision, err := l.read(ctx, slotKey(slot), &found)
+		switch {
+		case err != nil:
+			return nil, err
+		case revision == 0:
+			free = append(free, slot)
+		case found.Order == record.Order && found.Backend == record.Backend:
+			record.Slot = slot
+			_, err := l.writeSlot(ctx, record, revision)
+			return nil, err
+		default:
+			holders = append(holders, found.SlotHolder)
+		}
+	}
+	for _, slot := range free {
+		record.Slot = slot
+		found, err := l.writeSlot(ctx, record, 0)
+		if err != nil || l.slot != nil {
+			return nil, err
+		}
+		holders = append(holders, found)
+	}
+	return holders, nil
+}
+
+// writeSlot writes a slot that was at revision prev and sets l.slot, or returns
+// the holder that was faster. A write that is still on its way after an error
+// fails once the lease is revoked.
+func (l *Lease) writeSlot(ctx context.Context, record slotRecord, prev int64) (SlotHolder, error) {
+	var err error
+	for range settleAttempts {
+		var revision int64
+		if revision, err = l.write(ctx, slotKey(record.Slot), record, prev, l.id); err == nil {
+			l.slot = &heldSlot{record: record, revision: revision}
+			return SlotHolder{}, nil
+		}
+		if !ambiguous(err) {
+			return SlotHolder{}, err
+		}
+		var found slotRecord
+		revision, readErr := l.read(ctx, slotKey(record.Slot), &found)
+		switch {
+		case readErr != nil:
+			return SlotHolder{}, err
+		case found.Operation == l.operation:
+			l.slot = &heldSlot{record: record, revision: revision}
+			return SlotHolder{}, nil
+		case revision != 0 && revision != prev:
+			return found.SlotHolder, nil
+		case revision == 0:
+			prev = 0
+		}
+		if !sleep(ctx, settlePause) {
+			return SlotHolder{}, ctx.Err()
+		}
+	}
+	return SlotHolder{}, err
+}
+
+// keepSlot moves the slot of a load with an unknown result to a lease of its
+// own, since the load may still run. It returns false if the slot may still be
+// attached to the lease of the holder.
+func (l *Lease) keepSlot(ctx context.Context) bool {
+	id, err := l.o.store.GrantLease(ctx, l.o.opts.hold())
+	if err != nil {
+		return false
+	}
+	_, err = l.write(ctx, slotKey(l.slot.record.Slot), l.slot.record, l.slot.revision, id)
+	return err == nil
+}
+
+// loading reports whether a load with an unknown result may still run.
+func (l *Lease) loading() bool {
+	for _, loads := range l.unsettled {
+		if loads {
+			return true
+		}
+	}
+	return false
+}
+
+func slotKey(slot int) string { return slotPrefix + strconv.Itoa(slot) }
