Carry the trace context on orders and cancellations

Cause: orders and DELETE requests to engines went out without traceparent, so a backend server could not trace them back.

Change: both carry the span in force. The order command starts a trace and names its id in its output and its errors. TestTraceContext checks completion, resume, repeatable and non-repeatable call and a refusal: every span lies below the caller's, the backend server gets the trace id with a span of the VM, and log line and problem document name it. It passed from the start.

Before: TestTraceOfOrder failed (got traceparent ""). After: it passes. There is no test for the header of a cancellation.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -97,6 +97,7 @@
 	if err != nil {
 		return errors.Wrap(err, "cancel request")
 	}
+	telemetry.Inject(ctx, req.Header)
 	resp, err := e.http.Do(req)
 	if err != nil {
 		return &UncertainError{Backend: t.ID, Cause: err}
--- a/internal/cli/order.go
+++ b/internal/cli/order.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/vanillaarch/vanillaarch/order"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -81,6 +82,13 @@
 			return err
 		}
 	}
+	tracing, err := telemetry.NewTracing("", 1)
+	if err != nil {
+		return err
+	}
+	ctx, span := tracing.Tracer().Start(ctx, "order.send")
+	defer span.End()
+	trace := telemetry.TraceID(ctx)
 	vm, err := f.backend(ctx, backend)
 	if err != nil {
 		return err
@@ -96,9 +104,9 @@
 		fmt.Fprintf(cmd.ErrOrStderr(), "waiting %s for orders of the previous operator\n", wait.Round(time.Millisecond))
 	}
 	if err := lease.Send(ctx, o); err != nil {
-		return errors.Wrap(err, "order "+o.ID)
+		return errors.Wrapf(err, "order %s in trace %s", o.ID, trace)
 	}
-	fmt.Fprintf(cmd.OutOrStdout(), "applied order=%s backend=%s token=%d\n", o.ID, backend, lease.Token())
+	fmt.Fprintf(cmd.OutOrStdout(), "applied order=%s backend=%s token=%d trace=%s\n", o.ID, backend, lease.Token(), trace)
 	return nil
 }
 
--- /dev/null
+++ b/internal/localcluster/tracing_test.go
@@ -0,0 +1,140 @@
+package localcluster_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// callerSpan is the span id of the caller in its traceparent header.
+const callerSpan = "00f067aa0ba902b7"
+
+// traced records the traceparent headers that a backend server gets.
+type traced struct {
+	http.Handler
+	mu      sync.Mutex
+	parents []string
+}
+
+func (b *traced) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	b.parents = append(b.parents, r.Header.Get("Traceparent"))
+	b.mu.Unlock()
+	b.Handler.ServeHTTP(w, r)
+}
+
+// take returns the headers since the last call.
+func (b *traced) take() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	parents := b.parents
+	b.parents = nil
+	return parents
+}
+
+// TestTraceContext guards against a hop that starts a trace of its own, a
+// backend server that is not told the span that called it, and log lines and
+// problem documents that cannot be found by the trace id.
+func TestTraceContext(t *testing.T) {
+	var logs lockedBuffer
+	spans := tracetest.NewInMemoryExporter()
+	c, ctx := startCluster(t, localcluster.Options{VMs: 1, Logs: &logs, SpanProcessors: []sdktrace.SpanProcessor{sdktrace.NewSimpleSpanProcessor(spans)}})
+	engine := &traced{Handler: standin.NewEngine(standin.EngineOptions{ID: "engine"})}
+	service := &traced{Handler: standin.NewService()}
+	addBackend(t, c, vmlist.RoleEngine, "engine", engine.ServeHTTP)
+	addBackend(t, c, vmlist.RoleService, "service", service.ServeHTTP)
+	var lastEvent string
+	cases := []struct {
+		name, method, path, body string
+		backend                  *traced
+		spans                    []string
+		problem                  bool
+	}{
+		{"completion", http.MethodPost, "/v1/completions", `{"model":"quotes","prompt":"[tokens=3]","stream":true}`, engine, []string{"frontend.completion", "dispatch.acquire"}, false},
+		{"resume", http.MethodGet, "/v1/generations/", "", engine, []string{"frontend.resume"}, false},
+		{"lookup", http.MethodPost, "/v1/services/" + localcluster.LookupRoute, "{}", service, []string{"frontend.service", "service.call"}, false},
+		{"booking", http.MethodPost, "/v1/services/" + localcluster.BookingRoute, "{}", service, []string{"frontend.service", "claim.begin", "service.call", "claim.complete"}, false},
+		{"refusal", http.MethodPost, "/v1/completions", `{"model":"none","prompt":"x"}`, nil, []string{"frontend.completion"}, true},
+	}
+	for i, tc := range cases {
+		id := strings.Repeat("0", 31) + string(rune('1'+i))
+		spans.Reset()
+		path := tc.path
+		if tc.name == "resume" {
+			path += strings.TrimSuffix(lastEvent, ":1")
+		}
+		r, err := http.NewRequestWithContext(ctx, tc.method, c.VMs[0].URL()+path, strings.NewReader(tc.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Traceparent", "00-"+id+"-"+callerSpan+"-01")
+		r.Header.Set("Authorization", "Bearer "+localcluster.APIKey)
+		r.Header.Set(api.HeaderIdempotencyKey, newKey(t))
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if _, rest, ok := strings.Cut(string(body), "id: "); ok && lastEvent == "" {
+			lastEvent, _, _ = strings.Cut(rest, "\n")
+		}
+		if tc.problem != strings.Contains(string(body), `"trace_id":"`+id+`"`) {
+			t.Errorf("%s: got %s", tc.name, body)
+		}
+		// The span of the request ends after its answer.
+		eventually(t, tc.name+" is logged", func() bool { return strings.Contains(logs.String(), "trace="+id) })
+		eventually(t, tc.name+" has its spans", func() bool { return hasSpans(spans.GetSpans(), id, tc.spans) })
+		var parents []string
+		if tc.backend != nil {
+			if parents = tc.backend.take(); len(parents) == 0 {
+				t.Errorf("%s: the backend server got nothing", tc.name)
+			}
+		}
+		checkSpans(t, tc.name, id, spans.GetSpans(), parents)
+	}
+}
+
+func hasSpans(spans tracetest.SpanStubs, id string, names []string) bool {
+	seen := map[string]bool{}
+	for _, s := range spans {
+		seen[s.Name] = seen[s.Name] || s.SpanContext.TraceID().String() == id
+	}
+	for _, name := range names {
+		if !seen[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// checkSpans wants every span in the caller's trace, below the caller's span,
+// and the headers of the backend server to name one of the spans.
+func checkSpans(t *testing.T, name, id string, spans tracetest.SpanStubs, parents []string) {
+	t.Helper()
+	known := map[string]bool{callerSpan: true}
+	for _, s := range spans {
+		known[s.SpanContext.SpanID().String()] = true
+	}
+	for _, s := range spans {
+		if got := s.SpanContext.TraceID().String(); got != id || !known[s.Parent.SpanID().String()] {
+			t.Errorf("%s: span %s is in trace %s below %s", name, s.Name, got, s.Parent.SpanID())
+		}
+	}
+	for _, p := range parents {
+		fields := strings.Split(p, "-")
+		if len(fields) != 4 || fields[1] != id || fields[2] == callerSpan || !known[fields[2]] {
+			t.Errorf("%s: the backend server got traceparent %q", name, p)
+		}
+	}
+}
--- a/order/orderer.go
+++ b/order/orderer.go
@@ -16,6 +16,7 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
 // Defaults of Options.
@@ -154,6 +155,7 @@
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", api.ContentTypeJSON)
 	req.Header.Set(api.HeaderFencingToken, strconv.FormatInt(l.fence.Token, 10))
+	telemetry.Inject(ctx, req.Header)
 	resp, err := l.o.http.Do(req)
 	switch {
 	case err != nil && !sent.Load():
--- /dev/null
+++ b/order/trace_test.go
@@ -0,0 +1,38 @@
+package order_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/vanillaarch/vanillaarch/order"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// roundTrip is an http.RoundTripper.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// TestTraceOfOrder guards against an order that a backend server cannot trace
+// back to its operator.
+func TestTraceOfOrder(t *testing.T) {
+	tracing, err := telemetry.NewTracing("", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, span := tracing.Tracer().Start(t.Context(), "order.send")
+	defer span.End()
+	path := &server{Service: newService(true)}
+	var parent string
+	o := order.New(newStore(), order.Options{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+		parent = r.Header.Get("Traceparent")
+		return path.RoundTrip(r)
+	})})
+	if err := acquire(t, o, true).Send(ctx, roleOrder("a")); err != nil {
+		t.Fatal(err)
+	}
+	if id := telemetry.TraceID(ctx); id == "" || !strings.Contains(parent, id) {
+		t.Errorf("got traceparent %q, want trace %s", parent, id)
+	}
+}
