Accept one spelling of event ids and generation ids

Cause: ParseEventID read "+7", "07" and "-0" as offsets, and ParseGenerationID read upper-case digits, although both promise to read only what String writes. ParseEventID also cut at the first colon, so a stream of a backend server whose id has a colon, which ParseGenerationID accepts, could not be resumed.

Change: the offset is cut at the last colon; other spellings are refused.

Before: FuzzIDs failed on its seeds 4 to 7 ("...:07" is read as "...:7"; event 3 of "a:b...." is an invalid event id).

--- a/api/api.go
+++ b/api/api.go
@@ -77,15 +77,16 @@
 // ParseEventID parses the form written by EventID.String.
 // It returns an *InvalidEventIDError for any other input.
 func ParseEventID(s string) (EventID, error) {
-	generation, offset, ok := strings.Cut(s, ":")
-	if !ok {
+	i := strings.LastIndexByte(s, ':') // A backend id may contain colons.
+	if i < 0 {
 		return EventID{}, &InvalidEventIDError{Value: s}
 	}
+	generation, offset := s[:i], s[i+1:]
 	if _, err := ParseGenerationID(generation); err != nil {
 		return EventID{}, &InvalidEventIDError{Value: s}
 	}
 	n, err := strconv.Atoi(offset)
-	if err != nil || n < 0 {
+	if err != nil || n < 0 || strconv.Itoa(n) != offset {
 		return EventID{}, &InvalidEventIDError{Value: s}
 	}
 	return EventID{Generation: generation, Offset: n}, nil
--- /dev/null
+++ b/api/fuzz_test.go
@@ -0,0 +1,39 @@
+package api
+
+import (
+	"strings"
+	"testing"
+)
+
+const fuzzRandom = "0123456789abcdef0123456789abcdef"
+
+// FuzzIDs guards against two spellings of one id, which would let a resume name
+// a generation or an offset that the engine knows under another, and against
+// ids that this package writes and does not read.
+func FuzzIDs(f *testing.F) {
+	for _, seed := range []string{
+		"", ":", "engine-1." + fuzzRandom, "engine-1." + fuzzRandom + ":7", "engine-1." + fuzzRandom + ":+7",
+		"engine-1." + fuzzRandom + ":07", "engine-1." + fuzzRandom + ":-0", "a:b." + fuzzRandom, "a:b." + fuzzRandom + ":1",
+		"a." + strings.ToUpper(fuzzRandom), "a." + strings.ToUpper(fuzzRandom) + ":1", "a." + fuzzRandom + ":99999999999999999999",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		if id, err := ParseEventID(s); err == nil && id.String() != s {
+			t.Errorf("%q is read as %q", s, id)
+		}
+		g, err := ParseGenerationID(s)
+		if err != nil {
+			return
+		}
+		if g.String() != s {
+			t.Errorf("%q is read as %q", s, g)
+		}
+		if g.Random != strings.ToLower(g.Random) {
+			t.Errorf("%q is read although NewGenerationID writes lower case", s)
+		}
+		if id, err := ParseEventID(EventID{Generation: s, Offset: 3}.String()); err != nil || id.Generation != s || id.Offset != 3 {
+			t.Errorf("event 3 of %q is read as %v with error %v", s, id, err)
+		}
+	})
+}
--- a/api/generation.go
+++ b/api/generation.go
@@ -34,7 +34,8 @@
 	if i <= 0 || len(s)-i-1 != 2*generationRandomBytes {
 		return GenerationID{}, &InvalidEventIDError{Value: s}
 	}
-	if _, err := hex.DecodeString(s[i+1:]); err != nil {
+	random, err := hex.DecodeString(s[i+1:])
+	if err != nil || hex.EncodeToString(random) != s[i+1:] {
 		return GenerationID{}, &InvalidEventIDError{Value: s}
 	}
 	return GenerationID{Backend: s[:i], Random: s[i+1:]}, nil
