Take an error event with the end marker as data for an error

Cause: a stream compared the data with the marker before it looked at the type of the event, so "event: error" with data [DONE] ended an answer as complete.

Change: the type is looked at first, as the client library does.

Before: TestErrorEventIsNoEnd failed ("got EOF, want a FailedError"). After: it passes. FuzzStream runs the reader over arbitrary bytes; 21 s found nothing more (217,191 executions).

--- a/backend/stream.go
+++ b/backend/stream.go
@@ -81,13 +81,13 @@
 		}
 		s.begun = true
 		s.watchdog.Reset(s.idle)
+		if event.Type == api.EventError {
+			return Token{}, &FailedError{Backend: s.backend, Detail: event.Data}
+		}
 		if event.Data == api.DoneMarker {
 			s.done = true
 			return Token{}, io.EOF
 		}
-		if event.Type == api.EventError {
-			return Token{}, &FailedError{Backend: s.backend, Detail: event.Data}
-		}
 		token, fresh, err := s.decode(event)
 		if err != nil {
 			return Token{}, err
