Never let the incarnation of a VM overflow

Cause: a suspicion with the highest incarnation, 2^64-1, made the VM take incarnation 0. Peers ignore it from then on, so it could refute nothing.

Ruled out: a lower highest value that is ignored everywhere; it moves the limit.

Change: such a suspicion of this VM is ignored. A peer that sends an incarnation just below the highest can still make a VM stay suspect.

--- a/membership/core.go
+++ b/membership/core.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -130,7 +131,8 @@
 
 func (c *Core) apply(now time.Time, vm string, incarnation uint64, suspect bool, e *Effects) {
 	if vm == c.self {
-		if suspect && incarnation >= c.incarnation {
+		// No incarnation is above the highest, and one must never fall.
+		if suspect && incarnation >= c.incarnation && incarnation < math.MaxUint64 {
 			c.incarnation = incarnation + 1
 			e.Push = true
 		}
