Check sums of durations without an overflow

Cause: two checks of the configuration multiplied or added durations, which wraps above 292 years, so a heartbeat interval of 2000000h or a VM list interval of 2562047h was accepted.

Change: the checks divide.

--- a/config/load.go
+++ b/config/load.go
@@ -104,13 +104,13 @@
 // crossChecks finds values that are valid alone and not together.
 func (c *Config) crossChecks() []Fault {
 	var faults []Fault
-	if c.Peers.SuspectAfter < 2*c.Peers.HeartbeatInterval {
+	if c.Peers.SuspectAfter/2 < c.Peers.HeartbeatInterval { // A product could overflow.
 		faults = append(faults, Fault{
 			Path:    "peers.suspect_after",
 			Message: "must be at least twice peers.heartbeat_interval, or one lost heartbeat makes a peer suspect",
 		})
 	}
-	if c.Platform.VMListInterval+2*c.Platform.VMListCallLimit > MaxListDelay {
+	if c.Platform.VMListCallLimit > (MaxListDelay-c.Platform.VMListInterval)/2 {
 		faults = append(faults, Fault{
 			Path: "platform.vm_list_call_limit",
 			Message: fmt.Sprintf("twice the limit plus platform.vm_list_interval must be at most %s, "+
