--- a/internal/localcluster/tracing_test.go
+++ b/internal/localcluster/tracing_test.go
@@ -1,11 +1,13 @@
 package localcluster_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
@@ -24,11 +26,17 @@
 	http.Handler
 	mu      sync.Mutex
 	parents []string
+	// cancelled holds the headers of cancellations.
+	cancelled []string
 }
 
 func (b *traced) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	b.parents = append(b.parents, r.Header.Get("Traceparent"))
+	if parent := r.Header.Get("Traceparent"); r.Method == http.MethodDelete {
+		b.cancelled = append(b.cancelled, parent)
+	} else {
+		b.parents = append(b.parents, parent)
+	}
 	b.mu.Unlock()
 	b.Handler.ServeHTTP(w, r)
 }
@@ -49,7 +57,7 @@
 	var logs lockedBuffer
 	spans := tracetest.NewInMemoryExporter()
 	c, ctx := startCluster(t, localcluster.Options{VMs: 1, Logs: &logs, SpanProcessors: []sdktrace.SpanProcessor{sdktrace.NewSimpleSpanProcessor(spans)}})
-	engine := &traced{Handler: standin.NewEngine(standin.EngineOptions{ID: "engine"})}
+	engine := &traced{Handler: standin.NewEngine(standin.EngineOptions{ID: "engine", TokenInterval: time.Millisecond})}
 	service := &traced{Handler: standin.NewService()}
 	addBackend(t, c, vmlist.RoleEngine, "engine", engine.ServeHTTP)
 	addBackend(t, c, vmlist.RoleService, "service", service.ServeHTTP)
@@ -103,6 +111,32 @@
 		}
 		checkSpans(t, tc.name, id, spans.GetSpans(), parents)
 	}
+	const left = "4bf92f3577b34da6a3ce929d0e0e4736"
+	leave(ctx, t, c.VMs[0].URL(), left)
+	eventually(t, "the cancellation is traced", func() bool {
+		engine.mu.Lock()
+		defer engine.mu.Unlock()
+		return len(engine.cancelled) > 0 && strings.Contains(engine.cancelled[0], left)
+	})
+}
+
+// leave asks for a long answer that is not streamed, which cannot be resumed and
+// is cancelled, and leaves during it.
+func leave(ctx context.Context, t *testing.T, url, id string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/completions",
+		strings.NewReader(`{"model":"quotes","prompt":"[tokens=100000]"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Traceparent", "00-"+id+"-"+callerSpan+"-01")
+	r.Header.Set("Authorization", "Bearer "+localcluster.APIKey)
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		_ = resp.Body.Close()
+		t.Error("the long answer was complete")
+	}
 }
 
 func hasSpans(spans tracetest.SpanStubs, id string, names []string) bool {
