--- a/internal/cli/order.go
+++ b/internal/cli/order.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/vanillaarch/vanillaarch/order"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -29,7 +30,8 @@
 		Use: "order", Short: "Give an order to a backend server",
 		Long: "Give an order to a backend server under a lease with a fencing token. A backend server that ignores " +
 			"fencing tokens gets no order until orders of the previous operator can no longer arrive. If the result " +
-			"of an order is unknown, repeat it with the --id that the error names; each id is applied once.",
+			"of an order is unknown, repeat it with the --id that the error names; each id is applied once. Loads of " +
+			"weights hold one of --load-slots slots, and must end within the --lease time.",
 	}
 	f.platform.register(cmd)
 	flags := cmd.PersistentFlags()
@@ -38,6 +40,8 @@
 	flags.DurationVar(&f.limit, "limit", time.Minute, "limit of the command, waits included")
 	flags.DurationVar(&f.options.TTL, "lease", order.DefaultTTL, "lease time, such as 10s")
 	flags.DurationVar(&f.options.MaxInFlight, "in-flight", order.DefaultMaxInFlight, "longest time that the network may hold an order back")
+	flags.IntVar(&f.options.LoadSlots, "load-slots", order.DefaultLoadSlots, "loads that may run in the whole fleet; the same for all operators")
+	flags.BoolVar(&f.options.WaitForSlot, "wait", false, "wait for a slot when all loads that may run do")
 	cmd.AddCommand(
 		newOrderKind(&f, "load-model BACKEND MODEL", "Load a model", "engine-7 quotes",
 			func(args []string) order.Order { return order.Order{Kind: order.KindLoadModel, Model: args[1]} }),
@@ -78,6 +82,13 @@
 			return err
 		}
 	}
+	tracing, err := telemetry.NewTracing("", 1)
+	if err != nil {
+		return err
+	}
+	ctx, span := tracing.Tracer().Start(ctx, "order.send")
+	defer span.End()
+	trace := telemetry.TraceID(ctx)
 	vm, err := f.backend(ctx, backend)
 	if err != nil {
 		return err
@@ -93,9 +104,9 @@
 		fmt.Fprintf(cmd.ErrOrStderr(), "waiting %s for orders of the previous operator\n", wait.Round(time.Millisecond))
 	}
 	if err := lease.Send(ctx, o); err != nil {
-		return errors.Wrap(err, "order "+o.ID)
+		return errors.Wrapf(err, "order %s in trace %s", o.ID, trace)
 	}
-	fmt.Fprintf(cmd.OutOrStdout(), "applied order=%s backend=%s token=%d\n", o.ID, backend, lease.Token())
+	fmt.Fprintf(cmd.OutOrStdout(), "applied order=%s backend=%s token=%d trace=%s\n", o.ID, backend, lease.Token(), trace)
 	return nil
 }
 
