Seed the gossip fuzz target with compressed documents

Change: its seeds are compressed whole documents, and a request with an unknown base joins them.

Conclusion: the checks of the target are unchanged.

--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -27,7 +27,7 @@
 		f.Add(data)
 	}
 	document := func(k peerpb.DocumentKind, version int64, content string) {
-		add(&peerpb.Membership{Message: &peerpb.Membership_Document{Document: &peerpb.Document{Kind: k, Version: version, Content: []byte(content)}}})
+		add(&peerpb.Membership{Message: &peerpb.Membership_Document{Document: &peerpb.Document{Kind: k, Version: version, Encoded: compressed(f, []byte(content))}}})
 	}
 	document(KindBundle, 5, string(signed(f, 5, key)))
 	document(KindBundle, 2, string(signed(f, 2, key)))
@@ -37,7 +37,7 @@
 	document(KindVMList, math.MinInt64, "null")
 	document(7, 9, "{}")
 	add(&peerpb.Membership{Message: &peerpb.Membership_DocumentRequest{DocumentRequest: &peerpb.DocumentRequest{Kind: 7, AboveVersion: math.MinInt64}}})
-	add(&peerpb.Membership{Message: &peerpb.Membership_DocumentRequest{DocumentRequest: &peerpb.DocumentRequest{Kind: KindVMList, AboveVersion: math.MinInt64}}})
+	add(&peerpb.Membership{Message: &peerpb.Membership_DocumentRequest{DocumentRequest: &peerpb.DocumentRequest{Kind: KindVMList, AboveVersion: math.MinInt64, BaseFingerprint: math.MaxUint64}}})
 	add(&peerpb.Membership{Message: &peerpb.Membership_Heartbeat{Heartbeat: &peerpb.Heartbeat{BundleVersion: math.MaxInt64}}})
 	three := signed(f, 3, key)
 	f.Fuzz(func(t *testing.T, data []byte) {
