--- a/control/control.go
+++ b/control/control.go
@@ -68,7 +68,9 @@
 
 // SameBackends reports whether two snapshots have the same backend servers
 // with the same models.
-func (s *Snapshot) SameBackends(other *Snapshot) bool { return s.lookups == other.lookups }
+func (s *Snapshot) SameBackends(other *Snapshot) bool {
+	return s.VMs == other.VMs && s.lookups == other.lookups
+}
 
 // Loop is the control goroutine.
 type Loop struct {
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -13,7 +13,7 @@
 			"docs/CAPACITY.md designs for. Takes about five minutes; run it on an otherwise idle machine.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var all []capacity.Series
-			for _, run := range []func() ([]capacity.Series, error){capacity.State, capacity.Spread, capacity.Relay} {
+			for _, run := range []func() ([]capacity.Series, error){capacity.State, capacity.Spread, capacity.Dispatch, capacity.Relay} {
 				series, err := run()
 				if err != nil {
 					return err
