Resume silent streams after a limit from observed gaps

Cause: a stalled connection was given up after a fixed 3 s, although an engine's p99 gap is below 0.1 s.

A bound of silence by the number of waits would end preempted streams early; with it TestSilentStream fails.

Change: backend.Gaps keeps a histogram of the gaps of an engine's recent tokens, and the limit is 8 times their p99, at least 300 ms and at most stream_idle. Consecutive silent resumes double it. A silence after a token ends by time, after four idle timeouts as before: the first wait and three resumes. Frontend and replay use the same code. A caller that reads slowly adds nothing to the gaps.

Tests: TestSilentStream and the new replay case fail with the fixed limit (10.0 s in place of below 2 s), TestSlowEngine fails with a constant 300 ms (49 resumes). No existing test changed.

Conclusion: the derived limit is kept.

--- a/backend/engine.go
+++ b/backend/engine.go
@@ -35,6 +35,7 @@
 type Engines struct {
 	http    *http.Client
 	breaker *Breaker
+	gaps    GapTable
 }
 
 // NewEngines returns a client with its own connection pool.
@@ -50,6 +51,9 @@
 // Breaker returns the record of engines that do not respond.
 func (e *Engines) Breaker() *Breaker { return e.breaker }
 
+// Gaps returns the gaps between recent tokens of an engine.
+func (e *Engines) Gaps(t Target) *Gaps { return e.gaps.Of(time.Now(), t.ID) }
+
 // Close releases idle connections.
 func (e *Engines) Close() { e.http.CloseIdleConnections() }
 
--- a/config/config.go
+++ b/config/config.go
@@ -120,7 +120,8 @@
 	Queue Duration `json:"queue,omitempty" validate:"gte=0"`
 	// FirstToken bounds the wait for the first token after a grant. Default 20s.
 	FirstToken Duration `json:"first_token,omitempty" validate:"gte=0"`
-	// StreamIdle bounds the gap between tokens before a resume. Default 3s.
+	// StreamIdle is the greatest wait for the next token before a resume; it is
+	// shorter on a fast engine. Default 3s.
 	StreamIdle Duration `json:"stream_idle,omitempty" validate:"gte=0"`
 	// Body bounds the time in which a caller sends the body of a request. Default 30s.
 	Body Duration `json:"body,omitempty" validate:"gte=0"`
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -18,19 +18,10 @@
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
-// Bounds of attempts. A resume that brings tokens starts the count anew.
+// Bounds of attempts.
 const (
-	maxAttempts = 3
-	// maxResumes rides out half a second of broken connections, after which
-	// the answer would be lost. Before the first token another engine can take
-	// over, so fewer resumes are worth the wait.
-	maxResumes           = 6
-	maxResumesFirstToken = 3
-	// maxSilentResumes bounds resumes of a silent stream, counted in idle timeouts.
-	maxSilentResumes = 3
-	resumeBase       = 50 * time.Millisecond
-	resumeLimit      = 500 * time.Millisecond
-	cancelTimeout    = 2 * time.Second
+	maxAttempts   = 3
+	cancelTimeout = 2 * time.Second
 	// progressStep is the number of tokens between progress reports.
 	progressStep = 16
 )
@@ -55,6 +46,12 @@
 	mayHaveRun bool
 	started    time.Time
 	lastToken  time.Time
+	// waiting is since when the relay waits for the next token of the
+	// generation. It is zero before the first token.
+	waiting time.Time
+	// gaps are those of the target.
+	gaps    *backend.Gaps
+	resumes resumeCount
 }
 
 // run obtains tickets and relays until the answer is complete. It starts
@@ -130,39 +127,6 @@
 		"an attempt may have started a generation").WithCause(err)
 }
 
-// stream opens the generation and follows it, resuming over new connections
-// when it stalls or breaks.
-func (r *relay) stream(open func(context.Context) (*backend.Stream, error)) error {
-	err := r.follow("engine.stream", open)
-	progress := time.Now()
-	for resumes := 1; err != nil && resumable(err) && r.c.ctx.Err() == nil && r.mayResume(resumes, progress); resumes++ {
-		r.f.counter.resumes.Inc(1)
-		r.c.log.Warn("stream_resumed", zap.String("backend", r.target.ID), zap.Int("offset", r.offset), zap.Error(err))
-		r.f.Engines.CloseIdle()
-		if resumes > 1 && !pause(r.c.ctx, retry.Backoff(resumes-1, resumeBase, resumeLimit)) {
-			return err
-		}
-		before := r.offset
-		err = r.follow("engine.resume", r.reopen)
-		if r.offset > before {
-			resumes, progress = 0, time.Now()
-		}
-	}
-	return err
-}
-
-func (r *relay) mayResume(resumes int, progress time.Time) bool {
-	if !r.seen {
-		return resumes <= maxResumesFirstToken
-	}
-	return resumes <= maxResumes && time.Since(progress) < maxSilentResumes*r.f.Config.Timeouts.StreamIdle.Std()
-}
-
-func (r *relay) reopen(ctx context.Context) (*backend.Stream, error) {
-	return r.f.Engines.Resume(ctx, r.target, r.generation, r.offset,
-		r.f.Config.Timeouts.StreamIdle.Std(), r.f.Config.Timeouts.StreamIdle.Std())
-}
-
 // resumeOnly serves a caller that lost its connection to a generation.
 func (r *relay) resumeOnly() error {
 	err := r.stream(r.reopen)
@@ -195,6 +159,7 @@
 	}
 	defer stream.Close()
 	for {
+		stream.SetIdle(r.idleLimit())
 		token, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -213,6 +178,8 @@
 	if err := r.sink.token(r.generation, token); err != nil {
 		return err
 	}
+	// The time in which the caller was slow to read is none of the engine's.
+	r.waiting = time.Now()
 	r.offset = token.Offset
 	r.c.tokens++
 	r.seen = r.seen || r.sink.started()
@@ -229,6 +196,9 @@
 	} else {
 		r.f.counter.gap.Update(now.Sub(r.lastToken).Microseconds())
 	}
+	if !r.waiting.IsZero() {
+		r.gaps.Observe(now, now.Sub(r.waiting))
+	}
 	r.lastToken = now
 	r.f.counter.tokens.Inc(1)
 	if token.Preempted {
--- /dev/null
+++ b/frontend/resume.go
@@ -0,0 +1,91 @@
+package frontend
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/retry"
+)
+
+// Bounds of resumes. A resume that brings tokens starts the count anew.
+const (
+	// maxResumes rides out half a second of broken connections, after which
+	// the answer would be lost. Before the first token another engine can take
+	// over, so fewer resumes are worth the wait.
+	maxResumes           = 6
+	maxResumesFirstToken = 3
+	// maxSilence bounds the time without a token, in idle timeouts. It covers
+	// the first wait and three resumes of a silent stream. Shorter waits end no
+	// stream sooner, as an engine may preempt a stream for several seconds.
+	maxSilence  = 4
+	resumeBase  = 50 * time.Millisecond
+	resumeLimit = 500 * time.Millisecond
+)
+
+// resumeCount counts the resumes since the last token by their cause.
+type resumeCount struct{ silent, broken int }
+
+func (n *resumeCount) add(err error) {
+	if _, ok := errors.Into[*backend.StalledError](err); ok {
+		n.silent++
+		return
+	}
+	n.broken++
+}
+
+// stream opens the generation and follows it, resuming over new connections
+// when it stalls or breaks.
+func (r *relay) stream(open func(context.Context) (*backend.Stream, error)) error {
+	r.gaps = r.f.Engines.Gaps(r.target)
+	r.resumes, r.waiting = resumeCount{}, time.Time{}
+	err := r.follow("engine.stream", open)
+	for err != nil && resumable(err) && r.c.ctx.Err() == nil {
+		r.resumes.add(err)
+		if !r.mayResume() {
+			break
+		}
+		r.f.counter.resumes.Inc(1)
+		r.c.log.Warn("stream_resumed", zap.String("backend", r.target.ID), zap.Int("offset", r.offset), zap.Error(err))
+		r.f.Engines.CloseIdle()
+		if n := r.resumes.silent + r.resumes.broken; n > 1 && !pause(r.c.ctx, retry.Backoff(n-1, resumeBase, resumeLimit)) {
+			return err
+		}
+		before := r.offset
+		err = r.follow("engine.resume", r.reopen)
+		if r.offset > before {
+			r.resumes = resumeCount{}
+		}
+	}
+	return err
+}
+
+// mayResume bounds resumes before the first token by number, later ones of a
+// silent stream by time and those of a broken one by both.
+func (r *relay) mayResume() bool {
+	if r.waiting.IsZero() {
+		return r.resumes.silent+r.resumes.broken <= maxResumesFirstToken
+	}
+	limit := maxResumes
+	if !r.seen {
+		limit = maxResumesFirstToken
+	}
+	return r.resumes.broken <= limit && time.Since(r.waiting) < maxSilence*r.f.Config.Timeouts.StreamIdle.Std()
+}
+
+func (r *relay) reopen(ctx context.Context) (*backend.Stream, error) {
+	idle := r.f.Config.Timeouts.StreamIdle.Std()
+	return r.f.Engines.Resume(ctx, r.target, r.generation, r.offset, backend.Backoff(r.idleLimit(), r.resumes.silent, idle), idle)
+}
+
+// idleLimit returns the silence after which the stream is resumed.
+func (r *relay) idleLimit() time.Duration {
+	idle := r.f.Config.Timeouts.StreamIdle.Std()
+	if r.waiting.IsZero() {
+		return idle
+	}
+	return r.gaps.Limit(time.Now(), idle)
+}
--- /dev/null
+++ b/internal/localcluster/silence_test.go
@@ -0,0 +1,120 @@
+package localcluster_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+	"github.com/vanillaarch/vanillaarch/internal/standin"
+)
+
+// resumeLog counts the log lines of resumed streams.
+type resumeLog struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (l *resumeLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.n += bytes.Count(p, []byte("stream_resumed"))
+	return len(p), nil
+}
+
+func (l *resumeLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.n
+}
+
+// TestSilentStream guards against a stall of a fast engine that is waited out
+// for the whole idle timeout, and against a stream that ends because several
+// short waits have passed in place of the time that bounds a silence.
+func TestSilentStream(t *testing.T) {
+	const length, stallAt = 120, 100
+	for name, tc := range map[string]struct {
+		idle, silence, limit time.Duration
+		minResumes           int
+	}{
+		"short silence of a fast engine":       {10 * time.Second, 50 * time.Millisecond, 2 * time.Second, 1},
+		"silence of three short limits":        {time.Second, 2500 * time.Millisecond, 4 * time.Second, 3},
+		"silence of almost three idle timeout": {1500 * time.Millisecond, 4200 * time.Millisecond, 7 * time.Second, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := &resumeLog{}
+			c, ctx := startCluster(t, localcluster.Options{
+				VMs: 1, Engines: 1, TokenInterval: 4 * time.Millisecond, Logs: log,
+				Configure: func(c *config.Config) { c.Timeouts.StreamIdle = config.Duration(tc.idle) },
+			})
+			var stalled time.Time
+			tokens, err := checkedStream(ctx, t, c.Client(localcluster.APIKey), prompt(length), func(offset int) {
+				if offset != stallAt {
+					return
+				}
+				stalled = time.Now()
+				c.Engines[0].Engine.Set(standin.Faults{Stall: true})
+				time.AfterFunc(tc.silence, func() { c.Engines[0].Engine.Set(standin.Faults{}) })
+			})
+			if err != nil || tokens != length {
+				t.Errorf("got %d tokens and error %v", tokens, err)
+			}
+			if took := time.Since(stalled); took > tc.limit {
+				t.Errorf("the rest took %s, want at most %s", took, tc.limit)
+			}
+			if n := log.count(); n < tc.minResumes || n > 6 {
+				t.Errorf("%d resumes, want %d to 6", n, tc.minResumes)
+			}
+		})
+	}
+}
+
+// TestSlowEngine guards against gaps of a slow engine that are taken for stalls.
+func TestSlowEngine(t *testing.T) {
+	const streams, length = 16, 9
+	log := &resumeLog{}
+	c, ctx := startCluster(t, localcluster.Options{
+		VMs: 1, Engines: 1, TokenInterval: 400 * time.Millisecond, Logs: log, Configure: func(*config.Config) {},
+	})
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			tokens, err := checkedStream(ctx, t, c.Client(localcluster.APIKey), prompt(length), nil)
+			if err != nil || tokens != length {
+				t.Errorf("got %d tokens and error %v", tokens, err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := log.count(); n != 0 {
+		t.Errorf("%d resumes, want none", n)
+	}
+}
+
+// TestEndlessSilence guards against a silent stream that keeps its caller
+// waiting without end, or its engine busy with resumes.
+func TestEndlessSilence(t *testing.T) {
+	const idle, stallAt = time.Second, 100
+	log := &resumeLog{}
+	c, ctx := startCluster(t, localcluster.Options{
+		VMs: 1, Engines: 1, TokenInterval: 4 * time.Millisecond, Logs: log,
+		Configure: func(c *config.Config) { c.Timeouts.StreamIdle = config.Duration(idle) },
+	})
+	var stalled time.Time
+	_, err := checkedStream(ctx, t, c.Client(localcluster.APIKey), prompt(2*stallAt), func(offset int) {
+		if offset == stallAt {
+			stalled = time.Now()
+			c.Engines[0].Engine.Set(standin.Faults{Stall: true})
+		}
+	})
+	wantProblem(t, err, api.ProblemStreamInterrupted, api.OutcomeFailed)
+	if took := time.Since(stalled); took < 3*idle || took > 6*idle {
+		t.Errorf("the stream ended after %s, want about %s", took, 4*idle)
+	}
+	if n := log.count(); n > 6 {
+		t.Errorf("%d resumes, want at most 6", n)
+	}
+}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -117,6 +117,7 @@
 		restarts, complete int
 	}{
 		{"silent for good", Fault{Kind: FaultStall, AtMicros: 1_000_000}, 3 * time.Second, 1, 0, 0, 1},
+		{"silent for good after many tokens", Fault{Kind: FaultStall, AtMicros: 3_000_000}, 300 * time.Millisecond, 1, 0, 0, 1},
 		{"silent for less than the idle timeout", Fault{Kind: FaultStall, AtMicros: 1_000_000, DurationMS: 2000}, 2 * time.Second, 0, 0, 0, 1},
 		{"reclaimed after tokens", Fault{Kind: FaultReclaim, AtMicros: 1_000_000}, 0, 0, 1, 0, 0},
 		{"reclaimed before tokens", Fault{Kind: FaultReclaim, AtMicros: 10_000}, 0, 0, 0, 1, 1},
--- a/replay/request.go
+++ b/replay/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
 )
@@ -46,8 +47,10 @@
 	priority int
 	outcome  outcome
 	// offset is the number of tokens that the caller has.
-	offset     int
-	lastData   time.Time
+	offset   int
+	lastData time.Time
+	// lastToken is when the frontend received the latest token.
+	lastToken  time.Time
 	stalled    time.Duration
 	connection *connection
 	// engine and generation are those of the latest start.
@@ -179,14 +182,14 @@
 func (r *run) watch(c *connection) {
 	limit := c.patience
 	if c.received {
-		limit = r.opts.StreamIdle
+		limit = r.idleLimit(c.request)
 	}
 	c.watches++
 	watch := c.watches
 	r.at(c.lastData.Add(limit), func() {
 		switch {
 		case c.request.connection != c || c.watches != watch:
-		case c.received && c.lastData.Add(r.opts.StreamIdle).After(r.now):
+		case c.received && c.lastData.Add(r.idleLimit(c.request)).After(r.now):
 			r.watch(c)
 		default:
 			r.resume(c)
@@ -194,11 +197,39 @@
 	})
 }
 
+// gaps returns the gaps that the frontend of a request has seen of its engine.
+func (r *run) gaps(q *request) *backend.Gaps {
+	table, ok := r.gapTables[q.vm]
+	if !ok {
+		table = &backend.GapTable{}
+		r.gapTables[q.vm] = table
+	}
+	return table.Of(r.now, q.engine.id)
+}
+
+// idleLimit returns the silence after which a stream is resumed. Each resume
+// without a token doubles it.
+func (r *run) idleLimit(q *request) time.Duration {
+	if q.offset == 0 {
+		return r.opts.StreamIdle
+	}
+	return backend.Backoff(r.gaps(q).Limit(r.now, r.opts.StreamIdle), q.resumes, r.opts.StreamIdle)
+}
+
+// mayResume bounds resumes by number before the first token, and by the time
+// of silence after it.
+func (r *run) mayResume(q *request) bool {
+	if q.offset == 0 {
+		return q.resumes < maxResumes
+	}
+	return r.now.Sub(q.lastToken) < (maxResumes+1)*r.opts.StreamIdle
+}
+
 // resume continues a silent stream over a new connection.
 func (r *run) resume(c *connection) {
 	q, e := c.request, c.engine
 	r.closeConnection(c)
-	if q.resumes == maxResumes {
+	if !r.mayResume(q) {
 		r.broken(q, outcomeFailed)
 		return
 	}
@@ -209,7 +240,7 @@
 		r.broken(q, outcomeFailed)
 		return
 	}
-	next := r.connect(q, e, c.generation, r.opts.StreamIdle)
+	next := r.connect(q, e, c.generation, r.idleLimit(q))
 	r.catchUp(next, state)
 }
 
@@ -232,6 +263,10 @@
 	}
 	at := ev.At.Add(2 * r.oneWay)
 	r.meter.token(q, at)
+	if q.offset > 0 {
+		r.gaps(q).Observe(r.now, r.now.Sub(q.lastToken))
+	}
+	q.lastToken = r.now
 	c.lastData = r.now
 	if !c.received {
 		c.received = true
--- a/replay/run.go
+++ b/replay/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
 )
@@ -24,7 +25,7 @@
 	RetryAfter time.Duration
 	// FirstToken bounds the wait for the first token before a resume. Default 20 s.
 	FirstToken time.Duration
-	// StreamIdle bounds the gap between tokens before a resume. Default 3 s.
+	// StreamIdle is the greatest wait for the next token before a resume. Default 3 s.
 	StreamIdle time.Duration
 	// ReportInterval is the time between load reports of an engine. Default 250 ms.
 	ReportInterval time.Duration
@@ -37,7 +38,8 @@
 	Drain time.Duration
 }
 
-// Bounds of attempts, as in package frontend.
+// Bounds of attempts, as in package frontend. After the first token
+// (maxResumes+1)*StreamIdle bounds the silence.
 const (
 	maxAttempts  = 3
 	maxResumes   = 3
@@ -80,7 +82,9 @@
 	requests    map[dispatch.RequestID]*request
 	connections map[string]*connection
 	// owners maps a generation to its request, also while nobody reads it.
-	owners      map[string]*request
+	owners map[string]*request
+	// gapTables holds the gaps that each frontend has seen.
+	gapTables   map[string]*backend.GapTable
 	submitted   uint64
 	generations uint64
 	open        int
@@ -115,7 +119,7 @@
 		clock: clock{now: epoch}, opts: o, trace: t, core: core, end: epoch.Add(t.Header.duration()),
 		oneWay: time.Duration(t.Header.OneWayMicros) * time.Microsecond,
 		byID:   map[string]*engine{}, requests: map[dispatch.RequestID]*request{},
-		connections: map[string]*connection{}, owners: map[string]*request{}, meter: newMeter(t, o),
+		connections: map[string]*connection{}, owners: map[string]*request{}, gapTables: map[string]*backend.GapTable{}, meter: newMeter(t, o),
 	}
 	r.open = len(t.Arrivals)
 	r.startEngines()
