Show the spans of the first quote in the demo

Cause: the demo printed the trace with the most spans, which after the last changes was that of a booking without an engine.

Change: it prints the trace of the first completion.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -196,23 +196,23 @@
 	}
 }
 
-// printSpans prints the spans of the trace with the most hops.
+// printSpans prints the spans of the first quote, one for each hop.
 func (d *demo) printSpans(context.Context) error {
 	traces := map[string]tracetest.SpanStubs{}
-	best := ""
+	quote := ""
 	for _, s := range d.spans.GetSpans() {
 		id := s.SpanContext.TraceID().String()
 		traces[id] = append(traces[id], s)
-		if len(traces[id]) > len(traces[best]) {
-			best = id
+		if s.Name == "frontend.completion" && quote == "" {
+			quote = id
 		}
 	}
-	spans := traces[best]
+	spans := traces[quote]
 	if len(spans) == 0 {
 		return &DemoError{Step: "spans", Detail: "none recorded"}
 	}
 	sort.Slice(spans, func(i, j int) bool { return spans[i].StartTime.Before(spans[j].StartTime) })
-	fmt.Fprintf(d.out, "   trace %s\n", best)
+	fmt.Fprintf(d.out, "   trace %s\n", quote)
 	for _, s := range spans {
 		fmt.Fprintf(d.out, "   %-22s %8s  parent=%s\n", s.Name,
 			s.EndTime.Sub(s.StartTime).Round(10*time.Microsecond), s.Parent.SpanID())
