--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -237,14 +237,14 @@
 	}
 }
 
-// moody is a policy that grants every request at once and rejects every second
+// rejectEverySecond is a policy that grants at once and rejects every second
 // submission, so that restarted requests are rejected as well.
-type moody struct {
+type rejectEverySecond struct {
 	dispatch.Core
 	submitted int
 }
 
-func (m *moody) Submit(now time.Time, r dispatch.Request) error {
+func (m *rejectEverySecond) Submit(now time.Time, r dispatch.Request) error {
 	if m.submitted++; m.submitted%2 == 0 {
 		return &dispatch.QueueFullError{Organisation: r.Organisation}
 	}
@@ -259,7 +259,7 @@
 		at := int64(i+1) * 300_000
 		trace.Faults = append(trace.Faults, Fault{AtMicros: at, Kind: FaultReclaim, Engine: EngineID(i % 2), DurationMS: 200})
 	}
-	r, err := Run(trace, &moody{Core: dispatch.NewBaseline()}, Options{QueueTimeout: time.Second, Patience: 20 * time.Second})
+	r, err := Run(trace, &rejectEverySecond{Core: dispatch.NewBaseline()}, Options{QueueTimeout: time.Second, Patience: 20 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
