Read configuration and bundles through one strict decoder

Cause: packages config and bundle each had a Fault type and a decoder. That of bundles stopped at the first unknown field, although all faults are to be listed at once.

Change: internal/jsonc lists every unknown field, also within lists, and hands the values on to validation. The hot path of a signed bundle stays one strict pass.

Conclusion: operators see all faults of a bundle in one run.

--- a/bundle/document.go
+++ b/bundle/document.go
@@ -3,17 +3,15 @@
 package bundle
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/tailscale/hujson"
+
+	"github.com/vanillaarch/vanillaarch/internal/jsonc"
 )
 
 // Document is the content of a bundle. It is immutable under its version.
@@ -82,46 +80,31 @@
 }
 
 // Fault is one violation found in a document.
-type Fault struct {
-	Path    string
-	Message string
-}
-
-func (f Fault) String() string { return f.Path + ": " + f.Message }
+type Fault = jsonc.Fault
 
 // InvalidError lists all faults of a document.
 type InvalidError struct{ Faults []Fault }
 
-func (e *InvalidError) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		lines[i] = f.String()
-	}
-	return "invalid bundle: " + strings.Join(lines, "; ")
-}
+func (e *InvalidError) Error() string { return jsonc.Describe("bundle", e.Faults) }
 
 // Parse reads a document in JSON with comments and validates it as a whole.
 // It returns an *InvalidError that lists every fault.
 func Parse(data []byte) (*Document, error) {
-	std, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: err.Error()}}}
+	std, faults := jsonc.Standardize(data)
+	if faults != nil {
+		return nil, &InvalidError{Faults: faults}
 	}
 	return parseCanonical(std)
 }
 
 // parseCanonical reads a document in plain JSON and validates it as a whole.
 func parseCanonical(data []byte) (*Document, error) {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
 	var doc Document
-	if err := dec.Decode(&doc); err != nil {
-		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: err.Error()}}}
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: "data after the document"}}}
+	faults, filled := jsonc.Decode(data, &doc)
+	if filled {
+		faults = append(faults, doc.Validate()...)
 	}
-	if faults := doc.Validate(); len(faults) > 0 {
+	if len(faults) > 0 {
 		return nil, &InvalidError{Faults: faults}
 	}
 	return &doc, nil
--- a/config/load.go
+++ b/config/load.go
@@ -1,39 +1,25 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 	"reflect"
-	"sort"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-playground/validator/v10"
-	"github.com/tailscale/hujson"
+
+	"github.com/vanillaarch/vanillaarch/internal/jsonc"
 )
 
 // Fault is one violation, located by its path in the file.
-type Fault struct {
-	Path    string
-	Message string
-}
-
-func (f Fault) String() string { return f.Path + ": " + f.Message }
+type Fault = jsonc.Fault
 
 // InvalidError lists all faults of a configuration.
 type InvalidError struct{ Faults []Fault }
 
-func (e *InvalidError) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		lines[i] = f.String()
-	}
-	return "invalid configuration: " + strings.Join(lines, "; ")
-}
+func (e *InvalidError) Error() string { return jsonc.Describe("configuration", e.Faults) }
 
 // Load reads and checks a file. Violations are an *InvalidError.
 func Load(path string) (*Config, error) {
@@ -47,18 +33,14 @@
 // Parse checks JSON with comments, applies defaults and returns the
 // configuration. Violations are an *InvalidError that lists all of them.
 func Parse(data []byte) (*Config, error) {
-	std, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return nil, &InvalidError{Faults: []Fault{{Path: "$", Message: err.Error()}}}
+	std, faults := jsonc.Standardize(data)
+	if faults != nil {
+		return nil, &InvalidError{Faults: faults}
 	}
-	faults := unknownFields(std)
 	var c Config
-	dec := json.NewDecoder(bytes.NewReader(std))
-	if err := dec.Decode(&c); err != nil {
-		return nil, &InvalidError{Faults: append(faults, decodeFault(err))}
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		faults = append(faults, Fault{Path: "$", Message: "data after the configuration"})
+	faults, filled := jsonc.Decode(std, &c)
+	if !filled {
+		return nil, &InvalidError{Faults: faults}
 	}
 	c.ApplyDefaults()
 	faults = append(faults, c.Validate()...)
@@ -68,13 +50,6 @@
 	return &c, nil
 }
 
-func decodeFault(err error) Fault {
-	if te, ok := errors.Into[*json.UnmarshalTypeError](err); ok {
-		return Fault{Path: te.Field, Message: fmt.Sprintf("must be a %s, is a %s", te.Type, te.Value)}
-	}
-	return Fault{Path: "$", Message: err.Error()}
-}
-
 // Validate returns every fault of the configuration, or nil.
 func (c *Config) Validate() []Fault {
 	v := validator.New(validator.WithRequiredStructEnabled())
@@ -152,42 +127,3 @@
 		return fmt.Sprintf("must satisfy %s=%s, is %v", f.Tag(), f.Param(), value)
 	}
 }
-
-// unknownFields lists the fields of the document that Config does not have.
-func unknownFields(data []byte) []Fault {
-	var doc any
-	if json.Unmarshal(data, &doc) != nil {
-		return nil
-	}
-	var faults []Fault
-	walkUnknown(doc, reflect.TypeFor[Config](), "", &faults)
-	sort.Slice(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
-	return faults
-}
-
-func walkUnknown(doc any, t reflect.Type, path string, faults *[]Fault) {
-	if list, ok := doc.([]any); ok && t.Kind() == reflect.Slice {
-		for i, item := range list {
-			walkUnknown(item, t.Elem(), fmt.Sprintf("%s[%d]", path, i), faults)
-		}
-		return
-	}
-	object, ok := doc.(map[string]any)
-	if !ok || t.Kind() != reflect.Struct {
-		return
-	}
-	known := make(map[string]reflect.Type, t.NumField())
-	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		known[name] = t.Field(i).Type
-	}
-	for name, value := range object {
-		p := strings.TrimPrefix(path+"."+name, ".")
-		ft, ok := known[name]
-		if !ok {
-			*faults = append(*faults, Fault{Path: p, Message: "unknown field"})
-			continue
-		}
-		walkUnknown(value, ft, p, faults)
-	}
-}
--- /dev/null
+++ b/internal/jsonc/jsonc.go
@@ -0,0 +1,121 @@
+// Package jsonc reads JSON with comments strictly and reports every violation
+// with its path.
+package jsonc
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+)
+
+// rootPath is the path of violations that concern the whole document.
+const rootPath = "$"
+
+// Fault is one violation, located by its path in the document.
+type Fault struct {
+	Path    string
+	Message string
+}
+
+func (f Fault) String() string { return f.Path + ": " + f.Message }
+
+// Describe joins faults to one error message.
+func Describe(subject string, faults []Fault) string {
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = f.String()
+	}
+	return "invalid " + subject + ": " + strings.Join(lines, "; ")
+}
+
+// Standardize removes comments and trailing commas.
+func Standardize(data []byte) ([]byte, []Fault) {
+	std, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return nil, []Fault{{Path: rootPath, Message: err.Error()}}
+	}
+	return std, nil
+}
+
+// Decode reads plain JSON into v, a pointer to a struct, and returns every
+// violation. filled says that v was read as far as it goes, so that its values
+// can be checked as well.
+func Decode(data []byte, v any) (faults []Fault, filled bool) {
+	strict := json.NewDecoder(bytes.NewReader(data))
+	strict.DisallowUnknownFields()
+	if err := strict.Decode(v); err == nil {
+		return trailing(strict), true
+	}
+	faults = unknownFields(data, reflect.TypeOf(v).Elem())
+	reflect.ValueOf(v).Elem().SetZero() // The strict decoder has filled a part.
+	lenient := json.NewDecoder(bytes.NewReader(data))
+	if err := lenient.Decode(v); err != nil {
+		return append(faults, decodeFault(err)), false
+	}
+	return append(faults, trailing(lenient)...), true
+}
+
+func trailing(dec *json.Decoder) []Fault {
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return []Fault{{Path: rootPath, Message: "data after the document"}}
+	}
+	return nil
+}
+
+func decodeFault(err error) Fault {
+	if te, ok := errors.Into[*json.UnmarshalTypeError](err); ok {
+		return Fault{Path: te.Field, Message: fmt.Sprintf("must be a %s, is a %s", te.Type, te.Value)}
+	}
+	return Fault{Path: rootPath, Message: err.Error()}
+}
+
+// unknownFields lists the fields of a document that the type does not have.
+func unknownFields(data []byte, t reflect.Type) []Fault {
+	var doc any
+	if json.Unmarshal(data, &doc) != nil {
+		return nil
+	}
+	var faults []Fault
+	walk(doc, t, "", &faults)
+	sort.Slice(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+func walk(doc any, t reflect.Type, path string, faults *[]Fault) {
+	switch value := doc.(type) {
+	case []any:
+		if t.Kind() == reflect.Slice {
+			for i, item := range value {
+				walk(item, t.Elem(), fmt.Sprintf("%s[%d]", path, i), faults)
+			}
+		}
+	case map[string]any:
+		if t.Kind() == reflect.Struct {
+			walkObject(value, t, path, faults)
+		}
+	}
+}
+
+func walkObject(object map[string]any, t reflect.Type, path string, faults *[]Fault) {
+	known := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		known[name] = t.Field(i).Type
+	}
+	for name, value := range object {
+		p := strings.TrimPrefix(path+"."+name, ".")
+		field, ok := known[name]
+		if !ok {
+			*faults = append(*faults, Fault{Path: p, Message: "unknown field"})
+			continue
+		}
+		walk(value, field, p, faults)
+	}
+}
