Keep one pause that ends with a context

Cause: five packages had the same function under two names.

Measured: go test -race passes on the packages that use it.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 )
 
@@ -206,7 +207,7 @@
 func (m *Manager) readBack(ctx context.Context, key string) (Record, int64, error) {
 	var lastErr error
 	for attempt := range settleAttempts {
-		if attempt > 0 && !sleep(ctx, settlePause) {
+		if attempt > 0 && !wait.Sleep(ctx, settlePause) {
 			return Record{}, 0, ctx.Err()
 		}
 		entry, err := m.store.Get(ctx, key)
@@ -231,7 +232,7 @@
 		return err
 	}
 	for attempt := range settleAttempts {
-		if attempt > 0 && !sleep(ctx, settlePause) {
+		if attempt > 0 && !wait.Sleep(ctx, settlePause) {
 			return ctx.Err()
 		}
 		_, err = c.m.store.CompareAndSwap(ctx, c.key, value, c.revision, c.lease)
@@ -265,7 +266,7 @@
 		ctx, cancel := context.WithTimeout(c.m.ctx, abandonPeriod)
 		defer cancel()
 		c.record.State = StateAbandoned
-		for c.writeAbandoned(ctx) != nil && sleep(ctx, abandonPause) {
+		for c.writeAbandoned(ctx) != nil && wait.Sleep(ctx, abandonPause) {
 		}
 	})
 }
@@ -292,12 +293,3 @@
 	c.revision = revision
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/dispatch/grant/bench_test.go
+++ b/dispatch/grant/bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -91,7 +92,7 @@
 
 // scaleLoad runs the requests of one VM.
 func scaleLoad(ctx context.Context, n *node) {
-	for pause(ctx, time.Second/scaleRequests) {
+	for wait.Sleep(ctx, time.Second/scaleRequests) {
 		go func() {
 			tk, err := n.m.Acquire(ctx, dispatch.Ask{
 				Tenant: testTenant, Organisation: testOrganisation, Model: testModel, PromptTokens: 1000, MaxTokens: 4096,
@@ -100,7 +101,7 @@
 				return
 			}
 			const step = 16
-			for tokens := step; tokens < scaleTokens && pause(ctx, step*scaleGap); tokens += step {
+			for tokens := step; tokens < scaleTokens && wait.Sleep(ctx, step*scaleGap); tokens += step {
 				tk.Progress(tokens)
 			}
 			tk.Release(scaleTokens)
--- a/dispatch/grant/network_test.go
+++ b/dispatch/grant/network_test.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -149,7 +150,7 @@
 		case <-w.ctx.Done():
 			return
 		case p := <-queue:
-			if wait := time.Until(p.due); wait > 0 && !pause(w.ctx, wait) {
+			if d := time.Until(p.due); d > 0 && !wait.Sleep(w.ctx, d) {
 				return
 			}
 			var m peerpb.Envelope
--- a/dispatch/grant/poll.go
+++ b/dispatch/grant/poll.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 )
 
 // Intervals of the polls of an engine.
@@ -56,7 +57,7 @@
 	running := map[backend.Target]context.CancelFunc{}
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for pause(ctx, targetsInterval) {
+	for wait.Sleep(ctx, targetsInterval) {
 		wanted := map[backend.Target]bool{}
 		for _, t := range *m.targets.Load() {
 			wanted[t] = true
@@ -91,7 +92,7 @@
 }
 
 func (p *poller) run(ctx context.Context) {
-	for pause(ctx, pollInterval*3/4+rand.N(pollInterval/2)) {
+	for wait.Sleep(ctx, pollInterval*3/4+rand.N(pollInterval/2)) {
 		var report dispatch.LoadReport
 		if p.query(ctx, "/load", &report) == nil {
 			p.m.opts.Loop.Post(loadReport{p.m, p.target.ID, report})
@@ -122,12 +123,3 @@
 	p.after = events[len(events)-1].Sequence
 	p.m.opts.Loop.Post(cacheEvents{p.m, p.target.ID, events})
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -238,12 +238,3 @@
 	return api.NewProblem(api.ProblemStreamInterrupted, http.StatusBadGateway, api.OutcomeFailed,
 		"the generation ended before it was complete").WithCause(cause)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/frontend/resume.go
+++ b/frontend/resume.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/retry"
 )
 
@@ -51,7 +52,7 @@
 		r.f.counter.resumes.Inc(1)
 		r.c.log.Warn("stream_resumed", zap.String("backend", r.target.ID), zap.Int("offset", r.offset), zap.Error(err))
 		r.f.Engines.CloseIdle()
-		if n := r.resumes.silent + r.resumes.broken; n > 1 && !pause(r.c.ctx, retry.Backoff(n-1, resumeBase, resumeLimit)) {
+		if n := r.resumes.silent + r.resumes.broken; n > 1 && !wait.Sleep(r.c.ctx, retry.Backoff(n-1, resumeBase, resumeLimit)) {
 			return err
 		}
 		before := r.offset
--- a/order/lease.go
+++ b/order/lease.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -133,7 +134,7 @@
 		if l.revision, err = l.write(ctx, fencePrefix+l.vm.ID, l.fence, revision, 0); err == nil {
 			return nil
 		}
-		if !ambiguous(err) || !sleep(ctx, settlePause) {
+		if !ambiguous(err) || !wait.Sleep(ctx, settlePause) {
 			return err
 		}
 	}
@@ -254,12 +255,3 @@
 	_, ok := errors.Into[*kv.UncertainError](err)
 	return ok
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/order/orderer.go
+++ b/order/orderer.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -75,7 +76,7 @@
 	}
 	if o.Sleep == nil {
 		o.Sleep = func(ctx context.Context, d time.Duration) error {
-			if !sleep(ctx, d) {
+			if !wait.Sleep(ctx, d) {
 				return ctx.Err()
 			}
 			return nil
--- a/order/slots.go
+++ b/order/slots.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 )
 
@@ -170,7 +171,7 @@
 		case revision == 0:
 			prev = 0
 		}
-		if !sleep(ctx, settlePause) {
+		if !wait.Sleep(ctx, settlePause) {
 			return SlotHolder{}, ctx.Err()
 		}
 	}
--- a/sync.go
+++ b/sync.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 )
 
@@ -31,7 +32,7 @@
 	for ctx.Err() == nil {
 		if !s.readsPlatform() {
 			revision = 0 // The role may return after changes.
-			sleep(ctx, roleCheck)
+			wait.Sleep(ctx, roleCheck)
 			continue
 		}
 		entry, err := s.kv.Watch(ctx, bundle.HeadKey, revision, watchWait)
@@ -47,7 +48,7 @@
 				revision = 0 // Read the same head again after the pause.
 			}
 		}
-		if err != nil && !sleep(ctx, watchErrorPause) {
+		if err != nil && !wait.Sleep(ctx, watchErrorPause) {
 			return
 		}
 	}
@@ -82,7 +83,7 @@
 		if time.Since(begin) >= time.Duration(interval*jitter) {
 			break
 		}
-		if !sleep(ctx, roleCheck) {
+		if !wait.Sleep(ctx, roleCheck) {
 			return false
 		}
 	}
@@ -138,7 +139,7 @@
 		case again = <-contradicts:
 			limit.Stop()
 		}
-		if !sleep(ctx, s.cfg.Platform.VMListInterval.Std()-time.Since(begin)) {
+		if !wait.Sleep(ctx, s.cfg.Platform.VMListInterval.Std()-time.Since(begin)) {
 			return
 		}
 		due := func() bool { return again || s.readsPlatform() || s.listOverdue(begin) }
@@ -170,12 +171,3 @@
 func (s *Server) listOverdue(last time.Time) bool {
 	return s.loop.Snapshot().VMListCeiling > 0 && time.Since(last) >= s.cfg.Bundle.FallbackInterval.Std()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
