Decide in package kv which writes only a read can settle

Cause: packages bundle, claim and order each had the same test of an error.

Change: kv.IsAmbiguous.

Measured: go test -race passes on the three packages.

Conclusion: the meaning of a lost answer stands in one place.

--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaarch/vanillaarch/delta"
+	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 )
 
@@ -33,7 +34,7 @@
 	if err == nil {
 		return inForce
 	}
-	if !isAmbiguous(err) {
+	if !kv.IsAmbiguous(err) {
 		return 0
 	}
 	// A delta is immutable too. An earlier rollout that lost its race may have
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -154,7 +154,7 @@
 	if err == nil {
 		return nil
 	}
-	if !isAmbiguous(err) {
+	if !kv.IsAmbiguous(err) {
 		return errors.Wrap(err, "store bundle")
 	}
 	entry, getErr := s.readBack(ctx, key)
@@ -229,7 +229,7 @@
 	if err == nil {
 		return next, nil
 	}
-	if !isAmbiguous(err) {
+	if !kv.IsAmbiguous(err) {
 		return Head{}, errors.Wrap(err, "move head")
 	}
 	return s.settle(ctx, next, err)
@@ -259,12 +259,6 @@
 	}
 }
 
-// isAmbiguous reports whether a read must decide if the write took effect.
-func isAmbiguous(err error) bool {
-	_, uncertain := errors.Into[*kv.UncertainError](err)
-	return uncertain || isConflict(err)
-}
-
 func isConflict(err error) bool {
 	_, ok := errors.Into[*kv.ConflictError](err)
 	return ok
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -182,7 +182,7 @@
 		c.revision = revision
 		return nil
 	}
-	if !ambiguous(err) {
+	if !kv.IsAmbiguous(err) {
 		return err
 	}
 	record, revision, readErr := c.m.readBack(ctx, c.key)
@@ -196,14 +196,6 @@
 	return &ExistsError{Record: record}
 }
 
-func ambiguous(err error) bool {
-	if _, ok := errors.Into[*kv.ConflictError](err); ok {
-		return true
-	}
-	_, ok := errors.Into[*kv.UncertainError](err)
-	return ok
-}
-
 func (m *Manager) readBack(ctx context.Context, key string) (Record, int64, error) {
 	var lastErr error
 	for attempt := range settleAttempts {
@@ -280,7 +272,7 @@
 	if conflict, ok := errors.Into[*kv.ConflictError](err); lapsed(err) || ok && conflict.Revision == 0 {
 		return nil // The claim is gone, and its key is refused.
 	}
-	if err == nil || !ambiguous(err) {
+	if err == nil || !kv.IsAmbiguous(err) {
 		return err
 	}
 	record, revision, readErr := c.m.readBack(ctx, c.key)
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // MaxValueBytes is the largest value that the service holds.
@@ -118,3 +120,14 @@
 type StatusError struct{ Status int }
 
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// IsAmbiguous reports whether only a read can decide if a conditional write
+// took effect: its answer was lost, or the key has changed, possibly by an
+// earlier attempt of the same write.
+func IsAmbiguous(err error) bool {
+	if _, ok := errors.Into[*ConflictError](err); ok {
+		return true
+	}
+	_, ok := errors.Into[*UncertainError](err)
+	return ok
+}
--- a/order/lease.go
+++ b/order/lease.go
@@ -100,7 +100,7 @@
 // take creates the lease key.
 func (l *Lease) take(ctx context.Context, operator string) error {
 	_, err := l.write(ctx, leasePrefix+l.vm.ID, leaseRecord{Operation: l.operation, Operator: operator}, 0, l.id)
-	if !ambiguous(err) {
+	if !kv.IsAmbiguous(err) {
 		return err
 	}
 	var found leaseRecord
@@ -134,7 +134,7 @@
 		if l.revision, err = l.write(ctx, fencePrefix+l.vm.ID, l.fence, revision, 0); err == nil {
 			return nil
 		}
-		if !ambiguous(err) || !wait.Sleep(ctx, settlePause) {
+		if !kv.IsAmbiguous(err) || !wait.Sleep(ctx, settlePause) {
 			return err
 		}
 	}
@@ -247,11 +247,3 @@
 	}
 	return entry.Revision, nil
 }
-
-func ambiguous(err error) bool {
-	if _, ok := errors.Into[*kv.ConflictError](err); ok {
-		return true
-	}
-	_, ok := errors.Into[*kv.UncertainError](err)
-	return ok
-}
--- a/order/slots.go
+++ b/order/slots.go
@@ -155,7 +155,7 @@
 			l.slot = &heldSlot{record: record, revision: revision}
 			return SlotHolder{}, nil
 		}
-		if !ambiguous(err) {
+		if !kv.IsAmbiguous(err) {
 			return SlotHolder{}, err
 		}
 		var found slotRecord
