Use typed errors and one errors package throughout

Cause: two errors were bare strings, and seven files used the standard errors package beside go-faster/errors.

Change: delta.FingerprintError and peer.NoCertificateError; one import.

--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -156,8 +156,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if delta.Fingerprint(from) != m.GetBaseFingerprint() {
-		return nil, &delta.BaseError{Cause: errors.New("other fingerprint")}
+	if err := delta.CheckBase(from, m.GetBaseFingerprint()); err != nil {
+		return nil, err
 	}
 	data, err := delta.Decode(from, m.GetEncoded())
 	if err != nil {
--- a/delta/delta.go
+++ b/delta/delta.go
@@ -38,6 +38,21 @@
 // because zstd does not notice a different dictionary of equal length.
 func Fingerprint(base []byte) uint64 { return xxhash.Sum64(base) }
 
+// FingerprintError reports that a delta was made for another base.
+type FingerprintError struct{ Want, Got uint64 }
+
+func (e *FingerprintError) Error() string {
+	return fmt.Sprintf("base has fingerprint %x, the delta is for %x", e.Got, e.Want)
+}
+
+// CheckBase returns a *BaseError if base does not have the fingerprint.
+func CheckBase(base []byte, want uint64) error {
+	if got := Fingerprint(base); got != want {
+		return &BaseError{Cause: &FingerprintError{Want: want, Got: got}}
+	}
+	return nil
+}
+
 // Encode returns document relative to base. An empty base compresses the whole document.
 func Encode(base, document []byte) ([]byte, error) {
 	if len(document) > MaxDocumentBytes {
--- a/dispatch/baseline_test.go
+++ b/dispatch/baseline_test.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"errors"
 	"testing"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Guards against a baseline whose VMs share knowledge, exceed the fixed limit of
--- a/dispatch/grant/frontend.go
+++ b/dispatch/grant/frontend.go
@@ -1,11 +1,11 @@
 package grant
 
 import (
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/backend"
--- a/internal/cli/replay_test.go
+++ b/internal/cli/replay_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"errors"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/go-faster/errors"
 )
 
 const shortTrace = `{"header":{"name":"short","model":"m","engines":1,"duration_ms":1000,"one_way_us":500,"seed":1,"shares":[]}}
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -1,12 +1,12 @@
 package enginemodel
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"pgregory.net/rapid"
 )
 
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -11,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -19,6 +19,11 @@
 	roots *x509.CertPool
 }
 
+// NoCertificateError reports a file without a certificate in PEM form.
+type NoCertificateError struct{}
+
+func (e *NoCertificateError) Error() string { return "no certificate in PEM form" }
+
 // loadCredentials reads the PEM files. Without a CA file it returns nil.
 func loadCredentials(files config.TLS) (*credentials, error) {
 	if files.CAFile == "" {
@@ -34,7 +39,7 @@
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(pem) {
-		return nil, &CertificateError{File: files.CAFile, Cause: errors.New("no certificate in PEM form")}
+		return nil, &CertificateError{File: files.CAFile, Cause: &NoCertificateError{}}
 	}
 	return &credentials{cert: cert, roots: roots}, nil
 }
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/vanillaarch/vanillaarch/dispatch"
 )
 
--- a/replay/request.go
+++ b/replay/request.go
@@ -1,12 +1,12 @@
 package replay
 
 import (
-	"errors"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
@@ -236,7 +236,7 @@
 	q.resumes++
 	r.meter.resumed(q)
 	state, err := e.model.Attach(r.now, c.generation)
-	if _, unknown := errors.AsType[*enginemodel.UnknownGenerationError](err); unknown {
+	if _, unknown := errors.Into[*enginemodel.UnknownGenerationError](err); unknown {
 		r.broken(q, outcomeFailed)
 		return
 	}
