Measure a VM side by side with the engines it fronts

Cause: the added time to the first token was known for bursts only, and tokens per second through one VM process not at all.

Ruled out: the difference of two separate commands; both sides run in one process here.

Change: 'vanillaarch capacity' compares callers that use a VM with callers that use the engines directly.

--- a/capacity/relay.go
+++ b/capacity/relay.go
@@ -12,7 +12,6 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/client"
-	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
 )
 
@@ -36,21 +35,16 @@
 	mem := Series{Role: "frontend", Quantity: "streams", SizeUnit: "stream", ValueUnit: "bytes of heap", Target: TargetStreams}
 	first := Series{Role: "frontend", Quantity: "added time to first token", SizeUnit: "stream", ValueUnit: "µs", Target: TargetStreams}
 	for _, n := range streamSizes {
-		cluster, err := relayCluster(n)
+		cluster, err := relayCluster(relayInterval)
 		if err != nil {
 			return nil, err
 		}
-		direct, err := runStreams(n, func(ctx context.Context, i int, mark func()) error {
-			return directStream(ctx, cluster.Engines[i%relayEngines], mark)
-		})
+		direct, err := runStreams(n, directStreamer(cluster))
 		if err != nil {
 			cluster.Close()
 			return nil, err
 		}
-		caller := cluster.Client(localcluster.APIKey)
-		relayed, err := runStreams(n, func(ctx context.Context, i int, mark func()) error {
-			return relayedStream(ctx, caller, i, mark)
-		})
+		relayed, err := runStreams(n, relayedStreamer(cluster))
 		cluster.Close()
 		if err != nil {
 			return nil, err
@@ -63,10 +57,9 @@
 	return []Series{cpu, mem, first}, nil
 }
 
-func relayCluster(streams int) (*localcluster.Cluster, error) {
+func relayCluster(interval time.Duration) (*localcluster.Cluster, error) {
 	cluster, err := localcluster.Start(localcluster.Options{
-		VMs: 1, Engines: relayEngines, TokenInterval: relayInterval,
-		Configure: func(c *config.Config) { c.Dispatch.EngineStreams = streams },
+		VMs: 1, Engines: relayEngines, TokenInterval: interval,
 	})
 	if err != nil {
 		return nil, err
@@ -88,7 +81,7 @@
 }
 
 // runStreams runs n streams at once. The heap is read while all of them run.
-func runStreams(n int, run func(ctx context.Context, i int, mark func()) error) (streamCost, error) {
+func runStreams(n int, run streamer) (streamCost, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), relayLimit)
 	defer cancel()
 	var cost streamCost
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -10,10 +10,10 @@
 	return &cobra.Command{
 		Use: "capacity", Short: "Measure the slopes behind docs/CAPACITY.md", Args: cobra.NoArgs,
 		Long: "Measure the cost of each role at several sizes in this process and extrapolate it to the size that " +
-			"docs/CAPACITY.md designs for. Takes about five minutes; run it on an otherwise idle machine.",
+			"docs/CAPACITY.md designs for. Takes about four minutes; run it on an otherwise idle machine.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var all []capacity.Series
-			for _, run := range []func() ([]capacity.Series, error){capacity.State, capacity.Spread, capacity.Dispatch, capacity.Relay} {
+			for _, run := range []func() ([]capacity.Series, error){capacity.State, capacity.Spread, capacity.Dispatch, capacity.Relay, capacity.SideBySide} {
 				series, err := run()
 				if err != nil {
 					return err
