Release everything when a server cannot start

Cause: New closed the peer listener on some failures and nothing else: the span exporter's goroutine and the recorder's file stayed open.

Ruled out: closing at each return; one place closes what is open, after Run as well.

Change: open builds the listeners in order, and release closes what exists.

Before: TestNewReleasesOnFailure found the goroutine of the span exporter. After: it passes, with the whole suite.

Conclusion: a program that embeds the library can try another address.

--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -96,23 +96,29 @@
 	s.claims = claim.NewManager(s.kv, claim.Options{
 		VM: cfg.VMID, Retention: cfg.Claims.Retention.Std(), ClockTolerance: cfg.Claims.ClockTolerance.Std(), Now: time.Now,
 	})
-	if err := s.listenPeers(); err != nil {
+	if err := s.open(); err != nil {
+		s.release()
 		return nil, err
 	}
+	return s, nil
+}
+
+// open opens the listeners and builds what serves them. What a failed call
+// leaves open is closed by release.
+func (s *Server) open() error {
+	if err := s.listenPeers(); err != nil {
+		return err
+	}
 	admission, err := s.recorded(s.admission())
 	if err != nil {
-		s.peers.Close()
-		return nil, err
+		return err
 	}
 	s.front = frontend.New(frontend.Options{
-		Config: cfg, Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.service,
-		Claims: s.claims, Log: o.Log, Tracer: tracing.Tracer(), Metrics: s.metrics,
+		Config: s.cfg, Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.service,
+		Claims: s.claims, Log: s.log, Tracer: s.tracing.Tracer(), Metrics: s.metrics,
 	})
-	if s.http, err = s.listen(); err != nil {
-		s.peers.Close()
-		return nil, err
-	}
-	return s, nil
+	s.http, err = s.listen()
+	return err
 }
 
 // recorded wraps an admission with the recorder, if one is configured.
@@ -210,8 +216,14 @@
 	s.front.Drain(ctx)
 }
 
+// release closes what is open after Run, or after a start that failed.
 func (s *Server) release() {
-	s.front.Close()
+	if s.peers != nil {
+		s.peers.Close()
+	}
+	if s.front != nil {
+		s.front.Close()
+	}
 	s.claims.Close()
 	s.engines.Close()
 	s.service.Close()
