Test the planned stop of a dispatcher

Cause: the loss of a dispatcher was tested, its planned stop was not.

Change: TestDispatcherStops marks the dispatcher as leaving, sees its role move, stops it and checks that callers of other VMs get no error and no wait of 400 ms; the probe of the two tests is shared.

Conclusion: a stop that follows the VM list is not noticed by callers.

--- a/internal/localcluster/dispatch_test.go
+++ b/internal/localcluster/dispatch_test.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/dispatch/grant"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // queuesOf reads GET /queues of a VM.
@@ -82,6 +83,59 @@
 	return longest, calls, errors
 }
 
+// startProbe calls each of the VMs until the test ends.
+func startProbe(t *testing.T, vms []*localcluster.VM) *probe {
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &http.Transport{}
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		transport.CloseIdleConnections()
+	})
+	p := &probe{}
+	for _, vm := range vms {
+		caller := client.New(client.Options{
+			Addresses: []string{vm.URL()}, APIKey: localcluster.APIKey, HTTP: &http.Client{Transport: transport},
+		})
+		wg.Go(func() { p.run(ctx, caller) })
+	}
+	return p
+}
+
+// expectNoErrors checks the record since the last call.
+func (p *probe) expectNoErrors(t *testing.T, what string, longestWait time.Duration) {
+	t.Helper()
+	longest, calls, errors := p.take()
+	t.Logf("%s: %d calls, longest wait for the first token %v", what, calls, longest.Round(time.Millisecond))
+	if calls == 0 || len(errors) > 0 || longest > longestWait {
+		t.Errorf("%s: %d calls, longest wait %v, errors %v", what, calls, longest, errors)
+	}
+}
+
+// Guards against a planned stop of a dispatcher that callers of other VMs
+// notice: its role moves when the VM list calls it leaving, before it stops.
+func TestDispatcherStops(t *testing.T) {
+	const longestWait = 400 * time.Millisecond // a bypass would take longer
+	c := start(t, localcluster.Options{VMs: 5, Engines: 3})
+	rollOut(t, c, 1)
+	time.Sleep(1500 * time.Millisecond) // the dispatcher's window is no longer reduced
+	stopping := dispatcherOf(t, c.VMs)
+	rest := slices.Concat(c.VMs[:stopping], c.VMs[stopping+1:])
+	p := startProbe(t, rest)
+	time.Sleep(time.Second)
+	p.expectNoErrors(t, "normal", longestWait)
+	c.VMList.SetState(c.VMs[stopping].ID, vmlist.StateLeaving)
+	waitAll(t, rest, failoverLimit, "leaving dispatcher", entries(4))
+	time.Sleep(200 * time.Millisecond)
+	dispatcherOf(t, rest)
+	if err := c.VMs[stopping].Stop(); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(2 * time.Second)
+	p.expectNoErrors(t, "dispatcher stopped", longestWait)
+}
+
 // Guards against streams that a lost dispatcher interrupts, against callers who
 // wait for it, and against requests sent to a dead engine that the VM list
 // still calls live.
@@ -98,26 +152,10 @@
 	lost := dispatcherOf(t, c.VMs)
 	rest := slices.Concat(c.VMs[:lost], c.VMs[lost+1:])
 
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
-	var p probe
-	for _, vm := range rest {
-		caller := client.New(client.Options{
-			Addresses: []string{vm.URL()}, APIKey: localcluster.APIKey, HTTP: &http.Client{Transport: transport},
-		})
-		wg.Go(func() { p.run(ctx, caller) })
-	}
+	p := startProbe(t, rest)
 	expectNoErrors := func(what string) {
 		t.Helper()
-		longest, calls, errors := p.take()
-		t.Logf("%s: %d calls, longest wait for the first token %v", what, calls, longest.Round(time.Millisecond))
-		if calls == 0 || len(errors) > 0 || longest > longestWait {
-			t.Errorf("%s: %d calls, longest wait %v, errors %v", what, calls, longest, errors)
-		}
+		p.expectNoErrors(t, what, longestWait)
 	}
 	time.Sleep(time.Second)
 	expectNoErrors("normal")
