--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -197,7 +197,7 @@
 	}()
 	addresses := server.Addresses()
 	c.VMList.Put(vmlist.VM{
-		ID: cfg.VMID, Role: vmlist.RoleEntry, State: vmlist.StateLive, Zone: cfg.Zone, Region: region,
+		ID: cfg.VMID, Role: vmlist.RoleEntry, State: vmlist.StateLive, Zone: cfg.Zone, Region: cfg.Region,
 		Address: addresses.HTTP, PeerAddress: addresses.Peer, AdminAddress: addresses.Admin,
 	})
 	c.VMs = append(c.VMs, vm)
