Let the dispatcher of a group choose engines on the platform

Cause: each VM chose engines by its own streams alone; with 0.4 streams a second and VM it knows nothing of the others.

Ruled out: load reports. They are half a second old and each read is priced; 13 streams start in a second.

Change: peers.go becomes a mesh that the product's server and the entry VM share. The entry VM runs the grant protocol over it, with the memory of engines from the operator's configuration instead of polls.

--- a/dispatch/grant/dispatcher.go
+++ b/dispatch/grant/dispatcher.go
@@ -181,12 +181,20 @@
 	}
 	backends := make([]dispatch.Backend, 0, len(engines))
 	for _, id := range engines {
-		r := d.reports[id]
-		backends = append(backends, dispatch.Backend{ID: id, BlocksTotal: r.BlocksTotal, BlockTokens: r.BlockTokens})
+		blocks, blockTokens := d.memory(id)
+		backends = append(backends, dispatch.Backend{ID: id, BlocksTotal: blocks, BlockTokens: blockTokens})
 	}
 	c.core.SetBackends(d.m.now, backends)
 }
 
+// memory returns the size of an engine's memory, zero if it is not known.
+func (d *dispatcher) memory(engine string) (blocks, blockTokens int) {
+	if r, reported := d.reports[engine]; reported || d.m.opts.Memory == nil {
+		return r.BlocksTotal, r.BlockTokens
+	}
+	return d.m.opts.Memory(engine)
+}
+
 // request queues a request. A request that is already known is answered again.
 func (d *dispatcher) request(from, groupName string, r *peerpb.GrantRequest) {
 	if e := d.entries[from][r.Sequence]; e != nil {
--- a/entry.go
+++ b/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -18,8 +19,11 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/discovery"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/dispatch/grant"
 	"github.com/vanillaarch/vanillaarch/gateway"
+	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -42,6 +46,9 @@
 	gateway   *gateway.Gateway
 	exchanges *backend.Exchanges
 	follower  *discovery.Follower
+	mesh      *mesh
+	grants    *grant.Manager
+	breaker   *backend.Breaker
 	metrics   metrics.Registry
 	callers   *http.Server
 	probes    *http.Server
@@ -60,8 +67,26 @@
 	// memoryPart is the part of the VM's memory at which the garbage collector
 	// works harder.
 	memoryPart = 0.55
-	// localStreams bounds the streams of one engine by this VM alone.
-	localStreams = 24
+	// localStreams bounds the streams of one engine that this VM starts without
+	// its dispatcher.
+	localStreams = 2
+	// queueTimeout bounds the wait for an engine. Requests have deadlines of their own.
+	queueTimeout = 20 * time.Second
+	// queuedRequests bounds the requests that wait on this VM for an engine.
+	queuedRequests = 1024
+	// engineGroup is the largest number of engines that one VM dispatches.
+	engineGroup = 32
+	// blockTokens is the unit in which the memory of engines is counted.
+	blockTokens = 16
+	// engineStreams bounds the batch of an engine.
+	engineStreams = 24
+	// bypassAfter is the silence of a dispatcher after which it is bypassed.
+	bypassAfter = 250 * time.Millisecond
+	// peerFanout is the number of peers that get heartbeats, peerHeartbeat the
+	// time between them, and peerSuspectAfter the silence of a suspect peer.
+	peerFanout       = 4
+	peerHeartbeat    = 500 * time.Millisecond
+	peerSuspectAfter = 2 * time.Second
 	// sweepInterval is the time between looks for expired connections.
 	sweepInterval = time.Second
 	// stopMargin is left of the grace time for the process to end.
@@ -75,7 +100,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(o.Deployment.Limits.MemoryBytes)))
 	e := &Entry{
 		opts: o, log: o.Log, loop: control.NewLoop(o.Log, time.Now), metrics: metrics.NewRegistry(),
-		exchanges: backend.NewExchanges(o.Edge.AnswerID),
+		exchanges: backend.NewExchanges(o.Edge.AnswerID), breaker: backend.NewBreaker(),
 	}
 	d := o.Deployment
 	e.follower = discovery.New(discovery.Options{
@@ -85,18 +110,63 @@
 		},
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease, Log: o.Log,
 	})
+	var err error
+	e.mesh, err = newMesh(meshOptions{
+		VM: d.VM, Region: d.Region, Listen: d.Listen.Peers, Loop: e.loop, Metrics: e.metrics, Log: o.Log,
+		Peers: config.Peers{
+			Fanout: peerFanout, HeartbeatInterval: config.Duration(peerHeartbeat), SuspectAfter: config.Duration(peerSuspectAfter),
+		},
+		Sources: gossip.RouteSources(e.loop, o.Codec.DecodeConfig),
+	})
+	if err != nil {
+		return nil, err
+	}
+	e.grants = e.newGrants()
 	e.gateway = gateway.New(gateway.Options{
-		VM: d.VM, Zone: d.Zone, Bounds: d.Bounds, Snapshot: e.loop.Snapshot,
-		Admission: dispatch.NewLocal(e.loop.Snapshot, localStreams, 1024, 2*time.Second),
+		VM: d.VM, Zone: d.Zone, Bounds: d.Bounds, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker,
 		Exchanges: e.exchanges, Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
 	})
 	if err := e.listen(); err != nil {
 		e.closeListeners()
+		e.mesh.sessions.Close()
 		return nil, err
 	}
 	return e, nil
 }
 
+// newGrants returns the grant protocol, which obtains engines from the
+// dispatcher of their group.
+func (e *Entry) newGrants() *grant.Manager {
+	d := e.opts.Deployment
+	g := grant.New(grant.Options{
+		VM: d.VM, Region: d.Region, Loop: e.loop, Transport: e.mesh.sessions, Breaker: e.breaker, Log: e.log,
+		NewCore: func() dispatch.Core { return dispatch.NewFair(dispatch.FairOptions{EngineStreams: engineStreams}) },
+		Memory:  e.engineMemory, BypassAfter: bypassAfter, QueueTimeout: queueTimeout, LocalStreams: localStreams,
+		GroupSize: engineGroup, Queued: queuedRequests, QueuedPerOrganisation: queuedRequests,
+		Seed: maphash.String(maphash.MakeSeed(), d.VM),
+	})
+	e.mesh.onDispatch = func(from string, m *peerpb.Envelope) {
+		if d := m.GetDispatch(); d != nil {
+			g.Receive(from, d)
+		}
+	}
+	return g
+}
+
+// engineMemory returns the memory of an engine as the configuration states it.
+func (e *Entry) engineMemory(id string) (blocks, tokens int) {
+	snap := e.loop.Snapshot()
+	if snap.Routes == nil {
+		return 0, 0
+	}
+	for _, name := range snap.Backends[id].Services {
+		if s := snap.Routes.Service(name); s != nil && s.Engine != nil {
+			return s.Engine.MemoryTokens / blockTokens, blockTokens
+		}
+	}
+	return 0, 0
+}
+
 // listen opens the listeners and builds their servers.
 func (e *Entry) listen() error {
 	e.callers = &http.Server{
@@ -147,7 +217,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	tasks := append(e.follower.Tasks(), e.loop.Run, e.followMembers, e.sweep)
+	tasks := append(append(e.follower.Tasks(), e.mesh.tasks()...), e.loop.Run, e.followMembers, e.sweep, e.grants.Run)
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
@@ -162,6 +232,7 @@
 		_ = s.Close()
 	}
 	stop()
+	e.mesh.sessions.Close()
 	e.exchanges.Close()
 	e.log.Info("vm_stopped", zap.Int("cut", left))
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,9 @@
 	Snapshot  func() *control.Snapshot
 	Admission dispatch.Admission
 	Exchanges *backend.Exchanges
-	Edge      Edge
+	// Breaker tracks engines that accept no connection.
+	Breaker *backend.Breaker
+	Edge    Edge
 	Log       *zap.Logger
 	Metrics   *Metrics
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -173,9 +173,13 @@
 	answer, err := s.g.Exchanges.Do(s.ctx, backend.Target{ID: vm.ID, Address: vm.Address}, s.request(a))
 	s.attempted(err)
 	if err != nil {
+		if _, notSent := errors.Into[*backend.NotSentError](err); notSent && s.ctx.Err() == nil {
+			s.g.Breaker.Refused(vm.ID)
+		}
 		return err
 	}
 	defer answer.Close()
+	s.g.Breaker.Answered(vm.ID)
 	facts := s.g.Edge.Answer(answer.Status, answer.Header)
 	if facts.NotRun {
 		return &RefusedError{Backend: vm.ID, Status: answer.Status}
--- a/gossip/sources.go
+++ b/gossip/sources.go
@@ -9,6 +9,7 @@
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -91,3 +92,46 @@
 	v.loop.Post(control.VMListReceived{List: list, Source: sourcePeer + from, FromPeer: true})
 	return nil
 }
+
+// RouteSources returns the operator's configuration and the VM list of a
+// control loop. decode parses a configuration.
+func RouteSources(loop *control.Loop, decode func([]byte) (*route.Table, error)) map[peerpb.DocumentKind]Source {
+	return map[peerpb.DocumentKind]Source{
+		KindBundle: &routes{loop: loop, decode: decode},
+		KindVMList: &vmLists{loop: loop},
+	}
+}
+
+// routes takes the place of the bundle where the operator writes the
+// configuration into the platform's store.
+type routes struct {
+	loop   *control.Loop
+	decode func([]byte) (*route.Table, error)
+}
+
+func (r *routes) Version() int64 {
+	if t := r.loop.Snapshot().Routes; t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// Refuses is always false, since only the operator can write a configuration.
+func (r *routes) Refuses(int64) bool { return false }
+
+func (r *routes) Encode() (int64, []byte, error) {
+	snap := r.loop.Snapshot()
+	return snap.Routes.Version, snap.RoutesContent, nil
+}
+
+func (r *routes) Accept(content []byte, version int64, from string) error {
+	table, err := r.decode(content)
+	if err != nil {
+		return err
+	}
+	if table.Version != version {
+		return &VersionError{Announced: version, Carried: table.Version}
+	}
+	r.loop.Post(control.RoutesReceived{Table: table, Content: content, Source: sourcePeer + from})
+	return nil
+}
--- a/grants.go
+++ b/grants.go
@@ -16,7 +16,7 @@
 // dispatchers of the groups of engines. The transport must be there.
 func (s *Server) admission() dispatch.Admission {
 	s.grants = grant.New(grant.Options{
-		VM: s.cfg.VMID, Region: s.cfg.Region, Loop: s.loop, Transport: s.peers, Breaker: s.engines.Breaker(), Log: s.log,
+		VM: s.cfg.VMID, Region: s.cfg.Region, Loop: s.loop, Transport: s.mesh.sessions, Breaker: s.engines.Breaker(), Log: s.log,
 		NewCore: func() dispatch.Core {
 			return dispatch.NewFair(dispatch.FairOptions{EngineStreams: s.cfg.Dispatch.EngineStreams})
 		},
@@ -25,7 +25,7 @@
 		Queued: s.cfg.Limits.Queued, QueuedPerOrganisation: s.cfg.Limits.QueuedPerOrganisation,
 		Seed: maphash.String(maphash.MakeSeed(), s.cfg.VMID),
 	})
-	s.onDispatch = func(from string, m *peerpb.Envelope) {
+	s.mesh.onDispatch = func(from string, m *peerpb.Envelope) {
 		if d := m.GetDispatch(); d != nil {
 			s.grants.Receive(from, d)
 		}
--- a/http.go
+++ b/http.go
@@ -134,8 +134,8 @@
 
 func (s *Server) status(c echo.Context) error {
 	snap := s.loop.Snapshot()
-	st := Status{VM: s.cfg.VMID, VMListVersion: snap.VMs.Revision, Active: len(s.front.Active()), Watcher: s.watcher.Load()}
-	st.Peers, st.Suspects = s.members.View()
+	st := Status{VM: s.cfg.VMID, VMListVersion: snap.VMs.Revision, Active: len(s.front.Active()), Watcher: s.mesh.watcher.Load()}
+	st.Peers, st.Suspects = s.mesh.members.View()
 	if snap.Bundle != nil {
 		st.BundleVersion, st.BundleDigest = snap.Bundle.Version(), snap.Bundle.Digest
 	}
@@ -161,7 +161,7 @@
 
 // Addresses returns the addresses in use.
 func (s *Server) Addresses() Addresses {
-	a := Addresses{HTTP: s.http.listeners[0].Addr().String(), Peer: s.peers.Addr()}
+	a := Addresses{HTTP: s.http.listeners[0].Addr().String(), Peer: s.mesh.sessions.Addr()}
 	if len(s.http.listeners) > 1 {
 		a.Admin = s.http.listeners[1].Addr().String()
 	}
--- a/peers.go
+++ b/peers.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/membership"
@@ -26,35 +29,59 @@
 	fallbackGroup = 10
 )
 
-// listenPeers opens the peer listener and builds what rests on it.
-func (s *Server) listenPeers() error {
-	sources := gossip.Sources(s.loop, s.keys)
-	s.gossip = gossip.New(sources, s.log)
-	s.members = membership.NewService(membership.Options{
-		VM: s.cfg.VMID, Fanout: s.cfg.Peers.Fanout,
-		HeartbeatInterval: s.cfg.Peers.HeartbeatInterval.Std(), SuspectAfter: s.cfg.Peers.SuspectAfter.Std(),
+// meshOptions are the parameters of a mesh.
+type meshOptions struct {
+	VM, Region, Listen string
+	TLS                config.TLS
+	Peers              config.Peers
+	Loop               *control.Loop
+	// Sources hold the documents that VMs hand to each other.
+	Sources map[peerpb.DocumentKind]gossip.Source
+	Metrics metrics.Registry
+	Log     *zap.Logger
+}
+
+// mesh connects a VM with other entry VMs: sessions, heartbeats with the
+// suspicion of silent VMs, and the spread of documents.
+type mesh struct {
+	opts     meshOptions
+	sessions *peer.Sessions
+	members  *membership.Service
+	gossip   *gossip.Gossip
+	// onDispatch receives dispatch messages of peers. It is set before the tasks run, or nil.
+	onDispatch peer.Handler
+	// watcher says that this VM reads from the platform on behalf of its region.
+	watcher atomic.Bool
+}
+
+// newMesh opens the peer listener and builds what rests on it.
+func newMesh(o meshOptions) (*mesh, error) {
+	m := &mesh{opts: o, gossip: gossip.New(o.Sources, o.Log)}
+	m.members = membership.NewService(membership.Options{
+		VM: o.VM, Fanout: o.Peers.Fanout,
+		HeartbeatInterval: o.Peers.HeartbeatInterval.Std(), SuspectAfter: o.Peers.SuspectAfter.Std(),
 		Versions: func() (int64, int64) {
-			return sources[gossip.KindBundle].Version(), sources[gossip.KindVMList].Version()
+			return o.Sources[gossip.KindBundle].Version(), o.Sources[gossip.KindVMList].Version()
 		},
 		Changed: func(c membership.Change) {
-			s.loop.Post(control.SuspicionChanged{VM: c.VM, Suspect: c.Suspect})
+			o.Loop.Post(control.SuspicionChanged{VM: c.VM, Suspect: c.Suspect})
 		},
-		Log: s.log,
+		Log: o.Log,
 	})
 	var err error
-	s.peers, err = peer.Listen(peer.Options{
-		VM: s.cfg.VMID, Listen: s.cfg.Listen.Peer, TLS: s.cfg.TLS,
-		HeartbeatInterval: s.cfg.Peers.HeartbeatInterval.Std(), SuspectAfter: s.cfg.Peers.SuspectAfter.Std(),
-		Handler: s.receive, Probe: s.members.Heartbeat, Ack: s.members.Ack, Log: s.log,
+	m.sessions, err = peer.Listen(peer.Options{
+		VM: o.VM, Listen: o.Listen, TLS: o.TLS,
+		HeartbeatInterval: o.Peers.HeartbeatInterval.Std(), SuspectAfter: o.Peers.SuspectAfter.Std(),
+		Handler: m.receive, Probe: m.members.Heartbeat, Ack: m.members.Ack, Log: o.Log,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.registerPeerMetrics()
-	return nil
+	m.registerMetrics()
+	return m, nil
 }
 
-func (s *Server) registerPeerMetrics() {
+func (m *mesh) registerMetrics() {
 	for name, value := range map[string]func(gossip.Stats) int64{
 		"gossip.requests":      func(st gossip.Stats) int64 { return st.Requests },
 		"gossip.deltas":        func(st gossip.Stats) int64 { return st.Deltas },
@@ -63,7 +90,7 @@
 		"gossip.unfit":         func(st gossip.Stats) int64 { return st.Unfit },
 		"gossip.dropped":       func(st gossip.Stats) int64 { return st.Dropped },
 	} {
-		metrics.NewRegisteredFunctionalGauge(name, s.metrics, func() int64 { return value(s.gossip.Stats()) })
+		metrics.NewRegisteredFunctionalGauge(name, m.opts.Metrics, func() int64 { return value(m.gossip.Stats()) })
 	}
 	for name, value := range map[string]func(peer.Stats) int64{
 		"peer.bytes_sent":        func(st peer.Stats) int64 { return st.BytesSent },
@@ -72,77 +99,77 @@
 		"peer.sessions_replaced": func(st peer.Stats) int64 { return st.Replaced },
 		"peer.refused":           func(st peer.Stats) int64 { return st.Refused },
 	} {
-		metrics.NewRegisteredFunctionalGauge(name, s.metrics, func() int64 { return value(s.peers.Stats()) })
+		metrics.NewRegisteredFunctionalGauge(name, m.opts.Metrics, func() int64 { return value(m.sessions.Stats()) })
 	}
 }
 
 // receive sorts messages of peers.
-func (s *Server) receive(from string, m *peerpb.Envelope) {
-	if x := m.GetMembership(); x != nil {
-		s.members.Receive(from, x)
-		s.gossip.Receive(from, x)
+func (m *mesh) receive(from string, e *peerpb.Envelope) {
+	if x := e.GetMembership(); x != nil {
+		m.members.Receive(from, x)
+		m.gossip.Receive(from, x)
 		return
 	}
-	if s.onDispatch != nil {
-		s.onDispatch(from, m)
+	if m.onDispatch != nil {
+		m.onDispatch(from, e)
 	}
 }
 
 // Peers returns the transport to other entry VMs.
-func (s *Server) Peers() peer.Transport { return s.peers }
+func (s *Server) Peers() peer.Transport { return s.mesh.sessions }
 
 // PeerStats returns the counters of the transport.
-func (s *Server) PeerStats() peer.Stats { return s.peers.Stats() }
+func (s *Server) PeerStats() peer.Stats { return s.mesh.sessions.Stats() }
 
 // GossipStats returns the counters of the exchange of documents.
-func (s *Server) GossipStats() gossip.Stats { return s.gossip.Stats() }
+func (s *Server) GossipStats() gossip.Stats { return s.mesh.gossip.Stats() }
 
-func (s *Server) peerTasks() []func(context.Context) {
+func (m *mesh) tasks() []func(context.Context) {
 	return []func(context.Context){
-		s.peers.Run,
-		func(ctx context.Context) { s.members.Run(ctx, s.peers) },
-		func(ctx context.Context) { s.gossip.Run(ctx, s.peers, s.loop.Subscribe()) },
-		s.followSnapshots,
+		m.sessions.Run,
+		func(ctx context.Context) { m.members.Run(ctx, m.sessions) },
+		func(ctx context.Context) { m.gossip.Run(ctx, m.sessions, m.opts.Loop.Subscribe()) },
+		m.followSnapshots,
 	}
 }
 
 // useSeeds makes the configured seeds the peers of a VM that knows no VM list.
 // The seeds accept this VM only if their VM list has it.
-func (s *Server) useSeeds() {
+func (m *mesh) useSeeds() {
 	var vms []vmlist.VM
-	for _, seed := range s.cfg.Peers.Seeds {
-		if seed.VMID != s.cfg.VMID {
+	for _, seed := range m.opts.Peers.Seeds {
+		if seed.VMID != m.opts.VM {
 			vms = append(vms, vmlist.VM{ID: seed.VMID, Role: vmlist.RoleEntry, PeerAddress: seed.Address})
 		}
 	}
 	if len(vms) > 0 {
-		s.peers.SetVMs(vms)
-		s.members.SetVMs(entryIDs(vms))
+		m.sessions.SetVMs(vms)
+		m.members.SetVMs(entryIDs(vms))
 	}
 }
 
 // followSnapshots tells the parts that talk to peers about a new VM list, and
 // peers about new versions.
-func (s *Server) followSnapshots(ctx context.Context) {
-	changed := s.loop.Subscribe()
-	s.useSeeds()
+func (m *mesh) followSnapshots(ctx context.Context) {
+	changed := m.opts.Loop.Subscribe()
+	m.useSeeds()
 	last := &control.Snapshot{}
 	var known []string
 	for {
-		snap := s.loop.Snapshot()
+		snap := m.opts.Loop.Snapshot()
 		if snap.VMs != last.VMs && snap.VMs.Revision > 0 {
-			s.peers.SetVMs(snap.VMs.VMs)
+			m.sessions.SetVMs(snap.VMs.VMs)
 			// Most changes of the list are about backend servers.
 			if ids := entryIDs(snap.VMs.VMs); !slices.Equal(ids, known) {
 				known = ids
-				s.members.SetVMs(ids)
+				m.members.SetVMs(ids)
 			}
 		}
 		if snap.VMs != last.VMs || snap.Bundle != last.Bundle {
-			s.members.Push()
+			m.members.Push()
 		}
 		last = snap
-		s.watcher.Store(s.isWatcher(snap))
+		m.watcher.Store(m.isWatcher(snap))
 		select {
 		case <-ctx.Done():
 			return
@@ -163,22 +190,22 @@
 
 // isWatcher reports whether this VM reads from the platform: as one of the
 // watchers of its region, or because no peer can tell it what it needs.
-func (s *Server) isWatcher(snap *control.Snapshot) bool {
+func (m *mesh) isWatcher(snap *control.Snapshot) bool {
 	if snap.Bundle == nil || snap.VMs.Revision == 0 {
 		return true
 	}
-	if !slices.Contains(entryIDs(snap.VMs.VMs), s.cfg.VMID) {
+	if !slices.Contains(entryIDs(snap.VMs.VMs), m.opts.VM) {
 		return true
 	}
-	top := rendezvous.Top(watcherKeyPrefix+s.cfg.Region, s.regionVMs(snap), watchersPerRegion)
-	return slices.Contains(top, s.cfg.VMID)
+	top := rendezvous.Top(watcherKeyPrefix+m.opts.Region, m.regionVMs(snap), watchersPerRegion)
+	return slices.Contains(top, m.opts.VM)
 }
 
 // regionVMs returns the live VMs of this VM's region.
-func (s *Server) regionVMs(snap *control.Snapshot) []vmlist.VM {
+func (m *mesh) regionVMs(snap *control.Snapshot) []vmlist.VM {
 	var vms []vmlist.VM
 	for _, vm := range snap.EntryVMs {
-		if vm.Region == s.cfg.Region {
+		if vm.Region == m.opts.Region {
 			vms = append(vms, vm)
 		}
 	}
@@ -186,4 +213,4 @@
 }
 
 // readsPlatform is true for watchers and for a VM that hears no peer.
-func (s *Server) readsPlatform() bool { return s.watcher.Load() || s.members.Isolated() }
+func (m *mesh) readsPlatform() bool { return m.watcher.Load() || m.members.Isolated() }
--- a/sync.go
+++ b/sync.go
@@ -30,7 +30,7 @@
 func (s *Server) watchBundle(ctx context.Context) {
 	var revision int64
 	for ctx.Err() == nil {
-		if !s.readsPlatform() {
+		if !s.mesh.readsPlatform() {
 			revision = 0 // The role may return after changes.
 			wait.Sleep(ctx, roleCheck)
 			continue
@@ -78,7 +78,7 @@
 func (s *Server) awaitFallback(ctx context.Context, until func() bool) bool {
 	begin, jitter := time.Now(), 0.5+rand.Float64()
 	for !until() {
-		groups := float64(len(s.regionVMs(s.loop.Snapshot()))) / fallbackGroup
+		groups := float64(len(s.mesh.regionVMs(s.loop.Snapshot()))) / fallbackGroup
 		interval := float64(s.cfg.Bundle.FallbackInterval.Std()) * max(1, groups)
 		if time.Since(begin) >= time.Duration(interval*jitter) {
 			break
@@ -142,7 +142,7 @@
 		if !wait.Sleep(ctx, s.cfg.Platform.VMListInterval.Std()-time.Since(begin)) {
 			return
 		}
-		due := func() bool { return again || s.readsPlatform() || s.listOverdue(begin) }
+		due := func() bool { return again || s.mesh.readsPlatform() || s.listOverdue(begin) }
 		if !s.awaitFallback(ctx, due) {
 			return
 		}
--- a/vanillaarch.go
+++ b/vanillaarch.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -25,8 +24,6 @@
 	"github.com/vanillaarch/vanillaarch/frontend"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/kv"
-	"github.com/vanillaarch/vanillaarch/membership"
-	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/replay"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -59,14 +56,7 @@
 	// recorder is nil unless the configuration names its file.
 	recorder *replay.Recorder
 
-	// peers is the transport to other entry VMs.
-	peers   *peer.Sessions
-	members *membership.Service
-	gossip  *gossip.Gossip
-	// onDispatch receives dispatch messages of peers. It is set before Run, or nil.
-	onDispatch peer.Handler
-	// watcher says that this VM reads from the platform on behalf of its region.
-	watcher atomic.Bool
+	mesh *mesh
 
 	abort     chan struct{}
 	abortOnce sync.Once
@@ -106,7 +96,12 @@
 // open opens the listeners and builds what serves them. What a failed call
 // leaves open is closed by release.
 func (s *Server) open() error {
-	if err := s.listenPeers(); err != nil {
+	var err error
+	s.mesh, err = newMesh(meshOptions{
+		VM: s.cfg.VMID, Region: s.cfg.Region, Listen: s.cfg.Listen.Peer, TLS: s.cfg.TLS, Peers: s.cfg.Peers,
+		Loop: s.loop, Sources: gossip.Sources(s.loop, s.keys), Metrics: s.metrics, Log: s.log,
+	})
+	if err != nil {
 		return err
 	}
 	admission, err := s.recorded(s.admission())
@@ -156,7 +151,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	tasks := append(append(s.peerTasks(), s.grantTasks()...), s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList)
+	tasks := append(append(s.mesh.tasks(), s.grantTasks()...), s.loop.Run, s.watchBundle, s.readBundleFallback, s.readVMList)
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
@@ -218,8 +213,8 @@
 
 // release closes what is open after Run, or after a start that failed.
 func (s *Server) release() {
-	if s.peers != nil {
-		s.peers.Close()
+	if s.mesh != nil {
+		s.mesh.sessions.Close()
 	}
 	if s.front != nil {
 		s.front.Close()
