--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -17,7 +17,8 @@
 
 // Backend is an engine that a Core may grant.
 type Backend struct {
-	ID string
+	ID   string
+	Zone string
 	// BlocksTotal is the number of blocks of key-value memory, zero if not yet reported.
 	BlocksTotal int
 	// BlockTokens is the number of tokens of a block.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,6 +18,8 @@
 	// PrefixHashes are chained hashes of the prompt's blocks, for cache affinity.
 	PrefixHashes []uint64
 	MaxTokens    int
+	// Zone is preferred, "" if none is.
+	Zone string
 	// Excluded lists backend servers that failed this request before.
 	Excluded []string
 }
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -92,6 +92,7 @@
 				{Scorer: scheduling.FreeMemory{}, Weight: freeMemoryWeight},
 				{Scorer: scheduling.SmallBatch{}, Weight: smallBatchWeight},
 				{Scorer: scheduling.CachedPrefix{}, Weight: cachedPrefixWeight},
+				{Scorer: scheduling.SameZone{}, Weight: sameZoneWeight},
 			},
 			Picker: scheduling.Best{},
 		},
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -38,6 +38,7 @@
 type engine struct {
 	id          string
 	handle      int
+	zone        string
 	live        bool
 	blocks      int
 	blockTokens int
@@ -68,6 +69,7 @@
 			e.live = true
 			f.order = append(f.order, e)
 		}
+		e.zone = b.Zone
 		e.resize(b.BlocksTotal, b.BlockTokens)
 		f.refresh(now, e)
 	}
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -88,7 +88,7 @@
 
 // choose returns the engine that runs a request, or nil if none has room.
 func (f *fair) choose(now time.Time, r *waitingRequest) *engine {
-	request := scheduling.Request{Prefix: r.PrefixHashes, Excluded: r.Excluded}
+	request := scheduling.Request{Prefix: r.PrefixHashes, Excluded: r.Excluded, Zone: r.Zone}
 	f.candidates = f.candidates[:0]
 	f.matches = f.prefixes.Lookup(r.PrefixHashes, candidatesByPrefix, f.matches[:0])
 	for _, m := range f.matches {
@@ -121,7 +121,7 @@
 	shared := e.residency.Shared(r.PrefixHashes)
 	usage := f.usage(&r.Ask, 0, shared, e.blockTokens)
 	f.candidates = append(f.candidates, scheduling.Candidate{
-		ID: e.id, Handle: e.handle, Free: f.free(now, e, usage, f.reservedOn(now, r, e)),
+		ID: e.id, Handle: e.handle, Zone: e.zone, Free: f.free(now, e, usage, f.reservedOn(now, r, e)),
 		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: max(prefixBlocks, shared),
 		Starting: f.starting(now, e),
 	})
--- a/dispatch/fairtuning.go
+++ b/dispatch/fairtuning.go
@@ -7,6 +7,8 @@
 	freeMemoryWeight   = 1.0
 	smallBatchWeight   = 1.0
 	cachedPrefixWeight = 1.0
+	// sameZoneWeight is the part of free memory that the zone is worth.
+	sameZoneWeight = 0.25
 )
 
 // tuning holds the decisions that follow from the tenants' weights of the three metrics.
--- a/dispatch/grant/dispatcher.go
+++ b/dispatch/grant/dispatcher.go
@@ -182,7 +182,9 @@
 	backends := make([]dispatch.Backend, 0, len(engines))
 	for _, id := range engines {
 		blocks, blockTokens := d.memory(id)
-		backends = append(backends, dispatch.Backend{ID: id, BlocksTotal: blocks, BlockTokens: blockTokens})
+		backends = append(backends, dispatch.Backend{
+			ID: id, Zone: d.m.view.snap.Backends[id].Zone, BlocksTotal: blocks, BlockTokens: blockTokens,
+		})
 	}
 	c.core.SetBackends(d.m.now, backends)
 }
--- a/dispatch/grant/wire.go
+++ b/dispatch/grant/wire.go
@@ -11,7 +11,7 @@
 func encodeAsk(sequence uint64, a dispatch.Ask) *peerpb.GrantRequest {
 	return &peerpb.GrantRequest{
 		Sequence: sequence, Organisation: a.Organisation, PromptTokens: uint32(a.PromptTokens),
-		PrefixHashes: a.PrefixHashes, MaxTokens: uint32(a.MaxTokens), Excluded: a.Excluded,
+		PrefixHashes: a.PrefixHashes, MaxTokens: uint32(a.MaxTokens), Excluded: a.Excluded, Zone: a.Zone,
 	}
 }
 
@@ -21,7 +21,7 @@
 	return dispatch.Ask{
 		Tenant: v.tenants[r.GetOrganisation()], Organisation: r.GetOrganisation(), Model: model,
 		PromptTokens: int(r.GetPromptTokens()), PrefixHashes: r.GetPrefixHashes(), MaxTokens: int(r.GetMaxTokens()),
-		Excluded: r.GetExcluded(),
+		Excluded: r.GetExcluded(), Zone: r.GetZone(),
 	}
 }
 
--- a/entry.go
+++ b/entry.go
@@ -34,7 +34,9 @@
 	Store discovery.Store
 	Codec discovery.Codec
 	Edge  gateway.Edge
-	Log   *zap.Logger
+	// Engines returns the client of engines over the exchanges of the VM.
+	Engines func(*backend.Exchanges) gateway.EngineClient
+	Log     *zap.Logger
 }
 
 // Entry is an entry VM on a platform whose operator configures routes in the
@@ -124,7 +126,7 @@
 	e.grants = e.newGrants()
 	e.gateway = gateway.New(gateway.Options{
 		VM: d.VM, Zone: d.Zone, Bounds: d.Bounds, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker,
-		Exchanges: e.exchanges, Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
+		Exchanges: e.exchanges, Engines: o.Engines(e.exchanges), Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
 	})
 	if err := e.listen(); err != nil {
 		e.closeListeners()
@@ -217,7 +219,8 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	tasks := append(append(e.follower.Tasks(), e.mesh.tasks()...), e.loop.Run, e.followMembers, e.sweep, e.grants.Run)
+	tasks := append(append(e.follower.Tasks(), e.mesh.tasks()...), e.loop.Run, e.followMembers, e.sweep, e.grants.Run,
+		func(ctx context.Context) { e.gateway.WatchEngines(ctx, e.loop.Subscribe()) })
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -29,9 +30,10 @@
 	Exchanges *backend.Exchanges
 	// Breaker tracks engines that accept no connection.
 	Breaker *backend.Breaker
+	Engines EngineClient
 	Edge    Edge
-	Log       *zap.Logger
-	Metrics   *Metrics
+	Log     *zap.Logger
+	Metrics *Metrics
 }
 
 // Gateway handles requests of callers.
@@ -39,7 +41,10 @@
 	Options
 	budget   *retry.SharedBudget
 	services *serviceLoad
+	runs     *runTable
 	drain    drainState
+	// background tracks calls that outlive their request.
+	background sync.WaitGroup
 }
 
 // New returns a gateway.
@@ -48,6 +53,7 @@
 		Options:  o,
 		budget:   retry.NewSharedBudget(o.Bounds.RetryRatio, o.Bounds.RetrySlack, o.Bounds.RetryWindow),
 		services: newServiceLoad(o.Zone),
+		runs:     newRunTable(),
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,8 +34,19 @@
 	begun    bool
 	excluded []string
 	unsent   int
-	// copy is where the memory of the run lies for the next attempt, or nil.
-	copy *Copy
+	// lastAt is the time of the last event, resumed says that one has arrived
+	// since the run was moved.
+	lastAt  time.Duration
+	resumed bool
+	// from is where the memory of the run lies for the next attempt, or nil.
+	from *Copy
+	// made is the number of events that the caller got in this attempt and
+	// before, firstAt the time of the first one.
+	made, firstAt atomic.Int64
+
+	movingMu sync.Mutex
+	moving   *moving
+	ended    bool
 }
 
 // EventOrderError reports an event that does not follow the one before.
@@ -66,8 +79,9 @@
 
 // run makes attempts until the stream is complete.
 func (s *stream) run() error {
+	defer s.endMoving()
+	ticket, vm, err := s.acquire()
 	for {
-		ticket, vm, err := s.acquire()
 		if err != nil {
 			return s.giveUp(err)
 		}
@@ -79,10 +93,20 @@
 		if s.r.Context().Err() != nil {
 			return nil
 		}
+		if m := s.takeMoving(); m != nil {
+			s.log.Info("run_moved", zap.String("backend", m.source.ID), zap.String("target", m.target.ID),
+				zap.Int64("last_event", s.lastEvent))
+			s.resumed = false
+			s.from = &Copy{Address: m.source.Address, Handle: m.copied()}
+			ticket, vm, err = m.ticket, m.target, nil
+			continue
+		}
+		s.from = nil
 		s.excluded = append(s.excluded, vm.ID)
 		if !s.mayGoOn(err) {
 			return s.giveUp(err)
 		}
+		ticket, vm, err = s.acquire()
 	}
 }
 
@@ -91,9 +115,11 @@
 	if s.service.Engine == nil {
 		return 0
 	}
-	return s.events * s.service.Engine.TokensPerEvent
+	return int(s.made.Load()) * s.service.Engine.TokensPerEvent
 }
 
+func (s *stream) hasBegun() bool { return s.made.Load() > 0 }
+
 // giveUp ends the request after the last attempt.
 func (s *stream) giveUp(err error) error {
 	if s.r.Context().Err() != nil {
@@ -117,13 +143,7 @@
 
 // acquire obtains the right to run the request on an engine.
 func (s *stream) acquire() (dispatch.Ticket, vmlist.VM, error) {
-	ask := dispatch.Ask{
-		Organisation: route.Anonymous, Model: route.Pool(s.service.Name, s.facts.Model),
-		PromptTokens: s.facts.PromptTokens, MaxTokens: s.facts.MaxTokens, Excluded: s.excluded,
-	}
-	if s.organisation != nil {
-		ask.Organisation = s.organisation.Name
-	}
+	ask := s.ask(s.excluded)
 	ticket, err := s.g.Admission.Acquire(s.ctx, ask)
 	if err != nil {
 		return nil, vmlist.VM{}, err
@@ -136,12 +156,24 @@
 	return ticket, vm, nil
 }
 
+// ask describes the request to the dispatcher of its engines.
+func (s *stream) ask(excluded []string) dispatch.Ask {
+	ask := dispatch.Ask{
+		Organisation: route.Anonymous, Model: route.Pool(s.service.Name, s.facts.Model),
+		PromptTokens: s.facts.PromptTokens, MaxTokens: s.facts.MaxTokens, Excluded: excluded, Zone: s.g.Zone,
+	}
+	if s.organisation != nil {
+		ask.Organisation = s.organisation.Name
+	}
+	return ask
+}
+
 // attempt runs the request on one engine and relays its events.
 func (s *stream) attempt(ticket dispatch.Ticket, vm vmlist.VM) error {
 	started := boottime.Now()
 	before, from := s.mayHaveRun, s.lastEvent
 	err := s.exchange(ticket, vm)
-	if _, refused := errors.Into[*RefusedError](err); refused {
+	if _, refused := errors.Into[*RefusedError](err); refused && s.from == nil {
 		s.refusedUnrun(before)
 	}
 	s.log.Info("attempt_done", zap.String("backend", vm.ID), zap.String("service", s.service.Name),
@@ -162,7 +194,7 @@
 
 func (s *stream) exchange(ticket dispatch.Ticket, vm vmlist.VM) error {
 	a := Attempt{
-		Server: vm, Remaining: s.remaining(), Organisation: s.organisationName(), Priority: s.priority(), Copy: s.copy,
+		Server: vm, Remaining: s.remaining(), Organisation: s.organisationName(), Priority: s.priority(), Copy: s.from,
 	}
 	if s.lastEvent > 0 {
 		a.LastEvent = strconv.FormatInt(s.lastEvent, 10)
@@ -170,8 +202,15 @@
 	if err := s.checkConfirmed(); err != nil {
 		return &backend.NotSentError{Backend: vm.ID, Cause: err}
 	}
+	s.g.runs.add(vm, s)
+	defer s.g.runs.remove(vm.ID, s)
 	answer, err := s.g.Exchanges.Do(s.ctx, backend.Target{ID: vm.ID, Address: vm.Address}, s.request(a))
-	s.attempted(err)
+	if s.from == nil {
+		s.attempted(err)
+	} else {
+		// The same run goes on, which is no further attempt.
+		s.g.budget.Charge(s.service.Name, boottime.Now())
+	}
 	if err != nil {
 		if _, notSent := errors.Into[*backend.NotSentError](err); notSent && s.ctx.Err() == nil {
 			s.g.Breaker.Refused(vm.ID)
@@ -263,7 +302,14 @@
 func (s *stream) forward(answer *backend.Answer, event []byte, flush bool) error {
 	s.begin(answer)
 	s.events++
-	if s.events == 1 {
+	now := boottime.Now()
+	if s.from != nil && !s.resumed {
+		s.resumed = true
+		s.log.Info("run_resumed", zap.Duration("pause", now-s.lastAt), zap.Int64("event", s.lastEvent))
+	}
+	s.lastAt = now
+	if s.made.Add(1) == 1 {
+		s.firstAt.Store(int64(boottime.Now()))
 		s.g.Metrics.firstEvent.Update((boottime.Now() - s.arrived).Microseconds())
 	}
 	if _, err := s.w.Write(event); err != nil {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch"
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/gateway"
 	"github.com/vanillaarch/vanillaarch/platform"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -42,6 +44,7 @@
 	defer store.Close()
 	entry, err := vanillaarch.NewEntry(vanillaarch.EntryOptions{
 		Deployment: deployment, Store: store, Codec: platform.Codec{}, Edge: platform.Edge{}, Log: log,
+		Engines: func(x *backend.Exchanges) gateway.EngineClient { return platform.Engines{Exchanges: x} },
 	})
 	if err != nil {
 		return errors.Wrap(err, "start")
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -8,13 +8,16 @@
 type Request struct {
 	// Prefix holds the chained hashes of the prompt's blocks.
 	Prefix []uint64
+	// Zone is preferred, "" if none is.
+	Zone string
 	// Excluded lists engines that must not run the request.
 	Excluded []string
 }
 
 // Candidate is an engine under consideration.
 type Candidate struct {
-	ID string
+	ID   string
+	Zone string
 	// Handle identifies the engine to the caller.
 	Handle int
 	// Free is the projected free part of memory with the request admitted, negative without room.
@@ -135,6 +138,18 @@
 	return float64(c.PrefixBlocks) / float64(len(r.Prefix))
 }
 
+// SameZone prefers engines in the zone of the request. Bytes between zones cost
+// time and money.
+type SameZone struct{}
+
+// Score implements Scorer.
+func (SameZone) Score(r *Request, c *Candidate) float64 {
+	if r.Zone == "" || r.Zone != c.Zone {
+		return 0
+	}
+	return 1
+}
+
 // Best picks the highest score; the lower handle wins a tie.
 type Best struct{}
 
