Back up long runs and go on from the copy at a notice

Change: a run that may not be repeated gets a backup on another engine, if the dispatcher has plenty of room (Ask.Spare). At a notice the relay opens the next leg at the backup and closes the one before. A run without a backup is copied once and goes on from that copy, without a final one. The dispatcher counts the prompt tokens that an engine still has to process.

Ruled out: a final copy (kv-move with last) before going on. It queues behind the first copies of other runs; the engine reads the few tokens that a copy lacks in less time.

--- a/discovery/dependency.go
+++ b/discovery/dependency.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"go.uber.org/zap"
 )
 
@@ -23,7 +24,7 @@
 	switch {
 	case err != nil && !d.lost:
 		d.lost, d.lostAt = true, time.Now()
-		d.log.Warn("dependency_lost", zap.String("dependency", d.name), zap.Error(err))
+		d.log.Warn("dependency_lost", zap.String("dependency", d.name), telemetry.Error(err))
 	case err == nil && d.lost:
 		d.lost = false
 		d.log.Info("dependency_back", zap.String("dependency", d.name), zap.Duration("after", time.Since(d.lostAt)))
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -161,7 +162,7 @@
 	}
 	table, err := f.opts.Codec.DecodeConfig(value)
 	if err != nil {
-		f.opts.Log.Error("configuration_rejected", zap.String("source", source), zap.Error(err))
+		f.opts.Log.Error("configuration_rejected", zap.String("source", source), telemetry.Error(err))
 		return
 	}
 	f.opts.Loop.Post(control.RoutesReceived{Table: table, Content: value, Source: source, Confirmed: confirmed})
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -12,6 +12,7 @@
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -155,7 +156,7 @@
 	vm, err := s.decode(e)
 	if err != nil {
 		delete(s.entries, e.Key)
-		l.opts.Log.Warn("entry_rejected", zap.String("key", e.Key), zap.Int64("revision", e.Revision), zap.Error(err))
+		l.opts.Log.Warn("entry_rejected", zap.String("key", e.Key), zap.Int64("revision", e.Revision), telemetry.Error(err))
 		return
 	}
 	if old, known := s.entries[e.Key]; !known || old.State != vm.State || old.Incarnation != vm.Incarnation {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,6 +20,11 @@
 	MaxTokens    int
 	// Zone is preferred, "" if none is.
 	Zone string
+	// Spare asks for room for a copy of a run's memory. It is granted at once
+	// where plenty is left, or not at all.
+	Spare bool
+	// Resumed says that the run goes on from a copy, so that no prompt is processed.
+	Resumed bool
 	// Excluded lists backend servers that failed this request before.
 	Excluded []string
 }
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -46,7 +46,9 @@
 	held, concentration float64
 	waiting             map[RequestID]*flowcontrol.Item[*waitingRequest]
 	streams             map[RequestID]*stream
-	reduced             bool
+	// spares are grants of room for copies that Next has not returned yet.
+	spares  []Grant
+	reduced bool
 
 	// Buffers of a routing decision, reused.
 	top        []int
@@ -92,6 +94,7 @@
 				{Scorer: scheduling.FreeMemory{}, Weight: freeMemoryWeight},
 				{Scorer: scheduling.SmallBatch{}, Weight: smallBatchWeight},
 				{Scorer: scheduling.CachedPrefix{}, Weight: cachedPrefixWeight},
+				{Scorer: scheduling.LittlePrefill{}, Weight: littlePrefillWeight},
 				{Scorer: scheduling.SameZone{}, Weight: sameZoneWeight},
 			},
 			Picker: scheduling.Best{},
@@ -132,6 +135,9 @@
 	if !f.usable(r.Excluded) {
 		return &NoBackendError{Model: r.Model}
 	}
+	if r.Spare {
+		return f.submitSpare(now, r)
+	}
 	a, length := f.accounts[r.Organisation], f.queue.LenOf(r.Organisation)
 	if a == nil || a.drain.Wait(now, length) > f.tuning.maxWait {
 		return &QueueFullError{Organisation: r.Organisation}
--- a/dispatch/fairengine.go
+++ b/dispatch/fairengine.go
@@ -50,6 +50,8 @@
 	excess   [excessReports]float64
 	report   int
 	reportAt time.Time
+	// prefilling is the number of prompt tokens of streams without a token yet.
+	prefilling int
 	// aged is the number of streams that use the reserve because of their wait.
 	aged int
 	// grantAt is the time of the last grant.
@@ -188,6 +190,14 @@
 	return now.Sub(e.grantAt) < startSteps*f.gaps.Gap(e.window.Streams())
 }
 
+// prefill returns the prompt tokens that wait on the engine as a part of its memory.
+func (e *engine) prefill() float64 {
+	if e.blocks == 0 {
+		return 0
+	}
+	return float64(e.prefilling) / float64(e.blocks*e.blockTokens)
+}
+
 // streamLimit returns the batch limit of engines.
 func (f *fair) streamLimit() int {
 	if n, ok := f.gaps.BatchLimit(f.tuning.batchPart); ok {
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -26,11 +26,12 @@
 
 // Next implements Core.
 func (f *fair) Next(now time.Time) []Grant {
+	grants := f.spares
+	f.spares = nil
 	if f.queue.Len() == 0 {
-		return nil
+		return grants
 	}
 	f.refreshNext(now)
-	var grants []Grant
 	defer f.queue.Unpark()
 	for passed := 0; passed < maxPassed && f.hasRoom(); {
 		first := f.queue.Peek()
@@ -88,7 +89,6 @@
 
 // choose returns the engine that runs a request, or nil if none has room.
 func (f *fair) choose(now time.Time, r *waitingRequest) *engine {
-	request := scheduling.Request{Prefix: r.PrefixHashes, Excluded: r.Excluded, Zone: r.Zone}
 	f.candidates = f.candidates[:0]
 	f.matches = f.prefixes.Lookup(r.PrefixHashes, candidatesByPrefix, f.matches[:0])
 	for _, m := range f.matches {
@@ -101,6 +101,12 @@
 			f.consider(now, r, f.handles[handle], 0)
 		}
 	}
+	return f.chosen(r)
+}
+
+// chosen returns the best of the candidates, or nil if none has room.
+func (f *fair) chosen(r *waitingRequest) *engine {
+	request := scheduling.Request{Prefix: r.PrefixHashes, Excluded: r.Excluded, Zone: r.Zone}
 	c, ok := f.chain.Choose(&request, f.candidates)
 	if !ok {
 		return nil
@@ -123,7 +129,7 @@
 	f.candidates = append(f.candidates, scheduling.Candidate{
 		ID: e.id, Handle: e.handle, Zone: e.zone, Free: f.free(now, e, usage, f.reservedOn(now, r, e)),
 		Streams: e.window.Streams(), StreamLimit: f.streamLimit(), PrefixBlocks: max(prefixBlocks, shared),
-		Starting: f.starting(now, e),
+		Starting: f.starting(now, e), Prefill: e.prefill(),
 	})
 }
 
@@ -134,6 +140,9 @@
 	e.grantAt = now
 	aged := f.aged(now, r)
 	s := f.start(now, r.ID, &r.Ask, e, 0)
+	if !r.Resumed {
+		s.prefill(r.PromptTokens)
+	}
 	if aged {
 		s.aged = true
 		e.aged++
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -24,13 +24,17 @@
 	// shared is the number of prompt blocks that other streams count as their own.
 	shared int
 	// aged marks a stream that uses the reserve because of its wait.
-	aged     bool
+	aged bool
+	// spare marks room for a copy, which no organisation pays for.
+	spare    bool
 	engine   *engine
 	usage    flowcontrol.Usage
 	tokens   int
 	tokensAt time.Time
 	// nextEstimate is the number of tokens at which the remainder is estimated anew.
 	nextEstimate int
+	// prefilling is the part of the engine's prompt tokens that this stream is.
+	prefilling int
 	// charged is what the organisation has paid in tokens.
 	charged float64
 }
@@ -81,12 +85,25 @@
 	return n
 }
 
+// prefill counts the prompt of a stream that has no token yet.
+func (s *stream) prefill(tokens int) {
+	s.prefilling = tokens
+	s.engine.prefilling += tokens
+}
+
+// prefilled notes that the prompt of a stream has been processed.
+func (s *stream) prefilled() {
+	s.engine.prefilling -= s.prefilling
+	s.prefilling = 0
+}
+
 // Progress implements Core.
 func (f *fair) Progress(now time.Time, id RequestID, tokens int) {
 	s := f.streams[id]
 	if s == nil || tokens <= s.tokens {
 		return
 	}
+	s.prefilled()
 	added := tokens - s.tokens
 	if !s.tokensAt.IsZero() && now.After(s.tokensAt) {
 		f.gaps.Learn(s.engine.window.Streams(), now.Sub(s.tokensAt)/time.Duration(added))
@@ -114,7 +131,9 @@
 	e.window.Remove(s.usage)
 	e.window.Add(usage)
 	e.current += usage.Current - s.usage.Current
-	f.hold(s.organisation, usage.Current-s.usage.Current)
+	if !s.spare {
+		f.hold(s.organisation, usage.Current-s.usage.Current)
+	}
 	s.usage = usage
 	f.refresh(now, e)
 }
@@ -137,17 +156,22 @@
 		return
 	}
 	tokens = max(tokens, s.tokens)
-	f.charge(s, float64(s.promptTokens+tokens)-s.charged)
-	if f.queue.Entitled(s.organisation) {
-		f.estimator.Learn(s.organisation, s.model, tokens)
+	if !s.spare {
+		f.charge(s, float64(s.promptTokens+tokens)-s.charged)
+		if f.queue.Entitled(s.organisation) {
+			f.estimator.Learn(s.organisation, s.model, tokens)
+		}
 	}
+	s.prefilled()
 	delete(f.streams, id)
 	e := s.engine
 	e.residency.Remove(s.prefix, s.shared)
 	if s.aged {
 		e.aged--
 	}
-	f.hold(s.organisation, -s.usage.Current)
+	if !s.spare {
+		f.hold(s.organisation, -s.usage.Current)
+	}
 	e.window.Remove(s.usage)
 	if e.current -= s.usage.Current; e.window.Streams() == 0 {
 		e.current = 0
@@ -163,6 +187,10 @@
 	}
 	f.Withdraw(now, h.Request)
 	s := f.start(now, h.Request, &h.Ask, f.engine(h.Backend), h.Tokens)
+	if h.Ask.Spare {
+		s.spare = true
+		f.hold(s.organisation, -s.usage.Current)
+	}
 	// The dispatcher that granted the stream has charged what it produced so far.
 	s.charged = float64(h.Ask.PromptTokens + h.Tokens)
 }
--- a/dispatch/grant/frontend.go
+++ b/dispatch/grant/frontend.go
@@ -172,6 +172,10 @@
 
 // bypass admits a request without its dispatcher, or parks it.
 func (f *frontend) bypass(r *request) {
+	if r.ask.Spare {
+		f.finish(r, outcome{err: &dispatch.NoBackendError{Model: r.ask.Model}})
+		return
+	}
 	t, err := f.local.Try(r.ask)
 	switch {
 	case err != nil:
@@ -321,6 +325,7 @@
 		f.declareAll()
 	}
 	f.keepalives()
+	f.reportFirst()
 	if f.m.now.Sub(f.progressedAt) >= progressInterval {
 		f.progressedAt = f.m.now
 		f.reportProgress()
--- a/dispatch/grant/link.go
+++ b/dispatch/grant/link.go
@@ -150,6 +150,22 @@
 	}
 }
 
+// reportFirst tells dispatchers about streams that have their first token, which
+// end the processing of a prompt.
+func (f *frontend) reportFirst() {
+	due := map[string]bool{}
+	for _, t := range f.held {
+		if t.knownBy != "" && t.reportedTokens == 0 && t.tokens.Load() > 0 {
+			due[t.knownBy] = true
+		}
+	}
+	for vm := range due {
+		if l := f.link(vm); !l.silent {
+			f.flush(l)
+		}
+	}
+}
+
 // reportProgress sends a batch to each dispatcher with news.
 func (f *frontend) reportProgress() {
 	due := map[string]bool{}
--- a/dispatch/grant/ticket.go
+++ b/dispatch/grant/ticket.go
@@ -52,6 +52,7 @@
 
 // due reports whether the next progress batch must name the ticket.
 func (t *ticket) due() bool {
-	return t.tokens.Load()-t.reportedTokens >= max(progressStep, t.reportedTokens/progressFraction) ||
+	return t.reportedTokens == 0 && t.tokens.Load() > 0 ||
+		t.tokens.Load()-t.reportedTokens >= max(progressStep, t.reportedTokens/progressFraction) ||
 		t.preemptions.Load() != t.reportedPreemptions
 }
--- a/dispatch/grant/wire.go
+++ b/dispatch/grant/wire.go
@@ -12,6 +12,7 @@
 	return &peerpb.GrantRequest{
 		Sequence: sequence, Organisation: a.Organisation, PromptTokens: uint32(a.PromptTokens),
 		PrefixHashes: a.PrefixHashes, MaxTokens: uint32(a.MaxTokens), Excluded: a.Excluded, Zone: a.Zone,
+		Spare: a.Spare, Resumed: a.Resumed,
 	}
 }
 
@@ -22,6 +23,7 @@
 		Tenant: v.tenants[r.GetOrganisation()], Organisation: r.GetOrganisation(), Model: model,
 		PromptTokens: int(r.GetPromptTokens()), PrefixHashes: r.GetPrefixHashes(), MaxTokens: int(r.GetMaxTokens()),
 		Excluded: r.GetExcluded(), Zone: r.GetZone(),
+		Spare: r.GetSpare(), Resumed: r.GetResumed(),
 	}
 }
 
--- a/entry.go
+++ b/entry.go
@@ -24,6 +24,7 @@
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -243,7 +244,7 @@
 
 func (e *Entry) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		e.log.Error("listener_failed", zap.String("address", l.Addr().String()), zap.Error(err))
+		e.log.Error("listener_failed", zap.String("address", l.Addr().String()), telemetry.Error(err))
 	}
 }
 
@@ -263,7 +264,7 @@
 	go func() { shutdown <- e.callers.Shutdown(ctx) }()
 	left = e.gateway.Drained(ctx)
 	if err := <-shutdown; err != nil {
-		e.log.Warn("drain_incomplete", zap.Int("active", e.gateway.Active()), zap.Error(err))
+		e.log.Warn("drain_incomplete", zap.Int("active", e.gateway.Active()), telemetry.Error(err))
 	}
 	return left
 }
--- /dev/null
+++ b/gateway/copies.go
@@ -0,0 +1,337 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/relocation"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// copies is what a stream knows of copies of its run's memory on other engines.
+// A backup grows with the run from its start; a move copies the memory when the
+// engine is about to leave.
+type copies struct {
+	mu sync.Mutex
+	// backup grows with the run, moved was copied at the notice of a departure.
+	backup, moved *held
+	// copying is not nil while a copy is being made, and closed after it.
+	copying chan struct{}
+	ended   bool
+	// wanted asks the relay to go on elsewhere. It receives whether that succeeded.
+	wanted chan bool
+}
+
+// held is a copy with the right to use it.
+type held struct {
+	ticket dispatch.Ticket
+	vm     vmlist.VM
+	from   Copy
+}
+
+const (
+	// backupTimeout bounds the question for room for a backup, which delays the request.
+	backupTimeout = 50 * time.Millisecond
+	// minBackupTokens is the expected length from which a run gets a backup.
+	minBackupTokens = 64
+)
+
+// acquireBackup obtains room for a backup of a run that cannot start again.
+func (s *stream) acquireBackup(primary vmlist.VM) {
+	engine := s.service.Engine
+	if engine == nil || !engine.Backups || s.route.Resumable || s.backupAddress() != "" {
+		return
+	}
+	if n := s.facts.ExpectedTokens; n > 0 && n < minBackupTokens {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, backupTimeout)
+	defer cancel()
+	ask := s.ask([]string{primary.ID})
+	ask.Spare, ask.Zone = true, primary.Zone
+	ticket, vm, err := s.g.acquire(ctx, ask)
+	if err != nil {
+		s.log.Info("backup_not_granted", zap.String("backend", primary.ID), telemetry.Error(err))
+		return
+	}
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	s.copies.backup = &held{ticket: ticket, vm: vm, from: Copy{Address: vm.Address, Handle: s.facts.ID}}
+}
+
+func (s *stream) backupAddress() string {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	if s.copies.backup == nil {
+		return ""
+	}
+	return s.copies.backup.vm.Address
+}
+
+func (s *stream) backupProgress() {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	if s.copies.backup != nil {
+		s.copies.backup.ticket.Progress(s.tokens())
+	}
+}
+
+// takeCopy returns a copy of the run, the one that was moved first, or nil. One
+// whose engine is leaving as well is dropped.
+func (s *stream) takeCopy() *held {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	for _, at := range []**held{&s.copies.moved, &s.copies.backup} {
+		h := *at
+		*at = nil
+		if h == nil {
+			continue
+		}
+		if s.g.live(h.vm) {
+			return h
+		}
+		h.ticket.Release(0)
+	}
+	return nil
+}
+
+// awaitCopy waits for a copy that is being made when the stream has ended.
+func (s *stream) awaitCopy() {
+	s.copies.mu.Lock()
+	copying := s.copies.copying
+	s.copies.mu.Unlock()
+	if copying == nil {
+		return
+	}
+	select {
+	case <-copying:
+	case <-s.ctx.Done():
+	case <-time.After(relocationWait):
+	}
+}
+
+// live reports whether an engine stays.
+func (g *Gateway) live(vm vmlist.VM) bool {
+	now, listed := g.Snapshot().Backends[vm.ID]
+	return listed && now.State == vmlist.StateLive && now.Incarnation == vm.Incarnation
+}
+
+// hasCopy reports whether a copy lies on an engine that stays.
+func (s *stream) hasCopy() bool {
+	for _, h := range []*held{s.copies.moved, s.copies.backup} {
+		if h != nil && s.g.live(h.vm) {
+			return true
+		}
+	}
+	return false
+}
+
+// requestSwitch asks the relay to go on at an engine with a copy, and waits for
+// the outcome. It runs on the goroutine of the evacuation.
+func (s *stream) requestSwitch(ctx context.Context) bool {
+	s.copies.mu.Lock()
+	if s.copies.ended || s.copies.wanted != nil || !s.hasCopy() {
+		s.copies.mu.Unlock()
+		return false
+	}
+	wanted := make(chan bool, 1)
+	s.copies.wanted = wanted
+	s.copies.mu.Unlock()
+	select {
+	case ok := <-wanted:
+		return ok
+	case <-ctx.Done():
+	case <-s.ctx.Done():
+	}
+	return true
+}
+
+// switchWanted reports whether the run is to go on at the engine with its backup.
+func (s *stream) switchWanted() bool {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	return s.copies.wanted != nil
+}
+
+// switchOver opens a leg at an engine with a copy and ends the one before. If
+// that fails, the leg goes on.
+func (s *stream) switchOver(l *leg) *leg {
+	next := l
+	if h := s.takeCopy(); h != nil {
+		if opened, err := s.openCopy(h); err == nil {
+			next = opened
+			s.close(l, errSwitch)
+		} else {
+			s.returnCopy(h, err)
+		}
+	}
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	s.copies.wanted <- next != l
+	s.copies.wanted = nil
+	return next
+}
+
+// returnCopy keeps a backup that its engine did not have yet; it arrives within
+// some hundred milliseconds. Any other copy is dropped.
+func (s *stream) returnCopy(h *held, err error) {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	_, refused := errors.Into[*RefusedError](err)
+	if refused && s.copies.backup == nil && h.from.Address == h.vm.Address {
+		s.copies.backup = h
+		return
+	}
+	h.ticket.Release(0)
+}
+
+// openCopy opens a leg that goes on from a copy. The caller keeps the copy if
+// there is an error.
+func (s *stream) openCopy(h *held) (*leg, error) {
+	if h.from.Address != h.vm.Address {
+		s.acquireBackup(h.vm)
+	}
+	l, err := s.open(h.ticket, h.vm, &h.from)
+	s.log.Info("run_goes_on", zap.String("backend", h.vm.ID), zap.String("copy_at", h.from.Address),
+		zap.Int64("last_event", s.lastEvent), telemetry.Error(err))
+	return l, err
+}
+
+// relocate copies the run to another engine, at which the relay then goes on.
+// It runs on the goroutine of the evacuation.
+func (s *stream) relocate(ctx context.Context, vm vmlist.VM, order relocation.Order, noticed, leavesAt time.Duration) {
+	// Without the caller there is nothing to move.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)()
+	wait.Sleep(ctx, noticed+order.CopyAt-boottime.Now())
+	excluded := []string{vm.ID}
+	for range moveTries {
+		h, err := s.copyTo(ctx, vm, excluded)
+		fields := []zap.Field{
+			zap.String("backend", vm.ID), zap.Bool("fits", order.Fits), zap.Duration("planned", order.CopiedAt),
+			zap.Duration("since_notice", boottime.Now()-noticed), telemetry.Error(err),
+		}
+		if h != nil {
+			fields = append(fields, zap.String("target", h.vm.ID), zap.Bool("same_zone", h.vm.Zone == vm.Zone))
+			excluded = append(excluded, h.vm.ID)
+		}
+		s.log.Info("run_copied", fields...)
+		if h == nil || err == nil || boottime.Now() >= leavesAt {
+			break
+		}
+	}
+	s.requestSwitch(ctx)
+}
+
+// copyTo makes a copy of the run on another engine. It returns the engine that
+// was tried even if there is an error.
+func (s *stream) copyTo(ctx context.Context, source vmlist.VM, excluded []string) (*held, error) {
+	done, ok := s.beginCopy()
+	if !ok {
+		return nil, nil
+	}
+	defer close(done)
+	acquiring, cancel := context.WithTimeout(ctx, targetTimeout)
+	defer cancel()
+	ask := s.ask(excluded)
+	// A copy to another zone takes twice as long.
+	ask.Zone, ask.Resumed = source.Zone, true
+	ticket, vm, err := s.g.acquire(acquiring, ask)
+	if err != nil {
+		return nil, err
+	}
+	h := &held{ticket: ticket, vm: vm}
+	moving, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	moved, err := s.g.Engines.Move(moving, backend.Target{ID: source.ID, Address: source.Address},
+		Move{RunID: s.facts.ID, To: vm.Address})
+	if err != nil {
+		ticket.Release(0)
+		return h, err
+	}
+	h.from = Copy{Address: source.Address, Handle: moved.Handle}
+	s.addCopy(h)
+	return h, nil
+}
+
+// beginCopy notes that a copy is being made. It returns false if the stream has
+// ended or another copy is under way.
+func (s *stream) beginCopy() (chan struct{}, bool) {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	if s.copies.ended {
+		return nil, false
+	}
+	done := make(chan struct{})
+	s.copies.copying = done
+	return done, true
+}
+
+// addCopy keeps a complete copy, or frees it if the stream has ended.
+func (s *stream) addCopy(h *held) {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	if s.copies.ended {
+		s.g.background.Go(func() { s.discard(h) })
+		return
+	}
+	if old := s.copies.moved; old != nil {
+		old.ticket.Release(0)
+	}
+	s.copies.moved = h
+}
+
+// endCopies frees the copies that are not needed, since the stream has ended.
+// The engine frees a backup itself when the run has ended well, and after its
+// lifetime otherwise.
+func (s *stream) endCopies() {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	s.copies.ended = true
+	if s.copies.wanted != nil {
+		s.copies.wanted <- true
+		s.copies.wanted = nil
+	}
+	if s.copies.backup != nil {
+		s.copies.backup.ticket.Release(0)
+		s.copies.backup = nil
+	}
+	if h := s.copies.moved; h != nil {
+		s.copies.moved = nil
+		s.g.background.Go(func() { s.discard(h) })
+	}
+}
+
+// discard frees a copy that was moved and not used.
+func (s *stream) discard(h *held) {
+	h.ticket.Release(0)
+	ctx, cancel := context.WithTimeout(context.Background(), discardTimeout)
+	defer cancel()
+	err := s.g.Engines.Discard(ctx, backend.Target{ID: h.vm.ID, Address: h.from.Address}, h.from.Handle)
+	if err != nil {
+		// The copy ends by itself after its lifetime.
+		s.log.Info("copy_not_freed", zap.String("backend", h.vm.ID), telemetry.Error(err))
+	}
+}
+
+// endsWithin reports whether the run is sure to end within a time, by the
+// largest length of its output and the pace so far.
+func (s *stream) endsWithin(d time.Duration) bool {
+	made := s.made.Load()
+	if s.facts.MaxTokens <= 0 || made < 2 {
+		return false
+	}
+	perEvent := (boottime.Now() - time.Duration(s.firstAt.Load())) / time.Duration(made-1)
+	left := (s.facts.MaxTokens-s.tokens())/s.service.Engine.TokensPerEvent + 1
+	return time.Duration(left)*perEvent*2 < d
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
 // Options are the collaborators of a Gateway.
@@ -94,6 +95,9 @@
 	mayHaveRun bool
 	status     int
 	events     int
+	// queued is the time spent on waiting for an engine, firstEvent the time to
+	// the first event, longestPause the longest one between two events.
+	queued, firstEvent, longestPause time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -240,11 +244,11 @@
 	}
 	control := http.NewResponseController(c.w)
 	if err := control.SetReadDeadline(time.Now().Add(c.remaining())); err != nil {
-		c.log.Debug("read_deadline_failed", zap.Error(err))
+		c.log.Debug("read_deadline_failed", telemetry.Error(err))
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.snap.Routes.Limits.BodyBytes))
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		c.log.Debug("read_deadline_failed", zap.Error(err))
+		c.log.Debug("read_deadline_failed", telemetry.Error(err))
 	}
 	if tooLarge, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
@@ -284,6 +288,10 @@
 		zap.Int("status", c.status), zap.Int("events", c.events), zap.Int("sends", c.sends),
 		zap.Duration("elapsed", c.elapsed()),
 	}
+	if c.events > 0 {
+		fields = append(fields, zap.Duration("queued", c.queued), zap.Duration("first_event", c.firstEvent),
+			zap.Duration("longest_pause", c.longestPause))
+	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.String("organisation", c.organisationName()))
 	}
@@ -298,7 +306,7 @@
 		outcome = string(p.Outcome)
 		fields = append(fields, zap.String("problem", string(p.Kind())), zap.String("detail", p.Detail))
 		if p.Cause != nil {
-			fields = append(fields, zap.NamedError("cause", p.Cause))
+			fields = append(fields, telemetry.NamedError("cause", p.Cause))
 		}
 	case outcome == "":
 		outcome = "answered"
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -175,7 +176,7 @@
 	c.g.services.finish(vm.ID, o)
 	fields := []zap.Field{
 		zap.String("backend", vm.ID), zap.String("service", c.service.Name), zap.Int("send", c.sends),
-		zap.Duration("elapsed", boottime.Now()-started), zap.Error(err),
+		zap.Duration("elapsed", boottime.Now()-started), telemetry.Error(err),
 	}
 	if answer != nil {
 		fields = append(fields, zap.Int("status", answer.status), zap.Bool("not_run", answer.facts.NotRun))
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -10,11 +10,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
 // errAborted ends a request whose answer has begun and cannot be completed. The
@@ -94,7 +94,7 @@
 func (c *call) reject(p *api.Problem) {
 	body, err := json.Marshal(p)
 	if err != nil {
-		c.log.Error("problem_not_encoded", zap.Error(err))
+		c.log.Error("problem_not_encoded", telemetry.Error(err))
 	}
 	h := c.w.Header()
 	c.g.Edge.SetRequestID(h, c.facts.ID)
@@ -106,7 +106,7 @@
 	c.status = p.Status
 	c.w.WriteHeader(p.Status)
 	if _, err := c.w.Write(body); err != nil {
-		c.log.Debug("problem_not_delivered", zap.Error(err))
+		c.log.Debug("problem_not_delivered", telemetry.Error(err))
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,37 +17,53 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // maxStreamUnsent bounds engines that are tried before anything is sent.
 const maxStreamUnsent = 6
 
-// stream relays a series of events to a caller.
+// stream relays a series of events to a caller. Its methods run on the
+// goroutine of the request, unless they say otherwise.
 type stream struct {
 	*call
 	ctx context.Context
-	// lastEvent is the id of the last event that the caller has.
+	// lastEvent is the id of the last event that the caller has, lastAt the time
+	// of its arrival.
 	lastEvent int64
+	lastAt    time.Duration
 	// begun says that the caller has received the head of the answer.
 	begun    bool
 	excluded []string
 	unsent   int
-	// lastAt is the time of the last event, resumed says that one has arrived
-	// since the run was moved.
-	lastAt  time.Duration
-	resumed bool
-	// from is where the memory of the run lies for the next attempt, or nil.
-	from *Copy
-	// made is the number of events that the caller got in this attempt and
-	// before, firstAt the time of the first one.
+	// made is the number of events of the answer, firstAt the time of the first one.
 	made, firstAt atomic.Int64
 
-	movingMu sync.Mutex
-	moving   *moving
-	ended    bool
+	// copies is what is known of copies of the run's memory.
+	copies copies
 }
 
+// leg is the part of a stream that one engine produces.
+type leg struct {
+	ticket  dispatch.Ticket
+	vm      vmlist.VM
+	answer  *backend.Answer
+	reader  *eventReader
+	cancel  context.CancelFunc
+	started time.Duration
+	// from is the last event before the leg. A leg that goes on from a copy has
+	// resumed once its first event has arrived.
+	from     int64
+	fromCopy bool
+}
+
+// errAnswered says that the engine's own failure was handed to the caller.
+var errAnswered = errors.New("the engine's answer was delivered")
+
+// errSwitch ends a leg whose run is to go on at the engine with its backup.
+var errSwitch = errors.New("the run goes on at another engine")
+
 // EventOrderError reports an event that does not follow the one before.
 type EventOrderError struct{ Last, Got int64 }
 
@@ -74,93 +89,111 @@
 		}
 		s.lastEvent = n
 	}
-	return s.run()
+	err := s.run()
+	if errors.Is(err, errAnswered) {
+		return nil
+	}
+	return err
 }
 
-// run makes attempts until the stream is complete.
+// run relays legs until the stream is complete.
 func (s *stream) run() error {
-	defer s.endMoving()
-	ticket, vm, err := s.acquire()
-	for {
-		if err != nil {
-			return s.giveUp(err)
-		}
-		err = s.attempt(ticket, vm)
-		ticket.Release(s.tokens())
-		if err == nil || errors.Is(err, errAborted) {
-			return err
+	defer s.endCopies()
+	l, err := s.next(nil)
+	for err == nil {
+		err = s.relay(l)
+		if errors.Is(err, errSwitch) {
+			l, err = s.switchOver(l), nil
+			continue
 		}
-		if s.r.Context().Err() != nil {
+		s.close(l, err)
+		if err == nil {
 			return nil
 		}
-		if m := s.takeMoving(); m != nil {
-			s.log.Info("run_moved", zap.String("backend", m.source.ID), zap.String("target", m.target.ID),
-				zap.Int64("last_event", s.lastEvent))
-			s.resumed = false
-			s.from = &Copy{Address: m.source.Address, Handle: m.copied()}
-			ticket, vm, err = m.ticket, m.target, nil
-			continue
+		l, err = s.goOn(l, err)
+	}
+	return err
+}
+
+// next opens a leg for a request that starts anew, or goes on without a copy
+// after a failure.
+func (s *stream) next(cause error) (*leg, error) {
+	for {
+		if cause != nil && !s.mayGoOn(cause) {
+			return nil, s.giveUp(cause)
 		}
-		s.from = nil
-		s.excluded = append(s.excluded, vm.ID)
-		if !s.mayGoOn(err) {
-			return s.giveUp(err)
+		ticket, vm, err := s.acquire()
+		if err != nil {
+			return nil, s.giveUp(err)
+		}
+		s.acquireBackup(vm)
+		l, err := s.open(ticket, vm, nil)
+		if err == nil || errors.Is(err, errAnswered) {
+			return l, err
 		}
-		ticket, vm, err = s.acquire()
+		s.excluded = append(s.excluded, vm.ID)
+		cause = err
 	}
 }
 
-// tokens is the number of tokens that the caller has received.
-func (s *stream) tokens() int {
-	if s.service.Engine == nil {
-		return 0
+// goOn opens the leg after one that has ended early, from a copy of the run's
+// memory if there is one.
+func (s *stream) goOn(l *leg, cause error) (*leg, error) {
+	if s.r.Context().Err() != nil {
+		return nil, errAnswered
+	}
+	s.excluded = append(s.excluded, l.vm.ID)
+	s.awaitCopy()
+	for h := s.takeCopy(); h != nil; h = s.takeCopy() {
+		next, err := s.openCopy(h)
+		if err == nil {
+			return next, nil
+		}
+		h.ticket.Release(0)
+		cause = err
 	}
-	return int(s.made.Load()) * s.service.Engine.TokensPerEvent
+	return s.next(cause)
 }
 
-func (s *stream) hasBegun() bool { return s.made.Load() > 0 }
-
 // giveUp ends the request after the last attempt.
 func (s *stream) giveUp(err error) error {
 	if s.r.Context().Err() != nil {
-		return nil
+		return errAnswered
 	}
 	if s.begun {
-		s.log.Warn("stream_cut", zap.Int64("last_event", s.lastEvent), zap.Error(err))
+		s.log.Warn("stream_cut", zap.Int64("last_event", s.lastEvent), telemetry.Error(err))
 		return errAborted
 	}
 	return s.failure(err)
 }
 
-// mayGoOn reports whether the stream may go on at another engine.
+// mayGoOn reports whether the stream may go on at another engine without a copy.
 func (s *stream) mayGoOn(err error) bool {
-	if _, notSent := errors.Into[*backend.NotSentError](err); notSent {
+	if _, notSent := errors.Into[*backend.NotSentError](err); notSent && !s.begun {
 		s.unsent++
 		return s.unsent < maxStreamUnsent && s.remaining() > 0
 	}
 	return s.mayTryAgain(s.ctx)
 }
 
-// acquire obtains the right to run the request on an engine.
-func (s *stream) acquire() (dispatch.Ticket, vmlist.VM, error) {
-	ask := s.ask(s.excluded)
-	ticket, err := s.g.Admission.Acquire(s.ctx, ask)
-	if err != nil {
-		return nil, vmlist.VM{}, err
-	}
-	vm, ok := s.g.Snapshot().Backends[ticket.Backend().ID]
-	if !ok || vm.State != vmlist.StateLive {
-		ticket.Release(0)
-		return nil, vmlist.VM{}, &dispatch.NoBackendError{Model: ask.Model}
+// tokens is the number of tokens that the caller has received.
+func (s *stream) tokens() int {
+	if s.service.Engine == nil {
+		return 0
 	}
-	return ticket, vm, nil
+	return int(s.made.Load()) * s.service.Engine.TokensPerEvent
 }
 
+func (s *stream) hasBegun() bool { return s.made.Load() > 0 }
+
 // ask describes the request to the dispatcher of its engines.
 func (s *stream) ask(excluded []string) dispatch.Ask {
 	ask := dispatch.Ask{
 		Organisation: route.Anonymous, Model: route.Pool(s.service.Name, s.facts.Model),
-		PromptTokens: s.facts.PromptTokens, MaxTokens: s.facts.MaxTokens, Excluded: excluded, Zone: s.g.Zone,
+		PromptTokens: s.facts.PromptTokens + s.tokens(), MaxTokens: s.facts.MaxTokens, Excluded: excluded, Zone: s.g.Zone,
+	}
+	if ask.MaxTokens > 0 {
+		ask.MaxTokens = max(ask.MaxTokens-s.tokens(), 1)
 	}
 	if s.organisation != nil {
 		ask.Organisation = s.organisation.Name
@@ -168,18 +201,25 @@
 	return ask
 }
 
-// attempt runs the request on one engine and relays its events.
-func (s *stream) attempt(ticket dispatch.Ticket, vm vmlist.VM) error {
-	started := boottime.Now()
-	before, from := s.mayHaveRun, s.lastEvent
-	err := s.exchange(ticket, vm)
-	if _, refused := errors.Into[*RefusedError](err); refused && s.from == nil {
-		s.refusedUnrun(before)
-	}
-	s.log.Info("attempt_done", zap.String("backend", vm.ID), zap.String("service", s.service.Name),
-		zap.Int("send", s.sends), zap.Int64("from_event", from), zap.Int64("to_event", s.lastEvent),
-		zap.Duration("elapsed", boottime.Now()-started), zap.Error(err))
-	return err
+// acquire obtains the right to run the request on an engine.
+func (s *stream) acquire() (dispatch.Ticket, vmlist.VM, error) {
+	begin := boottime.Now()
+	defer func() { s.queued += boottime.Now() - begin }()
+	return s.g.acquire(s.ctx, s.ask(s.excluded))
+}
+
+// acquire obtains a ticket of a live engine.
+func (g *Gateway) acquire(ctx context.Context, ask dispatch.Ask) (dispatch.Ticket, vmlist.VM, error) {
+	ticket, err := g.Admission.Acquire(ctx, ask)
+	if err != nil {
+		return nil, vmlist.VM{}, err
+	}
+	vm, ok := g.Snapshot().Backends[ticket.Backend().ID]
+	if !ok || vm.State != vmlist.StateLive {
+		ticket.Release(0)
+		return nil, vmlist.VM{}, &dispatch.NoBackendError{Model: ask.Model}
+	}
+	return ticket, vm, nil
 }
 
 // RefusedError reports an answer that says that the request did not run.
@@ -192,44 +232,87 @@
 	return fmt.Sprintf("backend %s refused with status %d", e.Backend, e.Status)
 }
 
-func (s *stream) exchange(ticket dispatch.Ticket, vm vmlist.VM) error {
+// open sends the request to an engine and reads the head of its answer. from
+// names the memory from which the run goes on, nil for a run of its own. The
+// ticket of a run of its own is released if no leg is returned.
+func (s *stream) open(ticket dispatch.Ticket, vm vmlist.VM, from *Copy) (*leg, error) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	l := &leg{ticket: ticket, vm: vm, cancel: cancel, started: boottime.Now(), from: s.lastEvent, fromCopy: from != nil}
+	s.g.runs.add(vm, s)
+	if err := s.send(ctx, l, from); err != nil {
+		s.closeConnection(l, err)
+		if from == nil {
+			ticket.Release(0)
+		}
+		return nil, err
+	}
+	l.reader = newEventReader(l.answer)
+	return l, nil
+}
+
+func (s *stream) send(ctx context.Context, l *leg, from *Copy) error {
 	a := Attempt{
-		Server: vm, Remaining: s.remaining(), Organisation: s.organisationName(), Priority: s.priority(), Copy: s.from,
+		Server: l.vm, Remaining: s.remaining(), Organisation: s.organisationName(), Priority: s.priority(),
+		Copy: from, Backup: s.backupAddress(),
 	}
 	if s.lastEvent > 0 {
 		a.LastEvent = strconv.FormatInt(s.lastEvent, 10)
 	}
-	if err := s.checkConfirmed(); err != nil {
-		return &backend.NotSentError{Backend: vm.ID, Cause: err}
+	if err := s.checkConfirmed(); err != nil && from == nil {
+		return &backend.NotSentError{Backend: l.vm.ID, Cause: err}
 	}
-	s.g.runs.add(vm, s)
-	defer s.g.runs.remove(vm.ID, s)
-	answer, err := s.g.Exchanges.Do(s.ctx, backend.Target{ID: vm.ID, Address: vm.Address}, s.request(a))
-	if s.from == nil {
+	before := s.mayHaveRun
+	answer, err := s.g.Exchanges.Do(ctx, backend.Target{ID: l.vm.ID, Address: l.vm.Address}, s.request(a))
+	if from == nil {
 		s.attempted(err)
 	} else {
 		// The same run goes on, which is no further attempt.
 		s.g.budget.Charge(s.service.Name, boottime.Now())
 	}
 	if err != nil {
-		if _, notSent := errors.Into[*backend.NotSentError](err); notSent && s.ctx.Err() == nil {
-			s.g.Breaker.Refused(vm.ID)
+		if _, notSent := errors.Into[*backend.NotSentError](err); notSent && ctx.Err() == nil {
+			s.g.Breaker.Refused(l.vm.ID)
 		}
 		return err
 	}
-	defer answer.Close()
-	s.g.Breaker.Answered(vm.ID)
-	facts := s.g.Edge.Answer(answer.Status, answer.Header)
+	l.answer = answer
+	s.g.Breaker.Answered(l.vm.ID)
+	return s.accept(l, from != nil, before)
+}
+
+// accept checks the head of an answer.
+func (s *stream) accept(l *leg, fromCopy, ranBefore bool) error {
+	facts := s.g.Edge.Answer(l.answer.Status, l.answer.Header)
 	if facts.NotRun {
-		return &RefusedError{Backend: vm.ID, Status: answer.Status}
+		if !fromCopy {
+			s.refusedUnrun(ranBefore)
+		}
+		return &RefusedError{Backend: l.vm.ID, Status: l.answer.Status}
 	}
-	if answer.Status != http.StatusOK {
-		return s.failed(answer, vm)
+	if l.answer.Status != http.StatusOK {
+		return s.failed(l.answer, l.vm)
 	}
 	if !facts.Signed {
-		return &backend.UncertainError{Backend: vm.ID, Cause: &UnsignedError{Status: answer.Status}}
+		return &backend.UncertainError{Backend: l.vm.ID, Cause: &UnsignedError{Status: l.answer.Status}}
 	}
-	return s.relay(answer, ticket)
+	return nil
+}
+
+// close ends a leg.
+func (s *stream) close(l *leg, err error) {
+	s.closeConnection(l, err)
+	l.ticket.Release(s.tokens())
+}
+
+func (s *stream) closeConnection(l *leg, err error) {
+	s.g.runs.remove(l.vm.ID, s)
+	if l.answer != nil {
+		l.answer.Close()
+	}
+	l.cancel()
+	s.log.Info("attempt_done", zap.String("backend", l.vm.ID), zap.String("service", s.service.Name),
+		zap.Int("send", s.sends), zap.Bool("from_copy", l.fromCopy), zap.Int64("from_event", l.from),
+		zap.Int64("to_event", s.lastEvent), zap.Duration("elapsed", boottime.Now()-l.started), telemetry.Error(err))
 }
 
 // failed hands a failure of the engine to the caller, if nothing was sent yet.
@@ -241,7 +324,10 @@
 	if s.begun || promisesNotRun(answer.Status) {
 		return &backend.UncertainError{Backend: vm.ID, Cause: &backend.RejectedError{Backend: vm.ID, Status: answer.Status}}
 	}
-	return s.deliver(&plainAnswer{status: answer.Status, header: answer.Header, body: body})
+	if err := s.deliver(&plainAnswer{status: answer.Status, header: answer.Header, body: body}); err != nil {
+		return err
+	}
+	return errAnswered
 }
 
 // promisesNotRun reports whether a status tells the caller that the request has
@@ -255,13 +341,17 @@
 	}
 }
 
-// relay passes events on until the stream is complete.
-func (s *stream) relay(answer *backend.Answer, ticket dispatch.Ticket) error {
-	reader := newEventReader(answer)
+// relay passes the events of a leg on until the stream is complete. It returns
+// errSwitch when the run is to go on elsewhere.
+func (s *stream) relay(l *leg) error {
 	for {
-		event, err := reader.next()
+		if s.switchWanted() {
+			return errSwitch
+		}
+		event, err := l.reader.next()
 		if errors.Is(err, io.EOF) {
-			return s.complete(answer)
+			s.begin(l.answer) // a stream without events
+			return nil
 		}
 		if err != nil {
 			return err
@@ -273,10 +363,11 @@
 		if !fresh {
 			continue
 		}
-		if err := s.forward(answer, event, !reader.buffered()); err != nil {
+		if err := s.forward(l, event, !l.reader.buffered()); err != nil {
 			return err
 		}
-		ticket.Progress(s.tokens())
+		l.ticket.Progress(s.tokens())
+		s.backupProgress()
 	}
 }
 
@@ -299,19 +390,9 @@
 }
 
 // forward writes one event to the caller.
-func (s *stream) forward(answer *backend.Answer, event []byte, flush bool) error {
-	s.begin(answer)
-	s.events++
-	now := boottime.Now()
-	if s.from != nil && !s.resumed {
-		s.resumed = true
-		s.log.Info("run_resumed", zap.Duration("pause", now-s.lastAt), zap.Int64("event", s.lastEvent))
-	}
-	s.lastAt = now
-	if s.made.Add(1) == 1 {
-		s.firstAt.Store(int64(boottime.Now()))
-		s.g.Metrics.firstEvent.Update((boottime.Now() - s.arrived).Microseconds())
-	}
+func (s *stream) forward(l *leg, event []byte, flush bool) error {
+	s.begin(l.answer)
+	s.count(l)
 	if _, err := s.w.Write(event); err != nil {
 		return err
 	}
@@ -321,6 +402,23 @@
 	return http.NewResponseController(s.w).Flush()
 }
 
+// count notes the arrival of an event.
+func (s *stream) count(l *leg) {
+	now := boottime.Now()
+	s.events++
+	if s.made.Add(1) == 1 {
+		s.firstAt.Store(int64(now))
+		s.firstEvent = now - s.arrived
+		s.g.Metrics.firstEvent.Update(s.firstEvent.Microseconds())
+	} else {
+		s.longestPause = max(s.longestPause, now-s.lastAt)
+	}
+	if l.fromCopy && s.lastEvent == l.from+1 {
+		s.log.Info("run_resumed", zap.String("backend", l.vm.ID), zap.Duration("pause", now-s.lastAt), zap.Int64("event", s.lastEvent))
+	}
+	s.lastAt = now
+}
+
 // begin sends the head of the answer.
 func (s *stream) begin(answer *backend.Answer) {
 	if s.begun {
@@ -335,11 +433,6 @@
 	s.status = answer.Status
 	s.w.WriteHeader(answer.Status)
 	if err := http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(s.remaining() + answerGrace)); err != nil {
-		s.log.Debug("write_deadline_failed", zap.Error(err))
+		s.log.Debug("write_deadline_failed", telemetry.Error(err))
 	}
 }
-
-func (s *stream) complete(answer *backend.Answer) error {
-	s.begin(answer) // a stream without events
-	return nil
-}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -70,7 +70,7 @@
 // addresses, takes effect at the next start.
 func reload(log *zap.Logger) {
 	if _, err := platform.LoadSettings(); err != nil {
-		log.Error("settings_rejected", zap.Error(err))
+		log.Error("settings_rejected", telemetry.Error(err))
 		return
 	}
 	log.Info("settings_read")
--- a/scheduling/scheduling.go
+++ b/scheduling/scheduling.go
@@ -26,6 +26,8 @@
 	Streams, StreamLimit int
 	// PrefixBlocks is the number of the prompt's blocks that the engine has cached.
 	PrefixBlocks int
+	// Prefill is the number of prompt tokens still to be processed, as a part of memory.
+	Prefill float64
 	// Starting is set while the engine processes the prompt of a request granted before.
 	Starting bool
 }
@@ -138,6 +140,13 @@
 	return float64(c.PrefixBlocks) / float64(len(r.Prefix))
 }
 
+// LittlePrefill prefers engines with few prompt tokens to process before the
+// first token of a new request.
+type LittlePrefill struct{}
+
+// Score implements Scorer.
+func (LittlePrefill) Score(_ *Request, c *Candidate) float64 { return -c.Prefill }
+
 // SameZone prefers engines in the zone of the request. Bytes between zones cost
 // time and money.
 type SameZone struct{}
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -27,3 +27,15 @@
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), lvl)
 	return zap.New(core).With(zap.String("vm", vm))
 }
+
+// Error returns the field of an error, without the stack that zap.Error adds
+// for some types.
+func Error(err error) zap.Field { return NamedError("error", err) }
+
+// NamedError is Error under another name.
+func NamedError(name string, err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String(name, err.Error())
+}
