Read the store on three VMs of a region and tell the others

Ruled out: longer intervals of the confirmation. A revoked key must be refused within 5 s, a new configuration be in force within 2 s.

Change: the mesh of the product decides who reads, as for bundles. Heartbeats carry how long ago the store has confirmed the version in force; the receiver ages it from the moment at which it asked. All VMs send heartbeats to those that read. A VM whose confirmation is older than 1.7 s reads itself.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -66,7 +66,7 @@
 	watchWait = 25 * time.Second
 	// confirmInterval is the time between linearizable reads of the
 	// configuration, which also notice changes that a watch has missed.
-	confirmInterval = 1200 * time.Millisecond
+	confirmInterval = 800 * time.Millisecond
 	// retryPauseMin and retryPauseMax bound the pause after a failed call.
 	retryPauseMin = 100 * time.Millisecond
 	retryPauseMax = 400 * time.Millisecond
@@ -80,7 +80,7 @@
 	// leaseTime is the lease of the entry of this VM, renewed at a third of it.
 	leaseTime = 6 * time.Second
 	// roleCheck is the time between looks at whether this VM reads from the store now.
-	roleCheck = 200 * time.Millisecond
+	roleCheck = 100 * time.Millisecond
 )
 
 // Follower follows the store.
@@ -119,8 +119,8 @@
 func (f *Follower) Tasks() []func(context.Context) {
 	return []func(context.Context){
 		f.watchConfig, f.confirmConfig, f.announce,
-		func(ctx context.Context) { f.followPrefix(ctx, f.opts.Codec.ServerPrefix(), f.list.servers) },
-		func(ctx context.Context) { f.followPrefix(ctx, f.opts.Codec.VMPrefix(), f.list.members) },
+		func(ctx context.Context) { f.followPrefix(ctx, f.list.servers) },
+		func(ctx context.Context) { f.followPrefix(ctx, f.list.members) },
 		f.list.expireLapsed,
 	}
 }
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -24,12 +24,23 @@
 
 	mu               sync.Mutex
 	servers, members *section
+	// expired counts changes of the list without a change in the store since the
+	// last one there.
+	expired int64
+	// store is the revision of the store that was published last.
+	store int64
 }
 
+// revisionShift makes room below a revision of the store for changes without one.
+const revisionShift = 8
+
 // section holds the entries of one prefix.
 type section struct {
-	decode  func(kv.Entry) (vmlist.VM, error)
-	entries map[string]vmlist.VM
+	prefix string
+	// entryVMs says that the section holds entry VMs, and no backend servers.
+	entryVMs bool
+	decode   func(kv.Entry) (vmlist.VM, error)
+	entries  map[string]vmlist.VM
 	// lapsed maps entries that went missing around an outage to the time at
 	// which they count as gone.
 	lapsed   map[string]time.Duration
@@ -37,27 +48,38 @@
 }
 
 func newList(o Options, afterOutage func() bool) *list {
-	section := func(decode func(kv.Entry) (vmlist.VM, error)) *section {
-		return &section{decode: decode, entries: map[string]vmlist.VM{}, lapsed: map[string]time.Duration{}}
+	section := func(prefix string, entryVMs bool, decode func(kv.Entry) (vmlist.VM, error)) *section {
+		return &section{
+			prefix: prefix, entryVMs: entryVMs, decode: decode, entries: map[string]vmlist.VM{}, lapsed: map[string]time.Duration{},
+		}
+	}
+	return &list{
+		opts: o, afterOutage: afterOutage,
+		servers: section(o.Codec.ServerPrefix(), false, o.Codec.DecodeServer),
+		members: section(o.Codec.VMPrefix(), true, o.Codec.DecodeMember),
 	}
-	return &list{opts: o, afterOutage: afterOutage, servers: section(o.Codec.DecodeServer), members: section(o.Codec.DecodeMember)}
 }
 
 // followPrefix lists a prefix and then watches it.
-func (f *Follower) followPrefix(ctx context.Context, prefix string, s *section) {
-	dependency := newDependency(f.opts.Log, "store "+prefix)
+func (f *Follower) followPrefix(ctx context.Context, s *section) {
+	dependency := newDependency(f.opts.Log, "store "+s.prefix)
 	after := int64(-1)
+	reading := false
 	for ctx.Err() == nil {
 		if !f.opts.Reads() {
-			after = -1
+			after, reading = -1, false
 			wait.Sleep(ctx, roleCheck)
 			continue
 		}
+		if !reading {
+			reading = true
+			f.list.seed(s, f.opts.Loop.Snapshot().VMs.VMs)
+		}
 		var err error
 		if after < 0 {
-			after, err = f.relist(ctx, prefix, s)
+			after, err = f.relist(ctx, s)
 		} else {
-			after, err = f.watch(ctx, prefix, s, after)
+			after, err = f.watch(ctx, s, after)
 		}
 		f.note(dependency, err)
 		if err != nil {
@@ -68,8 +90,8 @@
 }
 
 // relist replaces the entries of a section and returns the revision to watch from.
-func (f *Follower) relist(ctx context.Context, prefix string, s *section) (int64, error) {
-	listing, err := f.opts.Store.List(ctx, prefix, kv.Linearizable)
+func (f *Follower) relist(ctx context.Context, s *section) (int64, error) {
+	listing, err := f.opts.Store.List(ctx, s.prefix, kv.Linearizable)
 	if err != nil {
 		return -1, err
 	}
@@ -79,10 +101,10 @@
 
 // watch waits for changes and returns the revision to continue from, -1 if the
 // prefix must be listed again.
-func (f *Follower) watch(ctx context.Context, prefix string, s *section, after int64) (int64, error) {
-	changes, err := f.opts.Store.WatchPrefix(ctx, prefix, after, watchWait)
+func (f *Follower) watch(ctx context.Context, s *section, after int64) (int64, error) {
+	changes, err := f.opts.Store.WatchPrefix(ctx, s.prefix, after, watchWait)
 	if _, ok := errors.Into[*kv.CompactedError](err); ok {
-		f.opts.Log.Warn("list_history_lost", zap.String("prefix", prefix), zap.Int64("revision", after))
+		f.opts.Log.Warn("list_history_lost", zap.String("prefix", s.prefix), zap.Int64("revision", after))
 		return -1, nil
 	}
 	if err != nil {
@@ -94,6 +116,19 @@
 	return changes.Revision, nil
 }
 
+// seed begins with the entries in force, which peers may have told, so that
+// those that lapse in an outage are known.
+func (l *list) seed(s *section, vms []vmlist.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.entries, s.lapsed = map[string]vmlist.VM{}, map[string]time.Duration{}
+	for _, vm := range vms {
+		if (vm.Role == vmlist.RoleEntry) == s.entryVMs {
+			s.entries[s.prefix+vm.ID] = vm
+		}
+	}
+}
+
 // replace takes a complete listing.
 func (l *list) replace(s *section, listing kv.Listing) {
 	l.mu.Lock()
@@ -182,19 +217,23 @@
 			if now >= until {
 				delete(s.lapsed, key)
 				delete(s.entries, key)
-				s.revision++ // The list changes without a change in the store.
 				changed = true
 			}
 		}
 	}
 	if changed {
+		l.expired++
 		l.publish()
 	}
 }
 
 // publish posts the joined list. The lock must be held.
 func (l *list) publish() {
-	out := &vmlist.List{Revision: max(l.servers.revision, l.members.revision)}
+	store := max(l.servers.revision, l.members.revision)
+	if store != l.store {
+		l.store, l.expired = store, 0
+	}
+	out := &vmlist.List{Revision: store<<revisionShift + min(l.expired, 1<<revisionShift-1)}
 	for _, s := range []*section{l.servers, l.members} {
 		for _, vm := range s.entries {
 			out.VMs = append(out.VMs, vm)
--- a/entry.go
+++ b/entry.go
@@ -90,6 +90,10 @@
 	peerFanout       = 4
 	peerHeartbeat    = 500 * time.Millisecond
 	peerSuspectAfter = 2 * time.Second
+	// confirmStaleAfter is the age of the confirmation of the configuration from
+	// which a VM no longer relies on its peers. It is below the least bound in
+	// which a new configuration must be in force, 2 s.
+	confirmStaleAfter = 1700 * time.Millisecond
 	// sweepInterval is the time between looks for expired connections.
 	sweepInterval = time.Second
 	// stopMargin is left of the grace time for the process to end.
@@ -106,24 +110,26 @@
 		exchanges: backend.NewExchanges(o.Edge.AnswerID), breaker: backend.NewBreaker(),
 	}
 	d := o.Deployment
-	e.follower = discovery.New(discovery.Options{
-		Self: vmlist.VM{
-			ID: d.VM, Role: vmlist.RoleEntry, State: vmlist.StateLive, Zone: d.Zone, Region: d.Region,
-			PeerAddress: d.Listen.Peers, Incarnation: time.Now().UnixMilli(),
-		},
-		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease, Log: o.Log,
-	})
 	var err error
 	e.mesh, err = newMesh(meshOptions{
 		VM: d.VM, Region: d.Region, Listen: d.Listen.Peers, Loop: e.loop, Metrics: e.metrics, Log: o.Log,
 		Peers: config.Peers{
 			Fanout: peerFanout, HeartbeatInterval: config.Duration(peerHeartbeat), SuspectAfter: config.Duration(peerSuspectAfter),
 		},
-		Sources: gossip.RouteSources(e.loop, o.Codec.DecodeConfig),
+		Sources:   gossip.RouteSources(e.loop, o.Codec.DecodeConfig),
+		Confirmed: true, StaleAfter: confirmStaleAfter,
 	})
 	if err != nil {
 		return nil, err
 	}
+	e.follower = discovery.New(discovery.Options{
+		Self: vmlist.VM{
+			ID: d.VM, Role: vmlist.RoleEntry, State: vmlist.StateLive, Zone: d.Zone, Region: d.Region,
+			PeerAddress: d.Listen.Peers, Incarnation: time.Now().UnixMilli(),
+		},
+		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease,
+		Reads: e.mesh.readsPlatform, Log: o.Log,
+	})
 	e.grants = e.newGrants()
 	e.gateway = gateway.New(gateway.Options{
 		VM: d.VM, Zone: d.Zone, Bounds: d.Bounds, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker,
--- a/membership/service.go
+++ b/membership/service.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 )
@@ -24,6 +25,13 @@
 	HeartbeatInterval, SuspectAfter time.Duration
 	// Versions returns the versions that heartbeats offer.
 	Versions func() (bundle, vmList int64)
+	// Confirmed returns when the platform was asked that last confirmed the
+	// offered bundle version, on the clock of package boottime. Nil or false
+	// means that it is not known.
+	Confirmed func() (at time.Duration, ok bool)
+	// Confirm is called when a peer tells that the platform has confirmed a
+	// version. It may be nil.
+	Confirm func(version int64, at time.Duration)
 	// Changed is called for each change of a suspicion.
 	Changed func(Change)
 	Log     *zap.Logger
@@ -49,8 +57,17 @@
 	sequence uint64
 	peers    map[string]PeerView
 	heard    time.Time
+	// extra holds peers that get heartbeats in addition to those of the core.
+	extra []string
+	// sentAt holds the times of the last heartbeats by sequence modulo its
+	// length, on the clock of package boottime.
+	sentAt [sentMemory]time.Duration
 }
 
+// sentMemory is the number of heartbeats whose time is remembered. An answer
+// that is older tells nothing.
+const sentMemory = 64
+
 // NewService returns a service; Run must be called to send heartbeats.
 func NewService(o Options) *Service {
 	now := time.Now()
@@ -110,6 +127,11 @@
 	}}
 	s.mu.Lock()
 	to := slices.Clone(s.core.Targets())
+	for _, id := range s.extra {
+		if !slices.Contains(to, id) {
+			to = append(to, id)
+		}
+	}
 	s.mu.Unlock()
 	for _, id := range to {
 		if err := s.transport.Send(id, m); err != nil {
@@ -124,6 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
+	s.sentAt[s.sequence%sentMemory] = boottime.Now()
 	return &peerpb.Heartbeat{
 		Sequence: s.sequence, BundleVersion: bundle, VmListRevision: vmList,
 		Incarnation: s.core.Incarnation(), Statuses: s.core.Statuses(time.Now()),
@@ -137,10 +160,45 @@
 	defer s.mu.Unlock()
 	return &peerpb.HeartbeatAck{
 		BundleVersion: bundle, VmListRevision: vmList, Incarnation: s.core.Incarnation(),
-		Statuses: s.core.Corrections(from, h.GetIncarnation(), h.GetStatuses()),
+		Statuses:     s.core.Corrections(from, h.GetIncarnation(), h.GetStatuses()),
+		Confirmation: s.confirmation(),
 	}
 }
 
+func (s *Service) confirmation() *peerpb.Confirmation {
+	if s.opts.Confirmed == nil {
+		return nil
+	}
+	at, ok := s.opts.Confirmed()
+	if !ok {
+		return nil
+	}
+	return &peerpb.Confirmation{AgeMs: uint64(max(boottime.Now()-at, 0)/time.Millisecond) + 1}
+}
+
+// confirm takes the confirmation of a peer. It is aged from the moment at which
+// the peer was asked, since the answer may have been on its way for long.
+func (s *Service) confirm(a *peerpb.HeartbeatAck) {
+	if a.GetConfirmation() == nil || s.opts.Confirm == nil {
+		return
+	}
+	s.mu.Lock()
+	known := a.GetSequence() <= s.sequence && s.sequence-a.GetSequence() < sentMemory
+	asked := s.sentAt[a.GetSequence()%sentMemory]
+	s.mu.Unlock()
+	if known {
+		s.opts.Confirm(a.GetBundleVersion(), asked-time.Duration(a.GetConfirmation().GetAgeMs())*time.Millisecond)
+	}
+}
+
+// SetExtra replaces the peers that get heartbeats in addition to those that the
+// arrangement of VMs gives.
+func (s *Service) SetExtra(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extra = ids
+}
+
 // Receive takes a heartbeat or an acknowledgement from a peer.
 func (s *Service) Receive(from string, m *peerpb.Membership) {
 	if h := m.GetHeartbeat(); h != nil {
@@ -148,6 +206,7 @@
 	}
 	if a := m.GetHeartbeatAck(); a != nil {
 		s.receive(from, a.GetIncarnation(), a.GetStatuses(), a.GetBundleVersion(), a.GetVmListRevision())
+		s.confirm(a)
 	}
 }
 
--- a/peers.go
+++ b/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/gossip"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/membership"
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
@@ -37,8 +39,13 @@
 	Loop               *control.Loop
 	// Sources hold the documents that VMs hand to each other.
 	Sources map[peerpb.DocumentKind]gossip.Source
-	Metrics metrics.Registry
-	Log     *zap.Logger
+	// Confirmed says that VMs tell each other how recently the platform has
+	// confirmed the configuration, and StaleAfter after which age a VM reads
+	// from the platform itself.
+	Confirmed  bool
+	StaleAfter time.Duration
+	Metrics    metrics.Registry
+	Log        *zap.Logger
 }
 
 // mesh connects a VM with other entry VMs: sessions, heartbeats with the
@@ -57,7 +64,7 @@
 // newMesh opens the peer listener and builds what rests on it.
 func newMesh(o meshOptions) (*mesh, error) {
 	m := &mesh{opts: o, gossip: gossip.New(o.Sources, o.Log)}
-	m.members = membership.NewService(membership.Options{
+	members := membership.Options{
 		VM: o.VM, Fanout: o.Peers.Fanout,
 		HeartbeatInterval: o.Peers.HeartbeatInterval.Std(), SuspectAfter: o.Peers.SuspectAfter.Std(),
 		Versions: func() (int64, int64) {
@@ -67,7 +74,11 @@
 			o.Loop.Post(control.SuspicionChanged{VM: c.VM, Suspect: c.Suspect})
 		},
 		Log: o.Log,
-	})
+	}
+	if o.Confirmed {
+		members.Confirmed, members.Confirm = m.confirmed, m.confirm
+	}
+	m.members = membership.NewService(members)
 	var err error
 	m.sessions, err = peer.Listen(peer.Options{
 		VM: o.VM, Listen: o.Listen, TLS: o.TLS,
@@ -81,6 +92,16 @@
 	return m, nil
 }
 
+// confirmed returns when the platform last confirmed the configuration in force.
+func (m *mesh) confirmed() (at time.Duration, ok bool) {
+	snap := m.opts.Loop.Snapshot()
+	return snap.RoutesConfirmed, snap.RoutesConfirmed > 0
+}
+
+func (m *mesh) confirm(version int64, at time.Duration) {
+	m.opts.Loop.Post(control.RoutesConfirmed{Version: version, At: at})
+}
+
 func (m *mesh) registerMetrics() {
 	for name, value := range map[string]func(gossip.Stats) int64{
 		"gossip.requests":      func(st gossip.Stats) int64 { return st.Requests },
@@ -169,7 +190,11 @@
 			m.members.Push()
 		}
 		last = snap
-		m.watcher.Store(m.isWatcher(snap))
+		watchers := m.watchers(snap)
+		m.watcher.Store(m.isWatcher(snap, watchers))
+		if m.opts.Confirmed {
+			m.members.SetExtra(slices.DeleteFunc(watchers, func(id string) bool { return id == m.opts.VM }))
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -190,15 +215,19 @@
 
 // isWatcher reports whether this VM reads from the platform: as one of the
 // watchers of its region, or because no peer can tell it what it needs.
-func (m *mesh) isWatcher(snap *control.Snapshot) bool {
+func (m *mesh) isWatcher(snap *control.Snapshot, watchers []string) bool {
 	if snap.Bundle == nil || snap.VMs.Revision == 0 {
 		return true
 	}
 	if !slices.Contains(entryIDs(snap.VMs.VMs), m.opts.VM) {
 		return true
 	}
-	top := rendezvous.Top(watcherKeyPrefix+m.opts.Region, m.regionVMs(snap), watchersPerRegion)
-	return slices.Contains(top, m.opts.VM)
+	return slices.Contains(watchers, m.opts.VM)
+}
+
+// watchers returns the VMs of the region that read from the platform.
+func (m *mesh) watchers(snap *control.Snapshot) []string {
+	return rendezvous.Top(watcherKeyPrefix+m.opts.Region, m.regionVMs(snap), watchersPerRegion)
 }
 
 // regionVMs returns the live VMs of this VM's region.
@@ -212,5 +241,10 @@
 	return vms
 }
 
-// readsPlatform is true for watchers and for a VM that hears no peer.
-func (m *mesh) readsPlatform() bool { return m.watcher.Load() || m.members.Isolated() }
+// readsPlatform is true for watchers, for a VM that hears no peer, and for one
+// whose peers tell no recent confirmation.
+func (m *mesh) readsPlatform() bool { return m.watcher.Load() || m.members.Isolated() || m.stale() }
+
+func (m *mesh) stale() bool {
+	return m.opts.Confirmed && boottime.Now()-m.opts.Loop.Snapshot().RoutesConfirmed > m.opts.StaleAfter
+}
