Grant room for a run that must leave its engine at once

Cause: a stream test on the platform's protocol (test/platform) cut drafts when engines left 300 ms after their notice: the room for the copy waited in the queue of new requests, and a run that had switched had no further backup.

Change: Ask.Resumed is decided at once by what runs hold now. A run gets a new backup whenever it goes on elsewhere. Package edge holds the types between the request path and the platform, so that platform imports no package of decisions.

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -46,8 +46,8 @@
 	held, concentration float64
 	waiting             map[RequestID]*flowcontrol.Item[*waitingRequest]
 	streams             map[RequestID]*stream
-	// spares are grants of room for copies that Next has not returned yet.
-	spares  []Grant
+	// decided are grants of room for copies that Next has not returned yet.
+	decided []Grant
 	reduced bool
 
 	// Buffers of a routing decision, reused.
@@ -135,8 +135,8 @@
 	if !f.usable(r.Excluded) {
 		return &NoBackendError{Model: r.Model}
 	}
-	if r.Spare {
-		return f.submitSpare(now, r)
+	if r.Spare || r.Resumed {
+		return f.submitCopy(now, r)
 	}
 	a, length := f.accounts[r.Organisation], f.queue.LenOf(r.Organisation)
 	if a == nil || a.drain.Wait(now, length) > f.tuning.maxWait {
--- /dev/null
+++ b/dispatch/faircopy.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import "time"
+
+// spareReserve is the part of an engine's memory that stays free beside the
+// projected peak when room for a spare copy is granted. Copies must not take the
+// room of runs that are still to come.
+const spareReserve = 0.12
+
+// submitCopy grants room for a copy of a run at once, or returns a
+// *NoBackendError. A spare copy needs plenty of room. One of a run that must
+// leave its engine needs room for what the run holds now: a later shortage may
+// preempt a run, while without room the run is lost. The organisation pays
+// nothing, since it pays for the run.
+func (f *fair) submitCopy(now time.Time, r Request) error {
+	if r.Spare && f.queue.Len() > 0 {
+		return &NoBackendError{Model: r.Model}
+	}
+	waiting := &waitingRequest{Request: r, submitted: now}
+	e := f.chooseCopy(now, waiting)
+	if e == nil {
+		return &NoBackendError{Model: r.Model}
+	}
+	s := f.start(now, r.ID, &r.Ask, e, 0)
+	s.unpaid = true
+	f.hold(s.organisation, -s.usage.Current)
+	f.decided = append(f.decided, Grant{Request: r.ID, Backend: e.id, Priority: f.priority(waiting)})
+	return nil
+}
+
+// chooseCopy returns the engine with the best score among those with room.
+func (f *fair) chooseCopy(now time.Time, r *waitingRequest) *engine {
+	f.refreshNext(now)
+	f.candidates = f.candidates[:0]
+	f.top = f.index.Top(candidatesByRoom+len(r.Excluded), f.top[:0])
+	for _, handle := range f.top {
+		e := f.handles[handle]
+		f.consider(now, r, e, 0)
+		last := &f.candidates[len(f.candidates)-1]
+		last.Starting = false // a copy processes no prompt
+		if r.Spare {
+			last.Free -= spareReserve
+		} else if last.Free < 0 {
+			last.Free = e.freeNow(float64(r.PromptTokens))
+		}
+	}
+	return f.chosen(r)
+}
+
+// freeNow returns 0 if one more run of this size fits without what the runs
+// will add, and -1 otherwise.
+func (e *engine) freeNow(tokens float64) float64 {
+	if e.blocks > 0 && e.current+tokens > float64(e.blocks*e.blockTokens) {
+		return -1
+	}
+	return 0
+}
--- a/dispatch/fairnext.go
+++ b/dispatch/fairnext.go
@@ -26,8 +26,8 @@
 
 // Next implements Core.
 func (f *fair) Next(now time.Time) []Grant {
-	grants := f.spares
-	f.spares = nil
+	grants := f.decided
+	f.decided = nil
 	if f.queue.Len() == 0 {
 		return grants
 	}
@@ -140,9 +140,7 @@
 	e.grantAt = now
 	aged := f.aged(now, r)
 	s := f.start(now, r.ID, &r.Ask, e, 0)
-	if !r.Resumed {
-		s.prefill(r.PromptTokens)
-	}
+	s.prefill(r.PromptTokens)
 	if aged {
 		s.aged = true
 		e.aged++
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -25,8 +25,8 @@
 	shared int
 	// aged marks a stream that uses the reserve because of its wait.
 	aged bool
-	// spare marks room for a copy, which no organisation pays for.
-	spare    bool
+	// unpaid marks room for a copy, which no organisation pays for.
+	unpaid   bool
 	engine   *engine
 	usage    flowcontrol.Usage
 	tokens   int
@@ -131,7 +131,7 @@
 	e.window.Remove(s.usage)
 	e.window.Add(usage)
 	e.current += usage.Current - s.usage.Current
-	if !s.spare {
+	if !s.unpaid {
 		f.hold(s.organisation, usage.Current-s.usage.Current)
 	}
 	s.usage = usage
@@ -156,7 +156,7 @@
 		return
 	}
 	tokens = max(tokens, s.tokens)
-	if !s.spare {
+	if !s.unpaid {
 		f.charge(s, float64(s.promptTokens+tokens)-s.charged)
 		if f.queue.Entitled(s.organisation) {
 			f.estimator.Learn(s.organisation, s.model, tokens)
@@ -169,7 +169,7 @@
 	if s.aged {
 		e.aged--
 	}
-	if !s.spare {
+	if !s.unpaid {
 		f.hold(s.organisation, -s.usage.Current)
 	}
 	e.window.Remove(s.usage)
@@ -187,8 +187,8 @@
 	}
 	f.Withdraw(now, h.Request)
 	s := f.start(now, h.Request, &h.Ask, f.engine(h.Backend), h.Tokens)
-	if h.Ask.Spare {
-		s.spare = true
+	if h.Ask.Spare || h.Ask.Resumed {
+		s.unpaid = true
 		f.hold(s.organisation, -s.usage.Current)
 	}
 	// The dispatcher that granted the stream has charged what it produced so far.
--- a/gateway/edge.go
+++ b/edge/edge.go
@@ -1,9 +1,7 @@
-// Package gateway serves requests on the routes of the operator's
-// configuration: it decides whether a request may run, chooses backend servers,
-// relays the answer and repeats what may be repeated. It knows neither the
-// bodies nor the names of the protocol that callers and backend servers speak;
-// an Edge translates those.
-package gateway
+// Package edge holds the types that stand between the request path and the
+// protocol that callers and backend servers speak: what is known of a request,
+// an attempt and an answer, and the interfaces that translate them.
+package edge
 
 import (
 	"net/http"
@@ -81,8 +79,8 @@
 // Load is what a backend server tells about its work.
 type Load struct{ Running, Waiting, Slots int }
 
-// Edge translates between a protocol and the types of this package.
-type Edge interface {
+// Codec translates between a protocol and the types of this package.
+type Codec interface {
 	// Decode returns the facts about a request of a caller.
 	Decode(h http.Header) Facts
 	// Forward returns the headers of a request that a backend server gets in
--- a/gateway/engine.go
+++ b/edge/engine.go
@@ -1,4 +1,4 @@
-package gateway
+package edge
 
 import (
 	"context"
--- a/entry.go
+++ b/entry.go
@@ -5,7 +5,6 @@
 	"hash/maphash"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 	"github.com/vanillaarch/vanillaarch/discovery"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/dispatch/grant"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/gateway"
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
@@ -34,9 +34,9 @@
 	// Store is the platform's key-value service.
 	Store discovery.Store
 	Codec discovery.Codec
-	Edge  gateway.Edge
+	Edge  edge.Codec
 	// Engines returns the client of engines over the exchanges of the VM.
-	Engines func(*backend.Exchanges) gateway.EngineClient
+	Engines func(*backend.Exchanges) edge.EngineClient
 	Log     *zap.Logger
 }
 
@@ -67,9 +67,6 @@
 	headerTimeout = 10 * time.Second
 	// callerIdleTimeout applies until a configuration states another.
 	callerIdleTimeout = 30 * time.Second
-	// memoryPart is the part of the VM's memory at which the garbage collector
-	// works harder.
-	memoryPart = 0.55
 	// localStreams bounds the streams of one engine that this VM starts without
 	// its dispatcher.
 	localStreams = 2
@@ -104,7 +101,6 @@
 
 // NewEntry returns an entry VM that listens on its addresses. Run must be called to serve.
 func NewEntry(o EntryOptions) (*Entry, error) {
-	debug.SetMemoryLimit(int64(memoryPart * float64(o.Deployment.Limits.MemoryBytes)))
 	e := &Entry{
 		opts: o, log: o.Log, loop: control.NewLoop(o.Log, time.Now), metrics: metrics.NewRegistry(),
 		exchanges: backend.NewExchanges(o.Edge.AnswerID), breaker: backend.NewBreaker(),
@@ -125,7 +121,7 @@
 	e.follower = discovery.New(discovery.Options{
 		Self: vmlist.VM{
 			ID: d.VM, Role: vmlist.RoleEntry, State: vmlist.StateLive, Zone: d.Zone, Region: d.Region,
-			PeerAddress: d.Listen.Peers, Incarnation: time.Now().UnixMilli(),
+			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(),
 		},
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease,
 		Reads: e.mesh.readsPlatform, Log: o.Log,
@@ -295,5 +291,16 @@
 	}
 }
 
+// EntryAddresses are the addresses in use, as IP:port.
+type EntryAddresses struct{ Callers, Ready, Peers, Metrics string }
+
+// Addresses returns the addresses of the listeners.
+func (e *Entry) Addresses() EntryAddresses {
+	return EntryAddresses{
+		Callers: e.listeners[0].Addr().String(), Ready: e.listeners[1].Addr().String(),
+		Metrics: e.listeners[2].Addr().String(), Peers: e.mesh.sessions.Addr(),
+	}
+}
+
 // Snapshot returns the control state.
 func (e *Entry) Snapshot() *control.Snapshot { return e.loop.Snapshot() }
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/relocation"
@@ -35,7 +36,7 @@
 type held struct {
 	ticket dispatch.Ticket
 	vm     vmlist.VM
-	from   Copy
+	from   edge.Copy
 }
 
 const (
@@ -65,7 +66,7 @@
 	}
 	s.copies.mu.Lock()
 	defer s.copies.mu.Unlock()
-	s.copies.backup = &held{ticket: ticket, vm: vm, from: Copy{Address: vm.Address, Handle: s.facts.ID}}
+	s.copies.backup = &held{ticket: ticket, vm: vm, from: edge.Copy{Address: vm.Address, Handle: s.facts.ID}}
 }
 
 func (s *stream) backupAddress() string {
@@ -186,20 +187,21 @@
 func (s *stream) returnCopy(h *held, err error) {
 	s.copies.mu.Lock()
 	defer s.copies.mu.Unlock()
-	_, refused := errors.Into[*RefusedError](err)
-	if refused && s.copies.backup == nil && h.from.Address == h.vm.Address {
-		s.copies.backup = h
+	if _, refused := errors.Into[*RefusedError](err); !refused || h.from.Address != h.vm.Address {
+		h.ticket.Release(0)
 		return
 	}
-	h.ticket.Release(0)
+	if unused := s.copies.backup; unused != nil {
+		// It was meant for the run at the other engine.
+		unused.ticket.Release(0)
+	}
+	s.copies.backup = h
 }
 
 // openCopy opens a leg that goes on from a copy. The caller keeps the copy if
 // there is an error.
 func (s *stream) openCopy(h *held) (*leg, error) {
-	if h.from.Address != h.vm.Address {
-		s.acquireBackup(h.vm)
-	}
+	s.acquireBackup(h.vm)
 	l, err := s.open(h.ticket, h.vm, &h.from)
 	s.log.Info("run_goes_on", zap.String("backend", h.vm.ID), zap.String("copy_at", h.from.Address),
 		zap.Int64("last_event", s.lastEvent), telemetry.Error(err))
@@ -254,12 +256,12 @@
 	moving, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	moved, err := s.g.Engines.Move(moving, backend.Target{ID: source.ID, Address: source.Address},
-		Move{RunID: s.facts.ID, To: vm.Address})
+		edge.Move{RunID: s.facts.ID, To: vm.Address})
 	if err != nil {
 		ticket.Release(0)
 		return h, err
 	}
-	h.from = Copy{Address: source.Address, Handle: moved.Handle}
+	h.from = edge.Copy{Address: source.Address, Handle: moved.Handle}
 	s.addCopy(h)
 	return h, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
@@ -31,8 +32,8 @@
 	Exchanges *backend.Exchanges
 	// Breaker tracks engines that accept no connection.
 	Breaker *backend.Breaker
-	Engines EngineClient
-	Edge    Edge
+	Engines edge.EngineClient
+	Edge    edge.Codec
 	Log     *zap.Logger
 	Metrics *Metrics
 }
@@ -76,7 +77,7 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	log   *zap.Logger
-	facts Facts
+	facts edge.Facts
 	snap  *control.Snapshot
 	route *route.Route
 	// service is the target of the route that the request was assigned to.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/balance"
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -70,7 +71,7 @@
 	return snap.Backends[chosen.ID], true
 }
 
-func (l *serviceLoad) report(id string, load *Load) {
+func (l *serviceLoad) report(id string, load *edge.Load) {
 	if load == nil {
 		return
 	}
@@ -90,7 +91,7 @@
 	status int
 	header http.Header
 	body   []byte
-	facts  AnswerFacts
+	facts  edge.AnswerFacts
 }
 
 // usable reports whether the answer is worth no further attempt.
@@ -201,7 +202,7 @@
 }
 
 func (c *call) exchangePlain(ctx context.Context, vm vmlist.VM) (*plainAnswer, error) {
-	request := c.request(Attempt{
+	request := c.request(edge.Attempt{
 		Server: vm, Remaining: c.remaining(), Organisation: c.organisationName(), Priority: c.priority(),
 	})
 	if c.route.Kind == route.AtMostOnce {
@@ -239,7 +240,7 @@
 }
 
 // request returns the request of one attempt.
-func (c *call) request(a Attempt) *backend.Request {
+func (c *call) request(a edge.Attempt) *backend.Request {
 	h := c.g.Edge.Forward(c.r.Header)
 	c.g.Edge.Attempt(h, a)
 	return &backend.Request{
--- a/gateway/relocate.go
+++ b/gateway/relocate.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/relocation"
@@ -194,7 +195,7 @@
 }
 
 // reportOf asks a leaving engine for its runs and the time of its departure.
-func (g *Gateway) reportOf(ctx context.Context, vm vmlist.VM) EngineReport {
+func (g *Gateway) reportOf(ctx context.Context, vm vmlist.VM) edge.EngineReport {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := g.Engines.Report(ctx, backend.Target{ID: vm.ID, Address: vm.Address})
@@ -207,7 +208,7 @@
 }
 
 // plannedRuns joins the runs that the engine reported with those of this VM.
-func (g *Gateway) plannedRuns(vm vmlist.VM, report EngineReport, service *route.Service) []relocation.Run {
+func (g *Gateway) plannedRuns(vm vmlist.VM, report edge.EngineReport, service *route.Service) []relocation.Run {
 	var runs []relocation.Run
 	seen := map[string]bool{}
 	for _, r := range report.Runs {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -235,7 +236,7 @@
 // open sends the request to an engine and reads the head of its answer. from
 // names the memory from which the run goes on, nil for a run of its own. The
 // ticket of a run of its own is released if no leg is returned.
-func (s *stream) open(ticket dispatch.Ticket, vm vmlist.VM, from *Copy) (*leg, error) {
+func (s *stream) open(ticket dispatch.Ticket, vm vmlist.VM, from *edge.Copy) (*leg, error) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	l := &leg{ticket: ticket, vm: vm, cancel: cancel, started: boottime.Now(), from: s.lastEvent, fromCopy: from != nil}
 	s.g.runs.add(vm, s)
@@ -250,8 +251,8 @@
 	return l, nil
 }
 
-func (s *stream) send(ctx context.Context, l *leg, from *Copy) error {
-	a := Attempt{
+func (s *stream) send(ctx context.Context, l *leg, from *edge.Copy) error {
+	a := edge.Attempt{
 		Server: l.vm, Remaining: s.remaining(), Organisation: s.organisationName(), Priority: s.priority(),
 		Copy: from, Backup: s.backupAddress(),
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -12,7 +13,7 @@
 
 	"github.com/vanillaarch/vanillaarch"
 	"github.com/vanillaarch/vanillaarch/backend"
-	"github.com/vanillaarch/vanillaarch/gateway"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/platform"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -34,17 +35,21 @@
 	return cmd
 }
 
+// memoryPart is the part of the VM's memory at which the garbage collector works harder.
+const memoryPart = 0.55
+
 func runEntry(level string) error {
 	deployment, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(deployment.Limits.MemoryBytes)))
 	log := telemetry.NewLogger(os.Stdout, level, deployment.VM)
 	store := platform.NewStore(deployment.Store.Address, platform.StoreTimeout)
 	defer store.Close()
 	entry, err := vanillaarch.NewEntry(vanillaarch.EntryOptions{
-		Deployment: deployment, Store: store, Codec: platform.Codec{}, Edge: platform.Edge{}, Log: log,
-		Engines: func(x *backend.Exchanges) gateway.EngineClient { return platform.Engines{Exchanges: x} },
+		Deployment: deployment, Store: store, Codec: platform.Entries{}, Edge: platform.Headers{}, Log: log,
+		Engines: func(x *backend.Exchanges) edge.EngineClient { return platform.Engines{Exchanges: x} },
 	})
 	if err != nil {
 		return errors.Wrap(err, "start")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -175,7 +175,7 @@
 
 func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
 	if e.before(w, r) {
-		writeJSON(w, e.runner.load())
+		WriteJSON(w, e.runner.load())
 	}
 }
 
@@ -192,7 +192,7 @@
 	if events == nil {
 		events = []dispatch.CacheEvent{}
 	}
-	writeJSON(w, events)
+	WriteJSON(w, events)
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, offset int) {
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -43,7 +43,7 @@
 		changed: make(chan struct{}), calls: map[string]int64{},
 	}
 	s.mux.HandleFunc("PUT /faults", s.serveFaults)
-	s.mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Calls()) })
+	s.mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, s.Calls()) })
 	s.handle("GET /v1/kv/{key}", "get", s.get)
 	s.handle("PUT /v1/kv/{key}", "put", s.put)
 	s.handle("POST /v1/leases", "lease", s.grant)
@@ -154,7 +154,7 @@
 	lease, _ := strconv.ParseInt(r.Header.Get(kv.HeaderLease), 10, 64)
 	status, revision := s.swap(key, value, prev, kv.LeaseID(lease))
 	if s.Get().LoseAnswers {
-		drop(w)
+		Drop(w)
 		return
 	}
 	w.Header().Set(kv.HeaderRevision, strconv.FormatInt(revision, 10))
@@ -197,10 +197,10 @@
 	s.leases[body.ID] = &kvLease{ttl: ttl, expires: time.Now().Add(ttl)}
 	s.mu.Unlock()
 	if s.Get().LoseAnswers {
-		drop(w)
+		Drop(w)
 		return
 	}
-	writeJSON(w, body)
+	WriteJSON(w, body)
 }
 
 func (s *KV) keepAlive(w http.ResponseWriter, r *http.Request) {
@@ -223,7 +223,7 @@
 	}
 	switch {
 	case s.Get().LoseAnswers:
-		drop(w)
+		Drop(w)
 	case !ok:
 		w.WriteHeader(http.StatusNotFound)
 	}
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -76,7 +76,7 @@
 
 // handleOrders adds POST /orders and GET /orders to a backend server.
 func (b *orderBook) handleOrders(mux *http.ServeMux, faults *faultSwitch) {
-	mux.HandleFunc("GET /orders", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Orders()) })
+	mux.HandleFunc("GET /orders", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, b.Orders()) })
 	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
 		if !faults.before(w, r) {
 			return
@@ -93,7 +93,7 @@
 		}
 		status := b.apply(o, token)
 		if faults.Get().LoseAnswers {
-			drop(w)
+			Drop(w)
 			return
 		}
 		w.WriteHeader(status)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -26,7 +26,7 @@
 	s := &Service{mux: http.NewServeMux(), runs: map[string]int{}}
 	s.mux.HandleFunc("PUT /faults", s.serveFaults)
 	s.handleOrders(s.mux, &s.faultSwitch)
-	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
+	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, s.Runs()) })
 	s.mux.HandleFunc("POST /", s.call)
 	return s
 }
@@ -59,8 +59,8 @@
 	s.runs[r.Header.Get(api.HeaderIdempotencyKey)]++
 	s.mu.Unlock()
 	if s.Get().LoseAnswers {
-		drop(w)
+		Drop(w)
 		return
 	}
-	writeJSON(w, map[string]any{"run": run, "organisation": r.Header.Get(api.HeaderOrganisation), "echo": string(body)})
+	WriteJSON(w, map[string]any{"run": run, "organisation": r.Header.Get(api.HeaderOrganisation), "echo": string(body)})
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -84,7 +84,7 @@
 func (s *faultSwitch) before(w http.ResponseWriter, r *http.Request) bool {
 	f := s.take()
 	if f.Down {
-		drop(w)
+		Drop(w)
 		return false
 	}
 	if f.HangNext > 0 {
@@ -104,8 +104,8 @@
 	return true
 }
 
-// drop closes the connection without an answer.
-func drop(w http.ResponseWriter) {
+// Drop closes the connection without an answer.
+func Drop(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
 		_ = conn.Close()
@@ -141,7 +141,8 @@
 // Shutdown ends the server after its requests.
 func (s *Server) Shutdown(ctx context.Context) { _ = s.http.Shutdown(ctx) }
 
-func writeJSON(w http.ResponseWriter, v any) {
+// WriteJSON answers with a value.
+func WriteJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -93,7 +93,7 @@
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	writeJSON(w, list)
+	WriteJSON(w, list)
 }
 
 func (s *VMList) put(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -53,7 +53,7 @@
 func NewWeights(o WeightsOptions) *Weights {
 	s := &Weights{mux: http.NewServeMux(), opts: o}
 	s.mux.HandleFunc("PUT /faults", s.serveFaults)
-	s.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Stats()) })
+	s.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, s.Stats()) })
 	s.mux.HandleFunc("GET /weights/{model}", s.get)
 	return s
 }
--- /dev/null
+++ b/test/platform/path_test.go
@@ -0,0 +1,218 @@
+package platform_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
+)
+
+// Guards against a path that does not serve each kind of request as its backend
+// server answered it.
+func TestFourKinds(t *testing.T) {
+	s := newSite(t, options{vms: 2, engines: 2, desks: 2, events: 12, interval: 2 * time.Millisecond})
+	for _, v := range s.vms {
+		for _, a := range []ask{book(), look()} {
+			got := s.send(v, a)
+			if got.status != http.StatusOK || !strings.HasPrefix(got.body, a.method+" "+a.path+" by desk-") ||
+				got.header.Get("Response-Signature") == "" || got.header.Get("Request-Id") != got.id {
+				t.Errorf("%s: %+v", a.path, got)
+			}
+		}
+		for _, a := range []ask{draft(), check()} {
+			if err := wholeStream(s.send(v, a), 12); err != nil {
+				t.Errorf("%s: %v", a.path, err)
+			}
+		}
+	}
+}
+
+// Guards against a key, or a header that only this system may set, that reaches
+// a backend server as the caller sent it, and against a missing organisation.
+func TestHeadersOfAttempts(t *testing.T) {
+	s := newSite(t, options{vms: 1, engines: 1, desks: 1, events: 2, interval: time.Millisecond})
+	a := draft()
+	for _, name := range []string{"Kv-From", "Kv-Backup", "Kv-Fetch", "Hold", "Pin-Ms", "Tenant", "Expect-Instance", "Request-Priority"} {
+		a.header[name] = "forged"
+	}
+	a.header["Connection"] = "Request-Id, X-Hop"
+	a.header["X-Hop"] = "1"
+	a.header["X-Kept"] = "2"
+	got := s.send(s.vms[0], a)
+	if err := wholeStream(got, 2); err != nil {
+		t.Fatal(err)
+	}
+	h := s.engines[0].Header(got.id)
+	for name, values := range h {
+		if values[0] == "forged" || name == "Authorization" || name == "X-Hop" {
+			t.Errorf("the engine got %s: %s", name, values[0])
+		}
+	}
+	if h.Get("Tenant") != "acme" || h.Get("Expect-Instance") != "engine-0" || h.Get("X-Kept") != "2" || h.Get("Token-Count") != "3000,4000" {
+		t.Errorf("the engine got %v", h)
+	}
+}
+
+// Guards against wrong refusals: an unknown path, an unknown key, no key.
+func TestRefusals(t *testing.T) {
+	s := newSite(t, options{vms: 1, desks: 1})
+	for _, c := range []struct {
+		name   string
+		change func(*ask)
+		status int
+	}{
+		{"path", func(a *ask) { a.path = "/nowhere/1" }, http.StatusNotFound},
+		{"key", func(a *ask) { a.key = "other" }, http.StatusUnauthorized},
+		{"no key", func(a *ask) { a.key = "" }, http.StatusUnauthorized},
+		{"body", func(a *ask) { a.body = strings.Repeat("x", 70_000) }, http.StatusRequestEntityTooLarge},
+	} {
+		a := book()
+		c.change(&a)
+		if got := s.send(s.vms[0], a); got.status != c.status || len(s.fleet.Runs(got.id)) != 0 {
+			t.Errorf("%s: %+v ran on %v", c.name, got, s.fleet.Runs(got.id))
+		}
+	}
+}
+
+// Guards against a second run of work that may run once, and against an untrue
+// "not run", whatever its backend server does.
+func TestAtMostOnce(t *testing.T) {
+	s := newSite(t, options{vms: 1, desks: 2})
+	for name, f := range map[string]userplatform.ServerFaults{
+		"fail": {Fail: true}, "hang": {Hang: true}, "truncate": {Truncate: true}, "unsigned": {Unsigned: true}, "shed": {Shed: true},
+	} {
+		for _, d := range s.desks {
+			d.SetFaults(f)
+		}
+		got := s.send(s.vms[0], book())
+		ran := len(s.fleet.Runs(got.id))
+		promised := got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests
+		if ran > 1 || ran == 1 && promised || ran == 0 && !promised || got.status == http.StatusOK {
+			t.Errorf("%s: status %d after %d runs: %s", name, got.status, ran, got.body)
+		}
+	}
+}
+
+// Guards against a failure that reaches the caller of work that may be repeated
+// while another backend server would answer.
+func TestRepeatableGoesElsewhere(t *testing.T) {
+	s := newSite(t, options{vms: 1, desks: 2})
+	for name, f := range map[string]userplatform.ServerFaults{
+		"fail": {Fail: true}, "hang": {Hang: true}, "truncate": {Truncate: true}, "unsigned": {Unsigned: true}, "shed": {Shed: true},
+	} {
+		s.desks[0].SetFaults(f)
+		for range 6 {
+			if got := s.send(s.vms[0], look()); got.status != http.StatusOK || !strings.Contains(got.body, "desk-1") {
+				t.Errorf("%s: %+v", name, got)
+			}
+		}
+	}
+}
+
+// Guards against an extra answer that is taken for the one to the next request.
+func TestExtraAnswers(t *testing.T) {
+	s := newSite(t, options{vms: 1, desks: 1})
+	s.desks[0].SetFaults(userplatform.ServerFaults{Extra: true})
+	for range 20 {
+		got := s.send(s.vms[0], look())
+		if strings.Contains(got.body, "not yours") || got.header.Get("Request-Id") != got.id {
+			t.Fatalf("%+v", got)
+		}
+		time.Sleep(15 * time.Millisecond)
+	}
+}
+
+// Guards against a resumable stream with a gap or a repeat when engines cut it
+// in the middle of an event.
+func TestResumableStreamIsResumed(t *testing.T) {
+	s := newSite(t, options{vms: 1, engines: 2, events: 10, interval: time.Millisecond})
+	s.engines[0].SetFaults(userplatform.ServerFaults{BreakAfter: 4})
+	for range 8 {
+		if err := wholeStream(s.send(s.vms[0], check()), 10); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against a stream that may run once and looks complete after its engine
+// has cut it, with no copy of its memory left.
+func TestCutStreamDoesNotLookComplete(t *testing.T) {
+	s := newSite(t, options{vms: 1, engines: 1, events: 10, interval: time.Millisecond})
+	s.engines[0].SetFaults(userplatform.ServerFaults{BreakAfter: 4})
+	got := s.send(s.vms[0], draft())
+	if got.err == nil {
+		t.Errorf("%+v", got)
+	}
+	if runs := s.fleet.Runs(got.id); len(runs) != 1 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// Guards against streams that are cut or run twice when engines leave, with and
+// without a notice. Pattern: engines leave every few seconds while drafts run.
+func TestStreamsOutliveTheirEngines(t *testing.T) {
+	const events = 150
+	s := newSite(t, options{vms: 2, engines: 5, events: events, interval: 10 * time.Millisecond})
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() {
+			got := s.send(s.vms[i%2], draft())
+			if err := wholeStream(got, events); err != nil {
+				t.Error(err)
+			}
+			if runs := s.fleet.Runs(got.id); len(runs) != 1 {
+				t.Errorf("runs %v", runs)
+			}
+		})
+	}
+	time.Sleep(400 * time.Millisecond)
+	s.engines[0].Register("draining")
+	time.Sleep(300 * time.Millisecond)
+	s.engines[0].Crash()
+	s.engines[1].Unregister()
+	time.Sleep(300 * time.Millisecond)
+	s.engines[1].Crash()
+	wg.Wait()
+}
+
+// Guards against new work for a backend server that is leaving.
+func TestLeavingServersGetNoWork(t *testing.T) {
+	s := newSite(t, options{vms: 2, desks: 2})
+	s.desks[0].Register("draining")
+	time.Sleep(500 * time.Millisecond)
+	for _, v := range s.vms {
+		for range 10 {
+			if got := s.send(v, look()); !strings.Contains(got.body, "desk-1") {
+				t.Errorf("%+v", got)
+			}
+		}
+	}
+}
+
+// Guards against a planned stop that cuts answers or refuses requests before
+// the balancer has noticed.
+func TestStopCutsNothing(t *testing.T) {
+	s := newSite(t, options{vms: 2, engines: 2, desks: 1, events: 100, interval: 15 * time.Millisecond})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := wholeStream(s.send(s.vms[0], draft()), 100); err != nil {
+			t.Error(err)
+		}
+	})
+	time.Sleep(200 * time.Millisecond)
+	s.vms[0].stop()
+	time.Sleep(50 * time.Millisecond)
+	resp, err := http.Get("http://" + s.vms[0].Addresses().Ready + "/ready")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("ready while stopping: %v, %v", resp, err)
+	}
+	got := s.send(s.vms[0], book())
+	if got.status != http.StatusOK || !got.closes {
+		t.Errorf("%+v", got)
+	}
+	wg.Wait()
+	<-s.vms[0].ended
+}
