--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -25,6 +25,9 @@
 	Spare bool
 	// Resumed says that the run goes on from a copy, so that no prompt is processed.
 	Resumed bool
+	// ExpectedTokens is the caller's estimate of the length of the output, 0 if
+	// there is none.
+	ExpectedTokens int
 	// Excluded lists backend servers that failed this request before.
 	Excluded []string
 }
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -20,7 +20,9 @@
 	model        string
 	promptTokens int
 	maxTokens    int
-	prefix       []uint64
+	// expectedTokens is the caller's estimate, 0 if there is none.
+	expectedTokens int
+	prefix         []uint64
 	// shared is the number of prompt blocks that other streams count as their own.
 	shared int
 	// aged marks a stream that uses the reserve because of its wait.
@@ -42,7 +44,7 @@
 // usage projects a stream's memory at the quantile of the tuning. Shared blocks
 // of its prompt do not count.
 func (f *fair) usage(a *Ask, tokens, shared, blockTokens int) flowcontrol.Usage {
-	remaining := f.estimator.Remaining(a.Organisation, a.Model, tokens, f.tuning.quantile)
+	remaining := f.remaining(a, tokens)
 	if a.MaxTokens > 0 {
 		remaining = max(1, min(remaining, float64(a.MaxTokens-tokens)))
 	}
@@ -51,12 +53,39 @@
 	return flowcontrol.Usage{Current: float64(own) + float64(blockTokens)/2, Remaining: remaining}
 }
 
+// hintedTokens is the length to which outputs with an estimate of the caller are
+// scaled. Their lengths relative to the estimate have one distribution, whatever
+// the kind of request.
+const hintedTokens = 256
+
+// hinted marks the histogram of a model for requests with an estimate.
+const hinted = "/hinted"
+
+// remaining estimates how many more tokens a stream produces.
+func (f *fair) remaining(a *Ask, tokens int) float64 {
+	if a.ExpectedTokens <= 0 {
+		return f.estimator.Remaining(a.Organisation, a.Model, tokens, f.tuning.quantile)
+	}
+	scale := hintedTokens / float64(a.ExpectedTokens)
+	return f.estimator.Remaining(a.Organisation, a.Model+hinted, int(float64(tokens)*scale), f.tuning.quantile) / scale
+}
+
+// learn adds the length of a finished stream.
+func (f *fair) learn(s *stream, tokens int) {
+	if s.expectedTokens <= 0 {
+		f.estimator.Learn(s.organisation, s.model, tokens)
+		return
+	}
+	f.estimator.Learn(s.organisation, s.model+hinted, max(tokens*hintedTokens/s.expectedTokens, 1))
+}
+
 // start counts a granted request against its engine.
 func (f *fair) start(now time.Time, id RequestID, a *Ask, e *engine, tokens int) *stream {
 	shared := e.residency.Add(a.PrefixHashes)
 	s := &stream{
 		id: id, organisation: a.Organisation, model: a.Model, promptTokens: a.PromptTokens, maxTokens: a.MaxTokens,
-		prefix: a.PrefixHashes, shared: shared,
+		expectedTokens: a.ExpectedTokens,
+		prefix:         a.PrefixHashes, shared: shared,
 		engine: e, usage: f.usage(a, tokens, shared, e.blockTokens), tokens: tokens,
 	}
 	s.nextEstimate = estimateAfter(tokens)
@@ -78,7 +107,7 @@
 
 // expected is the length that a request is charged for at its grant.
 func (f *fair) expected(a *Ask) float64 {
-	n := f.estimator.Remaining(a.Organisation, a.Model, 0, f.tuning.quantile)
+	n := f.remaining(a, 0)
 	if a.MaxTokens > 0 {
 		n = min(n, float64(a.MaxTokens))
 	}
@@ -120,7 +149,7 @@
 	}
 	if s.tokens >= s.nextEstimate {
 		s.nextEstimate = estimateAfter(s.tokens)
-		a := Ask{Organisation: s.organisation, Model: s.model, PromptTokens: s.promptTokens, MaxTokens: s.maxTokens}
+		a := Ask{Organisation: s.organisation, Model: s.model, PromptTokens: s.promptTokens, MaxTokens: s.maxTokens, ExpectedTokens: s.expectedTokens}
 		usage = f.usage(&a, s.tokens, s.shared, s.engine.blockTokens)
 	}
 	f.replace(now, s, usage)
@@ -159,7 +188,7 @@
 	if !s.unpaid {
 		f.charge(s, float64(s.promptTokens+tokens)-s.charged)
 		if f.queue.Entitled(s.organisation) {
-			f.estimator.Learn(s.organisation, s.model, tokens)
+			f.learn(s, tokens)
 		}
 	}
 	s.prefilled()
--- a/dispatch/grant/wire.go
+++ b/dispatch/grant/wire.go
@@ -12,7 +12,7 @@
 	return &peerpb.GrantRequest{
 		Sequence: sequence, Organisation: a.Organisation, PromptTokens: uint32(a.PromptTokens),
 		PrefixHashes: a.PrefixHashes, MaxTokens: uint32(a.MaxTokens), Excluded: a.Excluded, Zone: a.Zone,
-		Spare: a.Spare, Resumed: a.Resumed,
+		Spare: a.Spare, Resumed: a.Resumed, ExpectedTokens: uint32(a.ExpectedTokens),
 	}
 }
 
@@ -23,7 +23,7 @@
 		Tenant: v.tenants[r.GetOrganisation()], Organisation: r.GetOrganisation(), Model: model,
 		PromptTokens: int(r.GetPromptTokens()), PrefixHashes: r.GetPrefixHashes(), MaxTokens: int(r.GetMaxTokens()),
 		Excluded: r.GetExcluded(), Zone: r.GetZone(),
-		Spare: r.GetSpare(), Resumed: r.GetResumed(),
+		Spare: r.GetSpare(), Resumed: r.GetResumed(), ExpectedTokens: int(r.GetExpectedTokens()),
 	}
 }
 
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -217,7 +217,7 @@
 	defer context.AfterFunc(s.ctx, cancel)()
 	wait.Sleep(ctx, noticed+order.CopyAt-boottime.Now())
 	excluded := []string{vm.ID}
-	for range moveTries {
+	for try := 0; ; try++ {
 		h, err := s.copyTo(ctx, vm, excluded)
 		fields := []zap.Field{
 			zap.String("backend", vm.ID), zap.Bool("fits", order.Fits), zap.Duration("planned", order.CopiedAt),
@@ -227,10 +227,16 @@
 			fields = append(fields, zap.String("target", h.vm.ID), zap.Bool("same_zone", h.vm.Zone == vm.Zone))
 			excluded = append(excluded, h.vm.ID)
 		}
-		s.log.Info("run_copied", fields...)
-		if h == nil || err == nil || boottime.Now() >= leavesAt {
+		if try == 0 || err == nil {
+			s.log.Info("run_copied", fields...)
+		}
+		if err == nil || boottime.Now() >= leavesAt || !wait.Sleep(ctx, moveRetry) {
 			break
 		}
+		if h == nil {
+			// No engine had room. One that refused may have some by now.
+			excluded = []string{vm.ID}
+		}
 	}
 	s.requestSwitch(ctx)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -291,7 +291,8 @@
 	}
 	if c.events > 0 {
 		fields = append(fields, zap.Duration("queued", c.queued), zap.Duration("first_event", c.firstEvent),
-			zap.Duration("longest_pause", c.longestPause))
+			zap.Duration("longest_pause", c.longestPause), zap.Int("prompt_tokens", c.facts.PromptTokens),
+			zap.Int("max_tokens", c.facts.MaxTokens), zap.Int("expected_tokens", c.facts.ExpectedTokens))
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.String("organisation", c.organisationName()))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -196,6 +196,9 @@
 	if ask.MaxTokens > 0 {
 		ask.MaxTokens = max(ask.MaxTokens-s.tokens(), 1)
 	}
+	if s.facts.ExpectedTokens > 0 {
+		ask.ExpectedTokens = max(s.facts.ExpectedTokens-s.tokens(), 1)
+	}
 	if s.organisation != nil {
 		ask.Organisation = s.organisation.Name
 	}
