Publish a VM list only when all of it has been read

Change: a section counts once it has been read since the VM began to read. TestPartialListIsNotPublished fails before and passes after.

--- a/discovery/list.go
+++ b/discovery/list.go
@@ -41,6 +41,8 @@
 	entryVMs bool
 	decode   func(kv.Entry) (vmlist.VM, error)
 	entries  map[string]vmlist.VM
+	// listed says that the prefix has been read since this VM began to read.
+	listed bool
 	// lapsed maps entries that went missing around an outage to the time at
 	// which they count as gone.
 	lapsed   map[string]time.Duration
@@ -67,6 +69,9 @@
 	reading := false
 	for ctx.Err() == nil {
 		if !f.opts.Reads() {
+			if reading {
+				f.list.unlist(s)
+			}
 			after, reading = -1, false
 			wait.Sleep(ctx, roleCheck)
 			continue
@@ -121,7 +126,7 @@
 func (l *list) seed(s *section, vms []vmlist.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s.entries, s.lapsed = map[string]vmlist.VM{}, map[string]time.Duration{}
+	s.entries, s.lapsed, s.listed = map[string]vmlist.VM{}, map[string]time.Duration{}, false
 	for _, vm := range vms {
 		if (vm.Role == vmlist.RoleEntry) == s.entryVMs {
 			s.entries[s.prefix+vm.ID] = vm
@@ -129,13 +134,20 @@
 	}
 }
 
+// unlist notes that this VM no longer reads a prefix.
+func (l *list) unlist(s *section) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.listed = false
+}
+
 // replace takes a complete listing.
 func (l *list) replace(s *section, listing kv.Listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := s.entries
 	lapsed := s.lapsed
-	s.entries, s.lapsed = map[string]vmlist.VM{}, map[string]time.Duration{}
+	s.entries, s.lapsed, s.listed = map[string]vmlist.VM{}, map[string]time.Duration{}, true
 	for _, e := range listing.Entries {
 		l.set(s, e)
 	}
@@ -227,8 +239,12 @@
 	}
 }
 
-// publish posts the joined list. The lock must be held.
+// publish posts the joined list, unless a part of it has not been read yet: the
+// other VMs would take the missing servers for gone. The lock must be held.
 func (l *list) publish() {
+	if !l.servers.listed || !l.members.listed {
+		return
+	}
 	store := max(l.servers.revision, l.members.revision)
 	if store != l.store {
 		l.store, l.expired = store, 0
--- /dev/null
+++ b/discovery/list_test.go
@@ -0,0 +1,167 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// codec decodes entries that are VMs in JSON.
+type codec struct{}
+
+func (codec) ConfigKey() string    { return "op/config" }
+func (codec) ConfigPrefix() string { return "op/" }
+func (codec) ServerPrefix() string { return "servers/" }
+func (codec) VMPrefix() string     { return "vms/" }
+func (codec) DecodeConfig([]byte) (*route.Table, error) {
+	return route.NewTable(route.Draft{Version: 1}), nil
+}
+func (codec) DecodeServer(e kv.Entry) (vmlist.VM, error) { return decodeVM(e) }
+func (codec) DecodeMember(e kv.Entry) (vmlist.VM, error) { return decodeVM(e) }
+
+func (codec) EncodeMember(vm vmlist.VM) (string, []byte, error) {
+	value, err := json.Marshal(vm)
+	return "vms/" + vm.ID, value, err
+}
+
+func decodeVM(e kv.Entry) (vmlist.VM, error) {
+	var vm vmlist.VM
+	err := json.Unmarshal(e.Value, &vm)
+	return vm, err
+}
+
+func entry(t *testing.T, prefix string, vm vmlist.VM) kv.Entry {
+	t.Helper()
+	value, err := json.Marshal(vm)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kv.Entry{Key: prefix + vm.ID, Value: value, Revision: 1}
+}
+
+// store answers lists from memory. Lists of a blocked prefix wait.
+type store struct {
+	Store
+	mu      sync.Mutex
+	entries []kv.Entry
+	blocked string
+	release chan struct{}
+}
+
+func (s *store) List(ctx context.Context, prefix string, _ kv.Consistency) (kv.Listing, error) {
+	s.mu.Lock()
+	blocked := s.blocked == prefix
+	s.mu.Unlock()
+	if blocked {
+		select {
+		case <-s.release:
+		case <-ctx.Done():
+			return kv.Listing{}, &kv.UnavailableError{Op: "list", Cause: ctx.Err()}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := kv.Listing{Revision: 7}
+	for _, e := range s.entries {
+		if strings.HasPrefix(e.Key, prefix) {
+			out.Entries = append(out.Entries, e)
+		}
+	}
+	return out, nil
+}
+
+func (s *store) WatchPrefix(ctx context.Context, _ string, _ int64, _ time.Duration) (kv.Changes, error) {
+	<-ctx.Done()
+	return kv.Changes{}, &kv.UnavailableError{Op: "watch", Cause: ctx.Err()}
+}
+
+func follower(t *testing.T, s Store) (*Follower, *control.Loop) {
+	t.Helper()
+	loop := control.NewLoop(zap.NewNop(), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go loop.Run(ctx)
+	return New(Options{Store: s, Codec: codec{}, Loop: loop, Log: zap.NewNop()}), loop
+}
+
+func listed(loop *control.Loop) (ids []string) {
+	for _, vm := range loop.Snapshot().VMs.VMs {
+		ids = append(ids, vm.ID)
+	}
+	return ids
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// Guards against a list that lacks the backend servers, because the entry VMs
+// were read first: it spread to all VMs, which took all engines for gone and
+// moved their runs (seen in fellos-floor scale-2, seed of the site file).
+func TestPartialListIsNotPublished(t *testing.T) {
+	s := &store{blocked: "servers/", release: make(chan struct{}), entries: []kv.Entry{
+		entry(t, "servers/", vmlist.VM{ID: "engine", Role: vmlist.RoleEngine, State: vmlist.StateLive}),
+		entry(t, "vms/", vmlist.VM{ID: "vm-1", Role: vmlist.RoleEntry, State: vmlist.StateLive}),
+	}}
+	f, loop := follower(t, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.followPrefix(ctx, f.list.members)
+	go f.followPrefix(ctx, f.list.servers)
+	time.Sleep(50 * time.Millisecond)
+	if ids := listed(loop); len(ids) != 0 {
+		t.Errorf("published %v before the servers were read", ids)
+	}
+	close(s.release)
+	eventually(t, "both are published", func() bool { return len(listed(loop)) == 2 })
+}
+
+// Guards against a living server that is given up because its entry lapsed in
+// an outage of the store, and against one that is used after it was leaving.
+func TestEntriesThatLapseAreKeptForAWhile(t *testing.T) {
+	f, loop := follower(t, &store{})
+	live := vmlist.VM{ID: "live", Role: vmlist.RoleService, State: vmlist.StateLive}
+	leaving := vmlist.VM{ID: "leaving", Role: vmlist.RoleService, State: vmlist.StateLeaving}
+	f.list.replace(f.list.members, kv.Listing{Revision: 1})
+	f.list.replace(f.list.servers, kv.Listing{Revision: 1, Entries: []kv.Entry{entry(t, "servers/", live), entry(t, "servers/", leaving)}})
+	f.note(newDependency(zap.NewNop(), "store"), &kv.UnavailableError{Op: "list"})
+	f.list.replace(f.list.servers, kv.Listing{Revision: 2})
+	eventually(t, "only the live one is kept", func() bool { ids := listed(loop); return len(ids) == 1 && ids[0] == "live" })
+	f.list.expire(f.list.servers.lapsed["servers/live"] - 1)
+	if f.list.servers.lapsed["servers/live"] == 0 {
+		t.Error("given up before the grace has passed")
+	}
+	f.list.expire(f.list.servers.lapsed["servers/live"])
+	eventually(t, "it is gone", func() bool { return len(listed(loop)) == 0 })
+}
+
+// Guards against a server that is used on after its entry was removed while the
+// store was well, and against an entry that cannot be read.
+func TestRemovedAndUnreadableEntries(t *testing.T) {
+	f, loop := follower(t, &store{})
+	vm := vmlist.VM{ID: "a", Role: vmlist.RoleService, State: vmlist.StateLive}
+	other := vmlist.VM{ID: "b", Role: vmlist.RoleService, State: vmlist.StateLive}
+	f.list.replace(f.list.members, kv.Listing{Revision: 1})
+	f.list.replace(f.list.servers, kv.Listing{Revision: 1, Entries: []kv.Entry{entry(t, "servers/", vm), entry(t, "servers/", other)}})
+	eventually(t, "both are listed", func() bool { return len(listed(loop)) == 2 })
+	f.list.change(f.list.servers, kv.Changes{Revision: 3, Changes: []kv.Change{
+		{Entry: kv.Entry{Key: "servers/a", Revision: 2}, Removed: true},
+		{Entry: kv.Entry{Key: "servers/b", Revision: 3, Value: []byte(`{"id": 7`)}},
+	}})
+	eventually(t, "none is listed", func() bool { return len(listed(loop)) == 0 })
+}
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -22,6 +22,9 @@
 	// EngineStreams bounds the streams of one engine in addition to its memory.
 	// Default 256.
 	EngineStreams int
+	// AgedWait is the wait after which a request may use memory that is closed to
+	// its organisation. Default 1 s.
+	AgedWait time.Duration
 }
 
 // fair is the fair policy of one group of engines.
@@ -76,6 +79,9 @@
 	if o.QueueTotal == 0 {
 		o.QueueTotal = DefaultQueueTotal
 	}
+	if o.AgedWait == 0 {
+		o.AgedWait = defaultAgedWait
+	}
 	if o.EngineStreams == 0 {
 		o.EngineStreams = maxStreams
 	}
--- a/dispatch/fairaccount.go
+++ b/dispatch/fairaccount.go
@@ -17,10 +17,10 @@
 	// maxMean bounds the mean that an organisation is compared to, since one that
 	// holds nearly all memory is the mean itself.
 	maxMean = 2.0
-	// agedWait is the wait after which a request may use a closed reserve, and
-	// maxAged bounds the streams of one engine that do.
-	agedWait = time.Second
-	maxAged  = 1
+	// defaultAgedWait is the default of FairOptions.AgedWait, and maxAged bounds
+	// the streams of one engine that use a closed reserve.
+	defaultAgedWait = time.Second
+	maxAged         = 1
 	// minEntitled is the least part of the pool that an entitlement counts as.
 	minEntitled = 1e-6
 	// shareReserve is the part of each engine's memory that only organisations
@@ -109,7 +109,7 @@
 // long enough to use it. Otherwise an organisation slightly above its share
 // would wait while memory lies idle, without a flood.
 func (f *fair) aged(now time.Time, r *waitingRequest) bool {
-	return now.Sub(r.submitted) >= agedWait && f.reserved(r.Organisation) > 0
+	return now.Sub(r.submitted) >= f.opts.AgedWait && f.reserved(r.Organisation) > 0
 }
 
 // reservedOn returns the part of an engine's memory that a request must leave
--- a/entry.go
+++ b/entry.go
@@ -80,6 +80,9 @@
 	blockTokens = 16
 	// engineStreams bounds the batch of an engine.
 	engineStreams = 24
+	// agedWait is the wait after which a request may use memory that is kept free
+	// for other organisations. The first event is due 1.5 s after the request.
+	agedWait = 250 * time.Millisecond
 	// bypassAfter is the silence of a dispatcher after which it is bypassed.
 	bypassAfter = 250 * time.Millisecond
 	// peerFanout is the number of peers that get heartbeats, peerHeartbeat the
@@ -145,7 +148,7 @@
 	d := e.opts.Deployment
 	g := grant.New(grant.Options{
 		VM: d.VM, Region: d.Region, Loop: e.loop, Transport: e.mesh.sessions, Breaker: e.breaker, Log: e.log,
-		NewCore: func() dispatch.Core { return dispatch.NewFair(dispatch.FairOptions{EngineStreams: engineStreams}) },
+		NewCore: func() dispatch.Core { return dispatch.NewFair(dispatch.FairOptions{EngineStreams: engineStreams, AgedWait: agedWait}) },
 		Memory:  e.engineMemory, BypassAfter: bypassAfter, QueueTimeout: queueTimeout, LocalStreams: localStreams,
 		GroupSize: engineGroup, Queued: queuedRequests, QueuedPerOrganisation: queuedRequests,
 		Seed: maphash.String(maphash.MakeSeed(), d.VM),
