Ask a store that does not answer with one growing pause

Cause: while the store is down every VM reads for itself, with four loops that each repeat every 100 to 400 ms; refused calls are priced like others.

Change: only the read of the configuration is repeated, after 150 ms growing to 900 ms; the other loops wait for it.

--- a/discovery/announce.go
+++ b/discovery/announce.go
@@ -18,7 +18,12 @@
 func (f *Follower) announce(ctx context.Context) {
 	dependency := newDependency(f.opts.Log, "store lease")
 	var lease kv.LeaseID
+	var failures backoff
 	for ctx.Err() == nil {
+		if f.unreachable.Load() {
+			wait.Sleep(ctx, roleCheck)
+			continue
+		}
 		var err error
 		if lease == 0 {
 			lease, err = f.register(ctx)
@@ -28,9 +33,10 @@
 		}
 		f.note(dependency, err)
 		if err != nil {
-			pause(ctx)
+			failures.pause(ctx)
 			continue
 		}
+		failures.reset()
 		wait.Sleep(ctx, f.leaseTime()/3)
 	}
 }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -67,9 +68,11 @@
 	// confirmInterval is the time between linearizable reads of the
 	// configuration, which also notice changes that a watch has missed.
 	confirmInterval = 800 * time.Millisecond
-	// retryPauseMin and retryPauseMax bound the pause after a failed call.
-	retryPauseMin = 100 * time.Millisecond
-	retryPauseMax = 400 * time.Millisecond
+	// retryPauseMin and retryPauseMax bound the pause after a failed call, which
+	// doubles with each failure in a row. Calls that the store refuses cost as
+	// much as others.
+	retryPauseMin = 150 * time.Millisecond
+	retryPauseMax = 900 * time.Millisecond
 	// lapseGrace is how long the entry of a backend server that went missing
 	// around an outage of the store is still used. A living server is back about
 	// two seconds after the outage; the least bound for leaving servers is two
@@ -89,6 +92,9 @@
 	list *list
 	// failedAt is the time of the last failed call, on the clock of package boottime.
 	failedAt atomic.Int64
+	// unreachable says that the last read of the configuration failed. Until it
+	// succeeds, nothing else is asked of the store.
+	unreachable atomic.Bool
 }
 
 // New returns a follower. Run must be called.
@@ -125,26 +131,46 @@
 	}
 }
 
+// backoff spaces the attempts of one series of failed calls.
+type backoff struct{ failures int }
+
 // pause waits before a failed call is repeated.
-func pause(ctx context.Context) bool {
-	return wait.Sleep(ctx, retryPauseMin+rand.N(retryPauseMax-retryPauseMin))
+func (b *backoff) pause(ctx context.Context) bool {
+	b.failures++
+	return wait.Sleep(ctx, retry.Backoff(b.failures, retryPauseMin, retryPauseMax))
 }
 
+func (b *backoff) reset() { b.failures = 0 }
+
+// rests reports whether this VM is to ask nothing of the store for now: others
+// read it, or it does not answer.
+func (f *Follower) rests() bool { return !f.opts.Reads() || f.unreachable.Load() }
+
 // confirmConfig reads the configuration at an interval.
 func (f *Follower) confirmConfig(ctx context.Context) {
 	dependency := newDependency(f.opts.Log, "store configuration")
+	var failures backoff
 	for ctx.Err() == nil {
 		if !f.opts.Reads() {
+			f.unreachable.Store(false)
 			wait.Sleep(ctx, roleCheck)
 			continue
 		}
 		asked := boottime.Now()
 		entry, err := f.opts.Store.Get(ctx, f.opts.Codec.ConfigKey())
+		if isNotFound(err) {
+			// The operator has not written a configuration yet.
+			f.note(dependency, nil)
+			wait.Sleep(ctx, retryPauseMin)
+			continue
+		}
 		f.note(dependency, err)
+		f.unreachable.Store(err != nil)
 		if err != nil {
-			pause(ctx)
+			failures.pause(ctx)
 			continue
 		}
+		failures.reset()
 		f.accept(entry.Value, "read", asked)
 		wait.Sleep(ctx, confirmInterval-rand.N(confirmInterval/8))
 	}
@@ -171,8 +197,9 @@
 // watchConfig takes new configurations as soon as they are written.
 func (f *Follower) watchConfig(ctx context.Context) {
 	after := int64(-1)
+	var failures backoff
 	for ctx.Err() == nil {
-		if !f.opts.Reads() {
+		if f.rests() {
 			after = -1
 			wait.Sleep(ctx, roleCheck)
 			continue
@@ -180,9 +207,10 @@
 		if after < 0 {
 			listing, err := f.opts.Store.List(ctx, f.opts.Codec.ConfigPrefix(), kv.Linearizable)
 			if err != nil {
-				pause(ctx)
+				failures.pause(ctx)
 				continue
 			}
+			failures.reset()
 			after = listing.Revision
 			f.acceptAll(listing.Entries, "list")
 		}
@@ -193,7 +221,7 @@
 			continue
 		}
 		if err != nil {
-			pause(ctx)
+			failures.pause(ctx)
 			continue
 		}
 		after = changes.Revision
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -67,12 +67,13 @@
 	dependency := newDependency(f.opts.Log, "store "+s.prefix)
 	after := int64(-1)
 	reading := false
+	var failures backoff
 	for ctx.Err() == nil {
-		if !f.opts.Reads() {
-			if reading {
+		if f.rests() {
+			if reading && !f.opts.Reads() {
 				f.list.unlist(s)
 			}
-			after, reading = -1, false
+			after, reading = -1, reading && f.opts.Reads()
 			wait.Sleep(ctx, roleCheck)
 			continue
 		}
@@ -88,9 +89,10 @@
 		}
 		f.note(dependency, err)
 		if err != nil {
-			pause(ctx)
+			failures.pause(ctx)
 			continue
 		}
+		failures.reset()
 	}
 }
 
