Test the path on the platform's protocol, keep logs bounded

Change besides tests: log lines pass through a bounded writer that drops and counts and never blocks.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
@@ -38,13 +39,18 @@
 // memoryPart is the part of the VM's memory at which the garbage collector works harder.
 const memoryPart = 0.55
 
+// logFlushTime bounds the time for which the end of the process waits for its log.
+const logFlushTime = 200 * time.Millisecond
+
 func runEntry(level string) error {
 	deployment, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryPart * float64(deployment.Limits.MemoryBytes)))
-	log := telemetry.NewLogger(os.Stdout, level, deployment.VM)
+	output := telemetry.NewBoundedWriter(os.Stdout)
+	defer output.Close(logFlushTime)
+	log := telemetry.NewLogger(output, level, deployment.VM)
 	store := platform.NewStore(deployment.Store.Address, platform.StoreTimeout)
 	defer store.Close()
 	entry, err := vanillaarch.NewEntry(vanillaarch.EntryOptions{
--- /dev/null
+++ b/relocation/relocation_test.go
@@ -0,0 +1,63 @@
+package relocation
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// link copies a run of 3,500 tokens in 0.19 s.
+var link = Link{BytesPerToken: 163_840, Mbps: 24_000}
+
+// Guards against a wrong duration of a copy.
+func TestCopyTime(t *testing.T) {
+	if d := link.CopyTime(3500); d < 185*time.Millisecond || d > 195*time.Millisecond {
+		t.Errorf("%v", d)
+	}
+	if d := (Link{}).CopyTime(3500); d != 0 {
+		t.Errorf("%v without a link", d)
+	}
+}
+
+// Guards against a plan that saves fewer runs than the time allows. Pattern: an
+// engine with eight drafts leaves with 1.5 s of notice.
+func TestSmallRunsFirst(t *testing.T) {
+	var runs []Run
+	for i := range 8 {
+		runs = append(runs, Run{ID: string(rune('a' + i)), Tokens: 5000 - 500*i})
+	}
+	fits := 0
+	orders := Plan(runs, link, 1500*time.Millisecond)
+	for _, o := range orders {
+		if o.Fits {
+			fits++
+		}
+	}
+	if fits != 7 || orders["a"].Fits || orders["h"].CopyAt != 0 {
+		t.Errorf("%d fit, %+v", fits, orders)
+	}
+}
+
+// Guards against plans that depend on the order of the report, skip a run, or
+// start two copies at once.
+func TestPlanIsTheSameOnEachVM(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,4}"), 0, 12, rapid.ID[string]).Draw(t, "ids")
+		var runs []Run
+		for _, id := range ids {
+			runs = append(runs, Run{ID: id, Tokens: rapid.IntRange(0, 9000).Draw(t, "tokens")})
+		}
+		available := time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+		first := Plan(runs, link, available)
+		second := Plan(rapid.Permutation(runs).Draw(t, "again"), link, available)
+		starts := map[time.Duration]bool{}
+		for _, r := range runs {
+			o, ok := first[r.ID]
+			if !ok || o != second[r.ID] || starts[o.CopyAt] || o.Fits && o.CopiedAt > available {
+				t.Fatalf("%+v and %+v", o, second[r.ID])
+			}
+			starts[o.CopyAt] = true
+		}
+	})
+}
--- /dev/null
+++ b/telemetry/bounded.go
@@ -0,0 +1,76 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of a BoundedWriter.
+const (
+	// boundedLines is the number of lines that wait to be written.
+	boundedLines = 1024
+	// droppedInterval is the least time between two notes about dropped lines.
+	droppedInterval = time.Second
+)
+
+// BoundedWriter writes log lines on a goroutine of its own. A line for which
+// there is no room is dropped and counted, so that a reader of the log that
+// stalls never holds up a request. It implements zapcore.WriteSyncer.
+type BoundedWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewBoundedWriter starts a writer to out. Close must be called.
+func NewBoundedWriter(out io.Writer) *BoundedWriter {
+	w := &BoundedWriter{out: out, lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It never blocks, and never fails.
+func (w *BoundedWriter) Write(p []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), p...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (w *BoundedWriter) Sync() error { return nil }
+
+// Dropped returns the number of lines dropped since the last note about them.
+func (w *BoundedWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what waits, for at most the given time. Nothing may be written
+// after it.
+func (w *BoundedWriter) Close(limit time.Duration) {
+	w.once.Do(func() { close(w.lines) })
+	select {
+	case <-w.done:
+	case <-time.After(limit):
+	}
+}
+
+func (w *BoundedWriter) run() {
+	defer close(w.done)
+	var noted time.Time
+	for line := range w.lines {
+		// A failed write leaves nothing to report it to.
+		_, _ = w.out.Write(line)
+		if w.dropped.Load() == 0 || time.Since(noted) < droppedInterval {
+			continue
+		}
+		noted = time.Now()
+		_, _ = fmt.Fprintf(w.out, "time=%s level=warn event=log_lines_dropped count=%d\n",
+			noted.UTC().Format(timeLayout), w.dropped.Swap(0))
+	}
+}
--- /dev/null
+++ b/telemetry/bounded_test.go
@@ -0,0 +1,51 @@
+package telemetry
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stalled blocks writes until it is released.
+type stalled struct {
+	mu      sync.Mutex
+	written strings.Builder
+	release chan struct{}
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.written.Write(p)
+}
+
+// Guards against requests that wait for a stalled reader of the log, memory that
+// grows with it, and lines that vanish without a count.
+func TestBoundedWriterNeverBlocks(t *testing.T) {
+	out := &stalled{release: make(chan struct{})}
+	w := NewBoundedWriter(out)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for range 3 * boundedLines {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a write blocked")
+	}
+	if n := w.Dropped(); n < boundedLines {
+		t.Errorf("%d lines dropped", n)
+	}
+	close(out.release)
+	w.Close(5 * time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if got := out.written.String(); !strings.Contains(got, "event=log_lines_dropped count=") || strings.Count(got, "line\n") > boundedLines+2 {
+		t.Errorf("%d lines, %.200s", strings.Count(got, "\n"), got)
+	}
+}
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -10,6 +10,9 @@
 	"go.uber.org/zap/zapcore"
 )
 
+// timeLayout is the form of times in log lines.
+const timeLayout = "2006-01-02T15:04:05.000Z"
+
 // NewLogger returns a logger that writes one line of key=value pairs for each
 // event. An unknown level counts as info.
 func NewLogger(w io.Writer, level, vm string) *zap.Logger {
@@ -21,7 +24,7 @@
 	enc.TimeKey = "time"
 	enc.MessageKey = "event"
 	enc.EncodeTime = func(t time.Time, e zapcore.PrimitiveArrayEncoder) {
-		e.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
+		e.AppendString(t.UTC().Format(timeLayout))
 	}
 	enc.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), lvl)
--- /dev/null
+++ b/test/platform/config_test.go
@@ -0,0 +1,128 @@
+package platform_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
+)
+
+// applyLimit is the bound within which a new configuration is in force.
+const applyLimit = 2 * time.Second
+
+// everywhere waits until a book request gets a status on all VMs.
+func (s *site) everywhere(what string, a ask, status int) {
+	s.t.Helper()
+	for _, v := range s.vms {
+		s.eventually(applyLimit, what+" on "+v.name, func() bool { return s.send(v, a).status == status })
+	}
+}
+
+// Guards against a revoked key that is still served, and against a new one that
+// is refused, longer than the bound.
+func TestKeysChangeEverywhere(t *testing.T) {
+	s := newSite(t, options{vms: 4, desks: 1})
+	s.store.Put("op/config", userplatform.Config(version+1, "new-key"))
+	s.everywhere("the old key is refused", book(), http.StatusUnauthorized)
+	a := book()
+	a.key = "new-key"
+	s.everywhere("the new key is served", a, http.StatusOK)
+}
+
+// Guards against a VM that the store refuses or does not answer and that serves
+// with an old configuration or stops serving: peers tell it.
+func TestRefusedVMHearsFromPeers(t *testing.T) {
+	for name, f := range map[string]userplatform.StoreFaults{
+		"refused": {Refuse: []string{"vm-0"}, RefuseStatus: http.StatusServiceUnavailable},
+		"silent":  {Silent: []string{"vm-0"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, options{vms: 4, desks: 2, bounds: func(b *config.Bounds) { b.Revoke = 3 * time.Second }})
+			s.store.SetFaults(f)
+			s.store.Put("op/config", userplatform.Config(version+1, key, "new-key"))
+			a := book()
+			a.key = "new-key"
+			s.everywhere("the new key is served", a, http.StatusOK)
+			s.desks[0].Register("draining")
+			s.eventually(applyLimit, "the refused VM learns that a server leaves", func() bool {
+				return len(s.vms[0].Snapshot().Services["desk"]) == 1
+			})
+			for deadline := time.Now().Add(4 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+				if got := s.send(s.vms[0], a); got.status != http.StatusOK {
+					t.Fatalf("%+v", got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against keys that are honoured although nobody can tell whether they
+// were revoked, against an answer other than "not run", and against a VM that
+// does not come back with the store.
+func TestStoreOutageFailsClosed(t *testing.T) {
+	const bound = 1500 * time.Millisecond
+	s := newSite(t, options{vms: 2, desks: 1, bounds: func(b *config.Bounds) { b.Revoke = bound }})
+	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	began := time.Now()
+	for time.Since(began) < bound+700*time.Millisecond {
+		got := s.send(s.vms[0], book())
+		late := time.Since(began) > bound
+		if got.status != http.StatusOK && got.status != http.StatusServiceUnavailable || late && got.status == http.StatusOK {
+			t.Fatalf("%v after the outage began: %+v", time.Since(began), got)
+		}
+		if got.status == http.StatusServiceUnavailable && (got.header.Get("Retry-After") == "" || len(s.fleet.Runs(got.id)) > 0) {
+			t.Fatalf("%+v ran on %v", got, s.fleet.Runs(got.id))
+		}
+	}
+	s.store.SetFaults(userplatform.StoreFaults{})
+	s.everywhere("the key is served again", book(), http.StatusOK)
+}
+
+// Guards against 404 and 401 from a VM that knows no configuration yet, and
+// against one that is ready.
+func TestVMWithoutConfiguration(t *testing.T) {
+	s := newSite(t, options{desks: 1})
+	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	v := s.vm("vm-0", nil)
+	if got := s.send(v, book()); got.status != http.StatusServiceUnavailable {
+		t.Errorf("%+v", got)
+	}
+	resp, err := http.Get("http://" + v.Addresses().Ready + "/ready")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("ready: %v, %v", resp, err)
+	}
+	s.store.SetFaults(userplatform.StoreFaults{})
+	s.eventually(5*time.Second, "it serves", func() bool { return s.send(v, book()).status == http.StatusOK })
+}
+
+// Guards against a configuration that cannot be read, or an older one, that
+// replaces the last good one.
+func TestBadConfigurationsChangeNothing(t *testing.T) {
+	s := newSite(t, options{vms: 2, desks: 1})
+	for _, bad := range [][]byte{[]byte("{"), userplatform.Config(version-1, "other"), []byte(`{"version":99,"routes":[{"kind":"magic"}]}`)} {
+		s.store.Put("op/config", bad)
+		for deadline := time.Now().Add(1200 * time.Millisecond); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+			for _, v := range s.vms {
+				if got := s.send(v, book()); got.status != http.StatusOK {
+					t.Fatalf("with %.30s: %+v", bad, got)
+				}
+			}
+		}
+	}
+	s.store.Put("op/config", userplatform.Config(version+1, "new-key"))
+	s.everywhere("a good one is in force", book(), http.StatusUnauthorized)
+}
+
+// Guards against changes that are missed when the store drops its history.
+func TestLostHistory(t *testing.T) {
+	s := newSite(t, options{vms: 2, desks: 2})
+	s.store.Put("op/config", userplatform.Config(version+1, "new-key"))
+	s.desks[0].Unregister()
+	s.store.Compact()
+	s.everywhere("the old key is refused", book(), http.StatusUnauthorized)
+	for _, v := range s.vms {
+		s.eventually(applyLimit, "the server is gone on "+v.name, func() bool { return len(v.Snapshot().Services["desk"]) == 1 })
+	}
+}
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -111,7 +111,7 @@
 		VM: name, Zone: "z", Region: "r", Listen: config.DeploymentListen{Callers: any0, Ready: any0, Peers: any0, Metrics: any0},
 		Limits: config.VMLimits{MemoryBytes: 120 << 20}, Store: config.StoreSettings{Address: store.Address(), MinLease: time.Second},
 		Bounds: config.Bounds{
-			Drain: 2 * time.Second, Grace: 4 * time.Second, ConfigApply: 2 * time.Second, Revoke: 5 * time.Second,
+			Drain: 2 * time.Second, Grace: 700 * time.Millisecond, ConfigApply: 2 * time.Second, Revoke: 5 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 129, RetryWindow: 10 * time.Second,
 		},
 	}
--- a/test/platform/path_test.go
+++ b/test/platform/path_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
 
@@ -195,7 +196,10 @@
 // Guards against a planned stop that cuts answers or refuses requests before
 // the balancer has noticed.
 func TestStopCutsNothing(t *testing.T) {
-	s := newSite(t, options{vms: 2, engines: 2, desks: 1, events: 100, interval: 15 * time.Millisecond})
+	s := newSite(t, options{
+		vms: 2, engines: 2, desks: 1, events: 100, interval: 15 * time.Millisecond,
+		bounds: func(b *config.Bounds) { b.Grace = 4 * time.Second },
+	})
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := wholeStream(s.send(s.vms[0], draft()), 100); err != nil {
