Show the path on the platform in one command, follow idle limits and settings

Connections of callers are closed by the idle limit of the configuration in force. Settings are read again on SIGHUP and when their file changes.

--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -97,7 +97,9 @@
 // more than the answer, or has closed it.
 func TestSpoiltConnectionsAreNotReused(t *testing.T) {
 	for name, spoil := range map[string]func(net.Conn){
-		"extra": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 5\r\n\r\nwrong") },
+		"extra": func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 5\r\n\r\nwrong")
+		},
 		"close": func(c net.Conn) { _ = c.Close() },
 	} {
 		var conns atomic.Int32
--- a/entry.go
+++ b/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -57,6 +58,8 @@
 	probes    *http.Server
 	admin     *http.Server
 	listeners []net.Listener
+	// bounds are those of the settings in force.
+	bounds atomic.Pointer[config.Bounds]
 }
 
 // Limits of the servers of an entry VM.
@@ -109,6 +112,7 @@
 		exchanges: backend.NewExchanges(o.Edge.AnswerID), breaker: backend.NewBreaker(),
 	}
 	d := o.Deployment
+	e.bounds.Store(&o.Deployment.Bounds)
 	var err error
 	e.mesh, err = newMesh(meshOptions{
 		VM: d.VM, Region: d.Region, Listen: d.Listen.Peers, Loop: e.loop, Metrics: e.metrics, Log: o.Log,
@@ -131,7 +135,7 @@
 	})
 	e.grants = e.newGrants()
 	e.gateway = gateway.New(gateway.Options{
-		VM: d.VM, Zone: d.Zone, Bounds: d.Bounds, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker,
+		VM: d.VM, Zone: d.Zone, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker,
 		Exchanges: e.exchanges, Engines: o.Engines(e.exchanges), Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
 	})
 	if err := e.listen(); err != nil {
@@ -148,8 +152,10 @@
 	d := e.opts.Deployment
 	g := grant.New(grant.Options{
 		VM: d.VM, Region: d.Region, Loop: e.loop, Transport: e.mesh.sessions, Breaker: e.breaker, Log: e.log,
-		NewCore: func() dispatch.Core { return dispatch.NewFair(dispatch.FairOptions{EngineStreams: engineStreams, AgedWait: agedWait}) },
-		Memory:  e.engineMemory, BypassAfter: bypassAfter, QueueTimeout: queueTimeout, LocalStreams: localStreams,
+		NewCore: func() dispatch.Core {
+			return dispatch.NewFair(dispatch.FairOptions{EngineStreams: engineStreams, AgedWait: agedWait})
+		},
+		Memory: e.engineMemory, BypassAfter: bypassAfter, QueueTimeout: queueTimeout, LocalStreams: localStreams,
 		GroupSize: engineGroup, Queued: queuedRequests, QueuedPerOrganisation: queuedRequests,
 		Seed: maphash.String(maphash.MakeSeed(), d.VM),
 	})
@@ -177,13 +183,17 @@
 
 // listen opens the listeners and builds their servers.
 func (e *Entry) listen() error {
+	idle := gateway.IdleLimit{Limit: e.idleLimit}
 	e.callers = &http.Server{
-		Handler: e.gateway, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: e.gateway, ConnState: idle.ConnState, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		ErrorLog: zap.NewStdLog(e.log),
 	}
 	e.probes = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
 	e.admin = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	addresses := []string{e.opts.Deployment.Listen.Callers, e.opts.Deployment.Listen.Ready, e.opts.Deployment.Listen.Metrics}
+	addresses := []string{e.opts.Deployment.Listen.Callers, e.opts.Deployment.Listen.Ready}
+	if metrics := e.opts.Deployment.Listen.Metrics; metrics != "" {
+		addresses = append(addresses, metrics)
+	}
 	for _, address := range addresses {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -191,9 +201,26 @@
 		}
 		e.listeners = append(e.listeners, l)
 	}
+	e.listeners[0] = idle.Listener(e.listeners[0])
 	return nil
 }
 
+// idleLimit is the limit in force for idle connections of callers.
+func (e *Entry) idleLimit() time.Duration {
+	if t := e.loop.Snapshot().Routes; t != nil && t.Limits.IdleTimeout > 0 {
+		return t.Limits.IdleTimeout
+	}
+	return callerIdleTimeout
+}
+
+// Reload takes changed settings into use. Addresses and the store take effect
+// at the next start.
+func (e *Entry) Reload(d config.Deployment) {
+	e.bounds.Store(&d.Bounds)
+	e.log.Info("settings_in_force", zap.Duration("revoke", d.Bounds.Revoke), zap.Duration("grace", d.Bounds.Grace),
+		zap.Duration("drain", d.Bounds.Drain))
+}
+
 func (e *Entry) closeListeners() {
 	for _, l := range e.listeners {
 		_ = l.Close()
@@ -230,7 +257,7 @@
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
-	servers := []*http.Server{e.callers, e.probes, e.admin}
+	servers := []*http.Server{e.callers, e.probes, e.admin}[:len(e.listeners)]
 	for i, s := range servers {
 		background.Go(func() { e.serve(s, e.listeners[i]) })
 	}
@@ -259,8 +286,8 @@
 	begin := time.Now()
 	e.log.Info("drain_started", zap.Int("active", e.gateway.Active()))
 	e.gateway.Stop()
-	limit := begin.Add(e.opts.Deployment.Bounds.Grace - stopMargin)
-	notice := min(noticeTime, e.opts.Deployment.Bounds.Grace/2)
+	limit := begin.Add(e.bounds.Load().Grace - stopMargin)
+	notice := min(noticeTime, e.bounds.Load().Grace/2)
 	time.Sleep(notice)
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
@@ -294,15 +321,19 @@
 	}
 }
 
-// EntryAddresses are the addresses in use, as IP:port.
+// EntryAddresses are the addresses in use, as IP:port. Metrics is empty if none
+// is configured.
 type EntryAddresses struct{ Callers, Ready, Peers, Metrics string }
 
 // Addresses returns the addresses of the listeners.
 func (e *Entry) Addresses() EntryAddresses {
-	return EntryAddresses{
-		Callers: e.listeners[0].Addr().String(), Ready: e.listeners[1].Addr().String(),
-		Metrics: e.listeners[2].Addr().String(), Peers: e.mesh.sessions.Addr(),
+	a := EntryAddresses{
+		Callers: e.listeners[0].Addr().String(), Ready: e.listeners[1].Addr().String(), Peers: e.mesh.sessions.Addr(),
+	}
+	if len(e.listeners) > 2 {
+		a.Metrics = e.listeners[2].Addr().String()
 	}
+	return a
 }
 
 // Snapshot returns the control state.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,8 +25,9 @@
 
 // Options are the collaborators of a Gateway.
 type Options struct {
-	VM, Zone  string
-	Bounds    config.Bounds
+	VM, Zone string
+	// Bounds returns the bounds in force.
+	Bounds    func() *config.Bounds
 	Snapshot  func() *control.Snapshot
 	Admission dispatch.Admission
 	Exchanges *backend.Exchanges
@@ -53,7 +54,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		Options:  o,
-		budget:   retry.NewSharedBudget(o.Bounds.RetryRatio, o.Bounds.RetrySlack, o.Bounds.RetryWindow),
+		budget:   retry.NewSharedBudget(o.Bounds().RetryRatio, o.Bounds().RetrySlack, o.Bounds().RetryWindow),
 		services: newServiceLoad(o.Zone),
 		runs:     newRunTable(),
 	}
@@ -197,7 +198,7 @@
 }
 
 func (c *call) checkFresh() error {
-	bound := c.g.Bounds.Revoke
+	bound := c.g.Bounds().Revoke
 	if bound == 0 {
 		return nil
 	}
--- /dev/null
+++ b/gateway/listener_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against connections that are closed sooner than the configuration in
+// force allows, or kept for longer. Pattern: the operator changes the idle limit.
+func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
+	var limit atomic.Int64
+	limit.Store(int64(time.Hour))
+	idle := IdleLimit{Limit: func() time.Duration { return time.Duration(limit.Load()) }}
+	server := &http.Server{
+		IdleTimeout: 50 * time.Millisecond, ConnState: idle.ConnState,
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(idle.Listener(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	get := func() error {
+		if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	if err := get(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(150 * time.Millisecond)
+	limit.Store(int64(30 * time.Millisecond))
+	if err := get(); err != nil {
+		t.Errorf("closed before the limit: %v", err)
+	}
+	time.Sleep(150 * time.Millisecond)
+	if err := get(); err == nil {
+		t.Error("open after the limit")
+	}
+}
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -35,7 +35,7 @@
 func (e *DemoError) Error() string { return "demo: " + e.Step + ": " + e.Detail }
 
 func newDemoCommand() *cobra.Command {
-	var verbose bool
+	var verbose, onPlatform bool
 	cmd := &cobra.Command{
 		Use: "demo", Short: "Run stand-ins and VMs on loopback and show what callers see", Args: cobra.NoArgs,
 		Long: "Run stand-ins and several VMs in one process on loopback. The demo rolls out a bundle, streams a quote, " +
@@ -47,9 +47,13 @@
 			if verbose {
 				logs = cmd.ErrOrStderr()
 			}
+			if onPlatform {
+				return runPlatformDemo(ctx, cmd.OutOrStdout(), logs)
+			}
 			return runDemo(ctx, cmd.OutOrStdout(), logs)
 		},
 	}
+	cmd.Flags().BoolVar(&onPlatform, "platform", false, "show the path on the users' platform instead")
 	cmd.Flags().BoolVar(&verbose, "logs", false, "print the log lines of the VMs to standard error")
 	return cmd
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -15,23 +15,25 @@
 	"github.com/vanillaarch/vanillaarch"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/edge"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/platform"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
 // newEntryCommand returns the command that runs an entry VM on the users' platform.
 func newEntryCommand() *cobra.Command {
-	var level string
+	var settings, level string
 	cmd := &cobra.Command{
 		Use:   "entry",
 		Short: "Run one entry VM on the users' platform",
 		Long: "Run one entry VM on the users' platform. The settings file is named by " + platform.SettingsVariable +
-			". SIGTERM drains the VM, SIGHUP reads the settings again.",
+			" unless --settings is given. SIGTERM drains the VM, SIGHUP or a change of the file reads the settings again.",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		RunE:          func(*cobra.Command, []string) error { return runEntry(level) },
+		RunE:          func(*cobra.Command, []string) error { return runEntry(settings, level) },
 	}
+	cmd.Flags().StringVar(&settings, "settings", os.Getenv(platform.SettingsVariable), "settings file of the platform, YAML")
 	cmd.Flags().StringVar(&level, "log-level", "info", "least level of log lines")
 	return cmd
 }
@@ -42,8 +44,8 @@
 // logFlushTime bounds the time for which the end of the process waits for its log.
 const logFlushTime = 200 * time.Millisecond
 
-func runEntry(level string) error {
-	deployment, err := platform.LoadSettings()
+func runEntry(settings, level string) error {
+	deployment, err := platform.LoadSettings(settings)
 	if err != nil {
 		return err
 	}
@@ -68,21 +70,46 @@
 		for s := range signals {
 			log.Info("signal_received", zap.Stringer("signal", s))
 			if s == syscall.SIGHUP {
-				reload(log)
+				reload(log, settings, entry)
 				continue
 			}
 			cancel()
 		}
 	}()
+	go watchSettings(ctx, log, settings, entry)
 	return entry.Run(ctx)
 }
 
-// reload reads the settings again. What a running VM cannot change, such as its
-// addresses, takes effect at the next start.
-func reload(log *zap.Logger) {
-	if _, err := platform.LoadSettings(); err != nil {
+// settingsInterval is the time between looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings reads the settings again when their file has changed.
+func watchSettings(ctx context.Context, log *zap.Logger, path string, entry *vanillaarch.Entry) {
+	last := modified(path)
+	for wait.Sleep(ctx, settingsInterval) {
+		if now := modified(path); !now.Equal(last) {
+			last = now
+			reload(log, path, entry)
+		}
+	}
+}
+
+// modified returns when a file was changed, the zero time if it cannot be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload reads the settings again. The ones in force stay if they cannot be read.
+func reload(log *zap.Logger, path string, entry *vanillaarch.Entry) {
+	d, err := platform.LoadSettings(path)
+	if err != nil {
 		log.Error("settings_rejected", telemetry.Error(err))
 		return
 	}
-	log.Info("settings_read")
+	entry.Reload(d)
 }
--- a/internal/standin/standincmd/standincmd.go
+++ b/internal/standin/standincmd/standincmd.go
@@ -15,6 +15,7 @@
 
 	"github.com/vanillaarch/vanillaarch/internal/enginemodel"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -29,7 +30,7 @@
 	var listen string
 	root.PersistentFlags().StringVar(&listen, "listen", "127.0.0.1:0", "address as IP:port")
 	root.AddCommand(kvCommand(&listen), vmListCommand(&listen), engineCommand(&listen), serviceCommand(&listen),
-		weightsCommand(&listen))
+		weightsCommand(&listen), platformCommand(&listen))
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -42,6 +43,27 @@
 	}
 }
 
+// platformCommand runs the store of the users' platform with backend servers
+// that register there. It prints the address of the store.
+func platformCommand(listen *string) *cobra.Command {
+	var engines, desks int
+	cmd := &cobra.Command{
+		Use: "platform", Short: "Store of the users' platform with backend servers", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			store := userplatform.NewStore()
+			defer store.Close()
+			fleet := userplatform.NewFleet(store)
+			if err := fleet.StartAll(engines, desks); err != nil {
+				return err
+			}
+			return serve(*listen, store)
+		},
+	}
+	cmd.Flags().IntVar(&engines, "engines", 3, "number of engines")
+	cmd.Flags().IntVar(&desks, "desks", 2, "number of plain servers")
+	return cmd
+}
+
 func weightsCommand(listen *string) *cobra.Command {
 	var o standin.WeightsOptions
 	cmd := &cobra.Command{
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -51,8 +51,6 @@
 	servers map[string]*Server
 	copies  map[string]copied
 	runs    map[string][]string
-	doubles []string
-	active  map[string]string
 }
 
 // copied is the memory of a run at an engine.
@@ -64,7 +62,7 @@
 // NewFleet returns a fleet whose servers register in a store.
 func NewFleet(store *Store) *Fleet {
 	return &Fleet{
-		store: store, servers: map[string]*Server{}, copies: map[string]copied{}, runs: map[string][]string{}, active: map[string]string{},
+		store: store, servers: map[string]*Server{}, copies: map[string]copied{}, runs: map[string][]string{},
 	}
 }
 
@@ -119,6 +117,9 @@
 	return s, nil
 }
 
+// ID returns the id of the server.
+func (s *Server) ID() string { return s.opts.ID }
+
 // Register writes the entry of the server with a state.
 func (s *Server) Register(state string) {
 	entry := map[string]any{
@@ -336,6 +337,14 @@
 	writeJSON(w, map[string]any{"handle": handle, "createdRev": 0})
 }
 
+// CallerHeaders returns the headers of a caller's request: its id, its key, and
+// what the engine routes need.
+func CallerHeaders(id, key string) http.Header {
+	return http.Header{
+		"Request-Id": {id}, "Deadline-Ms": {"20000"}, "Authorization": {"Bearer " + key}, "Model": {"m"}, "Token-Count": {"300,4000"},
+	}
+}
+
 // Config returns an operator's configuration with the four kinds of routes,
 // all on one host.
 func Config(version int64, keys ...string) []byte {
@@ -354,3 +363,31 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"acme","apiKeys":[%s],"priority":1}]}`, version, strings.Join(quoted, ","))
 }
+
+// Defaults of StartAll.
+const (
+	defaultEvents   = 200
+	defaultInterval = 20 * time.Millisecond
+	defaultWork     = 20 * time.Millisecond
+)
+
+// StartAll writes a configuration and starts engines and plain servers.
+func (f *Fleet) StartAll(engines, desks int) error {
+	f.store.Put("op/config", Config(1, "key-of-acme"))
+	for i := range engines {
+		o := ServerOptions{
+			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: "z", Model: "m", Slots: 24,
+			Events: defaultEvents, EventInterval: defaultInterval,
+		}
+		if _, err := f.Start(o); err != nil {
+			return err
+		}
+	}
+	for i := range desks {
+		o := ServerOptions{ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: "z", Slots: 6, Work: defaultWork}
+		if _, err := f.Start(o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -121,7 +121,7 @@
 
 // signals by name, as the scripts use them.
 var signals = map[string]syscall.Signal{
-	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	"HUP": syscall.SIGHUP, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 }
 
 // signal SIGNAL NAME... sends a signal to processes started before.
--- a/test/platform/config_test.go
+++ b/test/platform/config_test.go
@@ -16,7 +16,7 @@
 func (s *site) everywhere(what string, a ask, status int) {
 	s.t.Helper()
 	for _, v := range s.vms {
-		s.eventually(applyLimit, what+" on "+v.name, func() bool { return s.send(v, a).status == status })
+		s.eventually(applyLimit, what+" on "+v.Name, func() bool { return s.send(v, a).status == status })
 	}
 }
 
@@ -85,7 +85,7 @@
 func TestVMWithoutConfiguration(t *testing.T) {
 	s := newSite(t, options{desks: 1})
 	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
-	v := s.vm("vm-0", nil)
+	v := s.vm("vm-0")
 	if got := s.send(v, book()); got.status != http.StatusServiceUnavailable {
 		t.Errorf("%+v", got)
 	}
@@ -123,6 +123,6 @@
 	s.store.Compact()
 	s.everywhere("the old key is refused", book(), http.StatusUnauthorized)
 	for _, v := range s.vms {
-		s.eventually(applyLimit, "the server is gone on "+v.name, func() bool { return len(v.Snapshot().Services["desk"]) == 1 })
+		s.eventually(applyLimit, "the server is gone on "+v.Name, func() bool { return len(v.Snapshot().Services["desk"]) == 1 })
 	}
 }
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,41 +14,26 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
-	"github.com/vanillaarch/vanillaarch"
-	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/config"
-	"github.com/vanillaarch/vanillaarch/edge"
-	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/internal/localsite"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
-	"github.com/vanillaarch/vanillaarch/platform"
-	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
 const (
-	key     = "key-of-acme"
+	key     = localsite.Key
 	host    = "site.example"
-	version = 3
+	version = localsite.Version
 )
 
-// site is a deployment: a store, backend servers and entry VMs.
+// site is a deployment with the test that uses it.
 type site struct {
+	*localsite.Site
 	t       *testing.T
 	store   *userplatform.Store
 	fleet   *userplatform.Fleet
 	engines []*userplatform.Server
 	desks   []*userplatform.Server
-	vms     []*vm
-}
-
-// vm is a running entry VM.
-type vm struct {
-	*vanillaarch.Entry
-	name  string
-	stop  context.CancelFunc
-	ended chan struct{}
+	vms     []*localsite.VM
 }
 
 // options vary a site.
@@ -62,93 +46,46 @@
 
 func newSite(t *testing.T, o options) *site {
 	t.Helper()
-	s := &site{t: t, store: userplatform.NewStore()}
-	t.Cleanup(s.store.Close)
-	s.fleet = userplatform.NewFleet(s.store)
-	s.store.Put("op/config", userplatform.Config(version, key))
-	for i := range o.engines {
-		s.engines = append(s.engines, s.server(userplatform.ServerOptions{
-			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: "z", Model: "m", Slots: 24,
-			Events: o.events, EventInterval: o.interval,
-		}))
-	}
-	for i := range o.desks {
-		s.desks = append(s.desks, s.server(userplatform.ServerOptions{
-			ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: "z", Slots: 6, Work: 5 * time.Millisecond,
-		}))
-	}
-	for i := range o.vms {
-		s.vms = append(s.vms, s.vm(fmt.Sprintf("vm-%d", i), o.bounds))
-	}
-	for _, v := range s.vms {
-		s.eventually(10*time.Second, v.name+" knows the whole site", func() bool {
-			snap := v.Snapshot()
-			return snap.Routes != nil && len(snap.Backends) == o.engines+o.desks && len(snap.EntryVMs) == o.vms
-		})
+	bounds := localsite.DefaultBounds()
+	if o.bounds != nil {
+		o.bounds(&bounds)
 	}
-	return s
-}
-
-func (s *site) server(o userplatform.ServerOptions) *userplatform.Server {
-	s.t.Helper()
-	server, err := s.fleet.Start(o)
+	s, err := localsite.Start(localsite.Options{
+		VMs: o.vms, Engines: o.engines, Desks: o.desks, Events: o.events, EventInterval: o.interval, Bounds: bounds,
+		Logs: func(vm string) io.Writer { return logOnFailure(t, vm) },
+	})
 	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(server.Crash)
-	return server
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		s.Close()
+		for _, v := range s.VMs {
+			if v.Err != nil {
+				t.Errorf("%s: %v", v.Name, v.Err)
+			}
+		}
+	})
+	return &site{Site: s, t: t, store: s.Store, fleet: s.Fleet, engines: s.Engines, desks: s.Desks, vms: s.VMs}
 }
 
-func (s *site) vm(name string, bounds func(*config.Bounds)) *vm {
+func (s *site) vm(name string) *localsite.VM {
 	s.t.Helper()
-	store, err := standin.Listen("127.0.0.1:0", s.store.For(name))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(store.Close)
-	any0 := "127.0.0.1:0"
-	d := config.Deployment{
-		VM: name, Zone: "z", Region: "r", Listen: config.DeploymentListen{Callers: any0, Ready: any0, Peers: any0, Metrics: any0},
-		Limits: config.VMLimits{MemoryBytes: 120 << 20}, Store: config.StoreSettings{Address: store.Address(), MinLease: time.Second},
-		Bounds: config.Bounds{
-			Drain: 2 * time.Second, Grace: 700 * time.Millisecond, ConfigApply: 2 * time.Second, Revoke: 5 * time.Second,
-			RetryRatio: 0.2, RetrySlack: 129, RetryWindow: 10 * time.Second,
-		},
-	}
-	if bounds != nil {
-		bounds(&d.Bounds)
-	}
-	client := platform.NewStore(store.Address(), 500*time.Millisecond)
-	s.t.Cleanup(client.Close)
-	entry, err := vanillaarch.NewEntry(vanillaarch.EntryOptions{
-		Deployment: d, Store: client, Codec: platform.Entries{}, Edge: platform.Headers{}, Log: s.log(name),
-		Engines: func(x *backend.Exchanges) edge.EngineClient { return platform.Engines{Exchanges: x} },
-	})
+	v, err := s.StartVM(name)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	v := &vm{Entry: entry, name: name, stop: cancel, ended: make(chan struct{})}
-	go func() {
-		defer close(v.ended)
-		if err := entry.Run(ctx); err != nil {
-			s.t.Errorf("%s: %v", name, err)
-		}
-	}()
-	s.t.Cleanup(func() { cancel(); <-v.ended })
 	return v
 }
 
-// log returns a logger whose lines are printed if the test fails.
-func (s *site) log(name string) *zap.Logger {
+// logOnFailure returns a writer whose lines are printed if the test fails.
+func logOnFailure(t *testing.T, vm string) io.Writer {
 	lines := &bytes.Buffer{}
-	log := telemetry.NewLogger(zapcore.Lock(zapcore.AddSync(lines)), "info", name)
-	s.t.Cleanup(func() {
-		if s.t.Failed() {
-			s.t.Logf("log of %s:\n%s", name, lines.String())
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", vm, lines.String())
 		}
 	})
-	return log
+	return lines
 }
 
 func (s *site) eventually(limit time.Duration, what string, ok func() bool) {
@@ -184,7 +121,7 @@
 var caller = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 
 // send sends a request to a VM and reads the whole answer.
-func (s *site) send(v *vm, a ask) answer {
+func (s *site) send(v *localsite.VM, a ask) answer {
 	if a.id == "" {
 		a.id = "request-" + strconv.FormatInt(lastID.Add(1), 10)
 	}
--- a/test/platform/path_test.go
+++ b/test/platform/path_test.go
@@ -207,7 +207,7 @@
 		}
 	})
 	time.Sleep(200 * time.Millisecond)
-	s.vms[0].stop()
+	s.vms[0].Stop()
 	time.Sleep(50 * time.Millisecond)
 	resp, err := http.Get("http://" + s.vms[0].Addresses().Ready + "/ready")
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
@@ -218,5 +218,5 @@
 		t.Errorf("%+v", got)
 	}
 	wg.Wait()
-	<-s.vms[0].ended
+	<-s.vms[0].Ended
 }
