--- a/internal/localcluster/fairness_test.go
+++ b/internal/localcluster/fairness_test.go
@@ -86,6 +86,18 @@
 		a, b, many.refused.Load(), few.refused.Load(), bypasses)
 	if share := float64(a) / float64(a+b) / 0.5; a+b == 0 || share < 1-largest || share > 1+largest {
 		t.Errorf("organisation with many callers got %.2f of its entitlement, want 1 within %.2f", share, largest)
+		logDispatchers(t, c.VMs)
+	}
+}
+
+// logDispatchers logs which VMs dispatch, since two of them for one group admit
+// more streams than the engines' limit.
+func logDispatchers(t testing.TB, vms []*localcluster.VM) {
+	for _, vm := range vms {
+		q := queuesOf(t, vm)
+		if len(q.Groups)+len(q.Silent)+len(q.OpenBreakers) > 0 || q.LateGrants > 0 {
+			t.Logf("%s: %+v", vm.ID, q)
+		}
 	}
 }
 
