Keep the lists of backend servers and entry VMs apart

Both lists had one revision, so a VM with a silent watch of the servers and a working one of the entry VMs brought the old servers back everywhere.

Ruled out: weights in a joint revision; either list can be the older one.

Change: two sections with their own revisions in control, gossip and discovery. TestOldServersDoNotComeBack and TestListsAreReadApart in discovery.

--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,9 @@
 	Signed *bundle.Signed
 	Bundle *bundle.Index
 	VMs    *vmlist.List
+	// Servers and Members are the backend servers and the entry VMs where they
+	// are listed apart. VMs then joins them.
+	Servers, Members *vmlist.List
 	// Routes is the operator's configuration of a deployment on a platform,
 	// RoutesContent its source, and RoutesConfirmed the last time at which the
 	// store is known to have held it, on the clock of package boottime.
@@ -60,6 +63,8 @@
 	// Bundle is nil until a bundle is in force.
 	Bundle *bundle.Index
 	VMs    *vmlist.List
+	// Servers and Members are those of State.
+	Servers, Members *vmlist.List
 	// Routes, RoutesContent and RoutesConfirmed are those of State.
 	Routes          *route.Table
 	RoutesContent   []byte
@@ -99,7 +104,7 @@
 func NewLoop(log *zap.Logger, now func() time.Time) *Loop {
 	l := &Loop{
 		mailbox: make(chan Message, mailboxSize),
-		state:   State{VMs: &vmlist.List{}, Suspect: map[string]bool{}, log: log},
+		state:   State{VMs: &vmlist.List{}, Servers: &vmlist.List{}, Members: &vmlist.List{}, Suspect: map[string]bool{}, log: log},
 		done:    make(chan struct{}),
 		now:     now,
 	}
@@ -181,7 +186,7 @@
 // that other changes do not cost time in proportion to the fleet.
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
 	snap := &Snapshot{
-		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, VMListCeiling: s.listCeiling,
+		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, Servers: s.Servers, Members: s.Members, VMListCeiling: s.listCeiling,
 		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed,
 	}
 	if previous != nil && previous.VMs == s.VMs && sameModels(previous.Bundle, s.Bundle) {
--- a/control/vmlist.go
+++ b/control/vmlist.go
@@ -89,15 +89,40 @@
 	}
 }
 
-// BackendsListed carries the VM list as this VM has read it from the platform's
-// store. It replaces the list in force, unless a peer has sent a newer one.
-type BackendsListed struct{ List *vmlist.List }
+// ServersListed carries the backend servers as the platform's store lists them.
+// A list with a lower revision than the one in force is ignored.
+type ServersListed struct {
+	List   *vmlist.List
+	Source string
+}
 
 // Apply implements Message.
-func (m BackendsListed) Apply(s *State) {
-	if m.List.Revision < s.VMs.Revision {
-		return
+func (m ServersListed) Apply(s *State) {
+	if m.List.Revision > s.Servers.Revision {
+		s.Servers = m.List
+		s.join()
+	}
+}
+
+// MembersListed carries the entry VMs as the platform's store lists them. A list
+// with a lower revision than the one in force is ignored.
+type MembersListed struct {
+	List   *vmlist.List
+	Source string
+}
+
+// Apply implements Message.
+func (m MembersListed) Apply(s *State) {
+	if m.List.Revision > s.Members.Revision {
+		s.Members = m.List
+		s.join()
 	}
-	s.VMs, s.listFromPeer, s.contradictions = m.List, false, 0
+}
+
+// join makes the VM list of both sections. Its revision is of this VM alone.
+func (s *State) join() {
+	vms := make([]vmlist.VM, 0, len(s.Servers.VMs)+len(s.Members.VMs))
+	vms = append(append(vms, s.Servers.VMs...), s.Members.VMs...)
+	s.VMs = &vmlist.List{Revision: s.VMs.Revision + 1, VMs: vms}
 	s.Changed()
 }
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -16,7 +16,8 @@
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
-// list joins the entries of backend servers and entry VMs into one VM list.
+// list holds the entries of backend servers and those of entry VMs. They are
+// watched apart, so each has a revision of its own.
 type list struct {
 	opts Options
 	// afterOutage says whether entries may have lapsed in an outage of the store.
@@ -24,13 +25,11 @@
 
 	mu               sync.Mutex
 	servers, members *section
-	// expired counts changes of the list without a change in the store since the
-	// last one there.
-	expired int64
-	// store is the revision of the store that was published last.
-	store int64
 }
 
+// sourceStore is the source of lists that this VM has read itself.
+const sourceStore = "store"
+
 // revisionShift makes room below a revision of the store for changes without one.
 const revisionShift = 8
 
@@ -41,24 +40,30 @@
 	entryVMs bool
 	decode   func(kv.Entry) (vmlist.VM, error)
 	entries  map[string]vmlist.VM
-	// listed says that the prefix has been read since this VM began to read.
-	listed bool
 	// lapsed maps entries that went missing around an outage to the time at
 	// which they count as gone.
-	lapsed   map[string]time.Duration
-	revision int64
+	lapsed map[string]time.Duration
+	// revision is that of the store, expired counts changes without one since.
+	revision, expired int64
+	// post puts a list in force.
+	post func(*vmlist.List)
 }
 
 func newList(o Options, afterOutage func() bool) *list {
-	section := func(prefix string, entryVMs bool, decode func(kv.Entry) (vmlist.VM, error)) *section {
+	section := func(prefix string, entryVMs bool, decode func(kv.Entry) (vmlist.VM, error), post func(*vmlist.List)) *section {
 		return &section{
-			prefix: prefix, entryVMs: entryVMs, decode: decode, entries: map[string]vmlist.VM{}, lapsed: map[string]time.Duration{},
+			prefix: prefix, entryVMs: entryVMs, decode: decode, post: post,
+			entries: map[string]vmlist.VM{}, lapsed: map[string]time.Duration{},
 		}
 	}
 	return &list{
 		opts: o, afterOutage: afterOutage,
-		servers: section(o.Codec.ServerPrefix(), false, o.Codec.DecodeServer),
-		members: section(o.Codec.VMPrefix(), true, o.Codec.DecodeMember),
+		servers: section(o.Codec.ServerPrefix(), false, o.Codec.DecodeServer, func(l *vmlist.List) {
+			o.Loop.Post(control.ServersListed{List: l, Source: sourceStore})
+		}),
+		members: section(o.Codec.VMPrefix(), true, o.Codec.DecodeMember, func(l *vmlist.List) {
+			o.Loop.Post(control.MembersListed{List: l, Source: sourceStore})
+		}),
 	}
 }
 
@@ -70,9 +75,6 @@
 	var failures backoff
 	for ctx.Err() == nil {
 		if f.rests() {
-			if reading && !f.opts.Reads() {
-				f.list.unlist(s)
-			}
 			after, reading = -1, reading && f.opts.Reads()
 			wait.Sleep(ctx, roleCheck)
 			continue
@@ -128,7 +130,7 @@
 func (l *list) seed(s *section, vms []vmlist.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s.entries, s.lapsed, s.listed = map[string]vmlist.VM{}, map[string]time.Duration{}, false
+	s.entries, s.lapsed = map[string]vmlist.VM{}, map[string]time.Duration{}
 	for _, vm := range vms {
 		if (vm.Role == vmlist.RoleEntry) == s.entryVMs {
 			s.entries[s.prefix+vm.ID] = vm
@@ -136,20 +138,13 @@
 	}
 }
 
-// unlist notes that this VM no longer reads a prefix.
-func (l *list) unlist(s *section) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s.listed = false
-}
-
 // replace takes a complete listing.
 func (l *list) replace(s *section, listing kv.Listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := s.entries
 	lapsed := s.lapsed
-	s.entries, s.lapsed, s.listed = map[string]vmlist.VM{}, map[string]time.Duration{}, true
+	s.entries, s.lapsed = map[string]vmlist.VM{}, map[string]time.Duration{}
 	for _, e := range listing.Entries {
 		l.set(s, e)
 	}
@@ -163,8 +158,8 @@
 		}
 		l.miss(s, key, vm)
 	}
-	s.revision = max(s.revision, listing.Revision)
-	l.publish()
+	s.advance(listing.Revision)
+	s.publish()
 }
 
 // miss handles an entry that is no longer there. Around an outage it is kept
@@ -195,8 +190,8 @@
 		}
 	}
 	if n := len(changes.Changes); n > 0 {
-		s.revision = max(s.revision, changes.Changes[n-1].Revision)
-		l.publish()
+		s.advance(changes.Changes[n-1].Revision)
+		s.publish()
 	}
 }
 
@@ -225,40 +220,34 @@
 func (l *list) expire(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed := false
 	for _, s := range []*section{l.servers, l.members} {
+		before := len(s.lapsed)
 		for key, until := range s.lapsed {
 			if now >= until {
 				delete(s.lapsed, key)
 				delete(s.entries, key)
-				changed = true
 			}
 		}
-	}
-	if changed {
-		l.expired++
-		l.publish()
+		if len(s.lapsed) < before {
+			s.expired++
+			s.publish()
+		}
 	}
 }
 
-// publish posts the joined list, unless a part of it has not been read yet: the
-// other VMs would take the missing servers for gone. The lock must be held.
-func (l *list) publish() {
-	if !l.servers.listed || !l.members.listed {
-		return
+// advance notes the revision of the store that the entries have reached.
+func (s *section) advance(revision int64) {
+	if revision > s.revision {
+		s.revision, s.expired = revision, 0
 	}
-	// The sections are watched apart. Each change of either must give a higher
-	// revision, or other VMs keep a list that lacks it.
-	store := l.servers.revision + l.members.revision
-	if store != l.store {
-		l.store, l.expired = store, 0
-	}
-	out := &vmlist.List{Revision: store<<revisionShift + min(l.expired, 1<<revisionShift-1)}
-	for _, s := range []*section{l.servers, l.members} {
-		for _, vm := range s.entries {
-			out.VMs = append(out.VMs, vm)
-		}
+}
+
+// publish posts the list of a section. The lock must be held.
+func (s *section) publish() {
+	out := &vmlist.List{Revision: s.revision<<revisionShift + min(s.expired, 1<<revisionShift-1)}
+	for _, vm := range s.entries {
+		out.VMs = append(out.VMs, vm)
 	}
 	sortVMs(out.VMs)
-	l.opts.Loop.Post(control.BackendsListed{List: out})
+	s.post(out)
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,8 @@
 const (
 	KindBundle = peerpb.DocumentKind_DOCUMENT_KIND_BUNDLE
 	KindVMList = peerpb.DocumentKind_DOCUMENT_KIND_VM_LIST
+	// KindEntryVMs is used where entry VMs and backend servers are listed apart.
+	KindEntryVMs = peerpb.DocumentKind_DOCUMENT_KIND_ENTRY_VMS
 )
 
 // Source holds the documents of one kind.
@@ -78,7 +81,9 @@
 
 // Gossip exchanges documents with peers.
 type Gossip struct {
-	sources   map[peerpb.DocumentKind]Source
+	sources map[peerpb.DocumentKind]Source
+	// kinds are those of the sources, in order.
+	kinds     []peerpb.DocumentKind
 	histories map[peerpb.DocumentKind]*History
 	exchange  *Exchange
 	inbox     chan message
@@ -94,12 +99,24 @@
 
 // New returns an exchange of the given sources; Run must be called.
 func New(sources map[peerpb.DocumentKind]Source, log *zap.Logger) *Gossip {
-	return &Gossip{
+	g := &Gossip{
 		sources: sources, exchange: NewExchange(), inbox: make(chan message, inboxMessages), log: log,
-		histories: map[peerpb.DocumentKind]*History{
-			KindBundle: NewHistory(BundleHistoryBytes), KindVMList: NewHistory(VMListHistoryBytes),
-		},
+		histories: map[peerpb.DocumentKind]*History{},
 	}
+	for k := range sources {
+		g.kinds = append(g.kinds, k)
+		g.histories[k] = NewHistory(historyBytes(k))
+	}
+	slices.Sort(g.kinds)
+	return g
+}
+
+// historyBytes bounds the versions of a kind that are kept as bases of deltas.
+func historyBytes(k peerpb.DocumentKind) int {
+	if k == KindBundle {
+		return BundleHistoryBytes
+	}
+	return VMListHistoryBytes
 }
 
 // Stats returns the counters.
@@ -127,15 +144,37 @@
 	if m.GetDocumentRequest() != nil || m.GetDocument() != nil {
 		return true
 	}
-	bundle, vmList := offers(m)
-	return bundle > g.sources[KindBundle].Version() || vmList > g.sources[KindVMList].Version()
+	for _, k := range g.kinds {
+		if offered(m, k) > g.sources[k].Version() {
+			return true
+		}
+	}
+	return false
 }
 
-func offers(m *peerpb.Membership) (bundle, vmList int64) {
+// offers are the versions in a heartbeat or an acknowledgement.
+type offers interface {
+	GetBundleVersion() int64
+	GetVmListRevision() int64
+	GetEntryVmsRevision() int64
+}
+
+// offered returns the version of a kind that a message offers.
+func offered(m *peerpb.Membership, k peerpb.DocumentKind) int64 {
+	var o offers = m.GetHeartbeat()
 	if a := m.GetHeartbeatAck(); a != nil {
-		return a.GetBundleVersion(), a.GetVmListRevision()
+		o = a
+	}
+	switch k {
+	case KindBundle:
+		return o.GetBundleVersion()
+	case KindVMList:
+		return o.GetVmListRevision()
+	case KindEntryVMs:
+		return o.GetEntryVmsRevision()
+	default:
+		return 0
 	}
-	return m.GetHeartbeat().GetBundleVersion(), m.GetHeartbeat().GetVmListRevision()
 }
 
 // Run handles messages until ctx ends. changed signals new versions of the
@@ -146,8 +185,9 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-			g.note(KindBundle)
-			g.note(KindVMList)
+			for _, k := range g.kinds {
+				g.note(k)
+			}
 		case in := <-g.inbox:
 			for _, reply := range g.handle(time.Now(), in) {
 				g.send(transport, in.from, reply)
@@ -194,8 +234,11 @@
 		}
 		return replies
 	}
-	bundle, vmList := offers(in.m)
-	return append(g.offer(now, in.from, KindBundle, bundle), g.offer(now, in.from, KindVMList, vmList)...)
+	var replies []*peerpb.Membership
+	for _, k := range g.kinds {
+		replies = append(replies, g.offer(now, in.from, k, offered(in.m, k))...)
+	}
+	return replies
 }
 
 func (g *Gossip) offer(now time.Time, from string, k peerpb.DocumentKind, version int64) []*peerpb.Membership {
--- a/gossip/sources.go
+++ b/gossip/sources.go
@@ -93,13 +93,54 @@
 	return nil
 }
 
-// RouteSources returns the operator's configuration and the VM list of a
-// control loop. decode parses a configuration.
+// RouteSources returns the operator's configuration, the backend servers and the
+// entry VMs of a control loop. The two lists are read apart, so that neither
+// must carry an old state of the other. decode parses a configuration.
 func RouteSources(loop *control.Loop, decode func([]byte) (*route.Table, error)) map[peerpb.DocumentKind]Source {
 	return map[peerpb.DocumentKind]Source{
 		KindBundle: &routes{loop: loop, decode: decode},
-		KindVMList: &vmLists{loop: loop},
+		KindVMList: &section{
+			list:   func() *vmlist.List { return loop.Snapshot().Servers },
+			accept: func(l *vmlist.List, source string) { loop.Post(control.ServersListed{List: l, Source: source}) },
+		},
+		KindEntryVMs: &section{
+			list:   func() *vmlist.List { return loop.Snapshot().Members },
+			accept: func(l *vmlist.List, source string) { loop.Post(control.MembersListed{List: l, Source: source}) },
+		},
+	}
+}
+
+// section is one part of the VM list.
+type section struct {
+	list   func() *vmlist.List
+	accept func(l *vmlist.List, source string)
+}
+
+func (s *section) Version() int64 { return s.list().Revision }
+
+// Refuses is always false: a list comes from the platform's store with its
+// revision, and a VM that reads the store corrects a wrong one.
+func (s *section) Refuses(int64) bool { return false }
+
+func (s *section) Encode() (int64, []byte, error) {
+	list := s.list()
+	content, err := json.Marshal(list)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "encode VM list")
 	}
+	return list.Revision, content, nil
+}
+
+func (s *section) Accept(content []byte, version int64, from string) error {
+	list, err := vmlist.Decode(content)
+	if err != nil {
+		return err
+	}
+	if list.Revision != version {
+		return &VersionError{Announced: version, Carried: list.Revision}
+	}
+	s.accept(list, sourcePeer+from)
+	return nil
 }
 
 // routes takes the place of the bundle where the operator writes the
--- a/membership/service.go
+++ b/membership/service.go
@@ -25,6 +25,9 @@
 	HeartbeatInterval, SuspectAfter time.Duration
 	// Versions returns the versions that heartbeats offer.
 	Versions func() (bundle, vmList int64)
+	// EntryVMs returns the revision of the list of entry VMs that heartbeats
+	// offer, where it is a document of its own. Nil means that it is not.
+	EntryVMs func() int64
 	// Confirmed returns when the platform was asked that last confirmed the
 	// offered bundle version, on the clock of package boottime. Nil or false
 	// means that it is not known.
@@ -149,10 +152,18 @@
 	s.sentAt[s.sequence%sentMemory] = boottime.Now()
 	return &peerpb.Heartbeat{
 		Sequence: s.sequence, BundleVersion: bundle, VmListRevision: vmList,
-		Incarnation: s.core.Incarnation(), Statuses: s.core.Statuses(time.Now()),
+		Incarnation: s.core.Incarnation(), Statuses: s.core.Statuses(time.Now()), EntryVmsRevision: s.entryVMs(),
 	}
 }
 
+// entryVMs returns the offered revision of the entry VMs, 0 if there is none.
+func (s *Service) entryVMs() int64 {
+	if s.opts.EntryVMs == nil {
+		return 0
+	}
+	return s.opts.EntryVMs()
+}
+
 // Ack returns the answer to a heartbeat.
 func (s *Service) Ack(from string, h *peerpb.Heartbeat) *peerpb.HeartbeatAck {
 	bundle, vmList := s.opts.Versions()
@@ -161,7 +172,7 @@
 	return &peerpb.HeartbeatAck{
 		BundleVersion: bundle, VmListRevision: vmList, Incarnation: s.core.Incarnation(),
 		Statuses:     s.core.Corrections(from, h.GetIncarnation(), h.GetStatuses()),
-		Confirmation: s.confirmation(),
+		Confirmation: s.confirmation(), EntryVmsRevision: s.entryVMs(),
 	}
 }
 
--- a/peers.go
+++ b/peers.go
@@ -64,7 +64,7 @@
 // newMesh opens the peer listener and builds what rests on it.
 func newMesh(o meshOptions) (*mesh, error) {
 	m := &mesh{opts: o, gossip: gossip.New(o.Sources, o.Log)}
-	members := membership.Options{
+	options := membership.Options{
 		VM: o.VM, Fanout: o.Peers.Fanout,
 		HeartbeatInterval: o.Peers.HeartbeatInterval.Std(), SuspectAfter: o.Peers.SuspectAfter.Std(),
 		Versions: func() (int64, int64) {
@@ -75,10 +75,13 @@
 		},
 		Log: o.Log,
 	}
+	if members := o.Sources[gossip.KindEntryVMs]; members != nil {
+		options.EntryVMs = members.Version
+	}
 	if o.Confirmed {
-		members.Confirmed, members.Confirm = m.confirmed, m.confirm
+		options.Confirmed, options.Confirm = m.confirmed, m.confirm
 	}
-	m.members = membership.NewService(members)
+	m.members = membership.NewService(options)
 	var err error
 	m.sessions, err = peer.Listen(peer.Options{
 		VM: o.VM, Listen: o.Listen, TLS: o.TLS,
