Bind a generation to the organisation that started it

Cause: GET /v1/generations/{id} with the key of another organisation answered 200 with the first one's tokens, and the id stands in logs and spans.

Ruled out: a secret key. A forged id names no generation at the engine, so a digest of organisation, backend server and random part binds without one.

Change: 10 random bytes and 6 bytes of digest in place of 16 random ones; the id alone authorises nothing.

--- a/api/fuzz_test.go
+++ b/api/fuzz_test.go
@@ -29,7 +29,7 @@
 		if g.String() != s {
 			t.Errorf("%q is read as %q", s, g)
 		}
-		if g.Random != strings.ToLower(g.Random) {
+		if g.Token != strings.ToLower(g.Token) {
 			t.Errorf("%q is read although NewGenerationID writes lower case", s)
 		}
 		if id, err := ParseEventID(EventID{Generation: s, Offset: 3}.String()); err != nil || id.Generation != s || id.Offset != 3 {
--- a/api/generation.go
+++ b/api/generation.go
@@ -2,41 +2,73 @@
 
 import (
 	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
 	"encoding/hex"
 	"strings"
 )
 
-// generationRandomBytes is the size of the random part of a generation id.
-// 16 bytes make an id unguessable, so that it also authorises a resume.
-const generationRandomBytes = 16
+// Parts of a generation id, in bytes.
+const (
+	// generationRandomBytes make an id unique and unguessable.
+	generationRandomBytes = 10
+	// generationOwnerBytes bind it to the organisation that started it.
+	generationOwnerBytes = 6
+	generationBytes      = generationRandomBytes + generationOwnerBytes
+)
 
 // GenerationID names one run of a model on one backend server. It carries the
-// backend server's id, so that any VM can resume the stream without shared state.
+// backend server's id, so that any VM can resume the stream without shared
+// state, and a digest of the organisation that started it, so that no other
+// organisation can. The digest needs no secret: a changed id names no generation.
 type GenerationID struct {
 	Backend string
-	Random  string
+	// Token is the random part and the digest, in hex.
+	Token string
 }
 
-// NewGenerationID returns a fresh id for a generation on the backend server.
-func NewGenerationID(backend string) GenerationID {
+// NewGenerationID returns a fresh id for a generation of an organisation on the
+// backend server.
+func NewGenerationID(backend, organisation string) GenerationID {
 	var b [generationRandomBytes]byte
 	_, _ = rand.Read(b[:]) // crypto/rand.Read never returns an error
-	return GenerationID{Backend: backend, Random: hex.EncodeToString(b[:])}
+	return GenerationID{Backend: backend, Token: hex.EncodeToString(append(b[:], ownerDigest(backend, organisation, b[:])...))}
+}
+
+// OwnedBy reports whether an organisation started the generation.
+func (g GenerationID) OwnedBy(organisation string) bool {
+	token, err := hex.DecodeString(g.Token)
+	if err != nil || len(token) != generationBytes {
+		return false
+	}
+	random, digest := token[:generationRandomBytes], token[generationRandomBytes:]
+	return subtle.ConstantTimeCompare(digest, ownerDigest(g.Backend, organisation, random)) == 1
+}
+
+func ownerDigest(backend, organisation string, random []byte) []byte {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(backend), []byte(organisation), random} {
+		// The length keeps the parts apart.
+		h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
+		h.Write(part)
+	}
+	return h.Sum(nil)[:generationOwnerBytes]
 }
 
 // String returns the form "<backend id>.<32 hex digits>".
-func (g GenerationID) String() string { return g.Backend + "." + g.Random }
+func (g GenerationID) String() string { return g.Backend + "." + g.Token }
 
 // ParseGenerationID parses the form written by GenerationID.String.
 // It returns an *InvalidEventIDError for any other input.
 func ParseGenerationID(s string) (GenerationID, error) {
 	i := strings.LastIndexByte(s, '.')
-	if i <= 0 || len(s)-i-1 != 2*generationRandomBytes {
+	if i <= 0 || len(s)-i-1 != 2*generationBytes {
 		return GenerationID{}, &InvalidEventIDError{Value: s}
 	}
-	random, err := hex.DecodeString(s[i+1:])
-	if err != nil || hex.EncodeToString(random) != s[i+1:] {
+	token, err := hex.DecodeString(s[i+1:])
+	if err != nil || hex.EncodeToString(token) != s[i+1:] {
 		return GenerationID{}, &InvalidEventIDError{Value: s}
 	}
-	return GenerationID{Backend: s[:i], Random: s[i+1:]}, nil
+	return GenerationID{Backend: s[:i], Token: s[i+1:]}, nil
 }
--- a/backend/fuzz_test.go
+++ b/backend/fuzz_test.go
@@ -18,7 +18,7 @@
 // FuzzStream guards P1 and P2 against an engine that sends anything: a token
 // out of order or twice, or an answer without its marker that looks whole.
 func FuzzStream(f *testing.F) {
-	id := api.GenerationID{Backend: "e", Random: "0123456789abcdef0123456789abcdef"}
+	id := api.GenerationID{Backend: "e", Token: "0123456789abcdef0123456789abcdef"}
 	event := func(offset, text string) string {
 		return "id: " + id.String() + ":" + offset + "\ndata: {\"choices\":[{\"text\":\"" + text + "\"}]}\n\n"
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -19,7 +19,7 @@
 // whole when its connection ends in the middle of an event. The answers have
 // no length, as behind a balancer that speaks HTTP/1.0.
 func TestCutEvents(t *testing.T) {
-	generation := api.NewGenerationID("engine-1").String()
+	generation := api.NewGenerationID("engine-1", "org").String()
 	event := func(n int) string {
 		return fmt.Sprintf("id: %s:%d\ndata: {\"choices\":[{\"text\":\"t%d \"}]}\n\n", generation, n, n)
 	}
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -120,7 +120,7 @@
 		return invalid(err.Error())
 	}
 	vm, ok := f.Snapshot().Backends[generation.Backend]
-	if !ok {
+	if !ok || !generation.OwnedBy(c.identity.Organisation) {
 		return generationGone(nil)
 	}
 	r := &relay{
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -93,7 +93,7 @@
 		return err
 	}
 	r.ticket, r.target = ticket, ticket.Backend()
-	r.generation, r.offset = api.NewGenerationID(r.target.ID), 0
+	r.generation, r.offset = api.NewGenerationID(r.target.ID, r.c.identity.Organisation), 0
 	r.sink.reset()
 	r.c.generation = r.generation.String()
 	defer func() { ticket.Release(r.offset) }()
--- a/frontend/relay_bench_test.go
+++ b/frontend/relay_bench_test.go
@@ -20,7 +20,7 @@
 // BenchmarkForwardToken guards the cost of one token from an engine's stream
 // to a caller's: parsing, checking the offset, encoding, writing.
 func BenchmarkForwardToken(b *testing.B) {
-	generation := api.NewGenerationID("engine-1")
+	generation := api.NewGenerationID("engine-1", "org")
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		for i := 1; i <= b.N; i++ {
 			fmt.Fprintf(w, "id: %s:%d\ndata: {\"id\":\"%s\",\"choices\":[{\"index\":0,\"text\":\"word \"}]}\n\n", generation, i, generation)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -250,7 +250,7 @@
 func writeToken(w http.ResponseWriter, g *generation, n int, crossed, preempted bool) {
 	id := g.id
 	if crossed {
-		id = api.NewGenerationID("crossed").String()
+		id = api.NewGenerationID("crossed", "").String()
 	}
 	choice := api.Choice{Text: TokenText(g.prompt, id, n)}
 	if n == g.length {
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -67,7 +67,7 @@
 	flagged := make([]int, 2)
 	for priority := range flagged {
 		wg.Go(func() {
-			s, err := start(engines, target, api.NewGenerationID("e"), "quote [tokens=250]", priority)
+			s, err := start(engines, target, api.NewGenerationID("e", "org"), "quote [tokens=250]", priority)
 			if err != nil {
 				t.Error(err)
 				return
@@ -90,7 +90,7 @@
 // generation cannot fit.
 func TestModelledEngineResumesAndFails(t *testing.T) {
 	_, engines, target := modelled(t)
-	g := api.NewGenerationID("e")
+	g := api.NewGenerationID("e", "org")
 	first, err := start(engines, target, g, "quote [tokens=60]", 0)
 	if err != nil {
 		t.Fatal(err)
@@ -115,7 +115,7 @@
 	if tokens, _, err := read(again); tokens != 60 || err != nil {
 		t.Errorf("known id: %d tokens, %v", tokens, err)
 	}
-	large, err := start(engines, target, api.NewGenerationID("e"), "quote [tokens=1000]", 0)
+	large, err := start(engines, target, api.NewGenerationID("e", "org"), "quote [tokens=1000]", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 // Guards against reports in another form than the one decisions read.
 func TestModelledEngineReports(t *testing.T) {
 	server, engines, target := modelled(t)
-	s, err := start(engines, target, api.NewGenerationID("e"), strings.Repeat("x", 200)+"[tokens=200]", 0)
+	s, err := start(engines, target, api.NewGenerationID("e", "org"), strings.Repeat("x", 200)+"[tokens=200]", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
