--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -77,16 +77,23 @@
 	}
 	defer cluster.Close()
 	d := &demo{out: out, cluster: cluster, caller: cluster.Client(localcluster.APIKey), spans: spans}
-	steps := []struct {
-		name string
-		run  func(context.Context) error
-	}{
+	return runSteps(ctx, out, []demoStep{
 		{"roll out a bundle", d.rollOut},
 		{"stream a quote", d.quote},
 		{"book a deposit once", d.booking},
 		{"kill the engine under a quote", d.killedEngine},
 		{"spans of one request", d.printSpans},
-	}
+	})
+}
+
+// demoStep is one step of a demo.
+type demoStep struct {
+	name string
+	run  func(context.Context) error
+}
+
+// runSteps runs the steps of a demo in order until one does not hold.
+func runSteps(ctx context.Context, out io.Writer, steps []demoStep) error {
 	for i, step := range steps {
 		fmt.Fprintf(out, "\n%d. %s\n", i+1, step.name)
 		if err := step.run(ctx); err != nil {
--- a/internal/cli/platformdemo.go
+++ b/internal/cli/platformdemo.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/vanillaarch/vanillaarch/internal/localsite"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
@@ -47,22 +45,11 @@
 	}
 	defer site.Close()
 	d := &platformDemo{out: out, site: site}
-	steps := []struct {
-		name string
-		run  func(context.Context) error
-	}{
+	return runSteps(ctx, out, []demoStep{
 		{"book and look up", d.calls},
 		{"stream a quote while its engine leaves", d.leavingEngine},
 		{"revoke the key while the store refuses one VM", d.revokedKey},
-	}
-	for i, step := range steps {
-		fmt.Fprintf(out, "\n%d. %s\n", i+1, step.name)
-		if err := step.run(ctx); err != nil {
-			return errors.Wrap(err, step.name)
-		}
-	}
-	fmt.Fprintln(out, "\nall steps held")
-	return nil
+	})
 }
 
 // send sends a request with the demo's key to a VM. The answer must be closed.
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -23,13 +23,16 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
 
 // NewBoundedWriter starts a writer to out. Close must be called.
 func NewBoundedWriter(out io.Writer) *BoundedWriter {
-	w := &BoundedWriter{out: out, lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	w := &BoundedWriter{
+		out: out, lines: make(chan []byte, boundedLines), stop: make(chan struct{}), done: make(chan struct{}),
+	}
 	go w.run()
 	return w
 }
@@ -50,10 +53,9 @@
 // Dropped returns the number of lines dropped since the last note about them.
 func (w *BoundedWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes what waits, for at most the given time. Nothing may be written
-// after it.
+// Close writes what waits, for at most the given time. Later lines are lost.
 func (w *BoundedWriter) Close(limit time.Duration) {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.stop) })
 	select {
 	case <-w.done:
 	case <-time.After(limit):
@@ -63,14 +65,32 @@
 func (w *BoundedWriter) run() {
 	defer close(w.done)
 	var noted time.Time
-	for line := range w.lines {
-		// A failed write leaves nothing to report it to.
-		_, _ = w.out.Write(line)
-		if w.dropped.Load() == 0 || time.Since(noted) < droppedInterval {
+	for {
+		select {
+		case line := <-w.lines:
+			noted = w.write(line, noted)
 			continue
+		default:
+		}
+		select {
+		case line := <-w.lines:
+			noted = w.write(line, noted)
+		case <-w.stop:
+			return
 		}
-		noted = time.Now()
-		_, _ = fmt.Fprintf(w.out, "time=%s level=warn event=log_lines_dropped count=%d\n",
-			noted.UTC().Format(timeLayout), w.dropped.Swap(0))
 	}
 }
+
+// write writes a line, and a note about dropped ones if it is time for one. It
+// returns the time of the last note.
+func (w *BoundedWriter) write(line []byte, noted time.Time) time.Time {
+	// A failed write leaves nothing to report it to.
+	_, _ = w.out.Write(line)
+	if w.dropped.Load() == 0 || time.Since(noted) < droppedInterval {
+		return noted
+	}
+	now := time.Now()
+	_, _ = fmt.Fprintf(w.out, "time=%s level=warn event=log_lines_dropped count=%d\n",
+		now.UTC().Format(timeLayout), w.dropped.Swap(0))
+	return now
+}
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -49,3 +49,23 @@
 		t.Errorf("%d lines, %.200s", strings.Count(got, "\n"), got)
 	}
 }
+
+// Guards against lines that are lost at the end, and against a late line that
+// ends the process with a panic.
+func TestBoundedWriterClose(t *testing.T) {
+	out := &stalled{release: make(chan struct{})}
+	close(out.release)
+	w := NewBoundedWriter(out)
+	for range 100 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	w.Close(5 * time.Second)
+	if _, err := w.Write([]byte("late\n")); err != nil {
+		t.Error(err)
+	}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if n := strings.Count(out.written.String(), "line\n"); n != 100 {
+		t.Errorf("%d of 100 lines", n)
+	}
+}
