Be not ready while the configuration cannot be confirmed

Cause: a VM whose confirmation is too old refuses all requests with a key, and the balancer kept sending it new connections.

Change: it is not ready until the store or a peer confirms. The check in TestStoreOutageFailsClosed failed before and passes after.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -83,6 +83,9 @@
 		return "no configuration", false
 	case len(snap.Backends) == 0:
 		return "no backend servers", false
+	case len(snap.Routes.Organisations) > 0 && !g.confirmed(snap):
+		// All requests with a key would be refused; another VM may serve them.
+		return "configuration not confirmed", false
 	default:
 		return "ready", true
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,16 +196,20 @@
 }
 
 func (c *call) checkFresh() error {
-	bound := c.g.Bounds().Revoke
-	if bound == 0 {
-		return nil
-	}
 	snap := c.g.Snapshot()
-	if age := boottime.Now() - snap.RoutesConfirmed; age > bound-confirmMargin {
-		c.log.Debug("configuration_unconfirmed", zap.Duration("age", age), zap.Int64("version", snap.Routes.Version))
-		return notReady("the configuration has not been confirmed recently")
+	if c.g.confirmed(snap) {
+		return nil
 	}
-	return nil
+	c.log.Debug("configuration_unconfirmed", zap.Duration("age", boottime.Now()-snap.RoutesConfirmed),
+		zap.Int64("version", snap.Routes.Version))
+	return notReady("the configuration has not been confirmed recently")
+}
+
+// confirmed reports whether the configuration is known to have been the newest
+// one recently enough for requests with a key.
+func (g *Gateway) confirmed(snap *control.Snapshot) bool {
+	bound := g.Bounds().Revoke
+	return bound == 0 || boottime.Now()-snap.RoutesConfirmed <= bound-confirmMargin
 }
 
 // pickTarget returns the service of the route, by weight if it is split.
--- a/test/platform/config_test.go
+++ b/test/platform/config_test.go
@@ -76,8 +76,16 @@
 			t.Fatalf("%+v ran on %v", got, s.fleet.Runs(got.id))
 		}
 	}
+	ready := func(status int) func() bool {
+		return func() bool {
+			resp, err := http.Get("http://" + s.vms[0].Addresses().Ready + "/ready")
+			return err == nil && resp.Body.Close() == nil && resp.StatusCode == status
+		}
+	}
+	s.eventually(time.Second, "the VM is not ready", ready(http.StatusServiceUnavailable))
 	s.store.SetFaults(userplatform.StoreFaults{})
 	s.everywhere("the key is served again", book(), http.StatusOK)
+	s.eventually(time.Second, "the VM is ready again", ready(http.StatusOK))
 }
 
 // Guards against 404 and 401 from a VM that knows no configuration yet, and
