Notice the departure of an engine whose entry had come back

Cause: an engine was noted as leaving for as long as it had runs, so a real departure after a lapsed entry was not noticed. Found when reading the change.

Change: the note ends when the engine is listed as live. TestEachDepartureIsNoticedOnce fails before and passes after. Not measured: it needs an outage of the store before a departure.

--- a/gateway/relocate.go
+++ b/gateway/relocate.go
@@ -100,7 +100,8 @@
 		}
 	}
 	for id := range t.evacuated {
-		if _, listed := snap.Backends[id]; !listed && len(t.runs[id]) == 0 {
+		vm, listed := snap.Backends[id]
+		if listed && vm.State == vmlist.StateLive || !listed && len(t.runs[id]) == 0 {
 			delete(t.evacuated, id)
 		}
 	}
