--- a/entry.go
+++ b/entry.go
@@ -1,6 +1,7 @@
 package vanillaarch
 
 import (
+	"cmp"
 	"context"
 	"hash/maphash"
 	"net"
@@ -81,8 +82,8 @@
 	engineGroup = 32
 	// blockTokens is the unit in which the memory of engines is counted.
 	blockTokens = 16
-	// engineStreams bounds the batch of an engine.
-	engineStreams = 24
+	// defaultEngineSlots bounds the batch of an engine whose configuration states none.
+	defaultEngineSlots = 24
 	// agedWait is the wait after which a request may use memory that is kept free
 	// for other organisations. The first event is due 1.5 s after the request.
 	agedWait = 250 * time.Millisecond
@@ -155,7 +156,7 @@
 	g := grant.New(grant.Options{
 		VM: d.VM, Region: d.Region, Loop: e.loop, Transport: e.mesh.sessions, Breaker: e.breaker, Log: e.log,
 		NewCore: func() dispatch.Core {
-			return dispatch.NewFair(dispatch.FairOptions{EngineStreams: engineStreams, AgedWait: agedWait})
+			return dispatch.NewFair(dispatch.FairOptions{EngineStreams: e.engineSlots(), AgedWait: agedWait})
 		},
 		Memory: e.engineMemory, BypassAfter: bypassAfter, QueueTimeout: queueTimeout, LocalStreams: localStreams,
 		GroupSize: engineGroup, Queued: queuedRequests, QueuedPerOrganisation: queuedRequests,
@@ -169,6 +170,19 @@
 	return g
 }
 
+// engineSlots returns the smallest batch limit of the engines in the configuration.
+func (e *Entry) engineSlots() int {
+	slots := 0
+	if table := e.loop.Snapshot().Routes; table != nil {
+		for _, s := range table.Services {
+			if s.Engine != nil && s.Engine.Slots > 0 && (slots == 0 || s.Engine.Slots < slots) {
+				slots = s.Engine.Slots
+			}
+		}
+	}
+	return cmp.Or(slots, defaultEngineSlots)
+}
+
 // engineMemory returns the memory of an engine as the configuration states it.
 func (e *Entry) engineMemory(id string) (blocks, tokens int) {
 	snap := e.loop.Snapshot()
@@ -187,8 +201,8 @@
 func (e *Entry) listen() error {
 	idle := gateway.IdleLimit{Limit: e.idleLimit}
 	e.callers = &http.Server{
-		Handler: e.gateway, ConnState: idle.ConnState, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: zap.NewStdLog(e.log),
+		Handler: e.gateway, ConnState: idle.ConnState, MaxHeaderBytes: headerBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: zap.NewStdLog(e.log),
 	}
 	e.probes = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
 	e.admin = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout}
