Sum up logs with vanillaarch explain

How requests of each route ended, their latency, the wait for an engine and the longest pause, and the failures by reason with the id of one of them. github.com/go-logfmt/logfmt reads the lines.

--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,199 @@
+// Package explain sums up what the logs of entry VMs tell about requests: how
+// they ended, and where the time went.
+package explain
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logfmt/logfmt"
+)
+
+// maxLineBytes bounds a line of a log.
+const maxLineBytes = 1 << 20
+
+// Request is the line of one request.
+type Request struct {
+	ID, VM, Route string
+	Outcome       string
+	Problem       string
+	Cause         string
+	Status        int
+	// Events is 0 for requests with a single answer.
+	Events                                    int
+	Elapsed, Queued, FirstEvent, LongestPause time.Duration
+}
+
+// Summary collects the requests of logs. The zero value is empty.
+type Summary struct {
+	requests []Request
+	// Unread counts lines that are no log lines.
+	Unread int
+}
+
+// Read adds the requests of a log.
+func (s *Summary) Read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		if !strings.Contains(lines.Text(), "event=request_done") {
+			continue
+		}
+		request, err := parse(lines.Text())
+		if err != nil {
+			s.Unread++
+			continue
+		}
+		s.requests = append(s.requests, request)
+	}
+	if err := lines.Err(); err != nil {
+		return errors.Wrap(err, "read log")
+	}
+	return nil
+}
+
+// parse reads one line. What stands before the time is not part of it.
+func parse(line string) (Request, error) {
+	if at := strings.Index(line, "time="); at > 0 {
+		line = line[at:]
+	}
+	var r Request
+	decoder := logfmt.NewDecoder(strings.NewReader(line))
+	for decoder.ScanRecord() {
+		for decoder.ScanKeyval() {
+			if err := r.set(string(decoder.Key()), string(decoder.Value())); err != nil {
+				return r, err
+			}
+		}
+	}
+	if err := decoder.Err(); err != nil {
+		return r, errors.Wrap(err, "parse line")
+	}
+	return r, nil
+}
+
+func (r *Request) set(key, value string) error {
+	texts := map[string]*string{
+		"request": &r.ID, "vm": &r.VM, "route": &r.Route, "outcome": &r.Outcome, "problem": &r.Problem, "cause": &r.Cause,
+	}
+	times := map[string]*time.Duration{
+		"elapsed": &r.Elapsed, "queued": &r.Queued, "first_event": &r.FirstEvent, "longest_pause": &r.LongestPause,
+	}
+	numbers := map[string]*int{"status": &r.Status, "events": &r.Events}
+	var err error
+	switch {
+	case texts[key] != nil:
+		*texts[key] = value
+	case times[key] != nil:
+		*times[key], err = time.ParseDuration(value)
+	case numbers[key] != nil:
+		*numbers[key], err = strconv.Atoi(value)
+	}
+	if err != nil {
+		return errors.Wrap(err, key)
+	}
+	return nil
+}
+
+// Len returns the number of requests.
+func (s *Summary) Len() int { return len(s.requests) }
+
+// Write prints a table of routes, and one of the requests that did not end well
+// by their reason.
+func (s *Summary) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "route\trequests\tanswered\tnot run\tunknown\tcut\tcaller left\tp50\tp99\tqueued p99\tpause p99")
+	for _, route := range s.routes() {
+		s.writeRoute(w, route)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "count\toutcome\tstatus\treason\tone of them")
+	for _, f := range s.failures() {
+		fmt.Fprintf(w, "%d\t%s\t%d\t%s\t%s\n", f.count, f.outcome, f.status, f.reason, f.example)
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	return nil
+}
+
+func (s *Summary) routes() []string {
+	var names []string
+	for _, r := range s.requests {
+		if !slices.Contains(names, r.Route) {
+			names = append(names, r.Route)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *Summary) writeRoute(w io.Writer, route string) {
+	counts := map[string]int{}
+	var latencies, queued, pauses []time.Duration
+	total := 0
+	for _, r := range s.requests {
+		if r.Route != route {
+			continue
+		}
+		total++
+		counts[r.Outcome]++
+		latency := r.Elapsed
+		if r.Events > 0 {
+			latency = r.FirstEvent
+			queued = append(queued, r.Queued)
+			pauses = append(pauses, r.LongestPause)
+		}
+		latencies = append(latencies, latency)
+	}
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", cmp.Or(route, "(none)"), total,
+		counts["answered"], counts["not_run"], counts["unknown"], counts["aborted"], counts["caller_left"],
+		quantile(latencies, 0.5), quantile(latencies, 0.99), quantile(queued, 0.99), quantile(pauses, 0.99))
+}
+
+// quantile returns a quantile as text, "-" without values.
+func quantile(values []time.Duration, q float64) string {
+	if len(values) == 0 {
+		return "-"
+	}
+	slices.Sort(values)
+	return values[int(q*float64(len(values)-1))].Round(time.Millisecond).String()
+}
+
+type failure struct {
+	outcome, reason, example string
+	status, count            int
+}
+
+// failures groups the requests that did not end well, the largest group first.
+func (s *Summary) failures() []failure {
+	groups := map[failure]*failure{}
+	for _, r := range s.requests {
+		if r.Outcome == "answered" || r.Outcome == "caller_left" {
+			continue
+		}
+		key := failure{outcome: r.Outcome, status: r.Status, reason: cmp.Or(r.Problem, "-")}
+		if groups[key] == nil {
+			first := key
+			first.example = r.ID
+			groups[key] = &first
+		}
+		groups[key].count++
+	}
+	var out []failure
+	for _, f := range groups {
+		out = append(out, *f)
+	}
+	slices.SortFunc(out, func(a, b failure) int {
+		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.outcome+a.reason, b.outcome+b.reason), cmp.Compare(a.status, b.status))
+	})
+	return out
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -30,7 +30,7 @@
 		newBundleCommand(), newOrderCommand(),
 		newGetCommand(), newCheckConfigCommand(),
 		newCompleteCommand(), newCallCommand(),
-		newDemoCommand(), newCapacityCommand(),
+		newDemoCommand(), newExplainCommand(), newCapacityCommand(),
 		newReplayCommand(), newTraceCommand(),
 	)
 	return root
