Refuse streams that a stopping VM would cut

Ruled out: serving all of them. A draft takes 10 s, the grace time is 8 s.

Change: from SIGTERM on, a stream is taken only if its largest length fits the time that is left; another VM serves the caller at once.

--- a/entry.go
+++ b/entry.go
@@ -318,8 +318,9 @@
 func (e *Entry) drain() (left int) {
 	begin := time.Now()
 	e.log.Info("drain_started", zap.Int("active", e.gateway.Active()))
-	e.gateway.Stop()
-	limit := begin.Add(e.bounds.Load().Grace - stopMargin)
+	grace := e.bounds.Load().Grace - stopMargin
+	e.gateway.Stop(grace)
+	limit := begin.Add(grace)
 	notice := min(noticeTime, e.bounds.Load().Grace/2)
 	time.Sleep(notice)
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/route"
 )
 
 // drainState counts requests in progress.
 type drainState struct {
-	mu       sync.Mutex
-	active   int
-	stopped  bool
+	mu     sync.Mutex
+	active int
+	// stopAt is when what still runs is cut, 0 while the VM does not stop, on the
+	// clock of package boottime.
+	stopAt   time.Duration
 	finished chan struct{}
 }
 
@@ -34,17 +40,51 @@
 func (d *drainState) stopping() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.stopped
+	return d.stopAt > 0
+}
+
+// remaining returns the time until what runs is cut, and false while the VM
+// does not stop.
+func (d *drainState) remaining() (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopAt - boottime.Now(), d.stopAt > 0
 }
 
 // Stop asks callers to use other connections from now on. Requests are still
-// served, since the balancer needs some seconds to notice.
-func (g *Gateway) Stop() {
+// served, since the balancer needs some seconds to notice, but for streams that
+// would be cut after the given time.
+func (g *Gateway) Stop(cutAfter time.Duration) {
 	g.drain.mu.Lock()
 	defer g.drain.mu.Unlock()
-	g.drain.stopped = true
+	g.drain.stopAt = boottime.Now() + cutAfter
+}
+
+// Pace that a stream is expected to have at least, to tell whether it ends
+// before the VM stops.
+const (
+	slowFirstEvent = 1500 * time.Millisecond
+	slowToken      = 16 * time.Millisecond
+)
+
+// checkStopping refuses a stream that would be cut by the end of the VM. The
+// caller is served by another VM at once.
+func (c *call) checkStopping() error {
+	remaining, stopping := c.g.drain.remaining()
+	if !stopping || c.route.Kind != route.Stream {
+		return nil
+	}
+	needs := slowFirstEvent + time.Duration(c.facts.MaxTokens)*slowToken
+	if c.facts.MaxTokens > 0 && needs <= remaining {
+		return nil
+	}
+	return notReady("the VM stops before the stream can end").WithRetryAfter(stopReturnTime)
 }
 
+// stopReturnTime is after how long a caller is asked to return that another VM
+// can serve at once.
+const stopReturnTime = 50 * time.Millisecond
+
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int {
 	g.drain.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,6 +133,9 @@
 	if err := c.checkConfirmed(); err != nil {
 		return err
 	}
+	if err := c.checkStopping(); err != nil {
+		return err
+	}
 	c.g.budget.Request(c.service.Name, boottime.Now())
 	if c.route.Kind == route.Stream {
 		return c.stream()
--- a/test/platform/path_test.go
+++ b/test/platform/path_test.go
@@ -217,6 +217,17 @@
 	if got.status != http.StatusOK || !got.closes {
 		t.Errorf("%+v", got)
 	}
+	// A stream that would be cut at the end of the grace time is refused at once
+	// (seen on tilbod-fleet mix, seed 232831678703).
+	got = s.send(s.vms[0], draft())
+	if got.status != http.StatusServiceUnavailable || !got.closes || got.header.Get("Retry-After") == "" || len(s.fleet.Runs(got.id)) > 0 {
+		t.Errorf("long stream while stopping: %+v ran on %v", got, s.fleet.Runs(got.id))
+	}
+	short := check()
+	short.header["Token-Count"] = "300,20"
+	if err := wholeStream(s.send(s.vms[0], short), 100); err != nil {
+		t.Errorf("short stream while stopping: %v", err)
+	}
 	wg.Wait()
 	<-s.vms[0].Ended
 }
