Add a fault soak of real processes

`cmd/soak` runs entry VMs as processes of their own against stand-ins of the store and of backend servers in the soak. A schedule that follows from a seed kills, stops, pauses and restarts VMs by signals, changes their settings, delays, resets, silences and cuts one way the links to the store and to backend servers through loopback proxies, and makes store and servers misbehave, in series and overlapping. Callers keep their connections until the process is gone.

The stand-ins can register under the address of a proxy, count arrivals, and lose the memory of runs when they crash.

--- /dev/null
+++ b/internal/soak/promises.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"net/http"
+	"time"
+)
+
+// Names of the promises.
+const (
+	promiseWhole    = "each caller its own whole answer"
+	promiseOnce     = "work that may run once runs at most once"
+	promiseNotRun   = "not run only if true"
+	promiseAllowed  = "what the configuration allows is not denied"
+	promiseRevoked  = "a revoked key is not honoured after the bound"
+	promiseReverts  = "a configuration never reverts"
+	promiseDrain    = "no new work to leaving servers"
+	promiseStop     = "a stop cuts nothing"
+	promiseProcess  = "processes end only when asked to"
+	promiseRecovery = "all VMs serve after the faults"
+)
+
+// check looks at one request after its end. What needs a later look is kept.
+func (w *world) check(r *request) {
+	w.answers.count(r)
+	if r.status == http.StatusOK {
+		if err := r.wrong(); err != nil && (r.err == nil || r.kind.streams()) {
+			w.broken.add(promiseWhole, "%s to %s: %v", r.id, r.vm.name, err)
+		}
+	}
+	w.checkKey(r)
+	w.checkStop(r)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requests = append(w.requests, r)
+}
+
+// checkKey compares the answer with what the operator has configured.
+func (w *world) checkKey(r *request) {
+	if r.status == http.StatusUnauthorized {
+		since := w.keys.validSince(r.key, w.started)
+		if !since.IsZero() && r.sent.Sub(since) > applyBound && w.faults.calm(since, r.done, scopeStore, scopeVM(r.vm.name)) {
+			w.broken.add(promiseAllowed, "%s to %s: key %s is valid for %v", r.id, r.vm.name, r.key, r.sent.Sub(since))
+		}
+		w.seen.refused(r)
+		return
+	}
+	if r.answered() && w.seen.servedAfterRefusal(r) {
+		w.broken.add(promiseReverts, "%s to %s: key %s is honoured again", r.id, r.vm.name, r.key)
+	}
+}
+
+// checkStop looks at requests that were cut. A stop of a calm VM cuts none.
+func (w *world) checkStop(r *request) {
+	if r.left || r.err == nil || r.status != http.StatusOK && r.status != 0 {
+		return
+	}
+	stop, ok := w.stops.of(r.process)
+	if !ok || r.sent.Before(stop.Add(-callerTimeout)) || r.sent.After(stop.Add(stopAccepts)) {
+		return
+	}
+	// A request that crosses the end of an idle connection was not read.
+	if r.status == 0 && len(w.fleet.Runs(r.id)) == 0 {
+		return
+	}
+	if w.faults.calm(r.sent, r.done, scopeStore, scopeServers, scopeVM(r.vm.name)) {
+		w.broken.add(promiseStop, "%s to %s, sent %v after the stop began: %v", r.id, r.vm.name, r.sent.Sub(stop), r.err)
+	}
+}
+
+// checkRuns compares all answers with what the backend servers ran.
+func (w *world) checkRuns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.requests {
+		runs := w.fleet.Runs(r.id)
+		if r.kind.runsOnce() && len(runs) > 1 {
+			w.broken.add(promiseOnce, "%s to %s ran on %v", r.id, r.vm.name, runs)
+		}
+		refused := !r.signed && (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests)
+		if r.kind.runsOnce() && refused && len(runs) > 0 {
+			w.broken.add(promiseNotRun, "%s to %s was refused with %d and ran on %v", r.id, r.vm.name, r.status, runs)
+		}
+		if at := w.keys.revokedAt(r.key); !at.IsZero() && r.sent.Sub(at) > revokeBound && len(runs) > 0 {
+			w.broken.add(promiseRevoked, "%s to %s ran %v after its key was revoked", r.id, r.vm.name, r.sent.Sub(at).Round(time.Millisecond))
+		}
+	}
+}
+
+// checkDrains compares the last arrival at each server that left with the time
+// of its notice.
+func (w *world) checkDrains() {
+	for _, d := range w.drains() {
+		last := d.server.LastArrival()
+		late := last.At.Sub(d.notice)
+		if late <= drainBound {
+			continue
+		}
+		if v := w.sender(last.Request); v != nil && w.faults.calm(d.notice, last.At, scopeStore, scopeVM(v.name)) {
+			w.broken.add(promiseDrain, "%s got %s of %s %v after its notice", d.server.ID(), last.Request, v.name, late.Round(time.Millisecond))
+		}
+	}
+}
+
+// sender returns the VM that got a request, or nil.
+func (w *world) sender(id string) *vm {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.requests {
+		if r.id == id {
+			return r.vm
+		}
+	}
+	return nil
+}
+
+// checkProcesses looks for VMs that ended by themselves.
+func (w *world) checkProcesses() {
+	for _, v := range w.vms {
+		if v.died() {
+			w.broken.add(promiseProcess, "%s has ended: %v", v.name, v.running().err)
+		}
+		if v.panicked() {
+			w.broken.add(promiseProcess, "%s has panicked", v.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// linkFault is what a proxy does to its connections.
+type linkFault int
+
+const (
+	linkSound linkFault = iota
+	// linkDelayed holds each chunk back for linkDelay.
+	linkDelayed
+	// linkReset closes open and new connections.
+	linkReset
+	// linkSilent takes bytes of both directions and passes none on.
+	linkSilent
+	// linkOneWay passes requests on and swallows answers.
+	linkOneWay
+	linkFaults
+)
+
+func (f linkFault) String() string {
+	return [linkFaults]string{"sound", "delayed", "reset", "silent", "one-way"}[f]
+}
+
+// linkDelay is the delay of a chunk on a delayed link.
+const linkDelay = 120 * time.Millisecond
+
+// chunkBytes is the size of the chunks that a proxy passes on.
+const chunkBytes = 16 << 10
+
+// proxy forwards loopback connections to one target.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	fault linkFault
+	conns map[net.Conn]struct{}
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen as proxy")
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]struct{}{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set puts a fault in force. A silent or one-way link has lost bytes, so its
+// connections end with the fault.
+func (p *proxy) set(f linkFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lossy := p.fault == linkSilent || p.fault == linkOneWay
+	p.fault = f
+	if f == linkReset || lossy {
+		p.closeAll()
+	}
+}
+
+// closeAll closes the open connections. The lock must be held.
+func (p *proxy) closeAll() {
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeAll()
+}
+
+func (p *proxy) current() linkFault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return // The proxy is closed.
+		}
+		go p.forward(c)
+	}
+}
+
+func (p *proxy) forward(from net.Conn) {
+	if !p.track(from) {
+		return
+	}
+	defer p.forget(from)
+	to, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	if !p.track(to) {
+		return
+	}
+	defer p.forget(to)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.copy(to, from, true)
+		_ = to.(*net.TCPConn).CloseWrite()
+	}()
+	p.copy(from, to, false)
+	_ = from.Close()
+	<-done
+}
+
+// track registers a connection, or closes it if the link is reset.
+func (p *proxy) track(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault == linkReset {
+		_ = c.Close()
+		return false
+	}
+	p.conns[c] = struct{}{}
+	return true
+}
+
+func (p *proxy) forget(c net.Conn) {
+	_ = c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// copy passes bytes on until one side ends.
+func (p *proxy) copy(to io.Writer, from io.Reader, request bool) {
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.pass(to, buffer[:n], request) || err != nil {
+			return
+		}
+	}
+}
+
+// pass hands one chunk on as the fault in force allows.
+func (p *proxy) pass(to io.Writer, chunk []byte, request bool) bool {
+	switch p.current() {
+	case linkSilent:
+		return true
+	case linkOneWay:
+		if !request {
+			return true
+		}
+	case linkDelayed:
+		time.Sleep(linkDelay)
+	case linkSound, linkReset, linkFaults:
+	}
+	_, err := to.Write(chunk)
+	return err == nil
+}
--- /dev/null
+++ b/internal/soak/tables.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// stopTable holds when processes were asked to stop.
+type stopTable struct {
+	mu    sync.Mutex
+	begun map[*process]time.Time
+}
+
+func (t *stopTable) note(p *process) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.begun == nil {
+		t.begun = map[*process]time.Time{}
+	}
+	t.begun[p] = time.Now()
+}
+
+func (t *stopTable) of(p *process) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.begun[p]
+	return at, ok
+}
+
+// refusals holds the keys that each process has refused after it served them. A
+// revoked key that is served after that shows that the configuration reverted.
+type refusals struct {
+	mu   sync.Mutex
+	keys map[refusal]time.Time
+}
+
+type refusal struct {
+	process *process
+	key     string
+}
+
+// refused notes an answer that refuses a key. A key that is refused before it
+// is known may be served later, so only keys that were served before count.
+func (s *refusals) refused(r *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, served := s.keys[refusal{r.process, r.key}]; served {
+		s.keys[refusal{r.process, r.key}] = r.done
+	}
+}
+
+// servedAfterRefusal notes an answer that honours a key, and reports whether it
+// was asked for after the same process had refused the key again.
+func (s *refusals) servedAfterRefusal(r *request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keys == nil {
+		s.keys = map[refusal]time.Time{}
+	}
+	at, known := s.keys[refusal{r.process, r.key}]
+	if !known {
+		s.keys[refusal{r.process, r.key}] = time.Time{}
+	}
+	return !at.IsZero() && r.sent.After(at)
+}
+
+// tally counts requests by kind and outcome.
+type tally struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (t *tally) count(r *request) {
+	outcome := fmt.Sprintf("%d", r.status)
+	switch {
+	case r.left:
+		outcome = "caller left"
+	case r.err != nil && r.status == http.StatusOK:
+		outcome = "cut"
+	case r.err != nil:
+		outcome = "no answer"
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.counts == nil {
+		t.counts = map[string]int{}
+	}
+	t.counts[r.kind.String()+" "+outcome]++
+}
+
+func (t *tally) all() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int, len(t.counts))
+	for k, n := range t.counts {
+		out[k] = n
+	}
+	return out
+}
--- /dev/null
+++ b/internal/soak/timeline.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// scope names what a fault touches: the store, one VM, or one backend server.
+type scope string
+
+const (
+	scopeStore scope = "store"
+	// scopeServers stands for any backend server.
+	scopeServers scope = "servers"
+)
+
+func scopeVM(name string) scope { return scope("vm " + name) }
+
+// span is the time of one fault.
+type span struct {
+	scope    scope
+	from, to time.Time
+}
+
+// timeline knows when which part was disturbed. Promises with a time bound hold
+// for parts that were undisturbed for contactTime.
+type timeline struct {
+	mu    sync.Mutex
+	spans []*span
+}
+
+// begin notes a fault. The returned function notes its end.
+func (t *timeline) begin(s scope) (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := &span{scope: s, from: time.Now()}
+	t.spans = append(t.spans, x)
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		x.to = time.Now()
+	}
+}
+
+// calm reports whether none of the scopes was disturbed from contactTime before
+// one time until another.
+func (t *timeline) calm(from, to time.Time, scopes ...scope) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.spans {
+		if x.from.Before(to) && (x.to.IsZero() || x.to.After(from.Add(-contactTime))) && contains(scopes, x.scope) {
+			return false
+		}
+	}
+	return true
+}
+
+func contains(scopes []scope, s scope) bool {
+	for _, x := range scopes {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	// At is the time since the start of the run.
+	At      time.Duration
+	Promise string
+	Detail  string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%7.3f s  %s: %s", v.At.Seconds(), v.Promise, v.Detail)
+}
+
+// violations collects broken promises.
+type violations struct {
+	started time.Time
+	mu      sync.Mutex
+	list    []Violation
+}
+
+func (v *violations) add(promise, format string, args ...any) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.list = append(v.list, Violation{At: time.Since(v.started), Promise: promise, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (v *violations) all() []Violation {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]Violation(nil), v.list...)
+}
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -104,7 +104,7 @@
 	headers map[string]http.Header
 	// arrivals counts requests, those that are refused included.
 	arrivals    map[string]int
-	lastArrival time.Time
+	lastArrival Arrival
 	moves    int
 }
 
@@ -208,8 +208,14 @@
 	return s.arrivals[request]
 }
 
-// LastArrival returns when a request arrived last, the zero time if none did.
-func (s *Server) LastArrival() time.Time {
+// Arrival is the arrival of a request.
+type Arrival struct {
+	Request string
+	At      time.Time
+}
+
+// LastArrival returns the request that arrived last, the zero value if none did.
+func (s *Server) LastArrival() Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.lastArrival
@@ -229,7 +235,7 @@
 	id := r.Header.Get("Request-Id")
 	s.headers[id] = r.Header.Clone()
 	s.arrivals[id]++
-	s.lastArrival = time.Now()
+	s.lastArrival = Arrival{Request: id, At: time.Now()}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", s.running, s.opts.Slots))
 	if want := r.Header.Get("Expect-Instance"); want != "" && (want != s.opts.ID || s.faults.Replaced) {
