--- a/peers.go
+++ b/peers.go
@@ -71,7 +71,7 @@
 			return o.Sources[gossip.KindBundle].Version(), o.Sources[gossip.KindVMList].Version()
 		},
 		Changed: func(changes []membership.Change) { o.Loop.Post(suspicions(changes)) },
-		Log: o.Log,
+		Log:     o.Log,
 	}
 	if members := o.Sources[gossip.KindEntryVMs]; members != nil {
 		options.EntryVMs = members.Version
