--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -154,16 +156,26 @@
 			return err
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, startBound)
-	defer cancel()
-	for _, v := range w.vms {
-		if err := w.awaitServing(ctx, v); err != nil {
-			return errors.Wrap(err, "start of "+v.name)
-		}
+	for _, err := range w.awaitAll(ctx, startBound) {
+		return errors.Wrap(err, "start")
 	}
 	return nil
 }
 
+// awaitAll waits until all VMs serve, and returns the errors of those that do
+// not within a limit.
+func (w *world) awaitAll(ctx context.Context, limit time.Duration) []error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	errs := make([]error, len(w.vms))
+	var probes sync.WaitGroup
+	for i, v := range w.vms {
+		probes.Go(func() { errs[i] = w.awaitServing(ctx, v) })
+	}
+	probes.Wait()
+	return slices.DeleteFunc(errs, func(err error) bool { return err == nil })
+}
+
 // addServer starts one more backend server.
 func (w *world) addServer(engine bool) error {
 	w.mu.Lock()
@@ -230,12 +242,12 @@
 
 // awaitServing waits until a VM serves each kind of request.
 func (w *world) awaitServing(ctx context.Context, v *vm) error {
-	c := newCaller(w, v, len(w.vms)+int(time.Now().UnixNano()&0xffff))
-	defer c.client.CloseIdleConnections()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
 	for k := kind(0); k < kinds; {
 		r := &request{id: fmt.Sprintf("probe-%s-%s-%d", v.name, k, time.Now().UnixNano()), kind: k, vm: v, key: stableKey}
-		err := exchange(ctx, c.client, r)
-		if err == nil && r.status == 200 && r.wrong() == nil {
+		err := exchange(ctx, client, r)
+		if err == nil && r.status == http.StatusOK && r.wrong() == nil {
 			k++
 			continue
 		}
@@ -278,12 +290,8 @@
 
 // checkRecovery checks that each VM serves within the bound after all faults.
 func (w *world) checkRecovery(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, recoveryBound)
-	defer cancel()
-	for _, v := range w.vms {
-		if err := w.awaitServing(ctx, v); err != nil {
-			w.broken.add(promiseRecovery, "%v", err)
-		}
+	for _, err := range w.awaitAll(ctx, recoveryBound) {
+		w.broken.add(promiseRecovery, "%v", err)
 	}
 }
 
