--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,15 +105,15 @@
 	w.applied = append(w.applied, fmt.Sprintf("%7.3f s  ", at)+fmt.Sprintf(format, args...))
 }
 
-// takeVM returns a VM whose process is not being ended, or nil.
+// takeVM returns a VM that no other fault holds, or nil, and holds it.
 func (w *world) takeVM(r *rand.Rand) *vm {
 	v := w.vms[r.IntN(len(w.vms))]
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.restarting {
+	if v.busy {
 		return nil
 	}
-	v.restarting = true
+	v.busy = true
 	return v
 }
 
@@ -162,7 +162,7 @@
 	v.signal(syscall.SIGCONT)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.restarting = false
+	v.busy = false
 }
 
 // changeSettings writes other settings, with or without a signal.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -300,12 +299,3 @@
 	defer w.mu.Unlock()
 	return append([]drained(nil), w.drained...)
 }
-
-// TempDir returns a new directory for settings and logs.
-func TempDir() (string, error) {
-	dir, err := os.MkdirTemp("", "soak-")
-	if err != nil {
-		return "", errors.Wrap(err, "directory of the run")
-	}
-	return dir, nil
-}
--- a/internal/soak/soakcmd/soakcmd.go
+++ b/internal/soak/soakcmd/soakcmd.go
@@ -77,8 +77,8 @@
 	}
 	if o.Dir == "" {
 		var err error
-		if o.Dir, err = soak.TempDir(); err != nil {
-			return err
+		if o.Dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return errors.Wrap(err, "directory of the runs")
 		}
 	}
 	if o.Daemon == "" {
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -49,22 +50,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, x := range t.spans {
-		if x.from.Before(to) && (x.to.IsZero() || x.to.After(from.Add(-contactTime))) && contains(scopes, x.scope) {
+		if x.from.Before(to) && (x.to.IsZero() || x.to.After(from.Add(-contactTime))) && slices.Contains(scopes, x.scope) {
 			return false
 		}
 	}
 	return true
 }
 
-func contains(scopes []scope, s scope) bool {
-	for _, x := range scopes {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Violation is a broken promise.
 type Violation struct {
 	// At is the time since the start of the run.
