--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -207,24 +207,18 @@
 	}
 	w.log("store %+v", f)
 	defer w.faults.begin(scopeStore)()
-	id := w.setStoreFaults(0, &f)
+	w.updateStoreFaults(func() { w.storeFaults[&f] = struct{}{} })
 	time.Sleep(d)
-	w.setStoreFaults(id, nil)
+	w.updateStoreFaults(func() { delete(w.storeFaults, &f) })
 }
 
-// setStoreFaults adds faults, or removes those with an id, and puts all in force.
-func (w *world) setStoreFaults(id int, f *userplatform.StoreFaults) int {
+// updateStoreFaults changes the set of faults and puts all of it in force.
+func (w *world) updateStoreFaults(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if f == nil {
-		delete(w.storeFaults, id)
-	} else {
-		w.nextID++
-		id = w.nextID
-		w.storeFaults[id] = *f
-	}
+	change()
 	var all userplatform.StoreFaults
-	for _, x := range w.storeFaults {
+	for x := range w.storeFaults {
 		all.Refuse = append(all.Refuse, x.Refuse...)
 		all.Silent = append(all.Silent, x.Silent...)
 		all.RefuseStatus = max(all.RefuseStatus, x.RefuseStatus)
@@ -233,7 +227,6 @@
 		all.Lapse = all.Lapse || x.Lapse
 	}
 	w.store.SetFaults(all)
-	return id
 }
 
 func (w *world) compactStore(*rand.Rand, time.Duration) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -92,7 +92,7 @@
 	applied  []string
 	nextID   int
 	// storeFaults are those in force.
-	storeFaults map[int]userplatform.StoreFaults
+	storeFaults map[*userplatform.StoreFaults]struct{}
 }
 
 // server is a backend server behind a proxy.
@@ -113,7 +113,7 @@
 	w := &world{
 		opts: o, started: time.Now(), store: userplatform.NewStore(), faults: &timeline{},
 		keys:        &keyring{revoked: map[string]time.Time{}},
-		storeFaults: map[int]userplatform.StoreFaults{},
+		storeFaults: map[*userplatform.StoreFaults]struct{}{},
 	}
 	w.broken = &violations{started: w.started}
 	w.fleet = userplatform.NewFleet(w.store)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,12 +15,16 @@
 	"time"
 )
 
+// daemonDir is the directory of the daemon, "" if no test has built it.
+var daemonDir string
+
 // build returns the path of vanillaarchd, built once.
 var build = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "soak-daemon-")
 	if err != nil {
 		return "", err
 	}
+	daemonDir = dir
 	path := filepath.Join(dir, "vanillaarchd")
 	out, err := exec.Command("go", "build", "-o", path, "github.com/vanillaarch/vanillaarch/cmd/vanillaarchd").CombinedOutput()
 	if err != nil {
@@ -31,8 +35,8 @@
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := build(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path))
+	if daemonDir != "" {
+		_ = os.RemoveAll(daemonDir)
 	}
 	os.Exit(code)
 }
--- a/internal/soak/tables.go
+++ b/internal/soak/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -93,9 +94,5 @@
 func (t *tally) all() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]int, len(t.counts))
-	for k, n := range t.counts {
-		out[k] = n
-	}
-	return out
+	return maps.Clone(t.counts)
 }
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -75,11 +76,7 @@
 func (s *KV) Calls() map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int64, len(s.calls))
-	for k, v := range s.calls {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(s.calls)
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -38,11 +39,7 @@
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.runs))
-	for k, v := range s.runs {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(s.runs)
 }
 
 // Total returns the number of runs.
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/base64"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -112,11 +113,7 @@
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.calls))
-	for k, n := range s.calls {
-		out[k] = n
-	}
-	return out
+	return maps.Clone(s.calls)
 }
 
 // Put writes a key as the operator and the backend servers do.
