Wait for services before a test cluster counts as ready

WaitInForce waited for the bundle and the engines of each VM, not for its services. A cluster without engines was ready as soon as the bundle was in force, before the first read of the VM list.

Ruled out: the claim and the key-value service, since the failing call came before the fault was switched on; the choice of the backend server, which takes any live one.

Change: WaitInForce waits for the services as well. The daemon is not touched. TestRollOutWaitsForBackends delays the VM list and fails on the code before.

--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -258,12 +259,12 @@
 	return c.WaitInForce(ctx, doc.Version)
 }
 
-// WaitInForce waits until each VM has the bundle version or a higher one, and knows all engines.
+// WaitInForce waits until each VM has the bundle version or a higher one, and
+// knows all engines and services.
 func (c *Cluster) WaitInForce(ctx context.Context, version int64) error {
 	for _, vm := range c.VMs {
 		for {
-			snap := vm.Server.Snapshot()
-			if snap.Bundle != nil && snap.Bundle.Version() >= version && len(snap.Engines[Model]) == len(c.Engines) {
+			if c.inForce(vm.Server.Snapshot(), version) {
 				break
 			}
 			select {
@@ -276,6 +277,11 @@
 	return nil
 }
 
+func (c *Cluster) inForce(s *control.Snapshot, version int64) bool {
+	return s.Bundle != nil && s.Bundle.Version() >= version &&
+		len(s.Engines[Model]) == len(c.Engines) && len(s.Services[Service]) == len(c.Services)
+}
+
 // Close stops everything. VMs are stopped together, without waiting for answers.
 func (c *Cluster) Close() {
 	var wg sync.WaitGroup
--- a/internal/localcluster/cluster_test.go
+++ b/internal/localcluster/cluster_test.go
@@ -70,6 +70,21 @@
 	return func(s *control.Snapshot) bool { return len(s.EntryVMs) == n }
 }
 
+// Guards against a cluster that counts as ready while a VM has not read the VM
+// list: its first call to a service is refused since it knows no backend server.
+func TestRollOutWaitsForBackends(t *testing.T) {
+	c := start(t, localcluster.Options{Services: 1})
+	c.VMList.Set(standin.Faults{DelayMS: 300})
+	vm, err := c.AddVM()
+	if err != nil {
+		t.Fatal(err)
+	}
+	rollOut(t, c, 1)
+	if live := vm.Server.Snapshot().Services[localcluster.Service]; len(live) != 1 {
+		t.Errorf("the VM knows %d services after the rollout, want 1", len(live))
+	}
+}
+
 func readyz(t *testing.T, vm *localcluster.VM) int {
 	t.Helper()
 	resp, err := http.Get(vm.URL() + "/readyz")
