Start with one list each, and hear the rest from peers

Cause: until a VM knew a configuration it took itself for one that reads for others. 112 VMs polled the configuration every 150 ms until the operator had written it, and each watched all three prefixes: 6.2 lists and 4.7 watches for each VM in the first second (trial with each call logged). In a pool of 3,000 servers each VM also read all pages of the list.

Change: who reads is decided from the list of entry VMs alone. Each VM reads the configuration once and the first page of the servers; only the readers poll, watch, and list a pool of several pages. A VM that no peer tells the servers within 4 s lists them itself, and the age of the confirmation counts from the start of the VM. The decision who reads waits 100 ms for weak VMs.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -94,6 +94,9 @@
 	// went missing around an outage. Peers notice by themselves whether it runs,
 	// so it only has to be longer than renewInterval.
 	memberGrace = 10 * time.Second
+	// peerListWait is how long after its start a VM waits for peers to tell the
+	// backend servers of a pool that the store does not give in one answer.
+	peerListWait = 4 * time.Second
 	// leaseTime is the lease of the entry of this VM. It outlasts the time for
 	// which the store may refuse a VM: peers talk only to VMs that are listed,
 	// and notice within seconds if one of those does not run.
@@ -124,7 +127,10 @@
 	// configRevision is the revision of the store at the last read of the
 	// configuration, from which its watch continues.
 	configRevision atomic.Int64
-	start          startup
+	// started is when this VM asked for backend servers first, on the clock of
+	// package boottime.
+	started atomic.Int64
+	start   startup
 }
 
 // New returns a follower. Run must be called.
@@ -176,12 +182,13 @@
 // read it, or it does not answer.
 func (f *Follower) rests() bool { return !f.opts.Reads() || f.unreachable.Load() }
 
-// confirmConfig reads the configuration at an interval.
+// confirmConfig reads the configuration once at the start, so that a VM that
+// starts again need not wait for peers, and then at an interval.
 func (f *Follower) confirmConfig(ctx context.Context) {
 	dependency := newDependency(f.opts.Log, "store configuration")
 	var failures backoff
-	for ctx.Err() == nil {
-		if !f.opts.Reads() {
+	for first := true; ctx.Err() == nil; first = false {
+		if !first && !f.opts.Reads() {
 			f.unreachable.Store(false)
 			wait.Sleep(ctx, roleCheck)
 			continue
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -88,10 +88,13 @@
 	}
 	dependency := newDependency(f.opts.Log, "store "+s.prefix)
 	after := int64(-1)
-	reading := false
+	if !s.entryVMs {
+		after = f.listFirst(ctx, s)
+	}
+	reading := after >= 0
 	var failures backoff
 	for ctx.Err() == nil {
-		if f.rests() {
+		if f.rests() && !f.lacksServers(s) {
 			after, reading = -1, reading && f.opts.Reads()
 			wait.Sleep(ctx, roleCheck)
 			continue
@@ -115,6 +118,45 @@
 	}
 }
 
+// listFirst lists the backend servers at the start of this VM if the store gives
+// them in one answer, and returns the revision to watch from, -1 if they must be
+// listed. Of a larger pool each VM reads only that much: all of a fleet that
+// starts would read all of it through the link of the store, so the rest comes
+// from peers.
+func (f *Follower) listFirst(ctx context.Context, s *section) (after int64) {
+	f.started.Store(int64(boottime.Now()))
+	after = -1
+	var failures backoff
+	for ctx.Err() == nil && f.opts.Loop.Snapshot().Servers.Revision == 0 {
+		if f.unreachable.Load() {
+			wait.Sleep(ctx, roleCheck)
+			continue
+		}
+		listing, err := f.opts.Store.ListPage(ctx, s.prefix, kv.Linearizable)
+		if err != nil {
+			f.opts.Log.Info("first_list_failed", zap.String("prefix", s.prefix), telemetry.Error(err))
+			failures.pause(ctx)
+			continue
+		}
+		if !listing.Partial {
+			f.list.replace(s, listing)
+			after = listing.Revision
+		}
+		break
+	}
+	f.start.awaitListed(ctx)
+	return after
+}
+
+// lacksServers reports whether no peer has told this VM the backend servers for
+// so long that it reads them itself.
+func (f *Follower) lacksServers(s *section) bool {
+	if s.entryVMs || f.unreachable.Load() || f.opts.Loop.Snapshot().Servers.Revision > 0 {
+		return false
+	}
+	return boottime.Now()-time.Duration(f.started.Load()) > peerListWait
+}
+
 // relist replaces the entries of a section and returns the revision to watch from.
 func (f *Follower) relist(ctx context.Context, s *section) (int64, error) {
 	listing, err := f.opts.Store.List(ctx, s.prefix, kv.Linearizable)
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -81,6 +81,10 @@
 	return out, nil
 }
 
+func (s *store) ListPage(ctx context.Context, prefix string, c kv.Consistency) (kv.Listing, error) {
+	return s.List(ctx, prefix, c)
+}
+
 func (s *store) WatchPrefix(ctx context.Context, _ string, _ int64, _ time.Duration) (kv.Changes, error) {
 	<-ctx.Done()
 	return kv.Changes{}, &kv.UnavailableError{Op: "watch", Cause: ctx.Err()}
--- a/discovery/startup.go
+++ b/discovery/startup.go
@@ -16,8 +16,9 @@
 	wasAnnounced, wasListed   chan struct{}
 }
 
-// roleDelay is the time from a list of entry VMs to the decision who reads.
-const roleDelay = 20 * time.Millisecond
+// roleDelay is the time from a list of entry VMs to the decision who reads. A VM
+// with a tenth of a core takes tens of milliseconds for it.
+const roleDelay = 100 * time.Millisecond
 
 func newStartup() startup {
 	return startup{
--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -44,6 +44,10 @@
 // Options are the parameters of a Site.
 type Options struct {
 	VMs, Engines, Desks int
+	// Entries is the number of listed backend servers that nobody plays.
+	Entries int
+	// ConfigDelay is the time from the start of the VMs to the first configuration.
+	ConfigDelay time.Duration
 	// Events is the number of events of a stream, EventInterval the time between them.
 	Events        int
 	EventInterval time.Duration
@@ -89,7 +93,12 @@
 	s := &Site{Store: userplatform.NewStore(), opts: o}
 	s.defers(s.Store.Close)
 	s.Fleet = userplatform.NewFleet(s.Store)
-	s.Store.Put(platform.ConfigKey, userplatform.Config(Version, Key))
+	for i := range o.Entries {
+		userplatform.List(s.Store, fmt.Sprintf("listed-%04d", i), "listed")
+	}
+	if o.ConfigDelay == 0 {
+		s.putConfig()
+	}
 	if err := s.start(); err != nil {
 		s.Close()
 		return nil, err
@@ -97,6 +106,8 @@
 	return s, nil
 }
 
+func (s *Site) putConfig() { s.Store.Put(platform.ConfigKey, userplatform.Config(Version, Key)) }
+
 func (s *Site) start() error {
 	for i := range s.opts.Engines {
 		e, err := s.StartServer(userplatform.ServerOptions{
@@ -122,6 +133,10 @@
 			return err
 		}
 	}
+	if s.opts.ConfigDelay > 0 {
+		time.Sleep(s.opts.ConfigDelay)
+		s.putConfig()
+	}
 	return s.awaitKnown()
 }
 
@@ -145,7 +160,8 @@
 
 func (s *Site) knows(v *VM) bool {
 	snap := v.Snapshot()
-	return snap.Routes != nil && len(snap.Backends) == s.opts.Engines+s.opts.Desks && len(snap.EntryVMs) == s.opts.VMs
+	servers := s.opts.Engines + s.opts.Desks + s.opts.Entries
+	return snap.Routes != nil && len(snap.Backends) == servers && len(snap.EntryVMs) == s.opts.VMs
 }
 
 // StartServer starts one more backend server.
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -135,18 +135,27 @@
 
 // Register writes the entry of the server with a state.
 func (s *Server) Register(state string) {
+	putEntry(s.fleet.store, s.opts, s.Address(), state, s.started)
+}
+
+// List writes the entry of a server that does not run.
+func List(store *Store, id, service string) {
+	putEntry(store, ServerOptions{ID: id, Service: service, Slots: 1}, "127.0.0.1:1", "ready", 1)
+}
+
+func putEntry(store *Store, o ServerOptions, address, state string, started int64) {
 	entry := map[string]any{
-		"service": s.opts.Service, "address": s.Address(), "zone": s.opts.Zone, "version": "v1", "slots": s.opts.Slots,
-		"state": state, "coldRemainingMs": 0, "sequence": 1, "born": s.started,
+		"service": o.Service, "address": address, "zone": o.Zone, "version": "v1", "slots": o.Slots,
+		"state": state, "coldRemainingMs": 0, "sequence": 1, "born": started,
 	}
-	if s.opts.Model != "" {
-		entry["models"] = []map[string]any{{"name": s.opts.Model, "version": 1}}
+	if o.Model != "" {
+		entry["models"] = []map[string]any{{"name": o.Model, "version": 1}}
 	}
 	value, err := json.Marshal(entry)
 	if err != nil {
 		panic(err) // The entry holds only plain values.
 	}
-	s.fleet.store.Put("servers/"+s.opts.ID, value)
+	store.Put("servers/"+o.ID, value)
 }
 
 // Unregister removes the entry of the server.
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -148,12 +148,17 @@
 	// Revision is a revision of the service that all entries had reached.
 	// Changes after it may already be included.
 	Revision int64
+	// Partial says that there are more entries.
+	Partial bool
 }
 
 // Lister reads all keys of a prefix.
 type Lister interface {
 	// List returns the entries under prefix, or an *UnavailableError.
 	List(ctx context.Context, prefix string, c Consistency) (Listing, error)
+	// ListPage returns the first entries under prefix, as many as the service
+	// gives in one answer, or an *UnavailableError.
+	ListPage(ctx context.Context, prefix string, c Consistency) (Listing, error)
 }
 
 // Change is one write or removal of a key.
--- a/peers.go
+++ b/peers.go
@@ -59,11 +59,13 @@
 	onDispatch peer.Handler
 	// watcher says that this VM reads from the platform on behalf of its region.
 	watcher atomic.Bool
+	// began is the start of the VM on the clock of package boottime.
+	began time.Duration
 }
 
 // newMesh opens the peer listener and builds what rests on it.
 func newMesh(o meshOptions) (*mesh, error) {
-	m := &mesh{opts: o, gossip: gossip.New(o.Sources, o.Log)}
+	m := &mesh{opts: o, gossip: gossip.New(o.Sources, o.Log), began: boottime.Now()}
 	options := membership.Options{
 		VM: o.VM, Fanout: o.Peers.Fanout,
 		HeartbeatInterval: o.Peers.HeartbeatInterval.Std(), SuspectAfter: o.Peers.SuspectAfter.Std(),
@@ -230,7 +232,7 @@
 // isWatcher reports whether this VM reads from the platform: as one of the
 // watchers of its region, or because no peer can tell it what it needs.
 func (m *mesh) isWatcher(snap *control.Snapshot, watchers []string) bool {
-	if snap.Bundle == nil || snap.VMs.Revision == 0 {
+	if snap.VMs.Revision == 0 || snap.Bundle == nil && !m.opts.Confirmed {
 		return true
 	}
 	if !slices.Contains(entryIDs(snap.VMs.VMs), m.opts.VM) {
@@ -260,5 +262,6 @@
 func (m *mesh) readsPlatform() bool { return m.watcher.Load() || m.members.Isolated() || m.stale() }
 
 func (m *mesh) stale() bool {
-	return m.opts.Confirmed && boottime.Now()-m.opts.Loop.Snapshot().RoutesConfirmed > m.opts.StaleAfter
+	confirmed := max(m.opts.Loop.Snapshot().RoutesConfirmed, m.began)
+	return m.opts.Confirmed && boottime.Now()-confirmed > m.opts.StaleAfter
 }
--- a/test/platform/config_test.go
+++ b/test/platform/config_test.go
@@ -177,13 +177,55 @@
 func TestStartCostsFewCalls(t *testing.T) {
 	const vms = 20
 	s := newSite(t, options{vms: vms, desks: 1})
-	calls := 0
+	if calls := s.calls(); calls > vms*callsOfStart {
+		t.Errorf("%d calls of %d VMs: %v", calls, vms, s.store.Calls())
+	}
+}
+
+// calls returns the number of calls to the store that are no renewals of leases.
+func (s *site) calls() (total int) {
 	for path, n := range s.store.Calls() {
 		if path != "/kv-keep/{id}" {
-			calls += n
+			total += n
 		}
 	}
-	if calls > vms*callsOfStart {
-		t.Errorf("%d calls of %d VMs: %v", calls, vms, s.store.Calls())
+	return total
+}
+
+// Guards against a fleet that polls the store until the operator writes the
+// first configuration: 112 VMs made 13 calls each in their first second. A VM
+// needs two writes and three lists; three VMs poll and watch for all.
+func TestStartBeforeTheConfiguration(t *testing.T) {
+	const (
+		vms         = 20
+		callsOfVM   = 5
+		callsForAll = 60
+	)
+	s := newSite(t, options{vms: vms, desks: 1, configDelay: time.Second})
+	calls := s.calls()
+	t.Logf("%d calls of %d VMs: %v", calls, vms, s.store.Calls())
+	if limit := vms*callsOfVM + callsForAll; calls > limit {
+		t.Errorf("%d calls, want at most %d", calls, limit)
+	}
+}
+
+// Guards against a start in which each VM lists all backend servers of a large
+// pool: 299 VMs that read 3,000 entries each took 30 s to start. Each reads the
+// first page, and hears the rest from those that read all.
+func TestLargePoolIsListedByFew(t *testing.T) {
+	const (
+		vms     = 20
+		entries = 600
+		pages   = 12
+		// readers list all, those that start first among them.
+		readers = 8
+		// others are reads of the configuration and of entry VMs.
+		others = 3 * vms
+	)
+	s := newSite(t, options{vms: vms, entries: entries})
+	reads := s.store.Calls()["/kv-range"]
+	t.Logf("%d lists of %d VMs", reads, vms)
+	if limit := vms + readers*pages + others; reads > limit {
+		t.Errorf("%d lists, want at most %d", reads, limit)
 	}
 }
