Leave half of an engine's memory free beside spare copies

From the logs, runs held 55 to 65 % of the engines' memory then; copies that grow with the runs held most of the rest, and granted runs waited on the engines.

Change: spareReserve 0.30 to 0.50. TestSpareCopiesLeaveHalfOfTheMemory failed before (96 copies left room for 40 runs, now 68 and 68).

--- a/dispatch/fair_test.go
+++ b/dispatch/fair_test.go
@@ -91,3 +91,33 @@
 		t.Fatalf("%d grants with a high weight of preemptions, %d with a high weight of stall time", few, many)
 	}
 }
+
+// Guards against spare copies that take the memory of runs still to come: on
+// scale-1 of tilbod-fleet-grown, runs used 60 % of the memory and waited on
+// engines that copies filled. Half of it must stay free for runs.
+func TestSpareCopiesLeaveHalfOfTheMemory(t *testing.T) {
+	f := newTestFair("e1", "e2", "e3", "e4")
+	ids := uint64(0)
+	grant := func(spare bool) bool {
+		ids++
+		r := request(ids, "c")
+		r.Spare = spare
+		now := epoch.Add(time.Duration(ids) * time.Second)
+		if err := f.Submit(now, r); err != nil {
+			return false
+		}
+		return len(f.Next(now)) == 1
+	}
+	copies := 0
+	for grant(true) {
+		copies++
+	}
+	runs := 0
+	for grant(false) {
+		runs++
+	}
+	t.Logf("%d copies, then %d runs", copies, runs)
+	if copies == 0 || runs < copies {
+		t.Errorf("%d copies left room for %d runs of the same size", copies, runs)
+	}
+}
--- a/dispatch/faircopy.go
+++ b/dispatch/faircopy.go
@@ -5,7 +5,7 @@
 // spareReserve is the part of an engine's memory that stays free beside the
 // projected peak when room for a spare copy is granted. Copies must not take the
 // room of runs that are still to come.
-const spareReserve = 0.30
+const spareReserve = 0.50
 
 // submitCopy grants room for a copy of a run at once, or returns a
 // *NoBackendError. A spare copy needs plenty of room. One of a run that must
