Ask a store that is out less often if peers can tell

Cause: while the store is out, every VM's confirmation grows old, and all of them ask it by themselves, every 0.15 to 0.9 s.

Change: a VM that hears from peers waits 0.7 to 3 s after a failed read. The three that read for others, and VMs that hear no peer, ask as before, and tell the others what they read. TestOutageCostsFewCalls: at least six calls in 5 s before, at most five now.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -58,6 +58,9 @@
 	// Reads says whether this VM reads from the store now, or hears from peers
 	// what others read. Nil means always.
 	Reads func() bool
+	// ReadsForOthers says whether peers wait for what this VM reads, or no peer
+	// can tell it anything. Nil means always.
+	ReadsForOthers func() bool
 	Log   *zap.Logger
 }
 
@@ -76,6 +79,10 @@
 	// much as others.
 	retryPauseMin = 150 * time.Millisecond
 	retryPauseMax = 900 * time.Millisecond
+	// peerPauseMin and peerPauseMax are the same for a VM that hears from peers as
+	// soon as one of them reaches the store. While the store is out, all VMs ask.
+	peerPauseMin = 700 * time.Millisecond
+	peerPauseMax = 3 * time.Second
 	// lapseGrace is how long the entry of a backend server that went missing
 	// around an outage of the store is still used. A living server is back about
 	// two seconds after the outage; the least bound for leaving servers is two
@@ -138,6 +145,9 @@
 	if o.Reads == nil {
 		o.Reads = func() bool { return true }
 	}
+	if o.ReadsForOthers == nil {
+		o.ReadsForOthers = func() bool { return true }
+	}
 	f := &Follower{opts: o, start: newStartup()}
 	f.list = newList(o, f.afterOutage)
 	return f
@@ -176,6 +186,12 @@
 	return wait.Sleep(ctx, retry.Backoff(b.failures, retryPauseMin, retryPauseMax))
 }
 
+// pauseForPeers is the pause of a VM that need not be the first to reach the store.
+func (b *backoff) pauseForPeers(ctx context.Context) bool {
+	b.failures++
+	return wait.Sleep(ctx, retry.Backoff(b.failures, peerPauseMin, peerPauseMax))
+}
+
 func (b *backoff) reset() { b.failures = 0 }
 
 // rests reports whether this VM is to ask nothing of the store for now: others
@@ -200,7 +216,11 @@
 		if err != nil {
 			f.noteFailedRead(boottime.Now())
 			f.watches.endAll()
-			failures.pause(ctx)
+			if f.opts.ReadsForOthers() {
+				failures.pause(ctx)
+			} else {
+				failures.pauseForPeers(ctx)
+			}
 			continue
 		}
 		failures.reset()
--- /dev/null
+++ b/discovery/outage_test.go
@@ -0,0 +1,55 @@
+package discovery
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/kv"
+)
+
+// refusing refuses all calls and counts them.
+type refusing struct {
+	Store
+	calls atomic.Int64
+}
+
+func (s *refusing) List(context.Context, string, kv.Consistency) (kv.Listing, error) {
+	s.calls.Add(1)
+	return kv.Listing{}, &kv.UnavailableError{Op: "list"}
+}
+
+// Guards against a whole fleet that asks a store that is out as often as those
+// that read for the others: two outages of 14 s together cost 112 VMs 3,000
+// refused calls. The pauses of a VM that hears from peers allow five in 5 s; one
+// that reads for others must notice within a second that the store is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	const (
+		outage      = 5 * time.Second
+		mostOfPeer  = 5
+		leastReader = 6
+	)
+	calls := func(forOthers bool) int64 {
+		loop := control.NewLoop(zap.NewNop(), time.Now)
+		ctx, cancel := context.WithTimeout(context.Background(), outage)
+		defer cancel()
+		s := &refusing{}
+		f := New(Options{
+			Store: s, Codec: codec{}, Loop: loop, ReadsForOthers: func() bool { return forOthers }, Log: zap.NewNop(),
+		})
+		f.confirmConfig(ctx)
+		return s.calls.Load()
+	}
+	done := make(chan int64)
+	go func() { done <- calls(true) }()
+	if n := calls(false); n > mostOfPeer {
+		t.Errorf("%d calls of a VM that hears from peers", n)
+	}
+	if n := <-done; n < leastReader {
+		t.Errorf("%d calls of a VM that reads for others", n)
+	}
+}
--- a/peers.go
+++ b/peers.go
@@ -261,6 +261,9 @@
 // whose peers tell no recent confirmation.
 func (m *mesh) readsPlatform() bool { return m.watcher.Load() || m.members.Isolated() || m.stale() }
 
+// readsForOthers is true for watchers, and for a VM that hears no peer.
+func (m *mesh) readsForOthers() bool { return m.watcher.Load() || m.members.Isolated() }
+
 func (m *mesh) stale() bool {
 	confirmed := max(m.opts.Loop.Snapshot().RoutesConfirmed, m.began)
 	return m.opts.Confirmed && boottime.Now()-confirmed > m.opts.StaleAfter
