Let spare copies restore no suspended engine

Cause: the frontend reports the tokens of a run on the ticket of its spare copy as well, so that its memory counts.

Ruled out: two VMs that dispatch (one group_dispatched), the order of VMs in the test (mended in the test: the request after a loss enters another VM).

Change: only runs that the engine started by itself count as served.

--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -141,7 +141,8 @@
 		f.prefill.Learn(&s.engine.pace, s.ahead, now.Sub(s.grantedAt))
 	}
 	s.prefilled()
-	if s.tokens == 0 && f.outliers.Served(s.engine.id) {
+	// The tokens of a copy are made by another engine, or were begun there.
+	if s.tokens == 0 && !s.unpaid && f.outliers.Served(s.engine.id) {
 		f.opts.OnSuspension(s.engine.id, false)
 	}
 	added := tokens - s.tokens
--- a/dispatch/outlier_test.go
+++ b/dispatch/outlier_test.go
@@ -194,3 +194,34 @@
 		t.Errorf("%d engines served runs after a common fault of 2 s", len(p.served))
 	}
 }
+
+// Guards against a suspended engine that gets work again because of a spare copy
+// on it, whose tokens another engine makes.
+func TestSpareCopyRestoresNoEngine(t *testing.T) {
+	restored := false
+	f := NewFair(FairOptions{OnSuspension: func(_ string, suspended bool) { restored = !suspended }})
+	f.SetShares(epoch, []TenantShare{{Tenant: "t", Share: 1, Organisations: map[string]float64{"c": 1}}})
+	f.SetBackends(epoch, []Backend{{ID: "e1", BlocksTotal: 1000, BlockTokens: 16}, {ID: "e2", BlocksTotal: 1000, BlockTokens: 16}})
+	spare := request(1, "c", "e2")
+	spare.Spare = true
+	if err := f.Submit(epoch, spare); err != nil {
+		t.Fatal(err)
+	}
+	f.Next(epoch)
+	for i := range uint64(2) {
+		run := request(2+i, "c", "e2")
+		run.ID.VM = fmt.Sprintf("vm%d", i)
+		if err := f.Submit(epoch, run); err != nil {
+			t.Fatal(err)
+		}
+		if g := f.Next(epoch); len(g) != 1 || g[0].Backend != "e1" {
+			t.Fatalf("grants %v", g)
+		}
+		f.Failed(epoch, run.ID)
+		f.Finish(epoch, run.ID, 0)
+	}
+	f.Progress(epoch, spare.ID, 4)
+	if restored {
+		t.Error("a spare copy restored the engine")
+	}
+}
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -35,6 +35,8 @@
 	Shed, Fail bool
 	// Hang runs requests and never answers.
 	Hang bool
+	// Reset closes the connection of each request without running it.
+	Reset bool
 	// Truncate cuts plain answers after half of their body.
 	Truncate bool
 	// Extra sends a second, late answer on the connection after a plain one.
@@ -269,6 +271,10 @@
 		return
 	}
 	defer s.leave()
+	if faults.Reset {
+		drop(w)
+		return
+	}
 	if !faults.Unsigned {
 		w.Header().Set("Response-Signature", "sig-"+s.opts.ID)
 	}
