--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -61,7 +61,7 @@
 	// ReadsForOthers says whether peers wait for what this VM reads, or no peer
 	// can tell it anything. Nil means always.
 	ReadsForOthers func() bool
-	Log   *zap.Logger
+	Log            *zap.Logger
 }
 
 // Times of the calls to the store.
