Count the calls of a VM to the store by kind

Change: the client of the store tells an observer of each call; a VM counts them by kind in its metrics and logs the counts every 5 s if they changed.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/control"
@@ -29,6 +30,7 @@
 	kv.Leaser
 	kv.Lister
 	kv.PrefixWatcher
+	kv.Observable
 }
 
 // Codec translates the entries of the store.
@@ -61,7 +63,9 @@
 	// ReadsForOthers says whether peers wait for what this VM reads, or no peer
 	// can tell it anything. Nil means always.
 	ReadsForOthers func() bool
-	Log            *zap.Logger
+	// Metrics holds the counters of calls to the store. Nil means that nobody reads them.
+	Metrics metrics.Registry
+	Log     *zap.Logger
 }
 
 // Times of the calls to the store.
@@ -138,6 +142,7 @@
 	// package boottime.
 	started atomic.Int64
 	start   startup
+	calls   *calls
 }
 
 // New returns a follower. Run must be called.
@@ -148,7 +153,11 @@
 	if o.ReadsForOthers == nil {
 		o.ReadsForOthers = func() bool { return true }
 	}
-	f := &Follower{opts: o, start: newStartup()}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	f := &Follower{opts: o, start: newStartup(), calls: newCalls(o.Metrics)}
+	o.Store.Observe(f.calls.observe)
 	f.list = newList(o, f.afterOutage)
 	return f
 }
@@ -174,6 +183,7 @@
 		func(ctx context.Context) { f.followPrefix(ctx, f.list.servers) },
 		func(ctx context.Context) { f.followPrefix(ctx, f.list.members) },
 		f.list.expireLapsed,
+		func(ctx context.Context) { f.calls.report(ctx, f.opts.Log) },
 	}
 }
 
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -50,9 +50,14 @@
 	return kv.Entry{Key: prefix + vm.ID, Value: value, Revision: 1}
 }
 
+// unobserved is a store whose calls nobody counts.
+type unobserved struct{ Store }
+
+func (unobserved) Observe(kv.Observer) {}
+
 // store answers lists from memory. Lists of a blocked prefix wait.
 type store struct {
-	Store
+	unobserved
 	mu      sync.Mutex
 	entries []kv.Entry
 	blocked string
--- a/discovery/outage_test.go
+++ b/discovery/outage_test.go
@@ -14,7 +14,7 @@
 
 // refusing refuses all calls and counts them.
 type refusing struct {
-	Store
+	unobserved
 	calls atomic.Int64
 }
 
--- a/entry.go
+++ b/entry.go
@@ -137,7 +137,7 @@
 			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(),
 		},
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease,
-		Reads: e.mesh.readsPlatform, ReadsForOthers: e.mesh.readsForOthers, Log: o.Log,
+		Reads: e.mesh.readsPlatform, ReadsForOthers: e.mesh.readsForOthers, Metrics: e.metrics, Log: o.Log,
 	})
 	e.grants = e.newGrants()
 	e.gateway = gateway.New(gateway.Options{
