Read the store by one VM with standbys, at rates that follow from the bounds

Change: package standby ranks the VMs of a region. One reads, two where the bounds leave no time for a takeover; the poll, the takeover and the patience of the others follow from configApplyMs, drainMs and revokeMs. A VM whose confirmation is old probes with one read, and takes over only if nobody else confirms meanwhile. Readers without a configuration wait for their watch. The roles are computed only when entry VMs change. Tests: standby/standby_test.go simulates 295 to 510 VMs.

--- a/control/control.go
+++ b/control/control.go
@@ -40,8 +40,10 @@
 	Routes          *route.Table
 	RoutesContent   []byte
 	RoutesConfirmed time.Duration
-	// Suspect holds the ids of entry VMs that peers have not heard from.
-	Suspect map[string]bool
+	// Suspect holds the ids of entry VMs that peers have not heard from, and
+	// suspicions counts its changes.
+	Suspect    map[string]bool
+	suspicions int
 
 	// listFromPeer says that the platform has not confirmed the VM list yet, and
 	// contradictions counts its answers with a lower revision.
@@ -80,6 +82,8 @@
 	// EntryVMs holds live entry VMs that are not suspect, in the order of the list.
 	EntryVMs []vmlist.VM
 	lookups  *lookups
+	// suspicions is that of State.
+	suspicions int
 }
 
 // SameBackends reports whether two snapshots have the same backend servers
@@ -88,6 +92,12 @@
 	return s.VMs == other.VMs && s.lookups == other.lookups
 }
 
+// SameEntryVMs reports whether two snapshots have the same live entry VMs. It may
+// report false for equal ones.
+func (s *Snapshot) SameEntryVMs(other *Snapshot) bool {
+	return s.lookups == other.lookups && s.suspicions == other.suspicions
+}
+
 // Loop is the control goroutine.
 type Loop struct {
 	mailbox  chan Message
@@ -187,7 +197,7 @@
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
 	snap := &Snapshot{
 		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, Servers: s.Servers, Members: s.Members, VMListCeiling: s.listCeiling,
-		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed,
+		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, suspicions: s.suspicions,
 	}
 	if previous != nil && previous.VMs == s.VMs && sameModels(previous.Bundle, s.Bundle) {
 		snap.lookups = previous.lookups
@@ -195,6 +205,10 @@
 		snap.lookups = newLookups(s.VMs.VMs, modelVersions(s.Bundle))
 	}
 	snap.Engines, snap.Services, snap.Backends = snap.lookups.engines, snap.lookups.services, snap.lookups.backends
+	if previous != nil && snap.SameEntryVMs(previous) {
+		snap.EntryVMs = previous.EntryVMs
+		return snap
+	}
 	for _, vm := range snap.lookups.entries {
 		if !s.Suspect[vm.ID] {
 			snap.EntryVMs = append(snap.EntryVMs, vm)
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/standby"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -48,6 +49,23 @@
 	EncodeMember(vm vmlist.VM) (key string, value []byte, err error)
 }
 
+// Duties decides what a VM asks of the store.
+type Duties interface {
+	Duty() standby.Duty
+	// Reached notes that the store has answered a probe that began at a time on
+	// the clock of package boottime.
+	Reached(asked time.Duration)
+	// Poll is the time between reads of the configuration while the duty is to read.
+	Poll() time.Duration
+}
+
+// allDuties are those of a VM without peers.
+type allDuties struct{}
+
+func (allDuties) Duty() standby.Duty    { return standby.Read }
+func (allDuties) Reached(time.Duration) {}
+func (allDuties) Poll() time.Duration   { return standby.TimesFor(0, 0, 0).Poll }
+
 // Options are the parameters of a Follower.
 type Options struct {
 	// Self is announced to other entry VMs.
@@ -57,12 +75,11 @@
 	Loop  *control.Loop
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
-	// Reads says whether this VM reads from the store now, or hears from peers
-	// what others read. Nil means always.
-	Reads func() bool
-	// ReadsForOthers says whether peers wait for what this VM reads, or no peer
-	// can tell it anything. Nil means always.
-	ReadsForOthers func() bool
+	// Duties says what this VM reads from the store, and what it hears from
+	// peers. Nil means that it reads always.
+	Duties Duties
+	// Times are the intervals of those that read. The zero value stands for the default.
+	Times standby.Times
 	// Metrics holds the counters of calls to the store. Nil means that nobody reads them.
 	Metrics metrics.Registry
 	Log     *zap.Logger
@@ -75,9 +92,6 @@
 	// watchLag is how long a watch of backend servers may be behind the revision
 	// of a read. After that the servers are listed again.
 	watchLag = 200 * time.Millisecond
-	// confirmInterval is the time between linearizable reads of the
-	// configuration, which also notice changes that a watch has missed.
-	confirmInterval = 800 * time.Millisecond
 	// retryPauseMin and retryPauseMax bound the pause after a failed call, which
 	// doubles with each failure in a row. Calls that the store refuses cost as
 	// much as others.
@@ -92,10 +106,10 @@
 	// two seconds after the outage; the least bound for leaving servers is two
 	// seconds as well, so the grace stays below it.
 	lapseGrace = 1700 * time.Millisecond
-	// outageAge is the age of the last confirmation, by whichever VM, from which a
-	// failed read means that the store is out and not just this VM cut off. The
-	// leases of servers outlast a shorter outage.
-	outageAge = time.Second
+	// outageMargin is the time after which a takeover by another VM would have
+	// been heard of. If none was, a failed read means that the store is out and
+	// not just this VM cut off.
+	outageMargin = time.Second
 	// outageMemory is how long after an outage missing entries may have lapsed.
 	outageMemory = 3 * time.Second
 	// memberPause is the time between watches of entry VMs. When a fleet starts,
@@ -119,6 +133,8 @@
 	unlistedPause = time.Second
 	// revokeLimit bounds the end of the lease when the VM stops.
 	revokeLimit = 200 * time.Millisecond
+	// pollJitter is the part of the time between polls by which one may come sooner.
+	pollJitter = 8
 	// roleCheck is the time between looks at whether this VM reads from the store now.
 	roleCheck = 100 * time.Millisecond
 )
@@ -147,15 +163,15 @@
 
 // New returns a follower. Run must be called.
 func New(o Options) *Follower {
-	if o.Reads == nil {
-		o.Reads = func() bool { return true }
-	}
-	if o.ReadsForOthers == nil {
-		o.ReadsForOthers = func() bool { return true }
+	if o.Duties == nil {
+		o.Duties = allDuties{}
 	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
+	if o.Times == (standby.Times{}) {
+		o.Times = standby.TimesFor(0, 0, 0)
+	}
 	f := &Follower{opts: o, start: newStartup(), calls: newCalls(o.Metrics)}
 	o.Store.Observe(f.calls.observe)
 	f.list = newList(o, f.afterOutage)
@@ -171,7 +187,7 @@
 // noteFailedRead takes a read of the configuration that failed. While other VMs
 // succeed, servers that go missing have left.
 func (f *Follower) noteFailedRead(now time.Duration) {
-	if now-f.opts.Loop.Snapshot().RoutesConfirmed > outageAge {
+	if now-f.opts.Loop.Snapshot().RoutesConfirmed > f.opts.Times.Takeover+outageMargin {
 		f.outAt.Store(int64(now))
 	}
 }
@@ -204,17 +220,23 @@
 
 func (b *backoff) reset() { b.failures = 0 }
 
-// rests reports whether this VM is to ask nothing of the store for now: others
-// read it, or it does not answer.
-func (f *Follower) rests() bool { return !f.opts.Reads() || f.unreachable.Load() }
+// reads reports whether this VM reads for others, or for itself since no peer
+// tells it anything.
+func (f *Follower) reads() bool { return f.opts.Duties.Duty() == standby.Read }
+
+// rests reports whether this VM is to list and watch nothing for now: others do
+// it, or the store does not answer.
+func (f *Follower) rests() bool { return !f.reads() || f.unreachable.Load() }
 
 // confirmConfig reads the configuration once at the start, so that a VM that
-// starts again need not wait for peers, and then at an interval.
+// starts again need not wait for peers, and then at an interval while it reads
+// for others, or once their confirmations are old.
 func (f *Follower) confirmConfig(ctx context.Context) {
 	dependency := newDependency(f.opts.Log, "store configuration")
 	var failures backoff
 	for first := true; ctx.Err() == nil; first = false {
-		if !first && !f.opts.Reads() {
+		duty := f.opts.Duties.Duty()
+		if !first && duty == standby.Idle {
 			f.unreachable.Store(false)
 			wait.Sleep(ctx, roleCheck)
 			continue
@@ -226,7 +248,7 @@
 		if err != nil {
 			f.noteFailedRead(boottime.Now())
 			f.watches.endAll()
-			if f.opts.ReadsForOthers() {
+			if duty == standby.Read {
 				failures.pause(ctx)
 			} else {
 				failures.pauseForPeers(ctx)
@@ -234,16 +256,23 @@
 			continue
 		}
 		failures.reset()
-		f.configRevision.Store(listing.Revision)
-		if !f.acceptAll(listing.Entries, "read", asked) {
-			// The operator has not written a configuration yet.
-			wait.Sleep(ctx, retryPauseMin)
-			continue
-		}
-		wait.Sleep(ctx, watchLag)
-		f.watches.endBehind(listing.Revision)
-		wait.Sleep(ctx, confirmInterval-watchLag-rand.N(confirmInterval/8))
+		f.confirmed(ctx, duty, asked, listing)
+	}
+}
+
+// confirmed takes a read of the configuration and waits for the next one. There
+// may be no configuration yet; the watch tells of the first one.
+func (f *Follower) confirmed(ctx context.Context, duty standby.Duty, asked time.Duration, listing kv.Listing) {
+	f.configRevision.Store(listing.Revision)
+	f.acceptAll(listing.Entries, "read", asked)
+	if duty == standby.Probe {
+		f.opts.Log.Info("store_probed", zap.Duration("confirmation_age", asked-f.opts.Loop.Snapshot().RoutesConfirmed))
+		f.opts.Duties.Reached(asked)
 	}
+	wait.Sleep(ctx, watchLag)
+	f.watches.endBehind(listing.Revision)
+	poll := f.opts.Duties.Poll()
+	wait.Sleep(ctx, max(poll-watchLag, watchLag)-rand.N(poll/pollJitter))
 }
 
 // accept puts a configuration in force. One that cannot be read leaves the last
@@ -267,7 +296,7 @@
 // watchConfig takes new configurations as soon as they are written. It continues
 // from where confirmConfig has read.
 func (f *Follower) watchConfig(ctx context.Context) {
-	f.start.awaitListed(ctx)
+	f.start.awaitRole(ctx)
 	var after int64
 	var failures backoff
 	for ctx.Err() == nil {
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -95,7 +95,7 @@
 	var failures backoff
 	for ctx.Err() == nil {
 		if f.rests() && !f.lacksServers(s) {
-			after, reading = -1, reading && f.opts.Reads()
+			after, reading = -1, reading && f.reads()
 			wait.Sleep(ctx, roleCheck)
 			continue
 		}
@@ -144,7 +144,7 @@
 		}
 		break
 	}
-	f.start.awaitListed(ctx)
+	f.start.awaitRole(ctx)
 	return after
 }
 
@@ -167,7 +167,7 @@
 	if s.entryVMs {
 		f.start.listed()
 	}
-	f.start.awaitListed(ctx)
+	f.start.awaitRole(ctx)
 	return listing.Revision, nil
 }
 
--- a/discovery/outage_test.go
+++ b/discovery/outage_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/standby"
 )
 
 // refusing refuses all calls and counts them.
@@ -23,6 +24,13 @@
 	return kv.Listing{}, &kv.UnavailableError{Op: "list"}
 }
 
+// fixedDuty is the duty of a VM whose peers do not change.
+type fixedDuty standby.Duty
+
+func (d fixedDuty) Duty() standby.Duty  { return standby.Duty(d) }
+func (fixedDuty) Reached(time.Duration) {}
+func (fixedDuty) Poll() time.Duration   { return time.Second }
+
 // Guards against a whole fleet that asks a store that is out as often as those
 // that read for the others: two outages of 14 s together cost 112 VMs 3,000
 // refused calls. The pauses of a VM that hears from peers allow five in 5 s; one
@@ -33,20 +41,20 @@
 		mostOfPeer  = 5
 		leastReader = 6
 	)
-	calls := func(forOthers bool) int64 {
+	calls := func(duty fixedDuty) int64 {
 		loop := control.NewLoop(zap.NewNop(), time.Now)
 		ctx, cancel := context.WithTimeout(context.Background(), outage)
 		defer cancel()
 		s := &refusing{}
 		f := New(Options{
-			Store: s, Codec: codec{}, Loop: loop, ReadsForOthers: func() bool { return forOthers }, Log: zap.NewNop(),
+			Store: s, Codec: codec{}, Loop: loop, Duties: duty, Log: zap.NewNop(),
 		})
 		f.confirmConfig(ctx)
 		return s.calls.Load()
 	}
 	done := make(chan int64)
-	go func() { done <- calls(true) }()
-	if n := calls(false); n > mostOfPeer {
+	go func() { done <- calls(fixedDuty(standby.Read)) }()
+	if n := calls(fixedDuty(standby.Probe)); n > mostOfPeer {
 		t.Errorf("%d calls of a VM that hears from peers", n)
 	}
 	if n := <-done; n < leastReader {
--- a/discovery/start_test.go
+++ b/discovery/start_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/standby"
 )
 
 // paged gives a list of several pages and counts who reads all of it.
@@ -38,7 +39,7 @@
 	t.Cleanup(cancel)
 	go loop.Run(ctx)
 	s := &paged{}
-	f := New(Options{Store: s, Codec: codec{}, Loop: loop, Reads: func() bool { return false }, Log: zap.NewNop()})
+	f := New(Options{Store: s, Codec: codec{}, Loop: loop, Duties: fixedDuty(standby.Idle), Log: zap.NewNop()})
 	f.start.announced()
 	f.start.listed()
 	begin := time.Now()
--- a/discovery/startup.go
+++ b/discovery/startup.go
@@ -14,6 +14,8 @@
 type startup struct {
 	announcedOnce, listedOnce *sync.Once
 	wasAnnounced, wasListed   chan struct{}
+	// roleKnown is when the role of this VM is decided, valid once wasListed is closed.
+	roleKnown *time.Time
 }
 
 // roleDelay is the time from a list of entry VMs to the decision who reads. A VM
@@ -23,7 +25,7 @@
 func newStartup() startup {
 	return startup{
 		announcedOnce: &sync.Once{}, listedOnce: &sync.Once{},
-		wasAnnounced: make(chan struct{}), wasListed: make(chan struct{}),
+		wasAnnounced: make(chan struct{}), wasListed: make(chan struct{}), roleKnown: &time.Time{},
 	}
 }
 
@@ -31,20 +33,20 @@
 func (s startup) announced() { s.announcedOnce.Do(func() { close(s.wasAnnounced) }) }
 
 // listed notes that the entry VMs were listed.
-func (s startup) listed() { s.listedOnce.Do(func() { close(s.wasListed) }) }
+func (s startup) listed() {
+	s.listedOnce.Do(func() {
+		*s.roleKnown = time.Now().Add(roleDelay)
+		close(s.wasListed)
+	})
+}
 
 // awaitAnnounced waits for the first attempt to announce this VM.
 func (s startup) awaitAnnounced(ctx context.Context) { await(ctx, s.wasAnnounced) }
 
-// awaitListed waits until it is known whether this VM is to read for others.
-func (s startup) awaitListed(ctx context.Context) {
-	select {
-	case <-s.wasListed:
-		return
-	default:
-	}
+// awaitRole waits until it is known whether this VM is to read for others.
+func (s startup) awaitRole(ctx context.Context) {
 	if await(ctx, s.wasListed) {
-		wait.Sleep(ctx, roleDelay)
+		wait.Sleep(ctx, time.Until(*s.roleKnown))
 	}
 }
 
--- a/entry.go
+++ b/entry.go
@@ -26,6 +26,7 @@
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/standby"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -97,10 +98,6 @@
 	peerFanout       = 4
 	peerHeartbeat    = 500 * time.Millisecond
 	peerSuspectAfter = 2 * time.Second
-	// confirmStaleAfter is the age of the confirmation of the configuration from
-	// which a VM no longer relies on its peers. It is below the least bound in
-	// which a new configuration must be in force, 2 s.
-	confirmStaleAfter = 1700 * time.Millisecond
 	// sweepInterval is the time between looks for expired connections.
 	sweepInterval = time.Second
 	// taskLimit bounds the wait for background work at the end.
@@ -119,14 +116,15 @@
 	}
 	d := o.Deployment
 	e.bounds.Store(&o.Deployment.Bounds)
+	times := standby.TimesFor(min(d.Bounds.ConfigApply, d.Bounds.Drain), d.Bounds.Revoke, peerHeartbeat)
 	var err error
 	e.mesh, err = newMesh(meshOptions{
 		VM: d.VM, Region: d.Region, Listen: d.Listen.Peers, Loop: e.loop, Metrics: e.metrics, Log: o.Log,
 		Peers: config.Peers{
 			Fanout: peerFanout, HeartbeatInterval: config.Duration(peerHeartbeat), SuspectAfter: config.Duration(peerSuspectAfter),
 		},
-		Sources:   gossip.RouteSources(e.loop, o.Codec.DecodeConfig),
-		Confirmed: true, StaleAfter: confirmStaleAfter,
+		Sources: gossip.RouteSources(e.loop, o.Codec.DecodeConfig),
+		Standby: &times,
 	})
 	if err != nil {
 		return nil, err
@@ -137,7 +135,7 @@
 			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(),
 		},
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease,
-		Reads: e.mesh.readsPlatform, ReadsForOthers: e.mesh.readsForOthers, Metrics: e.metrics, Log: o.Log,
+		Duties: e.mesh, Times: times, Metrics: e.metrics, Log: o.Log,
 	})
 	e.grants = e.newGrants()
 	e.gateway = gateway.New(gateway.Options{
--- a/peers.go
+++ b/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 	"github.com/vanillaarch/vanillaarch/rendezvous"
+	"github.com/vanillaarch/vanillaarch/standby"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -24,8 +26,12 @@
 const (
 	// watchersPerRegion is the number of VMs of a region that hold the watch on
 	// the bundle head and poll the VM list. One can fail and one can be paused.
+	// On the users' platform they are the readers and their first standbys.
 	watchersPerRegion = 3
 	watcherKeyPrefix  = "platform/"
+	// firstConfigWait is the time from the start of a VM for which it leaves it to
+	// the readers to find the first configuration.
+	firstConfigWait = 10 * time.Second
 	// fallbackGroup is the number of VMs that share one fallback interval: a
 	// region makes at most about this many reads in it, however many VMs it has.
 	fallbackGroup = 10
@@ -39,13 +45,12 @@
 	Loop               *control.Loop
 	// Sources hold the documents that VMs hand to each other.
 	Sources map[peerpb.DocumentKind]gossip.Source
-	// Confirmed says that VMs tell each other how recently the platform has
-	// confirmed the configuration, and StaleAfter after which age a VM reads
-	// from the platform itself.
-	Confirmed  bool
-	StaleAfter time.Duration
-	Metrics    metrics.Registry
-	Log        *zap.Logger
+	// Standby holds the intervals by which VMs that tell each other how recently
+	// the platform has confirmed the configuration read from it. Nil means that
+	// they tell each other no confirmations.
+	Standby *standby.Times
+	Metrics metrics.Registry
+	Log     *zap.Logger
 }
 
 // mesh connects a VM with other entry VMs: sessions, heartbeats with the
@@ -61,6 +66,14 @@
 	watcher atomic.Bool
 	// began is the start of the VM on the clock of package boottime.
 	began time.Duration
+	// listed says that the list of entry VMs in force has this VM.
+	listed atomic.Bool
+	// rank is the place of this VM among those of its region, the reader first.
+	rank atomic.Int64
+
+	dutyMu sync.Mutex
+	// duty decides what this VM asks of the platform's store, nil without Options.Standby.
+	duty *standby.Core
 }
 
 // newMesh opens the peer listener and builds what rests on it.
@@ -78,7 +91,8 @@
 	if members := o.Sources[gossip.KindEntryVMs]; members != nil {
 		options.EntryVMs = members.Version
 	}
-	if o.Confirmed {
+	if o.Standby != nil {
+		m.duty = standby.NewCore(*o.Standby)
 		options.Confirmed, options.Confirm = m.confirmed, m.confirm
 	}
 	m.members = membership.NewService(options)
@@ -205,12 +219,10 @@
 		if snap.VMs != last.VMs || snap.Bundle != last.Bundle {
 			m.members.Push()
 		}
-		last = snap
-		watchers := m.watchers(snap)
-		m.watcher.Store(m.isWatcher(snap, watchers))
-		if m.opts.Confirmed {
-			m.members.SetExtra(slices.DeleteFunc(watchers, func(id string) bool { return id == m.opts.VM }))
+		if !snap.SameEntryVMs(last) || snap.Bundle != last.Bundle {
+			m.takeRoles(snap)
 		}
+		last = snap
 		select {
 		case <-ctx.Done():
 			return
@@ -232,18 +244,35 @@
 // isWatcher reports whether this VM reads from the platform: as one of the
 // watchers of its region, or because no peer can tell it what it needs.
 func (m *mesh) isWatcher(snap *control.Snapshot, watchers []string) bool {
-	if snap.VMs.Revision == 0 || snap.Bundle == nil && !m.opts.Confirmed {
+	if snap.Bundle == nil && m.duty == nil {
 		return true
 	}
-	if !slices.Contains(entryIDs(snap.VMs.VMs), m.opts.VM) {
-		return true
+	return !m.listed.Load() || slices.Contains(watchers, m.opts.VM)
+}
+
+// readsPlatform is true for watchers and for a VM that hears no peer.
+func (m *mesh) readsPlatform() bool { return m.watcher.Load() || m.members.Isolated() }
+
+// takeRoles decides again what this VM does for others.
+func (m *mesh) takeRoles(snap *control.Snapshot) {
+	ranked := m.ranked(snap)
+	m.listed.Store(slices.Contains(entryIDs(snap.VMs.VMs), m.opts.VM))
+	m.watcher.Store(m.isWatcher(snap, ranked[:min(len(ranked), watchersPerRegion)]))
+	if m.duty == nil {
+		return
+	}
+	rank := slices.Index(ranked, m.opts.VM)
+	if rank < 0 {
+		rank = len(ranked)
 	}
-	return slices.Contains(watchers, m.opts.VM)
+	m.rank.Store(int64(rank))
+	m.members.SetExtra(m.confirmers(ranked))
 }
 
-// watchers returns the VMs of the region that read from the platform.
-func (m *mesh) watchers(snap *control.Snapshot) []string {
-	return rendezvous.Top(watcherKeyPrefix+m.opts.Region, m.regionVMs(snap), watchersPerRegion)
+// ranked returns the VMs of the region, those that read from the platform first.
+func (m *mesh) ranked(snap *control.Snapshot) []string {
+	vms := m.regionVMs(snap)
+	return rendezvous.Top(watcherKeyPrefix+m.opts.Region, vms, len(vms))
 }
 
 // regionVMs returns the live VMs of this VM's region.
@@ -257,14 +286,46 @@
 	return vms
 }
 
-// readsPlatform is true for watchers, for a VM that hears no peer, and for one
-// whose peers tell no recent confirmation.
-func (m *mesh) readsPlatform() bool { return m.watcher.Load() || m.members.Isolated() || m.stale() }
+// confirmers returns the peers that this VM asks for confirmations beside those
+// of its rings: the readers, and among the first standbys each other, so that a
+// reader that the store refuses hears of the takeover at once.
+func (m *mesh) confirmers(ranked []string) []string {
+	n := m.opts.Standby.Readers
+	if slices.Contains(ranked[:min(len(ranked), watchersPerRegion)], m.opts.VM) {
+		n = watchersPerRegion
+	}
+	return slices.DeleteFunc(slices.Clone(ranked[:min(len(ranked), n)]), func(id string) bool { return id == m.opts.VM })
+}
+
+// Duty implements discovery.Duties.
+func (m *mesh) Duty() standby.Duty {
+	v := standby.View{Now: boottime.Now(), Confirmed: m.lastConfirmed(), Rank: int(m.rank.Load()), Alone: m.alone()}
+	m.dutyMu.Lock()
+	defer m.dutyMu.Unlock()
+	return m.duty.Duty(v)
+}
+
+// Poll implements discovery.Duties.
+func (m *mesh) Poll() time.Duration { return m.opts.Standby.PollOf(int(m.rank.Load())) }
+
+// lastConfirmed returns when the configuration was last known to be in force, or
+// until when no confirmation is due: at the start of a whole fleet the operator
+// may not have written a configuration yet.
+func (m *mesh) lastConfirmed() time.Duration {
+	snap := m.opts.Loop.Snapshot()
+	if snap.Routes == nil {
+		return m.began + firstConfigWait
+	}
+	return max(snap.RoutesConfirmed, m.began)
+}
 
-// readsForOthers is true for watchers, and for a VM that hears no peer.
-func (m *mesh) readsForOthers() bool { return m.watcher.Load() || m.members.Isolated() }
+// alone reports whether no peer can tell this VM anything: it hears none, or
+// they do not know it.
+func (m *mesh) alone() bool { return m.members.Isolated() || !m.listed.Load() }
 
-func (m *mesh) stale() bool {
-	confirmed := max(m.opts.Loop.Snapshot().RoutesConfirmed, m.began)
-	return m.opts.Confirmed && boottime.Now()-confirmed > m.opts.StaleAfter
+// Reached implements discovery.Duties.
+func (m *mesh) Reached(asked time.Duration) {
+	m.dutyMu.Lock()
+	defer m.dutyMu.Unlock()
+	m.duty.Reached(asked)
 }
--- /dev/null
+++ b/standby/standby_test.go
@@ -0,0 +1,217 @@
+package standby
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against intervals that miss the bounds of a deployment: a standby must
+// have spread a change in time, or two VMs read, and all VMs ask before keys must
+// be refused.
+func TestTimesKeepTheBounds(t *testing.T) {
+	const revoke = 5 * time.Second
+	for _, change := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 19 * time.Second} {
+		x := TimesFor(change, revoke, heartbeat)
+		if x.Readers == 1 && x.Takeover+spreadTime >= change {
+			t.Errorf("bound %v: one reader, and a standby that takes over after %v", change, x.Takeover)
+		}
+		if x.Poll > change/2 {
+			t.Errorf("bound %v: polls every %v", change, x.Poll)
+		}
+		for rank := range 510 {
+			if p := x.Patience(rank); p < x.Takeover || p > max(x.Takeover, revoke-revokeMargin) {
+				t.Errorf("bound %v: rank %d asks after %v", change, rank, p)
+			}
+			if rank > 0 && (x.Patience(rank) < x.Patience(rank-1) || x.Settle(rank) < x.Settle(rank-1)) {
+				t.Errorf("bound %v: rank %d asks before the one above it", change, rank)
+			}
+		}
+	}
+}
+
+// fleet is a region in which each VM hears the confirmations of the reader within
+// a heartbeat, and those of others within longestSpread. The VMs of refused
+// cannot reach the store, and dead ones do nothing.
+type fleet struct {
+	times           Times
+	cores           []*Core
+	refused, dead   map[int]bool
+	down            bool
+	now             time.Duration
+	confirmed, next []time.Duration
+	// news are confirmations on their way to each VM.
+	news []news
+	// polls and lists count calls; takeovers those VMs that began to read.
+	polls, lists int
+	reading      []bool
+	random       *rand.Rand
+}
+
+type news struct {
+	at     time.Duration
+	origin int
+}
+
+const (
+	tick      = 20 * time.Millisecond
+	heartbeat = 500 * time.Millisecond
+	// longestSpread bounds the way of a confirmation over several heartbeats.
+	longestSpread = time.Second
+	retryPause    = 700 * time.Millisecond
+)
+
+func newFleet(vms int, seed uint64) *fleet {
+	f := &fleet{
+		times: TimesFor(4*time.Second, 5*time.Second, heartbeat), refused: map[int]bool{}, dead: map[int]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Second, reading: make([]bool, vms),
+		confirmed: make([]time.Duration, vms), next: make([]time.Duration, vms),
+	}
+	for i := range vms {
+		f.cores = append(f.cores, NewCore(f.times))
+		f.confirmed[i] = f.now
+	}
+	return f
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += tick {
+		for i := range f.cores {
+			if !f.dead[i] {
+				f.step(i)
+			}
+		}
+	}
+}
+
+// step lets one VM decide and ask the store.
+func (f *fleet) step(i int) {
+	f.hear(i)
+	duty := f.cores[i].Duty(View{Now: f.now, Confirmed: f.confirmed[i], Rank: i})
+	if duty == Read && !f.reading[i] {
+		f.lists++
+	}
+	f.reading[i] = duty == Read
+	if duty == Idle || f.now < f.next[i] {
+		return
+	}
+	f.polls++
+	if f.down || f.refused[i] {
+		f.next[i] = f.now + retryPause + time.Duration(f.random.Int64N(int64(retryPause)))
+		return
+	}
+	f.next[i] = f.now + f.times.PollOf(i)
+	f.confirmed[i] = f.now
+	f.news = append(f.news, news{f.now, i})
+	if duty == Probe {
+		f.cores[i].Reached(f.now)
+	}
+}
+
+// hear gives a VM the confirmations that have reached it.
+func (f *fleet) hear(i int) {
+	for len(f.news) > 0 && f.now-f.news[0].at > 2*longestSpread {
+		f.news = f.news[1:]
+	}
+	const distances = 17
+	for _, n := range f.news {
+		longest := longestSpread
+		if n.origin < f.times.Readers {
+			longest = heartbeat
+		}
+		if n.at+longest*time.Duration(i%distances+1)/distances <= f.now {
+			f.confirmed[i] = max(f.confirmed[i], n.at)
+		}
+	}
+}
+
+// oldest returns the greatest age of a confirmation of a live VM.
+func (f *fleet) oldest() (age time.Duration) {
+	for i, at := range f.confirmed {
+		if !f.dead[i] {
+			age = max(age, f.now-at)
+		}
+	}
+	return age
+}
+
+// Guards against calls that grow with the fleet: with three readers that polled
+// every 0.8 s and a fleet that asked as soon as a confirmation was 1.7 s old,
+// calls were the largest price on days of 300 VMs.
+func TestQuietFleetHasOneReader(t *testing.T) {
+	for _, vms := range []int{1, 20, 97, 295, 510} {
+		f := newFleet(vms, 1)
+		f.run(60 * time.Second)
+		if most := int(60*time.Second/f.times.Poll) + 1; f.polls > most || f.lists != 1 {
+			t.Errorf("%d VMs: %d polls, want at most %d; %d VMs listed, want 1", vms, f.polls, most, f.lists)
+		}
+		if f.oldest() > f.times.Takeover {
+			t.Errorf("%d VMs: a confirmation is %v old", vms, f.oldest())
+		}
+	}
+}
+
+// Guards against a reader whose failure nobody makes up for in time, and against
+// a fleet that then asks all at once: the reader alone, and a third of the fleet
+// with the reader and the first standbys, are refused for 9 s.
+func TestStandbysTakeOver(t *testing.T) {
+	const vms, longest = 295, 9 * time.Second
+	for _, refusedRanks := range []int{1, 3, 6} {
+		f := newFleet(vms, 2)
+		f.run(5 * time.Second)
+		for i := range vms {
+			f.refused[i] = i < refusedRanks || i >= 12 && f.random.IntN(3) == 0
+		}
+		polls, lists := f.polls, f.lists
+		begin := f.now
+		for f.now < begin+longest {
+			f.run(100 * time.Millisecond)
+			if limit := f.times.Longest + f.times.Step + longestSpread; f.oldest() > limit {
+				t.Fatalf("%d refused: a confirmation is %v old, limit %v", refusedRanks, f.oldest(), limit)
+			}
+		}
+		// A VM that is refused asks again every 1.05 s on average; those of the
+		// groups before the one that succeeds ask while they wait.
+		if n := f.lists - lists; n < 1 || n > 4 {
+			t.Errorf("%d refused: %d VMs took over", refusedRanks, n)
+		}
+		if n := f.polls - polls; n > 60 {
+			t.Errorf("%d refused: %d calls in %v", refusedRanks, n, longest)
+		}
+	}
+}
+
+// Guards against a stampede when a store is back after an outage: each VM that
+// had heard no confirmation for 1.7 s listed all backend servers and watched them.
+func TestFewTakeOverAfterAnOutage(t *testing.T) {
+	const vms, most = 295, 8
+	for seed := range uint64(20) {
+		f := newFleet(vms, seed)
+		f.run(5 * time.Second)
+		f.down = true
+		f.run(14 * time.Second)
+		f.down = false
+		lists := f.lists
+		f.run(10 * time.Second)
+		if n := f.lists - lists; n > most {
+			t.Errorf("seed %d: %d of %d VMs listed the servers after the outage", seed, n, vms)
+		}
+	}
+}
+
+// Guards against a region that stays without a reader when those of the highest
+// ranks die, before the others suspect them.
+func TestDeadReadersAreReplaced(t *testing.T) {
+	f := newFleet(295, 3)
+	f.run(5 * time.Second)
+	for i := range 10 {
+		f.dead[i] = true
+	}
+	begin, limit := f.now, f.times.Longest+f.times.Step<<4+longestSpread
+	for f.now < begin+10*time.Second {
+		f.run(100 * time.Millisecond)
+		if f.oldest() > limit {
+			t.Fatalf("a confirmation is %v old, limit %v", f.oldest(), limit)
+		}
+	}
+}
