Give up heads and bodies without end, and answers that belong to others

Cause: the head of an answer was read without a limit until the deadline of the request, and each body and event could hold 8 MB and 1 MB, on VMs of 120 MB. A call without an id (report, move) took any answer that stood on its connection, so a late extra answer to a caller's request was read as a report, and the report met the next request. Change: a head, interim answers included, is at most 64 KB; answers that callers do not have yet share an eighth of the VM's memory, beyond 16 KB each that are always free; an answer with an id that was not asked for is skipped like one with another id.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -67,7 +67,8 @@
 	Body   []byte
 	// HasBody says that the caller sent a body, which may be empty.
 	HasBody bool
-	// ID is echoed by the answer; "" if no echo is expected.
+	// ID is echoed by the answer; "" if the request has none. An answer with
+	// another id, or with one that was not asked for, belongs to another request.
 	ID string
 	// Fresh asks for a new connection.
 	Fresh bool
@@ -139,7 +140,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &exchangeConn{Conn: raw, address: t.Address, pool: x.pool, reader: bufio.NewReaderSize(raw, exchangeBufferBytes)}, nil
+	c := &exchangeConn{Conn: raw, address: t.Address, pool: x.pool, head: headLimit{conn: raw}}
+	c.reader = bufio.NewReaderSize(&c.head, exchangeBufferBytes)
+	return c, nil
 }
 
 func (x *Exchanges) exchange(ctx context.Context, t Target, c *exchangeConn, r *Request, stop func() bool) (*Answer, error) {
@@ -177,12 +180,14 @@
 // requests on the connection are skipped.
 func (x *Exchanges) readAnswer(c *exchangeConn, r *Request) (*http.Response, error) {
 	for range maxForeignAnswers + 1 {
+		c.head.begin()
 		resp, err := readFinal(c.reader, r.Method)
+		c.head.end()
 		if err != nil {
 			return nil, err
 		}
 		got := x.identify(resp.Header)
-		if r.ID == "" || got == r.ID {
+		if got == r.ID {
 			return resp, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || got == "" {
--- /dev/null
+++ b/backend/head.go
@@ -0,0 +1,42 @@
+package backend
+
+import (
+	"fmt"
+	"net"
+)
+
+// maxHeadBytes bounds the head of an answer, interim answers included. A server
+// in trouble may send a head without end.
+const maxHeadBytes = 64 << 10
+
+// HeadTooLargeError reports a head that is longer than maxHeadBytes.
+type HeadTooLargeError struct{}
+
+func (e *HeadTooLargeError) Error() string {
+	return fmt.Sprintf("the head of the answer exceeds %d bytes", maxHeadBytes)
+}
+
+// headLimit reads from a connection, and no more than maxHeadBytes between begin
+// and end.
+type headLimit struct {
+	conn    net.Conn
+	limited bool
+	left    int
+}
+
+func (l *headLimit) begin() { l.limited, l.left = true, maxHeadBytes }
+
+func (l *headLimit) end() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(p)
+	}
+	if l.left == 0 {
+		return 0, &HeadTooLargeError{}
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -28,7 +28,9 @@
 type exchangeConn struct {
 	net.Conn
 	address   string
+	// reader reads from head, which reads from Conn.
 	reader    *bufio.Reader
+	head      headLimit
 	pool      *pool
 	idleSince time.Time
 	idleLimit time.Duration
--- a/entry.go
+++ b/entry.go
@@ -139,7 +139,7 @@
 	})
 	e.grants = e.newGrants()
 	e.gateway = gateway.New(gateway.Options{
-		VM: d.VM, Zone: d.Zone, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker,
+		VM: d.VM, Zone: d.Zone, MemoryBytes: d.Limits.MemoryBytes, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker,
 		Exchanges: e.exchanges, Engines: o.Engines(e.exchanges), Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
 	})
 	if err := e.listen(); err != nil {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -21,13 +21,15 @@
 	// searched for the end of an event.
 	start, end, scanned int
 	err                 error
+	// hold is the memory of the buffer.
+	hold *hold
 }
 
 // eventBufferBytes is the initial size of the buffer.
 const eventBufferBytes = 4 << 10
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, buffer: make([]byte, eventBufferBytes)}
+func newEventReader(source io.Reader, h *hold) *eventReader {
+	return &eventReader{source: source, hold: h, buffer: make([]byte, eventBufferBytes)}
 }
 
 // PartialEventError reports a stream that ended in the middle of an event.
@@ -87,6 +89,9 @@
 		if len(r.buffer) >= maxEventBytes {
 			return &EventTooLargeError{}
 		}
+		if err := r.hold.grow(3 * len(r.buffer)); err != nil { // The old and the new buffer.
+			return err
+		}
 		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 	}
 	n, err := r.source.Read(r.buffer[r.end:])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,8 @@
 // Options are the collaborators of a Gateway.
 type Options struct {
 	VM, Zone string
+	// MemoryBytes is the memory of the VM, 0 if it is not known.
+	MemoryBytes int64
 	// Bounds returns the bounds in force.
 	Bounds    func() *config.Bounds
 	Snapshot  func() *control.Snapshot
@@ -47,6 +49,7 @@
 	runs     *runTable
 	replaced replacedServers
 	drain    drainState
+	held     *heldMemory
 	// background tracks calls that outlive their request.
 	background sync.WaitGroup
 }
@@ -58,6 +61,7 @@
 		budget:   retry.NewSharedBudget(o.Bounds().RetryRatio, o.Bounds().RetrySlack, o.Bounds().RetryWindow),
 		services: newServiceLoad(o.Zone),
 		runs:     newRunTable(),
+		held:     newHeldMemory(o.MemoryBytes),
 	}
 }
 
@@ -86,6 +90,8 @@
 	service      *route.Service
 	organisation *route.Organisation
 	body         []byte
+	// hold is the memory of answers that the caller does not have yet.
+	hold hold
 	// arrived and deadline are on the clock of package boottime. deadline is
 	// the earlier one of the caller's and the route's.
 	arrived, deadline time.Duration
@@ -104,6 +110,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrived: boottime.Now(), facts: g.Edge.Decode(r.Header), snap: g.Snapshot()}
 	c.log = g.Log.With(zap.String("request", c.facts.ID))
+	c.hold.memory = g.held
+	defer c.hold.release()
 	release := g.drain.enter()
 	defer release()
 	if g.drain.stopping() {
--- /dev/null
+++ b/gateway/held.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// Memory for answers that are not passed on yet.
+const (
+	// freeAnswerBytes may be held for each answer in any case, so that a server
+	// whose answers have no end fails none of the usual answers of others.
+	freeAnswerBytes = 16 << 10
+	// heldPart is the part of the memory of a VM that answers may hold.
+	heldPart = 8
+	// minHeldBytes is the least memory that answers may hold.
+	minHeldBytes = 4 << 20
+	// readBlockBytes is the size by which the buffer of an answer begins.
+	readBlockBytes = 4 << 10
+)
+
+// HeldMemoryError reports an answer that is given up, since the answers of this
+// VM together hold more memory than they may.
+type HeldMemoryError struct{ Limit int64 }
+
+func (e *HeldMemoryError) Error() string {
+	return fmt.Sprintf("the answers of this VM hold more than %d bytes", e.Limit)
+}
+
+// heldMemory counts the bytes that answers hold.
+type heldMemory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func newHeldMemory(vmBytes int64) *heldMemory {
+	return &heldMemory{limit: max(vmBytes/heldPart, minHeldBytes)}
+}
+
+// hold is the memory of one answer. It is not safe for concurrent use.
+type hold struct {
+	memory *heldMemory
+	bytes  int64
+}
+
+// grow asks for a buffer of a size. It returns a *HeldMemoryError.
+func (h *hold) grow(size int) error {
+	more := int64(size) - freeAnswerBytes - h.bytes
+	if more <= 0 {
+		return nil
+	}
+	if h.memory.used.Add(more) > h.memory.limit {
+		h.memory.used.Add(-more)
+		return &HeldMemoryError{Limit: h.memory.limit}
+	}
+	h.bytes += more
+	return nil
+}
+
+// release gives the memory back.
+func (h *hold) release() {
+	h.memory.used.Add(-h.bytes)
+	h.bytes = 0
+}
+
+// readAll reads an answer to its end, and limit bytes at most. It may return one
+// byte more than that.
+func (h *hold) readAll(r io.Reader, limit int) ([]byte, error) {
+	buffer := make([]byte, 0, readBlockBytes)
+	for {
+		if len(buffer) > limit {
+			return buffer, nil
+		}
+		if len(buffer) == cap(buffer) {
+			larger := min(2*cap(buffer), limit+1)
+			// Both buffers are in use while the bytes are copied.
+			if err := h.grow(larger + cap(buffer)); err != nil {
+				return nil, err
+			}
+			buffer = append(make([]byte, 0, larger), buffer...)
+		}
+		n, err := r.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err == io.EOF {
+			return buffer, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/gateway/held_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+// Guards against answers without end that together take the memory of a VM: each
+// was bounded by 8 MB, and a VM has 120 MB. Usual answers of other servers must
+// still be read beside them.
+func TestAnswersWithoutEndShareTheMemory(t *testing.T) {
+	const vmBytes, answers = 120 << 20, 200
+	memory := newHeldMemory(vmBytes)
+	var holds []*hold
+	refused := 0
+	for range answers {
+		h := &hold{memory: memory}
+		holds = append(holds, h)
+		if _, err := h.readAll(zeros{}, answerBytes); err != nil {
+			if _, ok := errors.Into[*HeldMemoryError](err); !ok {
+				t.Fatal(err)
+			}
+			refused++
+		}
+		if used := memory.used.Load(); used > vmBytes/heldPart {
+			t.Fatalf("%d bytes are held", used)
+		}
+	}
+	if refused == 0 {
+		t.Error("no answer was given up")
+	}
+	usual := strings.Repeat("x", freeAnswerBytes/4)
+	body, err := (&hold{memory: memory}).readAll(strings.NewReader(usual), answerBytes)
+	if err != nil || string(body) != usual {
+		t.Errorf("a usual answer: %d bytes, %v", len(body), err)
+	}
+	for _, h := range holds {
+		h.release()
+	}
+	if used := memory.used.Load(); used != 0 {
+		t.Errorf("%d bytes are held after all answers", used)
+	}
+}
+
+// Guards against answers that are changed or cut while their buffer grows.
+func TestAnswersAreReadWhole(t *testing.T) {
+	for _, size := range []int{0, 1, readBlockBytes - 1, readBlockBytes, readBlockBytes + 1, 1 << 20} {
+		want := bytes.Repeat([]byte("0123456789"), size/10+1)[:size]
+		got, err := (&hold{memory: newHeldMemory(0)}).readAll(iotestHalf{bytes.NewReader(want)}, answerBytes)
+		if err != nil || !bytes.Equal(got, want) {
+			t.Errorf("%d of %d bytes, %v", len(got), size, err)
+		}
+	}
+	const limit = 100
+	got, err := (&hold{memory: newHeldMemory(0)}).readAll(zeros{}, limit)
+	if err != nil || len(got) <= limit || len(got) > readBlockBytes {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
+
+// iotestHalf reads at most half of what is asked for.
+type iotestHalf struct{ r io.Reader }
+
+func (h iotestHalf) Read(p []byte) (int, error) { return h.r.Read(p[:(len(p)+1)/2]) }
--- a/gateway/leg.go
+++ b/gateway/leg.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -58,7 +57,7 @@
 		}
 		return nil, err
 	}
-	l.reader = newEventReader(l.answer)
+	l.reader = newEventReader(l.answer, &s.hold)
 	return l, nil
 }
 
@@ -160,7 +159,7 @@
 
 // failed hands a failure of the engine to the caller, if nothing was sent yet.
 func (s *stream) failed(answer *backend.Answer, vm vmlist.VM) error {
-	body, err := io.ReadAll(io.LimitReader(answer, answerBytes))
+	body, err := s.hold.readAll(answer, answerBytes)
 	if err != nil {
 		return err
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -222,7 +221,7 @@
 	defer answer.Close()
 	facts := c.g.Edge.Answer(answer.Status, answer.Header)
 	c.g.services.report(vm.ID, facts.Load)
-	body, err := io.ReadAll(io.LimitReader(answer, answerBytes+1))
+	body, err := c.hold.readAll(answer, answerBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -29,6 +29,10 @@
 	} else {
 		s.ran(request)
 	}
+	if f.EndlessHead || f.EndlessBody {
+		s.endless(w, r, f)
+		return
+	}
 	backup := r.Header.Get("Kv-Backup")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -1,6 +1,7 @@
 package userplatform
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -45,6 +46,9 @@
 	Replaced bool
 	// Unsigned omits the signature.
 	Unsigned bool
+	// EndlessHead and EndlessBody send bytes that are no answer until the caller
+	// closes the connection.
+	EndlessHead, EndlessBody bool
 	// BreakAfter cuts streams in the middle of the event after this many. 0: never.
 	BreakAfter int
 }
@@ -308,11 +312,35 @@
 		drop(w)
 	case f.Extra:
 		s.answerTwice(w, r, answer)
+	case f.EndlessHead, f.EndlessBody:
+		s.endless(w, r, f)
 	default:
 		_, _ = io.WriteString(w, answer)
 	}
 }
 
+// floodBlockBytes is the size of the blocks of an answer without end.
+const floodBlockBytes = 32 << 10
+
+// endless takes the connection of a request and writes bytes without end, in
+// the head of the answer or in its body.
+func (s *Server) endless(w http.ResponseWriter, r *http.Request, f ServerFaults) {
+	begin := "HTTP/1.1 200 OK\r\nX-Line: "
+	if f.EndlessBody {
+		begin = fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\n\r\n", r.Header.Get("Request-Id"), s.opts.ID)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, begin)
+	block := bytes.Repeat([]byte("x"), floodBlockBytes)
+	for err == nil {
+		_, err = conn.Write(block)
+	}
+}
+
 // answerTwice sends the answer of another request after the right one.
 func (s *Server) answerTwice(w http.ResponseWriter, r *http.Request, answer string) {
 	conn, buffer, err := http.NewResponseController(w).Hijack()
--- /dev/null
+++ b/test/platform/endless_test.go
@@ -0,0 +1,82 @@
+package platform_test
+
+import (
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
+)
+
+// heapPeak returns the largest heap in use until stop is closed.
+func heapPeak(stop <-chan struct{}) uint64 {
+	var peak uint64
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapInuse)
+		select {
+		case <-stop:
+			return peak
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// Guards against servers in trouble that send bytes without end, in the head or
+// in the body of an answer: they took the memory of the VM, and held callers up
+// until their deadline. What may be repeated is served by others, what may run
+// once runs once, and no answer says that it has not run.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		callers = 40
+		// mostHeap is half of the memory of a VM of 120 MB: the garbage collector
+		// lets a heap double.
+		mostHeap = 60 << 20
+		// mostTime is below the deadline of the requests, 20 s.
+		mostTime = 10 * time.Second
+	)
+	for name, fault := range map[string]userplatform.ServerFaults{"head": {EndlessHead: true}, "body": {EndlessBody: true}} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, options{vms: 1, engines: 2, desks: 2, events: 3, interval: time.Millisecond})
+			s.desks[0].SetFaults(fault)
+			s.engines[0].SetFaults(fault)
+			stop, peak := make(chan struct{}), make(chan uint64)
+			go func() { peak <- heapPeak(stop) }()
+			begin := time.Now()
+			var served, runs atomic.Int64
+			var group sync.WaitGroup
+			for i := range callers {
+				a := []ask{book(), look(), check()}[i%3]
+				group.Go(func() {
+					got := s.send(s.vms[0], a)
+					if got.status == http.StatusOK && got.err == nil {
+						served.Add(1)
+					}
+					ran := len(s.fleet.Runs(got.id))
+					runs.Add(int64(ran))
+					if a.path == book().path && ran > 1 {
+						t.Errorf("a booking ran %d times", ran)
+					}
+					if ran > 0 && got.status == http.StatusServiceUnavailable {
+						t.Errorf("%s is said not to have run: %+v", a.path, got)
+					}
+				})
+			}
+			group.Wait()
+			if took := time.Since(begin); took > mostTime {
+				t.Errorf("the requests took %v", took)
+			}
+			close(stop)
+			if p := <-peak; p > mostHeap {
+				t.Errorf("%d MB of heap were in use", p>>20)
+			}
+			if n := served.Load(); n < callers/2 {
+				t.Errorf("%d of %d requests were served", n, callers)
+			}
+		})
+	}
+}
