--- a/backend/pool.go
+++ b/backend/pool.go
@@ -27,7 +27,7 @@
 // exchangeConn is one connection to a backend server.
 type exchangeConn struct {
 	net.Conn
-	address   string
+	address string
 	// reader reads from head, which reads from Conn.
 	reader    *bufio.Reader
 	head      headLimit
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -55,8 +55,8 @@
 	held, concentration float64
 	// runs and spares project the memory of runs and of spare copies on all engines.
 	runs, spares flowcontrol.Window
-	waiting             map[RequestID]*flowcontrol.Item[*waitingRequest]
-	streams             map[RequestID]*stream
+	waiting      map[RequestID]*flowcontrol.Item[*waitingRequest]
+	streams      map[RequestID]*stream
 	// decided are grants of room for copies that Next has not returned yet.
 	decided []Grant
 	reduced bool
--- a/dispatch/fairstream.go
+++ b/dispatch/fairstream.go
@@ -30,10 +30,10 @@
 	// unpaid marks room for a copy, which no organisation pays for. spare marks a
 	// copy whose run goes on elsewhere.
 	unpaid, spare bool
-	engine   *engine
-	usage    flowcontrol.Usage
-	tokens   int
-	tokensAt time.Time
+	engine        *engine
+	usage         flowcontrol.Usage
+	tokens        int
+	tokensAt      time.Time
 	// nextEstimate is the number of tokens at which the remainder is estimated anew.
 	nextEstimate int
 	// prefilling is the part of the engine's prompt tokens that this stream is.
