Grant spare copies only while the whole pool has room

Runs are expected to hold half of the memory there, but engines that have just joined are empty, so spare copies filled these first, and runs met on what was left. Change: no spare copy while less of the pool is free than runs, or copies, are expected to hold. The rule for the engine itself stays.

--- a/dispatch/faircopy.go
+++ b/dispatch/faircopy.go
@@ -10,16 +10,13 @@
 // the projected peak when room for a spare copy is granted.
 const minSpareReserve = 0.30
 
-// spareReserve is the part of an engine's memory that stays free beside the
-// projected peak when room for a spare copy is granted: as much as runs hold of
+// spareReserve is the part of memory that stays free beside the projected peak
+// when room for a spare copy is granted: as much as runs are expected to hold of
 // all engines, or spare copies if that is more, since each has a run somewhere.
 // So copies yield before the load doubles, and each run has one while memory is
 // plentiful.
 func (f *fair) spareReserve() float64 {
-	total := 0.0
-	for _, e := range f.order {
-		total += float64(e.blocks * e.blockTokens)
-	}
+	total := f.memory()
 	if total == 0 {
 		return minSpareReserve
 	}
@@ -27,6 +24,25 @@
 	return max(minSpareReserve, peak/total)
 }
 
+// freeInPool is the part of the memory of all engines that stays free at the
+// projected peak.
+func (f *fair) freeInPool() float64 {
+	total := f.memory()
+	if total == 0 {
+		return 1
+	}
+	return 1 - (f.runs.Demand(flowcontrol.Usage{})+f.spares.Demand(flowcontrol.Usage{}))/total
+}
+
+// memory is the memory of all live engines in tokens.
+func (f *fair) memory() float64 {
+	total := 0.0
+	for _, e := range f.order {
+		total += float64(e.blocks * e.blockTokens)
+	}
+	return total
+}
+
 // submitCopy grants room for a copy of a run at once, or returns a
 // *NoBackendError. A spare copy needs plenty of room. One of a run that must
 // leave its engine needs room for what the run holds now: a later shortage may
@@ -36,6 +52,11 @@
 	if r.Spare && f.queue.Len() > 0 {
 		return &NoBackendError{Model: r.Model}
 	}
+	// Engines that have just joined are empty while the others are full, and are
+	// to take runs.
+	if r.Spare && f.freeInPool() < f.spareReserve() {
+		return &NoBackendError{Model: r.Model}
+	}
 	waiting := &waitingRequest{Request: r, submitted: now}
 	e := f.chooseCopy(now, waiting)
 	if e == nil {
