Leave what one VM does for a region to strong VMs

Cause: the reader of the store and the dispatcher of 122 engines were drawn from all VMs by hashing, 280 of 295 of which have 0.19 of a core. Change: entries of entry VMs tell the CPU share; VMs with at least half of the largest share are ranked first as readers and own the groups of engines. Where all are alike, or none tells it, nothing changes. Test: TestStrongest.

--- a/entry.go
+++ b/entry.go
@@ -132,7 +132,7 @@
 	e.follower = discovery.New(discovery.Options{
 		Self: vmlist.VM{
 			ID: d.VM, Role: vmlist.RoleEntry, State: vmlist.StateLive, Zone: d.Zone, Region: d.Region,
-			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(),
+			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(), CPU: d.Limits.CPU,
 		},
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease,
 		Duties: e.mesh, Times: times, Metrics: e.metrics, Log: o.Log,
--- a/peers.go
+++ b/peers.go
@@ -269,10 +269,19 @@
 	m.members.SetExtra(m.confirmers(ranked))
 }
 
-// ranked returns the VMs of the region, those that read from the platform first.
+// ranked returns the VMs of the region, those that read from the platform first:
+// strong ones, since what they read waits for their processor.
 func (m *mesh) ranked(snap *control.Snapshot) []string {
 	vms := m.regionVMs(snap)
-	return rendezvous.Top(watcherKeyPrefix+m.opts.Region, vms, len(vms))
+	strong := vmlist.Strongest(vms)
+	key := watcherKeyPrefix + m.opts.Region
+	ranked := rendezvous.Top(key, strong, len(strong))
+	for _, id := range rendezvous.Top(key, vms, len(vms)) {
+		if !slices.Contains(ranked[:len(strong)], id) {
+			ranked = append(ranked, id)
+		}
+	}
+	return ranked
 }
 
 // regionVMs returns the live VMs of this VM's region.
--- /dev/null
+++ b/vmlist/strongest_test.go
@@ -0,0 +1,24 @@
+package vmlist
+
+import (
+	"slices"
+	"testing"
+)
+
+// Guards against a VM with a fifth of a core that decides for 122 engines while
+// VMs with a whole core are there, and against a fleet whose strong VMs are gone
+// or tell no CPU share and then has nobody to decide.
+func TestStrongest(t *testing.T) {
+	weak, strong, middle, unknown := VM{ID: "weak", CPU: 0.192}, VM{ID: "strong", CPU: 0.8}, VM{ID: "middle", CPU: 0.5}, VM{ID: "unknown"}
+	for _, c := range []struct{ vms, want []VM }{
+		{[]VM{weak, strong, unknown, middle}, []VM{strong, middle}},
+		{[]VM{weak, unknown}, []VM{weak}},
+		{[]VM{unknown, unknown}, []VM{unknown, unknown}},
+		{nil, nil},
+	} {
+		same := func(a, b VM) bool { return a.ID == b.ID }
+		if got := Strongest(c.vms); !slices.EqualFunc(got, c.want, same) {
+			t.Errorf("of %v: %v", c.vms, got)
+		}
+	}
+}
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -57,6 +57,8 @@
 	Services []string `json:"services,omitempty"`
 	// Slots is the number of requests that a backend server works on at once, 0 if it is not known.
 	Slots int `json:"slots,omitempty"`
+	// CPU is the part of a core that an entry VM has, 0 if it is not known.
+	CPU float64 `json:"cpu,omitempty"`
 	// Incarnation tells two starts under the same id apart; a later start has a higher one.
 	Incarnation int64 `json:"incarnation,omitempty"`
 	// ChecksFencing says that the backend server refuses orders with an old fencing number.
@@ -125,3 +127,22 @@
 	}
 	return Decode(data)
 }
+
+// strongPart is the part of the largest CPU share from which a VM counts as strong.
+const strongPart = 0.5
+
+// Strongest returns the VMs with at least half of the largest CPU share, in
+// their order. What one VM does for a whole region is left to them.
+func Strongest(vms []VM) []VM {
+	largest := 0.0
+	for i := range vms {
+		largest = max(largest, vms[i].CPU)
+	}
+	strong := make([]VM, 0, len(vms))
+	for _, vm := range vms {
+		if vm.CPU >= strongPart*largest {
+			strong = append(strong, vm)
+		}
+	}
+	return strong
+}
