Renew leases every 30 s, and after an outage of the store

Change: a renewal every quarter of the lease. A VM that has heard no confirmation for the time of a takeover and a second, and hears one again, renews within 4 s, which is below the 10 s for which entries that lapsed in an outage are kept. The lookup of the VM's own entry is done once a list. Test: TestLeaseIsRenewedAfterAnOutage.

--- a/discovery/announce.go
+++ b/discovery/announce.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -47,19 +49,37 @@
 }
 
 // awaitRenewal waits until the lease is to be renewed: after renewInterval, or
-// sooner if other VMs no longer list this one.
+// sooner if other VMs no longer list this one, or the store is back after an
+// outage in which leases may have ended.
 func (f *Follower) awaitRenewal(ctx context.Context) {
 	due := time.Now().Add(renewInterval)
 	wait.Sleep(ctx, unlistedPause)
-	for ctx.Err() == nil && time.Now().Before(due) && f.listed() {
+	for wasOut := false; ctx.Err() == nil && time.Now().Before(due) && f.listed(); {
+		out := f.storeOut(boottime.Now())
+		if wasOut && !out {
+			wait.Sleep(ctx, rand.N(renewSpread))
+			return
+		}
+		wasOut = wasOut || out
 		wait.Sleep(ctx, roleCheck)
 	}
 }
 
-// listed reports whether the list of entry VMs in force has this VM, or there is none.
+// storeOut reports whether no VM has reached the store for so long that a
+// standby would have taken over.
+func (f *Follower) storeOut(now time.Duration) bool {
+	return now-f.opts.Loop.Snapshot().RoutesConfirmed > f.opts.Times.Takeover+outageMargin
+}
+
+// listed reports whether the list of entry VMs in force has this VM, or there is
+// none. Only the goroutine of announce calls it.
 func (f *Follower) listed() bool {
 	members := f.opts.Loop.Snapshot().Members
-	return members.Revision == 0 || slices.ContainsFunc(members.VMs, func(vm vmlist.VM) bool { return vm.ID == f.opts.Self.ID })
+	if members != f.lookedUp {
+		self := func(vm vmlist.VM) bool { return vm.ID == f.opts.Self.ID }
+		f.lookedUp, f.found = members, members.Revision == 0 || slices.ContainsFunc(members.VMs, self)
+	}
+	return f.found
 }
 
 // revoke ends the lease of a VM that stops. Where that fails, the lease expires
--- /dev/null
+++ b/discovery/announce_test.go
@@ -0,0 +1,64 @@
+package discovery
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/standby"
+)
+
+// leases counts renewals.
+type leases struct {
+	store
+	renewals atomic.Int64
+}
+
+func (s *leases) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) { return 1, nil }
+
+func (s *leases) CompareAndSwap(context.Context, string, []byte, int64, kv.LeaseID) (int64, error) {
+	return 1, nil
+}
+
+func (s *leases) KeepAlive(context.Context, kv.LeaseID) error   { s.renewals.Add(1); return nil }
+func (s *leases) RevokeLease(context.Context, kv.LeaseID) error { return nil }
+
+// Guards against a VM that notices only at its next renewal that an outage of the
+// store has ended its lease, and against one that renews it while all is well:
+// 295 VMs that renewed every 5 s made 283 weighted calls in 48 s.
+func TestLeaseIsRenewedAfterAnOutage(t *testing.T) {
+	loop := control.NewLoop(zap.NewNop(), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go loop.Run(ctx)
+	s := &leases{}
+	times := standby.Times{Poll: 20 * time.Millisecond, Takeover: 100 * time.Millisecond, Readers: 1}
+	f := New(Options{Store: s, Codec: codec{}, Loop: loop, Times: times, Log: zap.NewNop()})
+	confirm := func() {
+		loop.Post(control.RoutesConfirmed{Version: 1, At: boottime.Now()})
+		time.Sleep(20 * time.Millisecond)
+	}
+	loop.Post(control.RoutesReceived{Table: route.NewTable(route.Draft{Version: 1}), Confirmed: boottime.Now()})
+	eventually(t, "a configuration is in force", func() bool { return loop.Snapshot().Routes != nil })
+	go f.announce(ctx)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		confirm()
+	}
+	if n := s.renewals.Load(); n != 0 {
+		t.Errorf("%d renewals in 2 s without trouble", n)
+	}
+	time.Sleep(times.Takeover + outageMargin + 2*roleCheck) // Nobody reaches the store.
+	for end := time.Now().Add(renewSpread + time.Second); time.Now().Before(end) && s.renewals.Load() == 0; {
+		confirm()
+	}
+	if n := s.renewals.Load(); n != 1 {
+		t.Errorf("%d renewals after the outage, want 1", n)
+	}
+}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -117,7 +117,8 @@
 	memberPause = 300 * time.Millisecond
 	// memberGrace is how long the entry of an entry VM is still used after it
 	// went missing around an outage. Peers notice by themselves whether it runs,
-	// so it only has to be longer than renewInterval.
+	// so it only has to be longer than renewSpread and the time to hear of the
+	// return of the store.
 	memberGrace = 10 * time.Second
 	// peerListWait is how long after its start a VM waits for peers to tell the
 	// backend servers of a pool that the store does not give in one answer.
@@ -126,9 +127,11 @@
 	// which the store may refuse a VM: peers talk only to VMs that are listed,
 	// and notice within seconds if one of those does not run.
 	leaseTime = 2 * time.Minute
-	// renewInterval is the time between renewals of the lease, and so the longest
-	// time after which a VM notices that an outage of the store has ended it.
-	renewInterval = 5 * time.Second
+	// renewInterval is the time between renewals of the lease.
+	renewInterval = leaseTime / 4
+	// renewSpread is the time within which all VMs renew their leases after an
+	// outage of the store, which may have ended them.
+	renewSpread = 4 * time.Second
 	// unlistedPause is the time between renewals of a VM that is not listed.
 	unlistedPause = time.Second
 	// revokeLimit bounds the end of the lease when the VM stops.
@@ -159,6 +162,10 @@
 	started atomic.Int64
 	start   startup
 	calls   *calls
+	// lookedUp is the list of entry VMs in which listed has looked last, and found
+	// whether it has this VM.
+	lookedUp *vmlist.List
+	found    bool
 }
 
 // New returns a follower. Run must be called.
@@ -187,7 +194,7 @@
 // noteFailedRead takes a read of the configuration that failed. While other VMs
 // succeed, servers that go missing have left.
 func (f *Follower) noteFailedRead(now time.Duration) {
-	if now-f.opts.Loop.Snapshot().RoutesConfirmed > f.opts.Times.Takeover+outageMargin {
+	if f.storeOut(now) {
 		f.outAt.Store(int64(now))
 	}
 }
