Let few VMs read for all when a system starts for the first time

Change: VMs of a first start (a setting of the platform) wait a second until all have announced themselves, list the entry VMs, and leave the configuration and the backend servers to the readers. Later starts are as before: there, a second counts. Ruled out: stale lists for a tenth of the price (a server that left might get work after the bound); the same for all starts (each VM would serve later after a loss of power).

--- a/config/deployment.go
+++ b/config/deployment.go
@@ -12,10 +12,12 @@
 	// Listen holds the addresses to listen on, as IP:port.
 	Listen DeploymentListen
 	// Seeds are addresses of the peer listeners of a few VMs. They may be stale.
-	Seeds  []string
-	Limits VMLimits
-	Store  StoreSettings
-	Bounds Bounds
+	Seeds []string
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
+	Limits     VMLimits
+	Store      StoreSettings
+	Bounds     Bounds
 	// HeartbeatInterval is how often backend servers renew their entries.
 	HeartbeatInterval time.Duration
 }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -75,6 +75,9 @@
 	Loop  *control.Loop
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
+	// FirstStart says that the whole system starts for the first time. VMs then
+	// leave it to the readers to read the configuration and the backend servers.
+	FirstStart bool
 	// Duties says what this VM reads from the store, and what it hears from
 	// peers. Nil means that it reads always.
 	Duties Duties
@@ -132,6 +135,10 @@
 	// renewSpread is the time within which all VMs renew their leases after an
 	// outage of the store, which may have ended them.
 	renewSpread = 4 * time.Second
+	// gatherTime is how long a VM of a system that starts for the first time waits
+	// before it lists the entry VMs, so that all have announced themselves and only
+	// the highest ranked ones take themselves for readers.
+	gatherTime = time.Second
 	// unlistedPause is the time between renewals of a VM that is not listed.
 	unlistedPause = time.Second
 	// revokeLimit bounds the end of the lease when the VM stops.
@@ -241,7 +248,10 @@
 func (f *Follower) confirmConfig(ctx context.Context) {
 	dependency := newDependency(f.opts.Log, "store configuration")
 	var failures backoff
-	for first := true; ctx.Err() == nil; first = false {
+	if f.opts.FirstStart {
+		f.start.awaitRole(ctx)
+	}
+	for first := !f.opts.FirstStart; ctx.Err() == nil; first = false {
 		duty := f.opts.Duties.Duty()
 		if !first && duty == standby.Idle {
 			f.unreachable.Store(false)
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -85,6 +85,9 @@
 func (f *Follower) followPrefix(ctx context.Context, s *section) {
 	if s.entryVMs {
 		f.start.awaitAnnounced(ctx)
+		if f.opts.FirstStart {
+			wait.Sleep(ctx, gatherTime)
+		}
 	}
 	dependency := newDependency(f.opts.Log, "store "+s.prefix)
 	after := int64(-1)
@@ -122,12 +125,12 @@
 // them in one answer, and returns the revision to watch from, -1 if they must be
 // listed. Of a larger pool each VM reads only that much: all of a fleet that
 // starts would read all of it through the link of the store, so the rest comes
-// from peers.
+// from peers. Of a system that starts for the first time only the readers list.
 func (f *Follower) listFirst(ctx context.Context, s *section) (after int64) {
 	f.started.Store(int64(boottime.Now()))
 	after = -1
 	var failures backoff
-	for ctx.Err() == nil && f.opts.Loop.Snapshot().Servers.Revision == 0 {
+	for ctx.Err() == nil && !f.opts.FirstStart && f.opts.Loop.Snapshot().Servers.Revision == 0 {
 		if f.unreachable.Load() {
 			wait.Sleep(ctx, roleCheck)
 			continue
--- a/entry.go
+++ b/entry.go
@@ -134,7 +134,7 @@
 			ID: d.VM, Role: vmlist.RoleEntry, State: vmlist.StateLive, Zone: d.Zone, Region: d.Region,
 			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(), CPU: d.Limits.CPU,
 		},
-		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease,
+		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease, FirstStart: d.FirstStart,
 		Duties: e.mesh, Times: times, Metrics: e.metrics, Log: o.Log,
 	})
 	e.grants = e.newGrants()
--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -48,6 +48,8 @@
 	Entries int
 	// ConfigDelay is the time from the start of the VMs to the first configuration.
 	ConfigDelay time.Duration
+	// FirstStart tells the VMs that the whole system starts for the first time.
+	FirstStart bool
 	// Events is the number of events of a stream, EventInterval the time between them.
 	Events        int
 	EventInterval time.Duration
@@ -204,7 +206,7 @@
 func (s *Site) deployment(name, store string) config.Deployment {
 	anyPort := "127.0.0.1:0"
 	return config.Deployment{
-		VM: name, Zone: zone, Region: "r",
+		VM: name, Zone: zone, Region: "r", FirstStart: s.opts.FirstStart,
 		Listen: config.DeploymentListen{Callers: anyPort, Ready: anyPort, Peers: anyPort, Metrics: anyPort},
 		Limits: config.VMLimits{MemoryBytes: memoryBytes},
 		Store:  config.StoreSettings{Address: store, MinLease: time.Second}, Bounds: s.opts.Bounds,
--- a/test/platform/config_test.go
+++ b/test/platform/config_test.go
@@ -216,6 +216,29 @@
 	}
 }
 
+// Guards against a first start in which each VM reads what a few can tell it:
+// 295 VMs made 894 lists. A VM needs two writes and a list of the entry VMs.
+func TestFirstStartIsReadByFew(t *testing.T) {
+	const (
+		vms, callsOfVM = 20, 3
+		// The readers of these bounds are two. A VM that lists before the others have
+		// announced themselves may take itself for one, too.
+		readers, callsOfReader = 4, 6
+		// callsForAll is the number of polls and watches a second.
+		callsForAll = 12
+	)
+	begin := time.Now()
+	s := newSite(t, options{vms: vms, desks: 1, firstStart: true, configDelay: time.Second})
+	calls, took := s.calls(), time.Since(begin)
+	t.Logf("%d calls of %d VMs in %v: %v", calls, vms, took, s.store.Calls())
+	if limit := vms*callsOfVM + readers*callsOfReader + int(callsForAll*took.Seconds()); calls > limit {
+		t.Errorf("%d calls, want at most %d", calls, limit)
+	}
+	if got := s.send(s.vms[vms-1], book()); got.status != http.StatusOK {
+		t.Errorf("a request after the start: %+v", got)
+	}
+}
+
 // Guards against a start in which each VM lists all backend servers of a large
 // pool: 299 VMs that read 3,000 entries each took 30 s to start. Each reads the
 // first page, and hears the rest from those that read all.
