--- /dev/null
+++ b/discovery/configuration.go
@@ -0,0 +1,140 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/standby"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// confirmConfig reads the configuration once at the start, so that a VM that
+// starts again need not wait for peers, and then at an interval while it reads
+// for others, or once their confirmations are old.
+func (f *Follower) confirmConfig(ctx context.Context) {
+	if f.opts.FirstStart {
+		f.start.read(firstRead{})
+		f.start.awaitRole(ctx)
+	} else if asked, listing, err := f.readFirst(ctx); err == nil {
+		f.confirmed(ctx, f.opts.Duties.Duty(), asked, listing)
+	}
+	dependency := newDependency(f.opts.Log, "store configuration")
+	var failures backoff
+	for ctx.Err() == nil {
+		duty := f.opts.Duties.Duty()
+		if duty == standby.Idle {
+			f.unreachable.Store(false)
+			wait.Sleep(ctx, roleCheck)
+			continue
+		}
+		asked := boottime.Now()
+		listing, err := f.opts.Store.List(ctx, f.opts.Codec.ConfigKey(), kv.Linearizable)
+		dependency.note(err)
+		f.unreachable.Store(err != nil)
+		if err != nil {
+			f.noteFailedRead(boottime.Now())
+			f.watches.endAll()
+			if duty == standby.Read {
+				failures.pause(ctx)
+			} else {
+				failures.pauseForPeers(ctx)
+			}
+			continue
+		}
+		failures.reset()
+		f.confirmed(ctx, duty, asked, listing)
+	}
+}
+
+// confirmed takes a read of the configuration and waits for the next one. There
+// may be no configuration yet; the watch tells of the first one.
+func (f *Follower) confirmed(ctx context.Context, duty standby.Duty, asked time.Duration, listing kv.Listing) {
+	f.configRevision.Store(listing.Revision)
+	f.acceptAll(listing.Entries, "read", asked)
+	if duty == standby.Probe {
+		f.opts.Log.Info("store_probed", zap.Duration("confirmation_age", asked-f.opts.Loop.Snapshot().RoutesConfirmed))
+		f.opts.Duties.Reached(asked)
+	}
+	wait.Sleep(ctx, watchLag)
+	f.watches.endBehind(listing.Revision)
+	poll := f.opts.Duties.Poll()
+	wait.Sleep(ctx, max(poll-watchLag, watchLag)-rand.N(poll/pollJitter))
+}
+
+// accept puts a configuration in force. One that cannot be read leaves the last
+// one in force.
+func (f *Follower) accept(value []byte, source string, confirmed time.Duration) {
+	snap := f.opts.Loop.Snapshot()
+	if snap.Routes != nil && string(snap.RoutesContent) == string(value) {
+		if confirmed > 0 {
+			f.opts.Loop.Post(control.RoutesConfirmed{Version: snap.Routes.Version, At: confirmed})
+		}
+		return
+	}
+	table, err := f.opts.Codec.DecodeConfig(value)
+	if err != nil {
+		f.opts.Log.Error("configuration_rejected", zap.String("source", source), telemetry.Error(err))
+		return
+	}
+	f.opts.Loop.Post(control.RoutesReceived{Table: table, Content: value, Source: source, Confirmed: confirmed})
+}
+
+// watchConfig takes new configurations as soon as they are written. It continues
+// from where confirmConfig has read.
+func (f *Follower) watchConfig(ctx context.Context) {
+	f.start.awaitRole(ctx)
+	var after int64
+	var failures backoff
+	for ctx.Err() == nil {
+		if f.rests() {
+			after = 0
+			f.configRevision.Store(0)
+			wait.Sleep(ctx, roleCheck)
+			continue
+		}
+		if after == 0 {
+			after = f.configRevision.Load()
+		}
+		if after == 0 {
+			wait.Sleep(ctx, roleCheck)
+			continue
+		}
+		changes, err := f.opts.Store.WatchPrefix(ctx, f.opts.Codec.ConfigPrefix(), after, watchWait)
+		if _, ok := errors.Into[*kv.CompactedError](err); ok {
+			f.opts.Log.Warn("configuration_history_lost", zap.Int64("revision", after))
+			after = 0
+			f.configRevision.Store(0)
+			continue
+		}
+		if err != nil {
+			failures.pause(ctx)
+			continue
+		}
+		failures.reset()
+		after = changes.Revision
+		for _, c := range changes.Changes {
+			if !c.Removed {
+				f.acceptAll([]kv.Entry{c.Entry}, "watch", 0)
+			}
+		}
+	}
+}
+
+// acceptAll takes the configuration among entries and reports whether there is one.
+func (f *Follower) acceptAll(entries []kv.Entry, source string, confirmed time.Duration) bool {
+	for _, e := range entries {
+		if e.Key == f.opts.Codec.ConfigKey() {
+			f.accept(e.Value, source, confirmed)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/discovery/follow.go
@@ -0,0 +1,141 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// followPrefix lists a prefix and then watches it. Entry VMs are listed once this
+// one has announced itself, and nothing is watched before that: most VMs then
+// find that others read for them.
+func (f *Follower) followPrefix(ctx context.Context, s *section) {
+	if s.entryVMs {
+		f.start.awaitAnnounced(ctx)
+		if f.opts.FirstStart {
+			wait.Sleep(ctx, gatherTime)
+		}
+	}
+	dependency := newDependency(f.opts.Log, "store "+s.prefix)
+	after := int64(-1)
+	if first := f.start.awaitRead(ctx); s.entryVMs && first.members {
+		after = first.revision
+		f.start.awaitRole(ctx)
+	} else if !s.entryVMs && first.servers {
+		f.started.Store(int64(boottime.Now()))
+		after = first.revision
+		f.start.awaitRole(ctx)
+	} else if !s.entryVMs {
+		after = f.listFirst(ctx, s)
+	}
+	reading := after >= 0
+	var failures backoff
+	for ctx.Err() == nil {
+		if f.rests() && !f.lacksServers(s) {
+			after, reading = -1, reading && f.reads()
+			wait.Sleep(ctx, roleCheck)
+			continue
+		}
+		if !reading {
+			reading = true
+			f.list.seed(s, f.opts.Loop.Snapshot().VMs.VMs)
+		}
+		var err error
+		if after < 0 {
+			after, err = f.relist(ctx, s)
+		} else {
+			after, err = f.watch(ctx, s, after)
+		}
+		dependency.note(err)
+		if err != nil {
+			failures.pause(ctx)
+			continue
+		}
+		failures.reset()
+	}
+}
+
+// listFirst lists the backend servers at the start of this VM if the store gives
+// them in one answer, and returns the revision to watch from, -1 if they must be
+// listed. Of a larger pool each VM reads only that much: all of a fleet that
+// starts would read all of it through the link of the store, so the rest comes
+// from peers. Of a system that starts for the first time only the readers list.
+func (f *Follower) listFirst(ctx context.Context, s *section) (after int64) {
+	f.started.Store(int64(boottime.Now()))
+	after = -1
+	var failures backoff
+	for ctx.Err() == nil && !f.opts.FirstStart && f.opts.Loop.Snapshot().Servers.Revision == 0 {
+		if f.unreachable.Load() {
+			wait.Sleep(ctx, roleCheck)
+			continue
+		}
+		listing, err := f.opts.Store.ListPage(ctx, s.prefix, kv.Linearizable)
+		if err != nil {
+			f.opts.Log.Info("first_list_failed", zap.String("prefix", s.prefix), telemetry.Error(err))
+			failures.pause(ctx)
+			continue
+		}
+		if !listing.Partial {
+			f.list.replace(s, listing)
+			after = listing.Revision
+		}
+		break
+	}
+	f.start.awaitRole(ctx)
+	return after
+}
+
+// lacksServers reports whether no peer has told this VM the backend servers for
+// so long that it reads them itself.
+func (f *Follower) lacksServers(s *section) bool {
+	if s.entryVMs || f.unreachable.Load() || f.opts.Loop.Snapshot().Servers.Revision > 0 {
+		return false
+	}
+	return boottime.Now()-time.Duration(f.started.Load()) > peerListWait
+}
+
+// relist replaces the entries of a section and returns the revision to watch from.
+func (f *Follower) relist(ctx context.Context, s *section) (int64, error) {
+	listing, err := f.opts.Store.List(ctx, s.prefix, kv.Linearizable)
+	if err != nil {
+		return -1, err
+	}
+	f.list.replace(s, listing)
+	if s.entryVMs {
+		f.start.listed()
+	}
+	f.start.awaitRole(ctx)
+	return listing.Revision, nil
+}
+
+// watch waits for changes and returns the revision to continue from, -1 if the
+// prefix must be listed again.
+func (f *Follower) watch(ctx context.Context, s *section, after int64) (int64, error) {
+	call, end := f.watches.begin(ctx, s, after)
+	changes, err := f.opts.Store.WatchPrefix(call, s.prefix, after, watchWait)
+	if behind := end(); behind && err != nil && ctx.Err() == nil {
+		f.opts.Log.Info("watch_behind", zap.String("prefix", s.prefix), zap.Int64("revision", after))
+		return -1, nil
+	}
+	if _, ok := errors.Into[*kv.CompactedError](err); ok {
+		f.opts.Log.Warn("list_history_lost", zap.String("prefix", s.prefix), zap.Int64("revision", after))
+		return -1, nil
+	}
+	if err != nil {
+		// Changes may have happened meanwhile that a later watch does not show
+		// in time, and entries may lapse: read all again.
+		return -1, err
+	}
+	f.list.change(s, changes)
+	if s.entryVMs {
+		wait.Sleep(ctx, memberPause)
+	}
+	return changes.Revision, nil
+}
--- a/entry.go
+++ b/entry.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -200,38 +199,6 @@
 	return 0, 0
 }
 
-// listen opens the listeners and builds their servers.
-func (e *Entry) listen() error {
-	idle := gateway.IdleLimit{Limit: e.idleLimit}
-	e.callers = &http.Server{
-		Handler: e.gateway, ConnState: idle.ConnState, MaxHeaderBytes: headerBytes,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: zap.NewStdLog(e.log),
-	}
-	e.probes = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
-	e.admin = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	addresses := []string{e.opts.Deployment.Listen.Callers, e.opts.Deployment.Listen.Ready}
-	if metrics := e.opts.Deployment.Listen.Metrics; metrics != "" {
-		addresses = append(addresses, metrics)
-	}
-	for _, address := range addresses {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return errors.Wrap(err, "listen")
-		}
-		e.listeners = append(e.listeners, l)
-	}
-	e.listeners[0] = idle.Listener(e.listeners[0])
-	return nil
-}
-
-// idleLimit is the limit in force for idle connections of callers.
-func (e *Entry) idleLimit() time.Duration {
-	if t := e.loop.Snapshot().Routes; t != nil && t.Limits.IdleTimeout > 0 {
-		return t.Limits.IdleTimeout
-	}
-	return callerIdleTimeout
-}
-
 // Reload takes changed settings into use. Addresses, the store, and the intervals
 // at which it is read, which follow from the bounds, take effect
 // at the next start.
@@ -241,30 +208,6 @@
 		zap.Duration("drain", d.Bounds.Drain))
 }
 
-func (e *Entry) closeListeners() {
-	for _, l := range e.listeners {
-		_ = l.Close()
-	}
-}
-
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	reason, ok := e.gateway.Ready()
-	if !ok {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-	_, _ = w.Write([]byte(reason + "\n")) // The balancer does not read the body.
-}
-
-func (e *Entry) adminHandler() http.Handler {
-	router := echo.New()
-	router.GET("/metrics", func(c echo.Context) error {
-		c.Response().Header().Set("Content-Type", "application/json")
-		metrics.WriteJSONOnce(e.metrics, c.Response())
-		return nil
-	})
-	return router
-}
-
 // Run serves until ctx ends. It then drains: it is no longer ready, asks
 // callers to use other connections, and lets answers go on for as long as the
 // platform allows.
@@ -360,20 +303,5 @@
 	}
 }
 
-// EntryAddresses are the addresses in use, as IP:port. Metrics is empty if none
-// is configured.
-type EntryAddresses struct{ Callers, Ready, Peers, Metrics string }
-
-// Addresses returns the addresses of the listeners.
-func (e *Entry) Addresses() EntryAddresses {
-	a := EntryAddresses{
-		Callers: e.listeners[0].Addr().String(), Ready: e.listeners[1].Addr().String(), Peers: e.mesh.sessions.Addr(),
-	}
-	if len(e.listeners) > 2 {
-		a.Metrics = e.listeners[2].Addr().String()
-	}
-	return a
-}
-
 // Snapshot returns the control state.
 func (e *Entry) Snapshot() *control.Snapshot { return e.loop.Snapshot() }
--- a/vanillaarch.go
+++ b/server.go
@@ -1,5 +1,3 @@
-// Package vanillaarch serves generated text of unknown length from a shared
-// pool of inference engines. A Server is one entry VM.
 package vanillaarch
 
 import (
