--- a/discovery/configuration.go
+++ b/discovery/configuration.go
@@ -128,13 +128,11 @@
 	}
 }
 
-// acceptAll takes the configuration among entries and reports whether there is one.
-func (f *Follower) acceptAll(entries []kv.Entry, source string, confirmed time.Duration) bool {
+// acceptAll takes the configuration among entries, if there is one.
+func (f *Follower) acceptAll(entries []kv.Entry, source string, confirmed time.Duration) {
 	for _, e := range entries {
 		if e.Key == f.opts.Codec.ConfigKey() {
 			f.accept(e.Value, source, confirmed)
-			return true
 		}
 	}
-	return false
 }
