--- a/discovery/startup.go
+++ b/discovery/startup.go
@@ -9,8 +9,10 @@
 )
 
 // startup orders the first calls of a VM. A whole fleet starts at once after a
-// loss of power, and the store's calls are limited, so a VM first announces
-// itself, then reads who else is there, and watches only if it is to read for others.
+// loss of power, and the store's calls are limited, so a VM first reads what one
+// call gives, then announces itself, and lists and watches only what it still
+// lacks or is to read for others. At a first start there is nothing to read, so it
+// announces itself at once.
 type startup struct {
 	// first is what the first read of the store gave, valid once wasRead is closed.
 	first   *firstRead
