--- a/dispatch/copies_test.go
+++ b/dispatch/copies_test.go
@@ -21,13 +21,7 @@
 		leastInZone = 0.8
 	)
 	f := newTestFair()
-	zoneOf := map[string]string{}
-	var backends []Backend
-	for i := range engines {
-		b := Backend{ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%zones), BlocksTotal: 2100, BlockTokens: 16}
-		zoneOf[b.ID] = b.Zone
-		backends = append(backends, b)
-	}
+	backends, zoneOf := zonedBackends(engines, zones)
 	f.SetBackends(epoch, backends[joined:])
 	now := epoch
 	for i := range uint64(engines * 4) {
--- a/dispatch/zone_test.go
+++ b/dispatch/zone_test.go
@@ -8,6 +8,18 @@
 	"time"
 )
 
+// zonedBackends returns engines that take turns in zones, and the zone of each.
+func zonedBackends(engines, zones int) ([]Backend, map[string]string) {
+	zoneOf := map[string]string{}
+	var backends []Backend
+	for i := range engines {
+		b := Backend{ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%zones), BlocksTotal: 2100, BlockTokens: 16}
+		zoneOf[b.ID] = b.Zone
+		backends = append(backends, b)
+	}
+	return backends, zoneOf
+}
+
 // Guards against runs whose tokens cross between zones although engines of their
 // own zone have as much room, in a pool of which a decision sees a part only (half
 // of the runs of 295 VMs in 5 zones did). Pattern: a large pool in many zones at
@@ -26,13 +38,7 @@
 		mostRuns = 24
 	)
 	f := newTestFair()
-	zoneOf := map[string]string{}
-	var backends []Backend
-	for i := range engines {
-		b := Backend{ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%zones), BlocksTotal: 2100, BlockTokens: 16}
-		zoneOf[b.ID] = b.Zone
-		backends = append(backends, b)
-	}
+	backends, zoneOf := zonedBackends(engines, zones)
 	f.SetBackends(epoch, backends)
 	random := rand.New(rand.NewPCG(1, 1))
 	granted, inZone, running, most := 0, 0, map[string]int{}, 0
