gateway: log what failed runs have in common

engine_failed_run logs all three, request_done of a stream logs the parts, and gateway.runs_failed_before_event counts the runs.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -314,7 +314,8 @@
 	if c.events > 0 {
 		fields = append(fields, zap.Duration("queued", c.queued), zap.Duration("first_event", c.firstEvent),
 			zap.Duration("longest_pause", c.longestPause), zap.Int("prompt_tokens", c.info.PromptTokens),
-			zap.Int("max_tokens", c.info.MaxTokens), zap.Int("expected_tokens", c.info.ExpectedTokens))
+			zap.Int("max_tokens", c.info.MaxTokens), zap.Int("expected_tokens", c.info.ExpectedTokens),
+			promptParts(c.info.Prefix))
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.String("organisation", c.organisationName()))
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,6 +9,8 @@
 	registry        metrics.Registry
 	requests        metrics.Counter
 	budgetExhausted metrics.Counter
+	// runsFailedBeforeEvent counts the runs that an engine failed before the first event.
+	runsFailedBeforeEvent metrics.Counter
 	// firstEvent and answer are latencies in microseconds.
 	firstEvent, answer metrics.Histogram
 }
@@ -29,8 +31,11 @@
 		registry:        r,
 		requests:        metrics.GetOrRegisterCounter("gateway.requests", r),
 		budgetExhausted: metrics.GetOrRegisterCounter("gateway.retry_budget_exhausted", r),
-		firstEvent:      histogram("gateway.first_event_us"),
-		answer:          histogram("gateway.answer_us"),
+
+		runsFailedBeforeEvent: metrics.GetOrRegisterCounter("gateway.runs_failed_before_event", r),
+
+		firstEvent: histogram("gateway.first_event_us"),
+		answer:     histogram("gateway.answer_us"),
 	}
 }
 
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -139,7 +139,26 @@
 		return
 	}
 	seg.ticket.Failed()
-	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), telemetry.Error(err))
+	s.g.Metrics.runsFailedBeforeEvent.Inc(1)
+	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), zap.Duration("engine_age", engineAge(seg.vm)),
+		zap.String("organisation", s.organisationName()), zap.Int("prompt_tokens", s.info.PromptTokens),
+		promptParts(s.info.Prefix), telemetry.Error(err))
+}
+
+// engineAge returns the time since the start of an engine, by the wall clock.
+func engineAge(vm vmlist.VM) time.Duration { return time.Since(time.UnixMilli(vm.Incarnation)) }
+
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 8
+
+// promptParts returns a log field with the ids of the parts of a prompt that other
+// requests may share.
+func promptParts(prefix []edge.PromptPart) zap.Field {
+	var ids []string
+	for _, part := range prefix[:min(max(len(prefix)-1, 0), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return zap.Strings("prompt_parts", ids)
 }
 
 // serverError reports whether a status means that the engine is at fault. 504 means
