gateway: do not restart a stream because its copy was unreachable

Callers' drafts, which may not be repeated, ran on a second and a third engine (TWICE): the engine crashed before the first event, and the engine with the copy refused the connection.

resume replaced the cause of the failed run by that of the copy that could not be opened, and mayResume took a request that was not sent to that engine for one that has not run at all. The cause of the run now stays, and mayResume asks first whether the request may have run. An error response that was forwarded from a copy now ends the request; before, it could start another run.

TestStreamRunsOnceWhenItsBackupIsUnreachable failed before: the draft ran on engine-0 and engine-2.

The stand-in engines can now crash on a part of a prompt.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -116,7 +116,8 @@
 }
 
 // resume opens the segment after one that has ended early. It continues from a copy
-// of the run if there is one.
+// of the run if there is one. Without a copy, the cause decides whether the run may
+// start anew: the failure to open a copy says nothing about the run itself.
 func (s *stream) resume(seg *segment, cause error) (*segment, error) {
 	if s.r.Context().Err() != nil {
 		return nil, errResponded
@@ -129,7 +130,9 @@
 			return next, nil
 		}
 		rc.ticket.Release(0)
-		cause = err
+		if errors.Is(err, errResponded) {
+			return nil, err
+		}
 	}
 	return s.openNext(cause)
 }
@@ -149,6 +152,9 @@
 // mayResume reports whether the stream may continue on another engine without a
 // copy.
 func (s *stream) mayResume(err error) bool {
+	if s.mayHaveRun && !s.route.Retryable() {
+		return false
+	}
 	if _, notSent := errors.Into[*backend.NotSentError](err); (notSent || misdirected(err)) && !s.headSent {
 		// The addressed engine was not reached, so no retry budget is taken.
 		s.unsentAttempts++
--- /dev/null
+++ b/internal/standin/userplatform/crash.go
@@ -0,0 +1,73 @@
+package userplatform
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// EngineCrash is the crash of an engine by a request.
+type EngineCrash struct {
+	Request, Engine string
+	At              time.Time
+}
+
+// SetCrashingParts makes every engine crash when it is about to write the first event
+// of a run whose prompt has one of the given parts anywhere but in the last place.
+// The engine starts again after the downtime, with a new start time.
+func (f *Fleet) SetCrashingParts(downtime time.Duration, parts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashingParts, f.crashDowntime = parts, downtime
+}
+
+// EngineCrashes returns the crashes by requests so far.
+func (f *Fleet) EngineCrashes() []EngineCrash {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.engineCrashes)
+}
+
+// crashesEngines reports whether a prompt has a part that crashes engines.
+func (f *Fleet) crashesEngines(prefix string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries := strings.Split(prefix, ",")
+	return slices.ContainsFunc(entries[:len(entries)-1], func(entry string) bool {
+		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		return slices.Contains(f.crashingParts, id)
+	})
+}
+
+// crashAndRestart crashes the engine on behalf of a request, and starts it again after
+// the downtime. Requests that would crash it during the downtime have no effect.
+func (s *Server) crashAndRestart(request string) {
+	s.lifeMu.Lock()
+	defer s.lifeMu.Unlock()
+	if s.stopped || s.restarting {
+		return
+	}
+	s.restarting = true
+	s.http.Close()
+	s.fleet.dropCopies(s.Address())
+	downtime := s.fleet.recordCrash(request, s.opts.ID)
+	time.AfterFunc(downtime, s.startAfterCrash)
+}
+
+// startAfterCrash ends the downtime, unless the server was stopped meanwhile.
+func (s *Server) startAfterCrash() {
+	s.lifeMu.Lock()
+	s.restarting = false
+	listens := !s.stopped && s.listenAgain() == nil
+	s.lifeMu.Unlock()
+	if listens {
+		s.Restart()
+	}
+}
+
+func (f *Fleet) recordCrash(request, engine string) (downtime time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engineCrashes = append(f.engineCrashes, EngineCrash{Request: request, Engine: engine, At: time.Now()})
+	return f.crashDowntime
+}
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -39,12 +39,17 @@
 	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w).Flush
 	_ = flush()
+	crashes := s.fleet.crashesEngines(r.Header.Get("Prompt-Prefix"))
 	for n := last + 1; n <= s.opts.Events; n++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(s.opts.EventInterval):
 		}
+		if crashes {
+			s.crashAndRestart(request)
+			return
+		}
 		event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, request, n)
 		if f.TrickleAfter > 0 && n > f.TrickleAfter {
 			trickle(w, r)
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -66,6 +66,11 @@
 	servers map[string]*Server
 	copies  map[string]runCopy
 	runs    map[string][]string
+	// crashingParts are the prompt parts that crash engines, crashDowntime is the time
+	// until such an engine starts again.
+	crashingParts []string
+	crashDowntime time.Duration
+	engineCrashes []EngineCrash
 }
 
 // NewFleet returns a fleet whose servers register in a store.
@@ -97,10 +102,16 @@
 type Server struct {
 	opts    ServerOptions
 	fleet   *Fleet
-	http    *standin.Server
 	handler http.Handler
 	address string
+
+	// lifeMu guards http, started, stopped and restarting.
+	lifeMu  sync.Mutex
+	http    *standin.Server
 	started int64
+	// stopped is set by Crash and Pause until Resume, restarting from a crash by a
+	// request until the server listens again.
+	stopped, restarting bool
 
 	mu      sync.Mutex
 	faults  ServerFaults
@@ -146,7 +157,10 @@
 
 // Register writes the server's entry to the store, with the given state.
 func (s *Server) Register(state string) {
-	putEntry(s.fleet.store, s.opts, s.Address(), state, s.started)
+	s.lifeMu.Lock()
+	started := s.started
+	s.lifeMu.Unlock()
+	putEntry(s.fleet.store, s.opts, s.Address(), state, started)
 }
 
 // RegisterUnreachable writes the entry of a server that is not running.
@@ -174,15 +188,30 @@
 
 // Restart registers the server with a new start time under the same id.
 func (s *Server) Restart() {
+	s.lifeMu.Lock()
 	s.started = time.Now().UnixMilli()
+	s.lifeMu.Unlock()
 	s.Register("ready")
 }
 
 // Pause closes the listener and all connections until Resume.
-func (s *Server) Pause() { s.http.Close() }
+func (s *Server) Pause() {
+	s.lifeMu.Lock()
+	defer s.lifeMu.Unlock()
+	s.stopped = true
+	s.http.Close()
+}
 
 // Resume listens on the same address again.
 func (s *Server) Resume() error {
+	s.lifeMu.Lock()
+	defer s.lifeMu.Unlock()
+	s.stopped = false
+	return s.listenAgain()
+}
+
+// listenAgain listens on the address of the closed listener. The caller holds lifeMu.
+func (s *Server) listenAgain() error {
 	server, err := standin.Listen(s.http.Address(), s.handler)
 	if err != nil {
 		return errors.Wrap(err, "listen again")
@@ -194,7 +223,7 @@
 // Crash closes the listener and all connections, and discards the copies of runs
 // that the server holds.
 func (s *Server) Crash() {
-	s.http.Close()
+	s.Pause()
 	s.fleet.dropCopies(s.Address())
 }
 
--- /dev/null
+++ b/test/platform/repeat_test.go
@@ -0,0 +1,59 @@
+package platform_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
+)
+
+// Guards against a second run of a stream that must not be repeated, when its engine
+// crashes before the first event and the engine with its backup accepts no connection.
+func TestStreamRunsOnceWhenItsBackupIsUnreachable(t *testing.T) {
+	s := newSite(t, options{vms: 1, engines: 4, events: 2, interval: 400 * time.Millisecond})
+	a := draft()
+	a.id = "runs-once"
+	ended := make(chan response, 1)
+	go func() { ended <- s.send(s.vms[0], a) }()
+	s.eventually(3*time.Second, "the draft runs", func() bool { return len(s.fleet.Runs(a.id)) == 1 })
+	primary, backup := s.engineOf(a.id), s.backupOf(a.id)
+	if primary == nil || backup == nil {
+		t.Fatalf("the draft runs on %v with backup %v", primary, backup)
+	}
+	backup.Pause()
+	primary.Crash()
+	got := <-ended
+	if runs := s.fleet.Runs(a.id); len(runs) != 1 {
+		t.Errorf("ran on %v", runs)
+	}
+	if got.status != http.StatusBadGateway {
+		t.Errorf("status %d, want 502, which does not promise that it has not run: %s", got.status, got.body)
+	}
+}
+
+// engineOf returns the engine that ran a request first, nil if there is none.
+func (s *site) engineOf(request string) *userplatform.Server {
+	for _, e := range s.engines {
+		if runs := s.fleet.Runs(request); len(runs) > 0 && runs[0] == e.ID() {
+			return e
+		}
+	}
+	return nil
+}
+
+// backupOf returns the engine that the run of a request is replicated to, nil if
+// there is none.
+func (s *site) backupOf(request string) *userplatform.Server {
+	primary := s.engineOf(request)
+	if primary == nil {
+		return nil
+	}
+	address := primary.Header(request).Get("Kv-Backup")
+	for _, e := range s.engines {
+		if e.Address() == address {
+			return e
+		}
+	}
+	return nil
+}
