test: requests whose prompt crashes engines reach one engine after the other

The test plays this with the stand-in engines and checks the bounds of the operator's rules, for crashing and for sound requests.

--- a/internal/standin/userplatform/crash.go
+++ b/internal/standin/userplatform/crash.go
@@ -28,6 +28,24 @@
 	return slices.Clone(f.engineCrashes)
 }
 
+// CrashingArrivals returns when requests with a part that crashes engines have arrived
+// at an engine, including rejected ones.
+func (f *Fleet) CrashingArrivals() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.crashingArrivals)
+}
+
+// recordArrival records the arrival of a request with a given prompt.
+func (f *Fleet) recordArrival(prefix string) {
+	if !f.crashesEngines(prefix) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashingArrivals = append(f.crashingArrivals, time.Now())
+}
+
 // crashesEngines reports whether a prompt has a part that crashes engines.
 func (f *Fleet) crashesEngines(prefix string) bool {
 	f.mu.Lock()
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -71,6 +71,8 @@
 	crashingParts []string
 	crashDowntime time.Duration
 	engineCrashes []EngineCrash
+	// crashingArrivals holds the arrivals of requests with one of crashingParts.
+	crashingArrivals []time.Time
 }
 
 // NewFleet returns a fleet whose servers register in a store.
@@ -306,6 +308,7 @@
 	if err != nil {
 		return
 	}
+	s.fleet.recordArrival(r.Header.Get("Prompt-Prefix"))
 	faults, ok := s.acquireSlot(w, r)
 	if !ok {
 		return
--- /dev/null
+++ b/test/platform/crashing_prompts_test.go
@@ -0,0 +1,142 @@
+package platform_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/localsite"
+)
+
+// Bounds of the operator for prompts that crash engines.
+const (
+	// contactBound is the time after the fifth crash from which requests with the part
+	// are counted, and half of the time from which sound ones must be served.
+	contactBound = 3 * time.Second
+	// crashesToNotice is the number of crashes after which the bounds apply.
+	crashesToNotice = 5
+	// maxCrashingArrivals is how many requests with the part may reach engines after
+	// contactBound.
+	maxCrashingArrivals = 3
+	// minSoundShare is the fraction of sound requests with the same key or first part
+	// that must be served.
+	minSoundShare = 0.5
+	// minSoundRequests is the number of sound requests from which the share counts.
+	minSoundRequests = 20
+)
+
+// promptLoad sends sound prompts and prompts that crash engines for a while.
+type promptLoad struct {
+	duration time.Duration
+	// crashing and sound return the next prompt of their kind. Every request gets a
+	// last part of its own.
+	crashing, sound func(r *rand.Rand) string
+	// interval is the mean time between two crashing requests, and between two sound
+	// ones.
+	interval time.Duration
+	// vm returns the VM that gets the next request.
+	vm func(r *rand.Rand) *localsite.VM
+}
+
+// loadResult is what callers and engines saw of a promptLoad.
+type loadResult struct {
+	mu sync.Mutex
+	// sound holds the requests with a sound prompt, in no order, crashing the others.
+	sound, crashing []sentPrompt
+}
+
+type sentPrompt struct {
+	at       time.Time
+	elapsed  time.Duration
+	response response
+}
+
+// run sends the load and waits for all responses.
+func (l promptLoad) run(s *site) *loadResult {
+	result := &loadResult{}
+	var wg sync.WaitGroup
+	send := func(seed uint64, prompt func(*rand.Rand) string, add func(sentPrompt)) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		for end := time.Now().Add(l.duration); time.Now().Before(end); {
+			a := draft()
+			a.header["Prompt-Prefix"] = fmt.Sprintf("%s,%x:100", prompt(r), r.Uint64())
+			a.header["Token-Count"] = "300,20"
+			v := l.vm(r)
+			wg.Go(func() {
+				at := time.Now()
+				got := s.send(v, a)
+				result.mu.Lock()
+				defer result.mu.Unlock()
+				add(sentPrompt{at, time.Since(at), got})
+			})
+			time.Sleep(time.Duration(r.ExpFloat64() * float64(l.interval)))
+		}
+	}
+	wg.Go(func() { send(1, l.crashing, func(p sentPrompt) { result.crashing = append(result.crashing, p) }) })
+	wg.Go(func() { send(2, l.sound, func(p sentPrompt) { result.sound = append(result.sound, p) }) })
+	wg.Wait()
+	return result
+}
+
+// checkBounds checks the operator's bounds for requests with a part that crashes engines.
+func (l *loadResult) checkBounds(s *site) {
+	s.t.Helper()
+	crashes := s.fleet.EngineCrashes()
+	if len(crashes) < crashesToNotice {
+		s.t.Logf("%d crashes", len(crashes))
+		return
+	}
+	fifth := crashes[crashesToNotice-1].At
+	late := 0
+	for _, at := range s.fleet.CrashingArrivals() {
+		if at.After(fifth.Add(contactBound)) {
+			late++
+		}
+	}
+	sound, served := 0, 0
+	for _, p := range l.sound {
+		if p.at.After(fifth.Add(2 * contactBound)) {
+			sound++
+			if p.response.status == http.StatusOK && p.response.err == nil {
+				served++
+			}
+		}
+	}
+	s.t.Logf("%d crashes, %d late arrivals, %d of %d sound requests served", len(crashes), late, served, sound)
+	if late > maxCrashingArrivals {
+		s.t.Errorf("%d requests with a part that crashes engines reached engines later than %v after the fifth crash, %d allowed",
+			late, contactBound, maxCrashingArrivals)
+	}
+	if sound < minSoundRequests || float64(served) < minSoundShare*float64(sound) {
+		s.t.Errorf("%d of %d sound requests served", served, sound)
+	}
+}
+
+func anyVM(s *site) func(*rand.Rand) *localsite.VM {
+	return func(r *rand.Rand) *localsite.VM { return s.vms[r.IntN(len(s.vms))] }
+}
+
+func always(prompt string) func(*rand.Rand) string { return func(*rand.Rand) string { return prompt } }
+
+// engineDowntime is how long an engine is away after a crash.
+const engineDowntime = 500 * time.Millisecond
+
+func newCrashingSite(t *testing.T) *site {
+	s := newSite(t, options{vms: 4, engines: 8, events: 4, interval: 15 * time.Millisecond})
+	s.fleet.SetCrashingParts(engineDowntime, "dead")
+	return s
+}
+
+// Guards against requests with a part that crashes engines being sent to one engine
+// after the other, and against refusing sound ones with the same key and first parts
+// (BUDGET and LOST of the operator's rules).
+func TestPromptsThatCrashEnginesAreRefused(t *testing.T) {
+	s := newCrashingSite(t)
+	promptLoad{
+		duration: 9 * time.Second, interval: 60 * time.Millisecond, vm: anyVM(s),
+		crashing: always("first:40,second:30,dead:30"), sound: always("first:40,second:30"),
+	}.run(s).checkBounds(s)
+}
