quarantine: refuse requests whose prompt parts crash engines

Cause: no VM remembered what a run had held when its engine died. Each failure was charged to the engine or to the caller, and every new request and every repeat with the same part went to the next engine.

VMs now tell each other which runs failed before they had written and which parts are in runs that write. Three crashes without a proof since condemn a part. Parts that failed in exactly the same runs are condemned together, so that a sound request with some of them passes. A lapsed verdict is tried by one request.

--- a/api/problem.go
+++ b/api/problem.go
@@ -48,6 +48,7 @@
 	ProblemIdempotencyExpired  ProblemType = "idempotency-key-expired"
 	ProblemIdempotencyMismatch ProblemType = "idempotency-key-reused"
 	ProblemAnswerTooLarge      ProblemType = "answer-too-large"
+	ProblemPromptQuarantined   ProblemType = "prompt-quarantined"
 	ProblemInternal            ProblemType = "internal"
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,8 @@
 	Snapshot   func() *control.Snapshot
 	Admission  dispatch.Admission
 	HTTPClient *backend.HTTPClient
+	// Prompts tells which prompts must not be sent to an engine.
+	Prompts PromptGuard
 	// Breaker is the circuit breaker for engines that can't be reached.
 	Breaker *backend.Breaker
 	Engines edge.EngineClient
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
@@ -66,6 +67,9 @@
 // failure returns the problem of a request whose last attempt failed. The outcome is
 // not_run only if no attempt may have been executed.
 func (c *call) failure(err error) *api.Problem {
+	if refused, ok := errors.Into[*quarantine.RefusedError](err); ok && !c.mayHaveRun {
+		return promptRefused(refused)
+	}
 	if !c.mayHaveRun {
 		return noBackend(err)
 	}
--- /dev/null
+++ b/gateway/prompt.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/edge"
+	"github.com/vanillaarch/vanillaarch/quarantine"
+	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// PromptGuard tells which prompts must not be sent to an engine. *quarantine.Manager
+// implements it.
+type PromptGuard interface {
+	// Check returns a *quarantine.RefusedError if a request must not be sent.
+	Check(p *quarantine.RequestPrompt) error
+	// MayRepeat reports whether a request that has failed on an engine may be sent to
+	// another one.
+	MayRepeat(p *quarantine.RequestPrompt) bool
+	// RunFailed reports that an engine broke the connection of a run that had not
+	// written.
+	RunFailed(p *quarantine.RequestPrompt, engine vmlist.VM, started time.Duration)
+	// RunProven reports that a run has written.
+	RunProven(p *quarantine.RequestPrompt)
+}
+
+// provingEvents is the number of events from which a run counts as having written. The
+// first one may leave an engine that is about to crash.
+const provingEvents = 2
+
+// newRequestPrompt returns the prompt of a request to a pool of engines.
+func newRequestPrompt(pool string, info edge.RequestInfo) *quarantine.RequestPrompt {
+	return &quarantine.RequestPrompt{Prompt: quarantine.NewPrompt(pool, info.ID, sharedParts(info.Prefix))}
+}
+
+// sharedParts returns the ids of the parts of a prompt that other requests may share.
+func sharedParts(prefix []edge.PromptPart) []string {
+	var ids []string
+	for _, part := range prefix[:max(len(prefix)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
+// checkPrompt returns a *quarantine.RefusedError if the request must not be sent. A run
+// that has written may continue.
+func (s *stream) checkPrompt() error {
+	if s.proven {
+		return nil
+	}
+	return s.g.Prompts.Check(s.prompt)
+}
+
+// reportPromptFailure reports a run whose engine broke the connection before it had
+// written.
+func (s *stream) reportPromptFailure(seg *segment, err error) {
+	if s.proven || s.ctx.Err() != nil || !connectionLost(err) {
+		return
+	}
+	s.failedUnproven = true
+	s.g.Prompts.RunFailed(s.prompt, seg.vm, seg.started)
+}
+
+// reportPromptProof reports once that the run has written.
+func (s *stream) reportPromptProof() {
+	if s.proven {
+		return
+	}
+	s.proven = true
+	s.g.Prompts.RunProven(s.prompt)
+}
+
+// connectionLost reports whether an engine closed or reset the connection of a request
+// that it may have run.
+func connectionLost(err error) bool {
+	if _, uncertain := errors.Into[*backend.UncertainError](err); !uncertain {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// promptRefused returns the problem of a request that is in quarantine and has not run.
+func promptRefused(refused *quarantine.RefusedError) *api.Problem {
+	return api.NewProblem(api.ProblemPromptQuarantined, http.StatusServiceUnavailable, api.OutcomeNotRun,
+		"requests with the same parts of the prompt have crashed engines").WithRetryAfter(refused.RetryAfter).WithCause(refused)
+}
+
+// poolName returns the name of the engines that may run the request.
+func (s *stream) poolName() string { return route.PoolName(s.service.Name, s.info.Model) }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -103,6 +103,9 @@
 		s.log.Info("run_resumed", zap.String("backend", seg.vm.ID), zap.Duration("pause", now-s.lastEventAt), zap.Int64("event", s.lastEvent))
 	}
 	s.lastEventAt = now
+	if s.eventCount.Load() >= provingEvents {
+		s.reportPromptProof()
+	}
 }
 
 // sendHead sends the head of the response, once per stream.
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -51,6 +51,7 @@
 	s.g.runs.add(vm, s)
 	if err := s.send(ctx, seg, source); err != nil {
 		s.closeConnection(seg, err)
+		s.reportPromptFailure(seg, err)
 		if source == nil {
 			s.reportEngineFailure(seg, err)
 			ticket.Release(0)
@@ -73,6 +74,9 @@
 	if err := s.checkConfirmed(); err != nil && source == nil {
 		return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
 	}
+	if err := s.checkPrompt(); err != nil {
+		return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
+	}
 	before := s.mayHaveRun
 	answer, err := s.g.HTTPClient.Do(ctx, backend.Target{ID: seg.vm.ID, Address: seg.vm.Address}, s.request(a))
 	if source == nil {
@@ -118,6 +122,7 @@
 // close closes the connection of a segment and releases its ticket.
 func (s *stream) close(seg *segment, err error) {
 	s.closeConnection(seg, err)
+	s.reportPromptFailure(seg, err)
 	s.reportEngineFailure(seg, err)
 	seg.ticket.Release(s.tokens())
 }
@@ -154,11 +159,8 @@
 // promptParts returns a log field with the ids of the parts of a prompt that other
 // requests may share.
 func promptParts(prefix []edge.PromptPart) zap.Field {
-	var ids []string
-	for _, part := range prefix[:min(max(len(prefix)-1, 0), maxLoggedParts)] {
-		ids = append(ids, part.ID)
-	}
-	return zap.Strings("prompt_parts", ids)
+	ids := sharedParts(prefix)
+	return zap.Strings("prompt_parts", ids[:min(len(ids), maxLoggedParts)])
 }
 
 // serverError reports whether a status means that the engine is at fault. 504 means
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -42,6 +43,11 @@
 
 	// copies tracks the copies of the run's KV cache.
 	copies copies
+
+	// prompt is checked before each send. proven is set once the run has written,
+	// failedUnproven once an engine broke the connection before that.
+	prompt                 *quarantine.RequestPrompt
+	proven, failedUnproven bool
 }
 
 // errResponded ends a stream to which nothing more is sent: the engine's error
@@ -57,6 +63,10 @@
 	ctx, cancel := c.context(true)
 	defer cancel()
 	s := &stream{call: c, ctx: ctx}
+	s.prompt = newRequestPrompt(s.poolName(), s.info)
+	if err := s.checkPrompt(); err != nil {
+		return s.giveUp(err)
+	}
 	if c.info.LastEvent != "" {
 		n, err := strconv.ParseInt(c.info.LastEvent, 10, 64)
 		if err != nil || n < 0 {
@@ -84,6 +94,7 @@
 		}
 		s.close(seg, err)
 		if err == nil {
+			s.reportPromptProof()
 			return nil
 		}
 		seg, err = s.resume(seg, err)
@@ -155,6 +166,9 @@
 	if s.mayHaveRun && !s.route.Retryable() {
 		return false
 	}
+	if s.failedUnproven && !s.g.Prompts.MayRepeat(s.prompt) || s.checkPrompt() != nil {
+		return false
+	}
 	if _, notSent := errors.Into[*backend.NotSentError](err); (notSent || misdirected(err)) && !s.headSent {
 		// The addressed engine was not reached, so no retry budget is taken.
 		s.unsentAttempts++
@@ -178,7 +192,7 @@
 // stream: tokens already received count as prompt tokens.
 func (s *stream) admissionRequest(excluded []string) dispatch.AdmissionRequest {
 	request := dispatch.AdmissionRequest{
-		Organisation: route.Anonymous, Model: route.PoolName(s.service.Name, s.info.Model),
+		Organisation: route.Anonymous, Model: s.poolName(),
 		PromptTokens: s.info.PromptTokens + s.tokens(), MaxTokens: s.info.MaxTokens, Excluded: excluded, Zone: s.g.Zone,
 	}
 	if request.MaxTokens > 0 {
--- a/membership/service.go
+++ b/membership/service.go
@@ -35,6 +35,10 @@
 	// OnConfirmed is called when a peer reports that the platform has confirmed
 	// a version. It may be nil.
 	OnConfirmed func(version int64, at time.Duration)
+	// VerdictDigest returns the announced digest of the verdicts on prompt parts, and
+	// OnVerdictDigest is called with that of a peer. Both are nil where there are none.
+	VerdictDigest   func() uint64
+	OnVerdictDigest func(from string, digest uint64)
 	// OnChange is called with all suspicion changes of one event.
 	OnChange func([]Change)
 	Log      *zap.Logger
@@ -155,9 +159,17 @@
 	return &peerpb.Heartbeat{
 		Sequence: s.sequence, BundleVersion: bundle, VmListRevision: vmList,
 		Incarnation: s.detector.Incarnation(), Statuses: s.detector.Statuses(time.Now()), EntryVmsRevision: s.entryVMsRevision(),
+		VerdictDigest: s.verdictDigest(),
 	}
 }
 
+func (s *Service) verdictDigest() uint64 {
+	if s.opts.VerdictDigest == nil {
+		return 0
+	}
+	return s.opts.VerdictDigest()
+}
+
 // entryVMsRevision returns the announced revision of the entry VMs, or 0 if there
 // is none.
 func (s *Service) entryVMsRevision() int64 {
@@ -175,7 +187,7 @@
 	return &peerpb.HeartbeatAck{
 		BundleVersion: bundle, VmListRevision: vmList, Incarnation: s.detector.Incarnation(),
 		Statuses:     s.detector.Corrections(from, h.GetIncarnation(), h.GetStatuses()),
-		Confirmation: s.confirmation(), EntryVmsRevision: s.entryVMsRevision(),
+		Confirmation: s.confirmation(), EntryVmsRevision: s.entryVMsRevision(), VerdictDigest: s.verdictDigest(),
 	}
 }
 
@@ -218,13 +230,28 @@
 func (s *Service) Receive(from string, m *peerpb.Membership) {
 	if h := m.GetHeartbeat(); h != nil {
 		s.receive(from, h.GetIncarnation(), h.GetStatuses(), h.GetBundleVersion(), h.GetVmListRevision())
+		s.handleVerdictDigest(from, h.GetVerdictDigest())
 	}
 	if a := m.GetHeartbeatAck(); a != nil {
 		s.receive(from, a.GetIncarnation(), a.GetStatuses(), a.GetBundleVersion(), a.GetVmListRevision())
 		s.handleConfirmation(a)
+		s.handleVerdictDigest(from, a.GetVerdictDigest())
 	}
 }
 
+func (s *Service) handleVerdictDigest(from string, digest uint64) {
+	if s.opts.OnVerdictDigest != nil {
+		s.opts.OnVerdictDigest(from, digest)
+	}
+}
+
+// Targets returns the peers to which heartbeats are sent in the rings.
+func (s *Service) Targets() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.detector.Targets())
+}
+
 func (s *Service) receive(from string, incarnation uint64, statuses []*peerpb.Status, bundle, vmList int64) {
 	now := time.Now()
 	s.apply(func() Effects {
--- a/mesh.go
+++ b/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaarch/vanillaarch/membership"
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/rendezvous"
 	"github.com/vanillaarch/vanillaarch/standby"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -63,6 +64,9 @@
 	// onDispatch handles dispatch messages of peers, which are dropped if it is nil. It
 	// must be set before the tasks run.
 	onDispatch peer.Handler
+	// quarantine is nil where prompts are not quarantined. It must be set before the
+	// tasks run.
+	quarantine *quarantine.Manager
 	// watcher is set if this VM reads from the platform on behalf of its region.
 	watcher atomic.Bool
 	// startedAt is the start time of the VM on the clock of package boottime.
@@ -88,8 +92,9 @@
 		Versions: func() (int64, int64) {
 			return o.Sources[gossip.KindBundle].Version(), o.Sources[gossip.KindVMList].Version()
 		},
-		OnChange: func(changes []membership.Change) { o.Loop.Post(suspicionsChanged(changes)) },
-		Log:      o.Log,
+		OnChange:      func(changes []membership.Change) { o.Loop.Post(suspicionsChanged(changes)) },
+		VerdictDigest: m.verdictDigest, OnVerdictDigest: m.receiveVerdictDigest,
+		Log: o.Log,
 	}
 	if members := o.Sources[gossip.KindEntryVMs]; members != nil {
 		options.EntryVMsRevision = members.Version
@@ -164,11 +169,30 @@
 		m.gossip.Receive(from, x)
 		return
 	}
+	if q := e.GetQuarantine(); q != nil {
+		if m.quarantine != nil {
+			m.quarantine.Receive(from, q)
+		}
+		return
+	}
 	if m.onDispatch != nil {
 		m.onDispatch(from, e)
 	}
 }
 
+func (m *mesh) verdictDigest() uint64 {
+	if m.quarantine == nil {
+		return 0
+	}
+	return m.quarantine.Digest()
+}
+
+func (m *mesh) receiveVerdictDigest(from string, digest uint64) {
+	if m.quarantine != nil {
+		m.quarantine.ReceiveDigest(from, digest)
+	}
+}
+
 // Peers returns the transport to other entry VMs.
 func (s *Server) Peers() peer.Transport { return s.mesh.sessions }
 
--- /dev/null
+++ b/quarantine/manager.go
@@ -0,0 +1,212 @@
+package quarantine
+
+import (
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/peer"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/rendezvous"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// Options are the dependencies of a Manager.
+type Options struct {
+	VM        string
+	Loop      *control.Loop
+	Transport peer.Transport
+	// Peers returns the VMs to which news is sent. They forward it to theirs.
+	Peers   func() []string
+	Metrics metrics.Registry
+	Log     *zap.Logger
+}
+
+// Manager quarantines prompts on one VM. Its node is owned by the control goroutine;
+// requests read an immutable view.
+type Manager struct {
+	opts Options
+	node *Node
+	view atomic.Pointer[View]
+	// digest identifies the verdicts in force, for heartbeats.
+	digest atomic.Uint64
+	// checkAt is the time of the pending check, 0 if there is none.
+	checkAt time.Duration
+	// syncedAt holds when verdicts were last sent to a peer because its digest differed.
+	syncedAt map[string]time.Duration
+
+	failures, refusals, verdicts metrics.Counter
+}
+
+// newsFanout is the number of peers to which a VM sends news. Each VM hears the same news
+// from as many, so that lost messages hardly matter.
+const newsFanout = 3
+
+func newsTargets(peers []string) []string { return peers[:min(len(peers), newsFanout)] }
+
+// syncInterval is the minimum time between two exchanges of all verdicts with a peer.
+const syncInterval = time.Second
+
+// New returns a manager without verdicts.
+func New(o Options) *Manager {
+	m := &Manager{
+		opts: o, node: NewNode(), syncedAt: map[string]time.Duration{},
+		failures: metrics.GetOrRegisterCounter("quarantine.failures", o.Metrics),
+		refusals: metrics.GetOrRegisterCounter("quarantine.refusals", o.Metrics),
+		verdicts: metrics.GetOrRegisterCounter("quarantine.verdicts", o.Metrics),
+	}
+	m.view.Store(&View{})
+	return m
+}
+
+// Check returns a *RefusedError if a request must not be sent to an engine.
+func (m *Manager) Check(p *RequestPrompt) error {
+	err := m.view.Load().check(boottime.Now(), p)
+	if err != nil {
+		m.refusals.Inc(1)
+	}
+	return err
+}
+
+// MayRepeat reports whether a request that has failed on an engine may be sent to
+// another one.
+func (m *Manager) MayRepeat(p *RequestPrompt) bool { return !m.view.Load().suspect(p.Parts) }
+
+// RunFailed reports that an engine broke the connection of a run that had not written.
+// started is when the run was sent, on the clock of package boottime.
+func (m *Manager) RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration) {
+	if len(p.Parts) == 0 {
+		return
+	}
+	m.failures.Inc(1)
+	f := Failure{Run: p.Run, Engine: uint32(hashPair(engine.ID, strconv.FormatInt(engine.Incarnation, 10))), Parts: p.Parts}
+	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects { return m.node.RunFailed(now, f, started) }})
+}
+
+// RunProven reports that a run has written.
+func (m *Manager) RunProven(p *RequestPrompt) {
+	if len(p.Parts) == 0 {
+		return
+	}
+	parts := p.Parts
+	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects { return m.node.RunProven(now, parts) }})
+}
+
+// Receive handles a message of a peer.
+func (m *Manager) Receive(from string, in *peerpb.Quarantine) {
+	m.opts.Loop.Post(event{m, from, func(now time.Duration) Effects { return m.node.Receive(now, decode(now, in)) }})
+}
+
+// Digest identifies the verdicts in force.
+func (m *Manager) Digest() uint64 { return m.digest.Load() }
+
+// ReceiveDigest handles the digest in a heartbeat of a peer. If it differs from that of
+// this VM, the peer gets all verdicts: it may have started after they were sent.
+func (m *Manager) ReceiveDigest(from string, digest uint64) {
+	if digest != m.Digest() {
+		m.opts.Loop.Post(event{m, from, func(now time.Duration) Effects { return m.sync(from, now) }})
+	}
+}
+
+func (m *Manager) sync(from string, now time.Duration) Effects {
+	if last, synced := m.syncedAt[from]; synced && now-last < syncInterval {
+		return Effects{}
+	}
+	m.syncedAt[from] = now
+	return Effects{Reply: Message{Verdicts: m.node.Verdicts()}}
+}
+
+// event is a control message that changes the node.
+type event struct {
+	m *Manager
+	// from is the peer that caused the event, "" for this VM.
+	from  string
+	apply func(now time.Duration) Effects
+}
+
+// Apply implements control.Message.
+func (e event) Apply(*control.State) { e.m.perform(e.from, e.apply) }
+
+// perform applies an event to the node and performs its effects. It runs on the control
+// goroutine.
+func (m *Manager) perform(from string, apply func(now time.Duration) Effects) {
+	now := boottime.Now()
+	e := apply(now)
+	m.log(now, e)
+	m.send(now, from, e)
+	if e.Changed || e.CheckAt != 0 && e.CheckAt <= now {
+		m.publish(now)
+	}
+	m.schedule(now, e.CheckAt)
+}
+
+// publish stores a new view for the request path.
+func (m *Manager) publish(now time.Duration) {
+	vms := m.opts.Loop.Snapshot().EntryVMs
+	m.view.Store(newView(m.node, now, func(v Verdict) bool {
+		key := strconv.FormatUint(v.key(), 16) + "/" + strconv.FormatInt(round(now, v), 10)
+		return rendezvous.Owner(key, vms) == m.opts.VM
+	}))
+	m.digest.Store(m.node.Digest())
+	for id := range m.syncedAt {
+		if now-m.syncedAt[id] > syncInterval {
+			delete(m.syncedAt, id)
+		}
+	}
+}
+
+// schedule posts a check at a time unless an earlier one is pending.
+func (m *Manager) schedule(now, at time.Duration) {
+	if at == 0 || m.checkAt != 0 && m.checkAt <= at {
+		return
+	}
+	m.checkAt = at
+	time.AfterFunc(max(at-now, 0), func() {
+		m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects {
+			if m.checkAt == at {
+				m.checkAt = 0
+			}
+			e := m.node.Check(now)
+			e.Changed = true // A trial may have become due.
+			return e
+		}})
+	})
+}
+
+func (m *Manager) send(now time.Duration, from string, e Effects) {
+	if !e.Send.Empty() {
+		news := envelope(now, e.Send)
+		for _, id := range newsTargets(m.opts.Peers()) {
+			if id != from {
+				m.sendTo(id, news)
+			}
+		}
+	}
+	if from != "" && !e.Reply.Empty() {
+		m.sendTo(from, envelope(now, e.Reply))
+	}
+}
+
+func (m *Manager) sendTo(id string, news *peerpb.Envelope) {
+	if err := m.opts.Transport.Send(id, news); err != nil {
+		m.opts.Log.Debug("quarantine_not_sent", zap.String("peer", id), zap.Error(err))
+	}
+}
+
+// log writes a line for each verdict that has changed.
+func (m *Manager) log(now time.Duration, e Effects) {
+	m.verdicts.Inc(int64(len(e.Condemned)))
+	for name, verdicts := range map[string][]Verdict{
+		"prompt_parts_quarantined": e.Condemned, "quarantine_renewed": e.Renewed, "quarantine_lifted": e.Lifted,
+	} {
+		for _, v := range verdicts {
+			m.opts.Log.Warn(name, zap.Uint64("verdict", v.key()), zap.Int("parts", len(v.Parts)), zap.Int("strikes", v.Strikes),
+				zap.Duration("since", now-v.Since), zap.Duration("trial_in", v.Until-now))
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/node_test.go
@@ -0,0 +1,279 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// world drives one node with runs of named parts.
+type world struct {
+	t    *testing.T
+	n    *Node
+	now  time.Duration
+	runs int
+}
+
+func newWorld(t *testing.T) *world { return &world{t: t, n: NewNode(), now: time.Hour} }
+
+func (w *world) prompt(parts ...string) Prompt {
+	w.runs++
+	return NewPrompt("pool", fmt.Sprintf("request-%d", w.runs), parts)
+}
+
+// crash lets an engine crash under one run per prompt.
+func (w *world) crash(engine string, prompts ...Prompt) {
+	for _, p := range prompts {
+		w.n.RunFailed(w.now, Failure{Run: p.Run, Engine: uint32(hashPair(engine, "")), Parts: p.Parts}, w.now-time.Second)
+	}
+}
+
+// crashes lets engines crash one second apart under a run of the parts each.
+func (w *world) crashes(count int, parts ...string) {
+	for range count {
+		w.runs++
+		w.crash(fmt.Sprintf("engine-%d", w.runs), w.prompt(parts...))
+		w.pass(time.Second)
+	}
+}
+
+func (w *world) prove(parts ...string) { w.n.RunProven(w.now, w.prompt(parts...).Parts) }
+
+func (w *world) pass(d time.Duration) {
+	w.now += d
+	w.n.Check(w.now)
+}
+
+func never(Verdict) bool  { return false }
+func always(Verdict) bool { return true }
+
+func (w *world) refused(parts ...string) bool {
+	p := &RequestPrompt{Prompt: w.prompt(parts...)}
+	return newView(w.n, w.now, never).check(w.now, p) != nil
+}
+
+func (w *world) want(refused bool, parts ...string) {
+	w.t.Helper()
+	if got := w.refused(parts...); got != refused {
+		w.t.Errorf("prompt %v refused: %t, want %t; verdicts %v", parts, got, refused, w.n.Verdicts())
+	}
+}
+
+// Guards against a part that crashes one engine after the other without being refused,
+// wherever it stands in a prompt, and against refusing other prompts.
+func TestPartIsCondemnedAfterSeparateCrashes(t *testing.T) {
+	w := newWorld(t)
+	w.crashes(1, "dead", "a")
+	w.crashes(1, "b", "c", "dead")
+	w.want(false, "dead", "x")
+	w.crashes(1, "d", "dead")
+	w.want(true, "dead", "x")
+	w.want(true, "x", "y", "dead")
+	for _, sound := range []string{"a", "b", "c", "d", "x"} {
+		w.want(false, sound)
+	}
+}
+
+// Guards against verdicts from an event that takes many engines at once, such as the
+// loss of a zone, and against one unlucky run that was sent to one engine after another.
+func TestOneEventAndOneRunCondemnNothing(t *testing.T) {
+	w := newWorld(t)
+	for i := range 8 {
+		w.crash(fmt.Sprintf("engine-%d", i), w.prompt("common", "tenant"), w.prompt("common"))
+	}
+	w.pass(time.Second)
+	w.want(false, "common", "tenant")
+	unlucky := w.prompt("rare")
+	for i := range 4 {
+		w.crash(fmt.Sprintf("again-%d", i), unlucky)
+		w.pass(time.Second)
+	}
+	w.want(false, "rare")
+}
+
+// Guards against refusing a part that other runs prove while engines crash for other
+// reasons.
+func TestProvenPartIsNotCondemned(t *testing.T) {
+	w := newWorld(t)
+	for range 10 {
+		w.crashes(1, "common")
+		w.prove("common")
+	}
+	w.pass(2 * time.Second)
+	w.want(false, "common")
+	w.crashes(minCrashesProven-1, "common")
+	w.want(false, "common")
+	w.crashes(1, "common")
+	w.want(true, "common") // It was sound and has become deadly.
+}
+
+// Guards against a proof that arrives from another VM and is ignored: before the
+// verdict, in the time for objections, and after it.
+func TestProofOfAnotherVMEndsAVerdict(t *testing.T) {
+	w := newWorld(t)
+	w.crashes(3, "part")
+	w.want(true, "part")
+	proof := Proof{Part: w.prompt("part").Parts[0], At: w.now}
+	e := w.n.Receive(w.now, Message{Proofs: []Proof{proof}})
+	w.want(false, "part")
+	if len(e.Lifted) != 1 || !slices.Contains(e.Send.Proofs, proof) {
+		t.Errorf("effects %+v", e)
+	}
+	// The verdict of a VM that has not heard the proof is answered with the proof.
+	e = w.n.Receive(w.now, Message{Verdicts: []Verdict{{Parts: []PartID{proof.Part}, Since: w.now - time.Second, Until: w.now + time.Minute, Strikes: 1}}})
+	w.want(false, "part")
+	if len(e.Reply.Proofs) != 1 {
+		t.Errorf("effects %+v", e)
+	}
+}
+
+// Guards against refusing sound prompts that share all parts but one with those that
+// crash engines, while nothing tells these parts apart.
+func TestPartsThatFailTogetherAreRefusedTogether(t *testing.T) {
+	w := newWorld(t)
+	w.crashes(3, "first", "tenant", "dead")
+	w.want(true, "first", "tenant", "dead")
+	w.want(true, "dead", "tenant", "other", "first")
+	w.want(false, "first", "tenant")
+	w.want(false, "dead")
+	w.prove("first", "tenant")
+	w.want(false, "first", "tenant")
+	w.want(true, "dead") // The only part that is left.
+}
+
+// Guards against a part that escapes because its first crashes had other parts in
+// common: one crash without them is enough.
+func TestOneCrashTellsPartsApart(t *testing.T) {
+	w := newWorld(t)
+	w.crashes(3, "first", "dead")
+	w.want(false, "dead", "x")
+	w.crashes(1, "dead", "x")
+	w.want(true, "dead", "y")
+	w.want(false, "first", "y")
+	w.want(false, "x")
+}
+
+// Guards against condemning a sound part that sound work has stopped using, so that only
+// prompts that crash engines still hold it.
+func TestPartThatSoundWorkNoLongerUses(t *testing.T) {
+	w := newWorld(t)
+	w.prove("template")
+	w.pass(time.Minute)
+	w.crashes(4, "template", "dead")
+	w.want(true, "template", "dead")
+	w.want(false, "template", "x")
+	w.want(true, "dead", "x")
+}
+
+// Guards against innocent runs on the crashed engines hiding the part, and against being
+// condemned with it.
+func TestRunsBesideTheCrashingOneAreNotCondemned(t *testing.T) {
+	w := newWorld(t)
+	for i := range 4 {
+		others := []Prompt{w.prompt("dead", "x")}
+		for j := range 23 {
+			others = append(others, w.prompt("common", fmt.Sprintf("session-%d", 100*i+j)))
+		}
+		w.crash(fmt.Sprintf("engine-%d", i), others...)
+		w.prove("common")
+		w.pass(time.Second)
+	}
+	w.want(true, "dead", "x")
+	w.want(false, "common", "session-1")
+	w.want(false, "common")
+}
+
+// Guards against a second part that is taken for an effect of the first.
+func TestTwoPartsAtOnce(t *testing.T) {
+	w := newWorld(t)
+	for range 3 {
+		w.crashes(1, "one", "common")
+		w.prove("common")
+		w.crashes(1, "two", "common")
+		w.prove("common")
+	}
+	w.want(true, "one")
+	w.want(true, "two")
+	w.want(false, "common")
+}
+
+// Guards against a verdict without end, against more than one engine lost when it lapses,
+// and against as many engines lost per minute as at first.
+func TestLapsedVerdictIsTriedByOneRequest(t *testing.T) {
+	w := newWorld(t)
+	w.crashes(3, "dead")
+	since := w.n.Verdicts()[0].Until - firstTerm
+	w.now = since + firstTerm
+	w.n.Check(w.now)
+	w.want(true, "dead") // The trial belongs to another VM.
+	v := newView(w.n, w.now, always)
+	first, second := &RequestPrompt{Prompt: w.prompt("dead")}, &RequestPrompt{Prompt: w.prompt("dead")}
+	for range 2 { // It is checked before each send.
+		if v.check(w.now, first) != nil {
+			t.Error("the trial is refused")
+		}
+	}
+	if v.check(w.now, second) == nil {
+		t.Error("a second trial is admitted")
+	}
+	w.crash("trial", first.Prompt)
+	if until := w.n.Verdicts()[0].Until; until-w.now != term(2) || term(2) <= 2*term(1) {
+		t.Errorf("renewed for %v, want %v", until-w.now, term(2))
+	}
+	if newView(w.n, w.now, always).check(w.now, first) == nil {
+		t.Error("the trial is repeated after it has crashed an engine")
+	}
+	w.now += term(2)
+	w.n.Check(w.now)
+	w.prove("dead")
+	w.want(false, "dead")
+}
+
+// Guards against tables that grow with the part ids that callers choose, and against
+// losing a verdict to them.
+func TestCallersCannotFillTheTables(t *testing.T) {
+	w := newWorld(t)
+	w.crashes(3, "dead")
+	for i := range maxFailures + 20 {
+		var parts []string
+		for j := range 2 * MaxParts {
+			parts = append(parts, fmt.Sprintf("%d-%d", i, j))
+		}
+		w.crash(fmt.Sprintf("noise-%d", i), w.prompt(parts...))
+		w.n.RunProven(w.now, w.prompt(parts...).Parts)
+		w.now += 10 * time.Millisecond
+	}
+	if len(w.n.failures) > maxFailures || w.n.proofs.Len() > maxProofs || w.n.seen.Len() > maxSeenFailures {
+		t.Errorf("%d failures, %d proofs, %d seen", len(w.n.failures), w.n.proofs.Len(), w.n.seen.Len())
+	}
+	w.want(true, "dead")
+	for i := range 2 * maxVerdicts {
+		w.crashes(3, fmt.Sprintf("other-%d", i))
+	}
+	if n := len(w.n.Verdicts()); n > maxVerdicts {
+		t.Errorf("%d verdicts", n)
+	}
+}
+
+// Guards against forwarding the same news again and again between VMs.
+func TestKnownNewsIsNotForwarded(t *testing.T) {
+	w := newWorld(t)
+	w.crashes(3, "dead")
+	p := w.prompt("dead", "x")
+	news := Message{
+		Failures: []Failure{{Run: p.Run, Engine: 1, At: w.now, Parts: p.Parts}},
+		Proofs:   []Proof{{Part: w.prompt("x").Parts[0], At: w.now}},
+		Verdicts: w.n.Verdicts(),
+	}
+	other := NewNode()
+	if e := other.Receive(w.now, news); len(e.Send.Failures) != 1 || len(e.Send.Proofs) != 1 || len(e.Send.Verdicts) != 1 {
+		t.Errorf("first: %+v", e.Send)
+	}
+	if e := other.Receive(w.now, news); !e.Send.Empty() {
+		t.Errorf("again: %+v", e.Send)
+	}
+	if other.Digest() != w.n.Digest() || other.Digest() == 0 {
+		t.Errorf("digests %d, %d", other.Digest(), w.n.Digest())
+	}
+}
