--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,8 @@
 	Snapshot   func() *control.Snapshot
 	Admission  dispatch.Admission
 	HTTPClient *backend.HTTPClient
+	// Prompts tells which prompts must not be sent to an engine.
+	Prompts PromptGuard
 	// Breaker is the circuit breaker for engines that can't be reached.
 	Breaker *backend.Breaker
 	Engines edge.EngineClient
@@ -314,7 +316,8 @@
 	if c.events > 0 {
 		fields = append(fields, zap.Duration("queued", c.queued), zap.Duration("first_event", c.firstEvent),
 			zap.Duration("longest_pause", c.longestPause), zap.Int("prompt_tokens", c.info.PromptTokens),
-			zap.Int("max_tokens", c.info.MaxTokens), zap.Int("expected_tokens", c.info.ExpectedTokens))
+			zap.Int("max_tokens", c.info.MaxTokens), zap.Int("expected_tokens", c.info.ExpectedTokens),
+			promptParts(c.info.Prefix))
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.String("organisation", c.organisationName()))
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -51,6 +51,7 @@
 	s.g.runs.add(vm, s)
 	if err := s.send(ctx, seg, source); err != nil {
 		s.closeConnection(seg, err)
+		s.reportPromptFailure(seg, err)
 		if source == nil {
 			s.reportEngineFailure(seg, err)
 			ticket.Release(0)
@@ -73,6 +74,9 @@
 	if err := s.checkConfirmed(); err != nil && source == nil {
 		return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
 	}
+	if err := s.checkPrompt(); err != nil {
+		return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
+	}
 	before := s.mayHaveRun
 	answer, err := s.g.HTTPClient.Do(ctx, backend.Target{ID: seg.vm.ID, Address: seg.vm.Address}, s.request(a))
 	if source == nil {
@@ -118,6 +122,7 @@
 // close closes the connection of a segment and releases its ticket.
 func (s *stream) close(seg *segment, err error) {
 	s.closeConnection(seg, err)
+	s.reportPromptFailure(seg, err)
 	s.reportEngineFailure(seg, err)
 	seg.ticket.Release(s.tokens())
 }
@@ -139,7 +144,23 @@
 		return
 	}
 	seg.ticket.Failed()
-	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), telemetry.Error(err))
+	s.g.Metrics.runsFailedBeforeEvent.Inc(1)
+	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), zap.Duration("engine_age", engineAge(seg.vm)),
+		zap.String("organisation", s.organisationName()), zap.Int("prompt_tokens", s.info.PromptTokens),
+		promptParts(s.info.Prefix), telemetry.Error(err))
+}
+
+// engineAge returns the time since the start of an engine, by the wall clock.
+func engineAge(vm vmlist.VM) time.Duration { return time.Since(time.UnixMilli(vm.Incarnation)) }
+
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 8
+
+// promptParts returns a log field with the ids of the parts of a prompt that other
+// requests may share.
+func promptParts(prefix []edge.PromptPart) zap.Field {
+	ids := sharedParts(prefix)
+	return zap.Strings("prompt_parts", ids[:min(len(ids), maxLoggedParts)])
 }
 
 // serverError reports whether a status means that the engine is at fault. 504 means
