soak: play prompts that crash engines

The soak had no fault that several callers cause together: a part of the prompts of a quarter of the streams now crashes engines for up to 12 s, while VMs, links, the store and other servers fail. It checks the operator's bounds: at most three requests with the part reach engines later than 3 s after the fifth crash, from VMs that no fault affects, and at least half of the sound ones are admitted.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -41,6 +41,9 @@
 	kind kind
 	vm   *vm
 	key  string
+	// prompt is the prompt of a stream, crashingPart the part of it that crashes
+	// engines, "" if there is none.
+	prompt, crashingPart string
 	// process is the process of the VM at the time of sending.
 	process    *process
 	sent, done time.Time
@@ -91,6 +94,9 @@
 	defer c.client.CloseIdleConnections()
 	for n := 0; faultCtx.Err() == nil; n++ {
 		r := &request{id: c.prefix + strconv.Itoa(n), kind: kind(c.rand.IntN(int(kindCount))), vm: c.vm, key: c.harness.keys.pick(c.rand)}
+		if r.kind.streams() {
+			r.prompt, r.crashingPart = c.harness.prompt(c.rand)
+		}
 		c.send(ctx, r)
 		c.harness.check(r)
 		time.Sleep(requestPause)
@@ -122,6 +128,9 @@
 	}
 	req.Host = siteHost
 	req.Header = userplatform.CallerHeaders(r.id, r.key)
+	if r.prompt != "" {
+		req.Header.Set("Prompt-Prefix", r.prompt)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "send")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -62,6 +62,7 @@
 	{name: "server leaves", apply: (*harness).retireWithNotice},
 	{name: "server leaves without notice", apply: (*harness).retireWithoutNotice},
 	{name: "server crashes", apply: (*harness).crashServer},
+	{name: "prompts crash engines", apply: (*harness).crashByPrompt},
 	{name: "key replaced", apply: (*harness).replaceKey},
 	{name: "keys replaced repeatedly", apply: (*harness).replaceKeys},
 }
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -16,6 +16,7 @@
 	invariantDrain              = "draining servers receive no new work"
 	invariantGracefulStop       = "a graceful stop interrupts no request"
 	invariantNoUnexpectedExit   = "processes exit only when told to"
+	invariantCrashingPrompts    = "prompts that crash engines are refused, sound ones are not"
 	invariantRecovery           = "all VMs serve after the faults have ended"
 )
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -98,6 +98,10 @@
 	nextID         int
 	// storeFaults holds the active faults of the store.
 	storeFaults map[*userplatform.StoreFaults]struct{}
+	// promptFaults holds all parts that have crashed engines, promptFault the active
+	// one.
+	promptFaults []*promptFault
+	promptFault  *promptFault
 }
 
 // server is a backend server behind a proxy.
@@ -131,6 +135,7 @@
 	w.checkRecovery(ctx)
 	w.checkRuns()
 	w.checkDrains()
+	w.checkPrompts()
 	w.checkProcesses()
 	return &Report{Seed: o.Seed, Violations: w.violations.all(), Faults: w.appliedFaults, Outcomes: w.outcomes.all()}, nil
 }
--- a/internal/soak/tables.go
+++ b/internal/soak/tables.go
@@ -84,6 +84,10 @@
 		outcome = "cut"
 	case r.err != nil:
 		outcome = "no answer"
+	case r.quarantined() && r.crashingPart == "":
+		outcome = "quarantined, though sound"
+	case r.quarantined():
+		outcome = "quarantined"
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/standin/userplatform/crash.go
+++ b/internal/standin/userplatform/crash.go
@@ -28,22 +28,22 @@
 	return slices.Clone(f.engineCrashes)
 }
 
-// CrashingArrivals returns when requests with a part that crashes engines have arrived
-// at an engine, including rejected ones.
-func (f *Fleet) CrashingArrivals() []time.Time {
+// CrashingArrivals returns the arrivals at engines of requests with a part that crashes
+// engines, including rejected ones.
+func (f *Fleet) CrashingArrivals() []Arrival {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.crashingArrivals)
 }
 
-// recordArrival records the arrival of a request with a given prompt.
-func (f *Fleet) recordArrival(prefix string) {
+// recordArrival records the arrival of a request if its prompt crashes engines.
+func (f *Fleet) recordArrival(request, prefix string) {
 	if !f.crashesEngines(prefix) {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crashingArrivals = append(f.crashingArrivals, time.Now())
+	f.crashingArrivals = append(f.crashingArrivals, Arrival{Request: request, At: time.Now()})
 }
 
 // crashesEngines reports whether a prompt has a part that crashes engines.
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -72,7 +72,7 @@
 	crashDowntime time.Duration
 	engineCrashes []EngineCrash
 	// crashingArrivals holds the arrivals of requests with one of crashingParts.
-	crashingArrivals []time.Time
+	crashingArrivals []Arrival
 }
 
 // NewFleet returns a fleet whose servers register in a store.
@@ -308,7 +308,7 @@
 	if err != nil {
 		return
 	}
-	s.fleet.recordArrival(r.Header.Get("Prompt-Prefix"))
+	s.fleet.recordArrival(r.Header.Get("Request-Id"), r.Header.Get("Prompt-Prefix"))
 	faults, ok := s.acquireSlot(w, r)
 	if !ok {
 		return
--- a/test/platform/crashing_prompts_test.go
+++ b/test/platform/crashing_prompts_test.go
@@ -91,8 +91,8 @@
 	}
 	fifth := crashes[crashesToNotice-1].At
 	late := 0
-	for _, at := range s.fleet.CrashingArrivals() {
-		if at.After(fifth.Add(contactBound)) {
+	for _, arrival := range s.fleet.CrashingArrivals() {
+		if arrival.At.After(fifth.Add(contactBound)) {
 			late++
 		}
 	}
