quarantine: count each crash of an engine

A part went on crashing engines when few engines were left: only the first crash of each lifetime of an engine counted, and an engine may crash again before its entry shows the new lifetime, or its list may not tell lifetimes at all.

An engine that resets its runs would look like that, so a verdict needs crashes of at least two engines. TestCrashesOfTheSameEngine failed before: the part was admitted after eleven crashes.

--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -92,6 +92,20 @@
 	w.want(false, "rare")
 }
 
+// Guards against taking an engine that resets its runs for a fault of their prompts, and
+// against a part that escapes because few engines crash again and again.
+func TestCrashesOfTheSameEngine(t *testing.T) {
+	w := newWorld(t)
+	for range 10 {
+		w.crash("grey", w.prompt("part"))
+		w.pass(time.Second)
+	}
+	w.want(false, "part")
+	w.crash("other", w.prompt("part"))
+	w.pass(time.Second)
+	w.want(true, "part")
+}
+
 // Guards against refusing a part that other runs prove while engines crash for other
 // reasons.
 func TestProvenPartIsNotCondemned(t *testing.T) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -46,6 +46,9 @@
 	// minRuns is the number of different runs that must have failed: the parts of a
 	// single unlucky run are not at fault.
 	minRuns = 2
+	// minEngines is the number of different engines that must have crashed: an engine
+	// that resets its runs is at fault itself.
+	minEngines = 2
 	// suspectCrashes is the number of crashes after which a failed run is not repeated.
 	suspectCrashes = 2
 	// crashInterval separates crashes that count as different ones. Engines that share a
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -7,22 +7,55 @@
 	"time"
 )
 
+// crash is a set of failures on one engine that follow each other closely.
+type crash struct {
+	engine uint32
+	// at is the time of the first failure.
+	at time.Duration
+}
+
+// crashesOf returns the crash to which each failure belongs. An engine may crash again
+// before its entry shows that it has started again.
+func crashesOf(failures []Failure) []crash {
+	out := make([]crash, len(failures))
+	latest := map[uint32]crash{}
+	for _, i := range inOrderOfTime(failures) {
+		f := failures[i]
+		c, known := latest[f.Engine]
+		if !known || f.At-c.at >= crashInterval {
+			c = crash{engine: f.Engine, at: f.At}
+			latest[f.Engine] = c
+		}
+		out[i] = c
+	}
+	return out
+}
+
+// inOrderOfTime returns the indices of failures in the order of their times.
+func inOrderOfTime(failures []Failure) []int {
+	order := make([]int, len(failures))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(failures[i].At, failures[j].At) })
+	return order
+}
+
 // suspicion collects the failures that speak against a part.
 type suspicion struct {
 	part PartID
 	// proven is set if a VM knows a proof of the part from before the failures.
-	proven bool
-	// crashes holds the time of the first failure on each engine, runs the failed runs.
-	crashes map[uint32]time.Duration
+	proven  bool
+	crashes map[crash]bool
 	runs    map[uint32]bool
 }
 
 // suspicions returns the suspicion of each part, without the crashes that are explained
-// by another part.
-func (n *Node) suspicions(now time.Duration, explained map[uint32]bool) map[PartID]*suspicion {
+// by another part. crashes holds the crash of each failure.
+func (n *Node) suspicions(now time.Duration, crashes []crash, explained map[crash]bool) map[PartID]*suspicion {
 	out := map[PartID]*suspicion{}
-	for _, f := range n.failures {
-		if explained[f.Engine] {
+	for i, f := range n.failures {
+		if explained[crashes[i]] {
 			continue
 		}
 		for _, part := range f.Parts {
@@ -31,27 +64,25 @@
 			}
 			s := out[part]
 			if s == nil {
-				s = &suspicion{part: part, proven: n.provenAfter(part, now-evidenceLifetime), crashes: map[uint32]time.Duration{}, runs: map[uint32]bool{}}
+				s = &suspicion{part: part, proven: n.provenAfter(part, now-evidenceLifetime), crashes: map[crash]bool{}, runs: map[uint32]bool{}}
 				out[part] = s
 			}
-			s.add(f)
+			s.crashes[crashes[i]] = true
+			s.runs[f.Run] = true
 		}
 	}
 	return out
 }
 
-func (s *suspicion) add(f Failure) {
-	s.runs[f.Run] = true
-	if at, known := s.crashes[f.Engine]; !known || f.At < at {
-		s.crashes[f.Engine] = f.At
-	}
-}
-
 // separateCrashes returns the times of the crashes that are crashInterval apart, in
 // ascending order.
 func (s *suspicion) separateCrashes() []time.Duration {
-	var out []time.Duration
-	for _, at := range slices.Sorted(maps.Values(s.crashes)) {
+	var times, out []time.Duration
+	for c := range s.crashes {
+		times = append(times, c.at)
+	}
+	slices.Sort(times)
+	for _, at := range times {
 		if len(out) == 0 || at-out[len(out)-1] >= crashInterval {
 			out = append(out, at)
 		}
@@ -59,6 +90,15 @@
 	return out
 }
 
+// engines returns the number of engines that crashed.
+func (s *suspicion) engines() int {
+	seen := map[uint32]bool{}
+	for c := range s.crashes {
+		seen[c.engine] = true
+	}
+	return len(seen)
+}
+
 // required returns the number of crashes that condemn the part.
 func (s *suspicion) required() int {
 	if s.proven {
@@ -71,7 +111,7 @@
 // it. It returns false if there are too few failures.
 func (s *suspicion) condemnedAt() (time.Duration, bool) {
 	crashes := s.separateCrashes()
-	if len(crashes) < s.required() || len(s.runs) < minRuns {
+	if len(crashes) < s.required() || len(s.runs) < minRuns || s.engines() < minEngines {
 		return 0, false
 	}
 	return crashes[s.required()-1] + objectionTime, true
@@ -104,9 +144,10 @@
 // it must be called again, or 0 if only further failures can change the result. A crash
 // speaks against one diagnosis only: the other parts of its runs are explained by it.
 func (n *Node) diagnose(now time.Duration) (out []diagnosis, again time.Duration) {
-	explained := n.explainedByVerdicts()
+	crashes := crashesOf(n.failures)
+	explained := n.explainedByVerdicts(crashes)
 	for {
-		all := n.suspicions(now, explained)
+		all := n.suspicions(now, crashes, explained)
 		var best *suspicion
 		for _, s := range all {
 			at, due := s.condemnedAt()
@@ -131,23 +172,21 @@
 		}
 		slices.Sort(d.parts)
 		out = append(out, d)
-		for engine := range best.crashes {
-			explained[engine] = true
-		}
+		maps.Copy(explained, best.crashes)
 	}
 }
 
-// explainedByVerdicts returns the engines that crashed under a part that is condemned
-// alone. Crashes under a verdict on several parts can still tell these apart.
-func (n *Node) explainedByVerdicts() map[uint32]bool {
-	out := map[uint32]bool{}
+// explainedByVerdicts returns the crashes under a part that is condemned alone. Crashes
+// under a verdict on several parts can still tell these apart.
+func (n *Node) explainedByVerdicts(crashes []crash) map[crash]bool {
+	out := map[crash]bool{}
 	for _, v := range n.verdicts {
 		if len(v.Parts) > 1 {
 			continue
 		}
-		for _, f := range n.failures {
+		for i, f := range n.failures {
 			if v.matches(f.Parts) {
-				out[f.Engine] = true
+				out[crashes[i]] = true
 			}
 		}
 	}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -50,7 +50,7 @@
 			v.byPart[part] = append(v.byPart[part], i)
 		}
 	}
-	for part, s := range n.suspicions(now, nil) {
+	for part, s := range n.suspicions(now, crashesOf(n.failures), nil) {
 		if len(s.separateCrashes()) >= suspectCrashes {
 			v.suspects[part] = true
 		}
