frontend: refuse prompts that crash engines on the product's own interface

Callers of the completions API could crash up to three engines with each request whose prompt crashes engines: a generation that breaks before its first token starts again on another engine, and nothing remembered the prompt.

The parts are the blocks of the prompt, each with all blocks before it. The mesh of every VM carries the verdicts.

A part that stands at another place in the prompt is not recognised here, since blocks are hashed with what precedes them.

--- a/backend/errors.go
+++ b/backend/errors.go
@@ -5,7 +5,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"syscall"
+
+	"github.com/go-faster/errors"
 )
 
 // NotSentError reports that no part of a request was sent to the backend server.
@@ -33,6 +37,16 @@
 
 func (e *UncertainError) Unwrap() error { return e.Cause }
 
+// ConnectionLost reports whether a backend server closed or reset the connection of a
+// request that it may have run.
+func ConnectionLost(err error) bool {
+	if _, notSent := errors.Into[*NotSentError](err); notSent {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // UndelimitedError reports a response with neither a Content-Length nor chunked
 // encoding. Its end cannot be distinguished from a broken connection.
 type UndelimitedError struct{}
--- a/entry.go
+++ b/entry.go
@@ -26,7 +26,6 @@
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
-	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/standby"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -153,12 +152,8 @@
 		Duties: e.mesh, Intervals: intervals, Metrics: e.metrics, Log: o.Log,
 	})
 	e.grants = e.newGrantManager()
-	prompts := quarantine.New(quarantine.Options{
-		VM: d.VM, Loop: e.loop, Transport: e.mesh.sessions, Peers: e.mesh.members.Targets, Metrics: e.metrics, Log: o.Log,
-	})
-	e.mesh.quarantine = prompts
 	e.gateway = gateway.New(gateway.Options{
-		VM: d.VM, Zone: d.Zone, MemoryBytes: d.Limits.MemoryBytes, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker, Prompts: prompts,
+		VM: d.VM, Zone: d.Zone, MemoryBytes: d.Limits.MemoryBytes, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker, Prompts: e.mesh.quarantine,
 		HTTPClient: e.httpClient, Engines: o.Engines(e.httpClient), Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
 	})
 	if err := e.listen(); err != nil {
--- a/frontend/failure.go
+++ b/frontend/failure.go
@@ -9,6 +9,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
 )
 
@@ -28,7 +29,7 @@
 	if rejected, ok := errors.Into[*backend.RejectedError](err); ok {
 		return rejected.ProvesNotStarted()
 	}
-	return isAdmissionError(err)
+	return isAdmissionError(err) || isPromptRefused(err)
 }
 
 // isAdmissionError reports whether err means that no ticket for an engine was granted.
@@ -44,7 +45,15 @@
 }
 
 // restartable reports whether the request may succeed on another engine.
-func restartable(err error) bool { return !isAdmissionError(err) && !isAnswerTooLarge(err) }
+func restartable(err error) bool {
+	return !isAdmissionError(err) && !isAnswerTooLarge(err) && !isPromptRefused(err)
+}
+
+// isPromptRefused reports whether err means that the prompt is in quarantine.
+func isPromptRefused(err error) bool {
+	_, ok := errors.Into[*quarantine.RefusedError](err)
+	return ok
+}
 
 func isAnswerTooLarge(err error) bool {
 	p, ok := errors.Into[*api.Problem](err)
@@ -91,6 +100,10 @@
 	if _, ok := errors.Into[*dispatch.NoBackendError](err); ok {
 		return notRunProblem(api.ProblemNoBackend, http.StatusServiceUnavailable, "no backend server is available", retryAfterBackend, err)
 	}
+	if refused, ok := errors.Into[*quarantine.RefusedError](err); ok {
+		return notRunProblem(api.ProblemPromptQuarantined, http.StatusServiceUnavailable,
+			"requests with the same parts of the prompt have crashed engines", refused.RetryAfter, err)
+	}
 	if provesNotStarted(err) {
 		return notRunProblem(api.ProblemBackendUnavailable, http.StatusServiceUnavailable, "the backend server refused the request", retryAfterBackend, err)
 	}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -35,9 +36,11 @@
 	Engines   *backend.EngineClient
 	Services  *backend.ServiceClient
 	Claims    *claim.Manager
-	Log       *zap.Logger
-	Tracer    trace.Tracer
-	Metrics   metrics.Registry
+	// Prompts tells which prompts must not be sent to an engine.
+	Prompts quarantine.Guard
+	Log     *zap.Logger
+	Tracer  trace.Tracer
+	Metrics metrics.Registry
 }
 
 // Frontend handles the requests of callers on one VM.
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -53,6 +54,12 @@
 	// tokenGaps derives the idle timeout from recent token gaps of the target.
 	tokenGaps *backend.GapTracker
 	resumes   resumeCount
+
+	// prompt is checked before each attempt; it is nil for a relay that only resumes.
+	// proven is set once a generation has written, engineLost if the engine broke the
+	// connection of the current one before its first token.
+	prompt             *quarantine.RequestPrompt
+	proven, engineLost bool
 }
 
 // run obtains tickets and relays tokens until the answer is complete. It starts
@@ -70,7 +77,7 @@
 		if r.delivered {
 			return r.sink.fail(r.interruptedProblem(err))
 		}
-		if !restartable(err) || attempt == maxAttempts {
+		if !restartable(err) || attempt == maxAttempts || !r.mayRepeat() {
 			return r.attemptProblem(err)
 		}
 		if !r.f.budget.Take(r.c.identity.Organisation) {
@@ -87,6 +94,9 @@
 
 // attempt obtains a ticket and runs one generation under it.
 func (r *relay) attempt() error {
+	if err := r.f.Prompts.Check(r.prompt); err != nil {
+		return err
+	}
 	ctx, span := r.f.Tracer.Start(r.c.ctx, "dispatch.acquire")
 	ticket, err := r.f.Admission.Acquire(ctx, r.admissionRequest)
 	span.End()
@@ -99,14 +109,19 @@
 	r.c.generation = r.generation.String()
 	defer func() { ticket.Release(r.offset) }()
 	started := false
-	err = r.streamWithResumes(func(ctx context.Context) (*backend.Stream, error) {
+	start := func(ctx context.Context) (*backend.Stream, error) {
+		// A verdict may have come while the request waited for the ticket.
+		if err := r.f.Prompts.Check(r.prompt); err != nil {
+			return nil, err
+		}
 		stream, err := r.f.Engines.Start(ctx, r.target, r.request, backend.StartOptions{
 			Generation: r.generation, Organisation: r.c.identity.Organisation, Priority: ticket.Priority(),
 			FirstTokenTimeout: r.f.Config.Timeouts.FirstToken.Std(), IdleTimeout: r.f.Config.Timeouts.StreamIdle.Std(),
 		})
 		started = err == nil || !provesNotStarted(err)
 		return stream, err
-	})
+	}
+	err = r.runGeneration(func() error { return r.streamWithResumes(start) })
 	r.mayHaveRun = r.mayHaveRun || started
 	if started && err != nil && r.offset == 0 && r.c.ctx.Err() == nil {
 		ticket.Failed()
@@ -162,6 +177,7 @@
 	}()
 	stream, err := open(ctx)
 	if err != nil {
+		r.observeError(err)
 		return err
 	}
 	defer stream.Close()
@@ -172,6 +188,7 @@
 			return nil
 		}
 		if err != nil {
+			r.observeError(err)
 			return err
 		}
 		if err := r.forward(token); err != nil {
@@ -189,6 +206,9 @@
 	// counted as a token gap of the engine.
 	r.waitingSince = time.Now()
 	r.offset = token.Offset
+	if r.offset >= provingTokens {
+		r.reportPromptProof()
+	}
 	r.c.tokens++
 	r.delivered = r.delivered || r.sink.started()
 	if r.ticket != nil && r.offset%progressInterval == 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -34,7 +35,7 @@
 	Admission  dispatch.Admission
 	HTTPClient *backend.HTTPClient
 	// Prompts tells which prompts must not be sent to an engine.
-	Prompts PromptGuard
+	Prompts quarantine.Guard
 	// Breaker is the circuit breaker for engines that can't be reached.
 	Breaker *backend.Breaker
 	Engines edge.EngineClient
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -1,36 +1,15 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
-	"syscall"
-	"time"
-
-	"github.com/go-faster/errors"
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/route"
-	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
-// PromptGuard tells which prompts must not be sent to an engine. *quarantine.Manager
-// implements it.
-type PromptGuard interface {
-	// Check returns a *quarantine.RefusedError if a request must not be sent.
-	Check(p *quarantine.RequestPrompt) error
-	// MayRepeat reports whether a request that has failed on an engine may be sent to
-	// another one.
-	MayRepeat(p *quarantine.RequestPrompt) bool
-	// RunFailed reports that an engine broke the connection of a run that had not
-	// written.
-	RunFailed(p *quarantine.RequestPrompt, engine vmlist.VM, started time.Duration)
-	// RunProven reports that a run has written.
-	RunProven(p *quarantine.RequestPrompt)
-}
-
 // provingEvents is the number of events from which a run counts as having written. The
 // first one may leave an engine that is about to crash.
 const provingEvents = 2
@@ -61,7 +40,7 @@
 // reportPromptFailure reports a run whose engine broke the connection before it had
 // written.
 func (s *stream) reportPromptFailure(seg *segment, err error) {
-	if s.proven || s.ctx.Err() != nil || !connectionLost(err) {
+	if s.proven || s.ctx.Err() != nil || !backend.ConnectionLost(err) {
 		return
 	}
 	s.failedUnproven = true
@@ -77,16 +56,6 @@
 	s.g.Prompts.RunProven(s.prompt)
 }
 
-// connectionLost reports whether an engine closed or reset the connection of a request
-// that it may have run.
-func connectionLost(err error) bool {
-	if _, uncertain := errors.Into[*backend.UncertainError](err); !uncertain {
-		return false
-	}
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // promptRefused returns the problem of a request that is in quarantine and has not run.
 func promptRefused(refused *quarantine.RefusedError) *api.Problem {
 	return api.NewProblem(api.ProblemPromptQuarantined, http.StatusServiceUnavailable, api.OutcomeNotRun,
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,6 +55,7 @@
 	mu          sync.Mutex
 	generations map[string]*generation
 	started     int
+	crashes     []time.Time
 }
 
 // generation is a completion in progress. It continues without a reader.
@@ -88,6 +91,24 @@
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
+// Crashes returns when the engine crashed on a prompt.
+func (e *Engine) Crashes() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.crashes)
+}
+
+// crash ends all streams without their end marker and forgets the generations.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes = append(e.crashes, time.Now())
+	for id := range e.generations {
+		e.runner.cancel(id)
+	}
+	clear(e.generations)
+}
+
 // Started returns the number of generations started.
 func (e *Engine) Started() int {
 	e.mu.Lock()
@@ -214,6 +235,10 @@
 			return
 		}
 		faults := e.CurrentFaults()
+		if faults.CrashOn != "" && strings.Contains(g.prompt, faults.CrashOn) {
+			e.crash()
+			panic(http.ErrAbortHandler)
+		}
 		for faults.Stall {
 			// A stalled stream never resumes, even after the fault is cleared.
 			<-r.Context().Done()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -35,6 +35,9 @@
 	// TruncateAfter ends streams after this many tokens, without the end marker.
 	// It applies to engines. 0 disables it.
 	TruncateAfter int `json:"truncate_after,omitempty"`
+	// CrashOn ends all streams of an engine when it is about to send the first token of
+	// a prompt that contains this text. It applies to engines.
+	CrashOn string `json:"crash_on,omitempty"`
 	// Refuse responds with status 503 before the request takes effect.
 	Refuse bool `json:"refuse,omitempty"`
 }
--- a/membership/service.go
+++ b/membership/service.go
@@ -36,7 +36,7 @@
 	// a version. It may be nil.
 	OnConfirmed func(version int64, at time.Duration)
 	// VerdictDigest returns the announced digest of the verdicts on prompt parts, and
-	// OnVerdictDigest is called with that of a peer. Both are nil where there are none.
+	// OnVerdictDigest is called with that of a peer. Both may be nil.
 	VerdictDigest   func() uint64
 	OnVerdictDigest func(from string, digest uint64)
 	// OnChange is called with all suspicion changes of one event.
--- a/mesh.go
+++ b/mesh.go
@@ -64,8 +64,6 @@
 	// onDispatch handles dispatch messages of peers, which are dropped if it is nil. It
 	// must be set before the tasks run.
 	onDispatch peer.Handler
-	// quarantine is nil where prompts are not quarantined. It must be set before the
-	// tasks run.
 	quarantine *quarantine.Manager
 	// watcher is set if this VM reads from the platform on behalf of its region.
 	watcher atomic.Bool
@@ -92,9 +90,10 @@
 		Versions: func() (int64, int64) {
 			return o.Sources[gossip.KindBundle].Version(), o.Sources[gossip.KindVMList].Version()
 		},
-		OnChange:      func(changes []membership.Change) { o.Loop.Post(suspicionsChanged(changes)) },
-		VerdictDigest: m.verdictDigest, OnVerdictDigest: m.receiveVerdictDigest,
-		Log: o.Log,
+		OnChange:        func(changes []membership.Change) { o.Loop.Post(suspicionsChanged(changes)) },
+		VerdictDigest:   func() uint64 { return m.quarantine.Digest() },
+		OnVerdictDigest: func(from string, digest uint64) { m.quarantine.ReceiveDigest(from, digest) },
+		Log:             o.Log,
 	}
 	if members := o.Sources[gossip.KindEntryVMs]; members != nil {
 		options.EntryVMsRevision = members.Version
@@ -113,6 +112,9 @@
 	if err != nil {
 		return nil, err
 	}
+	m.quarantine = quarantine.New(quarantine.Options{
+		VM: o.VM, Loop: o.Loop, Transport: m.sessions, Peers: m.members.Targets, Metrics: o.Metrics, Log: o.Log,
+	})
 	m.registerMetrics()
 	return m, nil
 }
@@ -170,9 +172,7 @@
 		return
 	}
 	if q := e.GetQuarantine(); q != nil {
-		if m.quarantine != nil {
-			m.quarantine.Receive(from, q)
-		}
+		m.quarantine.Receive(from, q)
 		return
 	}
 	if m.onDispatch != nil {
@@ -180,19 +180,6 @@
 	}
 }
 
-func (m *mesh) verdictDigest() uint64 {
-	if m.quarantine == nil {
-		return 0
-	}
-	return m.quarantine.Digest()
-}
-
-func (m *mesh) receiveVerdictDigest(from string, digest uint64) {
-	if m.quarantine != nil {
-		m.quarantine.ReceiveDigest(from, digest)
-	}
-}
-
 // Peers returns the transport to other entry VMs.
 func (s *Server) Peers() peer.Transport { return s.mesh.sessions }
 
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -16,6 +16,22 @@
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
+// Guard tells the request path which prompts must not be sent to an engine.
+type Guard interface {
+	// Check returns a *RefusedError if a request must not be sent.
+	Check(p *RequestPrompt) error
+	// MayRepeat reports whether a request that has failed on an engine may be sent to
+	// another one.
+	MayRepeat(p *RequestPrompt) bool
+	// RunFailed reports that an engine broke the connection of a run that had not
+	// written. started is when the run was sent, on the clock of package boottime.
+	RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration)
+	// RunProven reports that a run has written.
+	RunProven(p *RequestPrompt)
+}
+
+var _ Guard = (*Manager)(nil)
+
 // Options are the dependencies of a Manager.
 type Options struct {
 	VM        string
@@ -64,7 +80,7 @@
 	return m
 }
 
-// Check returns a *RefusedError if a request must not be sent to an engine.
+// Check implements Guard.
 func (m *Manager) Check(p *RequestPrompt) error {
 	err := m.view.Load().check(boottime.Now(), p)
 	if err != nil {
@@ -73,12 +89,10 @@
 	return err
 }
 
-// MayRepeat reports whether a request that has failed on an engine may be sent to
-// another one.
+// MayRepeat implements Guard.
 func (m *Manager) MayRepeat(p *RequestPrompt) bool { return !m.view.Load().suspect(p.Parts) }
 
-// RunFailed reports that an engine broke the connection of a run that had not written.
-// started is when the run was sent, on the clock of package boottime.
+// RunFailed implements Guard.
 func (m *Manager) RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration) {
 	if len(p.Parts) == 0 {
 		return
@@ -88,7 +102,7 @@
 	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects { return m.node.RunFailed(now, f, started) }})
 }
 
-// RunProven reports that a run has written.
+// RunProven implements Guard.
 func (m *Manager) RunProven(p *RequestPrompt) {
 	if len(p.Parts) == 0 {
 		return
