--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -128,9 +128,7 @@
 	}
 	req.Host = siteHost
 	req.Header = userplatform.CallerHeaders(r.id, r.key)
-	if r.prompt != "" {
-		req.Header.Set("Prompt-Prefix", r.prompt)
-	}
+	userplatform.SetPrompt(req.Header, r.prompt)
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "send")
--- a/internal/standin/userplatform/site.go
+++ b/internal/standin/userplatform/site.go
@@ -16,6 +16,13 @@
 	}
 }
 
+// SetPrompt sets the parts of the prompt of a client's request, if there are any.
+func SetPrompt(h http.Header, parts string) {
+	if parts != "" {
+		h.Set("Prompt-Prefix", parts)
+	}
+}
+
 // Config returns a platform configuration with four routes on one host: streams
 // that can be resumed or not, and safe and unsafe calls.
 func Config(version int64, keys ...string) []byte {
