quarantine: keep verdicts in the store for a fleet that stops at once

Verdicts lived in the memory of the VMs only. One VM now writes them to the platform's store when they change, and every VM finds them in the first page of keys that it reads at its start anyway: one write for each verdict and owner, no further read. Peers stay the source while any VM runs, so a silent store costs nothing.

TestVerdictsOutliveAllVMs needs the key that no earlier code writes.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -81,6 +81,9 @@
 	Duties Duties
 	// Intervals are the intervals for readers. The zero value selects the defaults.
 	Intervals standby.Intervals
+	// OnEntry is called with the entries that the first read returns for other keys than
+	// those of VMs, backend servers and the configuration. It may be nil.
+	OnEntry func(kv.Entry)
 	// Metrics receives the counters of calls to the store. If it is nil, they are
 	// not exported.
 	Metrics metrics.Registry
--- a/discovery/firstread.go
+++ b/discovery/firstread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -56,6 +57,7 @@
 // yet.
 func (f *Follower) applyFirstPage(listing kv.Listing) {
 	first := firstRead{revision: listing.Revision}
+	f.passOtherEntries(listing)
 	first.servers = f.applySection(f.list.servers, listing)
 	selfKey, selfValue, err := f.opts.Codec.EncodeMember(f.opts.Self)
 	if err != nil {
@@ -80,6 +82,20 @@
 	f.start.recordFirstRead(first)
 }
 
+// passOtherEntries passes the entries that discovery does not use itself to OnEntry.
+func (f *Follower) passOtherEntries(listing kv.Listing) {
+	if f.opts.OnEntry == nil {
+		return
+	}
+	c := f.opts.Codec
+	for _, e := range listing.Entries {
+		used := func(prefix string) bool { return strings.HasPrefix(e.Key, prefix) }
+		if !slices.ContainsFunc([]string{c.ConfigPrefix(), c.ServerPrefix(), c.VMPrefix()}, used) {
+			f.opts.OnEntry(e)
+		}
+	}
+}
+
 // applySection applies the entries of a prefix if the listing contains all of
 // them, and reports whether it does.
 func (f *Follower) applySection(s *section, listing kv.Listing) bool {
--- a/entry.go
+++ b/entry.go
@@ -25,7 +25,9 @@
 	"github.com/vanillaarch/vanillaarch/gossip"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/standby"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -149,7 +151,7 @@
 			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(), CPU: d.Limits.CPU,
 		},
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease, FirstStart: d.FirstStart,
-		Duties: e.mesh, Intervals: intervals, Metrics: e.metrics, Log: o.Log,
+		OnEntry: e.loadVerdicts, Duties: e.mesh, Intervals: intervals, Metrics: e.metrics, Log: o.Log,
 	})
 	e.grants = e.newGrantManager()
 	e.gateway = gateway.New(gateway.Options{
@@ -164,6 +166,14 @@
 	return e, nil
 }
 
+// loadVerdicts adopts the verdicts on prompt parts that the first read of the store
+// returns.
+func (e *Entry) loadVerdicts(entry kv.Entry) {
+	if entry.Key == quarantine.ArchiveKey {
+		e.mesh.quarantine.Load(entry)
+	}
+}
+
 // newGrantManager returns a grant.Manager, which obtains engines from the dispatchers
 // of their groups, and passes it the dispatch messages of peers.
 func (e *Entry) newGrantManager() *grant.Manager {
@@ -233,7 +243,8 @@
 	defer stop()
 	var background sync.WaitGroup
 	tasks := append(append(e.follower.Tasks(), e.mesh.tasks()...), e.loop.Run, e.trackVMCount, e.closeIdleConnections, e.grants.Run,
-		func(ctx context.Context) { e.gateway.WatchEngines(ctx, e.loop.Subscribe()) }, e.gateway.ProbeEngines)
+		func(ctx context.Context) { e.gateway.WatchEngines(ctx, e.loop.Subscribe()) }, e.gateway.ProbeEngines,
+		func(ctx context.Context) { e.mesh.quarantine.KeepArchive(ctx, e.opts.Store) })
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -258,6 +258,14 @@
 	})
 }
 
+// Has reports whether the store has a key.
+func (s *Store) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
 func (s *Store) getKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	e, ok := s.items[r.URL.Query().Get("key")]
--- /dev/null
+++ b/quarantine/archive.go
@@ -0,0 +1,111 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/rendezvous"
+	"github.com/vanillaarch/vanillaarch/retry"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+)
+
+// ArchiveKey is the key in the platform's store that holds the verdicts, for VMs that
+// start while no other VM runs.
+const ArchiveKey = "quarantine/verdicts"
+
+// Pauses after failed writes of the archive.
+const (
+	archivePauseMin = 150 * time.Millisecond
+	archivePauseMax = 3 * time.Second
+)
+
+// archive is what this VM knows of the verdicts in the store. It belongs to the
+// goroutine of KeepArchive, after Load.
+type archive struct {
+	// digest is that of the stored verdicts, 0 if there are none or they are not known.
+	digest   uint64
+	revision int64
+}
+
+// Load adopts the verdicts of an entry of the store that this VM has read at its start.
+// It must be called before KeepArchive, if at all.
+func (m *Manager) Load(e kv.Entry) {
+	stored := &peerpb.StoredVerdicts{}
+	if err := proto.Unmarshal(e.Value, stored); err != nil {
+		m.opts.Log.Warn("archive_rejected", zap.Int64("revision", e.Revision), telemetry.Error(err))
+		return
+	}
+	// A clock that was set back makes the age negative, and the verdicts as new.
+	age := max(time.Since(time.UnixMilli(stored.GetUnixMs())), 0)
+	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects {
+		return m.node.Receive(now, decode(now-age, &peerpb.Quarantine{Verdicts: stored.GetVerdicts()}))
+	}})
+}
+
+// KeepArchive writes the verdicts to the store when they change, until ctx ends. One of
+// the VMs does so for all.
+func (m *Manager) KeepArchive(ctx context.Context, store kv.Swapper) {
+	changed := m.opts.Loop.Subscribe()
+	var known archive
+	for failures := 0; ; {
+		if !m.mustArchive(known) {
+			failures = 0
+			select {
+			case <-ctx.Done():
+				return
+			case <-m.changed:
+			case <-changed:
+			}
+			continue
+		}
+		err := m.writeArchive(ctx, store, &known)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		m.opts.Log.Info("archive_not_written", telemetry.Error(err))
+		failures++
+		if !wait.Sleep(ctx, retry.Backoff(failures, archivePauseMin, archivePauseMax)) {
+			return
+		}
+	}
+}
+
+// mustArchive reports whether the verdicts in the store are not those in force, and this
+// VM writes them.
+func (m *Manager) mustArchive(known archive) bool {
+	return m.Digest() != known.digest && rendezvous.Owner(ArchiveKey, m.opts.Loop.Snapshot().EntryVMs) == m.opts.VM
+}
+
+// writeArchive writes the verdicts in force. After a conflict, which another VM caused or
+// a write whose answer was lost, it writes over the revision that is stored.
+func (m *Manager) writeArchive(ctx context.Context, store kv.Swapper, known *archive) error {
+	digest, verdicts := m.Digest(), m.view.Load().verdicts
+	stored := &peerpb.StoredVerdicts{UnixMs: time.Now().UnixMilli()}
+	now := boottime.Now()
+	for _, v := range verdicts {
+		stored.Verdicts = append(stored.Verdicts, encodeVerdict(now, v.Verdict))
+	}
+	value, err := proto.Marshal(stored)
+	if err != nil {
+		return errors.Wrap(err, "encode verdicts")
+	}
+	revision, err := store.CompareAndSwap(ctx, ArchiveKey, value, known.revision, 0)
+	if conflict, ok := errors.Into[*kv.ConflictError](err); ok {
+		revision, err = store.CompareAndSwap(ctx, ArchiveKey, value, conflict.Revision, 0)
+	}
+	if err != nil {
+		return err
+	}
+	known.digest, known.revision = digest, revision
+	m.opts.Log.Info("archive_written", zap.Int("verdicts", len(verdicts)), zap.Int64("revision", revision))
+	return nil
+}
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -51,6 +51,8 @@
 	view atomic.Pointer[View]
 	// digest identifies the verdicts in force, for heartbeats.
 	digest atomic.Uint64
+	// changed signals a new digest.
+	changed chan struct{}
 	// checkAt is the time of the pending check, 0 if there is none.
 	checkAt time.Duration
 	// syncedAt holds when verdicts were last sent to a peer because its digest differed.
@@ -71,7 +73,7 @@
 // New returns a manager without verdicts.
 func New(o Options) *Manager {
 	m := &Manager{
-		opts: o, node: NewNode(), syncedAt: map[string]time.Duration{},
+		opts: o, node: NewNode(), syncedAt: map[string]time.Duration{}, changed: make(chan struct{}, 1),
 		failures: metrics.GetOrRegisterCounter("quarantine.failures", o.Metrics),
 		refusals: metrics.GetOrRegisterCounter("quarantine.refusals", o.Metrics),
 		verdicts: metrics.GetOrRegisterCounter("quarantine.verdicts", o.Metrics),
@@ -166,7 +168,12 @@
 		key := strconv.FormatUint(v.key(), 16) + "/" + strconv.FormatInt(round(now, v), 10)
 		return rendezvous.Owner(key, vms) == m.opts.VM
 	}))
-	m.digest.Store(m.node.Digest())
+	if digest := m.node.Digest(); m.digest.Swap(digest) != digest {
+		select {
+		case m.changed <- struct{}{}:
+		default: // The archive has not handled the last signal yet.
+		}
+	}
 	for id := range m.syncedAt {
 		if now-m.syncedAt[id] > syncInterval {
 			delete(m.syncedAt, id)
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -16,13 +16,17 @@
 		out.Proofs = append(out.Proofs, &peerpb.PartProof{Part: uint64(p.Part), AgeMs: age(now, p.At)})
 	}
 	for _, v := range m.Verdicts {
-		out.Verdicts = append(out.Verdicts, &peerpb.Verdict{
-			Parts: encodeParts(v.Parts), SinceMs: age(now, v.Since), TrialInMs: (v.Until - now).Milliseconds(), Strikes: uint32(v.Strikes),
-		})
+		out.Verdicts = append(out.Verdicts, encodeVerdict(now, v))
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Quarantine{Quarantine: out}}
 }
 
+func encodeVerdict(now time.Duration, v Verdict) *peerpb.Verdict {
+	return &peerpb.Verdict{
+		Parts: encodeParts(v.Parts), SinceMs: age(now, v.Since), TrialInMs: (v.Until - now).Milliseconds(), Strikes: uint32(v.Strikes),
+	}
+}
+
 func age(now, at time.Duration) uint64 { return uint64(max(now-at, 0).Milliseconds()) }
 
 func encodeParts(parts []PartID) []uint64 {
--- a/test/platform/crashing_prompts_test.go
+++ b/test/platform/crashing_prompts_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/internal/localsite"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 )
 
 // Bounds of the operator for prompts that crash engines.
@@ -140,3 +142,49 @@
 		crashing: always("first:40,second:30,dead:30"), sound: always("first:40,second:30"),
 	}.run(s).checkBounds(s)
 }
+
+// Guards against engines that crash again for a part that was known when all VMs stopped
+// at once, without time to write anything.
+func TestVerdictsOutliveAllVMs(t *testing.T) {
+	s := newCrashingSite(t)
+	crash := func() response {
+		a := draft()
+		a.header["Prompt-Prefix"] = fmt.Sprintf("first:40,dead:30,%x:10", rand.Uint64())
+		return s.send(s.vms[rand.IntN(len(s.vms))], a)
+	}
+	s.eventually(10*time.Second, "the part is refused", func() bool { return crash().refusedPrompt() })
+	s.eventually(3*time.Second, "the verdict is stored", func() bool { return s.store.Has(quarantine.ArchiveKey) })
+	crashes := len(s.fleet.EngineCrashes())
+	s.restartAllVMs()
+	for range 20 {
+		if got := crash(); !got.refusedPrompt() {
+			t.Fatalf("%+v", got)
+		}
+	}
+	if n := len(s.fleet.EngineCrashes()); n != crashes {
+		t.Errorf("%d more crashes", n-crashes)
+	}
+}
+
+func (r response) refusedPrompt() bool {
+	return r.status == http.StatusServiceUnavailable && strings.Contains(r.body, "prompt-quarantined")
+}
+
+// restartAllVMs stops all VMs at once and starts others, which know only what the store
+// holds.
+func (s *site) restartAllVMs() {
+	old := s.vms
+	for _, v := range old {
+		v.Stop()
+	}
+	for _, v := range old {
+		<-v.Done
+	}
+	s.vms = nil
+	for i := range old {
+		s.vms = append(s.vms, s.mustStartVM(fmt.Sprintf("again-%d", i)))
+	}
+	for _, v := range s.vms {
+		s.eventually(10*time.Second, v.Name+" serves", func() bool { return s.send(v, draft()).status == http.StatusOK })
+	}
+}
