gateway: take a stream without length and events for broken off

The end of such a body cannot be told from a crash. Without any event it now counts as a broken connection: a run that may be repeated goes on elsewhere, any other ends with 502, and the crash counts as evidence against its prompt, as does a response that ends within its first event. A good end proves a prompt only if the body has a length or chunks.

TestStreamWithoutLengthAndEventsIsNotComplete failed before: status 200 with no event, for drafts and for checks.

--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/go-faster/errors"
+
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/edge"
@@ -40,7 +42,7 @@
 // reportPromptFailure reports a run whose engine broke the connection before it had
 // written.
 func (s *stream) reportPromptFailure(seg *segment, err error) {
-	if s.proven || s.ctx.Err() != nil || !backend.ConnectionLost(err) {
+	if s.proven || s.ctx.Err() != nil || !brokenOff(err) {
 		return
 	}
 	s.failedUnproven = true
@@ -56,6 +58,13 @@
 	s.g.Prompts.RunProven(s.prompt)
 }
 
+// brokenOff reports whether an engine closed or reset the connection of a run, or ended
+// its response within an event.
+func brokenOff(err error) bool {
+	_, partial := errors.Into[*PartialEventError](err)
+	return partial || backend.ConnectionLost(err)
+}
+
 // promptRefused returns the problem of a request that is in quarantine and has not run.
 func promptRefused(refused *quarantine.RefusedError) *api.Problem {
 	return api.NewProblem(api.ProblemPromptQuarantined, http.StatusServiceUnavailable, api.OutcomeNotRun,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,8 +36,7 @@
 		}
 		event, err := seg.reader.next()
 		if errors.Is(err, io.EOF) {
-			s.sendHead(seg.answer) // a stream without events
-			return nil
+			return s.endOfStream(seg)
 		}
 		if err != nil {
 			return err
@@ -57,6 +56,16 @@
 	}
 }
 
+// endOfStream handles the end of a response after a complete event or none. Without
+// events and without a length or chunks, the engine has broken off.
+func (s *stream) endOfStream(seg *segment) error {
+	if !s.hasEvents() && !seg.answer.Delimited {
+		return &backend.UncertainError{Backend: seg.vm.ID, Cause: io.ErrUnexpectedEOF}
+	}
+	s.sendHead(seg.answer) // a stream without events
+	return nil
+}
+
 // acceptEvent checks the id of an event and advances lastEvent. It returns false for
 // an event that the caller already has. The first event may have any positive id.
 func (s *stream) acceptEvent(event []byte) (bool, error) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,7 +94,9 @@
 		}
 		s.close(seg, err)
 		if err == nil {
-			s.reportPromptProof()
+			if seg.answer.Delimited {
+				s.reportPromptProof()
+			}
 			return nil
 		}
 		seg, err = s.resume(seg, err)
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -34,6 +34,10 @@
 		s.endless(w, r, f)
 		return
 	}
+	if f.HeadOnly {
+		s.sendHeadOnly(w, r)
+		return
+	}
 	backup := r.Header.Get("Kv-Backup")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -50,6 +50,8 @@
 	// EndlessHead and EndlessBody send a response whose header or body never ends,
 	// until the client closes the connection.
 	EndlessHead, EndlessBody bool
+	// HeadOnly sends the head of a response without a length and closes the connection.
+	HeadOnly bool
 	// TrickleAfter sends single bytes instead of events after this many events. 0
 	// disables it.
 	TrickleAfter int
@@ -380,6 +382,17 @@
 	}
 }
 
+// sendHeadOnly sends the head of a response that ends with its connection, and closes it.
+func (s *Server) sendHeadOnly(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\nContent-Type: text/event-stream\r\n\r\n",
+		r.Header.Get("Request-Id"), s.opts.ID)
+}
+
 // answerTwice sends the response and then one to another request.
 func (s *Server) answerTwice(w http.ResponseWriter, r *http.Request, answer string) {
 	conn, buffer, err := http.NewResponseController(w).Hijack()
--- a/test/platform/path_test.go
+++ b/test/platform/path_test.go
@@ -155,6 +155,25 @@
 	}
 }
 
+// Guards against a stream that looks complete although its engine closed the connection
+// of a response without a length before the first event, and against losing a repeatable
+// one.
+func TestStreamWithoutLengthAndEventsIsNotComplete(t *testing.T) {
+	s := newSite(t, options{vms: 1, engines: 2, events: 3, interval: time.Millisecond})
+	for _, e := range s.engines {
+		e.SetFaults(userplatform.ServerFaults{HeadOnly: true})
+	}
+	if got := s.send(s.vms[0], draft()); got.status != http.StatusBadGateway || len(s.fleet.Runs(got.id)) != 1 {
+		t.Errorf("%+v ran on %v", got, s.fleet.Runs(got.id))
+	}
+	s.engines[1].SetFaults(userplatform.ServerFaults{})
+	for range 4 {
+		if err := checkStream(s.send(s.vms[0], check()), 3); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Guards against streams that are interrupted or run twice when engines leave,
 // with and without a drain notice. This happens when engines leave every few
 // seconds while drafts run.
