quarantine: refuse waiting requests when a verdict comes

A request that waits for an engine when the verdict on its prompt comes waited on, up to its deadline if the engines stay full, and only then heard that it is refused. It cannot be served, so it is refused at once now: the manager keeps the prompts of waiting requests and ends their wait with the refusal.

TestWaitingRequestsAreRefusedAtOnce needs the new method, so it did not exist before.

--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -97,9 +97,7 @@
 	if err := r.f.Prompts.Check(r.prompt); err != nil {
 		return err
 	}
-	ctx, span := r.f.Tracer.Start(r.c.ctx, "dispatch.acquire")
-	ticket, err := r.f.Admission.Acquire(ctx, r.admissionRequest)
-	span.End()
+	ticket, err := r.acquire()
 	if err != nil {
 		return err
 	}
@@ -132,6 +130,21 @@
 	return err
 }
 
+// acquire obtains a ticket. It returns a *quarantine.RefusedError if a verdict on the
+// prompt comes while the request waits.
+func (r *relay) acquire() (dispatch.Ticket, error) {
+	ctx, span := r.f.Tracer.Start(r.c.ctx, "dispatch.acquire")
+	defer span.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer r.f.Prompts.Watch(r.prompt, cancel)()
+	ticket, err := r.f.Admission.Acquire(ctx, r.admissionRequest)
+	if refused, ok := errors.Into[*quarantine.RefusedError](context.Cause(ctx)); ok && err != nil {
+		return nil, refused
+	}
+	return ticket, err
+}
+
 // attemptProblem maps the error of the last attempt to a problem. The outcome is unknown
 // instead of not_run if any attempt may have started a generation.
 func (r *relay) attemptProblem(err error) *api.Problem {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -210,11 +210,19 @@
 }
 
 // acquire obtains a ticket to run the request on an engine and records the time in
-// the queue.
+// the queue. It returns a *quarantine.RefusedError if a verdict on the prompt comes
+// meanwhile.
 func (s *stream) acquire() (dispatch.Ticket, vmlist.VM, error) {
 	begin := boottime.Now()
 	defer func() { s.queued += boottime.Now() - begin }()
-	return s.g.acquire(s.ctx, s.admissionRequest(s.excluded))
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
+	defer s.g.Prompts.Watch(s.prompt, cancel)()
+	ticket, vm, err := s.g.acquire(ctx, s.admissionRequest(s.excluded))
+	if refused, ok := errors.Into[*quarantine.RefusedError](context.Cause(ctx)); ok && err != nil {
+		return nil, vmlist.VM{}, refused
+	}
+	return ticket, vm, err
 }
 
 // acquire obtains a ticket from the dispatcher. It returns a NoBackendError if the
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration)
 	// RunProven reports that a run has written.
 	RunProven(p *RequestPrompt)
+	// Watch calls refuse with a *RefusedError when a verdict comes that matches the
+	// prompt of a waiting request, until stop is called. It may call it more than once.
+	Watch(p *RequestPrompt, refuse func(error)) (stop func())
 }
 
 var _ Guard = (*Manager)(nil)
@@ -59,6 +63,10 @@
 	syncedAt map[string]time.Duration
 
 	failures, refusals, verdicts metrics.Counter
+
+	waitingMu sync.Mutex
+	// waiting holds the requests that wait for an engine.
+	waiting map[*RequestPrompt]func(error)
 }
 
 // newsFanout is the number of peers to which a VM sends news. Each VM hears the same news
@@ -73,7 +81,7 @@
 // New returns a manager without verdicts.
 func New(o Options) *Manager {
 	m := &Manager{
-		opts: o, node: NewNode(), syncedAt: map[string]time.Duration{}, changed: make(chan struct{}, 1),
+		opts: o, node: NewNode(), waiting: map[*RequestPrompt]func(error){}, syncedAt: map[string]time.Duration{}, changed: make(chan struct{}, 1),
 		failures: metrics.GetOrRegisterCounter("quarantine.failures", o.Metrics),
 		refusals: metrics.GetOrRegisterCounter("quarantine.refusals", o.Metrics),
 		verdicts: metrics.GetOrRegisterCounter("quarantine.verdicts", o.Metrics),
@@ -94,6 +102,33 @@
 // MayRepeat implements Guard.
 func (m *Manager) MayRepeat(p *RequestPrompt) bool { return !m.view.Load().suspect(p.Parts) }
 
+// Watch implements Guard.
+func (m *Manager) Watch(p *RequestPrompt, refuse func(error)) (stop func()) {
+	m.waitingMu.Lock()
+	defer m.waitingMu.Unlock()
+	m.waiting[p] = refuse
+	return func() {
+		m.waitingMu.Lock()
+		defer m.waitingMu.Unlock()
+		delete(m.waiting, p)
+	}
+}
+
+// refuseWaiting refuses the waiting requests that the view condemns.
+func (m *Manager) refuseWaiting(now time.Duration) {
+	view := m.view.Load()
+	if len(view.verdicts) == 0 {
+		return
+	}
+	m.waitingMu.Lock()
+	defer m.waitingMu.Unlock()
+	for p, refuse := range m.waiting {
+		if err := view.refusal(now, p); err != nil {
+			refuse(err)
+		}
+	}
+}
+
 // RunFailed implements Guard.
 func (m *Manager) RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration) {
 	if len(p.Parts) == 0 {
@@ -168,6 +203,7 @@
 		key := strconv.FormatUint(v.key(), 16) + "/" + strconv.FormatInt(round(now, v), 10)
 		return rendezvous.Owner(key, vms) == m.opts.VM
 	}))
+	m.refuseWaiting(now)
 	if digest := m.node.Digest(); m.digest.Swap(digest) != digest {
 		select {
 		case m.changed <- struct{}{}:
--- /dev/null
+++ b/quarantine/manager_test.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+)
+
+// discardTransport drops all messages.
+type discardTransport struct{}
+
+func (discardTransport) Send(string, *peerpb.Envelope) error { return nil }
+
+func startManager(t *testing.T) *Manager {
+	t.Helper()
+	loop := control.NewLoop(zap.NewNop(), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	return New(Options{
+		VM: "vm", Loop: loop, Transport: discardTransport{}, Peers: func() []string { return nil },
+		Metrics: metrics.NewRegistry(), Log: zap.NewNop(),
+	})
+}
+
+// Guards against requests that wait for an engine until their deadline although a
+// verdict on their prompt has come, and against refusing others that wait.
+func TestWaitingRequestsAreRefusedAtOnce(t *testing.T) {
+	m := startManager(t)
+	condemned := &RequestPrompt{Prompt: NewPrompt("pool", "a", []string{"x", "dead"})}
+	sound := &RequestPrompt{Prompt: NewPrompt("pool", "b", []string{"x"})}
+	stopped := &RequestPrompt{Prompt: NewPrompt("pool", "c", []string{"dead"})}
+	refused := make(chan error, 1)
+	defer m.Watch(condemned, func(err error) { refused <- err })()
+	defer m.Watch(sound, func(err error) { t.Errorf("a sound request is refused: %v", err) })()
+	m.Watch(stopped, func(error) { t.Error("a request that no longer waits is refused") })()
+	now := boottime.Now()
+	verdict := Verdict{Parts: stopped.Parts, Since: now, Until: now + time.Minute, Strikes: 1}
+	m.Receive("peer", envelope(now, Message{Verdicts: []Verdict{verdict}}).GetQuarantine())
+	select {
+	case err := <-refused:
+		if _, ok := err.(*RefusedError); !ok {
+			t.Errorf("refused with %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the waiting request is not refused")
+	}
+	if m.Check(condemned) == nil || m.Check(sound) != nil {
+		t.Error("new requests are treated otherwise")
+	}
+}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -61,25 +62,46 @@
 // check returns a *RefusedError if a verdict matches a prompt. The prompt takes the trial
 // of a verdict if there is one; a request that has taken it passes from then on.
 func (v *View) check(now time.Duration, p *RequestPrompt) error {
-	if len(v.verdicts) == 0 {
-		return nil
+	for verdict := range v.matching(p) {
+		if verdict.trial == nil || !verdict.trial.CompareAndSwap(false, true) {
+			return verdict.refusal(now)
+		}
+		p.trials = append(p.trials, trial{key: verdict.key(), strikes: verdict.Strikes})
 	}
-	for _, part := range p.Parts {
-		for _, i := range v.byPart[part] {
-			verdict := v.verdicts[i]
-			if !verdict.matches(p.Parts) || p.tries(verdict) {
-				continue
-			}
-			if verdict.trial != nil && verdict.trial.CompareAndSwap(false, true) {
-				p.trials = append(p.trials, trial{key: verdict.key(), strikes: verdict.Strikes})
-				continue
-			}
-			return &RefusedError{Parts: len(verdict.Parts), RetryAfter: max(verdict.Until-now, trialRound)}
+	return nil
+}
+
+// refusal returns a *RefusedError if a verdict matches a prompt and is not on trial.
+func (v *View) refusal(now time.Duration, p *RequestPrompt) error {
+	for verdict := range v.matching(p) {
+		if verdict.trial == nil {
+			return verdict.refusal(now)
 		}
 	}
 	return nil
 }
 
+// matching returns the verdicts that match a prompt, without those whose trial it is.
+func (v *View) matching(p *RequestPrompt) iter.Seq[viewVerdict] {
+	return func(yield func(viewVerdict) bool) {
+		if len(v.verdicts) == 0 {
+			return
+		}
+		for _, part := range p.Parts {
+			for _, i := range v.byPart[part] {
+				verdict := v.verdicts[i]
+				if verdict.matches(p.Parts) && !p.tries(verdict) && !yield(verdict) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func (v viewVerdict) refusal(now time.Duration) error {
+	return &RefusedError{Parts: len(v.Parts), RetryAfter: max(v.Until-now, trialRound)}
+}
+
 // suspect reports whether several crashes speak against a part of a prompt.
 func (v *View) suspect(parts []PartID) bool {
 	return slices.ContainsFunc(parts, func(part PartID) bool { return v.suspects[part] })
