quarantine: one trial in a round, and no suspicion after a proof

Three faults of the new package, found by reading it: any news renewed the trial of a lapsed verdict, so that one VM could let several requests crash engines in one round; a trial that failed could be repeated on a second engine; and a part stayed suspect on a VM after it was proven there, so that runs with it were not repeated until other news came. A verdict with an absurd number of strikes from a peer also took seconds to compute.

The trial now belongs to its verdict and round, a trial is never repeated, and a proof of a suspect part renews the view. TestOneTrialInARound fails with trials of the earlier kind, TestProvenPartIsNoSuspect failed before.

--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"fmt"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -59,6 +61,8 @@
 	changed chan struct{}
 	// checkAt is the time of the pending check, 0 if there is none.
 	checkAt time.Duration
+	// trials holds the trials of the view, so that a later view has the same ones.
+	trials map[trialRoundID]*atomic.Bool
 	// syncedAt holds when verdicts were last sent to a peer because its digest differed.
 	syncedAt map[string]time.Duration
 
@@ -92,15 +96,19 @@
 
 // Check implements Guard.
 func (m *Manager) Check(p *RequestPrompt) error {
+	trials := len(p.trials)
 	err := m.view.Load().check(boottime.Now(), p)
 	if err != nil {
 		m.refusals.Inc(1)
 	}
+	for _, t := range p.trials[trials:] {
+		m.opts.Log.Info("quarantine_trial", zap.Uint64("verdict", t.key), zap.Int("strikes", t.strikes))
+	}
 	return err
 }
 
 // MayRepeat implements Guard.
-func (m *Manager) MayRepeat(p *RequestPrompt) bool { return !m.view.Load().suspect(p.Parts) }
+func (m *Manager) MayRepeat(p *RequestPrompt) bool { return m.view.Load().mayRepeat(p) }
 
 // Watch implements Guard.
 func (m *Manager) Watch(p *RequestPrompt, refuse func(error)) (stop func()) {
@@ -199,10 +207,16 @@
 // publish stores a new view for the request path.
 func (m *Manager) publish(now time.Duration) {
 	vms := m.opts.Loop.Snapshot().EntryVMs
-	m.view.Store(newView(m.node, now, func(v Verdict) bool {
-		key := strconv.FormatUint(v.key(), 16) + "/" + strconv.FormatInt(round(now, v), 10)
-		return rendezvous.Owner(key, vms) == m.opts.VM
+	trials := map[trialRoundID]*atomic.Bool{}
+	m.view.Store(newView(m.node, now, func(v Verdict) *atomic.Bool {
+		id := trialRoundID{verdict: v.key(), strikes: v.Strikes, round: round(now, v)}
+		if rendezvous.Owner(id.String(), vms) != m.opts.VM {
+			return nil
+		}
+		trials[id] = cmp.Or(m.trials[id], &atomic.Bool{})
+		return trials[id]
 	}))
+	m.trials = trials
 	m.refuseWaiting(now)
 	if digest := m.node.Digest(); m.digest.Swap(digest) != digest {
 		select {
@@ -217,6 +231,17 @@
 	}
 }
 
+// trialRoundID identifies the trial that one VM may start in a round.
+type trialRoundID struct {
+	verdict uint64
+	strikes int
+	round   int64
+}
+
+func (id trialRoundID) String() string {
+	return fmt.Sprintf("%x/%d/%d", id.verdict, id.strikes, id.round)
+}
+
 // schedule posts a check at a time unless an earlier one is pending.
 func (m *Manager) schedule(now, at time.Duration) {
 	if at == 0 || m.checkAt != 0 && m.checkAt <= at {
--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
+	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // discardTransport drops all messages.
@@ -60,3 +62,31 @@
 		t.Error("new requests are treated otherwise")
 	}
 }
+
+// Guards against a second trial in one round after other news has changed the view, and
+// against a verdict with an absurd number of strikes.
+func TestOneTrialInARound(t *testing.T) {
+	m := startManager(t)
+	m.opts.Loop.Post(control.VMListReceived{List: &vmlist.List{Revision: 1, VMs: []vmlist.VM{
+		{ID: "vm", Role: vmlist.RoleEntry, State: vmlist.StateLive},
+	}}})
+	now := boottime.Now()
+	dead := NewPrompt("pool", "a", []string{"dead"})
+	lapsed := Verdict{Parts: dead.Parts, Since: now - time.Hour, Until: now - time.Second, Strikes: 1 << 31}
+	m.Receive("peer", envelope(now, Message{Verdicts: []Verdict{lapsed}}).GetQuarantine())
+	tried := 0
+	for i := range 20 {
+		if m.Check(&RequestPrompt{Prompt: dead}) == nil && len(m.view.Load().verdicts) > 0 {
+			tried++
+		}
+		noise := NewPrompt("pool", strconv.Itoa(i), []string{strconv.Itoa(i)})
+		m.RunFailed(&RequestPrompt{Prompt: noise}, vmlist.VM{ID: "engine"}, now)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if tried != 1 {
+		t.Errorf("%d trials in one round", tried)
+	}
+	if term(1<<31) != maxTerm {
+		t.Errorf("term %v", term(1<<31))
+	}
+}
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -194,6 +194,7 @@
 // proven parts out of the verdicts.
 func (n *Node) applyProofs(e *Effects) {
 	n.invalidate()
+	e.Changed = true
 	n.failures = slices.DeleteFunc(n.failures, func(f Failure) bool {
 		return !slices.ContainsFunc(f.Parts, func(part PartID) bool { return !n.provenAfter(part, f.At) })
 	})
@@ -203,7 +204,6 @@
 			continue
 		}
 		delete(n.verdicts, key)
-		e.Changed = true
 		if len(left) == 0 {
 			e.Lifted = append(e.Lifted, v)
 			continue
@@ -311,6 +311,7 @@
 	for len(n.failures) > 0 && now-n.failures[0].At > evidenceLifetime {
 		n.failures = n.failures[1:]
 		n.invalidate()
+		e.Changed = true
 	}
 	for key, v := range n.verdicts {
 		if now > v.Until+verdictRetention {
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -45,8 +46,8 @@
 	w.n.Check(w.now)
 }
 
-func never(Verdict) bool  { return false }
-func always(Verdict) bool { return true }
+func never(Verdict) *atomic.Bool  { return nil }
+func always(Verdict) *atomic.Bool { return &atomic.Bool{} }
 
 func (w *world) refused(parts ...string) bool {
 	p := &RequestPrompt{Prompt: w.prompt(parts...)}
@@ -231,6 +232,9 @@
 	if v.check(w.now, second) == nil {
 		t.Error("a second trial is admitted")
 	}
+	if v.mayRepeat(first) {
+		t.Error("the trial may be repeated on another engine")
+	}
 	w.crash("trial", first.Prompt)
 	if until := w.n.Verdicts()[0].Until; until-w.now != term(2) || term(2) <= 2*term(1) {
 		t.Errorf("renewed for %v, want %v", until-w.now, term(2))
@@ -244,6 +248,24 @@
 	w.want(false, "dead")
 }
 
+// Guards against repeating no run any more with a part that has been proven after engines
+// crashed for other reasons.
+func TestProvenPartIsNoSuspect(t *testing.T) {
+	w := newWorld(t)
+	mayRepeat := func() bool { return newView(w.n, w.now, never).mayRepeat(&RequestPrompt{Prompt: w.prompt("common")}) }
+	w.crashes(1, "common")
+	if !mayRepeat() {
+		t.Error("a single crash ends all repeats")
+	}
+	w.crashes(1, "common")
+	if mayRepeat() {
+		t.Error("a run is repeated after two crashes")
+	}
+	if e := w.n.RunProven(w.now, w.prompt("common").Parts); !e.Changed || !mayRepeat() {
+		t.Errorf("the proof changes nothing: %+v", e)
+	}
+}
+
 // Guards against tables that grow with the part ids that callers choose, and against
 // losing a verdict to them.
 func TestCallersCannotFillTheTables(t *testing.T) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -179,10 +179,10 @@
 // term returns the time from a verdict to its trial.
 func term(strikes int) time.Duration {
 	d := firstTerm
-	for range strikes - 1 {
-		d = min(d*termGrowth, maxTerm)
+	for i := 1; i < strikes && d < maxTerm; i++ {
+		d *= termGrowth
 	}
-	return d
+	return min(d, maxTerm)
 }
 
 // Message carries items between VMs. All times are on the clock of the VM that holds it.
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -37,14 +37,14 @@
 	return fmt.Sprintf("requests with the same %d parts of the prompt have crashed engines; refused for %v", e.Parts, e.RetryAfter.Round(time.Second))
 }
 
-// newView returns the view of a node. mayTry reports whether this VM may start the trial
-// of a lapsed verdict now.
-func newView(n *Node, now time.Duration, mayTry func(Verdict) bool) *View {
+// newView returns the view of a node. trialOf returns the trial of a lapsed verdict, nil
+// if this VM may not start it now.
+func newView(n *Node, now time.Duration, trialOf func(Verdict) *atomic.Bool) *View {
 	v := &View{byPart: map[PartID][]int{}, suspects: map[PartID]bool{}}
 	for i, verdict := range n.Verdicts() {
 		x := viewVerdict{Verdict: verdict}
-		if now >= verdict.Until && mayTry(verdict) {
-			x.trial = &atomic.Bool{}
+		if now >= verdict.Until {
+			x.trial = trialOf(verdict)
 		}
 		v.verdicts = append(v.verdicts, x)
 		for _, part := range verdict.Parts {
@@ -102,9 +102,10 @@
 	return &RefusedError{Parts: len(v.Parts), RetryAfter: max(v.Until-now, trialRound)}
 }
 
-// suspect reports whether several crashes speak against a part of a prompt.
-func (v *View) suspect(parts []PartID) bool {
-	return slices.ContainsFunc(parts, func(part PartID) bool { return v.suspects[part] })
+// mayRepeat reports whether a request that has failed may be sent to another engine: a
+// trial may not, nor one against whose parts several crashes speak.
+func (v *View) mayRepeat(p *RequestPrompt) bool {
+	return len(p.trials) == 0 && !slices.ContainsFunc(p.Parts, func(part PartID) bool { return v.suspects[part] })
 }
 
 // RequestPrompt is the prompt of a request with the trials that it has taken. It is not
