gateway, grant: split the files on copies, plain calls and the frontend

gateway/copies.go held backups, moves and switchovers, dispatch/grant/frontend.go requests, replies, timeouts and changes of groups, and gateway/plain.go the balancer beside the attempts. Each now has a file of its own. Declarations are moved as they are: the sorted lines of both packages without package clauses and imports are the same before and after.

--- /dev/null
+++ b/gateway/backup.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/edge"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+const (
+	// backupTimeout bounds the wait for a backup engine, which delays the request.
+	backupTimeout = 50 * time.Millisecond
+	// minBackupTokens is the expected number of tokens from which a run gets a backup.
+	minBackupTokens = 64
+)
+
+// acquireBackup acquires an engine for the backup of a run that can't be restarted.
+// It returns false if the run needs none, already has one, or no engine has capacity.
+func (s *stream) acquireBackup(primary vmlist.VM) bool {
+	engine := s.service.Engine
+	if engine == nil || !engine.SupportsBackup || s.route.Resumable || s.backupAddress() != "" {
+		return false
+	}
+	if n := s.info.ExpectedTokens; n > 0 && n < minBackupTokens {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, backupTimeout)
+	defer cancel()
+	request := s.admissionRequest([]string{primary.ID})
+	request.Spare, request.Zone = true, primary.Zone
+	ticket, vm, err := s.g.acquire(ctx, request)
+	if err != nil {
+		s.log.Info("backup_not_granted", zap.String("backend", primary.ID), telemetry.Error(err))
+		return false
+	}
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	s.copies.backup = &runCopy{ticket: ticket, vm: vm, location: edge.Copy{Address: vm.Address, Handle: s.info.ID}}
+	return true
+}
+
+// dropBackup releases the backup of a run that did not start. Otherwise its empty
+// backup would be used as a copy.
+func (s *stream) dropBackup() {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	if s.copies.backup != nil {
+		s.copies.backup.ticket.Release(0)
+		s.copies.backup = nil
+	}
+}
+
+// backupAddress returns the address of the backup engine, "" if there is none.
+func (s *stream) backupAddress() string {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	if s.copies.backup == nil {
+		return ""
+	}
+	return s.copies.backup.vm.Address
+}
+
+// reportBackupProgress reports the tokens of the run to the backup's ticket.
+func (s *stream) reportBackupProgress() {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	if s.copies.backup != nil {
+		s.copies.backup.ticket.Progress(s.tokens())
+	}
+}
--- /dev/null
+++ b/gateway/balancer.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/balance"
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/edge"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// serviceBalancer wraps a balancer for concurrent use.
+type serviceBalancer struct {
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	// lastList is the VM list for which the balancer last removed unlisted servers.
+	lastList *vmlist.List
+}
+
+func newServiceBalancer(zone string) *serviceBalancer {
+	return &serviceBalancer{balancer: balance.New(zone, uint64(time.Now().UnixNano()))}
+}
+
+// pick selects a server and counts the request as started on it.
+func (b *serviceBalancer) pick(snap *control.Snapshot, service string, excluded []string) (vmlist.VM, bool) {
+	vms := snap.Services[service]
+	candidates := make([]balance.Server, len(vms))
+	for i, vm := range vms {
+		candidates[i] = balance.Server{ID: vm.ID, Zone: vm.Zone, Slots: vm.Slots}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lastList != snap.VMs {
+		b.lastList = snap.VMs
+		b.balancer.Retain(func(id string) bool { _, ok := snap.Backends[id]; return ok })
+	}
+	now := boottime.Now()
+	chosen, ok := b.balancer.Pick(now, candidates, excluded)
+	if !ok {
+		return vmlist.VM{}, false
+	}
+	b.balancer.Start(now, chosen.ID)
+	return snap.Backends[chosen.ID], true
+}
+
+// report passes the load that a server reported to the balancer.
+func (b *serviceBalancer) report(id string, load *edge.Load) {
+	if load == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.Report(boottime.Now(), id, load.Running+load.Waiting)
+}
+
+func (b *serviceBalancer) finish(id string, o balance.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balancer.Finish(boottime.Now(), id, o)
+}
--- /dev/null
+++ b/gateway/move.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/edge"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/relocation"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// relocate copies the run to another engine and requests a switchover to it. It
+// runs on the goroutine of the evacuation.
+func (s *stream) relocate(ctx context.Context, vm vmlist.VM, scheduled relocation.ScheduledCopy, noticedAt, leavesAt time.Duration) {
+	// The run needs no copy after the caller has disconnected.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)()
+	wait.Sleep(ctx, noticedAt+scheduled.CopyAt-boottime.Now())
+	excluded := []string{vm.ID}
+	for try := 0; ; try++ {
+		rc, err := s.copyTo(ctx, vm, excluded)
+		fields := []zap.Field{
+			zap.String("backend", vm.ID), zap.Bool("fits", scheduled.Fits), zap.Duration("planned", scheduled.CopiedAt),
+			zap.Duration("since_notice", boottime.Now()-noticedAt), telemetry.Error(err),
+		}
+		if rc != nil {
+			fields = append(fields, zap.String("target", rc.vm.ID), zap.Bool("same_zone", rc.vm.Zone == vm.Zone))
+			excluded = append(excluded, rc.vm.ID)
+		}
+		if try == 0 || err == nil {
+			s.log.Info("run_copied", fields...)
+		}
+		if err == nil || boottime.Now() >= leavesAt || !wait.Sleep(ctx, moveRetryInterval) {
+			break
+		}
+		if rc == nil {
+			// No engine had capacity. One that failed before may accept the copy now.
+			excluded = []string{vm.ID}
+		}
+	}
+	s.requestSwitch(ctx)
+}
+
+// copyTo copies the run to another engine. If the copy fails after an engine was
+// acquired, it returns that engine together with the error.
+func (s *stream) copyTo(ctx context.Context, source vmlist.VM, excluded []string) (*runCopy, error) {
+	done, ok := s.beginCopy()
+	if !ok {
+		return nil, nil
+	}
+	defer close(done)
+	acquiring, cancel := context.WithTimeout(ctx, targetAcquireTimeout)
+	defer cancel()
+	request := s.admissionRequest(excluded)
+	// The same zone is preferred: a copy to another zone takes twice as long.
+	request.Zone, request.Resumed = source.Zone, true
+	ticket, vm, err := s.g.acquire(acquiring, request)
+	if err != nil {
+		return nil, err
+	}
+	rc := &runCopy{ticket: ticket, vm: vm}
+	moving, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	moved, err := s.g.Engines.Move(moving, backend.Target{ID: source.ID, Address: source.Address},
+		edge.MoveRequest{RunID: s.info.ID, To: vm.Address})
+	if err != nil {
+		ticket.Release(0)
+		return rc, err
+	}
+	rc.location = edge.Copy{Address: source.Address, Handle: moved.Handle}
+	s.addCopy(rc)
+	return rc, nil
+}
+
+// endsWithin reports whether the run is expected to end within d. The estimate is
+// twice the time for the remaining tokens up to max_tokens at the rate so far.
+func (s *stream) endsWithin(d time.Duration) bool {
+	events := s.eventCount.Load()
+	if s.info.MaxTokens <= 0 || events < 2 {
+		return false
+	}
+	perEvent := (boottime.Now() - time.Duration(s.firstEventAt.Load())) / time.Duration(events-1)
+	left := (s.info.MaxTokens-s.tokens())/s.service.Engine.TokensPerEvent + 1
+	return time.Duration(left)*perEvent*2 < d
+}
