hash: one function for the hash of two strings

rendezvous and quarantine combined two strings into a hash with the same code. The result is unchanged, so VMs of both versions agree on owners.

--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/hash"
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 	"github.com/vanillaarch/vanillaarch/rendezvous"
@@ -143,7 +144,7 @@
 		return
 	}
 	m.failures.Inc(1)
-	f := Failure{Run: p.Run, Engine: uint32(hashPair(engine.ID, strconv.FormatInt(engine.Incarnation, 10))), Parts: p.Parts}
+	f := Failure{Run: p.Run, Engine: uint32(hash.Pair(engine.ID, strconv.FormatInt(engine.Incarnation, 10))), Parts: p.Parts}
 	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects { return m.node.RunFailed(now, f, started) }})
 }
 
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/hash"
 )
 
 // world drives one node with runs of named parts.
@@ -26,7 +28,7 @@
 // crash lets an engine crash under one run per prompt.
 func (w *world) crash(engine string, prompts ...Prompt) {
 	for _, p := range prompts {
-		w.n.RunFailed(w.now, Failure{Run: p.Run, Engine: uint32(hashPair(engine, "")), Parts: p.Parts}, w.now-time.Second)
+		w.n.RunFailed(w.now, Failure{Run: p.Run, Engine: uint32(hash.Pair(engine, "")), Parts: p.Parts}, w.now-time.Second)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillaarch/vanillaarch/internal/hash"
 )
 
 // Limits of what a VM keeps and sends.
@@ -84,30 +86,18 @@
 	Parts []PartID
 }
 
-// separator makes the hashes of the pairs ("a", "bc") and ("ab", "c") differ.
-var separator = []byte{0}
-
 // NewPrompt returns the prompt of a request. pool names the engines that may run it,
 // parts are the ids of its shared parts in any order.
 func NewPrompt(pool, request string, parts []string) Prompt {
 	p := Prompt{Run: uint32(xxhash.Sum64String(request))}
 	for _, part := range parts {
-		p.Parts = append(p.Parts, PartID(hashPair(pool, part)))
+		p.Parts = append(p.Parts, PartID(hash.Pair(pool, part)))
 	}
 	slices.Sort(p.Parts)
 	p.Parts = slices.Compact(p.Parts)
 	return p
 }
 
-func hashPair(a, b string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(a)
-	_, _ = d.Write(separator)
-	_, _ = d.WriteString(b)
-	return d.Sum64()
-}
-
 // Failure is a run whose engine broke the connection before the run had written.
 type Failure struct {
 	Run uint32
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -7,21 +7,17 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/vanillaarch/vanillaarch/internal/hash"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
-// separator makes the hashes of the pairs ("a", "bc") and ("ab", "c") differ.
-var separator = []byte{0}
-
 // Owner returns the id of the VM with the highest score for the key, or "" if
 // there are no VMs. The result does not depend on the order of vms.
 func Owner(key string, vms []vmlist.VM) string {
 	var owner string
 	var best uint64
 	for _, vm := range vms {
-		s := score(key, vm.ID)
+		s := hash.Pair(key, vm.ID)
 		if owner == "" || s > best || s == best && vm.ID < owner {
 			owner, best = vm.ID, s
 		}
@@ -38,7 +34,7 @@
 	}
 	all := make([]scored, 0, len(vms))
 	for _, vm := range vms {
-		all = append(all, scored{vm.ID, score(key, vm.ID)})
+		all = append(all, scored{vm.ID, hash.Pair(key, vm.ID)})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
@@ -49,12 +45,3 @@
 	}
 	return ids
 }
-
-func score(key, id string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write(separator)
-	_, _ = d.WriteString(id)
-	return d.Sum64()
-}
