quarantine: bound the parts that a prompt can prove

One prompt with thousands of parts pushed the proofs of all others out of a VM's table, so that this VM forgot which parts are sound. Proofs now name as many parts of a prompt as failures do, and the same ones.

TestLongPromptKeepsProofsOfOthers failed before.

--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -46,7 +46,7 @@
 			MaxTokens: request.MaxTokens,
 		},
 	}
-	r.prompt = newRequestPrompt(c, r.admissionRequest)
+	r.prompt = newRequestPrompt(r.admissionRequest)
 	return r.run()
 }
 
--- a/frontend/prompt.go
+++ b/frontend/prompt.go
@@ -18,7 +18,7 @@
 
 // newRequestPrompt returns the prompt of a request. Its parts are the blocks of the
 // prompt, each with all blocks before it.
-func newRequestPrompt(c *call, a dispatch.AdmissionRequest) *quarantine.RequestPrompt {
+func newRequestPrompt(a dispatch.AdmissionRequest) *quarantine.RequestPrompt {
 	var parts []string
 	for _, hash := range a.PrefixHashes {
 		parts = append(parts, strconv.FormatUint(hash, 16))
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -63,8 +63,7 @@
 // RunFailed records a failed run of this VM that started at a given time.
 func (n *Node) RunFailed(now time.Duration, f Failure, started time.Duration) Effects {
 	f.At = now
-	f.Parts = slices.DeleteFunc(slices.Clone(f.Parts), func(part PartID) bool { return n.provenAfter(part, started) })
-	f.Parts = f.Parts[:min(len(f.Parts), MaxParts)]
+	f.Parts = slices.DeleteFunc(slices.Clone(evidence(f.Parts)), func(part PartID) bool { return n.provenAfter(part, started) })
 	var e Effects
 	if len(f.Parts) > 0 {
 		n.addFailure(now, f, &e)
@@ -77,7 +76,7 @@
 func (n *Node) RunProven(now time.Duration, parts []PartID) Effects {
 	var e Effects
 	changed := false
-	for _, part := range parts {
+	for _, part := range evidence(parts) {
 		p, _ := n.proofs.Get(part)
 		p.at = now
 		if n.matters(part) {
@@ -93,6 +92,9 @@
 	return e
 }
 
+// evidence returns the parts of a prompt that failures and proofs name.
+func evidence(parts []PartID) []PartID { return parts[:min(len(parts), MaxParts)] }
+
 // Receive processes a message of a peer.
 func (n *Node) Receive(now time.Duration, m Message) Effects {
 	var e Effects
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -294,6 +294,21 @@
 	}
 }
 
+// Guards against a prompt with so many parts that it pushes the proofs of all other parts
+// out of the table.
+func TestLongPromptKeepsProofsOfOthers(t *testing.T) {
+	w := newWorld(t)
+	w.prove("common")
+	var parts []string
+	for i := range 2 * maxProofs {
+		parts = append(parts, fmt.Sprintf("part-%d", i))
+	}
+	w.prove(parts...)
+	if !w.n.proofs.Contains(w.prompt("common").Parts[0]) {
+		t.Error("the proof is gone")
+	}
+}
+
 // Guards against forwarding the same news again and again between VMs.
 func TestKnownNewsIsNotForwarded(t *testing.T) {
 	w := newWorld(t)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -23,8 +23,8 @@
 
 // Limits of what a VM keeps and sends.
 const (
-	// MaxParts bounds the parts of a prompt that a failure holds. Of a longer prompt, the
-	// parts with the lowest ids are used on all VMs.
+	// MaxParts bounds the parts of a prompt that failures and proofs name, since callers
+	// choose how many there are. Of a longer prompt, all VMs use those with the lowest ids.
 	MaxParts = 128
 	// maxFailures bounds the failures that a VM keeps.
 	maxFailures = 256
