test: crashing prompts beside replaced VMs and a silent store

Two parts crash engines at once, at changing places in the prompt, while half of the VMs are replaced and the store answers nobody for 3 s.

--- a/test/platform/crashing_prompts_test.go
+++ b/test/platform/crashing_prompts_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/internal/localsite"
+	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 )
 
@@ -127,7 +129,7 @@
 const engineDowntime = 500 * time.Millisecond
 
 func newCrashingSite(t *testing.T) *site {
-	s := newSite(t, options{vms: 4, engines: 8, events: 4, interval: 15 * time.Millisecond})
+	s := newSite(t, options{vms: 4, engines: 8, desks: 1, events: 4, interval: 15 * time.Millisecond})
 	s.fleet.SetCrashingParts(engineDowntime, "dead")
 	return s
 }
@@ -143,6 +145,48 @@
 	}.run(s).checkBounds(s)
 }
 
+// Guards against the bounds being missed when two parts crash engines at once, each at
+// changing places in the prompt, while half of the VMs are replaced and the store then
+// answers no VM for a while.
+func TestPromptsThatCrashEnginesBesideTrouble(t *testing.T) {
+	const (
+		timeToReplace = 1500 * time.Millisecond
+		silence       = 3 * time.Second // shorter than the bound of revocation
+	)
+	s := newCrashingSite(t)
+	s.fleet.SetCrashingParts(engineDowntime, "dead", "deadly")
+	crashing := []string{"first:40,second:30,dead:30", "dead:30,first:40,second:30", "deadly:5,second:30", "first:40,deadly:5"}
+	var mu sync.Mutex
+	running := slices.Clone(s.vms)
+	load := promptLoad{
+		duration: 10 * time.Second, interval: 60 * time.Millisecond,
+		crashing: func(r *rand.Rand) string { return crashing[r.IntN(len(crashing))] },
+		sound:    always("first:40,second:30"),
+		vm: func(r *rand.Rand) *localsite.VM {
+			mu.Lock()
+			defer mu.Unlock()
+			return running[r.IntN(len(running))]
+		},
+	}
+	done := make(chan *loadResult)
+	go func() { done <- load.run(s) }()
+	time.Sleep(timeToReplace)
+	fresh := []*localsite.VM{s.mustStartVM("fresh-0"), s.mustStartVM("fresh-1")}
+	for _, v := range fresh {
+		s.eventually(10*time.Second, v.Name+" serves", func() bool { return s.send(v, look()).status != http.StatusServiceUnavailable })
+	}
+	mu.Lock()
+	running = append(running[:2], fresh...)
+	mu.Unlock()
+	for _, v := range s.vms[2:4] {
+		v.Stop()
+	}
+	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
+	time.Sleep(silence)
+	s.store.SetFaults(userplatform.StoreFaults{})
+	(<-done).checkBounds(s)
+}
+
 // Guards against engines that crash again for a part that was known when all VMs stopped
 // at once, without time to write anything.
 func TestVerdictsOutliveAllVMs(t *testing.T) {
