--- a/entry.go
+++ b/entry.go
@@ -151,7 +151,7 @@
 			PeerAddress: e.mesh.sessions.Addr(), Incarnation: time.Now().UnixMilli(), CPU: d.Limits.CPU,
 		},
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease, FirstStart: d.FirstStart,
-		OnEntry: e.loadVerdicts, Duties: e.mesh, Intervals: intervals, Metrics: e.metrics, Log: o.Log,
+		OnEntry: e.loadRules, Duties: e.mesh, Intervals: intervals, Metrics: e.metrics, Log: o.Log,
 	})
 	e.grants = e.newGrantManager()
 	e.gateway = gateway.New(gateway.Options{
@@ -166,9 +166,9 @@
 	return e, nil
 }
 
-// loadVerdicts adopts the verdicts on prompt parts that the first read of the store
+// loadRules adopts the rules on prompt parts that the first read of the store
 // returns.
-func (e *Entry) loadVerdicts(entry kv.Entry) {
+func (e *Entry) loadRules(entry kv.Entry) {
 	if entry.Key == quarantine.ArchiveKey {
 		e.mesh.quarantine.Load(entry)
 	}
--- a/frontend/prompt.go
+++ b/frontend/prompt.go
@@ -12,9 +12,9 @@
 	"github.com/vanillaarch/vanillaarch/quarantine"
 )
 
-// provingTokens is the number of tokens from which a generation counts as having
+// minSuccessTokens is the number of tokens from which a generation counts as having
 // written. The first one may leave an engine that is about to crash.
-const provingTokens = 2
+const minSuccessTokens = 2
 
 // newRequestPrompt returns the prompt of a request. Its parts are the blocks of the
 // prompt, each with all blocks before it.
@@ -40,11 +40,11 @@
 	}
 }
 
-// reportPromptProof reports once that a generation has written.
-func (r *relay) reportPromptProof() {
-	if r.prompt != nil && !r.proven {
-		r.proven = true
-		r.f.Prompts.RunProven(r.prompt)
+// reportPromptSuccess reports once that a generation has written.
+func (r *relay) reportPromptSuccess() {
+	if r.prompt != nil && !r.succeeded {
+		r.succeeded = true
+		r.f.Prompts.RunSucceeded(r.prompt)
 	}
 }
 
@@ -57,7 +57,7 @@
 		r.reportPromptFailure(started)
 		return err
 	}
-	r.reportPromptProof()
+	r.reportPromptSuccess()
 	return nil
 }
 
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -56,10 +56,10 @@
 	resumes   resumeCount
 
 	// prompt is checked before each attempt; it is nil for a relay that only resumes.
-	// proven is set once a generation has written, engineLost if the engine broke the
+	// succeeded is set once a generation has written, engineLost if the engine broke the
 	// connection of the current one before its first token.
-	prompt             *quarantine.RequestPrompt
-	proven, engineLost bool
+	prompt                *quarantine.RequestPrompt
+	succeeded, engineLost bool
 }
 
 // run obtains tickets and relays tokens until the answer is complete. It starts
@@ -108,7 +108,7 @@
 	defer func() { ticket.Release(r.offset) }()
 	started := false
 	start := func(ctx context.Context) (*backend.Stream, error) {
-		// A verdict may have come while the request waited for the ticket.
+		// A rule may have been added while the request waited for the ticket.
 		if err := r.f.Prompts.Check(r.prompt); err != nil {
 			return nil, err
 		}
@@ -130,8 +130,8 @@
 	return err
 }
 
-// acquire obtains a ticket. It returns a *quarantine.RefusedError if a verdict on the
-// prompt comes while the request waits.
+// acquire obtains a ticket. It returns a *quarantine.RefusedError if a rule on the
+// prompt is added while the request waits.
 func (r *relay) acquire() (dispatch.Ticket, error) {
 	ctx, span := r.f.Tracer.Start(r.c.ctx, "dispatch.acquire")
 	defer span.End()
@@ -219,8 +219,8 @@
 	// counted as a token gap of the engine.
 	r.waitingSince = time.Now()
 	r.offset = token.Offset
-	if r.offset >= provingTokens {
-		r.reportPromptProof()
+	if r.offset >= minSuccessTokens {
+		r.reportPromptSuccess()
 	}
 	r.c.tokens++
 	r.delivered = r.delivered || r.sink.started()
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -12,9 +12,9 @@
 	"github.com/vanillaarch/vanillaarch/route"
 )
 
-// provingEvents is the number of events from which a run counts as having written. The
+// minSuccessEvents is the number of events from which a run counts as having written. The
 // first one may leave an engine that is about to crash.
-const provingEvents = 2
+const minSuccessEvents = 2
 
 // newRequestPrompt returns the prompt of a request to a pool of engines.
 func newRequestPrompt(pool string, info edge.RequestInfo) *quarantine.RequestPrompt {
@@ -33,7 +33,7 @@
 // checkPrompt returns a *quarantine.RefusedError if the request must not be sent. A run
 // that has written may continue.
 func (s *stream) checkPrompt() error {
-	if s.proven {
+	if s.succeeded {
 		return nil
 	}
 	return s.g.Prompts.Check(s.prompt)
@@ -42,20 +42,20 @@
 // reportPromptFailure reports a run whose engine broke the connection before it had
 // written.
 func (s *stream) reportPromptFailure(seg *segment, err error) {
-	if s.proven || s.ctx.Err() != nil || !brokenOff(err) {
+	if s.succeeded || s.ctx.Err() != nil || !brokenOff(err) {
 		return
 	}
-	s.failedUnproven = true
+	s.failedBeforeSuccess = true
 	s.g.Prompts.RunFailed(s.prompt, seg.vm, seg.started)
 }
 
-// reportPromptProof reports once that the run has written.
-func (s *stream) reportPromptProof() {
-	if s.proven {
+// reportPromptSuccess reports once that the run has written.
+func (s *stream) reportPromptSuccess() {
+	if s.succeeded {
 		return
 	}
-	s.proven = true
-	s.g.Prompts.RunProven(s.prompt)
+	s.succeeded = true
+	s.g.Prompts.RunSucceeded(s.prompt)
 }
 
 // brokenOff reports whether an engine closed or reset the connection of a run, or ended
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -112,8 +112,8 @@
 		s.log.Info("run_resumed", zap.String("backend", seg.vm.ID), zap.Duration("pause", now-s.lastEventAt), zap.Int64("event", s.lastEvent))
 	}
 	s.lastEventAt = now
-	if s.eventCount.Load() >= provingEvents {
-		s.reportPromptProof()
+	if s.eventCount.Load() >= minSuccessEvents {
+		s.reportPromptSuccess()
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -44,10 +44,10 @@
 	// copies tracks the copies of the run's KV cache.
 	copies copies
 
-	// prompt is checked before each send. proven is set once the run has written,
-	// failedUnproven once an engine broke the connection before that.
-	prompt                 *quarantine.RequestPrompt
-	proven, failedUnproven bool
+	// prompt is checked before each send. succeeded is set once the run has written,
+	// failedBeforeSuccess once an engine broke the connection before that.
+	prompt                         *quarantine.RequestPrompt
+	succeeded, failedBeforeSuccess bool
 }
 
 // errResponded ends a stream to which nothing more is sent: the engine's error
@@ -95,7 +95,7 @@
 		s.close(seg, err)
 		if err == nil {
 			if seg.answer.Delimited {
-				s.reportPromptProof()
+				s.reportPromptSuccess()
 			}
 			return nil
 		}
@@ -168,7 +168,7 @@
 	if s.mayHaveRun && !s.route.Retryable() {
 		return false
 	}
-	if s.failedUnproven && !s.g.Prompts.MayRepeat(s.prompt) || s.checkPrompt() != nil {
+	if s.failedBeforeSuccess && !s.g.Prompts.MayRepeat(s.prompt) || s.checkPrompt() != nil {
 		return false
 	}
 	if _, notSent := errors.Into[*backend.NotSentError](err); (notSent || misdirected(err)) && !s.headSent {
@@ -210,8 +210,8 @@
 }
 
 // acquire obtains a ticket to run the request on an engine and records the time in
-// the queue. It returns a *quarantine.RefusedError if a verdict on the prompt comes
-// meanwhile.
+// the queue. It returns a *quarantine.RefusedError if a rule on the prompt is
+// added meanwhile.
 func (s *stream) acquire() (dispatch.Ticket, vmlist.VM, error) {
 	begin := boottime.Now()
 	defer func() { s.queued += boottime.Now() - begin }()
--- a/membership/service.go
+++ b/membership/service.go
@@ -35,10 +35,10 @@
 	// OnConfirmed is called when a peer reports that the platform has confirmed
 	// a version. It may be nil.
 	OnConfirmed func(version int64, at time.Duration)
-	// VerdictDigest returns the announced digest of the verdicts on prompt parts, and
-	// OnVerdictDigest is called with that of a peer. Both may be nil.
-	VerdictDigest   func() uint64
-	OnVerdictDigest func(from string, digest uint64)
+	// QuarantineDigest returns the announced digest of the rules on prompt parts, and
+	// OnQuarantineDigest is called with that of a peer. Both may be nil.
+	QuarantineDigest   func() uint64
+	OnQuarantineDigest func(from string, digest uint64)
 	// OnChange is called with all suspicion changes of one event.
 	OnChange func([]Change)
 	Log      *zap.Logger
@@ -159,15 +159,15 @@
 	return &peerpb.Heartbeat{
 		Sequence: s.sequence, BundleVersion: bundle, VmListRevision: vmList,
 		Incarnation: s.detector.Incarnation(), Statuses: s.detector.Statuses(time.Now()), EntryVmsRevision: s.entryVMsRevision(),
-		VerdictDigest: s.verdictDigest(),
+		QuarantineDigest: s.quarantineDigest(),
 	}
 }
 
-func (s *Service) verdictDigest() uint64 {
-	if s.opts.VerdictDigest == nil {
+func (s *Service) quarantineDigest() uint64 {
+	if s.opts.QuarantineDigest == nil {
 		return 0
 	}
-	return s.opts.VerdictDigest()
+	return s.opts.QuarantineDigest()
 }
 
 // entryVMsRevision returns the announced revision of the entry VMs, or 0 if there
@@ -187,7 +187,7 @@
 	return &peerpb.HeartbeatAck{
 		BundleVersion: bundle, VmListRevision: vmList, Incarnation: s.detector.Incarnation(),
 		Statuses:     s.detector.Corrections(from, h.GetIncarnation(), h.GetStatuses()),
-		Confirmation: s.confirmation(), EntryVmsRevision: s.entryVMsRevision(), VerdictDigest: s.verdictDigest(),
+		Confirmation: s.confirmation(), EntryVmsRevision: s.entryVMsRevision(), QuarantineDigest: s.quarantineDigest(),
 	}
 }
 
@@ -230,18 +230,18 @@
 func (s *Service) Receive(from string, m *peerpb.Membership) {
 	if h := m.GetHeartbeat(); h != nil {
 		s.receive(from, h.GetIncarnation(), h.GetStatuses(), h.GetBundleVersion(), h.GetVmListRevision())
-		s.handleVerdictDigest(from, h.GetVerdictDigest())
+		s.handleQuarantineDigest(from, h.GetQuarantineDigest())
 	}
 	if a := m.GetHeartbeatAck(); a != nil {
 		s.receive(from, a.GetIncarnation(), a.GetStatuses(), a.GetBundleVersion(), a.GetVmListRevision())
 		s.handleConfirmation(a)
-		s.handleVerdictDigest(from, a.GetVerdictDigest())
+		s.handleQuarantineDigest(from, a.GetQuarantineDigest())
 	}
 }
 
-func (s *Service) handleVerdictDigest(from string, digest uint64) {
-	if s.opts.OnVerdictDigest != nil {
-		s.opts.OnVerdictDigest(from, digest)
+func (s *Service) handleQuarantineDigest(from string, digest uint64) {
+	if s.opts.OnQuarantineDigest != nil {
+		s.opts.OnQuarantineDigest(from, digest)
 	}
 }
 
--- a/mesh.go
+++ b/mesh.go
@@ -90,10 +90,10 @@
 		Versions: func() (int64, int64) {
 			return o.Sources[gossip.KindBundle].Version(), o.Sources[gossip.KindVMList].Version()
 		},
-		OnChange:        func(changes []membership.Change) { o.Loop.Post(suspicionsChanged(changes)) },
-		VerdictDigest:   func() uint64 { return m.quarantine.Digest() },
-		OnVerdictDigest: func(from string, digest uint64) { m.quarantine.ReceiveDigest(from, digest) },
-		Log:             o.Log,
+		OnChange:           func(changes []membership.Change) { o.Loop.Post(suspicionsChanged(changes)) },
+		QuarantineDigest:   func() uint64 { return m.quarantine.Digest() },
+		OnQuarantineDigest: func(from string, digest uint64) { m.quarantine.ReceiveDigest(from, digest) },
+		Log:                o.Log,
 	}
 	if members := o.Sources[gossip.KindEntryVMs]; members != nil {
 		options.EntryVMsRevision = members.Version
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -17,9 +17,9 @@
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
-// ArchiveKey is the key in the platform's store that holds the verdicts, for VMs that
+// ArchiveKey is the key in the platform's store that holds the rules, for VMs that
 // start while no other VM runs.
-const ArchiveKey = "quarantine/verdicts"
+const ArchiveKey = "quarantine/rules"
 
 // Pauses after failed writes of the archive.
 const (
@@ -27,30 +27,30 @@
 	archivePauseMax = 3 * time.Second
 )
 
-// archive is what this VM knows of the verdicts in the store. It belongs to the
+// archive is what this VM knows of the rules in the store. It belongs to the
 // goroutine of KeepArchive, after Load.
 type archive struct {
-	// digest is that of the stored verdicts, 0 if there are none or they are not known.
+	// digest is that of the stored rules, 0 if there are none or they are not known.
 	digest   uint64
 	revision int64
 }
 
-// Load adopts the verdicts of an entry of the store that this VM has read at its start.
+// Load adopts the rules of an entry of the store that this VM has read at its start.
 // It must be called before KeepArchive, if at all.
 func (m *Manager) Load(e kv.Entry) {
-	stored := &peerpb.StoredVerdicts{}
+	stored := &peerpb.StoredRules{}
 	if err := proto.Unmarshal(e.Value, stored); err != nil {
 		m.opts.Log.Warn("archive_rejected", zap.Int64("revision", e.Revision), telemetry.Error(err))
 		return
 	}
-	// A clock that was set back makes the age negative, and the verdicts as new.
+	// The age is negative if the clock of this VM is behind that of the writer.
 	age := max(time.Since(time.UnixMilli(stored.GetUnixMs())), 0)
 	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects {
-		return m.node.Receive(now, decode(now-age, &peerpb.Quarantine{Verdicts: stored.GetVerdicts()}))
+		return m.node.Receive(now, decode(now-age, &peerpb.Quarantine{Rules: stored.GetRules()}))
 	}})
 }
 
-// KeepArchive writes the verdicts to the store when they change, until ctx ends. One of
+// KeepArchive writes the rules to the store when they change, until ctx ends. One of
 // the VMs does so for all.
 func (m *Manager) KeepArchive(ctx context.Context, store kv.Swapper) {
 	changed := m.opts.Loop.Subscribe()
@@ -79,24 +79,24 @@
 	}
 }
 
-// mustArchive reports whether the verdicts in the store are not those in force, and this
+// mustArchive reports whether the rules in the store are not those in force, and this
 // VM writes them.
 func (m *Manager) mustArchive(known archive) bool {
 	return m.Digest() != known.digest && rendezvous.Owner(ArchiveKey, m.opts.Loop.Snapshot().EntryVMs) == m.opts.VM
 }
 
-// writeArchive writes the verdicts in force. After a conflict, which another VM caused or
+// writeArchive writes the rules in force. After a conflict, which another VM caused or
 // a write whose answer was lost, it writes over the revision that is stored.
 func (m *Manager) writeArchive(ctx context.Context, store kv.Swapper, known *archive) error {
-	digest, verdicts := m.Digest(), m.view.Load().verdicts
-	stored := &peerpb.StoredVerdicts{UnixMs: time.Now().UnixMilli()}
+	digest, rules := m.Digest(), m.view.Load().rules
+	stored := &peerpb.StoredRules{UnixMs: time.Now().UnixMilli()}
 	now := boottime.Now()
-	for _, v := range verdicts {
-		stored.Verdicts = append(stored.Verdicts, encodeVerdict(now, v.Verdict))
+	for _, r := range rules {
+		stored.Rules = append(stored.Rules, encodeRule(now, r.Rule))
 	}
 	value, err := proto.Marshal(stored)
 	if err != nil {
-		return errors.Wrap(err, "encode verdicts")
+		return errors.Wrap(err, "encode rules")
 	}
 	revision, err := store.CompareAndSwap(ctx, ArchiveKey, value, known.revision, 0)
 	if conflict, ok := errors.Into[*kv.ConflictError](err); ok {
@@ -106,6 +106,6 @@
 		return err
 	}
 	known.digest, known.revision = digest, revision
-	m.opts.Log.Info("archive_written", zap.Int("verdicts", len(verdicts)), zap.Int64("revision", revision))
+	m.opts.Log.Info("archive_written", zap.Int("rules", len(rules)), zap.Int64("revision", revision))
 	return nil
 }
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -73,7 +73,7 @@
 		d := membership.NewDetector(id, fleetFanout, 2*time.Second, 1)
 		d.SetVMs(time.Unix(0, 0), ids)
 		var peers []int
-		for _, target := range newsTargets(d.Targets()) {
+		for _, target := range gossipTargets(d.Targets()) {
 			peers = append(peers, index[target])
 		}
 		f.peers = append(f.peers, peers)
@@ -130,7 +130,7 @@
 		return
 	}
 	if d.digest != n.Digest() {
-		f.perform(d.to, d.from, Effects{Reply: Message{Verdicts: n.Verdicts()}, CheckAt: f.checkAt[d.to]})
+		f.perform(d.to, d.from, Effects{Reply: Message{Rules: n.Rules()}, CheckAt: f.checkAt[d.to]})
 	}
 }
 
@@ -163,11 +163,11 @@
 	return true
 }
 
-// prove lets a VM prove sound parts.
-func (f *fleet) prove() {
+// succeed lets a run with sound parts succeed on a VM.
+func (f *fleet) succeed() {
 	vm := f.r.IntN(len(f.nodes))
 	parts := NewPrompt("pool", "", []string{"common", fmt.Sprintf("tenant-%d", f.r.IntN(40))}).Parts
-	f.perform(vm, -1, f.nodes[vm].RunProven(f.now, parts))
+	f.perform(vm, -1, f.nodes[vm].RunSucceeded(f.now, parts))
 }
 
 func (f *fleet) refuses(vm int, parts ...string) bool {
@@ -196,7 +196,7 @@
 					}
 				}
 				for range 20 {
-					f.prove()
+					f.succeed()
 					f.runUntil(f.now + 5*time.Millisecond)
 				}
 				if i == 15 {
--- a/quarantine/fuzz_test.go
+++ b/quarantine/fuzz_test.go
@@ -10,14 +10,14 @@
 )
 
 // FuzzReceive guards against messages of peers that panic, grow a table beyond its limit
-// or set off news without end.
+// or are forwarded again and again.
 func FuzzReceive(f *testing.F) {
 	now := time.Hour
 	part := NewPrompt("pool", "request", []string{"dead"})
 	for _, m := range []Message{
 		{Failures: []Failure{{Run: 1, Engine: 2, At: now, Parts: part.Parts}}},
-		{Proofs: []Proof{{Part: part.Parts[0], At: now}}},
-		{Verdicts: []Verdict{{Parts: part.Parts, Since: now, Until: now + time.Minute, Strikes: 1}}},
+		{Successes: []Success{{Part: part.Parts[0], At: now}}},
+		{Rules: []Rule{{Parts: part.Parts, Since: now, Until: now + time.Minute, Activations: 1}}},
 	} {
 		b, err := proto.Marshal(envelope(now, m).GetQuarantine())
 		if err != nil {
@@ -32,11 +32,11 @@
 		}
 		n := NewNode()
 		n.Receive(now, decode(now, in))
-		if e := n.Receive(now, decode(now, in)); len(e.Send.Failures)+len(e.Send.Proofs) > 0 {
-			t.Errorf("known news is forwarded: %+v", e.Send)
+		if e := n.Receive(now, decode(now, in)); len(e.Send.Failures)+len(e.Send.Successes) > 0 {
+			t.Errorf("known updates are forwarded: %+v", e.Send)
 		}
-		if len(n.failures) > maxFailures || n.proofs.Len() > maxProofs || len(n.verdicts) > maxVerdicts {
-			t.Errorf("%d failures, %d proofs, %d verdicts", len(n.failures), n.proofs.Len(), len(n.verdicts))
+		if len(n.failures) > maxFailures || n.successes.Len() > maxSuccesses || len(n.rules) > maxRules {
+			t.Errorf("%d failures, %d successes, %d rules", len(n.failures), n.successes.Len(), len(n.rules))
 		}
 		newView(n, now, always).check(now, &RequestPrompt{Prompt: part})
 	})
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -30,9 +30,9 @@
 	// RunFailed reports that an engine broke the connection of a run that had not
 	// written. started is when the run was sent, on the clock of package boottime.
 	RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration)
-	// RunProven reports that a run has written.
-	RunProven(p *RequestPrompt)
-	// Watch calls refuse with a *RefusedError when a verdict comes that matches the
+	// RunSucceeded reports that a run has written.
+	RunSucceeded(p *RequestPrompt)
+	// Watch calls refuse with a *RefusedError when a rule is added that matches the
 	// prompt of a waiting request, until stop is called. It may call it more than once.
 	Watch(p *RequestPrompt, refuse func(error)) (stop func())
 }
@@ -44,7 +44,7 @@
 	VM        string
 	Loop      *control.Loop
 	Transport peer.Transport
-	// Peers returns the VMs to which news is sent. They forward it to theirs.
+	// Peers returns the VMs to which updates are sent, which forward them to theirs.
 	Peers   func() []string
 	Metrics metrics.Registry
 	Log     *zap.Logger
@@ -56,40 +56,40 @@
 	opts Options
 	node *Node
 	view atomic.Pointer[View]
-	// digest identifies the verdicts in force, for heartbeats.
+	// digest identifies the rules in force, for heartbeats.
 	digest atomic.Uint64
 	// changed signals a new digest.
 	changed chan struct{}
 	// checkAt is the time of the pending check, 0 if there is none.
 	checkAt time.Duration
-	// trials holds the trials of the view, so that a later view has the same ones.
-	trials map[trialRoundID]*atomic.Bool
-	// syncedAt holds when verdicts were last sent to a peer because its digest differed.
+	// probes holds the probes of the view, so that a later view has the same ones.
+	probes map[probeRoundID]*atomic.Bool
+	// syncedAt holds when rules were last sent to a peer because its digest differed.
 	syncedAt map[string]time.Duration
 
-	failures, refusals, verdicts metrics.Counter
+	failures, refusals, rules metrics.Counter
 
 	waitingMu sync.Mutex
 	// waiting holds the requests that wait for an engine.
 	waiting map[*RequestPrompt]func(error)
 }
 
-// newsFanout is the number of peers to which a VM sends news. Each VM hears the same news
-// from as many, so that lost messages hardly matter.
-const newsFanout = 3
+// gossipFanout is the number of peers to which a VM sends updates. Each VM receives an
+// update from as many, so that the loss of one message hardly matters.
+const gossipFanout = 3
 
-func newsTargets(peers []string) []string { return peers[:min(len(peers), newsFanout)] }
+func gossipTargets(peers []string) []string { return peers[:min(len(peers), gossipFanout)] }
 
-// syncInterval is the minimum time between two exchanges of all verdicts with a peer.
+// syncInterval is the minimum time between two exchanges of all rules with a peer.
 const syncInterval = time.Second
 
-// New returns a manager without verdicts.
+// New returns a manager without rules.
 func New(o Options) *Manager {
 	m := &Manager{
 		opts: o, node: NewNode(), waiting: map[*RequestPrompt]func(error){}, syncedAt: map[string]time.Duration{}, changed: make(chan struct{}, 1),
 		failures: metrics.GetOrRegisterCounter("quarantine.failures", o.Metrics),
 		refusals: metrics.GetOrRegisterCounter("quarantine.refusals", o.Metrics),
-		verdicts: metrics.GetOrRegisterCounter("quarantine.verdicts", o.Metrics),
+		rules:    metrics.GetOrRegisterCounter("quarantine.rules", o.Metrics),
 	}
 	m.view.Store(&View{})
 	return m
@@ -97,13 +97,13 @@
 
 // Check implements Guard.
 func (m *Manager) Check(p *RequestPrompt) error {
-	trials := len(p.trials)
+	probes := len(p.probes)
 	err := m.view.Load().check(boottime.Now(), p)
 	if err != nil {
 		m.refusals.Inc(1)
 	}
-	for _, t := range p.trials[trials:] {
-		m.opts.Log.Info("quarantine_trial", zap.Uint64("verdict", t.key), zap.Int("strikes", t.strikes))
+	for _, started := range p.probes[probes:] {
+		m.opts.Log.Info("quarantine_probe", zap.Uint64("rule", started.key), zap.Int("activations", started.activations))
 	}
 	return err
 }
@@ -123,10 +123,10 @@
 	}
 }
 
-// refuseWaiting refuses the waiting requests that the view condemns.
+// refuseWaiting refuses the waiting requests that a rule matches.
 func (m *Manager) refuseWaiting(now time.Duration) {
 	view := m.view.Load()
-	if len(view.verdicts) == 0 {
+	if len(view.rules) == 0 {
 		return
 	}
 	m.waitingMu.Lock()
@@ -148,13 +148,13 @@
 	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects { return m.node.RunFailed(now, f, started) }})
 }
 
-// RunProven implements Guard.
-func (m *Manager) RunProven(p *RequestPrompt) {
+// RunSucceeded implements Guard.
+func (m *Manager) RunSucceeded(p *RequestPrompt) {
 	if len(p.Parts) == 0 {
 		return
 	}
 	parts := p.Parts
-	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects { return m.node.RunProven(now, parts) }})
+	m.opts.Loop.Post(event{m, "", func(now time.Duration) Effects { return m.node.RunSucceeded(now, parts) }})
 }
 
 // Receive handles a message of a peer.
@@ -162,11 +162,11 @@
 	m.opts.Loop.Post(event{m, from, func(now time.Duration) Effects { return m.node.Receive(now, decode(now, in)) }})
 }
 
-// Digest identifies the verdicts in force.
+// Digest identifies the rules in force.
 func (m *Manager) Digest() uint64 { return m.digest.Load() }
 
 // ReceiveDigest handles the digest in a heartbeat of a peer. If it differs from that of
-// this VM, the peer gets all verdicts: it may have started after they were sent.
+// this VM, the peer gets all rules: it may have started after they were sent.
 func (m *Manager) ReceiveDigest(from string, digest uint64) {
 	if digest != m.Digest() {
 		m.opts.Loop.Post(event{m, from, func(now time.Duration) Effects { return m.sync(from, now) }})
@@ -178,7 +178,7 @@
 		return Effects{}
 	}
 	m.syncedAt[from] = now
-	return Effects{Reply: Message{Verdicts: m.node.Verdicts()}}
+	return Effects{Reply: Message{Rules: m.node.Rules()}}
 }
 
 // event is a control message that changes the node.
@@ -208,16 +208,16 @@
 // publish stores a new view for the request path.
 func (m *Manager) publish(now time.Duration) {
 	vms := m.opts.Loop.Snapshot().EntryVMs
-	trials := map[trialRoundID]*atomic.Bool{}
-	m.view.Store(newView(m.node, now, func(v Verdict) *atomic.Bool {
-		id := trialRoundID{verdict: v.key(), strikes: v.Strikes, round: round(now, v)}
+	probes := map[probeRoundID]*atomic.Bool{}
+	m.view.Store(newView(m.node, now, func(r Rule) *atomic.Bool {
+		id := probeRoundID{rule: r.key(), activations: r.Activations, round: round(now, r)}
 		if rendezvous.Owner(id.String(), vms) != m.opts.VM {
 			return nil
 		}
-		trials[id] = cmp.Or(m.trials[id], &atomic.Bool{})
-		return trials[id]
+		probes[id] = cmp.Or(m.probes[id], &atomic.Bool{})
+		return probes[id]
 	}))
-	m.trials = trials
+	m.probes = probes
 	m.refuseWaiting(now)
 	if digest := m.node.Digest(); m.digest.Swap(digest) != digest {
 		select {
@@ -232,15 +232,15 @@
 	}
 }
 
-// trialRoundID identifies the trial that one VM may start in a round.
-type trialRoundID struct {
-	verdict uint64
-	strikes int
-	round   int64
+// probeRoundID identifies the probe that one VM may start in a round.
+type probeRoundID struct {
+	rule        uint64
+	activations int
+	round       int64
 }
 
-func (id trialRoundID) String() string {
-	return fmt.Sprintf("%x/%d/%d", id.verdict, id.strikes, id.round)
+func (id probeRoundID) String() string {
+	return fmt.Sprintf("%x/%d/%d", id.rule, id.activations, id.round)
 }
 
 // schedule posts a check at a time unless an earlier one is pending.
@@ -255,7 +255,7 @@
 				m.checkAt = 0
 			}
 			e := m.node.Check(now)
-			e.Changed = true // A trial may have become due.
+			e.Changed = true // A probe may have become due.
 			return e
 		}})
 	})
@@ -263,10 +263,10 @@
 
 func (m *Manager) send(now time.Duration, from string, e Effects) {
 	if !e.Send.Empty() {
-		news := envelope(now, e.Send)
-		for _, id := range newsTargets(m.opts.Peers()) {
+		updates := envelope(now, e.Send)
+		for _, id := range gossipTargets(m.opts.Peers()) {
 			if id != from {
-				m.sendTo(id, news)
+				m.sendTo(id, updates)
 			}
 		}
 	}
@@ -275,21 +275,21 @@
 	}
 }
 
-func (m *Manager) sendTo(id string, news *peerpb.Envelope) {
-	if err := m.opts.Transport.Send(id, news); err != nil {
+func (m *Manager) sendTo(id string, updates *peerpb.Envelope) {
+	if err := m.opts.Transport.Send(id, updates); err != nil {
 		m.opts.Log.Debug("quarantine_not_sent", zap.String("peer", id), zap.Error(err))
 	}
 }
 
-// log writes a line for each verdict that has changed.
+// log writes a line for each rule that has changed.
 func (m *Manager) log(now time.Duration, e Effects) {
-	m.verdicts.Inc(int64(len(e.Condemned)))
-	for name, verdicts := range map[string][]Verdict{
-		"prompt_parts_quarantined": e.Condemned, "quarantine_renewed": e.Renewed, "quarantine_lifted": e.Lifted,
+	m.rules.Inc(int64(len(e.Added)))
+	for name, rules := range map[string][]Rule{
+		"prompt_parts_quarantined": e.Added, "quarantine_renewed": e.Renewed, "quarantine_lifted": e.Removed,
 	} {
-		for _, v := range verdicts {
-			m.opts.Log.Warn(name, zap.Uint64("verdict", v.key()), zap.Int("parts", len(v.Parts)), zap.Int("strikes", v.Strikes),
-				zap.Duration("since", now-v.Since), zap.Duration("trial_in", v.Until-now))
+		for _, r := range rules {
+			m.opts.Log.Warn(name, zap.Uint64("rule", r.key()), zap.Int("parts", len(r.Parts)), zap.Int("activations", r.Activations),
+				zap.Duration("since", now-r.Since), zap.Duration("probe_in", r.Until-now))
 		}
 	}
 }
--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -37,19 +37,19 @@
 }
 
 // Guards against requests that wait for an engine until their deadline although a
-// verdict on their prompt has come, and against refusing others that wait.
+// rule on their prompt was added, and against refusing others that wait.
 func TestWaitingRequestsAreRefusedAtOnce(t *testing.T) {
 	m := startManager(t)
-	condemned := &RequestPrompt{Prompt: NewPrompt("pool", "a", []string{"x", "dead"})}
+	quarantined := &RequestPrompt{Prompt: NewPrompt("pool", "a", []string{"x", "dead"})}
 	sound := &RequestPrompt{Prompt: NewPrompt("pool", "b", []string{"x"})}
 	stopped := &RequestPrompt{Prompt: NewPrompt("pool", "c", []string{"dead"})}
 	refused := make(chan error, 1)
-	defer m.Watch(condemned, func(err error) { refused <- err })()
+	defer m.Watch(quarantined, func(err error) { refused <- err })()
 	defer m.Watch(sound, func(err error) { t.Errorf("a sound request is refused: %v", err) })()
 	m.Watch(stopped, func(error) { t.Error("a request that no longer waits is refused") })()
 	now := boottime.Now()
-	verdict := Verdict{Parts: stopped.Parts, Since: now, Until: now + time.Minute, Strikes: 1}
-	m.Receive("peer", envelope(now, Message{Verdicts: []Verdict{verdict}}).GetQuarantine())
+	rule := Rule{Parts: stopped.Parts, Since: now, Until: now + time.Minute, Activations: 1}
+	m.Receive("peer", envelope(now, Message{Rules: []Rule{rule}}).GetQuarantine())
 	select {
 	case err := <-refused:
 		if _, ok := err.(*RefusedError); !ok {
@@ -58,35 +58,35 @@
 	case <-time.After(5 * time.Second):
 		t.Error("the waiting request is not refused")
 	}
-	if m.Check(condemned) == nil || m.Check(sound) != nil {
+	if m.Check(quarantined) == nil || m.Check(sound) != nil {
 		t.Error("new requests are treated otherwise")
 	}
 }
 
-// Guards against a second trial in one round after other news has changed the view, and
-// against a verdict with an absurd number of strikes.
-func TestOneTrialInARound(t *testing.T) {
+// Guards against a second probe in one round after the view has changed for another
+// reason, and against a rule with an absurd number of activations.
+func TestOneProbeInARound(t *testing.T) {
 	m := startManager(t)
 	m.opts.Loop.Post(control.VMListReceived{List: &vmlist.List{Revision: 1, VMs: []vmlist.VM{
 		{ID: "vm", Role: vmlist.RoleEntry, State: vmlist.StateLive},
 	}}})
 	now := boottime.Now()
 	dead := NewPrompt("pool", "a", []string{"dead"})
-	lapsed := Verdict{Parts: dead.Parts, Since: now - time.Hour, Until: now - time.Second, Strikes: 1 << 31}
-	m.Receive("peer", envelope(now, Message{Verdicts: []Verdict{lapsed}}).GetQuarantine())
-	tried := 0
+	expired := Rule{Parts: dead.Parts, Since: now - time.Hour, Until: now - time.Second, Activations: 1 << 31}
+	m.Receive("peer", envelope(now, Message{Rules: []Rule{expired}}).GetQuarantine())
+	admitted := 0
 	for i := range 20 {
-		if m.Check(&RequestPrompt{Prompt: dead}) == nil && len(m.view.Load().verdicts) > 0 {
-			tried++
+		if m.Check(&RequestPrompt{Prompt: dead}) == nil && len(m.view.Load().rules) > 0 {
+			admitted++
 		}
 		noise := NewPrompt("pool", strconv.Itoa(i), []string{strconv.Itoa(i)})
 		m.RunFailed(&RequestPrompt{Prompt: noise}, vmlist.VM{ID: "engine"}, now)
 		time.Sleep(5 * time.Millisecond)
 	}
-	if tried != 1 {
-		t.Errorf("%d trials in one round", tried)
+	if admitted != 1 {
+		t.Errorf("%d probes in one round", admitted)
 	}
-	if term(1<<31) != maxTerm {
-		t.Errorf("term %v", term(1<<31))
+	if quarantineDuration(1<<31) != maxDuration {
+		t.Errorf("duration %v", quarantineDuration(1<<31))
 	}
 }
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -12,11 +12,11 @@
 // safe for concurrent use; the current time is passed as an argument.
 type Node struct {
 	// failures are in the order of arrival.
-	failures []Failure
-	seen     *lru.Cache[failureKey, struct{}]
-	proofs   *lru.Cache[PartID, proof]
-	verdicts map[uint64]Verdict
-	// named holds the parts that failures and verdicts name, nil if it must be built
+	failures  []Failure
+	seen      *lru.Cache[failureKey, struct{}]
+	successes *lru.Cache[PartID, success]
+	rules     map[uint64]Rule
+	// named holds the parts that failures and rules name, nil if it must be built
 	// again.
 	named map[PartID]bool
 	// stale is set if the failures must be diagnosed again, dueAt is the time at which
@@ -27,11 +27,12 @@
 
 type failureKey struct{ run, engine uint32 }
 
-// proof is the last known proof of a part.
-type proof struct {
+// success is the last known success of a part.
+type success struct {
 	at time.Duration
-	// told is the time of the latest proof that was announced or received, 0 if none was.
-	told time.Duration
+	// announcedAt is the time of the latest success that this VM sent or received, 0 if
+	// there is none.
+	announcedAt time.Duration
 }
 
 // Effects are the results of an event.
@@ -39,8 +40,8 @@
 	// Send is for the peers, except the one from which the event came. Reply is for
 	// that one only.
 	Send, Reply Message
-	// Condemned, Renewed and Lifted are the verdicts that changed.
-	Condemned, Renewed, Lifted []Verdict
+	// Added, Renewed and Removed are the rules that changed.
+	Added, Renewed, Removed []Rule
 	// CheckAt is the time at which Check must be called, 0 if it need not be called.
 	CheckAt time.Duration
 	// Changed is set if the view of the request path has changed.
@@ -49,7 +50,7 @@
 
 // NewNode returns a node without any knowledge.
 func NewNode() *Node {
-	return &Node{seen: newCache[failureKey, struct{}](maxSeenFailures), proofs: newCache[PartID, proof](maxProofs), verdicts: map[uint64]Verdict{}}
+	return &Node{seen: newCache[failureKey, struct{}](maxSeenFailures), successes: newCache[PartID, success](maxSuccesses), rules: map[uint64]Rule{}}
 }
 
 func newCache[K comparable, V any](size int) *lru.Cache[K, V] {
@@ -63,7 +64,7 @@
 // RunFailed records a failed run of this VM that started at a given time.
 func (n *Node) RunFailed(now time.Duration, f Failure, started time.Duration) Effects {
 	f.At = now
-	f.Parts = slices.DeleteFunc(slices.Clone(evidence(f.Parts)), func(part PartID) bool { return n.provenAfter(part, started) })
+	f.Parts = slices.DeleteFunc(slices.Clone(evidence(f.Parts)), func(part PartID) bool { return n.succeededAfter(part, started) })
 	var e Effects
 	if len(f.Parts) > 0 {
 		n.addFailure(now, f, &e)
@@ -72,46 +73,46 @@
 	return e
 }
 
-// RunProven records that a run of this VM has written.
-func (n *Node) RunProven(now time.Duration, parts []PartID) Effects {
+// RunSucceeded records that a run of this VM has written.
+func (n *Node) RunSucceeded(now time.Duration, parts []PartID) Effects {
 	var e Effects
 	changed := false
 	for _, part := range evidence(parts) {
-		p, _ := n.proofs.Get(part)
+		p, _ := n.successes.Get(part)
 		p.at = now
-		if n.matters(part) {
+		if n.isNamed(part) {
 			changed = true
-			n.tell(part, &p, &e)
+			n.announce(part, &p, &e)
 		}
-		n.proofs.Add(part, p)
+		n.successes.Add(part, p)
 	}
 	if changed {
-		n.applyProofs(&e)
+		n.applySuccesses(&e)
 		n.check(now, &e)
 	}
 	return e
 }
 
-// evidence returns the parts of a prompt that failures and proofs name.
+// evidence returns the parts of a prompt that failures and successes name.
 func evidence(parts []PartID) []PartID { return parts[:min(len(parts), MaxParts)] }
 
 // Receive processes a message of a peer.
 func (n *Node) Receive(now time.Duration, m Message) Effects {
 	var e Effects
-	proven := false
-	for _, p := range m.Proofs[:min(len(m.Proofs), maxMessageItems)] {
-		proven = n.receiveProof(p, &e) || proven
+	succeeded := false
+	for _, p := range m.Successes[:min(len(m.Successes), maxMessageItems)] {
+		succeeded = n.receiveSuccess(p, &e) || succeeded
 	}
-	if proven {
-		n.applyProofs(&e)
+	if succeeded {
+		n.applySuccesses(&e)
 	}
 	for _, f := range m.Failures[:min(len(m.Failures), maxMessageItems)] {
 		if len(f.Parts) > 0 && len(f.Parts) <= MaxParts {
 			n.addFailure(now, f, &e)
 		}
 	}
-	for _, v := range m.Verdicts[:min(len(m.Verdicts), maxMessageItems)] {
-		n.receiveVerdict(now, v, &e)
+	for _, r := range m.Rules[:min(len(m.Rules), maxMessageItems)] {
+		n.receiveRule(now, r, &e)
 	}
 	n.check(now, &e)
 	return e
@@ -124,99 +125,99 @@
 	return e
 }
 
-// Verdicts returns the verdicts in force.
-func (n *Node) Verdicts() []Verdict {
-	out := make([]Verdict, 0, len(n.verdicts))
-	for _, v := range n.verdicts {
-		out = append(out, v)
+// Rules returns the rules in force.
+func (n *Node) Rules() []Rule {
+	out := make([]Rule, 0, len(n.rules))
+	for _, r := range n.rules {
+		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b Verdict) int { return cmp.Compare(a.key(), b.key()) })
+	slices.SortFunc(out, func(a, b Rule) int { return cmp.Compare(a.key(), b.key()) })
 	return out
 }
 
-// Digest identifies the verdicts in force. It is 0 if there are none.
+// Digest identifies the rules in force. It is 0 if there are none.
 func (n *Node) Digest() uint64 {
 	var digest uint64
-	for key, v := range n.verdicts {
-		digest ^= key * uint64(2*v.Strikes+1)
+	for key, r := range n.rules {
+		digest ^= key * uint64(2*r.Activations+1)
 	}
 	return digest
 }
 
-// provenAfter reports whether a part was proven at or after a time.
-func (n *Node) provenAfter(part PartID, at time.Duration) bool {
-	p, known := n.proofs.Peek(part)
+// succeededAfter reports whether a run with a part succeeded at or after a time.
+func (n *Node) succeededAfter(part PartID, at time.Duration) bool {
+	p, known := n.successes.Peek(part)
 	return known && p.at >= at
 }
 
-// matters reports whether a failure or a verdict names a part.
-func (n *Node) matters(part PartID) bool {
+// isNamed reports whether a failure or a rule names a part.
+func (n *Node) isNamed(part PartID) bool {
 	if n.named == nil {
 		n.named = map[PartID]bool{}
 		for _, f := range n.failures {
-			n.name(f.Parts)
+			n.addNamed(f.Parts)
 		}
-		for _, v := range n.verdicts {
-			n.name(v.Parts)
+		for _, r := range n.rules {
+			n.addNamed(r.Parts)
 		}
 	}
 	return n.named[part]
 }
 
-func (n *Node) name(parts []PartID) {
+func (n *Node) addNamed(parts []PartID) {
 	for _, part := range parts {
 		n.named[part] = true
 	}
 }
 
-// tell announces the proof of a part unless a recent one was announced.
-func (n *Node) tell(part PartID, p *proof, e *Effects) {
-	if p.told != 0 && p.at < p.told+proofInterval {
+// announce sends the success of a part unless a recent one was announced.
+func (n *Node) announce(part PartID, p *success, e *Effects) {
+	if p.announcedAt != 0 && p.at < p.announcedAt+announceInterval {
 		return
 	}
-	p.told = p.at
-	e.Send.Proofs = append(e.Send.Proofs, Proof{Part: part, At: p.at})
+	p.announcedAt = p.at
+	e.Send.Successes = append(e.Send.Successes, Success{Part: part, At: p.at})
 }
 
-// receiveProof records the proof of a peer and forwards it if it is news. It reports
-// whether the proof may change a verdict.
-func (n *Node) receiveProof(in Proof, e *Effects) bool {
-	p, _ := n.proofs.Get(in.Part)
+// receiveSuccess records the success of a peer and forwards it unless a recent one is
+// known. It reports whether the success may change a rule.
+func (n *Node) receiveSuccess(in Success, e *Effects) bool {
+	p, _ := n.successes.Get(in.Part)
 	later := in.At > p.at
 	p.at = max(p.at, in.At)
-	if p.told == 0 || in.At >= p.told+proofInterval {
-		p.told = in.At
-		e.Send.Proofs = append(e.Send.Proofs, in)
+	if p.announcedAt == 0 || in.At >= p.announcedAt+announceInterval {
+		p.announcedAt = in.At
+		e.Send.Successes = append(e.Send.Successes, in)
 	}
-	n.proofs.Add(in.Part, p)
-	return later && n.matters(in.Part)
+	n.successes.Add(in.Part, p)
+	return later && n.isNamed(in.Part)
 }
 
-// applyProofs drops the failures that no longer speak against any part, and takes
-// proven parts out of the verdicts.
-func (n *Node) applyProofs(e *Effects) {
+// applySuccesses drops the failures that no longer speak against any part, and takes
+// parts that have succeeded out of the rules.
+func (n *Node) applySuccesses(e *Effects) {
 	n.invalidate()
 	e.Changed = true
 	n.failures = slices.DeleteFunc(n.failures, func(f Failure) bool {
-		return !slices.ContainsFunc(f.Parts, func(part PartID) bool { return !n.provenAfter(part, f.At) })
+		return !slices.ContainsFunc(f.Parts, func(part PartID) bool { return !n.succeededAfter(part, f.At) })
 	})
-	for key, v := range n.verdicts {
-		left := slices.DeleteFunc(slices.Clone(v.Parts), func(part PartID) bool { return n.provenAfter(part, v.Since) })
-		if len(left) == len(v.Parts) {
+	for key, r := range n.rules {
+		left := slices.DeleteFunc(slices.Clone(r.Parts), func(part PartID) bool { return n.succeededAfter(part, r.Since) })
+		if len(left) == len(r.Parts) {
 			continue
 		}
-		delete(n.verdicts, key)
+		delete(n.rules, key)
 		if len(left) == 0 {
-			e.Lifted = append(e.Lifted, v)
+			e.Removed = append(e.Removed, r)
 			continue
 		}
-		v.Parts = left
-		n.putVerdict(v)
-		e.Renewed = append(e.Renewed, v)
+		r.Parts = left
+		n.putRule(r)
+		e.Renewed = append(e.Renewed, r)
 	}
 }
 
-// addFailure records a failure, forwards it, and announces the proofs that speak for its
+// addFailure records a failure, forwards it, and announces the known successes of its
 // parts.
 func (n *Node) addFailure(now time.Duration, f Failure, e *Effects) {
 	key := failureKey{f.Run, f.Engine}
@@ -226,9 +227,9 @@
 	n.seen.Add(key, struct{}{})
 	e.Send.Failures = append(e.Send.Failures, f)
 	for _, part := range f.Parts {
-		if p, known := n.proofs.Peek(part); known {
-			n.tell(part, &p, e)
-			n.proofs.Add(part, p)
+		if p, known := n.successes.Peek(part); known {
+			n.announce(part, &p, e)
+			n.successes.Add(part, p)
 		}
 	}
 	if len(n.failures) == maxFailures {
@@ -237,73 +238,73 @@
 	n.failures = append(n.failures, f)
 	n.invalidate()
 	e.Changed = true
-	n.judgeTrial(now, f, e)
+	n.applyProbeFailure(now, f, e)
 }
 
-// judgeTrial renews the verdicts whose trial has crashed an engine.
-func (n *Node) judgeTrial(now time.Duration, f Failure, e *Effects) {
-	for key, v := range n.verdicts {
-		if f.At < v.Until || !v.matches(f.Parts) {
+// applyProbeFailure renews the rules whose probe has crashed an engine.
+func (n *Node) applyProbeFailure(now time.Duration, f Failure, e *Effects) {
+	for key, r := range n.rules {
+		if f.At < r.Until || !r.matches(f.Parts) {
 			continue
 		}
-		v.Strikes++
-		v.Until = now + term(v.Strikes)
-		n.verdicts[key] = v
-		e.Renewed = append(e.Renewed, v)
-		e.Send.Verdicts = append(e.Send.Verdicts, v)
+		r.Activations++
+		r.Until = now + quarantineDuration(r.Activations)
+		n.rules[key] = r
+		e.Renewed = append(e.Renewed, r)
+		e.Send.Rules = append(e.Send.Rules, r)
 		e.Changed = true
 	}
 }
 
-// receiveVerdict adopts the verdict of a peer if it is news. If a part has been proven
-// since, it answers with the proof.
-func (n *Node) receiveVerdict(now time.Duration, v Verdict, e *Effects) {
-	if len(v.Parts) == 0 || len(v.Parts) > MaxParts || !slices.IsSorted(v.Parts) || now > v.Until+verdictRetention {
+// receiveRule adopts the rule of a peer if it is newer. If a part has succeeded since, it
+// answers with the success.
+func (n *Node) receiveRule(now time.Duration, r Rule, e *Effects) {
+	if len(r.Parts) == 0 || len(r.Parts) > MaxParts || !slices.IsSorted(r.Parts) || now > r.Until+ruleRetention {
 		return
 	}
-	for _, part := range v.Parts {
-		if p, _ := n.proofs.Peek(part); n.provenAfter(part, v.Since) {
-			e.Reply.Proofs = append(e.Reply.Proofs, Proof{Part: part, At: p.at})
+	for _, part := range r.Parts {
+		if p, _ := n.successes.Peek(part); n.succeededAfter(part, r.Since) {
+			e.Reply.Successes = append(e.Reply.Successes, Success{Part: part, At: p.at})
 		}
 	}
-	if len(e.Reply.Proofs) > 0 {
+	if len(e.Reply.Successes) > 0 {
 		return
 	}
-	known, held := n.verdicts[v.key()]
-	if held && !v.supersedes(known) {
+	known, held := n.rules[r.key()]
+	if held && !r.supersedes(known) {
 		return
 	}
-	n.putVerdict(v)
-	e.Condemned = append(e.Condemned, v)
-	e.Send.Verdicts = append(e.Send.Verdicts, v)
+	n.putRule(r)
+	e.Added = append(e.Added, r)
+	e.Send.Rules = append(e.Send.Rules, r)
 	e.Changed = true
 }
 
-// putVerdict adds a verdict. If there are too many, the one whose trial is due first
+// putRule adds a rule. If there are too many, the one whose probe is due first
 // makes room.
-func (n *Node) putVerdict(v Verdict) {
+func (n *Node) putRule(r Rule) {
 	n.invalidate()
-	n.verdicts[v.key()] = v
-	if len(n.verdicts) <= maxVerdicts {
+	n.rules[r.key()] = r
+	if len(n.rules) <= maxRules {
 		return
 	}
-	all := n.Verdicts()
-	first := slices.MinFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Until, b.Until) })
-	delete(n.verdicts, first.key())
+	all := n.Rules()
+	first := slices.MinFunc(all, func(a, b Rule) int { return cmp.Compare(a.Until, b.Until) })
+	delete(n.rules, first.key())
 }
 
-// invalidate marks what is derived from the failures and the verdicts as out of date.
+// invalidate marks what is derived from the failures and the rules as out of date.
 func (n *Node) invalidate() { n.named, n.stale = nil, true }
 
-// check drops what is too old and condemns the parts that are due.
+// check drops what is too old and quarantines the parts that are due.
 func (n *Node) check(now time.Duration, e *Effects) {
 	n.expire(now, e)
 	if n.stale || n.dueAt != 0 && n.dueAt <= now {
-		n.condemn(now, e)
+		n.addDueRules(now, e)
 	}
 	e.CheckAt = n.dueAt
-	for _, v := range n.verdicts {
-		e.CheckAt = earliest(e.CheckAt, nextRound(now, v))
+	for _, r := range n.rules {
+		e.CheckAt = earliest(e.CheckAt, nextRound(now, r))
 	}
 }
 
@@ -315,43 +316,43 @@
 		n.invalidate()
 		e.Changed = true
 	}
-	for key, v := range n.verdicts {
-		if now > v.Until+verdictRetention {
-			delete(n.verdicts, key)
+	for key, r := range n.rules {
+		if now > r.Until+ruleRetention {
+			delete(n.rules, key)
 			n.invalidate()
-			e.Lifted = append(e.Lifted, v)
+			e.Removed = append(e.Removed, r)
 			e.Changed = true
 		}
 	}
 }
 
-// condemn adds the verdicts that the failures demand.
-func (n *Node) condemn(now time.Duration, e *Effects) {
+// addDueRules adds the rules that the failures require.
+func (n *Node) addDueRules(now time.Duration, e *Effects) {
 	var due []diagnosis
 	due, n.dueAt = n.diagnose(now)
 	n.stale = false
 	for _, d := range due {
-		v := Verdict{Parts: d.parts, Since: d.since, Until: now + term(1), Strikes: 1}
-		if _, held := n.verdicts[v.key()]; held {
+		r := Rule{Parts: d.parts, Since: d.since, Until: now + quarantineDuration(1), Activations: 1}
+		if _, held := n.rules[r.key()]; held {
 			continue
 		}
-		n.putVerdict(v)
-		e.Condemned = append(e.Condemned, v)
-		e.Send.Verdicts = append(e.Send.Verdicts, v)
+		n.putRule(r)
+		e.Added = append(e.Added, r)
+		e.Send.Rules = append(e.Send.Rules, r)
 		e.Changed = true
 	}
 }
 
-// nextRound returns the time at which the state of a verdict changes by itself.
-func nextRound(now time.Duration, v Verdict) time.Duration {
-	if now < v.Until {
-		return v.Until
+// nextRound returns the time at which the state of a rule changes by itself.
+func nextRound(now time.Duration, r Rule) time.Duration {
+	if now < r.Until {
+		return r.Until
 	}
-	return v.Until + trialRound*time.Duration(round(now, v)+1)
+	return r.Until + probeRound*time.Duration(round(now, r)+1)
 }
 
-// round returns the number of the trial round of a lapsed verdict.
-func round(now time.Duration, v Verdict) int64 { return int64((now - v.Until) / trialRound) }
+// round returns the number of the probe round of an expired rule.
+func round(now time.Duration, r Rule) int64 { return int64((now - r.Until) / probeRound) }
 
 // earliest returns the earlier of two times, of which 0 means never.
 func earliest(a, b time.Duration) time.Duration {
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -41,15 +41,15 @@
 	}
 }
 
-func (w *world) prove(parts ...string) { w.n.RunProven(w.now, w.prompt(parts...).Parts) }
+func (w *world) succeed(parts ...string) { w.n.RunSucceeded(w.now, w.prompt(parts...).Parts) }
 
 func (w *world) pass(d time.Duration) {
 	w.now += d
 	w.n.Check(w.now)
 }
 
-func never(Verdict) *atomic.Bool  { return nil }
-func always(Verdict) *atomic.Bool { return &atomic.Bool{} }
+func never(Rule) *atomic.Bool  { return nil }
+func always(Rule) *atomic.Bool { return &atomic.Bool{} }
 
 func (w *world) refused(parts ...string) bool {
 	p := &RequestPrompt{Prompt: w.prompt(parts...)}
@@ -59,13 +59,13 @@
 func (w *world) want(refused bool, parts ...string) {
 	w.t.Helper()
 	if got := w.refused(parts...); got != refused {
-		w.t.Errorf("prompt %v refused: %t, want %t; verdicts %v", parts, got, refused, w.n.Verdicts())
+		w.t.Errorf("prompt %v refused: %t, want %t; rules %v", parts, got, refused, w.n.Rules())
 	}
 }
 
 // Guards against a part that crashes one engine after the other without being refused,
 // wherever it stands in a prompt, and against refusing other prompts.
-func TestPartIsCondemnedAfterSeparateCrashes(t *testing.T) {
+func TestPartIsQuarantinedAfterSeparateCrashes(t *testing.T) {
 	w := newWorld(t)
 	w.crashes(1, "dead", "a")
 	w.crashes(1, "b", "c", "dead")
@@ -78,9 +78,9 @@
 	}
 }
 
-// Guards against verdicts from an event that takes many engines at once, such as the
+// Guards against rules from an event that takes many engines at once, such as the
 // loss of a zone, and against one unlucky run that was sent to one engine after another.
-func TestOneEventAndOneRunCondemnNothing(t *testing.T) {
+func TestOneEventAndOneRunQuarantineNothing(t *testing.T) {
 	w := newWorld(t)
 	for i := range 8 {
 		w.crash(fmt.Sprintf("engine-%d", i), w.prompt("common", "tenant"), w.prompt("common"))
@@ -109,38 +109,38 @@
 	w.want(true, "part")
 }
 
-// Guards against refusing a part that other runs prove while engines crash for other
-// reasons.
-func TestProvenPartIsNotCondemned(t *testing.T) {
+// Guards against refusing a part with which other runs succeed while engines crash for
+// other reasons.
+func TestSuccessfulPartIsNotQuarantined(t *testing.T) {
 	w := newWorld(t)
 	for range 10 {
 		w.crashes(1, "common")
-		w.prove("common")
+		w.succeed("common")
 	}
 	w.pass(2 * time.Second)
 	w.want(false, "common")
-	w.crashes(minCrashesProven-1, "common")
+	w.crashes(minCrashesAfterSuccess-1, "common")
 	w.want(false, "common")
 	w.crashes(1, "common")
-	w.want(true, "common") // It was sound and has become deadly.
+	w.want(true, "common") // It was sound and crashes engines now.
 }
 
-// Guards against a proof that arrives from another VM and is ignored: before the
-// verdict, in the time for objections, and after it.
-func TestProofOfAnotherVMEndsAVerdict(t *testing.T) {
+// Guards against a rule that stays although a run on another VM has succeeded, and
+// against adopting it again from a VM that has not heard so.
+func TestSuccessOnAnotherVMEndsAQuarantine(t *testing.T) {
 	w := newWorld(t)
 	w.crashes(3, "part")
 	w.want(true, "part")
-	proof := Proof{Part: w.prompt("part").Parts[0], At: w.now}
-	e := w.n.Receive(w.now, Message{Proofs: []Proof{proof}})
+	success := Success{Part: w.prompt("part").Parts[0], At: w.now}
+	e := w.n.Receive(w.now, Message{Successes: []Success{success}})
 	w.want(false, "part")
-	if len(e.Lifted) != 1 || !slices.Contains(e.Send.Proofs, proof) {
+	if len(e.Removed) != 1 || !slices.Contains(e.Send.Successes, success) {
 		t.Errorf("effects %+v", e)
 	}
-	// The verdict of a VM that has not heard the proof is answered with the proof.
-	e = w.n.Receive(w.now, Message{Verdicts: []Verdict{{Parts: []PartID{proof.Part}, Since: w.now - time.Second, Until: w.now + time.Minute, Strikes: 1}}})
+	// A VM that does not know the success gets it in reply to its rule.
+	e = w.n.Receive(w.now, Message{Rules: []Rule{{Parts: []PartID{success.Part}, Since: w.now - time.Second, Until: w.now + time.Minute, Activations: 1}}})
 	w.want(false, "part")
-	if len(e.Reply.Proofs) != 1 {
+	if len(e.Reply.Successes) != 1 {
 		t.Errorf("effects %+v", e)
 	}
 }
@@ -154,7 +154,7 @@
 	w.want(true, "dead", "tenant", "other", "first")
 	w.want(false, "first", "tenant")
 	w.want(false, "dead")
-	w.prove("first", "tenant")
+	w.succeed("first", "tenant")
 	w.want(false, "first", "tenant")
 	w.want(true, "dead") // The only part that is left.
 }
@@ -171,11 +171,11 @@
 	w.want(false, "x")
 }
 
-// Guards against condemning a sound part that sound work has stopped using, so that only
+// Guards against refusing a sound part that sound work has stopped using, so that only
 // prompts that crash engines still hold it.
 func TestPartThatSoundWorkNoLongerUses(t *testing.T) {
 	w := newWorld(t)
-	w.prove("template")
+	w.succeed("template")
 	w.pass(time.Minute)
 	w.crashes(4, "template", "dead")
 	w.want(true, "template", "dead")
@@ -184,8 +184,8 @@
 }
 
 // Guards against innocent runs on the crashed engines hiding the part, and against being
-// condemned with it.
-func TestRunsBesideTheCrashingOneAreNotCondemned(t *testing.T) {
+// quarantined with it.
+func TestRunsBesideTheCrashingOneAreNotQuarantined(t *testing.T) {
 	w := newWorld(t)
 	for i := range 4 {
 		others := []Prompt{w.prompt("dead", "x")}
@@ -193,7 +193,7 @@
 			others = append(others, w.prompt("common", fmt.Sprintf("session-%d", 100*i+j)))
 		}
 		w.crash(fmt.Sprintf("engine-%d", i), others...)
-		w.prove("common")
+		w.succeed("common")
 		w.pass(time.Second)
 	}
 	w.want(true, "dead", "x")
@@ -206,53 +206,53 @@
 	w := newWorld(t)
 	for range 3 {
 		w.crashes(1, "one", "common")
-		w.prove("common")
+		w.succeed("common")
 		w.crashes(1, "two", "common")
-		w.prove("common")
+		w.succeed("common")
 	}
 	w.want(true, "one")
 	w.want(true, "two")
 	w.want(false, "common")
 }
 
-// Guards against a verdict without end, against more than one engine lost when it lapses,
-// and against as many engines lost per minute as at first.
-func TestLapsedVerdictIsTriedByOneRequest(t *testing.T) {
+// Guards against a rule without end, against more than one crash when it expires, and
+// against as many crashes per minute as at first.
+func TestExpiredRuleIsProbedByOneRequest(t *testing.T) {
 	w := newWorld(t)
 	w.crashes(3, "dead")
-	since := w.n.Verdicts()[0].Until - firstTerm
-	w.now = since + firstTerm
+	since := w.n.Rules()[0].Until - initialDuration
+	w.now = since + initialDuration
 	w.n.Check(w.now)
-	w.want(true, "dead") // The trial belongs to another VM.
+	w.want(true, "dead") // The probe belongs to another VM.
 	v := newView(w.n, w.now, always)
 	first, second := &RequestPrompt{Prompt: w.prompt("dead")}, &RequestPrompt{Prompt: w.prompt("dead")}
 	for range 2 { // It is checked before each send.
 		if v.check(w.now, first) != nil {
-			t.Error("the trial is refused")
+			t.Error("the probe is refused")
 		}
 	}
 	if v.check(w.now, second) == nil {
-		t.Error("a second trial is admitted")
+		t.Error("a second probe is admitted")
 	}
 	if v.mayRepeat(first) {
-		t.Error("the trial may be repeated on another engine")
+		t.Error("the probe may be repeated on another engine")
 	}
-	w.crash("trial", first.Prompt)
-	if until := w.n.Verdicts()[0].Until; until-w.now != term(2) || term(2) <= 2*term(1) {
-		t.Errorf("renewed for %v, want %v", until-w.now, term(2))
+	w.crash("probe", first.Prompt)
+	if until := w.n.Rules()[0].Until; until-w.now != quarantineDuration(2) || quarantineDuration(2) <= 2*quarantineDuration(1) {
+		t.Errorf("renewed for %v, want %v", until-w.now, quarantineDuration(2))
 	}
 	if newView(w.n, w.now, always).check(w.now, first) == nil {
-		t.Error("the trial is repeated after it has crashed an engine")
+		t.Error("the probe is repeated after it has crashed an engine")
 	}
-	w.now += term(2)
+	w.now += quarantineDuration(2)
 	w.n.Check(w.now)
-	w.prove("dead")
+	w.succeed("dead")
 	w.want(false, "dead")
 }
 
-// Guards against repeating no run any more with a part that has been proven after engines
-// crashed for other reasons.
-func TestProvenPartIsNoSuspect(t *testing.T) {
+// Guards against a run that is not repeated because of a part that has succeeded since
+// engines crashed for other reasons.
+func TestSuccessfulPartIsNoSuspect(t *testing.T) {
 	w := newWorld(t)
 	mayRepeat := func() bool { return newView(w.n, w.now, never).mayRepeat(&RequestPrompt{Prompt: w.prompt("common")}) }
 	w.crashes(1, "common")
@@ -263,13 +263,13 @@
 	if mayRepeat() {
 		t.Error("a run is repeated after two crashes")
 	}
-	if e := w.n.RunProven(w.now, w.prompt("common").Parts); !e.Changed || !mayRepeat() {
-		t.Errorf("the proof changes nothing: %+v", e)
+	if e := w.n.RunSucceeded(w.now, w.prompt("common").Parts); !e.Changed || !mayRepeat() {
+		t.Errorf("the success changes nothing: %+v", e)
 	}
 }
 
 // Guards against tables that grow with the part ids that callers choose, and against
-// losing a verdict to them.
+// losing a rule to them.
 func TestCallersCannotFillTheTables(t *testing.T) {
 	w := newWorld(t)
 	w.crashes(3, "dead")
@@ -279,51 +279,51 @@
 			parts = append(parts, fmt.Sprintf("%d-%d", i, j))
 		}
 		w.crash(fmt.Sprintf("noise-%d", i), w.prompt(parts...))
-		w.n.RunProven(w.now, w.prompt(parts...).Parts)
+		w.n.RunSucceeded(w.now, w.prompt(parts...).Parts)
 		w.now += 10 * time.Millisecond
 	}
-	if len(w.n.failures) > maxFailures || w.n.proofs.Len() > maxProofs || w.n.seen.Len() > maxSeenFailures {
-		t.Errorf("%d failures, %d proofs, %d seen", len(w.n.failures), w.n.proofs.Len(), w.n.seen.Len())
+	if len(w.n.failures) > maxFailures || w.n.successes.Len() > maxSuccesses || w.n.seen.Len() > maxSeenFailures {
+		t.Errorf("%d failures, %d successes, %d seen", len(w.n.failures), w.n.successes.Len(), w.n.seen.Len())
 	}
 	w.want(true, "dead")
-	for i := range 2 * maxVerdicts {
+	for i := range 2 * maxRules {
 		w.crashes(3, fmt.Sprintf("other-%d", i))
 	}
-	if n := len(w.n.Verdicts()); n > maxVerdicts {
-		t.Errorf("%d verdicts", n)
+	if n := len(w.n.Rules()); n > maxRules {
+		t.Errorf("%d rules", n)
 	}
 }
 
-// Guards against a prompt with so many parts that it pushes the proofs of all other parts
+// Guards against a prompt with so many parts that it pushes the successes of all other parts
 // out of the table.
-func TestLongPromptKeepsProofsOfOthers(t *testing.T) {
+func TestLongPromptKeepsSuccessesOfOthers(t *testing.T) {
 	w := newWorld(t)
-	w.prove("common")
+	w.succeed("common")
 	var parts []string
-	for i := range 2 * maxProofs {
+	for i := range 2 * maxSuccesses {
 		parts = append(parts, fmt.Sprintf("part-%d", i))
 	}
-	w.prove(parts...)
-	if !w.n.proofs.Contains(w.prompt("common").Parts[0]) {
-		t.Error("the proof is gone")
+	w.succeed(parts...)
+	if !w.n.successes.Contains(w.prompt("common").Parts[0]) {
+		t.Error("the success is gone")
 	}
 }
 
-// Guards against forwarding the same news again and again between VMs.
-func TestKnownNewsIsNotForwarded(t *testing.T) {
+// Guards against forwarding the same updates again and again between VMs.
+func TestKnownUpdatesAreNotForwarded(t *testing.T) {
 	w := newWorld(t)
 	w.crashes(3, "dead")
 	p := w.prompt("dead", "x")
-	news := Message{
-		Failures: []Failure{{Run: p.Run, Engine: 1, At: w.now, Parts: p.Parts}},
-		Proofs:   []Proof{{Part: w.prompt("x").Parts[0], At: w.now}},
-		Verdicts: w.n.Verdicts(),
+	updates := Message{
+		Failures:  []Failure{{Run: p.Run, Engine: 1, At: w.now, Parts: p.Parts}},
+		Successes: []Success{{Part: w.prompt("x").Parts[0], At: w.now}},
+		Rules:     w.n.Rules(),
 	}
 	other := NewNode()
-	if e := other.Receive(w.now, news); len(e.Send.Failures) != 1 || len(e.Send.Proofs) != 1 || len(e.Send.Verdicts) != 1 {
+	if e := other.Receive(w.now, updates); len(e.Send.Failures) != 1 || len(e.Send.Successes) != 1 || len(e.Send.Rules) != 1 {
 		t.Errorf("first: %+v", e.Send)
 	}
-	if e := other.Receive(w.now, news); !e.Send.Empty() {
+	if e := other.Receive(w.now, updates); !e.Send.Empty() {
 		t.Errorf("again: %+v", e.Send)
 	}
 	if other.Digest() != w.n.Digest() || other.Digest() == 0 {
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -44,10 +44,10 @@
 // suspicion collects the failures that speak against a part.
 type suspicion struct {
 	part PartID
-	// proven is set if a VM knows a proof of the part from before the failures.
-	proven  bool
-	crashes map[crash]bool
-	runs    map[uint32]bool
+	// succeeded is set if a success of the part before the failures is known.
+	succeeded bool
+	crashes   map[crash]bool
+	runs      map[uint32]bool
 }
 
 // suspicions returns the suspicion of each part, without the crashes that are explained
@@ -59,12 +59,12 @@
 			continue
 		}
 		for _, part := range f.Parts {
-			if n.provenAfter(part, f.At) {
+			if n.succeededAfter(part, f.At) {
 				continue
 			}
 			s := out[part]
 			if s == nil {
-				s = &suspicion{part: part, proven: n.provenAfter(part, now-evidenceLifetime), crashes: map[crash]bool{}, runs: map[uint32]bool{}}
+				s = &suspicion{part: part, succeeded: n.succeededAfter(part, now-evidenceLifetime), crashes: map[crash]bool{}, runs: map[uint32]bool{}}
 				out[part] = s
 			}
 			s.crashes[crashes[i]] = true
@@ -99,29 +99,29 @@
 	return len(seen)
 }
 
-// required returns the number of crashes that condemn the part.
+// required returns the number of crashes after which the part is quarantined.
 func (s *suspicion) required() int {
-	if s.proven {
-		return minCrashesProven
+	if s.succeeded {
+		return minCrashesAfterSuccess
 	}
 	return minCrashes
 }
 
-// condemnedAt returns the time at which the part is condemned if no proof comes before
+// ruleDueAt returns the time at which the part is quarantined if no success comes before
 // it. It returns false if there are too few failures.
-func (s *suspicion) condemnedAt() (time.Duration, bool) {
+func (s *suspicion) ruleDueAt() (time.Duration, bool) {
 	crashes := s.separateCrashes()
 	if len(crashes) < s.required() || len(s.runs) < minRuns || s.engines() < minEngines {
 		return 0, false
 	}
-	return crashes[s.required()-1] + objectionTime, true
+	return crashes[s.required()-1] + settleDelay, true
 }
 
 // compare orders suspicions by how well they explain the crashes: parts without any
-// proof first, then those with the most crashes.
+// success first, then those with the most crashes.
 func (s *suspicion) compare(other *suspicion) int {
-	if s.proven != other.proven {
-		if other.proven {
+	if s.succeeded != other.succeeded {
+		if other.succeeded {
 			return -1
 		}
 		return 1
@@ -131,26 +131,26 @@
 
 // indistinguishable reports whether exactly the same failures speak against two parts.
 func (s *suspicion) indistinguishable(other *suspicion) bool {
-	return s.proven == other.proven && maps.Equal(s.crashes, other.crashes) && maps.Equal(s.runs, other.runs)
+	return s.succeeded == other.succeeded && maps.Equal(s.crashes, other.crashes) && maps.Equal(s.runs, other.runs)
 }
 
-// diagnosis is a set of parts that the failures condemn.
+// diagnosis is a set of parts that must be quarantined together.
 type diagnosis struct {
 	parts []PartID
 	since time.Duration
 }
 
-// diagnose returns the parts that the failures condemn at a time, and the time at which
-// it must be called again, or 0 if only further failures can change the result. A crash
-// speaks against one diagnosis only: the other parts of its runs are explained by it.
+// diagnose returns the parts that must be quarantined now, and the time at which it must
+// be called again, or 0 if only further failures can change the result. A crash counts
+// for one diagnosis only, which explains it for the other parts of its runs.
 func (n *Node) diagnose(now time.Duration) (out []diagnosis, again time.Duration) {
 	crashes := crashesOf(n.failures)
-	explained := n.explainedByVerdicts(crashes)
+	explained := n.explainedByRules(crashes)
 	for {
 		all := n.suspicions(now, crashes, explained)
 		var best *suspicion
 		for _, s := range all {
-			at, due := s.condemnedAt()
+			at, due := s.ruleDueAt()
 			switch {
 			case !due:
 			case at > now:
@@ -176,16 +176,16 @@
 	}
 }
 
-// explainedByVerdicts returns the crashes under a part that is condemned alone. Crashes
-// under a verdict on several parts can still tell these apart.
-func (n *Node) explainedByVerdicts(crashes []crash) map[crash]bool {
+// explainedByRules returns the crashes that a rule on a single part explains. Those of a
+// rule on several parts can still tell these apart.
+func (n *Node) explainedByRules(crashes []crash) map[crash]bool {
 	out := map[crash]bool{}
-	for _, v := range n.verdicts {
-		if len(v.Parts) > 1 {
+	for _, r := range n.rules {
+		if len(r.Parts) > 1 {
 			continue
 		}
 		for i, f := range n.failures {
-			if v.matches(f.Parts) {
+			if r.matches(f.Parts) {
 				out[crashes[i]] = true
 			}
 		}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -8,28 +8,28 @@
 	"time"
 )
 
-// View is what the request path knows. It does not change, but for trials being taken.
+// View is an immutable copy of the rules for the request path. Only its probes are taken.
 type View struct {
-	verdicts []viewVerdict
-	// byPart lists the verdicts that name a part.
+	rules []viewRule
+	// byPart lists the rules that name a part.
 	byPart map[PartID][]int
 	// suspects are the parts whose failed runs are not repeated.
 	suspects map[PartID]bool
 }
 
-type viewVerdict struct {
-	Verdict
-	// trial admits one request while this VM may start the trial of the verdict, nil
+type viewRule struct {
+	Rule
+	// probe admits one request while this VM may start the probe of the rule, nil
 	// otherwise.
-	trial *atomic.Bool
+	probe *atomic.Bool
 }
 
 // RefusedError reports a request that is not sent to an engine, since requests with the
 // same prompt parts have crashed several.
 type RefusedError struct {
-	// Parts is the number of parts that the verdict names.
+	// Parts is the number of parts that the rule names.
 	Parts int
-	// RetryAfter is the time until the verdict is put to trial.
+	// RetryAfter is the time until the rule is probed.
 	RetryAfter time.Duration
 }
 
@@ -37,17 +37,17 @@
 	return fmt.Sprintf("requests with the same %d parts of the prompt have crashed engines; refused for %v", e.Parts, e.RetryAfter.Round(time.Second))
 }
 
-// newView returns the view of a node. trialOf returns the trial of a lapsed verdict, nil
+// newView returns the view of a node. probeOf returns the probe of an expired rule, nil
 // if this VM may not start it now.
-func newView(n *Node, now time.Duration, trialOf func(Verdict) *atomic.Bool) *View {
+func newView(n *Node, now time.Duration, probeOf func(Rule) *atomic.Bool) *View {
 	v := &View{byPart: map[PartID][]int{}, suspects: map[PartID]bool{}}
-	for i, verdict := range n.Verdicts() {
-		x := viewVerdict{Verdict: verdict}
-		if now >= verdict.Until {
-			x.trial = trialOf(verdict)
+	for i, rule := range n.Rules() {
+		x := viewRule{Rule: rule}
+		if now >= rule.Until {
+			x.probe = probeOf(rule)
 		}
-		v.verdicts = append(v.verdicts, x)
-		for _, part := range verdict.Parts {
+		v.rules = append(v.rules, x)
+		for _, part := range rule.Parts {
 			v.byPart[part] = append(v.byPart[part], i)
 		}
 	}
@@ -59,38 +59,38 @@
 	return v
 }
 
-// check returns a *RefusedError if a verdict matches a prompt. The prompt takes the trial
-// of a verdict if there is one; a request that has taken it passes from then on.
+// check returns a *RefusedError if a rule matches a prompt. The request becomes the probe
+// of a rule that offers one, and passes this rule from then on.
 func (v *View) check(now time.Duration, p *RequestPrompt) error {
-	for verdict := range v.matching(p) {
-		if verdict.trial == nil || !verdict.trial.CompareAndSwap(false, true) {
-			return verdict.refusal(now)
+	for rule := range v.matching(p) {
+		if rule.probe == nil || !rule.probe.CompareAndSwap(false, true) {
+			return rule.refusal(now)
 		}
-		p.trials = append(p.trials, trial{key: verdict.key(), strikes: verdict.Strikes})
+		p.probes = append(p.probes, probe{key: rule.key(), activations: rule.Activations})
 	}
 	return nil
 }
 
-// refusal returns a *RefusedError if a verdict matches a prompt and is not on trial.
+// refusal returns a *RefusedError if a rule matches a prompt and offers no probe.
 func (v *View) refusal(now time.Duration, p *RequestPrompt) error {
-	for verdict := range v.matching(p) {
-		if verdict.trial == nil {
-			return verdict.refusal(now)
+	for rule := range v.matching(p) {
+		if rule.probe == nil {
+			return rule.refusal(now)
 		}
 	}
 	return nil
 }
 
-// matching returns the verdicts that match a prompt, without those whose trial it is.
-func (v *View) matching(p *RequestPrompt) iter.Seq[viewVerdict] {
-	return func(yield func(viewVerdict) bool) {
-		if len(v.verdicts) == 0 {
+// matching returns the rules that match a prompt, except those that the request probes.
+func (v *View) matching(p *RequestPrompt) iter.Seq[viewRule] {
+	return func(yield func(viewRule) bool) {
+		if len(v.rules) == 0 {
 			return
 		}
 		for _, part := range p.Parts {
 			for _, i := range v.byPart[part] {
-				verdict := v.verdicts[i]
-				if verdict.matches(p.Parts) && !p.tries(verdict) && !yield(verdict) {
+				rule := v.rules[i]
+				if rule.matches(p.Parts) && !p.isProbeOf(rule) && !yield(rule) {
 					return
 				}
 			}
@@ -98,30 +98,30 @@
 	}
 }
 
-func (v viewVerdict) refusal(now time.Duration) error {
-	return &RefusedError{Parts: len(v.Parts), RetryAfter: max(v.Until-now, trialRound)}
+func (r viewRule) refusal(now time.Duration) error {
+	return &RefusedError{Parts: len(r.Parts), RetryAfter: max(r.Until-now, probeRound)}
 }
 
-// mayRepeat reports whether a request that has failed may be sent to another engine: a
-// trial may not, nor one against whose parts several crashes speak.
+// mayRepeat reports whether a request that has failed may be sent to another engine. A
+// probe may not, nor a request with a part that several crashes make suspect.
 func (v *View) mayRepeat(p *RequestPrompt) bool {
-	return len(p.trials) == 0 && !slices.ContainsFunc(p.Parts, func(part PartID) bool { return v.suspects[part] })
+	return len(p.probes) == 0 && !slices.ContainsFunc(p.Parts, func(part PartID) bool { return v.suspects[part] })
 }
 
-// RequestPrompt is the prompt of a request with the trials that it has taken. It is not
-// safe for concurrent use.
+// RequestPrompt is the prompt of a request with the rules that the request probes. It is
+// not safe for concurrent use.
 type RequestPrompt struct {
 	Prompt
-	trials []trial
+	probes []probe
 }
 
-// trial identifies the trial of a verdict.
-type trial struct {
-	key     uint64
-	strikes int
+// probe identifies the probe of a rule.
+type probe struct {
+	key         uint64
+	activations int
 }
 
-// tries reports whether the request is the trial of a verdict.
-func (p *RequestPrompt) tries(v viewVerdict) bool {
-	return slices.Contains(p.trials, trial{key: v.key(), strikes: v.Strikes})
+// isProbeOf reports whether the request is the probe of a rule.
+func (p *RequestPrompt) isProbeOf(r viewRule) bool {
+	return slices.Contains(p.probes, probe{key: r.key(), activations: r.Activations})
 }
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -12,18 +12,18 @@
 	for _, f := range m.Failures {
 		out.Failures = append(out.Failures, &peerpb.RunFailure{Run: f.Run, Engine: f.Engine, AgeMs: age(now, f.At), Parts: encodeParts(f.Parts)})
 	}
-	for _, p := range m.Proofs {
-		out.Proofs = append(out.Proofs, &peerpb.PartProof{Part: uint64(p.Part), AgeMs: age(now, p.At)})
+	for _, p := range m.Successes {
+		out.Successes = append(out.Successes, &peerpb.PartSuccess{Part: uint64(p.Part), AgeMs: age(now, p.At)})
 	}
-	for _, v := range m.Verdicts {
-		out.Verdicts = append(out.Verdicts, encodeVerdict(now, v))
+	for _, r := range m.Rules {
+		out.Rules = append(out.Rules, encodeRule(now, r))
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Quarantine{Quarantine: out}}
 }
 
-func encodeVerdict(now time.Duration, v Verdict) *peerpb.Verdict {
-	return &peerpb.Verdict{
-		Parts: encodeParts(v.Parts), SinceMs: age(now, v.Since), TrialInMs: (v.Until - now).Milliseconds(), Strikes: uint32(v.Strikes),
+func encodeRule(now time.Duration, r Rule) *peerpb.Rule {
+	return &peerpb.Rule{
+		Parts: encodeParts(r.Parts), SinceMs: age(now, r.Since), ProbeInMs: (r.Until - now).Milliseconds(), Activations: uint32(r.Activations),
 	}
 }
 
@@ -43,13 +43,13 @@
 	for _, f := range in.GetFailures() {
 		m.Failures = append(m.Failures, Failure{Run: f.GetRun(), Engine: f.GetEngine(), At: before(now, f.GetAgeMs()), Parts: decodeParts(f.GetParts())})
 	}
-	for _, p := range in.GetProofs() {
-		m.Proofs = append(m.Proofs, Proof{Part: PartID(p.GetPart()), At: before(now, p.GetAgeMs())})
+	for _, p := range in.GetSuccesses() {
+		m.Successes = append(m.Successes, Success{Part: PartID(p.GetPart()), At: before(now, p.GetAgeMs())})
 	}
-	for _, v := range in.GetVerdicts() {
-		trialIn := time.Duration(min(max(v.GetTrialInMs(), -maxAgeMS), maxAgeMS)) * time.Millisecond
-		m.Verdicts = append(m.Verdicts, Verdict{
-			Parts: decodeParts(v.GetParts()), Since: before(now, v.GetSinceMs()), Until: now + trialIn, Strikes: int(v.GetStrikes()),
+	for _, r := range in.GetRules() {
+		probeIn := time.Duration(min(max(r.GetProbeInMs(), -maxAgeMS), maxAgeMS)) * time.Millisecond
+		m.Rules = append(m.Rules, Rule{
+			Parts: decodeParts(r.GetParts()), Since: before(now, r.GetSinceMs()), Until: now + probeIn, Activations: int(r.GetActivations()),
 		})
 	}
 	return m
--- a/test/platform/crashing_prompts_test.go
+++ b/test/platform/crashing_prompts_test.go
@@ -189,7 +189,7 @@
 
 // Guards against engines that crash again for a part that was known when all VMs stopped
 // at once, without time to write anything.
-func TestVerdictsOutliveAllVMs(t *testing.T) {
+func TestQuarantineOutlivesAllVMs(t *testing.T) {
 	s := newCrashingSite(t)
 	crash := func() response {
 		a := draft()
@@ -197,7 +197,7 @@
 		return s.send(s.vms[rand.IntN(len(s.vms))], a)
 	}
 	s.eventually(10*time.Second, "the part is refused", func() bool { return crash().refusedPrompt() })
-	s.eventually(3*time.Second, "the verdict is stored", func() bool { return s.store.Has(quarantine.ArchiveKey) })
+	s.eventually(3*time.Second, "the rule is stored", func() bool { return s.store.Has(quarantine.ArchiveKey) })
 	crashes := len(s.fleet.EngineCrashes())
 	s.restartAllVMs()
 	for range 20 {
