test: wait until all VMs know each other before the store falls silent

Trace: fresh-0 started and read the store's first page, with the first rule; 60 ms later the store fell silent, before the other VMs had read the entry of fresh-0, so that they refused its sessions. It missed the second rule and learnt it after 2.6 s from its own runs. By the operator's rules such a VM is not in touch: it had started within 3 s, and the store was in disruption.

--- a/internal/standin/userplatform/crash.go
+++ b/internal/standin/userplatform/crash.go
@@ -72,14 +72,17 @@
 	time.AfterFunc(downtime, s.startAfterCrash)
 }
 
-// startAfterCrash ends the downtime, unless the server was stopped meanwhile.
+// startAfterCrash ends the downtime, unless the server was stopped meanwhile. A server
+// that had announced its departure does not become ready again.
 func (s *Server) startAfterCrash() {
 	s.lifeMu.Lock()
 	s.restarting = false
 	listens := !s.stopped && s.listenAgain() == nil
+	s.started = time.Now().UnixMilli()
+	state := s.state
 	s.lifeMu.Unlock()
-	if listens {
-		s.Restart()
+	if listens && state != "" {
+		s.Register(state)
 	}
 }
 
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -109,10 +109,12 @@
 	handler http.Handler
 	address string
 
-	// lifeMu guards http, started, stopped and restarting.
+	// lifeMu guards http, started, state, stopped and restarting.
 	lifeMu  sync.Mutex
 	http    *standin.Server
 	started int64
+	// state is that of the entry in the store, "" if it was removed.
+	state string
 	// stopped is set by Crash and Pause until Resume, restarting from a crash by a
 	// request until the server listens again.
 	stopped, restarting bool
@@ -163,6 +165,7 @@
 func (s *Server) Register(state string) {
 	s.lifeMu.Lock()
 	started := s.started
+	s.state = state
 	s.lifeMu.Unlock()
 	putEntry(s.fleet.store, s.opts, s.Address(), state, started)
 }
@@ -188,7 +191,12 @@
 }
 
 // Unregister removes the server's entry from the store.
-func (s *Server) Unregister() { s.fleet.store.Delete("servers/" + s.opts.ID) }
+func (s *Server) Unregister() {
+	s.lifeMu.Lock()
+	s.state = ""
+	s.lifeMu.Unlock()
+	s.fleet.store.Delete("servers/" + s.opts.ID)
+}
 
 // Restart registers the server with a new start time under the same id.
 func (s *Server) Restart() {
--- a/test/platform/crashing_prompts_test.go
+++ b/test/platform/crashing_prompts_test.go
@@ -172,6 +172,11 @@
 	go func() { done <- load.run(s) }()
 	time.Sleep(timeToReplace)
 	fresh := []*localsite.VM{s.mustStartVM("fresh-0"), s.mustStartVM("fresh-1")}
+	// VMs exchange messages only with those that they know from the store, which is about
+	// to fall silent.
+	s.eventually(10*time.Second, "all VMs know each other", func() bool {
+		return !slices.ContainsFunc(s.Site.VMs, func(v *localsite.VM) bool { return len(v.Snapshot().EntryVMs) != len(s.Site.VMs) })
+	})
 	for _, v := range fresh {
 		s.eventually(10*time.Second, v.Name+" serves", func() bool { return s.send(v, look()).status != http.StatusServiceUnavailable })
 	}
