--- a/internal/soak/prompts.go
+++ b/internal/soak/prompts.go
@@ -29,13 +29,14 @@
 
 // promptFault is a part that crashes engines for a while.
 type promptFault struct {
-	part     string
-	from, to time.Time
+	part string
+	// to is the end of the fault.
+	to time.Time
 }
 
 // crashByPrompt makes a part of prompts crash engines. Only one part does at a time.
 func (h *harness) crashByPrompt(r *rand.Rand, _ time.Duration) {
-	f := &promptFault{part: fmt.Sprintf("dead-%x", r.Uint32()), from: time.Now()}
+	f := &promptFault{part: fmt.Sprintf("dead-%x", r.Uint32())}
 	h.mu.Lock()
 	if h.promptFault != nil {
 		h.mu.Unlock()
