--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -275,8 +275,8 @@
 	}
 }
 
-func (m *Manager) sendTo(id string, updates *peerpb.Envelope) {
-	if err := m.opts.Transport.Send(id, updates); err != nil {
+func (m *Manager) sendTo(id string, e *peerpb.Envelope) {
+	if err := m.opts.Transport.Send(id, e); err != nil {
 		m.opts.Log.Debug("quarantine_not_sent", zap.String("peer", id), zap.Error(err))
 	}
 }
