--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,7 @@
 
 var cases = map[string]func(dir string, trouble bool) bool{
 	"queued-at-stop": queuedAtStop,
+	"moved-run":      movedRun,
 }
 
 func main() {
@@ -47,14 +48,21 @@
 
 // deploy starts a small deployment and waits until all VMs are ready.
 func deploy(dir string, vms, engines, desks int) (*fleet, []*vm) {
+	f, started, _ := deployWorkers(dir, vms, engines, desks)
+	return f, started
+}
+
+// deployWorkers also returns the workers, the model workers first.
+func deployWorkers(dir string, vms, engines, desks int) (*fleet, []*vm, []*worker) {
+	var workers []*worker
 	s := startStore()
 	f := newFleet(s)
 	s.put("op/config", manifest(1))
 	for i := range engines {
-		f.startWorker(fmt.Sprintf("i-drafter-%d", i), "drafter", true)
+		workers = append(workers, f.startWorker(fmt.Sprintf("i-drafter-%d", i), "drafter", true))
 	}
 	for i := range desks {
-		f.startWorker(fmt.Sprintf("i-desk-%d", i), "jobdesk", false)
+		workers = append(workers, f.startWorker(fmt.Sprintf("i-desk-%d", i), "jobdesk", false))
 	}
 	for i := range vms {
 		started = append(started, newVM(dir, fmt.Sprintf("front-%d", i), s.addr, true))
@@ -68,5 +76,5 @@
 			os.Exit(2)
 		}
 	}
-	return f, started
+	return f, started, workers
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -57,6 +57,7 @@
 	ran map[string]int
 	// arrived holds the arrivals of each request at a worker.
 	arrived map[string][]time.Duration
+	spans   map[string][]*span
 }
 
 type runCopy struct {
@@ -106,10 +107,22 @@
 	state    string
 	// plainTime is how long a plain request takes.
 	plainTime time.Duration
+	// keepsRuns is set if the worker does not drop a run when its connection closes.
+	keepsRuns bool
+	stopped   context.Context
+	stop      context.CancelFunc
+	server    *http.Server
+}
+
+// span is the work of one worker on a request. end is 0 while it goes on.
+type span struct {
+	worker     string
+	fromCopy   bool
+	begin, end time.Duration
 }
 
 func newFleet(s *store) *fleet {
-	return &fleet{store: s, copies: map[string]*runCopy{}, ran: map[string]int{}, arrived: map[string][]time.Duration{}}
+	return &fleet{store: s, copies: map[string]*runCopy{}, ran: map[string]int{}, arrived: map[string][]time.Duration{}, spans: map[string][]*span{}}
 }
 
 func (f *fleet) startWorker(id, service string, engine bool) *worker {
@@ -123,17 +136,35 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	w.addr = l.Addr().String()
-	go func() { _ = http.Serve(l, mux) }()
+	w.stopped, w.stop = context.WithCancel(context.Background())
+	w.server = &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(l) }()
 	w.checkIn()
 	go func() {
-		for {
-			time.Sleep(heartbeat)
+		for pause(w.stopped, heartbeat) {
 			w.checkIn()
 		}
 	}()
 	return w
 }
 
+// drain reports the state draining. It returns when the store has accepted that.
+func (w *worker) drain() {
+	w.mu.Lock()
+	w.state = "draining"
+	w.mu.Unlock()
+	w.checkIn()
+	record("worker %s is draining", w.id)
+}
+
+// exit ends the worker.
+func (w *worker) exit() {
+	record("worker %s exits", w.id)
+	w.stop()
+	_ = w.server.Close()
+	w.f.store.remove("servers/" + w.id)
+}
+
 func (w *worker) checkIn() {
 	w.mu.Lock()
 	w.sequence++
@@ -167,7 +198,12 @@
 func (w *worker) health(rw http.ResponseWriter, _ *http.Request) {
 	rw.Header().Set("Instance-Id", w.id)
 	rw.Header().Set("Server-Load", w.load())
-	rw.WriteHeader(http.StatusOK)
+	w.mu.Lock()
+	ready := w.state == "ready"
+	w.mu.Unlock()
+	if !ready {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 func (w *worker) load() string {
@@ -268,7 +304,11 @@
 	w.f.arrived[id] = append(w.f.arrived[id], since())
 	w.f.mu.Unlock()
 	ms, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	parent := r.Context()
+	if w.keepsRuns {
+		parent = w.stopped
+	}
+	ctx, cancel := context.WithTimeout(parent, time.Duration(ms)*time.Millisecond)
 	defer cancel()
 	rw.Header().Set("Server-Load", w.load())
 	priority := 5
@@ -290,7 +330,7 @@
 		return
 	}
 	defer w.leave(0)
-	w.f.begin(id, w.id, false)
+	defer w.f.begin(id, w.id, false)()
 	select {
 	case <-time.After(w.plainTime):
 	case <-ctx.Done():
@@ -303,13 +343,23 @@
 	record("worker %s ran %s to its end", w.id, id)
 }
 
-func (f *fleet) begin(id, worker string, fromCopy bool) {
+// begin records that a worker begins to work on a request. The returned function records the
+// end.
+func (f *fleet) begin(id, worker string, fromCopy bool) (end func()) {
+	sp := &span{worker: worker, fromCopy: fromCopy, begin: since()}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if !fromCopy {
 		f.ran[id]++
 	}
-	f.mu.Unlock()
+	f.spans[id] = append(f.spans[id], sp)
 	record("worker %s begins %s (goes on from a copy: %v)", worker, id, fromCopy)
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		sp.end = since()
+		record("worker %s has ended its work on %s", worker, id)
+	}
 }
 
 // useCopy returns the events of a copy, or false if this worker may not use it.
@@ -353,7 +403,7 @@
 			return
 		}
 	}
-	w.f.begin(id, w.id, from != "")
+	defer w.f.begin(id, w.id, from != "")()
 	w.mu.Lock()
 	w.order++
 	me.order = w.order
