review: case 3, a burst of bodies of the allowed size exceeds the memory limit

Bodies are read whole before admission, and nothing bounds them together: 27 drafts at once with bodies of maxBodyBytes take a machine over memoryMb.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,8 +9,9 @@
 )
 
 var cases = map[string]func(dir string, trouble bool) bool{
-	"queued-at-stop": queuedAtStop,
-	"moved-run":      movedRun,
+	"queued-at-stop":  queuedAtStop,
+	"moved-run":       movedRun,
+	"burst-of-bodies": burstOfBodies,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -17,6 +17,8 @@
 const (
 	host   = "site.example"
 	apiKey = "key-of-acme"
+	// bulkKey is the key of a second tenant.
+	bulkKey = "key-of-bulk"
 
 	engineSlots    = 24
 	engineQueue    = 72
@@ -44,7 +46,7 @@
 {"name":"drafter","healthPath":"/health","maxConns":538,"protocol":"h1","tls":false,"engine":{"slots":24,"kvCapacity":34149,"kvTokenBytes":163840,"linkMbps":24000.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m"}]}},
 {"name":"jobdesk","healthPath":"/health","maxConns":244,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"acme","apiKeys":["%s"],"priority":1}]}`, version, apiKey)
+"tenants":[{"name":"acme","apiKeys":["%s"],"priority":1},{"name":"bulk","apiKeys":["%s"],"priority":1}]}`, version, apiKey, bulkKey)
 }
 
 // fleet is what the workers share: the store and the copies of runs.
@@ -389,7 +391,8 @@
 	total, _ := strconv.Atoi(strings.TrimPrefix(strings.Fields(body + " x")[0], "events="))
 	prompt, _, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
 	promptTokens, _ := strconv.Atoi(prompt)
-	if !w.enter(ctx, priority, promptTokens) {
+	// A request that is larger than the memory is rejected as if the worker were full.
+	if promptTokens > engineMemory || !w.enter(ctx, priority, promptTokens) {
 		w.refuse(rw)
 		return
 	}
