review: case 3, a consumer that expects other weights takes all engines out of use

A 421 because of Expect-Version is taken for an address that another server has taken over, which lasts until the engine starts again. Three requests end all generations on three VMs. Nothing is fixed here.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -19,8 +18,6 @@
 	id, method, path, body string
 	headers                map[string]string
 	timeLimit              time.Duration
-	// key is the API key, apiKey if empty.
-	key string
 	// gap is how long the consumer waits for the next bytes of a stream.
 	gap time.Duration
 }
@@ -45,9 +42,8 @@
 
 func (c call) bytes() []byte {
 	var b bytes.Buffer
-	key := cmp.Or(c.key, apiKey)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		c.method, c.path, host, c.id, c.timeLimit.Milliseconds(), key)
+		c.method, c.path, host, c.id, c.timeLimit.Milliseconds(), apiKey)
 	for k, v := range c.headers {
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,7 @@
 
 var cases = map[string]func(dir string, trouble bool) bool{
 	"queued-at-stop":  queuedAtStop,
+	"other-weights":   otherWeights,
 	"moved-run":       movedRun,
 	"burst-of-bodies": burstOfBodies,
 }
@@ -44,6 +45,9 @@
 	}
 }
 
+// firstRoutes are the routes of the first manifest.
+var firstRoutes = streamRoutes + "," + plainRoutes
+
 // started are the entry VMs to end.
 var started []*vm
 
@@ -58,7 +62,7 @@
 	var workers []*worker
 	s := startStore()
 	f := newFleet(s)
-	s.put("op/config", manifest(1))
+	s.put("op/config", manifest(1, firstRoutes))
 	for i := range engines {
 		workers = append(workers, f.startWorker(fmt.Sprintf("i-drafter-%d", i), "drafter", true))
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -17,8 +17,6 @@
 const (
 	host   = "site.example"
 	apiKey = "key-of-acme"
-	// bulkKey is the key of a second tenant.
-	bulkKey = "key-of-bulk"
 
 	engineSlots    = 24
 	engineQueue    = 72
@@ -30,23 +28,28 @@
 	moveTime       = 20 * time.Millisecond
 	copyLifetime   = 5 * time.Second
 	heartbeat      = 1200 * time.Millisecond
+	weightsVersion = "1"
 	plainSlots     = 6
 	plainQueue     = 24
 	plainWork      = 30 * time.Millisecond
 )
 
-// manifest is the operator's manifest, with the limits of the sheet of tilbod-fleet.
-func manifest(version int) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[
-{"name":"quote-draft","host":"site.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":39000,"targetLatencyMs":1800,"priority":1,"service":"drafter","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":180},
-{"name":"panel-check","host":"site.example","pathPrefix":"/panel/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":1500,"priority":0,"service":"drafter","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":180},
-{"name":"deposit-book","host":"site.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"jobdesk","maxAttempts":1,"public":false},
-{"name":"job-lookup","host":"site.example","pathPrefix":"/look/","kind":"safe","timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"jobdesk","maxAttempts":2,"public":false}],
+// Routes of the manifest, with the limits of the sheet of tilbod-fleet.
+const (
+	streamRoutes = `{"name":"quote-draft","host":"site.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":39000,"targetLatencyMs":1800,"priority":1,"service":"drafter","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":180},
+{"name":"panel-check","host":"site.example","pathPrefix":"/panel/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":1500,"priority":0,"service":"drafter","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":180}`
+	plainRoutes = `{"name":"deposit-book","host":"site.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"jobdesk","maxAttempts":1,"public":false},
+{"name":"job-lookup","host":"site.example","pathPrefix":"/look/","kind":"safe","timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"jobdesk","maxAttempts":2,"public":false}`
+)
+
+// manifest is the operator's manifest with the given routes.
+func manifest(version int, routes string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],
 "services":[
 {"name":"drafter","healthPath":"/health","maxConns":538,"protocol":"h1","tls":false,"engine":{"slots":24,"kvCapacity":34149,"kvTokenBytes":163840,"linkMbps":24000.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m"}]}},
 {"name":"jobdesk","healthPath":"/health","maxConns":244,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"acme","apiKeys":["%s"],"priority":1},{"name":"bulk","apiKeys":["%s"],"priority":1}]}`, version, apiKey, bulkKey)
+"tenants":[{"name":"acme","apiKeys":["%s"],"priority":1}]}`, version, routes, apiKey)
 }
 
 // fleet is what the workers share: the store and the copies of runs.
@@ -302,6 +305,12 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if want := r.Header.Get("Expect-Version"); want != "" && want != weightsVersion {
+		rw.Header().Set("Instance-Id", w.id)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		record("worker %s has other weights than %s expects", w.id, id)
+		return
+	}
 	w.f.mu.Lock()
 	w.f.arrived[id] = append(w.f.arrived[id], since())
 	w.f.mu.Unlock()
