--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -75,6 +75,7 @@
 	for _, v := range started {
 		if !v.awaitReady() {
 			fmt.Fprintln(os.Stderr, v.name, "is not ready")
+			record("%s is not ready", v.name)
 			for _, v := range started {
 				v.kill()
 			}
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -35,11 +36,23 @@
 	stopped bool
 }
 
+// Ports below the range from which the kernel takes those of outgoing connections, so that none
+// of these has the port of a VM that hasn't started yet.
+const firstPort, ports = 10000, 20000
+
+var nextPort = os.Getpid() * 97 % ports
+
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for range ports {
+		nextPort = (nextPort + 1) % ports
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err == nil {
+			_ = l.Close()
+			return firstPort + nextPort
+		}
+	}
+	must(errors.New("no free port"))
+	return 0
 }
 
 const settingsFormat = `nodeName: %q
