gateway: reject what waits for an engine when the VM stops

Cause: a stop looked at a stream once, when it arrived. Neither the wait for an engine nor the wait for the end of a server's pause ended with the stop: Entry.Run closed the connections of all that still waited.

Change: drainState.limit gives a wait a context that ends as soon as the request would not end before the VM stops. It covers waits that began before the signal. Such a request gets 503 with a short Retry-After: nothing has run, and another VM can serve it. Streams of which the caller has a part wait on.

--- a/entry_http.go
+++ b/entry_http.go
@@ -97,3 +97,6 @@
 	}
 	return a
 }
+
+// Active returns the number of requests of callers in progress.
+func (e *Entry) Active() int { return e.gateway.Active() }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/route"
 )
 
 // drainState counts active requests and holds the state of a drain.
 type drainState struct {
+	// begun ends when the drain begins.
+	begun context.Context
+	begin context.CancelFunc
+
 	mu     sync.Mutex
 	active int
 	// cutoff is when requests still in progress are aborted, on the clock of
@@ -19,6 +26,12 @@
 	finished chan struct{}
 }
 
+func newDrainState() *drainState {
+	d := &drainState{}
+	d.begun, d.begin = context.WithCancel(context.Background())
+	return d
+}
+
 // enter registers a request. The caller calls release when the request ends.
 func (d *drainState) enter() (release func()) {
 	d.mu.Lock()
@@ -38,47 +51,110 @@
 }
 
 func (d *drainState) stopping() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.cutoff > 0
+	_, stopping := d.remaining()
+	return stopping
 }
 
-// remaining returns the time until active requests are aborted, and false while
-// the VM is not draining.
+// remaining returns the time until active requests are aborted, and false while the VM is
+// not draining.
 func (d *drainState) remaining() (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.cutoff - boottime.Now(), d.cutoff > 0
 }
 
+// StoppingError reports work that would not end before the VM stops.
+type StoppingError struct {
+	// Remaining is the time until the VM ends its work, Needs the time that the work takes.
+	Remaining, Needs time.Duration
+}
+
+func (e *StoppingError) Error() string {
+	return fmt.Sprintf("the VM stops in %v, and the work may take %v", e.Remaining, e.Needs)
+}
+
+// limit returns a context that ends with a *StoppingError as its cause as soon as work that
+// takes the time returned by needs would not end before the VM stops.
+func (d *drainState) limit(parent context.Context, needs func() time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	unregister := context.AfterFunc(d.begun, func() {
+		if err := d.awaitLimit(ctx, needs); err != nil {
+			cancel(err)
+		}
+	})
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+	}
+}
+
+// awaitLimit waits until the work would not end before the VM stops, and returns a
+// *StoppingError. It returns nil if ctx ends first.
+func (d *drainState) awaitLimit(ctx context.Context, needs func() time.Duration) error {
+	for {
+		remaining, _ := d.remaining()
+		needed := needs()
+		if remaining <= needed {
+			return &StoppingError{Remaining: remaining, Needs: needed}
+		}
+		if !wait.Sleep(ctx, remaining-needed) {
+			return nil
+		}
+	}
+}
+
 // BeginDrain starts the drain of the VM. Responses from now on close their
 // connection. Requests are still served, since the balancer takes some seconds to
-// notice, except for streams that would be aborted at cutAfter.
+// notice, except for streams that would be aborted at cutAfter. Streams that wait for an
+// engine are rejected under the same condition.
 func (g *Gateway) BeginDrain(cutAfter time.Duration) {
 	g.drain.mu.Lock()
-	defer g.drain.mu.Unlock()
 	g.drain.cutoff = boottime.Now() + cutAfter
+	g.drain.mu.Unlock()
+	g.drain.begin()
 }
 
-// Conservative estimates of a stream's latency. They decide whether a stream ends
-// before the VM stops.
+// Conservative estimates of the time that requests take. They decide whether a request
+// ends before the VM stops.
 const (
 	assumedFirstEventDelay = 1500 * time.Millisecond
 	assumedTokenInterval   = 16 * time.Millisecond
 )
 
-// checkStopping rejects a stream that could not end before the VM stops. Another
-// VM can serve the caller at once.
+// unlimitedTime is the time that a stream of unknown length needs. It is far below the
+// limit of time.Duration, so that it can be subtracted from.
+const unlimitedTime = time.Duration(math.MaxInt64 / 4)
+
+// timeNeeded returns the time that the request may take from now on.
+func (c *call) timeNeeded() time.Duration {
+	if c.route.Kind != route.Stream {
+		return 0
+	}
+	if c.info.MaxTokens <= 0 {
+		return unlimitedTime
+	}
+	return assumedFirstEventDelay + time.Duration(c.info.MaxTokens)*assumedTokenInterval
+}
+
+// checkStopping rejects a request that may not end before the VM stops. Another VM can
+// serve the caller at once.
 func (c *call) checkStopping() error {
 	remaining, stopping := c.g.drain.remaining()
-	if !stopping || c.route.Kind != route.Stream {
+	if !stopping {
 		return nil
 	}
-	needs := assumedFirstEventDelay + time.Duration(c.info.MaxTokens)*assumedTokenInterval
-	if c.info.MaxTokens > 0 && needs <= remaining {
+	needs := c.timeNeeded()
+	if needs <= remaining {
 		return nil
 	}
-	return notReady("the VM stops before the stream can end").WithRetryAfter(drainRetryAfter)
+	return notReady("the VM stops before the request can end").
+		WithRetryAfter(drainRetryAfter).WithCause(&StoppingError{Remaining: remaining, Needs: needs})
+}
+
+// whileFits returns a context for waiting for a backend server. It ends with parent, and as
+// soon as the request may not end any more before the VM stops.
+func (c *call) whileFits(parent context.Context) (context.Context, context.CancelFunc) {
+	return c.g.drain.limit(parent, c.timeNeeded)
 }
 
 // drainRetryAfter is the Retry-After of requests that are rejected during a drain.
@@ -95,7 +171,7 @@
 // WaitDrained waits until no request is active or ctx ends. It returns the number of
 // requests that are still active.
 func (g *Gateway) WaitDrained(ctx context.Context) (left int) {
-	d := &g.drain
+	d := g.drain
 	d.mu.Lock()
 	if d.active == 0 {
 		d.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,7 +49,7 @@
 	services     *serviceBalancer
 	runs         *runTable
 	replaced     replacedServers
-	drain        drainState
+	drain        *drainState
 	bufferBudget *bufferBudget
 	// background tracks calls that outlive their request.
 	background sync.WaitGroup
@@ -63,6 +63,7 @@
 		budget:       retry.NewSharedBudget(o.Bounds().RetryRatio, o.Bounds().RetrySlack, o.Bounds().RetryWindow),
 		services:     newServiceBalancer(o.Zone),
 		runs:         newRunTable(),
+		drain:        newDrainState(),
 		bufferBudget: newBufferBudget(o.MemoryBytes),
 	}
 }
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -67,11 +67,8 @@
 // failure returns the problem of a request whose last attempt failed. The outcome is
 // not_run only if no attempt may have been executed.
 func (c *call) failure(err error) *api.Problem {
-	if refused, ok := errors.Into[*quarantine.RefusedError](err); ok && !c.mayHaveRun {
-		return promptRefused(refused)
-	}
 	if !c.mayHaveRun {
-		return c.noBackend(err)
+		return c.notRun(err)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return api.NewProblem(api.ProblemOutcomeUnknown, http.StatusGatewayTimeout, api.OutcomeUnknown,
@@ -81,6 +78,17 @@
 		"the backend server gave no usable answer").WithCause(err)
 }
 
+// notRun returns the problem of a request that no backend server has run.
+func (c *call) notRun(cause error) *api.Problem {
+	if refused, ok := errors.Into[*quarantine.RefusedError](cause); ok {
+		return promptRefused(refused)
+	}
+	if stopping, ok := errors.Into[*api.Problem](c.checkStopping()); ok {
+		return stopping
+	}
+	return c.noBackend(cause)
+}
+
 // recordAttempt records an attempt, unless err says that nothing was sent.
 func (c *call) recordAttempt(err error) {
 	if _, notSent := errors.Into[*backend.NotSentError](err); notSent {
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -94,7 +94,8 @@
 
 // awaitServer waits until one of the servers of the service that are not excluded may be
 // used again, if that is soon enough for the request. The wait ends when the caller
-// leaves, also for requests that go on without their caller once they are sent.
+// leaves, also for requests that go on without their caller once they are sent, and when
+// the request would not end before the VM stops.
 func (c *call) awaitServer(excluded []string) bool {
 	var servers []vmlist.VM
 	for _, vm := range c.g.Snapshot().Services[c.service.Name] {
@@ -108,7 +109,9 @@
 	advice := c.advise(servers)
 	switch advice.Action {
 	case serverstate.Wait:
-		return wait.Sleep(c.r.Context(), advice.Until-boottime.Now())
+		waiting, release := c.whileFits(c.r.Context())
+		defer release()
+		return wait.Sleep(waiting, advice.Until-boottime.Now())
 	case serverstate.Send:
 		return c.r.Context().Err() == nil
 	default:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -222,17 +222,28 @@
 
 // acquire obtains a ticket to run the request on an engine and records the time in the
 // queue, including that for the end of a pause. It returns a *quarantine.RefusedError if a
-// rule on the prompt is added meanwhile.
+// rule on the prompt is added meanwhile, and the error of checkStopping if a stream of
+// which the caller has nothing would not end before the VM stops.
 func (s *stream) acquire() (dispatch.Ticket, vmlist.VM, error) {
 	begin := boottime.Now()
 	defer func() { s.queued += boottime.Now() - begin }()
-	ctx, cancel := context.WithCancelCause(s.ctx)
+	waiting := s.ctx
+	if !s.headSent {
+		limited, release := s.whileFits(s.ctx)
+		defer release()
+		waiting = limited
+	}
+	ctx, cancel := context.WithCancelCause(waiting)
 	defer cancel(nil)
 	defer s.g.Prompts.Watch(s.prompt, cancel)()
 	ticket, vm, err := s.acquireUnpaused(ctx)
 	if refused, ok := errors.Into[*quarantine.RefusedError](context.Cause(ctx)); ok && err != nil {
 		return nil, vmlist.VM{}, refused
 	}
+	if stopping := s.checkStopping(); !s.headSent && err == nil && stopping != nil {
+		ticket.Release(0)
+		return nil, vmlist.VM{}, stopping
+	}
 	return ticket, vm, err
 }
 
--- a/test/platform/stop_test.go
+++ b/test/platform/stop_test.go
@@ -151,3 +151,60 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, err
 }
+
+// Guards against a stop that closes the connections of requests which wait for an engine.
+// None of them has run, so that each is told so while another VM can still serve it:
+// drafts that would not end in time at once, short requests when their time runs out.
+func TestStopRefusesRequestsThatWaitForAnEngine(t *testing.T) {
+	const (
+		grace  = 4 * time.Second
+		drafts = 24
+		checks = 6
+	)
+	s := newSite(t, options{
+		vms: 1, engines: 1, events: 2000, interval: 20 * time.Millisecond, bounds: func(b *config.Bounds) { b.Grace = grace },
+	})
+	vm, engine := s.vms[0], s.engines[0]
+	type result struct {
+		response
+		after time.Duration
+	}
+	var stopped time.Time
+	results := make(chan result, drafts+checks)
+	send := func(a request) {
+		r := s.send(vm, a)
+		results <- result{r, time.Since(stopped)}
+	}
+	for range drafts {
+		go send(draft())
+	}
+	s.eventually(5*time.Second, "the engine is full and drafts wait for it", func() bool {
+		return vm.Active() == drafts && time.Since(engine.LastArrival().At) > 500*time.Millisecond && !engine.LastArrival().At.IsZero()
+	})
+	stopped = time.Now()
+	vm.Stop()
+	time.Sleep(300 * time.Millisecond)
+	short := check()
+	short.header["Token-Count"] = "3000,12"
+	for range checks {
+		go send(short)
+	}
+	waited := 0
+	for range drafts + checks {
+		r := <-results
+		if engine.Arrivals(r.id) > 0 {
+			continue // It may be cut: the engine works on it until the end.
+		}
+		waited++
+		if r.err != nil || r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+			t.Errorf("%s waited for an engine: status %d, %v, ended %v after the stop", r.id, r.status, r.err, r.after)
+		}
+		if r.after > grace {
+			t.Errorf("%s was told after the grace period, %v after the stop", r.id, r.after)
+		}
+	}
+	if waited < checks+1 {
+		t.Errorf("%d requests waited for an engine, want more than %d", waited, checks)
+	}
+	<-vm.Done
+}
