gateway: end a run at its engine before it goes on at the next one

Cause: a closed connection was taken for the end of the run. The call that stops a run, a final move, was never made. The same held for every way to go on: from a moved copy, from a backup, and after a connection that broke.

--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -166,14 +166,18 @@
 // discard frees a moved copy that was not used, unless its engine has asked for a pause.
 func (s *stream) discard(rc *runCopy) {
 	rc.ticket.Release(0)
-	if s.g.isPaused(rc.source) {
+	s.g.freeCopy(s.log, rc.source, rc.location.Handle)
+}
+
+// freeCopy frees a copy at the engine that made it, unless that has asked for a pause. The
+// engine frees it by itself when its lifetime expires.
+func (g *Gateway) freeCopy(log *zap.Logger, source vmlist.VM, handle string) {
+	if g.isPaused(source) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), discardTimeout)
 	defer cancel()
-	_, err := s.g.Engines.Discard(ctx, backend.TargetOf(rc.source), rc.location.Handle)
-	if err != nil {
-		// The engine frees the copy when its lifetime expires.
-		s.log.Info("copy_not_freed", zap.String("backend", rc.vm.ID), telemetry.Error(err))
+	if _, err := g.Engines.Discard(ctx, backend.TargetOf(source), handle); err != nil {
+		log.Info("copy_not_freed", zap.String("backend", source.ID), telemetry.Error(err))
 	}
 }
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -46,6 +46,7 @@
 // the connected copy from which the run continues, nil for a new run. For a new run,
 // open releases the ticket if it returns an error; otherwise the caller still owns it.
 func (s *stream) open(ticket dispatch.Ticket, vm vmlist.VM, source *connectedCopy) (*segment, error) {
+	s.endPreviousRun(vm)
 	ctx, cancel := context.WithCancel(s.ctx)
 	seg := &segment{ticket: ticket, vm: vm, cancel: cancel, started: boottime.Now(), startEvent: s.lastEvent, fromCopy: source != nil}
 	s.enterEngine(vm)
@@ -193,6 +194,9 @@
 	}
 	seg.cancel()
 	s.leaveEngine(seg.vm)
+	if mayStillRun(seg, err) {
+		s.unended = &seg.vm
+	}
 	s.recordResult(seg.vm.ID, err)
 	s.log.Info("attempt_done", zap.String("backend", seg.vm.ID), zap.String("service", s.service.Name),
 		zap.Int("send", s.sends), zap.Bool("from_copy", seg.fromCopy), zap.Int64("from_event", seg.startEvent),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -44,6 +44,8 @@
 
 	// copies tracks the copies of the run's KV cache.
 	copies copies
+	// unended is the engine of the previous segment if it may still work on the run.
+	unended *vmlist.VM
 
 	// prompt is checked before each send. succeeded is set once the run has written,
 	// failedBeforeSuccess once an engine broke the connection before that.
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -24,10 +24,9 @@
 	moving bool
 }
 
-// beginRun registers a run. The returned context ends with the client's connection and
-// with the run.
-func (s *Server) beginRun(r *http.Request, request string, last int) (context.Context, *engineRun) {
-	ctx, stop := context.WithCancel(r.Context())
+// beginRun registers a run. The returned context ends with the run, and with parent.
+func (s *Server) beginRun(parent context.Context, request string, last int) (context.Context, *engineRun) {
+	ctx, stop := context.WithCancel(parent)
 	run := &engineRun{request: request, stop: stop, ended: make(chan struct{})}
 	run.events.Store(int64(last))
 	s.mu.Lock()
@@ -55,7 +54,11 @@
 		return
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0, the start, if absent
-	ctx, run := s.beginRun(r, request, last)
+	parent := r.Context()                                  // It ends with the client's connection.
+	if f.KeepsRuns {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, run := s.beginRun(parent, request, last)
 	defer s.endRun(run)
 	defer s.fleet.beginExecution(r, s.opts.ID, from != "")()
 	if f.EndlessHead || f.EndlessBody {
@@ -105,6 +108,9 @@
 		if f.HoldAfter > 0 && n > f.HoldAfter {
 			held += eventOf(r, n)
 		} else if !sendEvent(w, r, f, n) {
+			if f.KeepsRuns {
+				wait.Sleep(ctx, time.Duration(s.opts.Events-n)*s.opts.EventInterval)
+			}
 			return "", false
 		}
 		run.events.Store(int64(n))
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -68,6 +68,8 @@
 	// BackupDelay is the time for which the first part of a backup waits for other
 	// transfers.
 	BackupDelay time.Duration
+	// KeepsRuns makes an engine work on runs whose connection has closed.
+	KeepsRuns bool
 	// RefuseMoves answers POST /kv-move with 503, as if no room were left at the target.
 	RefuseMoves bool
 	// Script responds to requests that are executed, if it is not nil.
--- a/test/platform/switchover_test.go
+++ b/test/platform/switchover_test.go
@@ -177,3 +177,54 @@
 		t.Errorf("ran on %v", runs)
 	}
 }
+
+// Guards against a run that goes on at two engines: the one that it leaves works on after
+// its connection has closed. Each way to go on from a copy counts.
+func TestRunGoesOnAtOneEngineAtATime(t *testing.T) {
+	const (
+		events = 700
+		// maxOverlap is the time for which the users allow two engines to work on a run.
+		maxOverlap = 400 * time.Millisecond
+	)
+	for name, test := range map[string]struct {
+		faults userplatform.ServerFaults
+		leaves bool
+	}{
+		"from a moved copy":           {faults: userplatform.ServerFaults{BackupDelay: time.Minute}, leaves: true},
+		"from its backup":             {leaves: true},
+		"after its connection breaks": {faults: userplatform.ServerFaults{BreakAfter: 50}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, options{vms: 1, engines: 3, events: events, interval: 10 * time.Millisecond})
+			test.faults.KeepsRuns = true
+			for _, e := range s.engines {
+				e.SetFaults(test.faults)
+			}
+			const id = "one-at-a-time"
+			ended := s.startDraft(id)
+			first := s.engineOf(id)
+			for _, e := range s.engines {
+				if e != first {
+					e.SetFaults(userplatform.ServerFaults{})
+				}
+			}
+			if test.leaves {
+				first.Register("draining")
+			}
+			if err := checkStream(<-ended, events); err != nil {
+				t.Error(err)
+			}
+			executions := s.fleet.Executions(id)
+			if len(executions) < 2 {
+				t.Fatalf("%d executions, want 2: %v", len(executions), executions)
+			}
+			for i, next := range executions[1:] {
+				previous := executions[i]
+				if overlap := previous.End.Sub(next.Begin); previous.End.IsZero() || overlap > maxOverlap {
+					t.Errorf("%s works on beside %s for %v (it ended at %v)", previous.Server, next.Server, overlap, previous.End)
+				}
+			}
+		})
+	}
+}
