gateway: close the connection of a request that gets no answer

A caller that closed only its direction of the connection got an empty 200 without a server's signature.

Cause: a closed direction ends the context of the request, as if the caller had left. The gateway then writes nothing, and http.Server completes a handler that has written nothing with an empty success.

Change: a handler that has written nothing aborts its connection. Found while the answers of stopping VMs were looked at.

Evidence: TestHalfClosedCallerGetsNoEmptySuccess got status 200 before, and the end of the connection now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,6 +140,10 @@
 		c.sendProblem(p)
 	}
 	c.recordCompletion(p, "")
+	if c.status == 0 {
+		// http.Server would write an empty success.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // callerLeft reports whether the caller has disconnected. The context of the request also
--- a/test/platform/malformed_test.go
+++ b/test/platform/malformed_test.go
@@ -321,3 +321,19 @@
 		})
 	}
 }
+
+// Guards against an empty success for a request whose caller closes only its direction of the
+// connection: the VM takes that for the end of the caller, and has no answer.
+func TestHalfClosedCallerGetsNoEmptySuccess(t *testing.T) {
+	s := newSite(t, options{vms: 1, plainServers: 1})
+	s.plainServers[0].SetFaults(userplatform.ServerFaults{Hang: true})
+	c := dialVM(t, s.vms[0].Addresses().Callers)
+	c.send("GET /look/1 HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + key + "\r\nRequest-Id: half\r\nDeadline-Ms: 5000\r\n\r\n")
+	s.eventually(time.Second, "the server has the request", func() bool { return s.plainServers[0].Arrivals("half") > 0 })
+	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if status, err := c.readStatus(); err == nil && status < http.StatusMultipleChoices {
+		t.Errorf("status %d without the answer of a server", status)
+	}
+}
