listen: let the reader decide whether a connection is idle

A request on a kept connection could be handled, and for one that may run once passed on to a server, although its connection was closed without a response: it crossed the moment in which a stopping VM closes idle connections.

Cause: DrainConnections looked at a connection and closed it in two steps. In between, and while a Read had returned but was not recorded, the server read the request and handled it.

Change: the pending Read of an idle connection gets an expired deadline. The goroutine that reads finds either a request, which is served, or none, and then the server closes the connection without having read one.

--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -34,6 +34,8 @@
 	since time.Time
 	// reading is set during a Read, hasRead once bytes were read in the current state.
 	reading, hasRead bool
+	// expired is set while a Read is made to fail since no request has arrived.
+	expired bool
 }
 
 // track registers an accepted connection.
@@ -81,8 +83,8 @@
 	}
 }
 
-// DrainConnections closes the listener, and each connection once no request on it is
-// pending. It returns when all connections are closed or ctx ends. Requests are still
+// DrainConnections closes the listener, and has each connection closed once no request on it
+// is pending. It returns when all connections are closed or ctx ends. Requests are still
 // served, and their responses must close the connection.
 //
 // It replaces http.Server.Shutdown, after which the server closes a connection without a
@@ -118,16 +120,27 @@
 	}
 }
 
-// closeIdle closes connections without a pending request. It returns how many remain.
-func (l *Listener) closeIdle(now time.Time) (left int) {
-	for _, c := range l.tracked() {
-		if c.idle(now) {
-			_ = c.Close()
-		} else {
-			left++
-		}
+// closeIdle makes the server close connections without a pending request. It returns how
+// many connections are open.
+func (l *Listener) closeIdle(now time.Time) (open int) {
+	conns := l.tracked()
+	for _, c := range conns {
+		c.expireIfIdle(now)
 	}
-	return left
+	return len(conns)
+}
+
+// expireIfIdle lets the pending Read of an idle connection fail, after which the server
+// closes the connection. The goroutine that reads thus decides whether a request has
+// arrived: if the connection were closed here, the server could read a request, and handle
+// it, between the check and the close.
+func (c *conn) expireIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired || !c.idle(now) {
+		return
+	}
+	c.expired = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
 func (l *Listener) tracked() []*conn {
@@ -170,10 +183,9 @@
 	return Connection{Remote: c.RemoteAddr().String(), State: c.state, Since: c.since}
 }
 
-// idle reports whether the server waits for a request of which nothing has arrived.
+// idle reports whether the server waits for a request of which nothing has arrived. The
+// caller holds c.mu.
 func (c *conn) idle(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.hasRead || !c.reading {
 		return false
 	}
@@ -205,11 +217,16 @@
 	c.reading = true
 }
 
+// endRead records the end of a Read. A request that arrives although its connection seemed
+// idle is read to its end.
 func (c *conn) endRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
 	c.hasRead = c.hasRead || n > 0
+	if c.expired && n > 0 {
+		c.expired = c.TCPConn.SetReadDeadline(time.Time{}) != nil
+	}
 }
 
 // awaitsRequest reports whether nothing of the next request was read.
