--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
 
@@ -57,18 +60,13 @@
 }
 
 // checkStop looks for requests interrupted by a graceful stop. A VM that is not
-// affected by a fault must not interrupt any.
+// affected by a fault must not interrupt any that it has read, up to the end of its process.
 func (h *harness) checkStop(r *request) {
 	if r.canceled || r.err == nil || r.status != http.StatusOK && r.status != 0 {
 		return
 	}
 	stop, ok := h.stopRequests.lookup(r.process)
-	if !ok || r.sent.Before(stop.Add(-callerTimeout)) || r.sent.After(stop.Add(acceptAfterStop)) {
-		return
-	}
-	// A request that arrives while the VM closes the idle connection is never
-	// read.
-	if r.status == 0 && len(h.fleet.Runs(r.id)) == 0 {
+	if !ok || r.sent.Before(stop.Add(-callerTimeout)) || h.neverRead(r) {
 		return
 	}
 	if h.faults.undisturbed(r.sent, r.done, scopeStore, scopeServers, scopeVM(r.vm.name)) {
@@ -76,6 +74,16 @@
 	}
 }
 
+// neverRead reports whether a request without any response was not read: its connection was
+// refused, or closed soon after the request was sent. The time for which the soak stood still
+// does not count.
+func (h *harness) neverRead(r *request) bool {
+	if r.status != 0 || len(h.fleet.Runs(r.id)) > 0 {
+		return false
+	}
+	return errors.Is(r.err, syscall.ECONNREFUSED) || r.done.Sub(r.sent)-h.delays.longest(r.sent, r.done) <= cutSlack
+}
+
 // checkRuns compares all responses with the runs recorded by the backend servers.
 func (h *harness) checkRuns() {
 	h.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,9 +27,9 @@
 	// settleTime is how long a scope must have been free of faults before an
 	// invariant with a time bound applies to it.
 	settleTime = 4 * time.Second
-	// acceptAfterStop is how long a VM still accepts requests after a stop was
-	// requested.
-	acceptAfterStop = 3 * time.Second
+	// cutSlack is how long after it was sent a request may lose its connection that no VM
+	// has read.
+	cutSlack = 200 * time.Millisecond
 	// recoveryBound is the time within which each VM must serve after all faults
 	// have ended.
 	recoveryBound = 15 * time.Second
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -30,8 +30,6 @@
 	acceptTime = 3400 * time.Millisecond
 	// lateTime is a second before the end of the grace period.
 	lateTime = (graceSeconds - 1) * time.Second
-	// cutSlack is how long after its last byte a request may be cut that reached no server.
-	cutSlack = 200 * time.Millisecond
 	// stallTime and runTime are the times for which a starved VM stands still and runs in
 	// turn, as with a quota of processor time.
 	stallTime, runTime = 70 * time.Millisecond, 30 * time.Millisecond
