gateway: expected weights say nothing of an engine's address

Cause: an engine with other weights answers 421, which was taken for "another server has this address". The breaker of each engine that was asked stayed open until its entry changed.

Change: if the caller expects certain weights, 421 is a refusal and no more. It counts as an attempt.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -82,7 +82,7 @@
 			failure = err
 		}
 		_, notSent := errors.Into[*backend.NotSentError](err)
-		if notSent || err == nil && answer.status == http.StatusMisdirectedRequest {
+		if notSent || err == nil && c.fromOtherServer(answer.status) {
 			if unsentAttempts++; unsentAttempts >= maxUnsentAttempts {
 				break
 			}
@@ -176,8 +176,10 @@
 		return balance.Inconclusive
 	case err != nil:
 		return balance.Unreachable
-	case answer.status == http.StatusMisdirectedRequest:
+	case c.fromOtherServer(answer.status):
 		return balance.Unreachable
+	case answer.status == http.StatusMisdirectedRequest:
+		return balance.Inconclusive // The server has other weights than the caller expects.
 	case answer.info.Notice.AsksForPause():
 		return balance.Inconclusive // A pause is no failure.
 	case answer.info.NotRun:
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -107,7 +107,7 @@
 // it reached another server than the addressed one.
 func (c *call) revertAttempt(before bool, status int) {
 	c.mayHaveRun = before
-	if status == http.StatusMisdirectedRequest {
+	if c.fromOtherServer(status) {
 		c.sends--
 	}
 }
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -36,6 +36,8 @@
 type RefusedError struct {
 	Backend string
 	Status  int
+	// OtherServer is set if another server than the addressed one has refused the request.
+	OtherServer bool
 }
 
 func (e *RefusedError) Error() string {
@@ -120,7 +122,7 @@
 		if !fromCopy {
 			s.revertAttempt(ranBefore, seg.answer.Status)
 		}
-		return &RefusedError{Backend: seg.vm.ID, Status: seg.answer.Status}
+		return &RefusedError{Backend: seg.vm.ID, Status: seg.answer.Status, OtherServer: s.fromOtherServer(seg.answer.Status)}
 	}
 	if seg.answer.Status != http.StatusOK {
 		return s.deliverEngineFailure(seg.answer, seg.vm, info)
--- a/gateway/unreachable.go
+++ b/gateway/unreachable.go
@@ -74,10 +74,17 @@
 }
 
 // misdirected reports whether the response came from another server than the
-// addressed one (421 Misdirected Request).
+// addressed one.
 func misdirected(err error) bool {
 	refused, ok := errors.Into[*RefusedError](err)
-	return ok && refused.Status == http.StatusMisdirectedRequest
+	return ok && refused.OtherServer
+}
+
+// fromOtherServer reports whether a status shows that another server has the address of the
+// one to which the request was sent (421 Misdirected Request). If the caller expects certain
+// weights, the right server answers with that status as well.
+func (c *call) fromOtherServer(status int) bool {
+	return status == http.StatusMisdirectedRequest && !c.info.ExpectsWeights
 }
 
 // ProbeEngines probes engines with an open breaker and closes it once they
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -12,6 +12,9 @@
 	"github.com/vanillaarch/vanillaarch/internal/standin"
 )
 
+// WeightsVersion is the version of the weights of all engines.
+const WeightsVersion = "1"
+
 // ServerOptions configures a Server.
 type ServerOptions struct {
 	ID, Service, Zone string
@@ -204,6 +207,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return s.faults, false
 	}
+	if want := r.Header.Get("Expect-Version"); s.opts.Model != "" && want != "" && want != WeightsVersion {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return s.faults, false
+	}
 	if s.announcer.rejects(w.Header()) || s.faults.Shed || s.running >= s.opts.Slots {
 		refuse(w, r, s.faults)
 		return s.faults, false
--- a/test/platform/engines_test.go
+++ b/test/platform/engines_test.go
@@ -40,3 +40,29 @@
 		return s.engines[0].LastArrival() != last
 	})
 }
+
+// Guards against engines that are taken out of use, on a VM that asked each of them in turn,
+// since a caller expects other weights than they have. They answer as if another server had
+// their address.
+func TestCallerThatExpectsOtherWeightsTakesNoEngineOut(t *testing.T) {
+	const events = 5
+	s := newSite(t, options{vms: 1, engines: 3, events: events, interval: 5 * time.Millisecond})
+	vm := s.vms[0]
+	for _, a := range []request{check(), draft()} {
+		a.header["Expect-Version"] = "2"
+		if r := s.send(vm, a); r.err != nil || r.status != http.StatusServiceUnavailable {
+			t.Errorf("%s for other weights: status %d, %v", a.path, r.status, r.err)
+		}
+		a.header["Expect-Version"] = userplatform.WeightsVersion
+		if err := checkStream(s.send(vm, a), events); err != nil {
+			t.Errorf("%s for the right weights: %v", a.path, err)
+		}
+	}
+	for range 20 {
+		for _, a := range []request{check(), draft()} {
+			if err := checkStream(s.send(vm, a), events); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
