gateway: bound the memory of buffered bodies of requests

Cause: only buffered responses had a budget.

A body with a length is read into one buffer.

TestBodiesOfRequestsShareTheMemory.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -127,7 +128,7 @@
 	if err := control.SetReadDeadline(time.Now().Add(c.remaining())); err != nil {
 		c.log.Debug("read_deadline_failed", telemetry.Error(err))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.snap.Routes.Limits.BodyBytes))
+	body, err := c.bufferBody(limited)
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		c.log.Debug("read_deadline_failed", telemetry.Error(err))
 	}
@@ -135,6 +136,9 @@
 		return api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
 			"the body exceeds the limit").WithCause(tooLarge)
 	}
+	if full, ok := errors.Into[*BufferBudgetError](err); ok {
+		return notReady("the VM has no memory for the body").WithCause(full)
+	}
 	if err != nil {
 		c.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
 		// http.Server would wait for the rest of the body before it sends the answer.
@@ -147,6 +151,31 @@
 	return nil
 }
 
+// bufferBody reads the body into memory of the budget for requests. Without memory it reads
+// and drops the body, since a caller that is still sending may not see an answer, and returns
+// a *BufferBudgetError.
+func (c *call) bufferBody(ctx context.Context) ([]byte, error) {
+	limit := c.snap.Routes.Limits.BodyBytes
+	reader := http.MaxBytesReader(c.w, c.r.Body, limit)
+	size := initialBufferBytes
+	if n := c.r.ContentLength; n >= 0 && n <= limit {
+		size = int(n) + bytes.MinRead // The end of the body is read without a larger buffer.
+	}
+	err := c.bodyReservation.await(ctx, size)
+	if err == nil {
+		var body []byte
+		if body, err = c.bodyReservation.readInto(make([]byte, 0, size), reader, int(limit)); err == nil {
+			return body, nil
+		}
+	}
+	if _, ok := errors.Into[*BufferBudgetError](err); ok {
+		if _, dropErr := io.Copy(io.Discard, reader); dropErr != nil {
+			c.log.Debug("body_not_dropped", telemetry.Error(dropErr))
+		}
+	}
+	return nil, err
+}
+
 // expireRead ends the read of a body, so that a request of which the rest does not arrive
 // gets its answer.
 func (c *call) expireRead(control *http.ResponseController) {
--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -3,10 +3,16 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/route"
 )
 
 // Guards against endless responses that together exhaust the memory of a VM: a
@@ -14,7 +20,7 @@
 // of typical size from other servers must still be read meanwhile.
 func TestAnswersWithoutEndShareTheMemory(t *testing.T) {
 	const vmBytes, answers = 120 << 20, 200
-	budget := newBufferBudget(vmBytes)
+	budget := newResponseBudget(vmBytes)
 	var reservations []*bufferReservation
 	refused := 0
 	for range answers {
@@ -48,16 +54,16 @@
 
 // Guards against responses that are corrupted or truncated while their buffer grows.
 func TestAnswersAreReadWhole(t *testing.T) {
-	for _, size := range []int{0, 1, initialResponseBufferBytes - 1, initialResponseBufferBytes, initialResponseBufferBytes + 1, 1 << 20} {
+	for _, size := range []int{0, 1, initialBufferBytes - 1, initialBufferBytes, initialBufferBytes + 1, 1 << 20} {
 		want := bytes.Repeat([]byte("0123456789"), size/10+1)[:size]
-		got, err := (&bufferReservation{budget: newBufferBudget(0)}).readAll(halfReader{bytes.NewReader(want)}, maxResponseBytes)
+		got, err := (&bufferReservation{budget: newResponseBudget(0)}).readAll(halfReader{bytes.NewReader(want)}, maxResponseBytes)
 		if err != nil || !bytes.Equal(got, want) {
 			t.Errorf("read %d of %d bytes, error %v", len(got), size, err)
 		}
 	}
 	const limit = 100
-	got, err := (&bufferReservation{budget: newBufferBudget(0)}).readAll(zeros{}, limit)
-	if err != nil || len(got) <= limit || len(got) > initialResponseBufferBytes {
+	got, err := (&bufferReservation{budget: newResponseBudget(0)}).readAll(zeros{}, limit)
+	if err != nil || len(got) <= limit || len(got) > initialBufferBytes {
 		t.Errorf("read %d bytes, error %v", len(got), err)
 	}
 }
@@ -66,3 +72,59 @@
 type halfReader struct{ r io.Reader }
 
 func (h halfReader) Read(p []byte) (int, error) { return h.r.Read(p[:(len(p)+1)/2]) }
+
+// Guards against a burst of requests with large bodies that exhausts the memory of a VM, each
+// within the limit of the configuration. Those that do not fit are rejected after their body
+// is read, with a length or in chunks, and fit once others have ended.
+func TestBodiesOfRequestsShareTheMemory(t *testing.T) {
+	const (
+		vmBytes   = 20 << 20
+		bodyBytes = 4 << 20
+		requests  = 10
+	)
+	for name, length := range map[string]int64{"with a length": bodyBytes, "in chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			g := &Gateway{requestBudget: newRequestBudget(vmBytes)}
+			snap := &control.Snapshot{Routes: route.NewTable(route.TableSpec{Limits: route.Limits{BodyBytes: bodyBytes}})}
+			read := func() (*call, int, error) {
+				body := bytes.NewReader(make([]byte, bodyBytes))
+				c := &call{g: g, snap: snap, log: zap.NewNop(), w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", body)}
+				c.r.ContentLength = length
+				c.bodyReservation.budget = g.requestBudget
+				got, err := c.bufferBody(t.Context())
+				if err == nil && len(got) != bodyBytes {
+					t.Errorf("read %d bytes", len(got))
+				}
+				return c, body.Len(), err
+			}
+			var accepted []*call
+			for range requests {
+				c, unread, err := read()
+				_, full := errors.Into[*BufferBudgetError](err)
+				if err != nil && (!full || unread > 0) {
+					t.Errorf("%v, %d bytes were not read", err, unread)
+				}
+				if err == nil {
+					accepted = append(accepted, c)
+				} else {
+					c.bodyReservation.release()
+				}
+				if used := g.requestBudget.used.Load(); used > g.requestBudget.limit || used > vmBytes {
+					t.Errorf("%d bytes are reserved", used)
+				}
+			}
+			if len(accepted) == 0 || len(accepted) == requests {
+				t.Fatalf("%d of %d bodies were accepted", len(accepted), requests)
+			}
+			for _, c := range accepted {
+				c.bodyReservation.release()
+			}
+			if used := g.requestBudget.used.Load(); used != 0 {
+				t.Errorf("%d bytes are still reserved", used)
+			}
+			if _, _, err := read(); err != nil {
+				t.Errorf("after the others have ended: %v", err)
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,12 +46,13 @@
 // Gateway handles the HTTP requests of callers.
 type Gateway struct {
 	Options
-	budget       *retry.SharedBudget
-	services     *serviceBalancer
-	runs         *runTable
-	replaced     replacedServers
-	drain        *drainState
-	bufferBudget *bufferBudget
+	budget   *retry.SharedBudget
+	services *serviceBalancer
+	runs     *runTable
+	replaced replacedServers
+	drain    *drainState
+	// requestBudget and responseBudget bound the memory of buffered bodies.
+	requestBudget, responseBudget *bufferBudget
 	// background tracks calls that outlive their request.
 	background sync.WaitGroup
 }
@@ -60,12 +61,13 @@
 func New(o Options) *Gateway {
 	o.Engines = observedEngines{o.Engines, o.Servers}
 	return &Gateway{
-		Options:      o,
-		budget:       retry.NewSharedBudget(o.Bounds().RetryRatio, o.Bounds().RetrySlack, o.Bounds().RetryWindow),
-		services:     newServiceBalancer(o.Zone),
-		runs:         newRunTable(),
-		drain:        newDrainState(),
-		bufferBudget: newBufferBudget(o.MemoryBytes),
+		Options:        o,
+		budget:         retry.NewSharedBudget(o.Bounds().RetryRatio, o.Bounds().RetrySlack, o.Bounds().RetryWindow),
+		services:       newServiceBalancer(o.Zone),
+		runs:           newRunTable(),
+		drain:          newDrainState(),
+		requestBudget:  newRequestBudget(o.MemoryBytes),
+		responseBudget: newResponseBudget(o.MemoryBytes),
 	}
 }
 
@@ -95,6 +97,8 @@
 	service      *route.Service
 	organisation *route.Organisation
 	body         []byte
+	// bodyReservation accounts for the memory of body.
+	bodyReservation bufferReservation
 	// bodyLate is set if the body did not arrive in time.
 	bodyLate bool
 	// reservation accounts for the memory of responses that are buffered for the caller.
@@ -123,8 +127,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrived: boottime.Now(), info: g.Edge.DecodeRequest(r.Header), snap: g.Snapshot()}
 	c.log = g.Log.With(zap.String("request", c.info.ID))
-	c.reservation.budget = g.bufferBudget
+	c.reservation.budget, c.bodyReservation.budget = g.responseBudget, g.requestBudget
 	defer c.reservation.release()
+	defer c.bodyReservation.release()
 	g.drain.enter(c)
 	defer g.drain.leave(c)
 	if g.drain.stopping() {
