gateway: close the connection with every answer of a stopping VM

An answer to a request that came before the signal left its connection open, and the next request on it crossed the close of idle connections.

Change: whether the VM stops is looked at when the answer begins, not when the request arrives. Found while the close of idle connections was looked at; no run showed harm from it.

Evidence: TestStop... in test/platform and the tests of gateway pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,9 +132,6 @@
 	defer c.bodyReservation.release()
 	g.drain.enter(c)
 	defer g.drain.leave(c)
-	if g.drain.stopping() {
-		w.Header().Set("Connection", "close")
-	}
 	err := c.serve()
 	if errors.Is(err, errAborted) {
 		c.recordCompletion(nil, "aborted")
--- a/gateway/phase.go
+++ b/gateway/phase.go
@@ -14,6 +14,15 @@
 	phaseAnswering phase = "answering"
 )
 
+// beginAnswer must be called before the head of the answer is written. While the VM stops,
+// the answer closes its connection, also if the request came before.
+func (c *call) beginAnswer() {
+	c.enterPhase(phaseAnswering)
+	if c.g.drain.stopping() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 func (c *call) enterPhase(p phase) { c.phase.Store(p) }
 
 // currentPhase may be called by any goroutine.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -296,7 +296,7 @@
 	if c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	c.enterPhase(phaseAnswering)
+	c.beginAnswer()
 	c.status = a.status
 	c.w.WriteHeader(a.status)
 	if _, err := c.w.Write(a.body); err != nil {
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -125,7 +125,7 @@
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(p.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	c.enterPhase(phaseAnswering)
+	c.beginAnswer()
 	c.status = p.Status
 	c.w.WriteHeader(p.Status)
 	if _, err := c.w.Write(body); err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -126,12 +126,12 @@
 		return
 	}
 	s.headSent = true
-	s.enterPhase(phaseAnswering)
 	h := s.w.Header()
 	for name, values := range s.g.Edge.ReturnHeader(answer.Header) {
 		h[name] = values
 	}
 	h.Del("Content-Length")
+	s.beginAnswer()
 	s.status = answer.Status
 	s.w.WriteHeader(answer.Status)
 	if err := http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(s.remaining() + responseGrace)); err != nil {
