soak: split the test of stops into its loads and steps

The loads, the start and the stop are functions of their own; counts, times and checks are unchanged, the callers' times of sending follow from the same seed and their names.

--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -51,8 +51,76 @@
 	}
 }
 
+// callersPerLoad is the number of callers of each kind.
+const callersPerLoad = 150
+
+// stopLoad is what a caller of a kind does. stopping is closed when the VM gets its signal.
+type stopLoad func(c *stopCaller, stopping <-chan struct{})
+
+// stopLoads are the kinds of callers.
+var stopLoads = map[string]stopLoad{
+	"kept": func(c *stopCaller, stopping <-chan struct{}) {
+		c.dial()
+		c.request(0)
+		<-stopping
+		time.Sleep(c.rand(stopLoadTime))
+		c.request(0)
+	},
+	// The VM closes idle connections in the moment in which these send.
+	"idle": func(c *stopCaller, stopping <-chan struct{}) {
+		c.dial()
+		c.request(0)
+		<-stopping
+		time.Sleep(acceptTime + c.rand(time.Second))
+		c.request(0)
+	},
+	"new": func(c *stopCaller, stopping <-chan struct{}) {
+		c.openAndRequest(stopping, 0)
+	},
+	"chunks": func(c *stopCaller, stopping <-chan struct{}) {
+		c.openAndRequest(stopping, maxPartGap)
+	},
+	// The VM could take these requests, and their answers would come too late.
+	"late": func(c *stopCaller, stopping <-chan struct{}) {
+		<-stopping
+		time.Sleep(acceptTime)
+		c.dial()
+		time.Sleep(lateTime - acceptTime + c.rand(time.Second))
+		c.request(0)
+	},
+}
+
 // playStop stops a VM under requests of every kind and checks each of them.
 func playStop(t *testing.T, starved bool) {
+	h := startStopHarness(t)
+	v := h.vms[0]
+	measured := make(chan struct{})
+	go h.delays.measure(measured)
+	results := make(chan stopResult, 2*callersPerLoad*len(stopLoads))
+	stopping := make(chan struct{})
+	var callers sync.WaitGroup
+	for kind, load := range stopLoads {
+		for i := range callersPerLoad {
+			c := newStopCaller(t, v, fmt.Sprintf("%s-%d", kind, i), results)
+			callers.Go(func() { load(c, stopping) })
+		}
+	}
+	time.Sleep(time.Second)
+	close(stopping)
+	signalled := time.Now()
+	awaitStop(t, v, starved)
+	callers.Wait()
+	close(results)
+	close(measured)
+	outcomes := map[string]int{}
+	for r := range results {
+		outcomes[r.check(t, h, signalled)]++
+	}
+	t.Logf("%v", outcomes)
+}
+
+// startStopHarness starts a VM and plain servers, each of which takes another time.
+func startStopHarness(t *testing.T) *harness {
 	daemon, err := buildDaemon()
 	if err != nil {
 		t.Fatal(err)
@@ -63,7 +131,7 @@
 	}
 	h.fleet = userplatform.NewFleet(h.store)
 	h.addCleanup(h.store.Close)
-	defer h.close()
+	t.Cleanup(h.close)
 	for i, work := range []time.Duration{20 * time.Millisecond, 60 * time.Millisecond, 150 * time.Millisecond, 450 * time.Millisecond} {
 		_, err := h.fleet.Start(userplatform.ServerOptions{
 			ID: fmt.Sprintf("desk-slow-%d", i), Service: "desk", Zone: "z", Slots: 200, ProcessingTime: work,
@@ -75,59 +143,11 @@
 	if err := h.start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	measured := make(chan struct{})
-	go h.delays.measure(measured)
-	v := h.vms[0]
-	var callers sync.WaitGroup
-	results := make(chan stopResult, 4096)
-	begin := func(kind string, n int, run func(c *stopCaller)) {
-		for i := range n {
-			c := &stopCaller{vm: v, id: fmt.Sprintf("%s.%s-%d", v.name, kind, i), results: results, t: t}
-			c.random = rand.New(rand.NewPCG(stopSeed, xxhash.Sum64String(c.id)))
-			callers.Go(func() { run(c) })
-		}
-	}
-	stop := make(chan struct{})
-	begin("kept", 150, func(c *stopCaller) {
-		c.dial()
-		c.request(0)
-		<-stop
-		time.Sleep(c.rand(stopLoadTime))
-		c.request(0)
-	})
-	begin("idle", 150, func(c *stopCaller) { // whose idle time ends when the VM closes idle connections
-		c.dial()
-		c.request(0)
-		<-stop
-		time.Sleep(acceptTime + c.rand(time.Second))
-		c.request(0)
-	})
-	begin("new", 150, func(c *stopCaller) {
-		<-stop
-		opened := c.rand(acceptTime)
-		time.Sleep(opened)
-		c.dial()
-		time.Sleep(c.rand(stopLoadTime - opened))
-		c.request(0)
-	})
-	begin("late", 150, func(c *stopCaller) { // which the VM could take, and whose answer comes too late
-		<-stop
-		time.Sleep(acceptTime)
-		c.dial()
-		time.Sleep(lateTime - acceptTime + c.rand(time.Second))
-		c.request(0)
-	})
-	begin("chunks", 150, func(c *stopCaller) {
-		<-stop
-		opened := c.rand(acceptTime)
-		time.Sleep(opened)
-		c.dial()
-		time.Sleep(c.rand(stopLoadTime - opened))
-		c.request(maxPartGap)
-	})
-	time.Sleep(time.Second)
-	close(stop)
-	signalled := time.Now()
+	return h
+}
+
+// awaitStop stops a VM and waits for the end of its process, which may be starved meanwhile.
+func awaitStop(t *testing.T, v *vm, starved bool) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	p := v.currentProcess()
@@ -143,15 +163,6 @@
 	case <-time.After(stopTimeout):
 		t.Error("the VM did not stop within its grace period")
 	}
-	cancel()
-	callers.Wait()
-	close(results)
-	close(measured)
-	outcomes := map[string]int{}
-	for r := range results {
-		outcomes[r.check(t, h, signalled)]++
-	}
-	t.Logf("stopped after %v; %v", time.Since(signalled).Round(time.Millisecond), outcomes)
 }
 
 // stall lets the process of a VM stand still again and again until ctx ends.
@@ -189,6 +200,23 @@
 	err         error
 }
 
+func newStopCaller(t *testing.T, v *vm, name string, results chan<- stopResult) *stopCaller {
+	c := &stopCaller{vm: v, id: v.name + "." + name, results: results, t: t}
+	c.random = rand.New(rand.NewPCG(stopSeed, xxhash.Sum64String(c.id)))
+	return c
+}
+
+// openAndRequest opens a connection while the VM accepts some, and sends a request on it at any
+// time after that.
+func (c *stopCaller) openAndRequest(stopping <-chan struct{}, gap time.Duration) {
+	<-stopping
+	opened := c.rand(acceptTime)
+	time.Sleep(opened)
+	c.dial()
+	time.Sleep(c.rand(stopLoadTime - opened))
+	c.request(gap)
+}
+
 // rand returns a random duration below limit.
 func (c *stopCaller) rand(limit time.Duration) time.Duration {
 	return time.Duration(c.random.Int64N(int64(limit)))
