localcluster: polls of an engine are no requests in the test of traces

Cause: the recorder took the dispatcher's polls of the engine, every 200 ms, for the request under test. They belong to no request and carry no trace.

Change: the recorder passes over the two paths of polls. Each request and resume must carry its trace as before.

--- a/internal/localcluster/tracing_test.go
+++ b/internal/localcluster/tracing_test.go
@@ -33,9 +33,12 @@
 
 func (b *headerRecorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	if parent := r.Header.Get("Traceparent"); r.Method == http.MethodDelete {
+	switch parent := r.Header.Get("Traceparent"); {
+	case r.Method == http.MethodDelete:
 		b.cancelled = append(b.cancelled, parent)
-	} else {
+	case r.URL.Path == "/load" || r.URL.Path == "/cache-events":
+		// The dispatcher polls engines every 200 ms, for no request.
+	default:
 		b.parents = append(b.parents, parent)
 	}
 	b.mu.Unlock()
