--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -134,6 +134,10 @@
 		Routes: route.NewTable(route.TableSpec{
 			Routes: []route.Route{
 				{Name: "plain", Host: "h", Prefix: "/plain/", Targets: []route.Target{{Service: "desk"}}, Timeout: 4 * time.Second, MaxAttempts: 1},
+				{
+					Name: "order", Host: "h", Prefix: "/order/", Kind: route.AtMostOnce,
+					Targets: []route.Target{{Service: "desk"}}, Timeout: 4 * time.Second, MaxAttempts: 1,
+				},
 				{
 					Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Resumable: true,
 					Targets: []route.Target{{Service: "engines"}}, Timeout: 4 * time.Second, MaxAttempts: 1,
@@ -286,7 +290,9 @@
 }
 
 const (
-	plainPath  = "/plain/1"
+	plainPath = "/plain/1"
+	// orderPath is that of requests that must not be repeated.
+	orderPath  = "/order/1"
 	streamPath = "/stream/1"
 	// draftPath is that of streams that get a backup.
 	draftPath = "/draft/1"
