gateway: log when a caller has left, and when each server was told

The logs did not tell the hypotheses on GONE apart: request_done is written at the end of a request, not when its caller leaves. New: the line caller_left with the phase of the request, since_caller_left in the attempt_done lines after it, a counter and a histogram. No decision changes.

--- /dev/null
+++ b/gateway/caller_left.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+)
+
+// callerWatch records when the caller of a request disconnects. The zero value watches nothing.
+type callerWatch struct {
+	// leftAt is the time on the clock of package boottime, 0 while the caller is there.
+	leftAt atomic.Int64
+	stop   func() bool
+}
+
+// watchCaller logs at once that the caller has disconnected. The lines of the attempts tell
+// how long it took until each backend server was told.
+func (c *call) watchCaller() {
+	c.caller.stop = context.AfterFunc(c.r.Context(), func() {
+		c.caller.leftAt.Store(int64(boottime.Now()))
+		c.g.Metrics.callersLeft.Inc(1)
+		c.log.Info("caller_left", zap.String("phase", string(c.currentPhase())), zap.Duration("elapsed", c.elapsed()))
+	})
+}
+
+// since returns the time since the caller has disconnected, and false if it has not.
+func (w *callerWatch) since() (time.Duration, bool) {
+	at := time.Duration(w.leftAt.Load())
+	return boottime.Now() - at, at > 0
+}
+
+// sinceLeft returns the log fields of an attempt that has ended, nil while the caller is there.
+func (c *call) sinceLeft() []zap.Field {
+	since, left := c.caller.since()
+	if !left {
+		return nil
+	}
+	return []zap.Field{zap.Duration("since_caller_left", since)}
+}
+
+// recordWorkAfterCaller updates the histogram of the time for which a request whose caller
+// had disconnected held a backend server.
+func (c *call) recordWorkAfterCaller() {
+	if since, left := c.caller.since(); left {
+		c.g.Metrics.afterCaller.Update(since.Microseconds())
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,6 +129,8 @@
 	lastServer vmlist.VM
 	// run is the stream of the request, nil if its answer is none.
 	run *stream
+	// caller records when the caller disconnects.
+	caller callerWatch
 	// writeErr is the error of writing the answer to the caller.
 	writeErr error
 	// ended is who ended a request that has no whole answer, "" for any other.
@@ -150,6 +152,8 @@
 	defer c.releaseMemory()
 	g.drain.enter(c)
 	defer g.drain.leave(c)
+	c.watchCaller()
+	defer c.caller.stop()
 	err := c.serve()
 	if errors.Is(err, errAborted) {
 		c.recordCompletion(nil, "aborted")
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,8 +23,11 @@
 	// answersWithoutMemory counts the answers that were given up for want of memory,
 	// answersEvicted those that gave way to answers of other servers.
 	answersWithoutMemory, answersEvicted metrics.Counter
-	// firstEvent and answer are latencies in microseconds.
-	firstEvent, answer metrics.Histogram
+	// callersLeft counts the callers that disconnected before their answer was complete.
+	callersLeft metrics.Counter
+	// firstEvent and answer are latencies in microseconds, afterCaller is the time from the
+	// disconnection of a caller to the end of each attempt that was in progress then.
+	firstEvent, answer, afterCaller metrics.Histogram
 }
 
 // Parameters of the exponentially decaying samples of histograms, which are biased
@@ -50,8 +53,11 @@
 		answersWithoutMemory:  metrics.GetOrRegisterCounter("gateway.answers_without_memory", r),
 		answersEvicted:        metrics.GetOrRegisterCounter("gateway.answers_evicted", r),
 
-		firstEvent: histogram("gateway.first_event_us"),
-		answer:     histogram("gateway.answer_us"),
+		callersLeft: metrics.GetOrRegisterCounter("gateway.callers_left", r),
+
+		firstEvent:  histogram("gateway.first_event_us"),
+		answer:      histogram("gateway.answer_us"),
+		afterCaller: histogram("gateway.attempt_after_caller_us"),
 	}
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -173,7 +173,8 @@
 	if answer != nil {
 		fields = append(fields, zap.Int("status", answer.status), zap.Bool("not_run", answer.info.NotRun))
 	}
-	c.log.Info("attempt_done", fields...)
+	c.recordWorkAfterCaller()
+	c.log.Info("attempt_done", append(fields, c.sinceLeft()...)...)
 	return answer, err
 }
 
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -214,9 +214,13 @@
 		s.unended = &seg.vm
 	}
 	s.recordResult(seg.vm.ID, err)
-	s.log.Info("attempt_done", zap.String("backend", seg.vm.ID), zap.String("service", s.service.Name),
+	s.recordWorkAfterCaller()
+	fields := []zap.Field{
+		zap.String("backend", seg.vm.ID), zap.String("service", s.service.Name),
 		zap.Int("send", s.sends), zap.Bool("from_copy", seg.fromCopy), zap.Int64("from_event", seg.startEvent),
-		zap.Int64("to_event", s.lastEvent), zap.Duration("elapsed", boottime.Now()-seg.started), telemetry.Error(err))
+		zap.Int64("to_event", s.lastEvent), zap.Duration("elapsed", boottime.Now()-seg.started), telemetry.Error(err),
+	}
+	s.log.Info("attempt_done", append(fields, s.sinceLeft()...)...)
 }
 
 // deliverEngineFailure forwards the engine's error response to the caller and
