gateway: a request follows its caller until it is sent

Cause: a request that must not be repeated was detached from its caller as soon as it was read.

Now each attempt ends with its caller until its first byte is sent, and no other server is chosen after that. What was sent goes on as before.

--- a/gateway/caller_left.go
+++ b/gateway/caller_left.go
@@ -27,6 +27,25 @@
 	})
 }
 
+// CallerLeftError reports that a request was not sent since its caller has disconnected.
+type CallerLeftError struct{}
+
+func (e *CallerLeftError) Error() string { return "the caller has disconnected" }
+
+// untilSent returns a context that also ends when the caller disconnects before sent is called,
+// in which case sent returns a *CallerLeftError. A request that must not be repeated goes on
+// without its caller, but only once it is sent.
+func (c *call) untilSent(ctx context.Context) (limited context.Context, sent func() error) {
+	limited, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.r.Context(), func() { cancel(&CallerLeftError{}) })
+	return limited, func() error {
+		if !stop() {
+			return &CallerLeftError{}
+		}
+		return nil
+	}
+}
+
 // since returns the time since the caller has disconnected, and false if it has not.
 func (w *callerWatch) since() (time.Duration, bool) {
 	at := time.Duration(w.leftAt.Load())
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -62,6 +62,10 @@
 		if !ok || c.checkStopping() != nil {
 			break
 		}
+		if c.callerLeft() {
+			c.g.services.finish(vm.ID, balance.Inconclusive)
+			break
+		}
 		before := c.mayHaveRun
 		answer, err := c.attemptPlain(ctx, vm)
 		if unusable(err) && ctx.Err() == nil {
@@ -123,7 +127,7 @@
 	if last != nil {
 		return c.deliver(last)
 	}
-	if c.r.Context().Err() != nil {
+	if c.callerLeft() {
 		return nil
 	}
 	return c.failure(failure)
--- a/gateway/plain_exchange.go
+++ b/gateway/plain_exchange.go
@@ -40,7 +40,11 @@
 func (c *call) sendAttempt(ctx context.Context, vm vmlist.VM, r *backend.HTTPRequest) (*backend.HTTPResponse, error) {
 	var started serverstate.StartedRequest
 	var sentAt time.Duration
+	ctx, sent := c.untilSent(ctx)
 	r.BeforeSend = func() (err error) {
+		if err := sent(); err != nil {
+			return err
+		}
 		if started, err = c.g.startRequest(vm, c.permit); err == nil {
 			sentAt, c.permit = boottime.Now(), permit.Permit{}
 			c.logResend(vm.ID, false)
