gateway: a request is not sent if its caller has closed the connection

Cause: callers give up a request that is not read within a second. A VM that is short of processor time reads it later: the request and the end of its connection are both there, and the handler sends the request over a kept connection before the goroutine of http.Server that watches the caller has run once.

That this is the users' case is not shown.

Right before the first byte is sent, the VM asks the kernel whether the connection of the caller has ended: one system call for each attempt.

--- a/entry_http.go
+++ b/entry_http.go
@@ -43,6 +43,7 @@
 	e.callers = &http.Server{
 		Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: zap.NewStdLog(e.log),
+		ConnContext: listen.ConnContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			limiter.ConnState(c, state)
 			e.callerListener.ConnState(c, state)
--- a/gateway/caller_left_test.go
+++ b/gateway/caller_left_test.go
@@ -144,7 +144,7 @@
 		r.t.Fatal(err)
 	}
 	held := make(chan struct{})
-	server := &http.Server{Handler: r, ConnState: inner.ConnState}
+	server := &http.Server{Handler: r, ConnState: inner.ConnState, ConnContext: listen.ConnContext}
 	var served sync.WaitGroup
 	served.Go(func() { _ = server.Serve(heldListener{inner, held}) })
 	r.t.Cleanup(func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,7 +191,9 @@
 
 // callerLeft reports whether the caller has disconnected. The context of the request also
 // ends when its body does not arrive in time.
-func (c *call) callerLeft() bool { return c.r.Context().Err() != nil && !c.bodyLate }
+func (c *call) callerLeft() bool {
+	return c.caller.closed || c.r.Context().Err() != nil && !c.bodyLate
+}
 
 // serve admits the request and sends the response.
 func (c *call) serve() error {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -76,7 +76,7 @@
 
 // mayWait reports whether the request may wait for a server.
 func (c *call) mayWait() bool {
-	return c.r.Context().Err() == nil && c.checkStopping() == nil && c.remaining() > 0
+	return !c.callerLeft() && c.checkStopping() == nil && c.remaining() > 0
 }
 
 // limitedServers returns the servers of the service that are not excluded and could run the
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -193,7 +193,7 @@
 
 func (c *call) plainResult(answer *plainResponse, err error) balance.Result {
 	switch {
-	case err != nil && c.r.Context().Err() != nil, unusable(err), withoutMemory(err):
+	case err != nil && c.callerLeft(), unusable(err), withoutMemory(err):
 		return balance.Inconclusive
 	case err != nil:
 		return balance.Unreachable
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -132,7 +132,7 @@
 		defer release()
 		return wait.Sleep(waiting, advice.Until-boottime.Now())
 	case serverstate.Send:
-		return c.r.Context().Err() == nil
+		return !c.callerLeft()
 	default:
 		return false
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,7 +112,7 @@
 // failure with the given cause.
 func (s *stream) openNext(cause error) (*segment, error) {
 	for {
-		if cause != nil && !s.mayResume(cause) {
+		if s.callerLeft() || cause != nil && !s.mayResume(cause) {
 			return nil, s.giveUp(cause)
 		}
 		ticket, vm, err := s.acquire()
@@ -160,7 +160,7 @@
 // of the run if there is one. Without a copy, the cause decides whether the run may
 // start anew: the failure to open a copy says nothing about the run itself.
 func (s *stream) resume(seg *segment, cause error) (*segment, error) {
-	if s.r.Context().Err() != nil {
+	if s.callerLeft() {
 		return nil, errResponded
 	}
 	s.excluded = append(s.excluded, seg.vm.ID)
@@ -181,7 +181,7 @@
 
 // giveUp returns the error that ends the request after the last attempt.
 func (s *stream) giveUp(err error) error {
-	if s.r.Context().Err() != nil {
+	if s.callerLeft() {
 		return errResponded
 	}
 	if s.headSent {
