frontend: a non-repeatable call follows its caller until it is sent

The same cause as in the gateway, on the product's own interface: the call was detached from its caller once its claim existed, so it waited out the pause of a server and was sent then, or tried one server after another.

The claim is abandoned then, as for any call of which no byte was sent.

Package caller holds what both edges share; both listeners know the connection of a request now.

--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -53,7 +53,10 @@
 	r := &rig{t: t, table: serverstate.New(serverstate.Config{VM: "vm"}), arrivals: map[string][]string{}}
 	signed, err := bundle.Sign(&bundle.Document{
 		Version: 1, Models: []bundle.Model{{Name: rigModel, Version: "1"}},
-		Routes: []bundle.Route{{Name: "look", Service: "desk", Path: "/"}},
+		Routes: []bundle.Route{
+			{Name: "look", Service: "desk", Path: "/"},
+			{Name: "book", Service: "desk", Path: "/", NonRepeatable: true},
+		},
 		Tenants: []bundle.Tenant{{Name: "t", Share: 1, Organisations: []bundle.Organisation{
 			{Name: "o", APIKeySHA256: []string{bundle.APIKeyDigest("key")}},
 		}}},
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/claim"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/caller"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/serverstate"
@@ -112,11 +113,12 @@
 	if err != nil {
 		return f.claimProblem(c, err)
 	}
-	// The call continues when the caller disconnects, so that its result is recorded.
+	// Once it is sent, the call continues when the caller disconnects, so that its result is
+	// recorded.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), route.Timeout())
 	defer cancel()
 	attempts := &callAttempts{log: c.log, nonRepeatable: true}
-	response, err := f.callFirstReachable(ctx, servers, request, attempts)
+	response, err := f.callFirstReachable(ctx, c.ctx, servers, request, attempts)
 	if err != nil {
 		return f.atMostOnceProblem(held, route, err)
 	}
@@ -125,17 +127,22 @@
 }
 
 // callFirstReachable tries the next backend server only if no byte of the call was
-// sent to the previous one.
+// sent to the previous one. Until one was sent, it ends when the caller disconnects.
 func (f *Frontend) callFirstReachable(
-	ctx context.Context, servers *serviceRotation, request backend.Call, attempts *callAttempts,
+	ctx, callerCtx context.Context, servers *serviceRotation, request backend.Call, attempts *callAttempts,
 ) (*backend.ServiceResponse, error) {
 	var err error = &backend.NotSentError{Backend: servers.service, Cause: f.noServiceBackend(servers.service)}
-	for vm, ok := servers.next(ctx); ok; vm, ok = servers.next(ctx) {
+	for vm, ok := servers.next(callerCtx); ok; vm, ok = servers.next(callerCtx) {
 		var response *backend.ServiceResponse
-		response, err = f.callBackend(ctx, vm, request, attempts)
+		attempt, sent := caller.FollowUntilSent(ctx, callerCtx)
+		request.BeforeSend = sent
+		response, err = f.callBackend(attempt, vm, request, attempts)
 		if _, ok := errors.Into[*backend.NotSentError](err); !ok {
 			return response, err
 		}
+		if _, left := errors.Into[*caller.LeftError](err); left || callerCtx.Err() != nil {
+			break
+		}
 		if isUnusable(err) && ctx.Err() == nil {
 			servers.forget(vm)
 		}
@@ -206,7 +213,13 @@
 	defer span.End()
 	target := backend.TargetOf(vm)
 	call := sending{f: f, target: target}
+	isSent := request.BeforeSend
 	request.BeforeSend = func() error {
+		if isSent != nil {
+			if err := isSent(); err != nil {
+				return err
+			}
+		}
 		err := call.begin()
 		if err == nil {
 			attempts.logResend(vm.ID)
--- a/gateway/caller_left.go
+++ b/gateway/caller_left.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
-	"github.com/vanillaarch/vanillaarch/internal/listen"
+	"github.com/vanillaarch/vanillaarch/internal/caller"
 )
 
 // callerWatch records when the caller of a request disconnects. The zero value watches nothing.
@@ -16,7 +16,7 @@
 	// leftAt is the time on the clock of package boottime, 0 while the caller is there.
 	leftAt atomic.Int64
 	stop   func() bool
-	// closed is set if the connection had ended when the request was about to be sent.
+	// closed is set if the caller had disconnected when the request was about to be sent.
 	closed bool
 }
 
@@ -34,34 +34,17 @@
 	c.log.Info("caller_left", zap.String("phase", string(c.currentPhase())), zap.Duration("elapsed", c.elapsed()))
 }
 
-// CallerLeftError reports that a request was not sent since its caller has disconnected.
-type CallerLeftError struct{}
-
-func (e *CallerLeftError) Error() string { return "the caller has disconnected" }
-
-// untilSent returns a context that also ends when the caller disconnects before sent is called,
-// in which case sent returns a *CallerLeftError. A request that must not be repeated goes on
-// without its caller, but only once it is sent.
-func (c *call) untilSent(ctx context.Context) (limited context.Context, sent func() error) {
-	limited, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(c.r.Context(), func() { cancel(&CallerLeftError{}) })
-	return limited, func() error {
-		if !stop() || c.hasClosed() {
-			return &CallerLeftError{}
+// untilSent returns a context for one attempt, which follows the caller until sent is called.
+func (c *call) untilSent(ctx context.Context) (attempt context.Context, sent func() error) {
+	attempt, check := caller.FollowUntilSent(ctx, c.r.Context())
+	return attempt, func() error {
+		err := check()
+		if err != nil {
+			c.caller.closed = true
+			c.recordCallerLeft()
 		}
-		return nil
-	}
-}
-
-// hasClosed reports whether the caller has closed its connection. A VM that is short of
-// processor time may read a request after that, and sends it without a wait in which
-// http.Server would notice.
-func (c *call) hasClosed() bool {
-	if !c.caller.closed && listen.PeerClosed(c.r.Context()) {
-		c.caller.closed = true
-		c.recordCallerLeft()
+		return err
 	}
-	return c.caller.closed
 }
 
 // since returns the time since the caller has disconnected, and false if it has not.
--- a/server_http.go
+++ b/server_http.go
@@ -78,6 +78,7 @@
 	h.servers = append(h.servers, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: h.errorLog, ConnState: l.ConnState,
+		ConnContext: listen.ConnContext,
 	})
 	return nil
 }
