backend: nothing is sent once the context of a request has ended

Cause: HTTPClient took a kept connection, or one that was opened before, without asking the context. The abort of the connection ran beside the write, and the write came first: a run that goes on from a copy, or whose engine was granted in the moment in which its caller left, was sent.

The error was 'result unknown' and is 'not sent' now.

--- a/backend/http_client.go
+++ b/backend/http_client.go
@@ -126,6 +126,11 @@
 func (c *Connection) Close() { c.conn.abort() }
 
 func (hc *HTTPClient) do(ctx context.Context, t Target, c *clientConn, r *HTTPRequest) (*HTTPResponse, error) {
+	if ctx.Err() != nil {
+		// The abort of the connection would run beside the write.
+		c.abort()
+		return nil, &NotSentError{Backend: t.ID, Cause: context.Cause(ctx)}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	release := func() {}
 	if r.Memory == nil {
