test/platform: failing tests of a store that comes back from a copy

On many systems like ours a confirmed change was not in force in time, or came back older, after the store had returned from a copy (CONFIG). The stand-in store plays such a return: it sends Store-Era, gives revisions and leases out again, and writes again what the operator and the servers had written.

TestServersThatHaveLeftStayUnused passes as long as no list is taken.

--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -58,7 +58,11 @@
 	compacted int64
 	lastLease int64
 	// stalls counts calls of StallPendingWatches.
-	stalls  int
+	stalls int
+	// era is the era of the store, watchesEnded counts the calls of Restore, which end
+	// pending watches.
+	era          int64
+	watchesEnded int
 	changed chan struct{}
 	calls   map[string]int
 	done    chan struct{}
@@ -67,7 +71,7 @@
 // NewStore returns an empty store. The caller must close it.
 func NewStore() *Store {
 	s := &Store{
-		mux: http.NewServeMux(), items: map[string]event{}, leases: map[int64]*lease{},
+		mux: http.NewServeMux(), items: map[string]event{}, leases: map[int64]*lease{}, era: firstEra,
 		changed: make(chan struct{}), calls: map[string]int{}, done: make(chan struct{}),
 	}
 	s.handle("GET /kv-key", s.getKey)
@@ -239,6 +243,7 @@
 		f := s.faults
 		s.mu.Unlock()
 		caller := r.Header.Get(callerHeader)
+		s.setEra(w.Header())
 		isAffected := func(names []string) bool { return slices.Contains(names, "*") || slices.Contains(names, caller) }
 		switch {
 		case isAffected(f.Silent):
