kv, platform: answers of the store carry its era

Nothing read Store-Era: no line told that the store had come back from a copy.

The client passes the era of each answer on, refusals included; a response whose era is no number is not used, and a listing whose pages are of two eras is none. store_era_seen tells when a VM saw an era, from whom, and what it held. Nothing is decided by it yet. TestStoreCallsAreObserved checks the era of every call.

--- a/control/control.go
+++ b/control/control.go
@@ -40,6 +40,8 @@
 	Routes          *route.Table
 	RoutesContent   []byte
 	RoutesConfirmed time.Duration
+	// Era is the highest era of the platform's store that this VM knows of.
+	Era int64
 	// Suspect holds the ids of entry VMs that peers have not heard from.
 	// suspectsVersion is incremented with each change of it.
 	Suspect         map[string]bool
@@ -78,6 +80,8 @@
 	Routes          *route.Table
 	RoutesContent   []byte
 	RoutesConfirmed time.Duration
+	// Era is copied from State.
+	Era int64
 	// VMListCeiling is the lowest VM list revision that is rejected from peers,
 	// or 0 if there is no limit.
 	VMListCeiling int64
@@ -208,7 +212,7 @@
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
 	snap := &Snapshot{
 		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, Servers: s.Servers, Members: s.Members, VMListCeiling: s.listCeiling,
-		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed,
+		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, Era: s.Era,
 		suspectsVersion: s.suspectsVersion, leavingVersion: s.leavingVersion,
 	}
 	if previous != nil && previous.VMs == s.VMs && previous.leavingVersion == s.leavingVersion && sameModels(previous.Bundle, s.Bundle) {
--- /dev/null
+++ b/control/era.go
@@ -0,0 +1,31 @@
+package control
+
+import "go.uber.org/zap"
+
+// EraSeen reports that the platform's store has answered in an era. Eras only rise.
+type EraSeen struct {
+	Era int64
+	// Source tells who has seen it: an own call, or a peer.
+	Source string
+}
+
+// Apply implements Message.
+func (m EraSeen) Apply(s *State) { s.raiseEra(m.Era, m.Source) }
+
+// raiseEra adopts a higher era. The lines entries_kept and servers_held tell what this VM keeps
+// from the era before.
+func (s *State) raiseEra(era int64, source string) {
+	if era <= s.Era {
+		return
+	}
+	fields := []zap.Field{
+		zap.Int64("era", era), zap.Int64("previous", s.Era), zap.String("source", source),
+		zap.Int64("servers_revision", s.Servers.Revision), zap.Int64("members_revision", s.Members.Revision),
+	}
+	if s.Routes != nil {
+		fields = append(fields, zap.Int64("version", s.Routes.Version))
+	}
+	s.log.Info("store_era_seen", fields...)
+	s.Era = era
+	s.Changed()
+}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -181,6 +181,7 @@
 	serversRequestedAt atomic.Int64
 	start              startup
 	calls              *callCounters
+	era                eraWatch
 	// checkedMembers is the list of entry VMs that method listed last searched, and
 	// selfListed the result.
 	checkedMembers *vmlist.List
@@ -198,8 +199,11 @@
 	if o.Intervals == (standby.Intervals{}) {
 		o.Intervals = standby.IntervalsFor(0, 0, 0)
 	}
-	f := &Follower{opts: o, start: newStartup(), calls: newCallCounters(o.Metrics)}
-	o.Store.Observe(f.calls.observe)
+	f := &Follower{opts: o, start: newStartup(), calls: newCallCounters(o.Metrics), era: eraWatch{loop: o.Loop}}
+	o.Store.Observe(func(kind kv.CallKind, era kv.Era, err error) {
+		f.calls.observe(kind, err)
+		f.era.observe(era)
+	})
 	f.list = newList(o, f.afterOutage)
 	return f
 }
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -63,9 +63,9 @@
 	// pending watches.
 	era          int64
 	watchesEnded int
-	changed chan struct{}
-	calls   map[string]int
-	done    chan struct{}
+	changed      chan struct{}
+	calls        map[string]int
+	done         chan struct{}
 }
 
 // NewStore returns an empty store. The caller must close it.
--- a/kv/calls.go
+++ b/kv/calls.go
@@ -19,9 +19,10 @@
 	return []CallKind{CallRead, CallList, CallWatch, CallWrite, CallGrantLease, CallRenewLease, CallEndLease}
 }
 
-// Observer is called after each call to the service. err is set if the call
-// failed or the service rejected it. An Observer must not block.
-type Observer func(kind CallKind, err error)
+// Observer is called after each call to the service, before the call returns. era is the era
+// of the answer, NoEra if there was none. err is set if the call failed or the service
+// rejected it. An Observer must not block.
+type Observer func(kind CallKind, era Era, err error)
 
 // Observable is implemented by clients that report their calls to an Observer.
 type Observable interface {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -22,6 +22,8 @@
 	Key      string
 	Value    []byte
 	Revision int64
+	// Era is the era of Revision. Only Getter sets it; elsewhere it is that of the whole answer.
+	Era Era
 }
 
 // Getter reads keys.
@@ -150,10 +152,15 @@
 	// Revision is a revision of the service that all entries reflect. Later changes
 	// may already be included.
 	Revision int64
+	// Era is the era of Revision.
+	Era Era
 	// Partial reports whether the prefix has more entries than were returned.
 	Partial bool
 }
 
+// Position returns the position that all entries reflect.
+func (l Listing) Position() Position { return Position{l.Era, l.Revision} }
+
 // Lister lists the keys under a prefix.
 type Lister interface {
 	// List returns the entries under prefix, or an *UnavailableError.
@@ -175,8 +182,13 @@
 	Changes []Change
 	// Revision is the revision after which the next watch continues.
 	Revision int64
+	// Era is the era of all revisions.
+	Era Era
 }
 
+// Position returns the position after which the next watch continues.
+func (c Changes) Position() Position { return Position{c.Era, c.Revision} }
+
 // PrefixWatcher waits for changes of any key under a prefix.
 type PrefixWatcher interface {
 	// WatchPrefix returns the changes after revision after as soon as there is
