discovery: lists of a later era replace those of an earlier one

Seen on real VMs after the store had come back from a copy: requests reached a server up to 5.5 s after it had said that it drains (209 of them, 137 with two returns), and a server that started got its first request after 7.2 s.

Cause: lists of servers and of VMs were ordered by the store's revision. It goes back at a return, so every list was 'older' until it had passed the one from before, which takes as many writes as were lost.

The revision of a list has the era in its highest bits now. All that orders by it follows: the control state, the offers in heartbeats, the requests for documents. Lists of a store without eras have the revisions that they had.

--- a/discovery/firstread.go
+++ b/discovery/firstread.go
@@ -100,7 +100,7 @@
 // them, and reports whether it does.
 func (f *Follower) applySection(s *section, listing kv.Listing) bool {
 	last := ""
-	part := kv.Listing{Revision: listing.Revision}
+	part := kv.Listing{Revision: listing.Revision, Era: listing.Era}
 	for _, e := range listing.Entries {
 		last = max(last, e.Key)
 		if strings.HasPrefix(e.Key, s.prefix) {
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -26,16 +26,6 @@
 	servers, members *section
 }
 
-// The revision of a published list is the store revision, shifted left by
-// revisionShift, plus the freshness of the list. A list that still holds lapsed
-// entries thus orders before a list of the same store revision without them: an
-// isolated VM mistakes removed servers for lapsed ones, and its list must not
-// override the lists of other VMs.
-const (
-	revisionShift = 8
-	maxFreshness  = 1<<revisionShift - 1
-)
-
 // section holds the entries of one prefix.
 type section struct {
 	prefix string
@@ -48,9 +38,10 @@
 	// lapsed maps the keys of entries that disappeared around an outage to the
 	// time at which they are removed.
 	lapsed map[string]time.Duration
-	// revision is the store revision of the entries. expired counts the changes
-	// by expiry of lapsed entries since then, which have no store revision.
-	revision, expired int64
+	// position is the position of the store that the entries reflect. expired counts the
+	// changes by expiry of lapsed entries since then, which have no store revision.
+	position kv.Position
+	expired  int64
 	// post sends a list to the control loop.
 	post func(*vmlist.List)
 }
@@ -101,7 +92,7 @@
 		l.set(s, e, old)
 	}
 	l.opts.Log.Info("entries_listed", zap.String("prefix", s.prefix), zap.Int("entries", len(listing.Entries)),
-		zap.Int("known", len(old)), zap.Int64("revision", listing.Revision))
+		zap.Int("known", len(old)), zap.Int64("revision", listing.Revision), zap.Int64("era", int64(listing.Era)))
 	for key, vm := range old {
 		if _, listed := s.entries[key]; listed {
 			continue
@@ -112,7 +103,7 @@
 		}
 		l.handleMissing(s, key, vm)
 	}
-	s.advance(listing.Revision)
+	s.advance(listing.Position())
 	s.publish()
 }
 
@@ -145,7 +136,7 @@
 		}
 	}
 	if n := len(changes.Changes); n > 0 {
-		s.advance(changes.Changes[n-1].Revision)
+		s.advance(kv.Position{Era: changes.Era, Revision: changes.Changes[n-1].Revision})
 		s.publish()
 	}
 }
@@ -191,25 +182,27 @@
 	}
 }
 
-// advance records the store revision of the entries.
-func (s *section) advance(revision int64) {
-	if revision > s.revision {
-		s.revision, s.expired = revision, 0
+// advance records the position of the store that the entries reflect.
+func (s *section) advance(position kv.Position) {
+	if s.position.Before(position) {
+		s.position, s.expired = position, 0
 	}
 }
 
-// freshness returns the low bits of the published revision. It increases as lapsed
-// entries expire and is maxFreshness if there are none.
+// freshness returns the freshness of the published list. It increases as lapsed entries
+// expire and is vmlist.MaxFreshness if there are none: a list that still holds lapsed entries
+// orders before a list of the same position without them. An isolated VM mistakes removed
+// servers for lapsed ones, and its list must not override the lists of other VMs.
 func (s *section) freshness() int64 {
 	if len(s.lapsed) == 0 {
-		return maxFreshness
+		return vmlist.MaxFreshness
 	}
-	return min(s.expired, maxFreshness-1)
+	return min(s.expired, vmlist.MaxFreshness-1)
 }
 
 // publish posts the list of a section. The caller must hold the lock.
 func (s *section) publish() {
-	out := &vmlist.List{Revision: s.revision<<revisionShift + s.freshness()}
+	out := &vmlist.List{Revision: vmlist.NewRevision(int64(s.position.Era), s.position.Revision, s.freshness())}
 	for _, vm := range s.entries {
 		out.VMs = append(out.VMs, vm)
 	}
--- a/discovery/list_test.go
+++ b/discovery/list_test.go
@@ -164,14 +164,14 @@
 func TestOutdatedServersDoNotReplaceNewerOnes(t *testing.T) {
 	f, loop := follower(t, &store{})
 	vm := vmlist.VM{ID: "a", Role: vmlist.RoleService, State: vmlist.StateLeaving}
-	loop.Post(control.ServersListed{List: &vmlist.List{Revision: 20<<revisionShift + maxFreshness, VMs: []vmlist.VM{vm}}})
+	loop.Post(control.ServersListed{List: &vmlist.List{Revision: vmlist.NewRevision(0, 20, vmlist.MaxFreshness), VMs: []vmlist.VM{vm}}})
 	vm.State = vmlist.StateLive
 	f.list.replace(f.list.servers, kv.Listing{Revision: 10, Entries: []kv.Entry{entry(t, "servers/", vm)}})
 	for i := range int64(30) {
 		member := vmlist.VM{ID: "vm-1", Role: vmlist.RoleEntry, State: vmlist.StateLive, Incarnation: i}
 		f.list.replace(f.list.members, kv.Listing{Revision: 11 + i, Entries: []kv.Entry{entry(t, "vms/", member)}})
 	}
-	eventually(t, "the members are listed", func() bool { return loop.Snapshot().Members.Revision == 40<<revisionShift+maxFreshness })
+	eventually(t, "the members are listed", func() bool { return loop.Snapshot().Members.Revision == vmlist.NewRevision(0, 40, vmlist.MaxFreshness) })
 	if state := loop.Snapshot().Backends["a"].State; state != vmlist.StateLeaving {
 		t.Errorf("the server has state %s again, want %s", state, vmlist.StateLeaving)
 	}
@@ -247,7 +247,10 @@
 	}
 	// Both lists are empty at first, so only the revision shows that the removal was
 	// processed.
-	removed := func(loop *control.Loop) bool { return loop.Snapshot().Servers.Revision>>revisionShift == 2 }
+	removed := func(loop *control.Loop) bool {
+		revision := loop.Snapshot().Servers.Revision
+		return revision >= vmlist.NewRevision(0, 2, 0) && revision <= vmlist.NewRevision(0, 2, vmlist.MaxFreshness)
+	}
 	eventually(t, "the connected VM removes the server", func() bool { return removed(connectedLoop) && len(listed(connectedLoop)) == 0 })
 	eventually(t, "the isolated VM keeps the server", func() bool { return removed(isolatedLoop) && len(listed(isolatedLoop)) == 1 })
 	isolatedLoop.Post(control.ServersListed{List: connectedLoop.Snapshot().Servers})
