discovery: watches and answers of an earlier era are given up

After the store has come back from a copy, a watch goes on from a revision that is given out again: it is answered once the revision has passed that, without what was written before. A pending watch was not ended, since its revision is above that of any read. An answer from before, which was on its way, could replace a newer one.

Watches have a position, era and revision. One of an earlier era is ended as soon as any answer names the next one, and the prefix is listed again. Reads of an era below the known one count as failed.

--- a/discovery/configuration.go
+++ b/discovery/configuration.go
@@ -36,12 +36,12 @@
 			continue
 		}
 		asked := boottime.Now()
-		listing, err := f.opts.Store.List(ctx, f.opts.Codec.ConfigKey(), kv.Linearizable)
+		listing, err := f.store.List(ctx, f.opts.Codec.ConfigKey(), kv.Linearizable)
 		dependency.record(err)
 		f.unreachable.Store(err != nil)
 		if err != nil {
 			f.recordFailedRead(boottime.Now())
-			f.watches.endAll()
+			f.watches.endLists()
 			if duty == standby.Read {
 				failures.pause(ctx)
 			} else {
@@ -58,14 +58,15 @@
 // next read is due. If there is no configuration yet, the watch reports the first
 // one.
 func (f *Follower) handleConfigRead(ctx context.Context, duty standby.Duty, asked time.Duration, listing kv.Listing) {
-	f.configRevision.Store(listing.Revision)
+	position := listing.Position()
+	f.configPosition.Store(&position)
 	f.applyConfigEntries(listing.Entries, "read", asked)
 	if duty == standby.Probe {
 		f.opts.Log.Info("store_probed", zap.Duration("confirmation_age", asked-f.opts.Loop.Snapshot().RoutesConfirmed))
 		f.opts.Duties.ProbeSucceeded(asked)
 	}
 	wait.Sleep(ctx, maxWatchLag)
-	f.watches.endBehind(listing.Revision)
+	f.watches.endBehind(position)
 	poll := f.opts.Duties.PollInterval()
 	wait.Sleep(ctx, max(poll-maxWatchLag, maxWatchLag)-rand.N(poll/pollJitterDivisor))
 }
@@ -89,30 +90,33 @@
 }
 
 // watchConfig applies new configurations as soon as they are written. It watches
-// from the revision that confirmConfig has read.
+// from the position that confirmConfig has read.
 func (f *Follower) watchConfig(ctx context.Context) {
 	f.start.awaitRole(ctx)
-	var after int64
+	var after *kv.Position
 	var failures backoff
 	for ctx.Err() == nil {
 		if f.suspended() {
-			after = 0
-			f.configRevision.Store(0)
+			after = nil
+			f.configPosition.Store(nil)
 			wait.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		if after == 0 {
-			after = f.configRevision.Load()
+		if after == nil {
+			after = f.configPosition.Load()
 		}
-		if after == 0 {
+		if after == nil || after.Era < f.era.current() {
+			after = nil // The next read of the configuration is of the current era.
 			wait.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		changes, err := f.opts.Store.WatchPrefix(ctx, f.opts.Codec.ConfigPrefix(), after, watchTimeout)
-		if _, ok := errors.Into[*kv.CompactedError](err); ok {
-			f.opts.Log.Warn("configuration_history_lost", zap.Int64("revision", after))
-			after = 0
-			f.configRevision.Store(0)
+		call, end := f.watches.begin(ctx, nil, *after)
+		changes, err := f.store.watchFrom(call, f.opts.Codec.ConfigPrefix(), *after)
+		behind := end()
+		if _, ok := errors.Into[*kv.CompactedError](err); ok || behind && err != nil {
+			f.opts.Log.Warn("configuration_history_lost", zap.Int64("revision", after.Revision), zap.Int64("era", int64(after.Era)))
+			f.configPosition.CompareAndSwap(after, nil)
+			after = nil
 			continue
 		}
 		if err != nil {
@@ -120,7 +124,8 @@
 			continue
 		}
 		failures.reset()
-		after = changes.Revision
+		position := changes.Position()
+		after = &position
 		for _, c := range changes.Changes {
 			if !c.Removed {
 				f.applyConfigEntries([]kv.Entry{c.Entry}, "watch", 0)
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -98,7 +98,7 @@
 	// most 30 s.
 	watchTimeout = 25 * time.Second
 	// maxWatchLag is how long a watch of backend servers may lag behind the
-	// revision of a read. After that the servers are listed again.
+	// position of a read. After that the servers are listed again.
 	maxWatchLag = 200 * time.Millisecond
 	// retryPauseMin and retryPauseMax limit the pause after a failed call, which
 	// doubles with each consecutive failure. Rejected calls count against the
@@ -163,19 +163,20 @@
 // Follower applies changes in the store to the control state and announces this
 // VM in the store.
 type Follower struct {
-	opts Options
-	list *list
+	opts  Options
+	store fencedStore
+	list  *list
 	// lastOutageAt is the last time at which the store was found to be unavailable,
 	// on the clock of package boottime, or 0.
 	lastOutageAt atomic.Int64
 	// unreachable is set while the last read of the configuration has failed. No
 	// other calls to the store are made until a read succeeds.
 	unreachable atomic.Bool
-	// watches are the pending watches of lists.
+	// watches are the pending watches.
 	watches openWatches
-	// configRevision is the store revision of the last read of the configuration,
-	// from which the watch starts.
-	configRevision atomic.Int64
+	// configPosition is the position of the last read of the configuration, from which the
+	// watch starts, nil if there is none to start from.
+	configPosition atomic.Pointer[kv.Position]
 	// serversRequestedAt is the time at which this VM first needed the backend
 	// servers, on the clock of package boottime.
 	serversRequestedAt atomic.Int64
@@ -200,9 +201,12 @@
 		o.Intervals = standby.IntervalsFor(0, 0, 0)
 	}
 	f := &Follower{opts: o, start: newStartup(), calls: newCallCounters(o.Metrics), era: eraWatch{loop: o.Loop}}
+	f.store = fencedStore{Store: o.Store, era: &f.era}
 	o.Store.Observe(func(kind kv.CallKind, era kv.Era, err error) {
 		f.calls.observe(kind, err)
-		f.era.observe(era)
+		if f.era.observe(era) {
+			f.watches.endBefore(era)
+		}
 	})
 	f.list = newList(o, f.afterOutage)
 	return f
--- a/discovery/firstread.go
+++ b/discovery/firstread.go
@@ -27,7 +27,7 @@
 	var failures backoff
 	for ctx.Err() == nil {
 		asked = boottime.Now()
-		listing, err = f.opts.Store.ListPage(ctx, allKeys, kv.Linearizable)
+		listing, err = f.store.ListPage(ctx, allKeys, kv.Linearizable)
 		dependency.record(err)
 		f.unreachable.Store(err != nil && !isUnsupportedCall(err))
 		if err == nil || isUnsupportedCall(err) {
@@ -56,7 +56,7 @@
 // of entry VMs must contain this VM, so its entry is added if it is not announced
 // yet.
 func (f *Follower) applyFirstPage(listing kv.Listing) {
-	first := firstRead{revision: listing.Revision}
+	first := firstRead{position: listing.Position()}
 	f.passOtherEntries(listing)
 	first.servers = f.applySection(f.list.servers, listing)
 	selfKey, selfValue, err := f.opts.Codec.EncodeVM(f.opts.Self)
@@ -75,7 +75,7 @@
 	}
 	first.members = f.applySection(f.list.members, listing)
 	f.opts.Log.Info("first_read", zap.Int("entries", len(listing.Entries)), zap.Bool("partial", listing.Partial),
-		zap.Bool("servers", first.servers), zap.Bool("members", first.members), zap.Int64("revision", listing.Revision))
+		zap.Bool("servers", first.servers), zap.Bool("members", first.members), zap.Int64("revision", listing.Revision), zap.Int64("era", int64(listing.Era)))
 	if first.members {
 		f.start.markListed()
 	}
--- a/discovery/startup.go
+++ b/discovery/startup.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/kv"
 )
 
 // startup orders the first calls of a VM to the store. After a power failure all
@@ -41,8 +42,8 @@
 // firstRead is the result of reading the first page of all keys at the start of a
 // VM.
 type firstRead struct {
-	// revision is the store revision of the read.
-	revision int64
+	// position is the position of the store at the read.
+	position kv.Position
 	// servers and members report whether the read contained all entries of that
 	// prefix.
 	servers, members bool
--- a/discovery/watches.go
+++ b/discovery/watches.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/vanillaarch/vanillaarch/kv"
 )
 
 // openWatches holds the pending watch calls. A response may be lost or the
@@ -14,9 +16,10 @@
 }
 
 type openWatch struct {
+	// section is nil for the watch of the configuration.
 	section *section
-	// after is the revision up to which changes are known.
-	after int64
+	// after is the position up to which changes are known.
+	after kv.Position
 	// behind is set when the call is canceled because it missed changes.
 	behind bool
 	cancel context.CancelFunc
@@ -24,7 +27,7 @@
 
 // begin registers a watch call. The caller must call end when the call has
 // returned; end reports whether the call was canceled because it missed changes.
-func (w *openWatches) begin(ctx context.Context, s *section, after int64) (call context.Context, end func() (behind bool)) {
+func (w *openWatches) begin(ctx context.Context, s *section, after kv.Position) (call context.Context, end func() (behind bool)) {
 	call, cancel := context.WithCancel(ctx)
 	x := &openWatch{section: s, after: after, cancel: cancel}
 	w.mu.Lock()
@@ -42,25 +45,40 @@
 	}
 }
 
-// endBehind cancels the watches of backend servers that lag behind a store
-// revision. Changes of other keys increase the store revision as well, so it may
+// endBehind cancels the watches of backend servers that lag behind a position of the store.
+// Changes of other keys increase the store revision as well, so it may
 // also cancel watches that have not missed any change.
-func (w *openWatches) endBehind(revision int64) {
+func (w *openWatches) endBehind(position kv.Position) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for x := range w.calls {
+		if x.section != nil && !x.section.entryVMs && x.after.Before(position) {
+			x.behind = true
+			x.cancel()
+		}
+	}
+}
+
+// endBefore cancels the watches of earlier eras. The store need not notice them: it has cut them,
+// or answers with changes after a revision that it has given out again.
+func (w *openWatches) endBefore(era kv.Era) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for x := range w.calls {
-		if !x.section.entryVMs && x.after < revision {
+		if x.after.Era < era {
 			x.behind = true
 			x.cancel()
 		}
 	}
 }
 
-// endAll cancels all watches when the store is unreachable.
-func (w *openWatches) endAll() {
+// endLists cancels the watches of lists when the store is unreachable.
+func (w *openWatches) endLists() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for x := range w.calls {
-		x.cancel()
+		if x.section != nil {
+			x.cancel()
+		}
 	}
 }
