control: what a copy of the store lacks stays in use for a time

Seen on real VMs: when the store had come back from a copy, a server and a VM that had started since were dropped at once, although both ran on, until they had written their entries again.

Cause: an entry that is missing from a list counts as gone, unless the VM that reads the store had seen an outage. A return may be too short for that, and lists of VMs that start know nothing of what was there.

Now each VM keeps, at the first list of a later era, the live servers and VMs that the list lacks: servers for 2.5 s, VMs for 10 s, as after an outage. The reader no longer does it for all. The retry budget counts the VMs that are kept.

--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,10 @@
 	leaving        LeavingServers
 	leavingVersion int
 
+	// missing holds, by id, the VMs that are in use although the store, which has come back from
+	// a copy, does not list them yet.
+	missing map[string]missingVM
+
 	// listFromPeer is set while the VM list comes from a peer and the platform
 	// has not confirmed it. contradictions counts consecutive platform reads
 	// that returned a lower revision.
@@ -82,6 +86,8 @@
 	RoutesConfirmed time.Duration
 	// Era is copied from State.
 	Era int64
+	// Retaining is set while something is kept from an earlier era for a time.
+	Retaining bool
 	// VMListCeiling is the lowest VM list revision that is rejected from peers,
 	// or 0 if there is no limit.
 	VMListCeiling int64
@@ -112,6 +118,9 @@
 	return s.index == other.index && s.suspectsVersion == other.suspectsVersion
 }
 
+// EntryVMCount returns the number of live entry VMs that are listed or kept, including suspect ones.
+func (s *Snapshot) EntryVMCount() int { return len(s.index.entryVMs) }
+
 // Loop applies messages to the control state, one at a time, and publishes
 // snapshots.
 type Loop struct {
@@ -129,7 +138,7 @@
 func NewLoop(log *zap.Logger, now func() time.Time) *Loop {
 	l := &Loop{
 		mailbox: make(chan Message, mailboxSize),
-		state:   State{VMs: &vmlist.List{}, Servers: &vmlist.List{}, Members: &vmlist.List{}, Suspect: map[string]bool{}, log: log},
+		state:   State{VMs: &vmlist.List{}, Servers: &vmlist.List{}, Members: &vmlist.List{}, Suspect: map[string]bool{}, missing: map[string]missingVM{}, log: log},
 		done:    make(chan struct{}),
 		now:     now,
 	}
@@ -212,7 +221,7 @@
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
 	snap := &Snapshot{
 		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, Servers: s.Servers, Members: s.Members, VMListCeiling: s.listCeiling,
-		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, Era: s.Era,
+		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, Era: s.Era, Retaining: s.retains(),
 		suspectsVersion: s.suspectsVersion, leavingVersion: s.leavingVersion,
 	}
 	if previous != nil && previous.VMs == s.VMs && previous.leavingVersion == s.leavingVersion && sameModels(previous.Bundle, s.Bundle) {
--- a/control/vmlist.go
+++ b/control/vmlist.go
@@ -90,31 +90,55 @@
 
 // ServersListed carries the backend servers from the platform's store. It is
 // ignored unless its revision is higher than the current one.
-type ServersListed struct{ List *vmlist.List }
+type ServersListed struct {
+	List   *vmlist.List
+	Source string
+}
 
 // Apply implements Message.
-func (m ServersListed) Apply(s *State) { s.replaceIfNewer(&s.Servers, m.List) }
+func (m ServersListed) Apply(s *State) { s.replaceIfNewer(&s.Servers, m.List, m.Source) }
 
 // MembersListed carries the entry VMs from the platform's store. It is ignored
 // unless its revision is higher than the current one.
-type MembersListed struct{ List *vmlist.List }
+type MembersListed struct {
+	List   *vmlist.List
+	Source string
+}
 
 // Apply implements Message.
-func (m MembersListed) Apply(s *State) { s.replaceIfNewer(&s.Members, m.List) }
+func (m MembersListed) Apply(s *State) { s.replaceIfNewer(&s.Members, m.List, m.Source) }
 
 // replaceIfNewer replaces Servers or Members by a list with a higher revision.
-func (s *State) replaceIfNewer(current **vmlist.List, next *vmlist.List) {
-	if next.Revision > (*current).Revision {
-		*current = next
-		s.mergeLists()
+func (s *State) replaceIfNewer(current **vmlist.List, next *vmlist.List, source string) {
+	previous := *current
+	if next.Revision <= previous.Revision {
+		return
+	}
+	era := vmlist.EraOf(next.Revision)
+	s.raiseEra(era, source)
+	if previous.Revision > 0 && era > vmlist.EraOf(previous.Revision) {
+		s.enterEra(s.inUse(current == &s.Members), next)
+	}
+	*current = next
+	s.mergeLists()
+}
+
+// inUse returns the entry VMs or the backend servers that are in use, listed or kept.
+func (s *State) inUse(entryVMs bool) []vmlist.VM {
+	var vms []vmlist.VM
+	for _, vm := range s.VMs.VMs {
+		if (vm.Role == vmlist.RoleEntry) == entryVMs {
+			vms = append(vms, vm)
+		}
 	}
+	return vms
 }
 
-// mergeLists builds the VM list from the backend servers and the entry VMs. Its
-// revision is local to this VM.
+// mergeLists builds the VM list from the backend servers, the entry VMs and the VMs that
+// are kept. Its revision is local to this VM.
 func (s *State) mergeLists() {
-	vms := make([]vmlist.VM, 0, len(s.Servers.VMs)+len(s.Members.VMs))
-	vms = append(append(vms, s.Servers.VMs...), s.Members.VMs...)
+	vms := make([]vmlist.VM, 0, len(s.Servers.VMs)+len(s.Members.VMs)+len(s.missing))
+	vms = s.appendMissing(append(append(vms, s.Servers.VMs...), s.Members.VMs...))
 	s.VMs = &vmlist.List{Revision: s.VMs.Revision + 1, VMs: vms}
 	s.Changed()
 }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -125,11 +125,6 @@
 	// memberWatchPause is the pause between watches of entry VMs. It batches the
 	// registrations of many VMs that start at the same time.
 	memberWatchPause = 300 * time.Millisecond
-	// memberGrace is how long the entry of an entry VM stays in use after it
-	// disappeared around an outage. Peers detect by heartbeats whether the VM is
-	// running, so the period only has to exceed renewJitter plus the time to learn
-	// that the store is available again.
-	memberGrace = 10 * time.Second
 	// peerListTimeout is how long a VM waits after its start to receive the backend
 	// servers from peers if the store does not return all of them in one page.
 	peerListTimeout = 4 * time.Second
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -27,7 +27,7 @@
 		}
 		if !reading {
 			reading = true
-			f.list.seed(s, f.opts.Loop.Snapshot().VMs.VMs)
+			f.seed(s)
 		}
 		var err error
 		if after == nil {
@@ -44,6 +44,16 @@
 	}
 }
 
+// seed initializes a section from the control state when this VM becomes a reader.
+func (f *Follower) seed(s *section) {
+	snap := f.opts.Loop.Snapshot()
+	current := snap.Servers
+	if s.entryVMs {
+		current = snap.Members
+	}
+	f.list.seed(s, snap.VMs.VMs, current.Revision)
+}
+
 // awaitStart waits until this VM may follow a prefix. It returns the position to watch
 // from, or nil if the prefix still has to be listed. Entry VMs are listed after this VM
 // has announced itself, and watches start only after that, because most VMs then learn
--- a/discovery/list.go
+++ b/discovery/list.go
@@ -50,7 +50,7 @@
 	section := func(prefix string, entryVMs bool, decode func(kv.Entry) (vmlist.VM, error), post func(*vmlist.List)) *section {
 		grace := lapseGrace
 		if entryVMs {
-			grace = memberGrace
+			grace = control.MissingMemberGrace
 		}
 		return &section{
 			prefix: prefix, entryVMs: entryVMs, decode: decode, grace: grace, post: post,
@@ -60,19 +60,22 @@
 	return &list{
 		opts: o, afterOutage: afterOutage,
 		servers: section(o.Codec.ServerPrefix(), false, o.Codec.DecodeServer, func(l *vmlist.List) {
-			o.Loop.Post(control.ServersListed{List: l})
+			o.Loop.Post(control.ServersListed{List: l, Source: eraSource})
 		}),
 		members: section(o.Codec.VMPrefix(), true, o.Codec.DecodeVM, func(l *vmlist.List) {
-			o.Loop.Post(control.MembersListed{List: l})
+			o.Loop.Post(control.MembersListed{List: l, Source: eraSource})
 		}),
 	}
 }
 
 // seed initializes a section with the current entries, which may come from peers,
-// so that entries that lapse in an outage can be detected.
-func (l *list) seed(s *section, vms []vmlist.VM) {
+// so that entries that lapse in an outage can be detected. revision is that of their list.
+func (l *list) seed(s *section, vms []vmlist.VM, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if era := kv.Era(vmlist.EraOf(revision)); s.position.Era < era {
+		s.position = kv.Position{Era: era}
+	}
 	s.entries, s.lapsed = map[string]vmlist.VM{}, map[string]time.Duration{}
 	for _, vm := range vms {
 		if (vm.Role == vmlist.RoleEntry) == s.entryVMs {
@@ -87,6 +90,10 @@
 	defer l.mu.Unlock()
 	old := s.entries
 	lapsed := s.lapsed
+	if s.position.Era < listing.Era {
+		// The control state keeps what a copy lacks, on all VMs and not only on those that list.
+		old, lapsed = nil, nil
+	}
 	s.entries, s.lapsed = map[string]vmlist.VM{}, map[string]time.Duration{}
 	for _, e := range listing.Entries {
 		l.set(s, e, old)
@@ -161,6 +168,9 @@
 func (l *list) expireLapsed(ctx context.Context) {
 	for wait.Sleep(ctx, roleCheckInterval) {
 		l.expire(boottime.Now())
+		if l.opts.Loop.Snapshot().Retaining {
+			l.opts.Loop.Post(control.EndRetention{})
+		}
 	}
 }
 
--- a/entry_run.go
+++ b/entry_run.go
@@ -97,7 +97,7 @@
 func (e *Entry) trackVMCount(ctx context.Context) {
 	changed := e.loop.Subscribe()
 	for {
-		e.gateway.SetVMs(len(e.loop.Snapshot().Members.VMs))
+		e.gateway.SetVMs(e.loop.Snapshot().EntryVMCount())
 		select {
 		case <-ctx.Done():
 			return
--- a/gossip/sources.go
+++ b/gossip/sources.go
@@ -128,11 +128,11 @@
 		KindBundle: &routeSource{loop: loop, decode: decode},
 		KindVMList: &partialVMListSource{
 			list:   func() *vmlist.List { return loop.Snapshot().Servers },
-			accept: func(l *vmlist.List) { loop.Post(control.ServersListed{List: l}) },
+			accept: func(l *vmlist.List, source string) { loop.Post(control.ServersListed{List: l, Source: source}) },
 		},
 		KindEntryVMs: &partialVMListSource{
 			list:   func() *vmlist.List { return loop.Snapshot().Members },
-			accept: func(l *vmlist.List) { loop.Post(control.MembersListed{List: l}) },
+			accept: func(l *vmlist.List, source string) { loop.Post(control.MembersListed{List: l, Source: source}) },
 		},
 	}
 }
@@ -141,7 +141,7 @@
 // or the entry VMs.
 type partialVMListSource struct {
 	list   func() *vmlist.List
-	accept func(l *vmlist.List)
+	accept func(l *vmlist.List, source string)
 	vmListCodec
 }
 
@@ -155,12 +155,12 @@
 	return s.encode(s.list())
 }
 
-func (s *partialVMListSource) Accept(content []byte, version int64, _ string) error {
+func (s *partialVMListSource) Accept(content []byte, version int64, from string) error {
 	list, err := s.decode(content, version)
 	if err != nil {
 		return err
 	}
-	s.accept(list)
+	s.accept(list, peerSourcePrefix+from)
 	return nil
 }
 
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -172,14 +172,14 @@
 	s.vms = s.Site.VMs
 	s.writeOthers(lostWrites)
 	s.eventuallyOnAllVMs("the new server and the new VM are known", func(v *localsite.VM) bool {
-		return isChoosable(v, "desk-new") && slices.ContainsFunc(v.Snapshot().Members.VMs, isVM("vm-new"))
+		return isChoosable(v, "desk-new") && slices.ContainsFunc(v.Snapshot().EntryVMs, isVM("vm-new"))
 	})
 	missing := map[string]bool{}
 	stop := s.watchVMs(func(v *localsite.VM) {
 		if !isChoosable(v, "desk-new") {
 			missing[v.Name+" has lost the server"] = true
 		}
-		if !slices.ContainsFunc(v.Snapshot().Members.VMs, isVM("vm-new")) {
+		if !slices.ContainsFunc(v.Snapshot().EntryVMs, isVM("vm-new")) {
 			missing[v.Name+" has lost the VM"] = true
 		}
 	})
