control: servers that had left are not used again after a return of the store

At the first list of a later era a VM compares it with what it knew: the last list, and the servers removed in the minute before. Who had said that it leaves counts as leaving for as long as that start of it is listed, and the other VMs are told, so that one that starts now knows, too.

--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,8 @@
 	// missing holds, by id, the VMs that are in use although the store, which has come back from
 	// a copy, does not list them yet.
 	missing map[string]missingVM
+	// departed knows the servers that have left, for the same case.
+	departed departed
 
 	// listFromPeer is set while the VM list comes from a peer and the platform
 	// has not confirmed it. contradictions counts consecutive platform reads
@@ -138,7 +140,7 @@
 func NewLoop(log *zap.Logger, now func() time.Time) *Loop {
 	l := &Loop{
 		mailbox: make(chan Message, mailboxSize),
-		state:   State{VMs: &vmlist.List{}, Servers: &vmlist.List{}, Members: &vmlist.List{}, Suspect: map[string]bool{}, missing: map[string]missingVM{}, log: log},
+		state:   State{VMs: &vmlist.List{}, Servers: &vmlist.List{}, Members: &vmlist.List{}, Suspect: map[string]bool{}, missing: map[string]missingVM{}, departed: newDeparted(), log: log},
 		done:    make(chan struct{}),
 		now:     now,
 	}
@@ -227,7 +229,7 @@
 	if previous != nil && previous.VMs == s.VMs && previous.leavingVersion == s.leavingVersion && sameModels(previous.Bundle, s.Bundle) {
 		snap.index = previous.index
 	} else {
-		snap.index = newVMIndex(s.VMs.VMs, modelVersions(s.Bundle), s.leaving)
+		snap.index = newVMIndex(s.VMs.VMs, modelVersions(s.Bundle), s.allLeaving())
 	}
 	snap.Engines, snap.Services, snap.Backends = snap.index.engines, snap.index.services, snap.index.backends
 	if previous != nil && snap.SameEntryVMs(previous) {
--- a/control/returned.go
+++ b/control/returned.go
@@ -33,13 +33,14 @@
 		listed[vm.ID] = vm
 	}
 	s.keepMissing(known, listed)
+	s.holdDeparted(listed)
 }
 
 // keepMissing keeps the live VMs that a list of the new era does not have.
 func (s *State) keepMissing(known []vmlist.VM, listed map[string]vmlist.VM) {
-	kept := 0
+	kept, leaving := 0, s.allLeaving()
 	for _, vm := range known {
-		if _, ok := listed[vm.ID]; ok || vm.State != vmlist.StateLive || s.leaving.Includes(vm) {
+		if _, ok := listed[vm.ID]; ok || vm.State != vmlist.StateLive || leaving.Includes(vm) {
 			continue
 		}
 		grace := missingServerGrace
@@ -84,10 +85,11 @@
 
 // Apply implements Message.
 func (EndRetention) Apply(s *State) {
-	if s.dropMissing() {
+	dropped, released := s.dropMissing(), s.releaseHeld()
+	if dropped || released {
 		s.mergeLists()
 	}
 }
 
 // retains reports whether something is kept for a time.
-func (s *State) retains() bool { return len(s.missing) > 0 }
+func (s *State) retains() bool { return len(s.missing) > 0 || s.departed.holdsForATime() }
--- a/control/vmlist.go
+++ b/control/vmlist.go
@@ -117,7 +117,10 @@
 	era := vmlist.EraOf(next.Revision)
 	s.raiseEra(era, source)
 	if previous.Revision > 0 && era > vmlist.EraOf(previous.Revision) {
+		s.departed.recordLeaving(s.Now, previous.VMs)
 		s.enterEra(s.inUse(current == &s.Members), next)
+	} else {
+		s.departed.recordRemovals(s.Now, previous.VMs, next.VMs)
 	}
 	*current = next
 	s.mergeLists()
--- a/serverstate/tracker/tracker.go
+++ b/serverstate/tracker/tracker.go
@@ -265,6 +265,7 @@
 	}
 	t.table.SetVMs(len(vms))
 	t.table.Retain(boottime.Now(), servers)
+	t.adoptHeld(s)
 	t.publish(s)
 	for id := range t.syncedAt {
 		if !vms[id] {
@@ -273,6 +274,21 @@
 	}
 }
 
+// heldSource names the source of departures that this VM knows from before a return of the store.
+const heldSource = "store"
+
+// adoptHeld announces the servers that had said that they leave, and that the store, which has come
+// back from a copy, lists as ready. VMs that have started since know it from nobody else.
+func (t *Tracker) adoptHeld(s *control.State) {
+	var servers []serverstate.Server
+	for _, vm := range s.HeldLeaving() {
+		servers = append(servers, ServerOf(vm))
+	}
+	if len(servers) > 0 {
+		t.merge(s, heldSource, servers)
+	}
+}
+
 // sync sends all departures to a peer.
 func (t *Tracker) sync(to string) {
 	now := boottime.Now()
