--- a/discovery/firstread.go
+++ b/discovery/firstread.go
@@ -59,7 +59,9 @@
 	first := firstRead{position: listing.Position()}
 	f.passOtherEntries(listing)
 	first.servers = f.applySection(f.list.servers, listing)
-	selfKey, selfValue, err := f.opts.Codec.EncodeVM(f.opts.Self)
+	vm := f.opts.Self
+	vm.Era = int64(listing.Era)
+	selfKey, selfValue, err := f.opts.Codec.EncodeVM(vm)
 	if err != nil {
 		f.opts.Log.Error("own_entry_not_encoded", telemetry.Error(err))
 	}
--- a/vmlist/encoding.go
+++ b/vmlist/encoding.go
@@ -89,7 +89,7 @@
 func equal(a, b *VM) bool {
 	return a.ID == b.ID && a.Role == b.Role && a.State == b.State && a.Zone == b.Zone && a.Region == b.Region &&
 		a.Address == b.Address && a.PeerAddress == b.PeerAddress && a.AdminAddress == b.AdminAddress &&
-		a.Slots == b.Slots && a.CPU == b.CPU && a.Incarnation == b.Incarnation &&
+		a.Slots == b.Slots && a.CPU == b.CPU && a.Incarnation == b.Incarnation && a.Era == b.Era &&
 		a.ChecksFencing == b.ChecksFencing && a.ChecksIssuer == b.ChecksIssuer &&
 		slices.Equal(a.Models, b.Models) && slices.Equal(a.Services, b.Services)
 }
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -62,6 +62,8 @@
 	CPU float64 `json:"cpu,omitempty"`
 	// Incarnation distinguishes restarts under the same id; a later start has a higher value.
 	Incarnation int64 `json:"incarnation,omitempty"`
+	// Era is the era of the store in which an entry VM has announced itself.
+	Era int64 `json:"era,omitempty"`
 	// ChecksFencing reports whether the backend server rejects orders with a stale fencing token.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
 	// ChecksIssuer reports whether the backend server verifies the issuer of an order.
