--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -39,6 +39,9 @@
 	// digest is that of the stored rules, 0 if there are none or they are not known.
 	digest   uint64
 	revision int64
+	// era is the era of the store in which that was known. After its return from a copy the
+	// rules may be others, under the same revision.
+	era int64
 }
 
 // Load adopts the rules of an entry of the store that this VM has read.
@@ -61,6 +64,9 @@
 	changed := m.opts.Loop.Subscribe()
 	var known archive
 	for failures := 0; ; {
+		if era := m.opts.Loop.Snapshot().Era; era != known.era {
+			known = archive{era: era}
+		}
 		if !m.mustArchive(known) {
 			failures = 0
 			select {
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -120,3 +120,24 @@
 	receiveRule(m, "b")
 	eventually(t, "the removed archive is written again", written(2))
 }
+
+// Guards against rules that are missing from the store for good after it has come back from a copy
+// without them, and against a write on a revision that the store has given out again, which would
+// replace rules that it has and this VM does not.
+func TestArchiveIsWrittenAgainAfterAReturn(t *testing.T) {
+	store := &oneKeyStore{}
+	m := startArchiver(t, store)
+	receiveRule(m, "own")
+	eventually(t, "the rule is stored", func() bool { return store.rules(t) == 1 })
+	now := boottime.Now()
+	other := Rule{Parts: NewPrompt("pool", "r", []string{"other"}).Parts, Since: now, Until: now + time.Minute, Activations: 1}
+	value, err := proto.Marshal(&peerpb.StoredRules{UnixMs: time.Now().UnixMilli(), Rules: []*peerpb.Rule{encodeRule(now, other)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.mu.Lock()
+	store.entry = kv.Entry{Key: ArchiveKey, Value: value, Revision: store.entry.Revision} // the same number
+	store.mu.Unlock()
+	m.opts.Loop.Post(control.EraSeen{Era: 1, Source: "test"})
+	eventually(t, "the store has both rules", func() bool { return store.rules(t) == 2 })
+}
