discovery: a VM that starts does not take the configuration of a copy

Seen on real VMs: a VM that started right after the store had come back from a copy put the older configuration of the copy in force and accepted a key that had been revoked, beside VMs that knew better.

In a store with eras, a VM that starts waits for the configuration of a peer, or 2 s, in which the operator writes again, unless an entry of a VM shows that the era is older: VMs write theirs again 2 s after a return, with the era.

The stand-in has no eras unless a test asks for them, so that other tests start without the wait.

--- a/discovery/configuration.go
+++ b/discovery/configuration.go
@@ -24,6 +24,9 @@
 		f.start.recordFirstRead(firstRead{})
 		f.start.awaitRole(ctx)
 	} else if asked, listing, err := f.readFirstPage(ctx); err == nil {
+		if f.mayLackWrites(listing) {
+			asked, listing = f.awaitSettled(ctx, asked, listing)
+		}
 		f.handleConfigRead(ctx, f.opts.Duties.Duty(), asked, listing)
 	}
 	dependency := newDependency(f.opts.Log, "store configuration")
--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -56,6 +56,8 @@
 	ConfigDelay time.Duration
 	// FirstStart tells the VMs that the deployment starts for the first time.
 	FirstStart bool
+	// Era is the era of the store. 0 makes it one without eras.
+	Era int64
 	// Events is the number of events in a stream, EventInterval the time between them.
 	Events        int
 	EventInterval time.Duration
@@ -100,6 +102,7 @@
 func Start(o Options) (*Site, error) {
 	s := &Site{Store: userplatform.NewStore(), opts: o}
 	s.addCleanup(s.Store.Close)
+	s.Store.SetEra(o.Era)
 	s.Fleet = userplatform.NewFleet(s.Store)
 	for i := range o.UnstartedServers {
 		userplatform.RegisterUnreachable(s.Store, fmt.Sprintf("listed-%04d", i), "listed")
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -71,7 +71,7 @@
 // NewStore returns an empty store. The caller must close it.
 func NewStore() *Store {
 	s := &Store{
-		mux: http.NewServeMux(), items: map[string]event{}, leases: map[int64]*lease{}, era: firstEra,
+		mux: http.NewServeMux(), items: map[string]event{}, leases: map[int64]*lease{},
 		changed: make(chan struct{}), calls: map[string]int{}, done: make(chan struct{}),
 	}
 	s.handle("GET /kv-key", s.getKey)
--- a/internal/standin/userplatform/store_restore.go
+++ b/internal/standin/userplatform/store_restore.go
@@ -13,9 +13,6 @@
 // store comes back from a copy.
 const headerEra = "Store-Era"
 
-// firstEra is the era of a new store.
-const firstEra = 1
-
 // StoreCopy is the state of a store at one moment.
 type StoreCopy struct {
 	takenAt   time.Time
@@ -85,7 +82,7 @@
 	}
 }
 
-// setEra adds the era to an answer. A store without eras is an older one.
+// setEra adds the era to an answer. In era 0 it behaves as an older store, which has none.
 func (s *Store) setEra(h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,6 +91,13 @@
 	}
 }
 
+// SetEra sets the era, which is 0 for a new store.
+func (s *Store) SetEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
 // Era returns the current era.
 func (s *Store) Era() int64 {
 	s.mu.Lock()
--- a/internal/standin/userplatform/store_restore_test.go
+++ b/internal/standin/userplatform/store_restore_test.go
@@ -20,6 +20,7 @@
 	const rewriteAfter = 20 * time.Millisecond
 	s := NewStore()
 	t.Cleanup(s.Close)
+	s.SetEra(1)
 	s.Put("op/config", []byte("1"))
 	s.Put("vms/a", []byte("a"))
 	from := s.Copy()
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -48,6 +48,7 @@
 	events           int
 	interval         time.Duration
 	bounds           func(*config.Bounds)
+	era              int64
 }
 
 func newSite(t *testing.T, o options) *site {
@@ -57,7 +58,7 @@
 		o.bounds(&bounds)
 	}
 	s, err := localsite.Start(localsite.Options{
-		VMs: o.vms, Engines: o.engines, PlainServers: o.plainServers, PlainServerSlots: o.plainServerSlots, UnstartedServers: o.entries, ConfigDelay: o.configDelay, FirstStart: o.firstStart, Events: o.events, EventInterval: o.interval, Bounds: bounds,
+		VMs: o.vms, Engines: o.engines, PlainServers: o.plainServers, PlainServerSlots: o.plainServerSlots, UnstartedServers: o.entries, ConfigDelay: o.configDelay, FirstStart: o.firstStart, Events: o.events, EventInterval: o.interval, Bounds: bounds, Era: o.era,
 		Logs: func(vm string) io.Writer { return logOnFailure(t, vm) },
 	})
 	if err != nil {
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -104,7 +104,7 @@
 	for name, returns := range map[string]int{"once": 1, "twice": 2} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSite(t, options{vms: 4, plainServers: 3})
+			s := newSite(t, options{era: 1, vms: 4, plainServers: 3})
 			from := s.store.Copy()
 			s.writeOthers(lostWrites)
 			for range returns {
@@ -121,7 +121,7 @@
 
 // Guards against a VM that the store refuses, and that learns of the return from others only.
 func TestRefusedVMFollowsServersAfterTheStoreReturns(t *testing.T) {
-	s := newSite(t, options{vms: 4, plainServers: 3})
+	s := newSite(t, options{era: 1, vms: 4, plainServers: 3})
 	from := s.store.Copy()
 	s.writeOthers(lostWrites)
 	s.returnFromCopy(from, rewrittenAfter)
@@ -134,7 +134,7 @@
 // Guards against a server being used again that had said that it leaves, or whose entry had been
 // removed, since a copy from before lists it as ready.
 func TestServersThatHaveLeftStayUnusedAfterTheStoreReturns(t *testing.T) {
-	s := newSite(t, options{vms: 4, plainServers: 4})
+	s := newSite(t, options{era: 1, vms: 4, plainServers: 4})
 	from := s.store.Copy()
 	s.plainServers[0].Register("draining")
 	s.plainServers[1].Unregister()
@@ -165,7 +165,7 @@
 
 // Guards against servers and VMs that count as gone since the copy does not have them yet.
 func TestEntriesMissingFromTheCopyStayInUse(t *testing.T) {
-	s := newSite(t, options{vms: 3, plainServers: 1})
+	s := newSite(t, options{era: 1, vms: 3, plainServers: 1})
 	from := s.store.Copy()
 	s.startDesk("desk-new")
 	s.mustStartVM("vm-new")
@@ -196,7 +196,7 @@
 // same id after its return: it is not listed any more, and takes the other one's entry away
 // when it stops.
 func TestLeasesThatAreGivenOutAgain(t *testing.T) {
-	s := newSite(t, options{vms: 3, plainServers: 1})
+	s := newSite(t, options{era: 1, vms: 3, plainServers: 1})
 	from := s.store.Copy()
 	old := s.mustStartVM("vm-old")
 	s.eventually(applyTimeout, "the VM has announced itself", func() bool { return s.store.Has(platform.VMPrefix + "vm-old") })
@@ -217,7 +217,7 @@
 // Guards against a VM that starts right after the return and puts the configuration of the copy
 // in force, with a key that had been revoked, beside VMs that know better.
 func TestVMThatStartsAfterTheReturnDoesNotRevert(t *testing.T) {
-	s := newSite(t, options{vms: 3, plainServers: 1})
+	s := newSite(t, options{era: 1, vms: 3, plainServers: 1})
 	from := s.store.Copy()
 	s.store.Put(platform.ConfigKey, userplatform.Config(version+1, "new-key"))
 	s.writeOthers(lostWrites)
