control: a copy does not confirm a configuration at once

Seen on real VMs: a key was revoked right before the store went away, so that no VM had seen it. The store came back from a copy after the bound for revocations; the copy confirmed the version that the VMs had, and they accepted the key again, 3 s and more after its revocation with a bound of 3 s.

Cause: a read that returns the version in force counts as 'nothing newer was acknowledged before it'. After a return that does not hold for the 2 s in which the operator writes again what was lost.

Until then the word of the store counts only if what was lost would still come within the bound of the last word from before the return: a short absence refuses nothing. Each VM decides for itself; a VM tells its peers of a confirmation of an era only once its lists announce that era, so that all know which side of the return it is from. Who reads the store, and when VMs probe it, does not change.

--- a/control/control.go
+++ b/control/control.go
@@ -40,8 +40,12 @@
 	Routes          *route.Table
 	RoutesContent   []byte
 	RoutesConfirmed time.Duration
-	// Era is the highest era of the platform's store that this VM knows of.
-	Era int64
+	// Era is the highest era of the platform's store that this VM knows of. SettledAt is when what
+	// the store says after its return from a copy is taken to be complete, and ConfirmedBefore
+	// the value of RoutesConfirmed before that return, both on the clock of package boottime and
+	// 0 if this VM has seen no return.
+	Era                        int64
+	SettledAt, ConfirmedBefore time.Duration
 	// Suspect holds the ids of entry VMs that peers have not heard from.
 	// suspectsVersion is incremented with each change of it.
 	Suspect         map[string]bool
@@ -86,8 +90,9 @@
 	Routes          *route.Table
 	RoutesContent   []byte
 	RoutesConfirmed time.Duration
-	// Era is copied from State.
-	Era int64
+	// Era, SettledAt and ConfirmedBefore are copied from State.
+	Era                        int64
+	SettledAt, ConfirmedBefore time.Duration
 	// Retaining is set while something is kept from an earlier era for a time.
 	Retaining bool
 	// VMListCeiling is the lowest VM list revision that is rejected from peers,
@@ -120,6 +125,27 @@
 	return s.index == other.index && s.suspectsVersion == other.suspectsVersion
 }
 
+// ConfirmedWithin reports whether the configuration was confirmed as the newest one within a time
+// before now. After its return from a copy the store may confirm a version although it has lost
+// a newer one, which is written again until SettledAt. Until then its word counts only if what
+// was lost would still come within that time of the last word before the return.
+func (s *Snapshot) ConfirmedWithin(now, limit time.Duration) bool {
+	confirmed := s.RoutesConfirmed
+	if now < s.SettledAt && s.SettledAt-s.ConfirmedBefore > limit {
+		confirmed = s.ConfirmedBefore
+	}
+	return now-confirmed <= limit
+}
+
+// ConfirmedForPeers returns the confirmation that peers may count as one of the era that the lists of
+// this VM announce.
+func (s *Snapshot) ConfirmedForPeers() time.Duration {
+	if s.SettledAt > 0 && vmlist.EraOf(s.Servers.Revision) < s.Era {
+		return s.ConfirmedBefore
+	}
+	return s.RoutesConfirmed
+}
+
 // EntryVMCount returns the number of live entry VMs that are listed or kept, including suspect ones.
 func (s *Snapshot) EntryVMCount() int { return len(s.index.entryVMs) }
 
@@ -223,7 +249,7 @@
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
 	snap := &Snapshot{
 		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, Servers: s.Servers, Members: s.Members, VMListCeiling: s.listCeiling,
-		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, Era: s.Era, Retaining: s.retains(),
+		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, Era: s.Era, SettledAt: s.SettledAt, ConfirmedBefore: s.ConfirmedBefore, Retaining: s.retains(),
 		suspectsVersion: s.suspectsVersion, leavingVersion: s.leavingVersion,
 	}
 	if previous != nil && previous.VMs == s.VMs && previous.leavingVersion == s.leavingVersion && sameModels(previous.Bundle, s.Bundle) {
--- a/control/era.go
+++ b/control/era.go
@@ -1,6 +1,16 @@
 package control
 
-import "go.uber.org/zap"
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+)
+
+// ReturnSettleTime is the time after which what the store says after its return from a copy is
+// taken to be complete. The operator and the servers write again what was lost.
+const ReturnSettleTime = 2 * time.Second
 
 // EraSeen reports that the platform's store has answered in an era. Eras only rise.
 type EraSeen struct {
@@ -27,5 +37,8 @@
 	}
 	s.log.Info("store_era_seen", fields...)
 	s.Era = era
+	if s.Routes != nil {
+		s.ConfirmedBefore, s.SettledAt = s.RoutesConfirmed, boottime.Now()+ReturnSettleTime
+	}
 	s.Changed()
 }
--- /dev/null
+++ b/control/era_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// Guards against a confirmation by a copy that may lack the newest configuration, against one that
+// is never accepted again, and against requests that are refused after a short absence.
+func TestConfirmationsAfterAReturn(t *testing.T) {
+	const limit = 4 * time.Second
+	for name, c := range map[string]struct {
+		age  time.Duration // of the last confirmation when the return is seen
+		want bool
+	}{
+		"away for a moment":     {time.Second, true},
+		"away beyond the bound": {limit - ReturnSettleTime + time.Second, false},
+	} {
+		r := newRig()
+		r.apply(EraSeen{Era: 1, Source: "test"})
+		now := boottime.Now()
+		r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - c.age})
+		r.apply(EraSeen{Era: 2, Source: "test"})
+		r.apply(RoutesConfirmed{Version: 7, At: now + time.Millisecond})
+		snap := newSnapshot(r.State, nil)
+		if got := snap.ConfirmedWithin(now+limit-c.age+time.Millisecond, limit); got != c.want {
+			t.Errorf("%s: confirmed by the copy: %v, want %v", name, got, c.want)
+		}
+		if !snap.ConfirmedWithin(snap.SettledAt+time.Millisecond, limit) {
+			t.Errorf("%s: not confirmed once the store has had the time to write again", name)
+		}
+		if got := snap.ConfirmedForPeers(); got != now-c.age {
+			t.Errorf("%s: peers are told of a confirmation of an era that they do not know", name)
+		}
+		r.listServers(2, 1)
+		if got := newSnapshot(r.State, nil).ConfirmedForPeers(); got != now+time.Millisecond {
+			t.Errorf("%s: peers are not told of the confirmation", name)
+		}
+	}
+}
+
+// Guards against a return that a VM takes its start for: what it reads first confirms nothing older.
+func TestFirstEraIsNoReturn(t *testing.T) {
+	r := newRig()
+	r.apply(EraSeen{Era: 5, Source: "test"})
+	r.apply(ServersListed{List: &vmlist.List{Revision: vmlist.NewRevision(5, 1, vmlist.MaxFreshness)}, Source: "test"})
+	now := boottime.Now()
+	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now})
+	if snap := newSnapshot(r.State, nil); snap.SettledAt != 0 || !snap.ConfirmedWithin(now, time.Second) {
+		t.Errorf("settled at %v, confirmed %v", snap.SettledAt, snap.ConfirmedWithin(now, time.Second))
+	}
+}
--- a/discovery/announce.go
+++ b/discovery/announce.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
@@ -44,7 +45,7 @@
 		case lease.era < f.era.current():
 			f.opts.Log.Info("vm_lease_of_earlier_era", zap.Int64("lease", int64(lease.id)), zap.Int64("era", int64(lease.era)))
 			lease = heldLease{}
-			wait.Sleep(ctx, returnSettleTime+rand.N(renewJitter))
+			wait.Sleep(ctx, control.ReturnSettleTime+rand.N(renewJitter))
 			continue
 		default:
 			err = f.opts.Store.KeepAlive(ctx, lease.id)
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -135,12 +135,9 @@
 	defaultLeaseDuration = 2 * time.Minute
 	// renewInterval is the interval between renewals of the lease.
 	renewInterval = defaultLeaseDuration / 4
-	// returnSettleTime is the time after which what the store says after its return from a
-	// copy is taken to be complete. The operator and the servers write again what was lost.
-	returnSettleTime = 2 * time.Second
 	// renewJitter is the period over which the VMs spread the renewal of their
 	// leases after an outage of the store, in which leases may have expired, and announce
-	// themselves again after its return from a copy. Together with returnSettleTime it is below
+	// themselves again after its return from a copy. Together with control.ReturnSettleTime it is below
 	// the time for which VMs that are not listed stay in use.
 	renewJitter = 4 * time.Second
 	// firstStartDelay is how long a VM waits before it lists the entry VMs when the
--- a/discovery/settle.go
+++ b/discovery/settle.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
@@ -14,7 +15,7 @@
 
 // settledVMAge is the age from which an entry VM that has announced itself in the current era shows
 // that the era did not begin a moment ago: VMs that ran before its begin announce themselves
-// after returnSettleTime, and others are younger. It leaves room for clocks that differ.
+// after control.ReturnSettleTime, and others are younger. It leaves room for clocks that differ.
 const settledVMAge = 10 * time.Second
 
 // mayLackWrites reports whether the store may have come back from a copy a moment before a
@@ -41,7 +42,7 @@
 // time to get its newest one again. It then returns a read of the configuration.
 func (f *Follower) awaitSettled(ctx context.Context, asked time.Duration, listing kv.Listing) (time.Duration, kv.Listing) {
 	begin := boottime.Now()
-	for f.opts.Loop.Snapshot().Routes == nil && boottime.Now()-begin < returnSettleTime && ctx.Err() == nil {
+	for f.opts.Loop.Snapshot().Routes == nil && boottime.Now()-begin < control.ReturnSettleTime && ctx.Err() == nil {
 		wait.Sleep(ctx, roleCheckInterval)
 	}
 	fromPeer := f.opts.Loop.Snapshot().Routes != nil
--- a/discovery/settle_test.go
+++ b/discovery/settle_test.go
@@ -41,12 +41,12 @@
 	f, loop := follower(t, newEraStore(3))
 	begin := time.Now()
 	_, got := f.awaitSettled(t.Context(), 0, kv.Listing{Revision: 1, Era: 3})
-	if elapsed := time.Since(begin); elapsed < returnSettleTime || elapsed > returnSettleTime+time.Second || got.Revision != 7 {
+	if elapsed := time.Since(begin); elapsed < control.ReturnSettleTime || elapsed > control.ReturnSettleTime+time.Second || got.Revision != 7 {
 		t.Errorf("without peers: a read of revision %d after %v", got.Revision, elapsed)
 	}
 	loop.Post(control.RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 2}), Content: []byte("{}"), Source: "peer"})
 	begin = time.Now()
-	if f.awaitSettled(t.Context(), 0, kv.Listing{Revision: 1, Era: 3}); time.Since(begin) > returnSettleTime/2 {
+	if f.awaitSettled(t.Context(), 0, kv.Listing{Revision: 1, Era: 3}); time.Since(begin) > control.ReturnSettleTime/2 {
 		t.Errorf("with the configuration of a peer it took %v", time.Since(begin))
 	}
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -92,7 +92,7 @@
 // recently enough for requests with a key. A bound of 0 disables the check.
 func (g *Gateway) confirmed(snap *control.Snapshot) bool {
 	bound := g.Bounds().Revoke
-	return bound == 0 || boottime.Now()-snap.RoutesConfirmed <= bound-confirmMargin
+	return bound == 0 || snap.ConfirmedWithin(boottime.Now(), bound-confirmMargin)
 }
 
 // pickTarget returns the service of the route. If the traffic is split, it selects
--- a/membership/service.go
+++ b/membership/service.go
@@ -35,7 +35,7 @@
 	ConfirmedAt func() (at time.Duration, ok bool)
 	// OnConfirmed is called when a peer reports that the platform has confirmed
 	// a version. It may be nil.
-	OnConfirmed func(version int64, at time.Duration)
+	OnConfirmed func(from string, version, vmListRevision int64, at time.Duration)
 	// QuarantineDigest returns the announced digest of the rules on prompt parts, and
 	// OnQuarantineDigest is called with that of a peer. Both may be nil.
 	QuarantineDigest   func() uint64
@@ -240,7 +240,7 @@
 // handleConfirmation reports a peer's confirmation to OnConfirmed. Its age is
 // counted back from the time at which this VM sent the heartbeat, because the
 // acknowledgement may have been delayed.
-func (s *Service) handleConfirmation(a *peerpb.HeartbeatAck) {
+func (s *Service) handleConfirmation(from string, a *peerpb.HeartbeatAck) {
 	if a.GetConfirmation() == nil || s.opts.OnConfirmed == nil {
 		return
 	}
@@ -249,7 +249,7 @@
 	asked := s.sentAt[a.GetSequence()%sentAtCapacity]
 	s.mu.Unlock()
 	if known {
-		s.opts.OnConfirmed(a.GetBundleVersion(), asked-time.Duration(a.GetConfirmation().GetAgeMs())*time.Millisecond)
+		s.opts.OnConfirmed(from, a.GetBundleVersion(), a.GetVmListRevision(), asked-time.Duration(a.GetConfirmation().GetAgeMs())*time.Millisecond)
 	}
 }
 
@@ -269,7 +269,7 @@
 	}
 	if a := m.GetHeartbeatAck(); a != nil {
 		s.receive(from, a.GetIncarnation(), a.GetStatuses(), a.GetBundleVersion(), a.GetVmListRevision())
-		s.handleConfirmation(a)
+		s.handleConfirmation(from, a)
 		s.handleDigests(from, digests{a.GetQuarantineDigest(), a.GetDeparturesDigest(), a.GetLimitsDigest()})
 	}
 }
--- a/mesh.go
+++ b/mesh.go
@@ -163,11 +163,13 @@
 
 // routesConfirmedAt returns when the platform last confirmed the current configuration.
 func (m *mesh) routesConfirmedAt() (at time.Duration, ok bool) {
-	snap := m.opts.Loop.Snapshot()
-	return snap.RoutesConfirmed, snap.RoutesConfirmed > 0
+	at = m.opts.Loop.Snapshot().ConfirmedForPeers()
+	return at, at > 0
 }
 
-func (m *mesh) postConfirmation(version int64, at time.Duration) {
+// postConfirmation applies a confirmation of a peer, after the era in which the peer is.
+func (m *mesh) postConfirmation(from string, version, listRevision int64, at time.Duration) {
+	m.opts.Loop.Post(control.EraSeen{Era: vmlist.EraOf(listRevision), Source: "peer " + from})
 	m.opts.Loop.Post(control.RoutesConfirmed{Version: version, At: at})
 }
 
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/internal/localsite"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 	"github.com/vanillaarch/vanillaarch/platform"
@@ -237,3 +238,50 @@
 		t.Logf("%s served after %v", v.Name, time.Since(served))
 	}
 }
+
+// Guards against a key that is accepted again: it was revoked right before the store went away, so
+// that no VM has seen it, and the store comes back after the bound for revocations from a copy
+// in which the key is there.
+func TestRevokedKeyIsNotAcceptedFromACopy(t *testing.T) {
+	const revoke = 3 * time.Second
+	s := newSite(t, options{era: 1, vms: 4, plainServers: 1, bounds: func(b *config.Bounds) { b.Revoke = revoke }})
+	from := s.store.Copy()
+	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
+	s.store.StallPendingWatches()
+	time.Sleep(50 * time.Millisecond)
+	s.store.Put(platform.ConfigKey, userplatform.Config(version+1, "new-key"))
+	revoked := time.Now()
+	time.Sleep(revoke)
+	s.store.Restore(from, rewrittenAfter)
+	s.store.SetFaults(userplatform.StoreFaults{})
+	a := look()
+	a.key = "new-key"
+	for _, v := range s.vms {
+		s.eventually(5*time.Second, "the new key is accepted on "+v.Name, func() bool {
+			if got := s.send(v, look()); got.status == http.StatusOK {
+				t.Fatalf("%s accepted the revoked key %v after it was revoked", v.Name, time.Since(revoked))
+			}
+			return s.send(v, a).status == http.StatusOK
+		})
+	}
+}
+
+// Guards against requests that are refused after each return, although nothing can have been
+// missed: the store was away for a moment, and writes again within the bound for revocations.
+func TestShortReturnRefusesNoKeys(t *testing.T) {
+	s := newSite(t, options{era: 1, vms: 4, plainServers: 2})
+	from := s.store.Copy()
+	s.writeOthers(lostWrites)
+	stop := s.load(look)
+	s.returnFromCopy(from, rewrittenAfter)
+	time.Sleep(5 * time.Second)
+	refused := 0
+	for _, got := range stop() {
+		if got.status != http.StatusOK {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d requests were not served", refused)
+	}
+}
