internal/soak: the store returns from a copy

The soak played outages, lost answers and dropped histories of the store, and no return from a copy. A seed gets up to two returns, drawn apart from the other faults, so that each seed keeps those that it had. The store of the soak has eras.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -79,13 +79,14 @@
 
 // allowedKinds returns the kinds with the given names, all if there are none.
 func allowedKinds(names []string) ([]fault, error) {
+	all := append(slices.Clone(faultKinds), storeReturns)
 	if len(names) == 0 {
-		return faultKinds, nil
+		return all, nil
 	}
 	var out []fault
 	for _, name := range names {
 		n := len(out)
-		for _, f := range faultKinds {
+		for _, f := range all {
 			if f.name == name {
 				out = append(out, f)
 			}
@@ -99,9 +100,13 @@
 
 // schedule returns the faults of a seed in order of time.
 func schedule(seed uint64, length time.Duration, kinds []fault) []fault {
+	out := returns(seed, length, kinds)
+	kinds = slices.DeleteFunc(slices.Clone(kinds), isReturn)
+	if len(kinds) == 0 {
+		return out
+	}
 	r := rand.New(rand.NewPCG(seed, 1))
 	gap := meanFaultIntervals[r.IntN(len(meanFaultIntervals))]
-	var out []fault
 	for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() * float64(gap)) {
 		f := kinds[r.IntN(len(kinds))]
 		f.at, f.seed = at, r.Uint64()
@@ -117,6 +122,24 @@
 	return out
 }
 
+func isReturn(f fault) bool { return f.name == storeReturns.name }
+
+// returns draws the returns of the store of a seed, in order of time.
+func returns(seed uint64, length time.Duration, kinds []fault) []fault {
+	var out []fault
+	if !slices.ContainsFunc(kinds, isReturn) {
+		return out
+	}
+	r := rand.New(rand.NewPCG(seed, 2))
+	for range r.IntN(maxReturns + 1) {
+		f := storeReturns
+		f.at, f.seed, f.duration = time.Duration(r.Int64N(int64(length))), r.Uint64(), uniform(r, minFaultDuration, maxFaultDuration)
+		out = append(out, f)
+	}
+	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
 // injectFaults applies the schedule and waits until all faults have ended.
 func (h *harness) injectFaults(ctx context.Context) {
 	start := time.Now()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -128,6 +128,8 @@
 	drainNotices  map[string]time.Time
 	appliedFaults []string
 	nextID        int
+	// returning is held while the store returns from a copy.
+	returning sync.Mutex
 	// storeFaults holds the active faults of the store.
 	storeFaults map[*userplatform.StoreFaults]struct{}
 	// promptFaults holds all parts that have crashed engines, promptFault the active
@@ -155,6 +157,7 @@
 		storeFaults: map[*userplatform.StoreFaults]struct{}{}, overlaps: newDurationSummary(overlapClasses),
 		drainNotices: map[string]time.Time{},
 	}
+	w.store.SetEra(1)
 	w.violations = &violationLog{started: w.started}
 	w.fleet = userplatform.NewFleet(w.store)
 	w.fleet.RecordRequests(vmOfRequest)
--- a/internal/soak/storefaults.go
+++ b/internal/soak/storefaults.go
@@ -77,3 +77,39 @@
 		time.Sleep(rotationBurstInterval)
 	}
 }
+
+// Parameters of returns of the store from a copy.
+const (
+	// maxReturns is the largest number of returns in a seed.
+	maxReturns                     = 2
+	minStoreAway, maxStoreAway     = 100 * time.Millisecond, 1500 * time.Millisecond
+	minRewriteTime, maxRewriteTime = 200 * time.Millisecond, 1800 * time.Millisecond
+)
+
+// storeReturns is a fault that schedules draw apart from the others, so that they give each seed
+// the faults that it had before.
+var storeReturns = fault{name: "store returns from a copy", apply: (*harness).returnStore}
+
+// returnStore makes the store come back from a copy that is as old as the fault is long. What the
+// operator and the servers wrote since is written again a little later.
+func (h *harness) returnStore(r *rand.Rand, d time.Duration) {
+	if !h.returning.TryLock() {
+		return
+	}
+	defer h.returning.Unlock()
+	defer h.faults.begin(scopeStore)()
+	from := h.store.Copy()
+	time.Sleep(d)
+	away, rewrite := uniform(r, minStoreAway, maxStoreAway), uniform(r, minRewriteTime, maxRewriteTime)
+	f := userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable}
+	h.updateStoreFaults(func() { h.storeFaults[&f] = struct{}{} })
+	time.Sleep(away)
+	h.recordFault("store returns from a copy of %v before, after %v", (d + away).Round(time.Millisecond), away.Round(time.Millisecond))
+	h.store.Restore(from, rewrite)
+	h.updateStoreFaults(func() { delete(h.storeFaults, &f) })
+	time.Sleep(rewrite)
+}
+
+func uniform(r *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(r.Int64N(int64(to-from)))
+}
