gateway: TestOpenAnswersGiveWayToSoundOnes opens its answers in turn

Cause, shown by the bytes held over time: five answers of 771 KB hold the budget, but two that grow at the same time are both refused for what the other one holds at that moment, and four hold less than the test needs. Refusals of that kind are allowed.

The answers are opened one after the other.

--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -23,9 +23,9 @@
 		// open answers of openBytes hold 0.75 MB each, as the sound one does, since a buffer
 		// and the next larger one exist together.
 		open, openBytes, soundBytes = 6, 400 << 10, 300 << 10
-		// heldBytes is what must be reserved before the sound request is sent. The budget of
-		// the rig is 4 MB.
-		heldBytes = 3500 << 10
+		// heldBytes is what must be reserved before the sound request is sent, answerBytes what
+		// each open answer holds. The budget of the rig is 4 MB.
+		heldBytes, answerBytes = 3500 << 10, 750 << 10
 	)
 	sound := strings.Repeat("x", soundBytes)
 	for kind, test := range map[string]struct {
@@ -54,12 +54,13 @@
 			find := func(id string) vmlist.VM { return r.Snapshot().Backends[id] }
 			r.known.announcePause(find(test.sound), 500*time.Millisecond)
 			var group sync.WaitGroup
-			for range open {
-				group.Go(func() { r.send(test.path) })
-			}
 			held := time.Now().Add(400 * time.Millisecond)
-			for r.answerBudget.Used() < heldBytes && time.Now().Before(held) {
-				time.Sleep(time.Millisecond)
+			// One after the other: two that grow at once can both be refused for what the other holds.
+			for n := range open {
+				group.Go(func() { r.send(test.path) })
+				for r.answerBudget.Used() < min(int64(n+1)*answerBytes, heldBytes) && time.Now().Before(held) {
+					time.Sleep(time.Millisecond)
+				}
 			}
 			if used := r.answerBudget.Used(); used < heldBytes {
 				t.Errorf("open answers hold %d bytes, want %d", used, heldBytes)
