control: an earlier start of a server does not come back with a copy

A copy from before a server or VM started again lists the earlier start. Runs on the present one then counted as lost with their engine, its word that it leaves was lost, and a server that had started, left and was gone was used again.

A start that is known to be later stays in the place of the listed one for the time for which missing entries are kept, and a departure holds for earlier starts, too.

--- a/control/departed.go
+++ b/control/departed.go
@@ -110,10 +110,10 @@
 	}
 	for id, d := range s.departed.departures {
 		vm, ok := listed[id]
-		if !ok || vm.State != vmlist.StateLive || !vm.MayBe(d.incarnation) {
-			continue
+		if !ok || vm.State != vmlist.StateLive || vm.Incarnation > d.incarnation {
+			continue // It has started again since.
 		}
-		h := heldServer{incarnation: d.incarnation}
+		h := heldServer{incarnation: vm.Incarnation}
 		if !d.announced && 2*removed > live {
 			continue
 		}
@@ -122,7 +122,7 @@
 		}
 		s.departed.held[id] = h
 		s.leavingVersion++
-		s.log.Info("server_held", zap.String("backend", id), zap.Int64("incarnation", d.incarnation), zap.Bool("announced", d.announced), zap.Int64("era", s.Era))
+		s.log.Info("server_held", zap.String("backend", id), zap.Int64("incarnation", vm.Incarnation), zap.Bool("announced", d.announced), zap.Int64("era", s.Era))
 	}
 }
 
--- a/control/departed_test.go
+++ b/control/departed_test.go
@@ -74,3 +74,27 @@
 	r.requireUsable(t, "after the return", "b", true)
 	r.requireUsable(t, "after the return", "c", true)
 }
+
+// Guards against an earlier start of a server or VM taking the place of the one that runs, since the
+// copy is from before it started again, and against that one's word that it leaves being lost.
+func TestEarlierStartsDoNotComeBack(t *testing.T) {
+	first, second := server("a", vmlist.StateLive, 1), server("a", vmlist.StateLive, 2)
+	r := newRig()
+	r.listServers(1, 40, first)
+	r.listServers(1, 50, second)
+	r.listServers(2, 10, first)
+	if got := newSnapshot(r.State, nil).Backends["a"]; got.Incarnation != 2 || got.State != vmlist.StateLive {
+		t.Errorf("after the return: %+v", got)
+	}
+	r.listServers(2, 11, second)
+	r.wait(time.Hour)
+	r.requireUsable(t, "once it has written its entry again", "a", true)
+	r.listServers(2, 12, server("a", vmlist.StateLeaving, 2))
+	r.listServers(3, 5, first)
+	r.requireUsable(t, "a second return, after it had said that it leaves", "a", false)
+	r = newRig()
+	r.listServers(1, 40, second, server("b", vmlist.StateLive, 1), server("c", vmlist.StateLive, 1))
+	r.listServers(1, 50, server("b", vmlist.StateLive, 1), server("c", vmlist.StateLive, 1))
+	r.listServers(2, 10, first, server("b", vmlist.StateLive, 1), server("c", vmlist.StateLive, 1))
+	r.requireUsable(t, "after its removal", "a", false)
+}
--- a/control/returned.go
+++ b/control/returned.go
@@ -19,7 +19,7 @@
 	MissingMemberGrace = 10 * time.Second
 )
 
-// missingVM is a live VM that the lists of the era do not have yet.
+// missingVM is a VM that the lists of the era do not have yet, or only an earlier start of it.
 type missingVM struct {
 	vm    vmlist.VM
 	until time.Time
@@ -36,11 +36,16 @@
 	s.holdDeparted(listed)
 }
 
-// keepMissing keeps the live VMs that a list of the new era does not have.
+// keepMissing keeps the live VMs that a list of the new era does not have, and those of which it
+// has an earlier start.
 func (s *State) keepMissing(known []vmlist.VM, listed map[string]vmlist.VM) {
 	kept, leaving := 0, s.allLeaving()
 	for _, vm := range known {
-		if _, ok := listed[vm.ID]; ok || vm.State != vmlist.StateLive || leaving.Includes(vm) {
+		now, isListed := listed[vm.ID]
+		if isListed && now.Incarnation >= vm.Incarnation {
+			continue
+		}
+		if !isListed && (vm.State != vmlist.StateLive || leaving.Includes(vm)) {
 			continue
 		}
 		grace := missingServerGrace
@@ -54,16 +59,26 @@
 	s.log.Info("entries_kept", zap.Int("kept", kept), zap.Int("listed", len(listed)), zap.Int("known", len(known)), zap.Int64("era", s.Era))
 }
 
-// appendMissing appends the VMs that are kept and not listed.
-func (s *State) appendMissing(listed []vmlist.VM) []vmlist.VM {
+// addMissing adds the VMs that are kept to listed ones, in the place of earlier starts. It forgets
+// those that are listed.
+func (s *State) addMissing(listed []vmlist.VM) []vmlist.VM {
 	if len(s.missing) == 0 {
 		return listed
 	}
-	for _, vm := range listed {
-		delete(s.missing, vm.ID)
+	replaced := map[string]bool{}
+	for i, vm := range listed {
+		m, ok := s.missing[vm.ID]
+		switch {
+		case ok && vm.Incarnation < m.vm.Incarnation:
+			listed[i], replaced[vm.ID] = m.vm, true
+		case ok:
+			delete(s.missing, vm.ID)
+		}
 	}
-	for _, m := range s.missing {
-		listed = append(listed, m.vm)
+	for id, m := range s.missing {
+		if !replaced[id] {
+			listed = append(listed, m.vm)
+		}
 	}
 	return listed
 }
--- a/control/vmlist.go
+++ b/control/vmlist.go
@@ -141,7 +141,7 @@
 // are kept. Its revision is local to this VM.
 func (s *State) mergeLists() {
 	vms := make([]vmlist.VM, 0, len(s.Servers.VMs)+len(s.Members.VMs)+len(s.missing))
-	vms = s.appendMissing(append(append(vms, s.Servers.VMs...), s.Members.VMs...))
+	vms = s.addMissing(append(append(vms, s.Servers.VMs...), s.Members.VMs...))
 	s.VMs = &vmlist.List{Revision: s.VMs.Revision + 1, VMs: vms}
 	s.Changed()
 }
