membership, frontend, grant, listen: split the large files, one listener that holds reads

Moves only: confirmations, the rotation of servers, the messages to the control goroutine and the check of a caller's connection have files of their own. The listener that delays reads stood twice in tests and is in internal/testnet now. The tests of these four packages pass.

--- a/gateway/caller_left_test.go
+++ b/gateway/caller_left_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
+	"github.com/vanillaarch/vanillaarch/internal/testnet"
 )
 
 // unansweredAddress returns the address of a listener whose kernel drops new connections,
@@ -146,36 +147,10 @@
 	held := make(chan struct{})
 	server := &http.Server{Handler: r, ConnState: inner.ConnState, ConnContext: listen.ConnContext}
 	var served sync.WaitGroup
-	served.Go(func() { _ = server.Serve(heldListener{inner, held}) })
+	served.Go(func() { _ = server.Serve(testnet.HeldListener{Listener: inner, Held: held}) })
 	r.t.Cleanup(func() {
 		_ = server.Close()
 		served.Wait()
 	})
 	return inner, func() { close(held) }
 }
-
-// heldListener delays reads of its connections until held is closed.
-type heldListener struct {
-	net.Listener
-	held chan struct{}
-}
-
-type heldConn struct {
-	net.Conn
-	held chan struct{}
-}
-
-func (l heldListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return heldConn{c, l.held}, nil
-}
-
-func (c heldConn) Read(p []byte) (int, error) {
-	<-c.held
-	return c.Conn.Read(p)
-}
-
-func (c heldConn) NetConn() net.Conn { return c.Conn }
--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -83,35 +83,6 @@
 	}
 }
 
-// connKey is the context key of an accepted connection.
-type connKey struct{}
-
-// ConnContext is the ConnContext hook of the http.Server that serves the listener. It is
-// required for PeerClosed.
-func ConnContext(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, underlying(nc))
-}
-
-// PeerClosed reports whether the peer of the connection of a request has closed it. ctx is the
-// context of the request. http.Server ends that context as well, but only once the goroutine
-// that watches the connection has run. It returns false if the connection is not known.
-func PeerClosed(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c != nil && c.peerClosed()
-}
-
-// peerClosed reports whether the kernel holds the end of the connection and nothing before it.
-func (c *conn) peerClosed() bool {
-	closed := false
-	err := c.control(func(fd int) error {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
-		return nil
-	})
-	return err != nil || closed
-}
-
 // DrainConnections closes the listener, and has each connection closed once no request on it
 // is pending. It returns when all connections are closed or ctx ends. Requests are still
 // served, and their responses must close the connection.
--- a/internal/listen/connections_test.go
+++ b/internal/listen/connections_test.go
@@ -11,38 +11,12 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/internal/testnet"
 )
 
 const testRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
-// heldListener delays reads of its connections, as on a machine on which the goroutine of
-// a connection does not run.
-type heldListener struct {
-	*Listener
-	// held is closed when reads may begin.
-	held chan struct{}
-}
-
-type heldConn struct {
-	net.Conn
-	held chan struct{}
-}
-
-func (l heldListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return heldConn{c, l.held}, nil
-}
-
-func (c heldConn) Read(p []byte) (int, error) {
-	<-c.held
-	return c.Conn.Read(p)
-}
-
-func (c heldConn) NetConn() net.Conn { return c.Conn }
-
 // startServer serves a listener. Responses close their connection once closing is closed.
 func startServer(t *testing.T, held chan struct{}) (l *Listener, closing chan struct{}) {
 	t.Helper()
@@ -62,7 +36,7 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = server.Serve(heldListener{l, held})
+		_ = server.Serve(testnet.HeldListener{Listener: l, Held: held})
 	}()
 	t.Cleanup(func() {
 		_ = server.Close()
--- a/membership/service.go
+++ b/membership/service.go
@@ -226,33 +226,6 @@
 	}
 }
 
-func (s *Service) confirmation() *peerpb.Confirmation {
-	if s.opts.ConfirmedAt == nil {
-		return nil
-	}
-	at, ok := s.opts.ConfirmedAt()
-	if !ok {
-		return nil
-	}
-	return &peerpb.Confirmation{AgeMs: uint64(max(boottime.Now()-at, 0)/time.Millisecond) + 1}
-}
-
-// handleConfirmation reports a peer's confirmation to OnConfirmed. Its age is
-// counted back from the time at which this VM sent the heartbeat, because the
-// acknowledgement may have been delayed.
-func (s *Service) handleConfirmation(from string, a *peerpb.HeartbeatAck) {
-	if a.GetConfirmation() == nil || s.opts.OnConfirmed == nil {
-		return
-	}
-	s.mu.Lock()
-	known := a.GetSequence() <= s.sequence && s.sequence-a.GetSequence() < sentAtCapacity
-	asked := s.sentAt[a.GetSequence()%sentAtCapacity]
-	s.mu.Unlock()
-	if known {
-		s.opts.OnConfirmed(from, a.GetBundleVersion(), a.GetVmListRevision(), asked-time.Duration(a.GetConfirmation().GetAgeMs())*time.Millisecond)
-	}
-}
-
 // SetExtraTargets replaces the peers that receive heartbeats in addition to the
 // successors in the rings.
 func (s *Service) SetExtraTargets(ids []string) {
