--- a/test/platform/config_test.go
+++ b/test/platform/config_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/localsite"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
 
@@ -238,9 +239,23 @@
 	if limit := vms*callsPerVM + readers*callsPerReader + int(fixedCallsPerSecond*took.Seconds()); calls > limit {
 		t.Errorf("%d calls, want at most %d", calls, limit)
 	}
-	if got := s.send(s.vms[vms-1], book()); got.status != http.StatusOK {
-		t.Errorf("a request after the start: %+v", got)
+	for _, v := range s.vms {
+		// A VM whose configuration is not confirmed yet gets no requests.
+		s.eventually(applyTimeout, v.Name+" is ready", func() bool { return isReady(v) })
+		if got := s.send(v, book()); got.status != http.StatusOK {
+			t.Errorf("a request to %s, which is ready: %+v", v.Name, got)
+		}
+	}
+}
+
+// isReady reports whether the load balancer sends requests to a VM.
+func isReady(v *localsite.VM) bool {
+	resp, err := http.Get("http://" + v.Addresses().Ready + "/ready")
+	if err != nil {
+		return false
 	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // Guards against a start in which each VM lists all backend servers of a large
