control: the first era that a VM learns is no return of the store

A VM that started beside others, and got their configuration before any list, took the first era that it heard of for a return: its configuration counted as not confirmed for 2 s. A return needs a list of the era before.

--- a/control/era.go
+++ b/control/era.go
@@ -37,7 +37,8 @@
 	}
 	s.log.Info("store_era_seen", fields...)
 	s.Era = era
-	if s.Routes != nil {
+	// Without a list of the era before, this VM has started and learns its first era.
+	if s.Routes != nil && s.Servers.Revision > 0 {
 		s.ConfirmedBefore, s.SettledAt = s.RoutesConfirmed, boottime.Now()+ReturnSettleTime
 	}
 	s.Changed()
