--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -122,6 +122,7 @@
 
 // Guards against a VM that the store refuses, and that learns of the return from others only.
 func TestRefusedVMFollowsServersAfterTheStoreReturns(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 4, plainServers: 3})
 	from := s.store.Copy()
 	s.writeOthers(lostWrites)
@@ -135,6 +136,7 @@
 // Guards against a server being used again that had said that it leaves, or whose entry had been
 // removed, since a copy from before lists it as ready.
 func TestServersThatHaveLeftStayUnusedAfterTheStoreReturns(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 4, plainServers: 4})
 	from := s.store.Copy()
 	s.plainServers[0].Register("draining")
@@ -166,6 +168,7 @@
 
 // Guards against servers and VMs that count as gone since the copy does not have them yet.
 func TestEntriesMissingFromTheCopyStayInUse(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 3, plainServers: 1})
 	from := s.store.Copy()
 	s.startDesk("desk-new")
@@ -197,6 +200,7 @@
 // same id after its return: it is not listed any more, and takes the other one's entry away
 // when it stops.
 func TestLeasesThatAreGivenOutAgain(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 3, plainServers: 1})
 	from := s.store.Copy()
 	old := s.mustStartVM("vm-old")
@@ -218,6 +222,7 @@
 // Guards against a VM that starts right after the return and puts the configuration of the copy
 // in force, with a key that had been revoked, beside VMs that know better.
 func TestVMThatStartsAfterTheReturnDoesNotRevert(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 3, plainServers: 1})
 	from := s.store.Copy()
 	s.store.Put(platform.ConfigKey, userplatform.Config(version+1, "new-key"))
@@ -243,6 +248,7 @@
 // that no VM has seen it, and the store comes back after the bound for revocations from a copy
 // in which the key is there.
 func TestRevokedKeyIsNotAcceptedFromACopy(t *testing.T) {
+	t.Parallel()
 	const revoke = 3 * time.Second
 	s := newSite(t, options{era: 1, vms: 4, plainServers: 1, bounds: func(b *config.Bounds) { b.Revoke = revoke }})
 	from := s.store.Copy()
@@ -269,6 +275,7 @@
 // Guards against requests that are refused after each return, although nothing can have been
 // missed: the store was away for a moment, and writes again within the bound for revocations.
 func TestShortReturnRefusesNoKeys(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 4, plainServers: 2})
 	from := s.store.Copy()
 	s.writeOthers(lostWrites)
