--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -29,7 +29,7 @@
 // grants permits is killed. It is one of all VMs, which are killed in turn.
 func TestLimitIsKeptWhenTheVMThatGrantsIsKilled(t *testing.T) {
 	t.Parallel()
-	h := startLimitHarness(t)
+	h := startHarness(t, Options{Engines: 1, PlainServers: limitedDesks, VMs: killedVMs}, 0)
 	ctx, stop := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i, v := range h.vms {
@@ -61,16 +61,19 @@
 	}
 }
 
-func startLimitHarness(t *testing.T) *harness {
+// startHarness starts processes without faults. The store is in an era.
+func startHarness(t *testing.T, o Options, era int64) *harness {
 	daemon, err := buildDaemon()
 	if err != nil {
 		t.Fatal(err)
 	}
+	o.Dir, o.Daemon = t.TempDir(), daemon
 	started := time.Now()
 	h := &harness{
-		opts: Options{Engines: 1, PlainServers: limitedDesks, VMs: killedVMs, Dir: t.TempDir(), Daemon: daemon}, started: started, store: userplatform.NewStore(),
-		faults: &timeline{}, keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{started: started},
+		opts: o, started: started, store: userplatform.NewStore(),
+		faults: &timeline{}, keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{started: started}, drainNotices: map[string]time.Time{},
 	}
+	h.store.SetEra(era)
 	h.fleet = userplatform.NewFleet(h.store)
 	h.fleet.RecordRequests(vmOfRequest)
 	h.addCleanup(h.store.Close)
