--- a/control/era.go
+++ b/control/era.go
@@ -22,7 +22,7 @@
 // Apply implements Message.
 func (m EraSeen) Apply(s *State) { s.raiseEra(m.Era, m.Source) }
 
-// raiseEra adopts a higher era. The lines entries_kept and servers_held tell what this VM keeps
+// raiseEra adopts a higher era. The lines entries_kept and server_held tell what this VM keeps
 // from the era before.
 func (s *State) raiseEra(era int64, source string) {
 	if era <= s.Era {
@@ -39,7 +39,16 @@
 	s.Era = era
 	// Without a list of the era before, this VM has started and learns its first era.
 	if s.Routes != nil && s.Servers.Revision > 0 {
-		s.ConfirmedBefore, s.SettledAt = s.RoutesConfirmed, boottime.Now()+ReturnSettleTime
+		s.beginSettling(boottime.Now())
 	}
 	s.Changed()
 }
+
+// beginSettling begins the time in which the store may lack a newer configuration. If it has come
+// back before and has not settled yet, its word since then is not one from before.
+func (s *State) beginSettling(now time.Duration) {
+	if now >= s.SettledAt {
+		s.ConfirmedBefore = s.RoutesConfirmed
+	}
+	s.SettledAt = now + ReturnSettleTime
+}
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -67,3 +67,21 @@
 		t.Errorf("settled at %v, confirmed %v", snap.SettledAt, snap.ConfirmedWithin(now, time.Second))
 	}
 }
+
+// Guards against a second return before the first is settled, after which the word of the first
+// copy counts as one from before.
+func TestSecondReturnKeepsTheLastWordFromBefore(t *testing.T) {
+	const limit, age = 4 * time.Second, 3 * time.Second
+	r := newRig()
+	r.listServers(1, 50)
+	now := boottime.Now()
+	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - age})
+	r.listServers(2, 10)
+	r.apply(RoutesConfirmed{Version: 7, At: now})
+	r.listServers(3, 10)
+	r.apply(RoutesConfirmed{Version: 7, At: now + time.Millisecond})
+	snap := newSnapshot(r.State, nil)
+	if snap.ConfirmedBefore != now-age || snap.ConfirmedWithin(now+limit-age+time.Millisecond, limit) {
+		t.Errorf("confirmed %v before the returns, want %v", now-snap.ConfirmedBefore, age)
+	}
+}
