--- a/control/control.go
+++ b/control/control.go
@@ -40,9 +40,9 @@
 	Routes          *route.Table
 	RoutesContent   []byte
 	RoutesConfirmed time.Duration
-	// Era is the highest era of the platform's store that this VM knows of. SettledAt is when what
-	// the store says after its return from a copy is taken to be complete, and ConfirmedBefore
-	// the value of RoutesConfirmed before that return, both on the clock of package boottime and
+	// Era is the highest era of the platform's store that this VM knows of. SettledAt is when the
+	// store counts as complete again after its return from a copy, and ConfirmedBefore is the
+	// value of RoutesConfirmed before that return. Both are on the clock of package boottime and
 	// 0 if this VM has seen no return.
 	Era                        int64
 	SettledAt, ConfirmedBefore time.Duration
@@ -58,7 +58,7 @@
 	// missing holds, by id, the VMs that are in use although the store, which has come back from
 	// a copy, does not list them yet.
 	missing map[string]missingVM
-	// departed knows the servers that have left, for the same case.
+	// departed records the servers that have left, for the same case.
 	departed departed
 
 	// listFromPeer is set while the VM list comes from a peer and the platform
@@ -127,8 +127,8 @@
 
 // ConfirmedWithin reports whether the configuration was confirmed as the newest one within a time
 // before now. After its return from a copy the store may confirm a version although it has lost
-// a newer one, which is written again until SettledAt. Until then its word counts only if what
-// was lost would still come within that time of the last word before the return.
+// a newer one, which is written again until SettledAt. Until then a confirmation counts only if
+// SettledAt is within that time of the last confirmation before the return.
 func (s *Snapshot) ConfirmedWithin(now, limit time.Duration) bool {
 	confirmed := s.RoutesConfirmed
 	if now < s.SettledAt && s.SettledAt-s.ConfirmedBefore > limit {
@@ -137,8 +137,8 @@
 	return now-confirmed <= limit
 }
 
-// ConfirmedForPeers returns the confirmation that peers may count as one of the era that the lists of
-// this VM announce.
+// ConfirmedForPeers returns the last confirmation of the era that the lists of this VM announce, by
+// which peers tell confirmations from before and after a return apart.
 func (s *Snapshot) ConfirmedForPeers() time.Duration {
 	if s.SettledAt > 0 && vmlist.EraOf(s.Servers.Revision) < s.Era {
 		return s.ConfirmedBefore
--- a/control/departed.go
+++ b/control/departed.go
@@ -20,7 +20,8 @@
 	departureMemory = time.Minute
 )
 
-// departed knows the servers that have left, for a return of the store.
+// departed records the servers that have left, so that a return of the store does not bring them
+// back into use.
 type departed struct {
 	// departures holds those that left lately, by id.
 	departures map[string]departure
@@ -36,6 +37,7 @@
 	at        time.Time
 }
 
+// heldServer is a server that is listed again after it had left.
 type heldServer struct {
 	incarnation int64
 	// until is when the server is used again, the zero time if never: it had said that it leaves.
@@ -52,8 +54,8 @@
 	return ok && h.until.IsZero() && vm.MayBe(h.incarnation)
 }
 
-// recordRemovals remembers the servers that a list of the same era has lost. Both lists are
-// ordered as Decoder and Encoder need them.
+// recordRemovals remembers the servers that are missing from the next list of the same era. Both
+// lists are ordered by role and id.
 func (d *departed) recordRemovals(now time.Time, previous, next []vmlist.VM) {
 	i := 0
 	for _, vm := range previous {
@@ -94,9 +96,9 @@
 	}
 }
 
-// holdDeparted keeps servers out of use that a list of the new era has again although they had
-// left: a word of leaving holds for as long as the server runs. Removed entries tell nothing if
-// they are those of most servers, as after an outage in which leases ran out.
+// holdDeparted keeps servers out of use that a list of the new era contains again although they
+// had left. An announced departure holds for as long as the server runs. Removed entries are
+// ignored if most servers had been removed, as after an outage in which leases expired.
 func (s *State) holdDeparted(listed map[string]vmlist.VM) {
 	live, removed := 0, 0
 	for _, vm := range listed {
--- a/control/departed_test.go
+++ b/control/departed_test.go
@@ -76,7 +76,7 @@
 }
 
 // Guards against an earlier start of a server or VM taking the place of the one that runs, since the
-// copy is from before it started again, and against that one's word that it leaves being lost.
+// copy is from before it started again, and against the loss of its announced departure.
 func TestEarlierStartsDoNotComeBack(t *testing.T) {
 	first, second := server("a", vmlist.StateLive, 1), server("a", vmlist.StateLive, 2)
 	r := newRig()
--- a/control/era.go
+++ b/control/era.go
@@ -8,14 +8,14 @@
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 )
 
-// ReturnSettleTime is the time after which what the store says after its return from a copy is
-// taken to be complete. The operator and the servers write again what was lost.
+// ReturnSettleTime is the time after which the store counts as complete again after its return
+// from a copy. The operator and the servers write again what was lost.
 const ReturnSettleTime = 2 * time.Second
 
 // EraSeen reports that the platform's store has answered in an era. Eras only rise.
 type EraSeen struct {
 	Era int64
-	// Source tells who has seen it: an own call, or a peer.
+	// Source is where the era was seen: an own call or a peer.
 	Source string
 }
 
@@ -44,8 +44,8 @@
 	s.Changed()
 }
 
-// beginSettling begins the time in which the store may lack a newer configuration. If it has come
-// back before and has not settled yet, its word since then is not one from before.
+// beginSettling begins the time in which the store may lack a newer configuration. Confirmations
+// since an earlier return that has not settled do not count as ones from before.
 func (s *State) beginSettling(now time.Duration) {
 	if now >= s.SettledAt {
 		s.ConfirmedBefore = s.RoutesConfirmed
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -68,9 +68,9 @@
 	}
 }
 
-// Guards against a second return before the first is settled, after which the word of the first
-// copy counts as one from before.
-func TestSecondReturnKeepsTheLastWordFromBefore(t *testing.T) {
+// Guards against a second return before the first is settled, after which a confirmation by the
+// first copy counts as one from before.
+func TestSecondReturnKeepsTheConfirmationFromBefore(t *testing.T) {
 	const limit, age = 4 * time.Second, 3 * time.Second
 	r := newRig()
 	r.listServers(1, 50)
--- a/discovery/era.go
+++ b/discovery/era.go
@@ -11,8 +11,8 @@
 // eraSource is the source of an era that a call of this VM has seen.
 const eraSource = "store"
 
-// eraWatch knows the highest era of the store of which this VM has heard: its own calls know it
-// at once, the control state follows.
+// eraWatch tracks the highest era of the store that this VM knows of. Own calls update it at
+// once, before the control state.
 type eraWatch struct {
 	seen atomic.Int64
 	loop *control.Loop
@@ -80,8 +80,8 @@
 }
 
 // watchFrom returns the changes after a position. It returns a *kv.CompactedError if the store has
-// come back from a copy since: it may have given out the revision again, and then passes over what
-// was written before.
+// come back from a copy since: it may have assigned the revision again, and then omits what was
+// written before.
 func (s fencedStore) watchFrom(ctx context.Context, prefix string, after kv.Position) (kv.Changes, error) {
 	if s.era.current() != after.Era {
 		return kv.Changes{}, &kv.CompactedError{Prefix: prefix, After: after.Revision}
--- a/discovery/watches.go
+++ b/discovery/watches.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// endBefore cancels the watches of earlier eras. The store need not notice them: it has cut them,
-// or answers with changes after a revision that it has given out again.
+// endBefore cancels the watches of earlier eras. The store may leave them pending, or answer with
+// changes after a revision that it has assigned again.
 func (w *openWatches) endBefore(era kv.Era) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
