test/platform: TestLimitOfAnEngineThatLeaves states the length of its streams

Traced in its log: the run had no backup (no_room), and its VM left it to end at the engine that leaves (run_left_to_end), since Token-Count stated 160 tokens, 40 events, of which most were there. The engine of the test makes 120 events, 480 tokens, so that the run outlasted it. The product did as it should with the stated length.

Token-Count states 480 now.

--- a/test/platform/limit_states_test.go
+++ b/test/platform/limit_states_test.go
@@ -27,7 +27,9 @@
 	s := sharedLimitSite(t, options{engines: 3, events: events, interval: interval})
 	load := s.newOfferedLoad(func() request {
 		a := draft()
-		a.header["Token-Count"] = "300,160"
+		// The tokens of all events: a VM leaves a run at its engine that may not be longer than the
+		// engine stays.
+		a.header["Token-Count"] = "300,480"
 		return a
 	})
 	load.sendTo(offered, allVMs()...)
