--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -28,7 +28,7 @@
 // has no lease at the start.
 type vmConfig struct{ Skew, LeaseGrant time.Duration }
 
-// history is the input of one run of TestAtMostOnce.
+// history is the input of one run of TestClaimRunsAtMostOnce.
 type history struct {
 	opts Options
 	// callerSkew is the difference between the caller's clock and the true time.
@@ -109,7 +109,7 @@
 	return r
 }
 
-// rapidChecks is the number of histories that TestAtMostOnce tries. The default of
+// rapidChecks is the number of histories that TestClaimRunsAtMostOnce tries. The default of
 // 100 often misses a delayed replacement of an abandoned claim. 2000 miss a write
 // that takes effect between the expiries of two leases.
 const rapidChecks = "5000"
@@ -119,11 +119,11 @@
 	os.Exit(m.Run())
 }
 
-// TestAtMostOnce guards against a second run of a call under lost responses, delayed
+// TestClaimRunsAtMostOnce guards against a second run of a call under lost responses, delayed
 // writes, outages, pauses, clock skew and claims that expire with their leases. It
 // also guards against a claim that stays held although every attempt ended with
 // not_run, so that a retry could never run.
-func TestAtMostOnce(t *testing.T) {
+func TestClaimRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := drawHistory(rt)
 		var results []result
