quarantine: a Request instead of a RequestPrompt, with the identity of the whole request

Callers see no change.

No rule uses the identity yet. The other changes are renames (RequestPrompt and Prompt are Request, NewPrompt is NewRequest); tests check what they checked.

--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -46,7 +46,7 @@
 			MaxTokens: request.MaxTokens,
 		},
 	}
-	r.prompt = newRequestPrompt(r.admissionRequest)
+	r.prompt = newQuarantineRequest(r.admissionRequest)
 	return r.run()
 }
 
--- a/frontend/prompt.go
+++ b/frontend/prompt.go
@@ -16,14 +16,14 @@
 // written. The first one may leave an engine that is about to crash.
 const minSuccessTokens = 2
 
-// newRequestPrompt returns the prompt of a request. Its parts are the blocks of the
-// prompt, each with all blocks before it.
-func newRequestPrompt(a dispatch.AdmissionRequest) *quarantine.RequestPrompt {
+// newQuarantineRequest returns a request as package quarantine knows it. Its parts are the
+// blocks of the prompt, each with all blocks before it.
+func newQuarantineRequest(a dispatch.AdmissionRequest) *quarantine.Request {
 	var parts []string
 	for _, hash := range a.PrefixHashes {
 		parts = append(parts, strconv.FormatUint(hash, 16))
 	}
-	return &quarantine.RequestPrompt{Prompt: quarantine.NewPrompt(a.Model, uuid.NewString(), parts)}
+	return quarantine.NewRequest(uuid.NewString(), quarantine.Content{Pool: a.Model, Parts: parts})
 }
 
 // observeError records that the engine broke the connection of a generation without
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -61,7 +61,7 @@
 	// prompt is checked before each attempt; it is nil for a relay that only resumes.
 	// succeeded is set once a generation has written, engineLost if the engine broke the
 	// connection of the current one before its first token.
-	prompt                *quarantine.RequestPrompt
+	prompt                *quarantine.Request
 	succeeded, engineLost bool
 }
 
--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -166,11 +166,11 @@
 // allPrompts allows every prompt.
 type allPrompts struct{}
 
-func (allPrompts) Check(*quarantine.RequestPrompt) error                         { return nil }
-func (allPrompts) MayRepeat(*quarantine.RequestPrompt) bool                      { return true }
-func (allPrompts) RunFailed(*quarantine.RequestPrompt, vmlist.VM, time.Duration) {}
-func (allPrompts) RunSucceeded(*quarantine.RequestPrompt)                        {}
-func (allPrompts) Watch(*quarantine.RequestPrompt, func(error)) func()           { return func() {} }
+func (allPrompts) Check(*quarantine.Request) error                         { return nil }
+func (allPrompts) MayRepeat(*quarantine.Request) bool                      { return true }
+func (allPrompts) RunFailed(*quarantine.Request, vmlist.VM, time.Duration) {}
+func (allPrompts) RunSucceeded(*quarantine.Request)                        {}
+func (allPrompts) Watch(*quarantine.Request, func(error)) func()           { return func() {} }
 
 func (r *rig) pause(vm vmlist.VM, d time.Duration) {
 	r.table.Observe(boottime.Now(), tracker.ServerOf(vm), serverstate.Observation{Pause: serverstate.Pause{Delay: d}})
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -16,9 +16,9 @@
 // first one may leave an engine that is about to crash.
 const minSuccessEvents = 2
 
-// newRequestPrompt returns the prompt of a request to a pool of engines.
-func newRequestPrompt(pool string, info edge.RequestInfo) *quarantine.RequestPrompt {
-	return &quarantine.RequestPrompt{Prompt: quarantine.NewPrompt(pool, info.ID, sharedParts(info.Prefix))}
+// newQuarantineRequest returns a stream to a pool of engines as package quarantine knows it.
+func newQuarantineRequest(pool string, info edge.RequestInfo) *quarantine.Request {
+	return quarantine.NewRequest(info.ID, quarantine.Content{Pool: pool, Parts: sharedParts(info.Prefix)})
 }
 
 // sharedParts returns the ids of the parts of a prompt that other requests may share.
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -70,12 +70,12 @@
 // allPrompts allows every prompt.
 type allPrompts struct{}
 
-func (allPrompts) Check(*quarantine.RequestPrompt) error { return nil }
+func (allPrompts) Check(*quarantine.Request) error { return nil }
 
-func (allPrompts) MayRepeat(*quarantine.RequestPrompt) bool                      { return true }
-func (allPrompts) RunFailed(*quarantine.RequestPrompt, vmlist.VM, time.Duration) {}
-func (allPrompts) RunSucceeded(*quarantine.RequestPrompt)                        {}
-func (allPrompts) Watch(*quarantine.RequestPrompt, func(error)) func()           { return func() {} }
+func (allPrompts) MayRepeat(*quarantine.Request) bool                      { return true }
+func (allPrompts) RunFailed(*quarantine.Request, vmlist.VM, time.Duration) {}
+func (allPrompts) RunSucceeded(*quarantine.Request)                        {}
+func (allPrompts) Watch(*quarantine.Request, func(error)) func()           { return func() {} }
 
 func (r *gatewayRig) Acquire(_ context.Context, a dispatch.AdmissionRequest) (dispatch.Ticket, error) {
 	return r.acquire(a)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -50,7 +50,7 @@
 
 	// prompt is checked before each send. succeeded is set once the run has written,
 	// failedBeforeSuccess once an engine broke the connection before that.
-	prompt                         *quarantine.RequestPrompt
+	prompt                         *quarantine.Request
 	succeeded, failedBeforeSuccess bool
 }
 
@@ -69,7 +69,7 @@
 	defer c.returnPermit()
 	s := &stream{call: c, ctx: ctx}
 	c.run = s
-	s.prompt = newRequestPrompt(s.poolName(), s.info)
+	s.prompt = newQuarantineRequest(s.poolName(), s.info)
 	if err := s.checkPrompt(); err != nil {
 		return s.giveUp(err)
 	}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -152,7 +152,7 @@
 		return false
 	}
 	fail := func(parts ...string) {
-		p := NewPrompt("pool", fmt.Sprintf("request-%d-%d", engine, f.r.Uint64()), parts)
+		p := NewRequest(fmt.Sprintf("request-%d-%d", engine, f.r.Uint64()), Content{Pool: "pool", Parts: parts})
 		f.perform(vm, -1, f.nodes[vm].RunFailed(f.now, Failure{Run: p.Run, Engine: uint32(engine), Parts: p.Parts}, f.now-time.Second))
 	}
 	fail(parts...)
@@ -166,12 +166,12 @@
 // succeed lets a run with sound parts succeed on a VM.
 func (f *fleet) succeed() {
 	vm := f.r.IntN(len(f.nodes))
-	parts := NewPrompt("pool", "", []string{"common", fmt.Sprintf("tenant-%d", f.r.IntN(40))}).Parts
+	parts := NewRequest("", Content{Pool: "pool", Parts: []string{"common", fmt.Sprintf("tenant-%d", f.r.IntN(40))}}).Parts
 	f.perform(vm, -1, f.nodes[vm].RunSucceeded(f.now, parts))
 }
 
 func (f *fleet) refuses(vm int, parts ...string) bool {
-	p := &RequestPrompt{Prompt: NewPrompt("pool", "probe", parts)}
+	p := NewRequest("probe", Content{Pool: "pool", Parts: parts})
 	return newView(f.nodes[vm], f.now, never).check(f.now, p) != nil
 }
 
--- a/quarantine/fuzz_test.go
+++ b/quarantine/fuzz_test.go
@@ -13,7 +13,7 @@
 // or are forwarded again and again.
 func FuzzReceive(f *testing.F) {
 	now := time.Hour
-	part := NewPrompt("pool", "request", []string{"dead"})
+	part := NewRequest("request", Content{Pool: "pool", Parts: []string{"dead"}})
 	for _, m := range []Message{
 		{Failures: []Failure{{Run: 1, Engine: 2, At: now, Parts: part.Parts}}},
 		{Successes: []Success{{Part: part.Parts[0], At: now}}},
@@ -38,6 +38,6 @@
 		if len(n.failures) > maxFailures || n.successes.Len() > maxSuccesses || len(n.rules) > maxRules {
 			t.Errorf("%d failures, %d successes, %d rules", len(n.failures), n.successes.Len(), len(n.rules))
 		}
-		newView(n, now, always).check(now, &RequestPrompt{Prompt: part})
+		newView(n, now, always).check(now, &Request{Parts: part.Parts})
 	})
 }
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -20,21 +20,22 @@
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
-// Guard tells the request path which prompts must not be sent to an engine.
+// Guard tells the request path which requests must not be sent to a backend server.
 type Guard interface {
 	// Check returns a *RefusedError if a request must not be sent.
-	Check(p *RequestPrompt) error
-	// MayRepeat reports whether a request that has failed on an engine may be sent to
+	Check(r *Request) error
+	// MayRepeat reports whether a request that has failed on a server may be sent to
 	// another one.
-	MayRepeat(p *RequestPrompt) bool
-	// RunFailed reports that an engine broke the connection of a run that had not
-	// written. started is when the run was sent, on the clock of package boottime.
-	RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration)
-	// RunSucceeded reports that a run has written.
-	RunSucceeded(p *RequestPrompt)
-	// Watch calls refuse with a *RefusedError when a rule is added that matches the
-	// prompt of a waiting request, until stop is called. It may call it more than once.
-	Watch(p *RequestPrompt, refuse func(error)) (stop func())
+	MayRepeat(r *Request) bool
+	// RunFailed reports that a server broke the connection of a run before it had answered,
+	// a stream before it had written. started is when the run was sent, on the clock of
+	// package boottime.
+	RunFailed(r *Request, server vmlist.VM, started time.Duration)
+	// RunSucceeded reports that a run was answered completely, or that a stream has written.
+	RunSucceeded(r *Request)
+	// Watch calls refuse with a *RefusedError when a rule is added that matches a waiting
+	// request, until stop is called. It may call it more than once.
+	Watch(r *Request, refuse func(error)) (stop func())
 }
 
 var _ Guard = (*Manager)(nil)
@@ -71,7 +72,7 @@
 
 	waitingMu sync.Mutex
 	// waiting holds the requests that wait for an engine.
-	waiting map[*RequestPrompt]func(error)
+	waiting map[*Request]func(error)
 }
 
 // gossipFanout is the number of peers to which a VM sends updates. Each VM receives an
@@ -86,7 +87,7 @@
 // New returns a manager without rules.
 func New(o Options) *Manager {
 	m := &Manager{
-		opts: o, node: NewNode(), waiting: map[*RequestPrompt]func(error){}, syncedAt: map[string]time.Duration{}, changed: make(chan struct{}, 1),
+		opts: o, node: NewNode(), waiting: map[*Request]func(error){}, syncedAt: map[string]time.Duration{}, changed: make(chan struct{}, 1),
 		failures: metrics.GetOrRegisterCounter("quarantine.failures", o.Metrics),
 		refusals: metrics.GetOrRegisterCounter("quarantine.refusals", o.Metrics),
 		rules:    metrics.GetOrRegisterCounter("quarantine.rules", o.Metrics),
@@ -96,7 +97,7 @@
 }
 
 // Check implements Guard.
-func (m *Manager) Check(p *RequestPrompt) error {
+func (m *Manager) Check(p *Request) error {
 	probes := len(p.probes)
 	err := m.view.Load().check(boottime.Now(), p)
 	if err != nil {
@@ -109,10 +110,10 @@
 }
 
 // MayRepeat implements Guard.
-func (m *Manager) MayRepeat(p *RequestPrompt) bool { return m.view.Load().mayRepeat(p) }
+func (m *Manager) MayRepeat(p *Request) bool { return m.view.Load().mayRepeat(p) }
 
 // Watch implements Guard.
-func (m *Manager) Watch(p *RequestPrompt, refuse func(error)) (stop func()) {
+func (m *Manager) Watch(p *Request, refuse func(error)) (stop func()) {
 	m.waitingMu.Lock()
 	defer m.waitingMu.Unlock()
 	m.waiting[p] = refuse
@@ -139,7 +140,7 @@
 }
 
 // RunFailed implements Guard.
-func (m *Manager) RunFailed(p *RequestPrompt, engine vmlist.VM, started time.Duration) {
+func (m *Manager) RunFailed(p *Request, engine vmlist.VM, started time.Duration) {
 	if len(p.Parts) == 0 {
 		return
 	}
@@ -149,7 +150,7 @@
 }
 
 // RunSucceeded implements Guard.
-func (m *Manager) RunSucceeded(p *RequestPrompt) {
+func (m *Manager) RunSucceeded(p *Request) {
 	if len(p.Parts) == 0 {
 		return
 	}
--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -40,9 +40,9 @@
 // rule on their prompt was added, and against refusing others that wait.
 func TestWaitingRequestsAreRefusedAtOnce(t *testing.T) {
 	m := startManager(t)
-	quarantined := &RequestPrompt{Prompt: NewPrompt("pool", "a", []string{"x", "dead"})}
-	sound := &RequestPrompt{Prompt: NewPrompt("pool", "b", []string{"x"})}
-	stopped := &RequestPrompt{Prompt: NewPrompt("pool", "c", []string{"dead"})}
+	quarantined := NewRequest("a", Content{Pool: "pool", Parts: []string{"x", "dead"}})
+	sound := NewRequest("b", Content{Pool: "pool", Parts: []string{"x"}})
+	stopped := NewRequest("c", Content{Pool: "pool", Parts: []string{"dead"}})
 	refused := make(chan error, 1)
 	defer m.Watch(quarantined, func(err error) { refused <- err })()
 	defer m.Watch(sound, func(err error) { t.Errorf("a sound request is refused: %v", err) })()
@@ -71,16 +71,16 @@
 		{ID: "vm", Role: vmlist.RoleEntry, State: vmlist.StateLive},
 	}}})
 	now := boottime.Now()
-	dead := NewPrompt("pool", "a", []string{"dead"})
+	dead := NewRequest("a", Content{Pool: "pool", Parts: []string{"dead"}})
 	expired := Rule{Parts: dead.Parts, Since: now - time.Hour, Until: now - time.Second, Activations: 1 << 31}
 	m.Receive("peer", envelope(now, Message{Rules: []Rule{expired}}).GetQuarantine())
 	admitted := 0
 	for i := range 20 {
-		if m.Check(&RequestPrompt{Prompt: dead}) == nil && len(m.view.Load().rules) > 0 {
+		if m.Check(&Request{Parts: dead.Parts}) == nil && len(m.view.Load().rules) > 0 {
 			admitted++
 		}
-		noise := NewPrompt("pool", strconv.Itoa(i), []string{strconv.Itoa(i)})
-		m.RunFailed(&RequestPrompt{Prompt: noise}, vmlist.VM{ID: "engine"}, now)
+		noise := NewRequest(strconv.Itoa(i), Content{Pool: "pool", Parts: []string{strconv.Itoa(i)}})
+		m.RunFailed(noise, vmlist.VM{ID: "engine"}, now)
 		time.Sleep(5 * time.Millisecond)
 	}
 	if admitted != 1 {
@@ -100,13 +100,13 @@
 // together after a stall. The rule on their part then comes only after further crashes.
 func TestCrashesDuringAStallCountSeparately(t *testing.T) {
 	const crashes = minCrashes
-	dead := NewPrompt("pool", "", []string{"dead"})
+	dead := NewRequest("", Content{Pool: "pool", Parts: []string{"dead"}})
 	for _, test := range []struct {
 		name  string
 		crash func(m *Manager, i int)
 	}{
 		{"of this VM", func(m *Manager, i int) {
-			m.RunFailed(&RequestPrompt{Prompt: Prompt{Run: uint32(i), Parts: dead.Parts}}, vmlist.VM{ID: strconv.Itoa(i)}, boottime.Now())
+			m.RunFailed(&Request{Run: uint32(i), Parts: dead.Parts}, vmlist.VM{ID: strconv.Itoa(i)}, boottime.Now())
 		}},
 		{"of a peer", func(m *Manager, i int) {
 			f := Failure{Run: uint32(i), Engine: uint32(i), At: boottime.Now(), Parts: dead.Parts}
@@ -122,7 +122,7 @@
 				time.Sleep(crashInterval + 50*time.Millisecond)
 			}
 			close(blocked)
-			for begin := time.Now(); m.Check(&RequestPrompt{Prompt: dead}) == nil; time.Sleep(5 * time.Millisecond) {
+			for begin := time.Now(); m.Check(&Request{Parts: dead.Parts}) == nil; time.Sleep(5 * time.Millisecond) {
 				if time.Since(begin) > 5*time.Second {
 					t.Fatalf("the part is not refused after %d crashes", crashes)
 				}
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -20,13 +20,13 @@
 
 func newWorld(t *testing.T) *world { return &world{t: t, n: NewNode(), now: time.Hour} }
 
-func (w *world) prompt(parts ...string) Prompt {
+func (w *world) prompt(parts ...string) *Request {
 	w.runs++
-	return NewPrompt("pool", fmt.Sprintf("request-%d", w.runs), parts)
+	return NewRequest(fmt.Sprintf("request-%d", w.runs), Content{Pool: "pool", Parts: parts})
 }
 
 // crash lets an engine crash under one run per prompt.
-func (w *world) crash(engine string, prompts ...Prompt) {
+func (w *world) crash(engine string, prompts ...*Request) {
 	for _, p := range prompts {
 		w.n.RunFailed(w.now, Failure{Run: p.Run, Engine: uint32(hash.Pair(engine, "")), Parts: p.Parts}, w.now-time.Second)
 	}
@@ -52,7 +52,7 @@
 func always(Rule) *atomic.Bool { return &atomic.Bool{} }
 
 func (w *world) refused(parts ...string) bool {
-	p := &RequestPrompt{Prompt: w.prompt(parts...)}
+	p := w.prompt(parts...)
 	return newView(w.n, w.now, never).check(w.now, p) != nil
 }
 
@@ -188,7 +188,7 @@
 func TestRunsBesideTheCrashingOneAreNotQuarantined(t *testing.T) {
 	w := newWorld(t)
 	for i := range 4 {
-		others := []Prompt{w.prompt("dead", "x")}
+		others := []*Request{w.prompt("dead", "x")}
 		for j := range 23 {
 			others = append(others, w.prompt("common", fmt.Sprintf("session-%d", 100*i+j)))
 		}
@@ -225,7 +225,7 @@
 	w.n.Check(w.now)
 	w.want(true, "dead") // The probe belongs to another VM.
 	v := newView(w.n, w.now, always)
-	first, second := &RequestPrompt{Prompt: w.prompt("dead")}, &RequestPrompt{Prompt: w.prompt("dead")}
+	first, second := w.prompt("dead"), w.prompt("dead")
 	for range 2 { // It is checked before each send.
 		if v.check(w.now, first) != nil {
 			t.Error("the probe is refused")
@@ -237,7 +237,7 @@
 	if v.mayRepeat(first) {
 		t.Error("the probe may be repeated on another engine")
 	}
-	w.crash("probe", first.Prompt)
+	w.crash("probe", first)
 	if until := w.n.Rules()[0].Until; until-w.now != quarantineDuration(2) || quarantineDuration(2) <= 2*quarantineDuration(1) {
 		t.Errorf("renewed for %v, want %v", until-w.now, quarantineDuration(2))
 	}
@@ -254,7 +254,7 @@
 // engines crashed for other reasons.
 func TestSuccessfulPartIsNoSuspect(t *testing.T) {
 	w := newWorld(t)
-	mayRepeat := func() bool { return newView(w.n, w.now, never).mayRepeat(&RequestPrompt{Prompt: w.prompt("common")}) }
+	mayRepeat := func() bool { return newView(w.n, w.now, never).mayRepeat(w.prompt("common")) }
 	w.crashes(1, "common")
 	if !mayRepeat() {
 		t.Error("a single crash ends all repeats")
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,8 +16,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/vanillaarch/vanillaarch/internal/hash"
 )
 
 // Limits of what a VM keeps and sends.
@@ -78,26 +76,6 @@
 // PartID identifies a part of prompts for the engines of one pool.
 type PartID uint64
 
-// Prompt describes the prompt of one request.
-type Prompt struct {
-	// Run identifies the request.
-	Run uint32
-	// Parts are the distinct parts that other requests may share, in ascending order.
-	Parts []PartID
-}
-
-// NewPrompt returns the prompt of a request. pool names the engines that may run it,
-// parts are the ids of its shared parts in any order.
-func NewPrompt(pool, request string, parts []string) Prompt {
-	p := Prompt{Run: uint32(xxhash.Sum64String(request))}
-	for _, part := range parts {
-		p.Parts = append(p.Parts, PartID(hash.Pair(pool, part)))
-	}
-	slices.Sort(p.Parts)
-	p.Parts = slices.Compact(p.Parts)
-	return p
-}
-
 // Failure is a run whose engine broke the connection before the run had written.
 type Failure struct {
 	Run uint32
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -27,6 +27,8 @@
 // RefusedError reports a request that is not sent to an engine, since requests with the
 // same prompt parts have crashed several.
 type RefusedError struct {
+	// Request is set if the rule names the whole request, not parts of its prompt.
+	Request bool
 	// Parts is the number of parts that the rule names.
 	Parts int
 	// RetryAfter is the time until the rule is probed.
@@ -61,7 +63,7 @@
 
 // check returns a *RefusedError if a rule matches a prompt. The request becomes the probe
 // of a rule that offers one, and passes this rule from then on.
-func (v *View) check(now time.Duration, p *RequestPrompt) error {
+func (v *View) check(now time.Duration, p *Request) error {
 	for rule := range v.matching(p) {
 		if rule.probe == nil || !rule.probe.CompareAndSwap(false, true) {
 			return rule.refusal(now)
@@ -72,7 +74,7 @@
 }
 
 // refusal returns a *RefusedError if a rule matches a prompt and offers no probe.
-func (v *View) refusal(now time.Duration, p *RequestPrompt) error {
+func (v *View) refusal(now time.Duration, p *Request) error {
 	for rule := range v.matching(p) {
 		if rule.probe == nil {
 			return rule.refusal(now)
@@ -82,7 +84,7 @@
 }
 
 // matching returns the rules that match a prompt, except those that the request probes.
-func (v *View) matching(p *RequestPrompt) iter.Seq[viewRule] {
+func (v *View) matching(p *Request) iter.Seq[viewRule] {
 	return func(yield func(viewRule) bool) {
 		if len(v.rules) == 0 {
 			return
@@ -104,17 +106,10 @@
 
 // mayRepeat reports whether a request that has failed may be sent to another engine. A
 // probe may not, nor a request with a part that several crashes make suspect.
-func (v *View) mayRepeat(p *RequestPrompt) bool {
+func (v *View) mayRepeat(p *Request) bool {
 	return len(p.probes) == 0 && !slices.ContainsFunc(p.Parts, func(part PartID) bool { return v.suspects[part] })
 }
 
-// RequestPrompt is the prompt of a request with the rules that the request probes. It is
-// not safe for concurrent use.
-type RequestPrompt struct {
-	Prompt
-	probes []probe
-}
-
 // probe identifies the probe of a rule.
 type probe struct {
 	key         uint64
@@ -122,6 +117,6 @@
 }
 
 // isProbeOf reports whether the request is the probe of a rule.
-func (p *RequestPrompt) isProbeOf(r viewRule) bool {
+func (p *Request) isProbeOf(r viewRule) bool {
 	return slices.Contains(p.probes, probe{key: r.key(), activations: r.Activations})
 }
