gateway, frontend: whole requests pass through the quarantine

Now plain requests, calls and streams have an identity (method, path, organisation, body), are checked before they are sent and while they wait for a server, and report what became of them. A request that ended with its server is not repeated by the VM; a server that accepts a connection has lost an answer only, and the repeat is sent as before. A call under a claim is checked once the claim is held, so that 'not run' is true.

--- a/api/problem.go
+++ b/api/problem.go
@@ -49,6 +49,7 @@
 	ProblemIdempotencyMismatch ProblemType = "idempotency-key-reused"
 	ProblemAnswerTooLarge      ProblemType = "answer-too-large"
 	ProblemPromptQuarantined   ProblemType = "prompt-quarantined"
+	ProblemRequestQuarantined  ProblemType = "request-quarantined"
 	ProblemInternal            ProblemType = "internal"
 )
 
--- a/backend/dial.go
+++ b/backend/dial.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -43,6 +44,16 @@
 	}
 }
 
+// CheckListening returns nil if a server accepts a connection within timeout, else the
+// *NotSentError of the failure. It tells a server that has ended from one that lost an answer.
+func CheckListening(ctx context.Context, t Target, timeout time.Duration) error {
+	conn, err := NewDialer(timeout).DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return &NotSentError{Backend: t.ID, Cause: err}
+	}
+	return conn.Close()
+}
+
 // IsDialError reports whether err is a failure to open a connection, after which no
 // part of the request was sent.
 func IsDialError(err error) bool {
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 )
 
 // bytesPerToken estimates the token count of a prompt from its length, since only
@@ -46,7 +48,7 @@
 			MaxTokens: request.MaxTokens,
 		},
 	}
-	r.prompt = newQuarantineRequest(r.admissionRequest)
+	r.identity = quarantine.NewRequest(uuid.NewString(), completionContent(c, r.admissionRequest))
 	return r.run()
 }
 
@@ -56,6 +58,7 @@
 	if err != nil {
 		return r, err
 	}
+	c.body = body
 	if err := json.Unmarshal(body, &r); err != nil {
 		return r, invalidRequest("the body is not a completion request: " + err.Error())
 	}
--- a/frontend/failure.go
+++ b/frontend/failure.go
@@ -31,7 +31,7 @@
 	if rejected, ok := errors.Into[*backend.RejectedError](err); ok {
 		return rejected.ProvesNotStarted()
 	}
-	return isAdmissionError(err) || isPromptRefused(err)
+	return isAdmissionError(err) || isQuarantined(err)
 }
 
 // isAdmissionError reports whether err means that no ticket for an engine was granted.
@@ -48,11 +48,11 @@
 
 // restartable reports whether the request may succeed on another engine.
 func restartable(err error) bool {
-	return !isAdmissionError(err) && !isAnswerTooLarge(err) && !isPromptRefused(err)
+	return !isAdmissionError(err) && !isAnswerTooLarge(err) && !isQuarantined(err)
 }
 
-// isPromptRefused reports whether err means that the prompt is in quarantine.
-func isPromptRefused(err error) bool {
+// isQuarantined reports whether err means that the request is in quarantine.
+func isQuarantined(err error) bool {
 	_, ok := errors.Into[*quarantine.RefusedError](err)
 	return ok
 }
@@ -103,8 +103,7 @@
 		return notRunProblem(api.ProblemNoBackend, http.StatusServiceUnavailable, "no backend server is available", retryAfterPause(err), err)
 	}
 	if refused, ok := errors.Into[*quarantine.RefusedError](err); ok {
-		return notRunProblem(api.ProblemPromptQuarantined, http.StatusServiceUnavailable,
-			"requests with the same parts of the prompt have crashed engines", refused.RetryAfter, err)
+		return quarantineProblem(refused, err)
 	}
 	if provesNotStarted(err) {
 		return notRunProblem(api.ProblemBackendUnavailable, http.StatusServiceUnavailable, "the backend server refused the request", retryAfterBackend, err)
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -36,12 +36,12 @@
 	Engines   *backend.EngineClient
 	Services  *backend.ServiceClient
 	Claims    *claim.Manager
-	// Prompts tells which prompts must not be sent to an engine.
-	Prompts quarantine.Guard
-	Servers Servers
-	Log     *zap.Logger
-	Tracer  trace.Tracer
-	Metrics metrics.Registry
+	// Quarantine tells which requests must not be sent to a backend server.
+	Quarantine quarantine.Guard
+	Servers    Servers
+	Log        *zap.Logger
+	Tracer     trace.Tracer
+	Metrics    metrics.Registry
 }
 
 // Frontend handles the requests of callers on one VM.
@@ -99,6 +99,8 @@
 	identity bundle.Identity
 	span     trace.Span
 	log      *zap.Logger
+	// body is the body of a request that starts work, as sent.
+	body []byte
 	// answerLimit bounds a response that is not streamed, in bytes.
 	answerLimit int64
 	// generation and tokens are set for the log line of the request.
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -58,10 +58,10 @@
 	tokenGaps *backend.GapTracker
 	resumes   resumeCount
 
-	// prompt is checked before each attempt; it is nil for a relay that only resumes.
+	// identity is checked before each attempt; it is nil for a relay that only resumes.
 	// succeeded is set once a generation has written, engineLost if the engine broke the
 	// connection of the current one before its first token.
-	prompt                *quarantine.Request
+	identity              *quarantine.Request
 	succeeded, engineLost bool
 }
 
@@ -117,7 +117,7 @@
 // attemptOnce is an attempt at one engine. started says that it may have started a
 // generation.
 func (r *relay) attemptOnce() (started bool, err error) {
-	if err := r.f.Prompts.Check(r.prompt); err != nil {
+	if err := r.f.Quarantine.Check(r.identity); err != nil {
 		return false, err
 	}
 	ticket, err := r.acquire()
@@ -131,7 +131,7 @@
 	defer func() { ticket.Release(r.offset) }()
 	start := func(ctx context.Context) (*backend.Stream, error) {
 		// A rule may have been added while the request waited for the ticket.
-		if err := r.f.Prompts.Check(r.prompt); err != nil {
+		if err := r.f.Quarantine.Check(r.identity); err != nil {
 			return nil, err
 		}
 		if err := r.f.checkTarget(r.target); err != nil {
@@ -159,13 +159,13 @@
 }
 
 // acquire obtains a ticket. It returns a *quarantine.RefusedError if a rule on the
-// prompt is added while the request waits.
+// request is added while it waits.
 func (r *relay) acquire() (dispatch.Ticket, error) {
 	ctx, span := r.f.Tracer.Start(r.c.ctx, "dispatch.acquire")
 	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer r.f.Prompts.Watch(r.prompt, cancel)()
+	defer r.f.Quarantine.Watch(r.identity, cancel)()
 	ticket, err := r.acquireUnpaused(ctx)
 	if refused, ok := errors.Into[*quarantine.RefusedError](context.Cause(ctx)); ok && err != nil {
 		return nil, refused
@@ -271,7 +271,7 @@
 	r.waitingSince = time.Now()
 	r.offset = token.Offset
 	if r.offset >= minSuccessTokens {
-		r.reportPromptSuccess()
+		r.reportRunSuccess()
 	}
 	r.c.tokens++
 	r.delivered = r.delivered || r.sink.started()
--- a/frontend/resend.go
+++ b/frontend/resend.go
@@ -23,6 +23,8 @@
 type callAttempts struct {
 	log           *zap.Logger
 	nonRepeatable bool
+	// run is what the quarantine learns of the attempts.
+	run *serviceRun
 	// server, result, err and endedAt are those of the latest attempt. A server that could
 	// not be used is no attempt.
 	server, result string
--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -85,7 +85,7 @@
 	services.ObserveNotices(r.observe)
 	r.Frontend = New(Options{
 		Config: cfg, Snapshot: func() *control.Snapshot { return snap }, Admission: r, Engines: engines, Services: services,
-		Prompts: allPrompts{}, Servers: r, Log: zap.NewNop(), Tracer: noop.NewTracerProvider().Tracer(""), Metrics: metrics.NewRegistry(),
+		Quarantine: allPrompts{}, Servers: r, Log: zap.NewNop(), Tracer: noop.NewTracerProvider().Tracer(""), Metrics: metrics.NewRegistry(),
 	})
 	r.handler = echo.New()
 	r.Register(r.handler)
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -15,7 +15,9 @@
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/bundle"
 	"github.com/vanillaarch/vanillaarch/claim"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/caller"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -36,6 +38,7 @@
 	if err != nil {
 		return err
 	}
+	c.body = body
 	request := backend.Call{
 		Path: route.Path, ContentType: c.Request().Header.Get("Content-Type"), Body: body,
 		Organisation: c.identity.Organisation, IdempotencyKey: c.Request().Header.Get(api.HeaderIdempotencyKey),
@@ -53,8 +56,12 @@
 	f.budget.Attempt(c.identity.Organisation)
 	ctx, cancel := context.WithTimeout(c.ctx, route.Timeout())
 	defer cancel()
+	run := f.newServiceRun(c.log, c.content())
+	if err := run.check(); err != nil {
+		return failureProblem(err)
+	}
 	servers := f.serviceRotation(route)
-	attempts := &callAttempts{log: c.log}
+	attempts := &callAttempts{log: c.log, run: run}
 	var failure error
 	for vm, ok := servers.next(ctx); ok; vm, ok = servers.next(ctx) {
 		if failure != nil && !f.budget.Take(c.identity.Organisation) {
@@ -73,6 +80,9 @@
 			continue
 		}
 		failure = decisiveError(failure, err)
+		if isQuarantined(err) || !run.mayRepeatAfter(ctx, vm, err) {
+			break
+		}
 		if _, ok := errors.Into[*backend.ResponseTooLargeError](err); ok || ctx.Err() != nil {
 			break
 		}
@@ -114,7 +124,7 @@
 	// recorded.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), route.Timeout())
 	defer cancel()
-	attempts := &callAttempts{log: c.log, nonRepeatable: true}
+	attempts := &callAttempts{log: c.log, nonRepeatable: true, run: f.newServiceRun(c.log, c.content())}
 	response, err := f.callFirstReachable(ctx, c.ctx, servers, request, attempts)
 	if err != nil {
 		return f.atMostOnceProblem(held, route, err)
@@ -137,7 +147,7 @@
 		if _, ok := errors.Into[*backend.NotSentError](err); !ok {
 			return response, err
 		}
-		if _, left := errors.Into[*caller.LeftError](err); left || callerCtx.Err() != nil {
+		if _, left := errors.Into[*caller.LeftError](err); left || callerCtx.Err() != nil || isQuarantined(err) {
 			break
 		}
 		if isUnusable(err) && ctx.Err() == nil {
@@ -150,6 +160,10 @@
 // atMostOnceProblem maps the error of a call under a claim. It abandons the claim if
 // no byte was sent.
 func (f *Frontend) atMostOnceProblem(held *claim.Claim, route bundle.Route, err error) error {
+	if refused, ok := errors.Into[*quarantine.RefusedError](err); ok {
+		held.Abandon()
+		return quarantineProblem(refused, err)
+	}
 	if _, ok := errors.Into[*backend.NotSentError](err); ok {
 		held.Abandon()
 		return notRunProblem(api.ProblemBackendUnavailable, http.StatusServiceUnavailable,
@@ -217,13 +231,18 @@
 				return err
 			}
 		}
+		if err := attempts.run.check(); err != nil {
+			return err
+		}
 		err := call.begin()
 		if err == nil {
 			attempts.logResend(vm.ID)
 		}
 		return err
 	}
+	started := boottime.Now()
 	response, err := f.Services.Do(ctx, target, request)
+	attempts.run.report(vm, started, response, err)
 	attempts.record(vm.ID, err)
 	call.finish(err == nil && !response.Paused)
 	return response, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,8 +35,8 @@
 	Snapshot   func() *control.Snapshot
 	Admission  dispatch.Admission
 	HTTPClient *backend.HTTPClient
-	// Prompts tells which prompts must not be sent to an engine.
-	Prompts quarantine.Guard
+	// Quarantine tells which requests must not be sent to a backend server.
+	Quarantine quarantine.Guard
 	// Breaker is the circuit breaker for engines that can't be reached.
 	Breaker *backend.Breaker
 	Servers Servers
@@ -104,6 +104,8 @@
 	service      *route.Service
 	organisation *route.Organisation
 	body         []byte
+	// identity is what the quarantine knows the request by.
+	identity *quarantine.Request
 	// memory accounts for the memory of body.
 	memory *membudget.Reservation
 	// bodyLate is set if the body did not arrive in time.
@@ -123,6 +125,9 @@
 	// latest refusal of one.
 	permit permit.Permit
 	denied *permit.DeniedError
+	// refusedWaiting is the *quarantine.RefusedError that ended the latest wait for a plain
+	// server, nil if none did.
+	refusedWaiting error
 	// past is the latest attempt that has ended, nil before the first one has.
 	past *pastAttempt
 	// lastServer is the backend server that last had the request.
@@ -211,6 +216,7 @@
 	if err := c.checkStopping(); err != nil {
 		return err
 	}
+	c.identity = quarantine.NewRequest(c.info.ID, c.content())
 	c.g.budget.Request(c.service.Name, boottime.Now())
 	if c.route.Kind == route.Stream {
 		return c.stream()
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -95,7 +95,7 @@
 // useful for the request.
 func (c *call) awaitPermit(servers []vmlist.VM) (vmlist.VM, bool) {
 	now := boottime.Now()
-	waiting, release := c.whileFits(c.r.Context())
+	waiting, release := c.whileAllowed()
 	defer release()
 	ok := c.requestPermit(waiting, permit.Request{
 		Servers: servers, AimWait: limitWait(c.aim() - now), MaxWait: limitWait(c.deadline - now),
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -51,6 +51,9 @@
 	ctx, cancel := c.context(c.route.Retryable())
 	defer cancel()
 	defer c.returnPermit()
+	if err := c.checkQuarantine(); err != nil {
+		return c.failure(err)
+	}
 	var (
 		excluded       []string
 		last           *plainResponse
@@ -59,6 +62,9 @@
 	)
 	for {
 		vm, ok := c.pickServer(excluded)
+		if !ok && failure == nil {
+			failure = c.refusedWaiting
+		}
 		if !ok || c.checkStopping() != nil {
 			break
 		}
@@ -82,6 +88,9 @@
 		} else {
 			failure = err
 		}
+		if isQuarantined(err) {
+			break
+		}
 		_, notSent := errors.Into[*backend.NotSentError](err)
 		if notSent || err == nil && c.fromOtherServer(answer.status) {
 			if unsentAttempts++; unsentAttempts >= maxUnsentAttempts {
@@ -89,7 +98,7 @@
 			}
 			continue
 		}
-		if !c.mayRetry(ctx) {
+		if !c.retryAllowed(ctx) || !c.mayRepeatAfter(ctx, vm, err) || !c.takeRetry() {
 			break
 		}
 	}
@@ -135,16 +144,22 @@
 
 // mayRetry reports whether the request may be sent to another server. It takes the
 // retry from the retry budget.
-func (c *call) mayRetry(ctx context.Context) bool {
+func (c *call) mayRetry(ctx context.Context) bool { return c.retryAllowed(ctx) && c.takeRetry() }
+
+// retryAllowed reports whether the time, the route and the configuration allow to send the
+// request to another server.
+func (c *call) retryAllowed(ctx context.Context) bool {
 	if ctx.Err() != nil || c.remaining() <= 0 || c.sends >= c.route.MaxAttempts {
 		return false
 	}
 	if c.mayHaveRun && !c.route.Retryable() {
 		return false
 	}
-	if err := c.checkConfirmed(); err != nil {
-		return false
-	}
+	return c.checkConfirmed() == nil
+}
+
+// takeRetry takes a retry from the retry budget.
+func (c *call) takeRetry() bool {
 	if !c.g.budget.Take(c.service.Name, boottime.Now()) {
 		c.log.Warn("retry_budget_exhausted", zap.String("service", c.service.Name))
 		c.g.Metrics.budgetExhausted.Inc(1)
@@ -167,6 +182,7 @@
 		c.answerMemory().Release()
 		c.logMemory(vm.ID, err)
 	}
+	c.reportAttempt(vm, started, answer, err)
 	result := c.plainResult(answer, err)
 	c.g.services.finish(vm.ID, result)
 	c.recordResult(vm.ID, plainError(vm.ID, answer, err))
@@ -193,7 +209,7 @@
 
 func (c *call) plainResult(answer *plainResponse, err error) balance.Result {
 	switch {
-	case err != nil && c.callerLeft(), unusable(err), withoutMemory(err):
+	case err != nil && c.callerLeft(), unusable(err), isQuarantined(err), withoutMemory(err):
 		return balance.Inconclusive
 	case err != nil:
 		return balance.Unreachable
--- a/gateway/plain_exchange.go
+++ b/gateway/plain_exchange.go
@@ -45,6 +45,10 @@
 		if err := sent(); err != nil {
 			return err
 		}
+		// A rule may have been added while the request waited for the connection.
+		if err := c.checkQuarantine(); err != nil {
+			return err
+		}
 		if started, err = c.g.startRequest(vm, c.permit); err == nil {
 			sentAt, c.permit = boottime.Now(), permit.Permit{}
 			c.logResend(vm.ID, false)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -115,7 +115,7 @@
 	}
 	s.lastEventAt = now
 	if s.eventCount.Load() >= minSuccessEvents {
-		s.reportPromptSuccess()
+		s.reportRunSuccess()
 	}
 }
 
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -166,7 +166,7 @@
 		VM: "vm", Bounds: func() *config.Bounds {
 			return &config.Bounds{RetryRatio: 0.2, RetrySlack: 10, RetryWindow: time.Second}
 		},
-		Snapshot: r.currentSnapshot, Admission: r, HTTPClient: client, Prompts: allPrompts{},
+		Snapshot: r.currentSnapshot, Admission: r, HTTPClient: client, Quarantine: allPrompts{},
 		Breaker: backend.NewBreaker(), Servers: r.known, Permits: noLimits{}, Engines: platform.EngineClient{HTTPClient: client}, Edge: codec,
 		Log: zap.NewNop(), Metrics: NewMetrics(metrics.NewRegistry()),
 	})
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -61,7 +61,7 @@
 	s.enterEngine(vm)
 	if err := s.send(ctx, seg, source); err != nil {
 		s.closeConnection(seg, err)
-		s.reportPromptFailure(seg, err)
+		s.reportRunFailure(seg, err)
 		if source == nil {
 			s.lastServer = vm
 			s.reportEngineFailure(seg, err)
@@ -89,7 +89,7 @@
 	if err := s.checkConfirmed(); err != nil && source == nil {
 		return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
 	}
-	if err := s.checkPrompt(); err != nil && source == nil {
+	if err := s.checkQuarantine(); err != nil && source == nil {
 		return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
 	}
 	before := s.mayHaveRun
@@ -97,7 +97,7 @@
 	seg.memory = request.Memory
 	answer, err := s.exchange(ctx, seg.vm, source, request)
 	if err != nil {
-		if ctx.Err() == nil && !unusable(err) {
+		if ctx.Err() == nil && !unusable(err) && !isQuarantined(err) {
 			s.g.recordUnreachable(seg.vm, err)
 		}
 		return err
@@ -152,7 +152,7 @@
 // close closes the connection of a segment and releases its ticket.
 func (s *stream) close(seg *segment, err error) {
 	s.closeConnection(seg, err)
-	s.reportPromptFailure(seg, err)
+	s.reportRunFailure(seg, err)
 	s.reportEngineFailure(seg, err)
 	seg.ticket.Release(s.tokens())
 }
@@ -178,13 +178,13 @@
 	}
 	seg.ticket.Failed()
 	s.g.Metrics.runsFailedBeforeEvent.Inc(1)
-	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), zap.Duration("engine_age", engineAge(seg.vm)),
+	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), zap.Duration("engine_age", serverAge(seg.vm)),
 		zap.String("organisation", s.organisationName()), zap.Int("prompt_tokens", s.info.PromptTokens),
-		promptParts(s.info.Prefix), telemetry.Error(err))
+		promptParts(s.info.Prefix), s.contentField(), telemetry.Error(err))
 }
 
-// engineAge returns the time since the start of an engine, by the wall clock.
-func engineAge(vm vmlist.VM) time.Duration { return time.Since(time.UnixMilli(vm.Incarnation)) }
+// serverAge returns the time since the start of a server, by the wall clock.
+func serverAge(vm vmlist.VM) time.Duration { return time.Since(time.UnixMilli(vm.Incarnation)) }
 
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 8
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -128,7 +128,7 @@
 	advice := c.advise(servers)
 	switch advice.Action {
 	case serverstate.Wait:
-		waiting, release := c.whileFits(c.r.Context())
+		waiting, release := c.whileAllowed()
 		defer release()
 		return wait.Sleep(waiting, advice.Until-boottime.Now())
 	case serverstate.Send:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,6 @@
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
-	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -48,9 +47,8 @@
 	// unended is the engine of the previous segment if it may still work on the run.
 	unended *vmlist.VM
 
-	// prompt is checked before each send. succeeded is set once the run has written,
-	// failedBeforeSuccess once an engine broke the connection before that.
-	prompt                         *quarantine.Request
+	// succeeded is set once the run has written, failedBeforeSuccess once an engine broke the
+	// connection before that.
 	succeeded, failedBeforeSuccess bool
 }
 
@@ -69,8 +67,7 @@
 	defer c.returnPermit()
 	s := &stream{call: c, ctx: ctx}
 	c.run = s
-	s.prompt = newQuarantineRequest(s.poolName(), s.info)
-	if err := s.checkPrompt(); err != nil {
+	if err := s.checkQuarantine(); err != nil {
 		return s.giveUp(err)
 	}
 	if c.info.LastEvent != "" {
@@ -99,7 +96,7 @@
 		s.close(seg, err)
 		if err == nil {
 			if seg.answer.Delimited {
-				s.reportPromptSuccess()
+				s.reportRunSuccess()
 			}
 			return nil
 		}
@@ -198,7 +195,7 @@
 	if s.mayHaveRun && !s.route.Retryable() {
 		return false
 	}
-	if s.failedBeforeSuccess && !s.g.Prompts.MayRepeat(s.prompt) || s.checkPrompt() != nil {
+	if s.failedBeforeSuccess && !s.g.Quarantine.MayRepeat(s.identity) || s.checkQuarantine() != nil {
 		return false
 	}
 	if _, notSent := errors.Into[*backend.NotSentError](err); (notSent || misdirected(err)) && !s.headSent {
@@ -241,7 +238,7 @@
 
 // acquire obtains a ticket to run the request on an engine and records the time in the
 // queue, including that for the end of a pause. It returns a *quarantine.RefusedError if a
-// rule on the prompt is added meanwhile, and the error of checkStopping if a stream of
+// rule on the request is added meanwhile, and the error of checkStopping if a stream of
 // which the caller has nothing would not end before the VM stops.
 func (s *stream) acquire() (dispatch.Ticket, vmlist.VM, error) {
 	begin := boottime.Now()
@@ -252,11 +249,10 @@
 		defer release()
 		waiting = limited
 	}
-	ctx, cancel := context.WithCancelCause(waiting)
-	defer cancel(nil)
-	defer s.g.Prompts.Watch(s.prompt, cancel)()
+	ctx, cancel := s.untilRefused(waiting)
+	defer cancel()
 	ticket, vm, err := s.acquireUnpaused(ctx)
-	if refused, ok := errors.Into[*quarantine.RefusedError](context.Cause(ctx)); ok && err != nil {
+	if refused := refusedWhileWaiting(ctx); refused != nil && err != nil {
 		return nil, vmlist.VM{}, refused
 	}
 	if stopping := s.checkStopping(); !s.headSent && err == nil && stopping != nil {
--- a/gateway/switchover.go
+++ b/gateway/switchover.go
@@ -223,7 +223,7 @@
 func (s *stream) connectMoved() *connectedCopy { return s.connectFirst(s.takeMoved) }
 
 func (s *stream) connectFirst(take func() *runCopy) *connectedCopy {
-	if s.checkPrompt() != nil {
+	if s.checkQuarantine() != nil {
 		return nil
 	}
 	for rc := take(); rc != nil; rc = take() {
--- a/server.go
+++ b/server.go
@@ -114,7 +114,7 @@
 	}
 	s.frontend = frontend.New(frontend.Options{
 		Config: s.cfg, Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.services,
-		Claims: s.claims, Prompts: s.mesh.quarantine, Servers: s.mesh.servers, Log: s.log, Tracer: s.tracing.Tracer(), Metrics: s.metrics,
+		Claims: s.claims, Quarantine: s.mesh.quarantine, Servers: s.mesh.servers, Log: s.log, Tracer: s.tracing.Tracer(), Metrics: s.metrics,
 	})
 	s.http, err = s.listen()
 	return err
