--- /dev/null
+++ b/gateway/unanswered_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/listen"
+)
+
+// serve serves the gateway over TCP, and returns a connection of a caller.
+func (r *gatewayRig) serve() *net.TCPConn {
+	r.t.Helper()
+	l, err := listen.Listen("127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	server := &http.Server{Handler: r, ConnState: l.ConnState, ConnContext: listen.ConnContext}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(l)
+	}()
+	r.t.Cleanup(func() {
+		_ = server.Close()
+		<-served
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// Guards against answers that never come since the body of the refused request does not
+// arrive: http.Server reads it first.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	const patience = 3 * time.Second
+	for _, c := range []struct{ name, path, framing string }{
+		{"unknown route, length", "/none/1", "Content-Length: 100"},
+		{"unknown route, chunks", "/none/1", "Transfer-Encoding: chunked"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := newGatewayRig(t, 1).serve()
+			if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\n%s\r\n\r\n", c.path, c.framing); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(patience))
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if answer.StatusCode != http.StatusNotFound {
+				t.Errorf("status %d", answer.StatusCode)
+			}
+		})
+	}
+}
+
+// Guards against a connection that is closed without an answer since a handler panics.
+func TestPanicIsAnswered(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	r.acquire = func(dispatch.AdmissionRequest) (dispatch.Ticket, error) { panic("fault") }
+	conn := r.serve()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nModel: m\r\nRequest-Id: panic\r\nContent-Length: 1\r\n\r\nx", streamPath); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusInternalServerError || answer.Header.Get("Request-Id") != "panic" {
+		t.Errorf("status %d, id %q", answer.StatusCode, answer.Header.Get("Request-Id"))
+	}
+	if n := r.Active(); n != 0 {
+		t.Errorf("%d requests are still active", n)
+	}
+}
+
+// Guards against a stream that ends early and looks complete to a caller that has closed only
+// its half of the connection.
+func TestStreamOfAHalfClosedCallerDoesNotLookComplete(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	begun := make(chan struct{})
+	r.answer = func(_ string, w http.ResponseWriter, request *http.Request) bool {
+		w.Header().Set("Response-Signature", "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		close(begun)
+		select {
+		case <-request.Context().Done():
+		case <-time.After(time.Second):
+			_, _ = io.WriteString(w, "id: 2\ndata: x\n\n")
+		}
+		return true
+	}
+	conn := r.serve()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nModel: m\r\nRequest-Id: half\r\nContent-Length: 1\r\n\r\nx", draftPath); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	time.Sleep(50 * time.Millisecond) // The first event is relayed.
+	if err := conn.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err == nil && !strings.Contains(string(body), "id: 2") {
+		t.Errorf("the answer ends as if it were complete: %q", body)
+	}
+}
