--- /dev/null
+++ b/internal/soak/lost_test.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
+)
+
+// Flags of TestPlannedWorkLosesNoRequest, for plays by hand.
+var (
+	lostDaemon   = flag.String("lost.daemon", "", "path of vanillaarchd (built if empty)")
+	lostDuration = flag.Duration("lost.duration", 12*time.Second, "how long requests are sent")
+	lostCases    = flag.String("lost.cases", "all at once", "cases to play, separated by semicolons, or *")
+	lostSeed     = flag.Uint64("lost.seed", 42, "seed of the load and of the planned work")
+	lostCallers  = flag.Int("lost.callers", 24, "callers for each VM")
+	lostBusy     = flag.Int("lost.busy", 0, "busy processes beside the VMs")
+	lostLogs     = flag.String("lost.logs", "", "directory that keeps the logs of the VMs (none if empty)")
+)
+
+// Load of TestPlannedWorkLosesNoRequest.
+const (
+	lostVMs     = 6
+	lostEngines = 3
+	lostServers = 4
+	// lostMemoryVariant gives a VM 206 MB, see vm.writeSettings.
+	lostMemoryVariant = 86
+	lostIdleTimeout   = 300 * time.Millisecond
+)
+
+// lostLoad is a deployment under planned work, with all requests and what their callers saw.
+type lostLoad struct {
+	*harness
+	t        *testing.T
+	seed     uint64
+	backends []*userplatform.Server
+
+	mu      sync.Mutex
+	version int64
+	results []lostResult
+	// signals holds the signals to each VM, manifests the times of the configurations.
+	signals   map[string][]sentSignal
+	manifests []time.Time
+	// away holds the times in which the store was away.
+	away []interval
+	// crashed is set for VMs whose process ended without having been told to.
+	crashed map[string]bool
+}
+
+// interval is a time of planned work or of a fault. A zero end means that it still lasts.
+type interval struct{ from, to time.Time }
+
+// lostEvent is planned work beside the load, until ctx ends.
+type lostEvent func(*lostLoad, context.Context, *rand.Rand)
+
+// plannedWork holds the cases by name.
+var plannedWork = map[string][]lostEvent{
+	"control":                     nil,
+	"stops within reloads":        {(*lostLoad).stopWithinReloads},
+	"reloads":                     {(*lostLoad).reload},
+	"stops within starts":         {(*lostLoad).stopWithinStart},
+	"stops within manifests":      {(*lostLoad).stopWithinManifest, (*lostLoad).writeManifests},
+	"manifests":                   {(*lostLoad).writeManifests},
+	"several stops at once":       {(*lostLoad).stopSeveral},
+	"stops signalled twice":       {(*lostLoad).stopTwice},
+	"stops, store away":           {(*lostLoad).stopOne, (*lostLoad).takeStoreAway},
+	"stops as the store returns":  {(*lostLoad).stopAsStoreReturns},
+	"stops, engines leave":        {(*lostLoad).stopOne, (*lostLoad).leaveServers},
+	"all at once":                 {(*lostLoad).stopWithinReloads, (*lostLoad).stopWithinManifest, (*lostLoad).writeManifests, (*lostLoad).reload},
+	"all at once, store away too": {(*lostLoad).stopWithinReloads, (*lostLoad).stopSeveral, (*lostLoad).writeManifests, (*lostLoad).reload, (*lostLoad).takeStoreAway},
+}
+
+// Guards against requests that a VM has read and that end without an answer, beside planned
+// work that overlaps: stops, reloads and manifests in series. Callers of every kind use their
+// connections until the process is gone. The other cases are played by hand, see lostCases.
+func TestPlannedWorkLosesNoRequest(t *testing.T) {
+	names := strings.Split(*lostCases, ";")
+	if *lostCases == "*" {
+		names = slices.Sorted(maps.Keys(plannedWork))
+	}
+	for _, name := range names {
+		work, ok := plannedWork[name]
+		if !ok {
+			t.Fatalf("there is no case %q", name)
+		}
+		t.Run(name, func(t *testing.T) { playPlannedWork(t, work) })
+	}
+}
+
+func playPlannedWork(t *testing.T, work []lostEvent) {
+	l := startLostLoad(t)
+	endBusy, err := startBusy(*lostBusy)
+	defer endBusy()
+	if err != nil {
+		t.Fatal(err)
+	}
+	measured := make(chan struct{})
+	go l.delays.measure(measured)
+	ctx, cancel := context.WithTimeout(t.Context(), *lostDuration)
+	defer cancel()
+	var callers, events sync.WaitGroup
+	for i, v := range l.vms {
+		for n := range *lostCallers {
+			c := newLostCaller(l, v, i, n)
+			callers.Go(func() { c.run(ctx) })
+		}
+	}
+	for i, play := range work {
+		events.Go(func() { play(l, ctx, l.rand(fmt.Sprintf("event-%d", i))) })
+	}
+	callers.Wait()
+	events.Wait()
+	close(measured)
+	l.report()
+}
+
+func (l *lostLoad) rand(name string) *rand.Rand {
+	return rand.New(rand.NewPCG(l.seed, xxhash.Sum64String(name)))
+}
+
+func startLostLoad(t *testing.T) *lostLoad {
+	daemon, err := *lostDaemon, error(nil)
+	if daemon == "" {
+		if daemon, err = buildDaemon(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	dir := t.TempDir()
+	if *lostLogs != "" {
+		dir = filepath.Join(*lostLogs, strings.ReplaceAll(strings.ReplaceAll(t.Name(), "/", "-"), " ", "-"))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h := &harness{
+		opts: Options{Seed: *lostSeed, VMs: lostVMs, Dir: dir, Daemon: daemon}, started: time.Now(), store: userplatform.NewStore(),
+		faults: &timeline{}, keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{},
+	}
+	h.fleet = userplatform.NewFleet(h.store)
+	h.addCleanup(h.store.Close)
+	t.Cleanup(h.close)
+	l := &lostLoad{harness: h, t: t, seed: *lostSeed, signals: map[string][]sentSignal{}, crashed: map[string]bool{}}
+	l.putManifest(0)
+	l.startServers()
+	if err := h.startVMs(); err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range h.vms {
+		if err := v.writeSettings(lostMemoryVariant); err != nil {
+			t.Fatal(err)
+		}
+		if err := v.terminate(killSignal, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if err := v.start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, err := range h.awaitAll(t.Context(), startBound+lostVMs*startBoundPerVM) {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// startServers starts engines, and plain servers each of which takes another time.
+func (l *lostLoad) startServers() {
+	for i := range lostEngines {
+		s, err := l.fleet.Start(userplatform.ServerOptions{
+			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: "z", Model: "m", Slots: engineSlots,
+			Events: streamEvents, EventInterval: eventInterval,
+		})
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		l.backends = append(l.backends, s)
+	}
+	for i := range lostServers {
+		s, err := l.fleet.Start(userplatform.ServerOptions{
+			ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: "z", Slots: 200,
+			ProcessingTime: time.Duration(20+80*i) * time.Millisecond,
+		})
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		l.backends = append(l.backends, s)
+	}
+}
