standin: servers crash by a whole request

A request that crashes each server that begins to run it could not be played here: the stand-in crashed engines by a shared prompt part only, and kept their id.

SetRequestCrashes takes a predicate over method, path with query, organisation, prompt and whole body (also one in chunks), the time from the begin of a run to the crash, and the downtime. Plain servers and engines lose all connections and runs, refuse connections, and are back under another id; the entry of the last one is taken out of the store then. The fleet records arrivals, crashes and the largest number of servers that were down at one moment. localsite lets a test choose the slots of engines and the time before a plain response.

Guarded by TestServerCrashesByAWholeRequest.

--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -33,6 +33,8 @@
 	zone          = "z"
 
 	defaultPlainServerSlots = 6
+	defaultEngineSlots      = 24
+	defaultProcessingTime   = 5 * time.Millisecond
 )
 
 // Limits of the entry VMs and of the startup.
@@ -50,6 +52,10 @@
 	// PlainServerSlots is the number of requests that a plain server runs concurrently, 0 for
 	// the default. It rejects any others.
 	PlainServerSlots int
+	// EngineSlots is the same for engines.
+	EngineSlots int
+	// ProcessingTime is the time before a plain response, 0 for the default.
+	ProcessingTime time.Duration
 	// UnstartedServers is the number of backend servers that are listed in the store but not running.
 	UnstartedServers int
 	// ConfigDelay is the time from the start of the VMs to the first configuration.
@@ -124,7 +130,7 @@
 func (s *Site) start() error {
 	for i := range s.opts.Engines {
 		e, err := s.StartServer(userplatform.ServerOptions{
-			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: zone, Model: "m", Slots: 24,
+			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: zone, Model: "m", Slots: cmp.Or(s.opts.EngineSlots, defaultEngineSlots),
 			Events: s.opts.Events, EventInterval: s.opts.EventInterval,
 		})
 		if err != nil {
@@ -134,7 +140,8 @@
 	}
 	for i := range s.opts.PlainServers {
 		d, err := s.StartServer(userplatform.ServerOptions{
-			ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: zone, Slots: cmp.Or(s.opts.PlainServerSlots, defaultPlainServerSlots), ProcessingTime: 5 * time.Millisecond,
+			ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: zone, Slots: cmp.Or(s.opts.PlainServerSlots, defaultPlainServerSlots),
+			ProcessingTime: cmp.Or(s.opts.ProcessingTime, defaultProcessingTime),
 		})
 		if err != nil {
 			return err
--- a/internal/standin/userplatform/crash.go
+++ b/internal/standin/userplatform/crash.go
@@ -68,7 +68,7 @@
 	s.restarting = true
 	s.closeListener()
 	s.fleet.dropCopies(s.Address())
-	downtime := s.fleet.recordCrash(request, s.opts.ID)
+	downtime := s.fleet.recordCrash(request, s.ID())
 	time.AfterFunc(downtime, s.startAfterCrash)
 }
 
@@ -81,6 +81,9 @@
 		return // Resume was called meanwhile.
 	}
 	s.restarting = false
+	if s.renamed {
+		s.rename()
+	}
 	listens := !s.stopped && s.listenAgain() == nil
 	s.started = time.Now().UnixMilli()
 	state := s.state
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -48,8 +48,8 @@
 }
 
 // stream sends the events of a run, starting after the last one that the client
-// received.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, f ServerFaults) {
+// received. crash is the crash that the run leads to, or nil.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, f ServerFaults, crash *RequestCrashes) {
 	request, from := r.Header.Get("Request-Id"), r.Header.Get("Kv-From")
 	if from != "" && !s.fleet.useCopy(from, s.Address(), request) {
 		refuse(w, r, f)
@@ -62,7 +62,7 @@
 	}
 	ctx, run := s.beginRun(parent, request, last)
 	defer s.endRun(run)
-	defer s.fleet.beginExecution(r, s.opts.ID, from != "")()
+	defer s.fleet.beginExecution(r, s.ID(), from != "")()
 	if f.EndlessHead || f.EndlessBody {
 		s.endless(w, r, f)
 		return
@@ -83,6 +83,10 @@
 		drop(w)
 		return
 	}
+	if crash != nil {
+		s.crashBy(r, crash)
+		return
+	}
 	held, complete := s.sendEvents(ctx, w, r, f, run)
 	if complete && backup != "" {
 		run.stop()
--- a/internal/standin/userplatform/fleet.go
+++ b/internal/standin/userplatform/fleet.go
@@ -26,6 +26,7 @@
 	prompts       promptTime
 	// crashingArrivals holds the arrivals of requests with one of crashingParts.
 	crashingArrivals []Arrival
+	requestCrashes   requestCrashes
 	exchanges        exchangeLog
 }
 
--- a/internal/standin/userplatform/health.go
+++ b/internal/standin/userplatform/health.go
@@ -10,12 +10,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	want := r.Header.Get("Expect-Instance")
-	if s.faults.Replaced || want != "" && want != s.opts.ID {
+	if s.faults.Replaced || want != "" && want != s.ID() {
 		w.Header().Set("Instance-Id", "another")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.Header().Set("Instance-Id", s.opts.ID)
+	w.Header().Set("Instance-Id", s.ID())
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", s.running, s.opts.Slots))
 	if s.announcer.get().Leaving || s.running >= s.opts.Slots {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/standin/userplatform/leaving.go
+++ b/internal/standin/userplatform/leaving.go
@@ -117,7 +117,7 @@
 
 // arrived records the arrival of a call, or returns nil if such calls are not recorded.
 func (l *exchangeLog) arrived(server *Server, r *http.Request) *Exchange {
-	e := &Exchange{Server: server.opts.ID, Method: r.Method, Path: r.URL.Path, Request: r.Header.Get("Request-Id"), Client: r.RemoteAddr}
+	e := &Exchange{Server: server.ID(), Method: r.Method, Path: r.URL.Path, Request: r.Header.Get("Request-Id"), Client: r.RemoteAddr}
 	e.Born = server.startTime()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/userplatform/lifecycle.go
+++ b/internal/standin/userplatform/lifecycle.go
@@ -17,7 +17,9 @@
 	started := s.started
 	s.state = state
 	s.lifeMu.Unlock()
-	putEntry(s.fleet.store, s.opts, s.Address(), state, started)
+	o := s.opts
+	o.ID = s.ID()
+	putEntry(s.fleet.store, o, s.Address(), state, started)
 }
 
 // RegisterUnreachable writes the entry of a server that is not running.
@@ -45,7 +47,7 @@
 	s.lifeMu.Lock()
 	s.state = ""
 	s.lifeMu.Unlock()
-	s.fleet.store.Delete("servers/" + s.opts.ID)
+	s.fleet.store.Delete("servers/" + s.ID())
 }
 
 // Restart registers the server with a new start time under the same id.
@@ -78,6 +80,9 @@
 	s.lifeMu.Lock()
 	defer s.lifeMu.Unlock()
 	s.stopped, s.restarting = false, false
+	if s.renamed {
+		s.rename()
+	}
 	return s.listenAgain()
 }
 
@@ -97,7 +102,7 @@
 // closeListener closes the listener and all connections. The caller holds lifeMu.
 func (s *Server) closeListener() {
 	s.crashed.Store(true)
-	s.fleet.endExecutionsOf(s.opts.ID)
+	s.fleet.endExecutionsOf(s.ID())
 	s.http.Close()
 	if s.opts.ListenChanged != nil {
 		s.opts.ListenChanged(false)
@@ -107,7 +112,7 @@
 func (s *Server) listen(address string) (*standin.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen as "+s.opts.ID)
+		return nil, errors.Wrap(err, "listen as "+s.ID())
 	}
 	s.crashed = &atomic.Bool{}
 	return standin.Serve(refusalListener{l, s.crashed}, s.handler), nil
--- a/internal/standin/userplatform/malformed.go
+++ b/internal/standin/userplatform/malformed.go
@@ -17,7 +17,7 @@
 // runScript records the run of a request and lets the script respond to it. A request
 // that continues from a copy is no new run.
 func (s *Server) runScript(w http.ResponseWriter, r *http.Request, script Script) {
-	defer s.fleet.beginExecution(r, s.opts.ID, r.Header.Get("Kv-From") != "")()
+	defer s.fleet.beginExecution(r, s.ID(), r.Header.Get("Kv-From") != "")()
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -42,7 +42,7 @@
 func (s *Server) endless(w http.ResponseWriter, r *http.Request, f ServerFaults) {
 	begin := "HTTP/1.1 200 OK\r\nX-Line: "
 	if f.EndlessBody {
-		begin = fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\n\r\n", r.Header.Get("Request-Id"), s.opts.ID)
+		begin = fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\n\r\n", r.Header.Get("Request-Id"), s.ID())
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -64,7 +64,7 @@
 	}
 	defer conn.Close()
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\nContent-Type: text/event-stream\r\n\r\n",
-		r.Header.Get("Request-Id"), s.opts.ID)
+		r.Header.Get("Request-Id"), s.ID())
 }
 
 // answerTwice sends the response and then one to another request.
@@ -76,7 +76,7 @@
 	defer conn.Close()
 	write := func(id, body string) {
 		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s",
-			id, s.opts.ID, len(body), body)
+			id, s.ID(), len(body), body)
 		_ = buffer.Flush()
 	}
 	write(r.Header.Get("Request-Id"), answer)
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -92,8 +92,11 @@
 	address string
 
 	announcer announcer
+	// id is the current id.
+	id atomic.Pointer[string]
 
-	// lifeMu guards http, crashed, started, state, stopped and restarting.
+	// lifeMu guards http, crashed, started, state, stopped, restarting, renamed and
+	// processes.
 	lifeMu sync.Mutex
 	http   *standin.Server
 	// crashed belongs to the connections of http.
@@ -104,11 +107,17 @@
 	// stopped is set by Crash and Pause until Resume, restarting from a crash by a
 	// request until the server listens again.
 	stopped, restarting bool
+	// renamed is set while the server is down because of a whole request, after which it is
+	// back under another id. processes counts these returns.
+	renamed   bool
+	processes int
 
-	mu      sync.Mutex
-	faults  ServerFaults
-	running int
-	headers map[string]http.Header
+	mu     sync.Mutex
+	faults ServerFaults
+	// running is the number of slots in use, life the number of processes whose slots were
+	// freed by a crash.
+	running, life int
+	headers       map[string]http.Header
 	// arrivals counts requests by id, including rejected ones.
 	arrivals    map[string]int
 	lastArrival Arrival
@@ -123,6 +132,7 @@
 		opts: o, fleet: f, started: time.Now().UnixMilli(),
 		headers: map[string]http.Header{}, arrivals: map[string]int{}, runs: map[string]*engineRun{},
 	}
+	s.id.Store(&o.ID)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", s.report)
 	mux.HandleFunc("GET /health", s.health)
@@ -150,8 +160,8 @@
 // IsEngine reports whether the server is an inference engine.
 func (s *Server) IsEngine() bool { return s.opts.Model != "" }
 
-// ID returns the id of the server.
-func (s *Server) ID() string { return s.opts.ID }
+// ID returns the id of the server. It changes with each crash by a whole request.
+func (s *Server) ID() string { return *s.id.Load() }
 
 // Service returns the service of the server.
 func (s *Server) Service() string { return s.opts.Service }
@@ -202,7 +212,7 @@
 
 // acquireSlot takes a slot for a request. If the request must not be executed, it
 // responds and returns false.
-func (s *Server) acquireSlot(w http.ResponseWriter, r *http.Request) (ServerFaults, bool) {
+func (s *Server) acquireSlot(w http.ResponseWriter, r *http.Request) (faults ServerFaults, life int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := r.Header.Get("Request-Id")
@@ -211,26 +221,29 @@
 	s.lastArrival = Arrival{Request: id, At: time.Now()}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", s.running, s.opts.Slots))
-	if want := r.Header.Get("Expect-Instance"); want != "" && (want != s.opts.ID || s.faults.Replaced) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && (want != s.ID() || s.faults.Replaced) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		return s.faults, false
+		return s.faults, s.life, false
 	}
 	if want := r.Header.Get("Expect-Version"); s.opts.Model != "" && want != "" && want != WeightsVersion {
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		return s.faults, false
+		return s.faults, s.life, false
 	}
 	if s.announcer.rejects(w.Header()) || s.faults.Shed || s.running >= s.opts.Slots {
 		refuse(w, r, s.faults)
-		return s.faults, false
+		return s.faults, s.life, false
 	}
 	s.running++
-	return s.faults, true
+	return s.faults, s.life, true
 }
 
-func (s *Server) releaseSlot() {
+// releaseSlot frees a slot, unless a crash has freed it.
+func (s *Server) releaseSlot(life int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running--
+	if life == s.life {
+		s.running--
+	}
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -239,11 +252,12 @@
 		return
 	}
 	s.fleet.recordArrival(r.Header.Get("Request-Id"), r.Header.Get("Prompt-Prefix"))
-	faults, ok := s.acquireSlot(w, r)
+	crash := s.crashOf(r, body)
+	faults, life, ok := s.acquireSlot(w, r)
 	if !ok {
 		return
 	}
-	defer s.releaseSlot()
+	defer s.releaseSlot(life)
 	if faults.Reset {
 		drop(w)
 		return
@@ -253,19 +267,23 @@
 		return
 	}
 	if !faults.Unsigned {
-		w.Header().Set("Response-Signature", "sig-"+s.opts.ID)
+		w.Header().Set("Response-Signature", "sig-"+s.ID())
 	}
 	if s.opts.Model != "" {
-		s.stream(w, r, faults)
+		s.stream(w, r, faults, crash)
+		return
+	}
+	defer s.fleet.beginExecution(r, s.ID(), false)()
+	if crash != nil {
+		s.crashBy(r, crash)
 		return
 	}
-	defer s.fleet.beginExecution(r, s.opts.ID, false)()
 	s.servePlain(w, r, faults, body)
 }
 
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, f ServerFaults, body []byte) {
 	time.Sleep(s.opts.ProcessingTime)
-	answer := fmt.Sprintf("%s %s by %s with %d bytes", r.Method, r.URL.RequestURI(), s.opts.ID, len(body))
+	answer := fmt.Sprintf("%s %s by %s with %d bytes", r.Method, r.URL.RequestURI(), s.ID(), len(body))
 	switch {
 	case f.Hang:
 		<-r.Context().Done()
