--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -42,13 +42,16 @@
 	// plainServerSlots is the number of requests that a plain server runs concurrently, 0
 	// for the default.
 	plainServerSlots int
-	entries          int
-	configDelay      time.Duration
-	firstStart       bool
-	events           int
-	interval         time.Duration
-	bounds           func(*config.Bounds)
-	era              int64
+	// engineSlots is the same for engines.
+	engineSlots    int
+	processingTime time.Duration
+	entries        int
+	configDelay    time.Duration
+	firstStart     bool
+	events         int
+	interval       time.Duration
+	bounds         func(*config.Bounds)
+	era            int64
 }
 
 func newSite(t *testing.T, o options) *site {
@@ -58,7 +61,7 @@
 		o.bounds(&bounds)
 	}
 	s, err := localsite.Start(localsite.Options{
-		VMs: o.vms, Engines: o.engines, PlainServers: o.plainServers, PlainServerSlots: o.plainServerSlots, UnstartedServers: o.entries, ConfigDelay: o.configDelay, FirstStart: o.firstStart, Events: o.events, EventInterval: o.interval, Bounds: bounds, Era: o.era,
+		VMs: o.vms, Engines: o.engines, PlainServers: o.plainServers, PlainServerSlots: o.plainServerSlots, EngineSlots: o.engineSlots, ProcessingTime: o.processingTime, UnstartedServers: o.entries, ConfigDelay: o.configDelay, FirstStart: o.firstStart, Events: o.events, EventInterval: o.interval, Bounds: bounds, Era: o.era,
 		Logs: func(vm string) io.Writer { return logOnFailure(t, vm) },
 	})
 	if err != nil {
@@ -113,6 +116,8 @@
 type request struct {
 	method, path, body, key, id string
 	header                      map[string]string
+	// chunked sends the body in chunks, without its length.
+	chunked bool
 }
 
 // response is the result of a request.
@@ -133,7 +138,11 @@
 	if a.id == "" {
 		a.id = "request-" + strconv.FormatInt(lastID.Add(1), 10)
 	}
-	req, err := http.NewRequest(a.method, "http://"+v.Addresses().Callers+a.path, strings.NewReader(a.body))
+	var body io.Reader = strings.NewReader(a.body)
+	if a.chunked {
+		body = io.MultiReader(body) // Its length is unknown.
+	}
+	req, err := http.NewRequest(a.method, "http://"+v.Addresses().Callers+a.path, body)
 	if err != nil {
 		s.t.Error(err)
 		return response{err: err}
@@ -152,8 +161,8 @@
 		return response{id: a.id, err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return response{id: a.id, status: resp.StatusCode, header: resp.Header, body: string(body), closes: resp.Close, err: err}
+	text, err := io.ReadAll(resp.Body)
+	return response{id: a.id, status: resp.StatusCode, header: resp.Header, body: string(text), closes: resp.Close, err: err}
 }
 
 func book() request {
