--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -47,6 +47,9 @@
 const logFlushTimeout = 200 * time.Millisecond
 
 func runEntry(settings, level string) error {
+	// Before anything that takes time: a signal that is not awaited ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	deployment, err := platform.LoadSettings(settings)
 	if err != nil {
 		return err
@@ -66,8 +69,6 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		for s := range signals {
 			log.Info("signal_received", zap.Stringer("signal", s))
