--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,9 +45,7 @@
 const logFlushTimeout = 200 * time.Millisecond
 
 func runEntry(settings, level string) error {
-	// Before anything that takes time: a signal that is not awaited ends the process.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := awaitSignals()
 	deployment, err := platform.LoadSettings(settings)
 	if err != nil {
 		return err
@@ -69,16 +65,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() {
-		for s := range signals {
-			log.Info("signal_received", zap.Stringer("signal", s))
-			if s == syscall.SIGHUP {
-				reload(log, settings, entry)
-				continue
-			}
-			cancel()
-		}
-	}()
+	go signals.handle(log, cancel, func() { reload(log, settings, entry) })
 	go watchSettings(ctx, log, settings, entry)
 	return entry.Run(ctx)
 }
