--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,8 @@
 
 // Main runs the command and exits with status 1 on an error.
 func Main() {
+	// Else a write to a log whose reader has gone ends the process, with all its requests.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := newCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "vanillaarchd:", err)
 		os.Exit(1)
