--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -126,7 +127,13 @@
 			// idle connection while the server closes it.
 			ec.Response().Header().Set("Connection", "close")
 		}
-		err := f.admit(c, name, h)
+		err := recovery.Call(func() error { return f.admit(c, name, h) })
+		if panicked, ok := errors.Into[*recovery.PanicError](err); ok {
+			c.log.Error("request_panicked", zap.Error(panicked), zap.ByteString("stack", panicked.Stack))
+			if ec.Response().Committed {
+				panic(http.ErrAbortHandler)
+			}
+		}
 		problem := asProblem(err)
 		if problem != nil {
 			problem.TraceID = telemetry.TraceID(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,11 +17,13 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/ratelimit/permit"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -154,7 +156,13 @@
 	defer g.drain.leave(c)
 	c.watchCaller()
 	defer c.caller.stop()
-	err := c.serve()
+	err := recovery.Call(c.serve)
+	if panicked, ok := errors.Into[*recovery.PanicError](err); ok {
+		c.log.Error("request_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
+		if c.status != 0 {
+			err = errAborted
+		}
+	}
 	if errors.Is(err, errAborted) {
 		c.recordCompletion(nil, "aborted")
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/recovery/recovery.go
@@ -0,0 +1,33 @@
+// Package recovery turns the panic of a request handler into an error, so that its caller gets
+// an answer. http.Server only closes the connection.
+package recovery
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+)
+
+// PanicError is the panic of a handler.
+type PanicError struct {
+	Value any
+	Stack []byte
+}
+
+func (e *PanicError) Error() string { return fmt.Sprintf("panic: %v", e.Value) }
+
+// Call calls f. If f panics, it returns a *PanicError, unless the panic is
+// http.ErrAbortHandler, which asks for the connection to be closed.
+func Call(f func() error) (err error) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		if value == http.ErrAbortHandler {
+			panic(value)
+		}
+		err = &PanicError{Value: value, Stack: debug.Stack()}
+	}()
+	return f()
+}
