--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,8 +173,9 @@
 	}
 	c.recordLostAnswer(p)
 	c.recordCompletion(p, "")
-	if c.status == 0 {
-		// http.Server would write an empty success.
+	if c.status == 0 || c.run != nil && c.run.abandoned {
+		// http.Server would write an empty success, or the end of a whole answer. A caller that
+		// has closed only its half of the connection would take it for one.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,8 +32,10 @@
 	// of its arrival.
 	lastEvent   int64
 	lastEventAt time.Duration
-	// headSent is set once the head of the response has been sent.
+	// headSent is set once the head of the response has been sent. abandoned is set if the
+	// response has ended after it, and before its end, since the caller has disconnected.
 	headSent       bool
+	abandoned      bool
 	excluded       []string
 	unsentAttempts int
 	// eventCount is the number of events of the response, firstEventAt the time of the
@@ -83,6 +85,7 @@
 	}
 	err := s.run()
 	if errors.Is(err, errResponded) {
+		s.abandoned = s.headSent
 		return nil
 	}
 	return err
