--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -77,9 +77,7 @@
 func (f *Frontend) readBody(c *call) ([]byte, error) {
 	limit := f.Config.Limits.BodyBytes
 	control := http.NewResponseController(c.Response())
-	if err := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())); err == nil {
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	}
+	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
 	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return nil, api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
@@ -92,6 +90,9 @@
 	if err != nil {
 		return nil, invalidRequest("the body could not be read").WithCause(err)
 	}
+	if limited {
+		_ = control.SetReadDeadline(time.Time{}) // Succeeds as the call before did.
+	}
 	return body, nil
 }
 
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
@@ -122,6 +123,11 @@
 			log: f.Log.With(zap.String("trace", telemetry.TraceID(ctx))),
 		}
 		f.counter.requests.Inc(1)
+		if hasBody(ec.Request()) {
+			if err := listen.LimitUnreadBody(ec.Response()); err != nil { // readBody sets its own limit.
+				c.log.Debug("read_deadline_failed", zap.Error(err))
+			}
+		}
 		if f.drain.draining() {
 			// Callers then connect to another VM, and none sends a request over an
 			// idle connection while the server closes it.
@@ -150,6 +156,8 @@
 	}
 }
 
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
+
 // admit registers the request for the drain, authenticates its caller and runs h.
 func (f *Frontend) admit(c *call, name string, h handler) error {
 	release, ok := f.drain.enter(name + " " + telemetry.TraceID(c.ctx))
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/httphead"
+	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -134,8 +135,8 @@
 		c.log.Debug("read_deadline_failed", telemetry.Error(err))
 	}
 	body, err := c.bufferBody(limited)
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		c.log.Debug("read_deadline_failed", telemetry.Error(err))
+	if err == nil {
+		c.clearReadDeadline(control)
 	}
 	if tooLarge, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
@@ -196,6 +197,24 @@
 	return nil, err
 }
 
+// clearReadDeadline ends the time limit for the body, which must not end the watch for the
+// caller's leaving.
+func (c *call) clearReadDeadline(control *http.ResponseController) {
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		c.log.Debug("read_deadline_failed", telemetry.Error(err))
+	}
+}
+
+// limitUnreadBody bounds the wait of the answer to a request whose body is not read.
+func (c *call) limitUnreadBody() {
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return
+	}
+	if err := listen.LimitUnreadBody(c.w); err != nil {
+		c.log.Debug("read_deadline_failed", telemetry.Error(err))
+	}
+}
+
 // expireRead ends the read of a body, so that a request of which the rest does not arrive
 // gets its answer.
 func (c *call) expireRead(control *http.ResponseController) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,6 +207,7 @@
 // serve admits the request and sends the response.
 func (c *call) serve() error {
 	if err := c.admit(); err != nil {
+		c.limitUnreadBody()
 		return err
 	}
 	if err := c.readBody(); err != nil {
