--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -140,7 +140,11 @@
 	for lastAccepted := time.Now(); time.Since(lastAccepted) < emptyBacklogPeriod && time.Now().Before(until); {
 		time.Sleep(backlogPollInterval)
 		for {
-			conn, err := acceptPending(raw.Control)
+			conn, err := acceptPending(raw.Control, until)
+			if isTemporary(err) {
+				lastAccepted = time.Now() // More may wait.
+				break
+			}
 			if err != nil {
 				return err
 			}
@@ -197,9 +201,16 @@
 	}
 }
 
+// isTemporary reports whether an error of accept says nothing about the next call, such as a
+// lack of descriptors.
+func isTemporary(err error) bool {
+	errno, ok := errors.Into[unix.Errno](err)
+	return ok && (errno.Temporary() || errno == unix.ECONNABORTED || errno == unix.ENOBUFS || errno == unix.ENOMEM)
+}
+
 // acceptPending accepts a queued connection without blocking. It returns nil if
 // the queue is empty.
-func acceptPending(control func(func(fd uintptr)) error) (*net.TCPConn, error) {
+func acceptPending(control func(func(fd uintptr)) error, until time.Time) (*net.TCPConn, error) {
 	accepted, acceptErr := -1, error(nil)
 	accept := func(fd uintptr) {
 		accepted, _, acceptErr = unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
@@ -216,6 +227,10 @@
 	file := os.NewFile(uintptr(accepted), "connection")
 	defer file.Close() // net.FileConn duplicates the descriptor.
 	conn, err := net.FileConn(file)
+	for isTemporary(err) && time.Now().Before(until) {
+		time.Sleep(backlogPollInterval)
+		conn, err = net.FileConn(file)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "accepted connection")
 	}
