--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,11 +17,13 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/ratelimit/permit"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -154,7 +156,13 @@
 	defer g.drain.leave(c)
 	c.watchCaller()
 	defer c.caller.stop()
-	err := c.serve()
+	err := recovery.Call(c.serve)
+	if panicked, ok := errors.Into[*recovery.PanicError](err); ok {
+		c.log.Error("request_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
+		if c.status != 0 {
+			err = errAborted
+		}
+	}
 	if errors.Is(err, errAborted) {
 		c.recordCompletion(nil, "aborted")
 		panic(http.ErrAbortHandler)
@@ -165,8 +173,9 @@
 	}
 	c.recordLostAnswer(p)
 	c.recordCompletion(p, "")
-	if c.status == 0 {
-		// http.Server would write an empty success.
+	if c.status == 0 || c.run != nil && c.run.abandoned {
+		// http.Server would write an empty success, or the end of a whole answer. A caller that
+		// has closed only its half of the connection would take it for one.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -198,6 +207,7 @@
 // serve admits the request and sends the response.
 func (c *call) serve() error {
 	if err := c.admit(); err != nil {
+		c.limitUnreadBody()
 		return err
 	}
 	if err := c.readBody(); err != nil {
