--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -120,7 +120,7 @@
 }
 
 // Conservative estimates of the time that requests take. They decide whether a request
-// ends before the VM stops.
+// ends before the VM stops. Those for streams are the least that is expected, see paceTable.
 const (
 	assumedFirstEventDelay = 1500 * time.Millisecond
 	assumedTokenInterval   = 16 * time.Millisecond
@@ -141,7 +141,7 @@
 		if c.info.MaxTokens <= 0 {
 			return unlimitedTime
 		}
-		return assumedFirstEventDelay + time.Duration(c.info.MaxTokens)*assumedTokenInterval
+		return c.g.pace.slowest(c.service.Name, boottime.Now()).timeFor(c.info.MaxTokens)
 	}
 	untilDeadline := c.remaining() + responseGrace
 	if c.route.Retryable() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	runs     *runTable
 	replaced replacedServers
 	drain    *drainState
+	pace     *paceTable
 	// requestBudget bounds the memory for bodies of requests, answerBudget that for answers.
 	requestBudget, answerBudget *membudget.Budget
 	// background tracks calls that outlive their request.
@@ -71,6 +72,7 @@
 		services:      newServiceBalancer(o.Zone),
 		runs:          newRunTable(),
 		drain:         newDrainState(),
+		pace:          newPaceTable(),
 		requestBudget: newRequestBudget(o.MemoryBytes),
 		answerBudget:  newAnswerBudget(o.MemoryBytes),
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -110,6 +110,7 @@
 	} else {
 		s.longestPause = max(s.longestPause, now-s.lastEventAt)
 	}
+	s.recordPace(seg, now)
 	if seg.fromCopy && s.lastEvent == seg.startEvent+1 {
 		s.log.Info("run_resumed", zap.String("backend", seg.vm.ID), zap.Duration("pause", now-s.lastEventAt), zap.Int64("event", s.lastEvent))
 	}
