--- a/frontend/failure.go
+++ b/frontend/failure.go
@@ -103,7 +103,7 @@
 		return notRunProblem(api.ProblemNoBackend, http.StatusServiceUnavailable, "no backend server is available", retryAfterPause(err), err)
 	}
 	if refused, ok := errors.Into[*quarantine.RefusedError](err); ok {
-		return quarantineProblem(refused, err)
+		return refused.Problem()
 	}
 	if provesNotStarted(err) {
 		return notRunProblem(api.ProblemBackendUnavailable, http.StatusServiceUnavailable, "the backend server refused the request", retryAfterBackend, err)
--- a/frontend/quarantine.go
+++ b/frontend/quarantine.go
@@ -1,20 +1,16 @@
 package frontend
 
 import (
-	"context"
-	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/quarantine"
-	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // minSuccessTokens is the number of tokens from which a generation counts as having
@@ -77,60 +73,7 @@
 // mayRepeat reports whether the request may be sent to another engine.
 func (r *relay) mayRepeat() bool { return !r.engineLost || r.f.Quarantine.MayRepeat(r.identity) }
 
-// crashCheckTimeout bounds the connection by which a VM tells a server that has crashed from
-// one that lost an answer. Zones are a few milliseconds apart.
-const crashCheckTimeout = 100 * time.Millisecond
-
-// serviceRun is what the quarantine learns of one call to a plain service.
-type serviceRun struct {
-	f        *Frontend
-	log      *zap.Logger
-	identity *quarantine.Request
-}
-
-func (f *Frontend) newServiceRun(log *zap.Logger, content quarantine.Content) *serviceRun {
-	return &serviceRun{f: f, log: log, identity: quarantine.NewRequest(uuid.NewString(), content)}
-}
-
-// check returns a *quarantine.RefusedError if the call must not be sent.
-func (s *serviceRun) check() error { return s.f.Quarantine.Check(s.identity) }
-
-// report tells the quarantine what became of an attempt. Any complete answer but one that
-// asks for a pause, and need not have run the call, shows that the server has survived it.
-func (s *serviceRun) report(vm vmlist.VM, started time.Duration, response *backend.ServiceResponse, err error) {
-	switch {
-	case err == nil && !response.Paused:
-		s.f.Quarantine.RunSucceeded(s.identity)
-	case backend.ConnectionLost(err):
-		s.log.Info("server_failed_run", zap.String("backend", vm.ID),
-			zap.String("content", strconv.FormatUint(uint64(s.identity.Whole), 16)), zap.Error(err))
-		s.f.Quarantine.RunFailed(s.identity, vm, started)
-	}
-}
-
-// mayRepeatAfter reports whether the call may be sent to another server after an attempt that
-// ended with err. A call that may have crashed its server is left to the caller. A server
-// that lost an answer still accepts connections.
-func (s *serviceRun) mayRepeatAfter(ctx context.Context, vm vmlist.VM, err error) bool {
-	if !backend.ConnectionLost(err) {
-		return true
-	}
-	if !s.f.Quarantine.MayRepeat(s.identity) {
-		s.log.Info("repeat_withheld", zap.String("backend", vm.ID), zap.String("reason", "other crashes"))
-		return false
-	}
-	if err := backend.CheckListening(ctx, backend.TargetOf(vm), crashCheckTimeout); err != nil {
-		s.log.Info("repeat_withheld", zap.String("backend", vm.ID), zap.String("reason", "server gone"), zap.Error(err))
-		return false
-	}
-	return true
-}
-
-// quarantineProblem returns the problem of a request that is in quarantine and has not run.
-func quarantineProblem(refused *quarantine.RefusedError, err error) *api.Problem {
-	kind, detail := api.ProblemPromptQuarantined, "requests with the same parts of the prompt have crashed engines"
-	if refused.Request {
-		kind, detail = api.ProblemRequestQuarantined, "the same request has crashed backend servers"
-	}
-	return notRunProblem(kind, http.StatusServiceUnavailable, detail, refused.RetryAfter, err)
+// newAttempts reports the attempts of a call to a plain service.
+func (f *Frontend) newAttempts(log *zap.Logger, content quarantine.Content) quarantine.Attempts {
+	return quarantine.Attempts{Guard: f.Quarantine, Request: quarantine.NewRequest(uuid.NewString(), content), Log: log}
 }
--- a/frontend/resend.go
+++ b/frontend/resend.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
@@ -23,8 +24,8 @@
 type callAttempts struct {
 	log           *zap.Logger
 	nonRepeatable bool
-	// run is what the quarantine learns of the attempts.
-	run *serviceRun
+	// quarantined reports the attempts to the quarantine.
+	quarantined quarantine.Attempts
 	// server, result, err and endedAt are those of the latest attempt. A server that could
 	// not be used is no attempt.
 	server, result string
--- a/frontend/resend_test.go
+++ b/frontend/resend_test.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	route := bundle.Route{Name: "book", Service: "desk", Path: "/", NonRepeatable: true}
 	for range 2 { // The rotation begins at another server each time.
-		attempts := &callAttempts{log: zap.New(core), nonRepeatable: true, run: r.newServiceRun(zap.New(core), quarantine.Content{})}
+		attempts := &callAttempts{log: zap.New(core), nonRepeatable: true, quarantined: r.newAttempts(zap.New(core), quarantine.Content{})}
 		if _, err := r.callFirstReachable(ctx, ctx, r.serviceRotation(route), backend.Call{Path: "/"}, attempts); err != nil {
 			t.Fatal(err)
 		}
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -56,12 +56,12 @@
 	f.budget.Attempt(c.identity.Organisation)
 	ctx, cancel := context.WithTimeout(c.ctx, route.Timeout())
 	defer cancel()
-	run := f.newServiceRun(c.log, c.content())
-	if err := run.check(); err != nil {
+	quarantined := f.newAttempts(c.log, c.content())
+	if err := quarantined.Guard.Check(quarantined.Request); err != nil {
 		return failureProblem(err)
 	}
 	servers := f.serviceRotation(route)
-	attempts := &callAttempts{log: c.log, run: run}
+	attempts := &callAttempts{log: c.log, quarantined: quarantined}
 	var failure error
 	for vm, ok := servers.next(ctx); ok; vm, ok = servers.next(ctx) {
 		if failure != nil && !f.budget.Take(c.identity.Organisation) {
@@ -80,7 +80,7 @@
 			continue
 		}
 		failure = decisiveError(failure, err)
-		if isQuarantined(err) || !run.mayRepeatAfter(ctx, vm, err) {
+		if isQuarantined(err) || !quarantined.MayRepeat(ctx, vm, err) {
 			break
 		}
 		if _, ok := errors.Into[*backend.ResponseTooLargeError](err); ok || ctx.Err() != nil {
@@ -124,7 +124,7 @@
 	// recorded.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), route.Timeout())
 	defer cancel()
-	attempts := &callAttempts{log: c.log, nonRepeatable: true, run: f.newServiceRun(c.log, c.content())}
+	attempts := &callAttempts{log: c.log, nonRepeatable: true, quarantined: f.newAttempts(c.log, c.content())}
 	response, err := f.callFirstReachable(ctx, c.ctx, servers, request, attempts)
 	if err != nil {
 		return f.atMostOnceProblem(held, route, err)
@@ -162,7 +162,7 @@
 func (f *Frontend) atMostOnceProblem(held *claim.Claim, route bundle.Route, err error) error {
 	if refused, ok := errors.Into[*quarantine.RefusedError](err); ok {
 		held.Abandon()
-		return quarantineProblem(refused, err)
+		return refused.Problem()
 	}
 	if _, ok := errors.Into[*backend.NotSentError](err); ok {
 		held.Abandon()
@@ -231,7 +231,7 @@
 				return err
 			}
 		}
-		if err := attempts.run.check(); err != nil {
+		if err := attempts.quarantined.Guard.Check(attempts.quarantined.Request); err != nil {
 			return err
 		}
 		err := call.begin()
@@ -242,7 +242,7 @@
 	}
 	started := boottime.Now()
 	response, err := f.Services.Do(ctx, target, request)
-	attempts.run.report(vm, started, response, err)
+	attempts.quarantined.Report(vm, started, err == nil && !response.Paused, err)
 	attempts.record(vm.ID, err)
 	call.finish(err == nil && !response.Paused)
 	return response, err
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -98,7 +98,7 @@
 			}
 			continue
 		}
-		if !c.retryAllowed(ctx) || !c.mayRepeatAfter(ctx, vm, err) || !c.takeRetry() {
+		if !c.retryAllowed(ctx) || !c.attempts().MayRepeat(ctx, vm, err) || !c.takeRetry() {
 			break
 		}
 	}
@@ -182,7 +182,7 @@
 		c.answerMemory().Release()
 		c.logMemory(vm.ID, err)
 	}
-	c.reportAttempt(vm, started, answer, err)
+	c.attempts().Report(vm, started, c.hasRun(answer), err)
 	result := c.plainResult(answer, err)
 	c.g.services.finish(vm.ID, result)
 	c.recordResult(vm.ID, plainError(vm.ID, answer, err))
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -85,7 +85,7 @@
 // notRun returns the problem of a request that no backend server has run.
 func (c *call) notRun(cause error) *api.Problem {
 	if refused, ok := errors.Into[*quarantine.RefusedError](cause); ok {
-		return quarantineProblem(refused)
+		return refused.Problem()
 	}
 	if stopping, ok := errors.Into[*api.Problem](c.checkStopping()); ok {
 		return stopping
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,30 +2,19 @@
 
 import (
 	"context"
-	"net/http"
-	"strconv"
-	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 
-	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/route"
-	"github.com/vanillaarch/vanillaarch/telemetry"
-	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // minSuccessEvents is the number of events from which a run counts as having written. The
 // first one may leave an engine that is about to crash.
 const minSuccessEvents = 2
 
-// crashCheckTimeout bounds the connection by which a VM tells a server that has crashed from
-// one that lost an answer. Zones are a few milliseconds apart.
-const crashCheckTimeout = 100 * time.Millisecond
-
 // content returns what identifies the request, and the parts of its prompt if it is a stream.
 func (c *call) content() quarantine.Content {
 	content := quarantine.Content{
@@ -106,35 +95,14 @@
 	return refused
 }
 
-// reportAttempt tells the quarantine what became of an attempt at a plain server. Any
-// complete answer shows that the server has survived the request.
-func (c *call) reportAttempt(vm vmlist.VM, started time.Duration, answer *plainResponse, err error) {
-	switch {
-	case err == nil && !answer.info.NotRun && !c.fromOtherServer(answer.status):
-		c.g.Quarantine.RunSucceeded(c.identity)
-	case backend.ConnectionLost(err):
-		c.logFailedRun(vm, err)
-		c.g.Quarantine.RunFailed(c.identity, vm, started)
-	}
+// attempts reports the attempts of the request at plain servers.
+func (c *call) attempts() quarantine.Attempts {
+	return quarantine.Attempts{Guard: c.g.Quarantine, Request: c.identity, Log: c.log}
 }
 
-// mayRepeatAfter reports whether the request may be sent to another server after an attempt
-// that ended with err. A request that may have crashed its server is left to the caller: a
-// repeat could take the next server from all callers a moment later. A server that lost an
-// answer still accepts connections.
-func (c *call) mayRepeatAfter(ctx context.Context, vm vmlist.VM, err error) bool {
-	if !backend.ConnectionLost(err) {
-		return true
-	}
-	if !c.g.Quarantine.MayRepeat(c.identity) {
-		c.log.Info("repeat_withheld", zap.String("backend", vm.ID), zap.String("reason", "other crashes"))
-		return false
-	}
-	if err := backend.CheckListening(ctx, backend.TargetOf(vm), crashCheckTimeout); err != nil {
-		c.log.Info("repeat_withheld", zap.String("backend", vm.ID), zap.String("reason", "server gone"), telemetry.Error(err))
-		return false
-	}
-	return true
+// hasRun reports whether a complete answer shows that its server has run the request.
+func (c *call) hasRun(answer *plainResponse) bool {
+	return answer != nil && !answer.info.NotRun && !c.fromOtherServer(answer.status)
 }
 
 // reportRunFailure reports a run whose engine broke the connection before it had written.
@@ -161,25 +129,3 @@
 	_, partial := errors.Into[*PartialEventError](err)
 	return partial || backend.ConnectionLost(err)
 }
-
-// quarantineProblem returns the problem of a request that is in quarantine and has not run.
-func quarantineProblem(refused *quarantine.RefusedError) *api.Problem {
-	kind, detail := api.ProblemPromptQuarantined, "requests with the same parts of the prompt have crashed engines"
-	if refused.Request {
-		kind, detail = api.ProblemRequestQuarantined, "the same request has crashed backend servers"
-	}
-	return api.NewProblem(kind, http.StatusServiceUnavailable, api.OutcomeNotRun, detail).
-		WithRetryAfter(refused.RetryAfter).WithCause(refused)
-}
-
-// logFailedRun logs a request whose server broke the connection. The content is the same for
-// each repeat of the request, whatever its id.
-func (c *call) logFailedRun(vm vmlist.VM, err error) {
-	c.log.Info("server_failed_run", zap.String("backend", vm.ID), zap.Duration("server_age", serverAge(vm)),
-		zap.String("organisation", c.organisationName()), c.contentField(), telemetry.Error(err))
-}
-
-// contentField returns the log field with the id of the whole request.
-func (c *call) contentField() zap.Field {
-	return zap.String("content", strconv.FormatUint(uint64(c.identity.Whole), 16))
-}
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -178,13 +178,13 @@
 	}
 	seg.ticket.Failed()
 	s.g.Metrics.runsFailedBeforeEvent.Inc(1)
-	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), zap.Duration("engine_age", serverAge(seg.vm)),
+	s.log.Info("engine_failed_run", zap.String("backend", seg.vm.ID), zap.Duration("engine_age", engineAge(seg.vm)),
 		zap.String("organisation", s.organisationName()), zap.Int("prompt_tokens", s.info.PromptTokens),
-		promptParts(s.info.Prefix), s.contentField(), telemetry.Error(err))
+		promptParts(s.info.Prefix), s.identity.Field(), telemetry.Error(err))
 }
 
-// serverAge returns the time since the start of a server, by the wall clock.
-func serverAge(vm vmlist.VM) time.Duration { return time.Since(time.UnixMilli(vm.Incarnation)) }
+// engineAge returns the time since the start of an engine, by the wall clock.
+func engineAge(vm vmlist.VM) time.Duration { return time.Since(time.UnixMilli(vm.Incarnation)) }
 
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 8
