--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -93,18 +93,23 @@
 // mustArchive reports whether the rules in the store are not those in force, and this
 // VM writes them.
 func (m *Manager) mustArchive(known archive) bool {
-	return m.Digest() != known.digest && rendezvous.Owner(ArchiveKey, m.opts.Loop.Snapshot().EntryVMs) == m.opts.VM
+	return m.archiveDigest.Load() != known.digest && rendezvous.Owner(ArchiveKey, m.opts.Loop.Snapshot().EntryVMs) == m.opts.VM
 }
 
 // writeArchive writes the rules in force. After a conflict, which another VM caused or
 // a write whose answer was lost, it adopts the stored rules and returns the conflict, so
 // that the next write has them too: while the writer changes, two VMs may write.
 func (m *Manager) writeArchive(ctx context.Context, store ArchiveStore, known *archive) error {
-	digest, rules := m.Digest(), m.view.Load().rules
+	digest := m.archiveDigest.Load()
+	var rules []Rule
+	for _, r := range m.view.Load().rules {
+		rules = append(rules, r.Rule)
+	}
+	rules = archived(rules)
 	stored := &peerpb.StoredRules{UnixMs: time.Now().UnixMilli()}
 	now := boottime.Now()
 	for _, r := range rules {
-		stored.Rules = append(stored.Rules, encodeRule(now, r.Rule))
+		stored.Rules = append(stored.Rules, encodeRule(now, r))
 	}
 	value, err := proto.Marshal(stored)
 	if err != nil {
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -37,6 +37,10 @@
 	sent []int
 	// checkAt is when each node asks to be checked, 0 if it does not.
 	checkAt []time.Duration
+	// views holds the view of each node, nil if it must be built again.
+	views []*View
+	// cut tells which nodes exchange no messages with the others.
+	cut []bool
 }
 
 type delivery struct {
@@ -61,7 +65,7 @@
 }
 
 func newFleet(size int, loss float64) *fleet {
-	f := &fleet{now: time.Hour, r: rand.New(rand.NewPCG(1, uint64(size))), loss: loss, sent: make([]int, size), checkAt: make([]time.Duration, size)}
+	f := &fleet{now: time.Hour, r: rand.New(rand.NewPCG(1, uint64(size))), loss: loss, sent: make([]int, size), checkAt: make([]time.Duration, size), views: make([]*View, size), cut: make([]bool, size)}
 	ids := make([]string, size)
 	index := map[string]int{}
 	for i := range ids {
@@ -84,6 +88,7 @@
 // perform sends what the effects of an event on a node ask for.
 func (f *fleet) perform(node, from int, e Effects) {
 	f.checkAt[node] = e.CheckAt
+	f.views[node] = nil
 	if !e.Send.Empty() {
 		for _, peer := range f.peers[node] {
 			if peer != from {
@@ -100,7 +105,7 @@
 	if !d.message.Empty() {
 		f.sent[d.from] += proto.Size(envelope(f.now, d.message))
 	}
-	if f.r.Float64() >= f.loss {
+	if f.r.Float64() >= f.loss && f.cut[d.from] == f.cut[d.to] {
 		d.at = f.now + fleetDelay
 		heap.Push(&f.queue, d)
 	}
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"github.com/vanillaarch/vanillaarch/internal/hash"
 	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/peer/peerpb"
-	"github.com/vanillaarch/vanillaarch/rendezvous"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -51,7 +49,7 @@
 	Log     *zap.Logger
 }
 
-// Manager quarantines prompts on one VM. Its node is owned by the control goroutine;
+// Manager quarantines requests on one VM. Its node is owned by the control goroutine;
 // requests read an immutable view.
 type Manager struct {
 	opts Options
@@ -59,16 +57,20 @@
 	view atomic.Pointer[View]
 	// digest identifies the rules in force, for heartbeats.
 	digest atomic.Uint64
-	// changed signals a new digest.
+	// changed signals a new digest of the archive.
 	changed chan struct{}
 	// checkAt is the time of the pending check, 0 if there is none.
 	checkAt time.Duration
+	// archiveDigest identifies the rules that the archive should hold.
+	archiveDigest atomic.Uint64
 	// probes holds the probes of the view, so that a later view has the same ones.
-	probes map[probeRoundID]*atomic.Bool
+	probes map[probe]*atomic.Bool
+	// refusedAt holds the time of the last refusal of each rule of the view, by its key.
+	refusedAt map[uint64]*atomic.Int64
 	// syncedAt holds when rules were last sent to a peer because its digest differed.
 	syncedAt map[string]time.Duration
 
-	failures, refusals, rules metrics.Counter
+	failures, refusals, rules, probesStarted metrics.Counter
 
 	waitingMu sync.Mutex
 	// waiting holds the requests that wait for an engine.
@@ -91,26 +93,32 @@
 		failures: metrics.GetOrRegisterCounter("quarantine.failures", o.Metrics),
 		refusals: metrics.GetOrRegisterCounter("quarantine.refusals", o.Metrics),
 		rules:    metrics.GetOrRegisterCounter("quarantine.rules", o.Metrics),
+
+		probesStarted: metrics.GetOrRegisterCounter("quarantine.probes", o.Metrics),
 	}
+	m.node.probeDelay = m.probeDelay
 	m.view.Store(&View{})
 	return m
 }
 
-// Check implements Guard.
-func (m *Manager) Check(p *Request) error {
-	probes := len(p.probes)
-	err := m.view.Load().check(boottime.Now(), p)
+// Check implements Guard. A request that becomes a probe waits until the peers are told.
+func (m *Manager) Check(r *Request) error {
+	before := len(r.probes)
+	err := m.view.Load().check(boottime.Now(), r)
+	for _, p := range r.probes[before:] {
+		if err == nil && !m.startProbe(p) {
+			err = &RefusedError{Request: p.onRequest, Suspected: p.onRequest && p.activations == 0, Parts: 1, RetryAfter: minCanaryInterval}
+		}
+	}
 	if err != nil {
+		r.probes = r.probes[:before]
 		m.refusals.Inc(1)
 	}
-	for _, started := range p.probes[probes:] {
-		m.opts.Log.Info("quarantine_probe", zap.Uint64("rule", started.key), zap.Int("activations", started.activations))
-	}
 	return err
 }
 
 // MayRepeat implements Guard.
-func (m *Manager) MayRepeat(p *Request) bool { return m.view.Load().mayRepeat(p) }
+func (m *Manager) MayRepeat(r *Request) bool { return m.view.Load().mayRepeat(r) }
 
 // Watch implements Guard.
 func (m *Manager) Watch(p *Request, refuse func(error)) (stop func()) {
@@ -127,7 +135,7 @@
 // refuseWaiting refuses the waiting requests that a rule matches.
 func (m *Manager) refuseWaiting(now time.Duration) {
 	view := m.view.Load()
-	if len(view.rules) == 0 {
+	if len(view.rules)+len(view.suspects) == 0 {
 		return
 	}
 	m.waitingMu.Lock()
@@ -140,22 +148,33 @@
 }
 
 // RunFailed implements Guard.
-func (m *Manager) RunFailed(p *Request, engine vmlist.VM, started time.Duration) {
-	if len(p.Parts) == 0 {
+func (m *Manager) RunFailed(r *Request, server vmlist.VM, started time.Duration) {
+	ids := r.ids()
+	if len(ids) == 0 {
 		return
 	}
 	m.failures.Inc(1)
-	f := Failure{Run: p.Run, Engine: uint32(hash.Pair(engine.ID, strconv.FormatInt(engine.Incarnation, 10))), Parts: p.Parts}
+	f := Failure{Run: r.Run, Engine: lifetime(server), Organisation: r.Organisation, Parts: ids}
+	r.crashed = append(r.crashed, f.Engine)
 	m.post("", func(now time.Duration) Effects { return m.node.RunFailed(now, f, started) })
 }
 
-// RunSucceeded implements Guard.
-func (m *Manager) RunSucceeded(p *Request) {
-	if len(p.Parts) == 0 {
+// lifetime identifies one lifetime of a server.
+func lifetime(server vmlist.VM) uint32 {
+	return uint32(hash.Pair(server.ID, strconv.FormatInt(server.Incarnation, 10)))
+}
+
+// RunSucceeded implements Guard. The success of a whole request that no failure and no rule
+// names is only recorded, since most requests are such.
+func (m *Manager) RunSucceeded(r *Request) {
+	if r.Whole != 0 {
+		m.node.recordRequest(boottime.Now(), r.Whole)
+	}
+	if len(r.Parts) == 0 && !m.view.Load().names(r.Whole) {
 		return
 	}
-	parts := p.Parts
-	m.post("", func(now time.Duration) Effects { return m.node.RunSucceeded(now, parts) })
+	ids := r.ids()
+	m.post("", func(now time.Duration) Effects { return m.node.RunSucceeded(now, ids) })
 }
 
 // Receive handles a message of a peer.
@@ -204,6 +223,7 @@
 // perform applies an event to the node and performs its effects. It runs on the control
 // goroutine.
 func (m *Manager) perform(from string, at time.Duration, apply func(now time.Duration) Effects) {
+	m.noteRefusals()
 	e := apply(at)
 	now := boottime.Now()
 	m.log(now, e)
@@ -216,19 +236,21 @@
 
 // publish stores a new view for the request path.
 func (m *Manager) publish(now time.Duration) {
-	vms := m.opts.Loop.Snapshot().EntryVMs
-	probes := map[probeRoundID]*atomic.Bool{}
-	m.view.Store(newView(m.node, now, func(r Rule) *atomic.Bool {
-		id := probeRoundID{rule: r.key(), activations: r.Activations, round: round(now, r)}
-		if rendezvous.Owner(id.String(), vms) != m.opts.VM {
+	probes := map[probe]*atomic.Bool{}
+	view := newView(m.node, now, func(r Rule) *atomic.Bool {
+		if now < m.node.probeAt(r) {
 			return nil
 		}
+		id := probeOf(r)
 		probes[id] = cmp.Or(m.probes[id], &atomic.Bool{})
 		return probes[id]
-	}))
+	})
+	m.recordRefusals(view)
+	m.view.Store(view)
 	m.probes = probes
 	m.refuseWaiting(now)
-	if digest := m.node.Digest(); m.digest.Swap(digest) != digest {
+	m.digest.Store(m.node.Digest())
+	if digest := digestOf(archived(m.node.Rules())); m.archiveDigest.Swap(digest) != digest {
 		select {
 		case m.changed <- struct{}{}:
 		default: // The archive has not handled the last signal yet.
@@ -241,17 +263,6 @@
 	}
 }
 
-// probeRoundID identifies the probe that one VM may start in a round.
-type probeRoundID struct {
-	rule        uint64
-	activations int
-	round       int64
-}
-
-func (id probeRoundID) String() string {
-	return fmt.Sprintf("%x/%d/%d", id.rule, id.activations, id.round)
-}
-
 // schedule posts a check at a time unless an earlier one is pending.
 func (m *Manager) schedule(now, at time.Duration) {
 	if at == 0 || m.checkAt != 0 && m.checkAt <= at {
@@ -293,12 +304,30 @@
 // log writes a line for each rule that has changed.
 func (m *Manager) log(now time.Duration, e Effects) {
 	m.rules.Inc(int64(len(e.Added)))
-	for name, rules := range map[string][]Rule{
-		"prompt_parts_quarantined": e.Added, "quarantine_renewed": e.Renewed, "quarantine_lifted": e.Removed,
-	} {
-		for _, r := range rules {
-			m.opts.Log.Warn(name, zap.Uint64("rule", r.key()), zap.Int("parts", len(r.Parts)), zap.Int("activations", r.Activations),
-				zap.Duration("since", now-r.Since), zap.Duration("probe_in", r.Until-now))
-		}
+	for _, r := range e.Added {
+		m.logRule(addedName(r), now, r)
+	}
+	for _, r := range e.Renewed {
+		m.logRule("quarantine_renewed", now, r)
+	}
+	for _, r := range e.Removed {
+		m.logRule("quarantine_lifted", now, r)
 	}
 }
+
+func addedName(r Rule) string {
+	switch {
+	case r.suspects():
+		return "request_suspected"
+	case r.onRequest():
+		return "request_quarantined"
+	default:
+		return "prompt_parts_quarantined"
+	}
+}
+
+func (m *Manager) logRule(name string, now time.Duration, r Rule) {
+	m.opts.Log.Warn(name, zap.Uint64("rule", r.key()), zap.Int("parts", len(r.Parts)), zap.Bool("request", r.onRequest()),
+		zap.Int("activations", r.Activations), zap.Int("probes_spent", r.Spent), zap.Uint32("organisation", r.Organisation),
+		zap.Duration("since", now-r.Since), zap.Duration("probe_in", r.Until-now))
+}
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -14,7 +14,12 @@
 	failures  []Failure
 	seen      *lru.Cache[failureKey, struct{}]
 	successes *lru.Cache[PartID, success]
-	rules     map[uint64]Rule
+	// requests holds the successes of whole requests apart, so that the ordinary ones push
+	// out no successes of parts. It may be used from any goroutine.
+	requests *lru.Cache[PartID, success]
+	rules    map[uint64]Rule
+	// probeDelay returns how long after the end of a rule this VM may start its probe.
+	probeDelay func(Rule) time.Duration
 	// named holds the parts that failures and rules name, nil if it must be built
 	// again.
 	named map[PartID]bool
@@ -41,7 +46,13 @@
 
 // NewNode returns a node without any knowledge.
 func NewNode() *Node {
-	return &Node{seen: newCache[failureKey, struct{}](maxSeenFailures), successes: newCache[PartID, success](maxSuccesses), rules: map[uint64]Rule{}}
+	return &Node{
+		seen:       newCache[failureKey, struct{}](maxSeenFailures),
+		successes:  newCache[PartID, success](maxSuccesses),
+		requests:   newCache[PartID, success](maxRequestSuccesses),
+		rules:      map[uint64]Rule{},
+		probeDelay: func(Rule) time.Duration { return 0 },
+	}
 }
 
 func newCache[K comparable, V any](size int) *lru.Cache[K, V] {
@@ -64,9 +75,6 @@
 	return e
 }
 
-// evidence returns the parts of a prompt that failures and successes name.
-func evidence(parts []PartID) []PartID { return parts[:min(len(parts), MaxParts)] }
-
 // Receive processes a message of a peer.
 func (n *Node) Receive(now time.Duration, m Message) Effects {
 	var e Effects
@@ -78,7 +86,7 @@
 		n.applySuccesses(&e)
 	}
 	for _, f := range m.Failures[:min(len(m.Failures), maxMessageItems)] {
-		if len(f.Parts) > 0 && len(f.Parts) <= MaxParts {
+		if len(f.Parts) > 0 && len(f.Parts) <= MaxParts && slices.IsSorted(f.Parts) {
 			n.addFailure(now, f, &e)
 		}
 	}
@@ -106,13 +114,13 @@
 	n.seen.Add(key, struct{}{})
 	e.Send.Failures = append(e.Send.Failures, f)
 	for _, part := range f.Parts {
-		if p, known := n.successes.Peek(part); known {
+		if p, known := n.table(part).Peek(part); known {
 			n.announce(part, &p, e)
-			n.successes.Add(part, p)
+			n.table(part).Add(part, p)
 		}
 	}
 	if len(n.failures) == maxFailures {
-		n.failures = n.failures[1:]
+		n.dropFailure()
 	}
 	n.failures = append(n.failures, f)
 	n.invalidate()
@@ -123,7 +131,23 @@
 // invalidate marks what is derived from the failures and the rules as out of date.
 func (n *Node) invalidate() { n.named, n.stale = nil, true }
 
-// check drops what is too old and quarantines the parts that are due.
+// dropFailure drops the oldest failure of the organisation that has most, so that one that
+// varies its requests pushes out no others.
+func (n *Node) dropFailure() {
+	counts := map[uint32]int{}
+	for _, f := range n.failures {
+		counts[f.Organisation]++
+	}
+	victim := 0
+	for i, f := range n.failures {
+		if counts[f.Organisation] > counts[n.failures[victim].Organisation] {
+			victim = i
+		}
+	}
+	n.failures = slices.Delete(n.failures, victim, victim+1)
+}
+
+// check drops what is too old and quarantines what is due.
 func (n *Node) check(now time.Duration, e *Effects) {
 	n.expire(now, e)
 	if n.stale || n.dueAt != 0 && n.dueAt <= now {
@@ -131,20 +155,26 @@
 	}
 	e.CheckAt = n.dueAt
 	for _, r := range n.rules {
-		e.CheckAt = earliest(e.CheckAt, nextRound(now, r))
+		e.CheckAt = earliest(e.CheckAt, r.expiresAt()+1)
+		if at := n.probeAt(r); r.hasProbe() && at > now {
+			e.CheckAt = earliest(e.CheckAt, at)
+		}
 	}
 }
 
+// probeAt returns the time from which this VM may start a probe of a rule.
+func (n *Node) probeAt(r Rule) time.Duration { return r.Until + n.probeDelay(r) }
+
 // expire drops what is too old.
 func (n *Node) expire(now time.Duration, e *Effects) {
-	// Failures are about in the order of time, so that the first one is the oldest.
-	for len(n.failures) > 0 && now-n.failures[0].At > evidenceLifetime {
-		n.failures = n.failures[1:]
+	before := len(n.failures)
+	n.failures = slices.DeleteFunc(n.failures, func(f Failure) bool { return now-f.At > f.lifetime() })
+	if len(n.failures) < before {
 		n.invalidate()
 		e.Changed = true
 	}
 	for key, r := range n.rules {
-		if now > r.Until+ruleRetention {
+		if now > r.expiresAt() {
 			delete(n.rules, key)
 			n.invalidate()
 			e.Removed = append(e.Removed, r)
@@ -152,3 +182,11 @@
 		}
 	}
 }
+
+// lifetime is how long the failure, which names at least one part, is taken into account.
+func (f Failure) lifetime() time.Duration {
+	if f.Parts[len(f.Parts)-1].IsWhole() {
+		return requestLifetime
+	}
+	return evidenceLifetime
+}
--- a/quarantine/node_rules.go
+++ b/quarantine/node_rules.go
@@ -16,38 +16,70 @@
 	return out
 }
 
+// versionShift keeps versions apart from activations in the digest.
+const versionShift = 16
+
 // Digest identifies the rules in force. It is 0 if there are none.
-func (n *Node) Digest() uint64 {
+func (n *Node) Digest() uint64 { return digestOf(n.Rules()) }
+
+func digestOf(rules []Rule) uint64 {
 	var digest uint64
-	for key, r := range n.rules {
-		digest ^= key * uint64(2*r.Activations+1)
+	for _, r := range rules {
+		digest ^= r.key() * uint64(2*(r.Activations+r.Version<<versionShift)+1)
 	}
 	return digest
 }
 
-// applyProbeFailure renews the rules whose probe has crashed an engine.
+// StartProbe records that a request of this VM is the probe of a rule, and tells the peers.
+// It reports false if the request must not be sent, since the rule is not as it was.
+func (n *Node) StartProbe(now time.Duration, id probe) (Effects, bool) {
+	var e Effects
+	r, held := n.rules[id.key]
+	held = held && r.Activations == id.activations && r.Version == id.version && r.hasProbe() && now >= n.probeAt(r)
+	if held {
+		n.change(r.probeStarted(now), &e)
+	}
+	n.check(now, &e)
+	return e, held
+}
+
+// Refused records the last refusal of a rule, which is kept as long as it refuses requests.
+func (n *Node) Refused(key uint64, at time.Duration) {
+	if r, held := n.rules[key]; held {
+		r.Used = max(r.Used, at)
+		n.rules[key] = r
+	}
+}
+
+// change stores a changed rule and sends it.
+func (n *Node) change(r Rule, e *Effects) {
+	n.rules[r.key()] = r
+	e.Renewed = append(e.Renewed, r)
+	e.Send.Rules = append(e.Send.Rules, r)
+	e.Changed = true
+}
+
+// applyProbeFailure renews the rules whose probe has crashed a server.
 func (n *Node) applyProbeFailure(now time.Duration, f Failure, e *Effects) {
-	for key, r := range n.rules {
-		if f.At < r.Until || !r.matches(f.Parts) {
-			continue
+	for _, r := range n.rules {
+		ofProbe := f.At >= r.Until || r.Started != 0 && f.At >= r.Started
+		if ofProbe && r.matches(f.Parts) {
+			n.change(r.probeFailed(now), e)
 		}
-		r.Activations++
-		r.Until = now + quarantineDuration(r.Activations)
-		n.rules[key] = r
-		e.Renewed = append(e.Renewed, r)
-		e.Send.Rules = append(e.Send.Rules, r)
-		e.Changed = true
 	}
 }
 
+// archived returns the rules that outlive a fleet that stops: not mere suspicions.
+func archived(rules []Rule) []Rule { return slices.DeleteFunc(rules, Rule.suspects) }
+
 // receiveRule adopts the rule of a peer if it is newer. If a part has succeeded since, it
 // answers with the success.
 func (n *Node) receiveRule(now time.Duration, r Rule, e *Effects) {
-	if len(r.Parts) == 0 || len(r.Parts) > MaxParts || !slices.IsSorted(r.Parts) || now > r.Until+ruleRetention {
+	if len(r.Parts) == 0 || len(r.Parts) > MaxParts || !slices.IsSorted(r.Parts) || now > r.expiresAt() {
 		return
 	}
 	for _, part := range r.Parts {
-		if p, _ := n.successes.Peek(part); n.succeededAfter(part, r.Since) {
+		if p, _ := n.table(part).Peek(part); n.succeededAfter(part, r.Since) {
 			e.Reply.Successes = append(e.Reply.Successes, Success{Part: part, At: p.at})
 		}
 	}
@@ -56,54 +88,90 @@
 	}
 	known, held := n.rules[r.key()]
 	if held && !r.supersedes(known) {
+		n.Refused(r.key(), r.Used)
+		return
+	}
+	if held {
+		r.Spent, r.Used = max(r.Spent, known.Spent), max(r.Used, known.Used)
+	}
+	if held && known.suspects() == r.suspects() {
+		n.change(r, e)
+		return
+	}
+	n.addRule(r, e)
+}
+
+// addRule adds a rule and sends it.
+func (n *Node) addRule(r Rule, e *Effects) {
+	if !n.putRule(r) {
 		return
 	}
-	n.putRule(r)
 	e.Added = append(e.Added, r)
 	e.Send.Rules = append(e.Send.Rules, r)
 	e.Changed = true
 }
 
-// putRule adds a rule. If there are too many, the one whose probe is due first
-// makes room.
-func (n *Node) putRule(r Rule) {
+// putRule stores a rule and reports whether it holds. If there are too many, one of the
+// organisation with most rules makes room: a suspicion rather than a quarantine, then the
+// one that has not been used for longest.
+func (n *Node) putRule(r Rule) bool {
 	n.invalidate()
 	n.rules[r.key()] = r
 	if len(n.rules) <= maxRules {
-		return
+		return true
 	}
-	all := n.Rules()
-	first := slices.MinFunc(all, func(a, b Rule) int { return cmp.Compare(a.Until, b.Until) })
-	delete(n.rules, first.key())
+	victim := n.ruleToDrop()
+	delete(n.rules, victim)
+	return victim != r.key()
 }
 
-// addDueRules adds the rules that the failures require.
-func (n *Node) addDueRules(now time.Duration, e *Effects) {
-	var due []diagnosis
-	due, n.dueAt = n.diagnose(now)
-	n.stale = false
-	for _, d := range due {
-		r := Rule{Parts: d.parts, Since: d.since, Until: now + quarantineDuration(1), Activations: 1}
-		if _, held := n.rules[r.key()]; held {
-			continue
+// ruleToDrop returns the key of the rule that makes room for others.
+func (n *Node) ruleToDrop() uint64 {
+	counts := map[uint32]int{}
+	for _, r := range n.rules {
+		counts[r.Organisation]++
+	}
+	var victim uint64
+	for key, r := range n.rules {
+		v, some := n.rules[victim]
+		before := cmp.Or(
+			cmp.Compare(counts[v.Organisation], counts[r.Organisation]),
+			compareBool(v.suspects(), r.suspects()),
+			cmp.Compare(r.Used, v.Used),
+			cmp.Compare(key, victim),
+		)
+		if !some || before < 0 {
+			victim = key
 		}
-		n.putRule(r)
-		e.Added = append(e.Added, r)
-		e.Send.Rules = append(e.Send.Rules, r)
-		e.Changed = true
 	}
+	return victim
 }
 
-// nextRound returns the time at which the state of a rule changes by itself.
-func nextRound(now time.Duration, r Rule) time.Duration {
-	if now < r.Until {
-		return r.Until
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if b {
+		return -1
 	}
-	return r.Until + probeRound*time.Duration(round(now, r)+1)
+	return 1
 }
 
-// round returns the number of the probe round of an expired rule.
-func round(now time.Duration, r Rule) int64 { return int64((now - r.Until) / probeRound) }
+// addDueRules adds the rules that the failures require.
+func (n *Node) addDueRules(now time.Duration, e *Effects) {
+	crashes := crashesOf(n.failures)
+	requestsDueAt := n.addDueRequests(now, crashes, e)
+	due, partsDueAt := n.diagnose(now, crashes)
+	n.dueAt = earliest(requestsDueAt, partsDueAt)
+	n.stale = false
+	for _, d := range due {
+		r := Rule{Parts: d.parts, Since: d.since, Until: now + quarantineDuration(1), Activations: 1, Organisation: d.organisation, Used: now}
+		if _, held := n.rules[r.key()]; !held {
+			n.addRule(r, e)
+		}
+	}
+}
 
 // earliest returns the earlier of two times, of which 0 means never.
 func earliest(a, b time.Duration) time.Duration {
--- a/quarantine/node_successes.go
+++ b/quarantine/node_successes.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // success is the last known success of a part.
@@ -13,18 +15,26 @@
 	announcedAt time.Duration
 }
 
-// RunSucceeded records that a run of this VM has written.
+// table returns the successes of the kind of an id.
+func (n *Node) table(id PartID) *lru.Cache[PartID, success] {
+	if id.IsWhole() {
+		return n.requests
+	}
+	return n.successes
+}
+
+// RunSucceeded records that a run of this VM has written or was answered.
 func (n *Node) RunSucceeded(now time.Duration, parts []PartID) Effects {
 	var e Effects
 	changed := false
 	for _, part := range evidence(parts) {
-		p, _ := n.successes.Get(part)
+		p, _ := n.table(part).Get(part)
 		p.at = now
 		if n.isNamed(part) {
 			changed = true
 			n.announce(part, &p, &e)
 		}
-		n.successes.Add(part, p)
+		n.table(part).Add(part, p)
 	}
 	if changed {
 		n.applySuccesses(&e)
@@ -33,9 +43,17 @@
 	return e
 }
 
+// recordRequest records that a whole request was answered. It may be called from any
+// goroutine.
+func (n *Node) recordRequest(now time.Duration, id PartID) {
+	p, _ := n.requests.Get(id)
+	p.at = max(p.at, now)
+	n.requests.Add(id, p)
+}
+
 // succeededAfter reports whether a run with a part succeeded at or after a time.
 func (n *Node) succeededAfter(part PartID, at time.Duration) bool {
-	p, known := n.successes.Peek(part)
+	p, known := n.table(part).Peek(part)
 	return known && p.at >= at
 }
 
@@ -71,14 +89,14 @@
 // receiveSuccess records the success of a peer and forwards it unless a recent one is
 // known. It reports whether the success may change a rule.
 func (n *Node) receiveSuccess(in Success, e *Effects) bool {
-	p, _ := n.successes.Get(in.Part)
+	p, _ := n.table(in.Part).Get(in.Part)
 	later := in.At > p.at
 	p.at = max(p.at, in.At)
 	if p.announcedAt == 0 || in.At >= p.announcedAt+announceInterval {
 		p.announcedAt = in.At
 		e.Send.Successes = append(e.Send.Successes, in)
 	}
-	n.successes.Add(in.Part, p)
+	n.table(in.Part).Add(in.Part, p)
 	return later && n.isNamed(in.Part)
 }
 
@@ -101,7 +119,8 @@
 			continue
 		}
 		r.Parts = left
-		n.putRule(r)
+		r.Version++
+		n.rules[r.key()] = r
 		e.Renewed = append(e.Renewed, r)
 	}
 }
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -28,7 +28,7 @@
 // crash lets an engine crash under one run per prompt.
 func (w *world) crash(engine string, prompts ...*Request) {
 	for _, p := range prompts {
-		w.n.RunFailed(w.now, Failure{Run: p.Run, Engine: uint32(hash.Pair(engine, "")), Parts: p.Parts}, w.now-time.Second)
+		w.n.RunFailed(w.now, Failure{Run: p.Run, Engine: uint32(hash.Pair(engine, "")), Organisation: p.Organisation, Parts: p.ids()}, w.now-time.Second)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,21 +1,19 @@
-// Package quarantine finds the parts of prompts that crash engines and refuses the
-// requests that hold them.
+// Package quarantine finds the requests, and the parts of prompts, that crash backend
+// servers, and refuses them.
 //
-// An engine that crashes takes all its runs with it, and a single VM sees only some of
-// them. VMs therefore tell each other which runs failed before they had written
-// anything (failures), and which parts were in runs that wrote (successes). A rule
-// quarantines a part after several crashes without a success. When it expires, a single
-// request probes it, so that a wrong rule ends and a right one costs one crash.
+// A server that crashes takes all its runs with it, and a single VM sees only some of
+// them. VMs therefore tell each other which runs failed before they had answered
+// (failures), and which requests and parts have succeeded (successes). A rule quarantines
+// a part or a whole request after several crashes without a success. When it expires, a
+// single request probes it, so that a wrong rule ends and a right one costs one crash. A
+// whole request is refused, but for such probes, from the second crash on.
 //
 // Node holds the decisions of one VM and is deterministic. Manager connects it to the
 // control loop, the peers and the request path.
 package quarantine
 
 import (
-	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Limits of what a VM keeps and sends.
@@ -24,11 +22,13 @@
 	// choose how many there are. Of a longer prompt, all VMs use those with the lowest ids.
 	MaxParts = 128
 	// maxFailures bounds the failures that a VM keeps.
-	maxFailures = 256
+	maxFailures = 512
 	// maxSeenFailures bounds the failures that a VM recognises as known.
 	maxSeenFailures = 2048
 	// maxSuccesses bounds the parts whose last success a VM remembers.
 	maxSuccesses = 8192
+	// maxRequestSuccesses bounds the whole requests whose last success a VM remembers.
+	maxRequestSuccesses = 8192
 	// maxRules bounds the rules in force.
 	maxRules = 64
 	// maxMessageItems bounds the failures, the successes and the rules that are taken
@@ -48,8 +48,12 @@
 	// minEngines is the number of different engines that must have crashed: an engine
 	// that resets its runs is at fault itself.
 	minEngines = 2
-	// suspectCrashes is the number of crashes after which a failed run is not repeated.
+	// suspectCrashes is the number of crashes after which a failed run is not repeated, and
+	// after which a whole request is refused but for probes.
 	suspectCrashes = 2
+	// minMoments is the number of crashes that must be crashInterval apart before a whole
+	// request is quarantined: a zone that is lost is one moment.
+	minMoments = 2
 	// crashInterval separates crashes that count as different ones. Engines that share a
 	// zone or a network fail together, and many innocent runs with them.
 	crashInterval = 250 * time.Millisecond
@@ -59,100 +63,63 @@
 	// announceInterval is the minimum time between two announcements of successes of the
 	// same part.
 	announceInterval = time.Second
-	// evidenceLifetime is how long failures and successes are taken into account.
+	// evidenceLifetime is how long failures and successes of parts are taken into account,
+	// and how long successes of whole requests raise the number of crashes that a rule
+	// needs.
 	evidenceLifetime = 10 * time.Minute
+	// requestLifetime is how long failures of whole requests are taken into account, and how
+	// long a rule on one is kept after its last refusal or change. A caller may come back
+	// with a request all day.
+	requestLifetime = 24 * time.Hour
 	// initialDuration is the time from a rule to its first probe. Each failed probe
 	// multiplies it by durationFactor, up to maxDuration, since a probe costs an engine.
 	initialDuration = time.Minute
 	durationFactor  = 4
 	maxDuration     = time.Hour
-	// probeRound is how long one VM may start the probe of an expired rule before another
-	// VM may.
+	// probeRound is the time after a probe of a rule on parts at which another one may
+	// start if there is no result.
 	probeRound = 10 * time.Second
+	// probeWindow is the time over which the VMs may one after the other start a probe, so
+	// that mostly one does, and a request that reaches only one VM waits no longer.
+	probeWindow = 2 * time.Second
+	// canaryDelay is the time from the suspicion of a request to its first probe. Servers
+	// that have crashed take about a second to return.
+	canaryDelay = 500 * time.Millisecond
+	// minCanaryInterval is the time between two probes of a suspected request without a
+	// result. It doubles up to maxCanaryInterval.
+	minCanaryInterval = 5 * time.Second
+	maxCanaryInterval = time.Minute
+	// maxProbes is the number of probes of a whole request that crash servers, or of one
+	// that is quarantined, since the operator allows three.
+	maxProbes = 3
 	// ruleRetention is how long an expired rule is kept while no probe decides it.
 	ruleRetention = 10 * time.Minute
 )
 
-// PartID identifies a part of prompts for the engines of one pool.
+// PartID identifies a part of prompts for the engines of one pool, or a whole request.
 type PartID uint64
 
-// Failure is a run whose engine broke the connection before the run had written.
+// Failure is a run whose server broke the connection before the run had answered.
 type Failure struct {
 	Run uint32
-	// Engine identifies one lifetime of an engine.
+	// Engine identifies one lifetime of a backend server.
 	Engine uint32
+	// Organisation is a hash of the caller's organisation.
+	Organisation uint32
 	// At is the time of the failure, on the clock of the VM that holds it.
 	At time.Duration
-	// Parts are the parts of the prompt that did not succeed in another run meanwhile.
+	// Parts are the parts of the prompt and the whole request, in ascending order, less those
+	// that succeeded in another run meanwhile.
 	Parts []PartID
 }
 
-// Success states that a run with a part wrote and did not crash its engine.
+// Success states that a run with a part wrote and did not crash its engine, or that a whole
+// request was answered.
 type Success struct {
 	Part PartID
 	At   time.Duration
 }
 
-// Rule quarantines the requests that hold all of its parts. It has several parts if
-// all failed runs held all of them, so that nothing tells the parts apart.
-type Rule struct {
-	// Parts are in ascending order.
-	Parts []PartID
-	// Since is the time of the first crash that led to the rule, Until the time from
-	// which a probe is allowed.
-	Since, Until time.Duration
-	// Activations is 1 plus the number of failed probes.
-	Activations int
-}
-
-// key identifies the parts of a rule.
-func (r Rule) key() uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, part := range r.Parts {
-		_, _ = d.Write(appendPart(nil, part))
-	}
-	return d.Sum64()
-}
-
-func appendPart(b []byte, part PartID) []byte {
-	for shift := 0; shift < 64; shift += 8 {
-		b = append(b, byte(part>>shift))
-	}
-	return b
-}
-
-// matches reports whether a prompt holds all parts of the rule. Both lists are in
-// ascending order.
-func (r Rule) matches(parts []PartID) bool {
-	for _, part := range r.Parts {
-		if _, found := slices.BinarySearch(parts, part); !found {
-			return false
-		}
-	}
-	return true
-}
-
-// supersedes reports whether a rule replaces another one on the same parts.
-func (r Rule) supersedes(other Rule) bool {
-	if r.Activations != other.Activations {
-		return r.Activations > other.Activations
-	}
-	return r.Until > other.Until+untilTolerance
-}
-
-// untilTolerance is the difference between the ends of a rule on two VMs that is ignored.
-const untilTolerance = 2 * time.Second
-
-// quarantineDuration returns the time from an activation of a rule to its probe.
-func quarantineDuration(activations int) time.Duration {
-	d := initialDuration
-	for i := 1; i < activations && d < maxDuration; i++ {
-		d *= durationFactor
-	}
-	return min(d, maxDuration)
-}
-
 // Message carries items between VMs. All times are on the clock of the VM that holds it.
 type Message struct {
 	Failures  []Failure
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -37,6 +37,25 @@
 	// Parts are the distinct parts that other requests may share, in ascending order.
 	Parts  []PartID
 	probes []probe
+	// crashed lists the servers that have crashed under the request.
+	crashed []uint32
+}
+
+// ids returns the parts and the whole request, in ascending order.
+func (r *Request) ids() []PartID {
+	if r.Whole == 0 {
+		return r.Parts
+	}
+	return append(slices.Clip(r.Parts), r.Whole)
+}
+
+// evidence returns what failures and successes name of a request.
+func evidence(ids []PartID) []PartID {
+	n := len(ids)
+	if n == 0 || !ids[n-1].IsWhole() {
+		return ids[:min(n, MaxParts)]
+	}
+	return append(slices.Clip(ids[:min(n, MaxParts)-1]), ids[n-1])
 }
 
 // NewRequest returns the request with an id.
--- /dev/null
+++ b/quarantine/rule.go
@@ -0,0 +1,154 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rule quarantines the requests that hold all of its parts. It has several parts if
+// all failed runs held all of them, so that nothing tells the parts apart. A rule on a
+// whole request names only this.
+type Rule struct {
+	// Parts are in ascending order.
+	Parts []PartID
+	// Since is the time of the first crash that led to the rule, Until the time from
+	// which a probe is allowed.
+	Since, Until time.Duration
+	// Activations is 1 plus the number of failed probes, 0 if a whole request is only
+	// suspected.
+	Activations int
+	// Organisation is that of all failures that led to the rule, 0 if there are several.
+	Organisation uint32
+	// Version increases with each change.
+	Version int
+	// Spent is the number of probes of a whole request that count against maxProbes.
+	Spent int
+	// Started is the start of the last probe while its result is unknown, 0 otherwise.
+	Started time.Duration
+	// Used is the time of the last refusal or change.
+	Used time.Duration
+}
+
+// key identifies the parts of a rule.
+func (r Rule) key() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range r.Parts {
+		_, _ = d.Write(appendPart(nil, part))
+	}
+	return d.Sum64()
+}
+
+func appendPart(b []byte, part PartID) []byte {
+	for shift := 0; shift < 64; shift += 8 {
+		b = append(b, byte(part>>shift))
+	}
+	return b
+}
+
+// matches reports whether a request holds all parts of the rule. Both lists are in
+// ascending order.
+func (r Rule) matches(parts []PartID) bool {
+	for _, part := range r.Parts {
+		if _, found := slices.BinarySearch(parts, part); !found {
+			return false
+		}
+	}
+	return true
+}
+
+// onRequest reports whether the rule names a whole request.
+func (r Rule) onRequest() bool { return len(r.Parts) == 1 && r.Parts[0].IsWhole() }
+
+// suspects reports whether the rule names a whole request that is not yet quarantined.
+func (r Rule) suspects() bool { return r.onRequest() && r.Activations == 0 }
+
+// supersedes reports whether a rule replaces another one on the same parts.
+func (r Rule) supersedes(other Rule) bool {
+	if r.Activations != other.Activations {
+		return r.Activations > other.Activations
+	}
+	if r.Version != other.Version {
+		return r.Version > other.Version
+	}
+	return r.Until > other.Until+untilTolerance
+}
+
+// untilTolerance is the difference between the ends of a rule on two VMs that is ignored.
+const untilTolerance = 2 * time.Second
+
+// expiresAt returns the time at which the rule is dropped unless it is used before.
+func (r Rule) expiresAt() time.Duration {
+	if r.onRequest() {
+		return r.Used + requestLifetime
+	}
+	return r.Until + ruleRetention
+}
+
+// hasProbe reports whether the rule will still be probed. The probes of a whole request
+// are bounded for good, since each may cost a server.
+func (r Rule) hasProbe() bool { return !r.onRequest() || r.Spent < maxProbes }
+
+// probeStarted returns the rule after the start of a probe.
+func (r Rule) probeStarted(now time.Duration) Rule {
+	r.Version++
+	r.Started, r.Used = now, now
+	switch {
+	case !r.onRequest():
+		r.Until = now + probeRound
+	case r.suspects():
+		r.Until = now + canaryInterval(r.Version)
+	default:
+		r.Spent++
+		r.Until = now + maxDuration
+	}
+	return r
+}
+
+// probeFailed returns the rule after a probe has crashed a server.
+func (r Rule) probeFailed(now time.Duration) Rule {
+	r.Version++
+	r.Started, r.Used = 0, now
+	if r.suspects() {
+		r.Spent++
+		r.Until = now + minCanaryInterval
+		return r
+	}
+	r.Activations++
+	r.Until = now + quarantineDuration(r.Activations)
+	if r.onRequest() {
+		r.Until = now + maxDuration
+	}
+	return r
+}
+
+// quarantined returns the rule on a suspected request that crashes servers for certain.
+func (r Rule) quarantined(now time.Duration) Rule {
+	r.Version++
+	r.Activations = 1
+	r.Spent = max(r.Spent, 1)
+	r.Started = 0
+	r.Until = now + initialDuration
+	return r
+}
+
+// quarantineDuration returns the time from an activation of a rule on parts to its probe.
+func quarantineDuration(activations int) time.Duration {
+	d := initialDuration
+	for i := 1; i < activations && d < maxDuration; i++ {
+		d *= durationFactor
+	}
+	return min(d, maxDuration)
+}
+
+// canaryInterval returns the time from a probe of a suspected request, after which the
+// rule has a version, to the next one.
+func canaryInterval(version int) time.Duration {
+	d := minCanaryInterval
+	for i := 1; i < version && d < maxCanaryInterval; i++ {
+		d *= 2
+	}
+	return min(d, maxCanaryInterval)
+}
--- /dev/null
+++ b/quarantine/suspects.go
@@ -0,0 +1,101 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// suspectedRequests returns the suspicions against whole requests that crashes of several
+// servers support. A request that was never answered explains the crashes for those that
+// share them and were answered before, or were in fewer of them: a request that is often
+// in flight is in flight at nearly every crash.
+func (n *Node) suspectedRequests(now time.Duration, crashes []crash) (out []*suspicion) {
+	all := slices.SortedFunc(maps.Values(n.suspicions(now, crashes, nil, PartID.IsWhole)), (*suspicion).compare)
+	explained := map[crash]bool{}
+	chosen := map[uint64]bool{}
+	for _, s := range all {
+		if s.engines() < suspectCrashes {
+			continue
+		}
+		id := s.crashSet()
+		if !chosen[id] {
+			maps.DeleteFunc(s.crashes, func(c crash, _ bool) bool { return explained[c] })
+			if s.engines() < suspectCrashes {
+				continue
+			}
+		}
+		chosen[id] = true
+		maps.Copy(explained, s.crashes)
+		out = append(out, s)
+	}
+	return out
+}
+
+// crashSet identifies the crashes of a suspicion: nothing tells two requests with the same
+// ones apart.
+func (s *suspicion) crashSet() uint64 {
+	var id uint64
+	for c := range s.crashes {
+		id += xxhash.Sum64(appendPart(appendPart(nil, PartID(c.engine)), PartID(c.at)))
+	}
+	if s.succeeded {
+		return ^id
+	}
+	return id
+}
+
+// firstCrashes returns the time of the first crash of each server, in ascending order.
+func (s *suspicion) firstCrashes() []time.Duration {
+	first := map[uint32]time.Duration{}
+	for c := range s.crashes {
+		if at, known := first[c.engine]; !known || c.at < at {
+			first[c.engine] = c.at
+		}
+	}
+	return slices.Sorted(maps.Values(first))
+}
+
+// requestDueAt returns the time at which a suspected request is quarantined if no success
+// comes before it. It returns false if there are too few failures.
+func (s *suspicion) requestDueAt() (time.Duration, bool) {
+	crashes, moments := s.firstCrashes(), s.separateCrashes()
+	if len(crashes) < s.required() || len(moments) < minMoments || len(s.runs) < minRuns {
+		return 0, false
+	}
+	return max(crashes[s.required()-1], moments[minMoments-1]) + settleDelay, true
+}
+
+// addDueRequests adds the rules on whole requests that the failures require, and returns
+// the time at which it must be called again, 0 if only further failures can change that.
+func (n *Node) addDueRequests(now time.Duration, crashes []crash, e *Effects) (again time.Duration) {
+	for _, s := range n.suspectedRequests(now, crashes) {
+		crashes := s.firstCrashes()
+		// Its last use is not now, so that it doesn't displace one with later crashes.
+		r := Rule{Parts: []PartID{s.part}, Since: crashes[0], Used: crashes[len(crashes)-1], Organisation: s.organisation}
+		known, held := n.rules[r.key()]
+		if held && !known.suspects() {
+			continue
+		}
+		dueAt, due := s.requestDueAt()
+		suspectAt := crashes[suspectCrashes-1] + settleDelay
+		switch {
+		case due && dueAt <= now && held:
+			n.addRule(known.quarantined(now), e)
+		case due && dueAt <= now:
+			n.addRule(r.quarantined(now), e)
+		case !held && suspectAt <= now:
+			r.Until = now + canaryDelay
+			n.addRule(r, e)
+		}
+		if due && dueAt > now {
+			again = earliest(again, dueAt)
+		}
+		if !held && suspectAt > now {
+			again = earliest(again, suspectAt)
+		}
+	}
+	return again
+}
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -41,32 +41,40 @@
 	return order
 }
 
-// suspicion collects the failures that speak against a part.
+// suspicion collects the failures that speak against a part or a whole request.
 type suspicion struct {
 	part PartID
+	// organisation is that of all failures, 0 if there are several.
+	organisation uint32
 	// succeeded is set if a success of the part before the failures is known.
 	succeeded bool
 	crashes   map[crash]bool
 	runs      map[uint32]bool
 }
 
-// suspicions returns the suspicion of each part, without the crashes that are explained
-// by another part. crashes holds the crash of each failure.
-func (n *Node) suspicions(now time.Duration, crashes []crash, explained map[crash]bool) map[PartID]*suspicion {
+// suspicions returns the suspicion of each id that kind accepts, without the crashes that
+// are explained by another one. crashes holds the crash of each failure.
+func (n *Node) suspicions(now time.Duration, crashes []crash, explained map[crash]bool, kind func(PartID) bool) map[PartID]*suspicion {
 	out := map[PartID]*suspicion{}
 	for i, f := range n.failures {
 		if explained[crashes[i]] {
 			continue
 		}
 		for _, part := range f.Parts {
-			if n.succeededAfter(part, f.At) {
+			if !kind(part) || n.succeededAfter(part, f.At) || !part.IsWhole() && now-f.At > evidenceLifetime {
 				continue
 			}
 			s := out[part]
 			if s == nil {
-				s = &suspicion{part: part, succeeded: n.succeededAfter(part, now-evidenceLifetime), crashes: map[crash]bool{}, runs: map[uint32]bool{}}
+				s = &suspicion{
+					part: part, organisation: f.Organisation, succeeded: n.succeededAfter(part, now-evidenceLifetime),
+					crashes: map[crash]bool{}, runs: map[uint32]bool{},
+				}
 				out[part] = s
 			}
+			if s.organisation != f.Organisation {
+				s.organisation = 0
+			}
 			s.crashes[crashes[i]] = true
 			s.runs[f.Run] = true
 		}
@@ -74,6 +82,9 @@
 	return out
 }
 
+// isPart reports whether an id is that of a part of prompts.
+func isPart(id PartID) bool { return !id.IsWhole() }
+
 // separateCrashes returns the times of the crashes that are crashInterval apart, in
 // ascending order.
 func (s *suspicion) separateCrashes() []time.Duration {
@@ -136,23 +147,26 @@
 
 // diagnosis is a set of parts that must be quarantined together.
 type diagnosis struct {
-	parts []PartID
-	since time.Duration
+	parts        []PartID
+	since        time.Duration
+	organisation uint32
 }
 
 // diagnose returns the parts that must be quarantined now, and the time at which it must
 // be called again, or 0 if only further failures can change the result. A crash counts
-// for one diagnosis only, which explains it for the other parts of its runs.
-func (n *Node) diagnose(now time.Duration) (out []diagnosis, again time.Duration) {
-	crashes := crashesOf(n.failures)
+// for one diagnosis only, which explains it for the other parts of its runs. If the runs of
+// one whole request were in all crashes of a part, they speak against that request only.
+func (n *Node) diagnose(now time.Duration, crashes []crash) (out []diagnosis, again time.Duration) {
 	explained := n.explainedByRules(crashes)
+	parts := n.suspicions(now, crashes, nil, isPart)
+	requests := n.suspicions(now, crashes, nil, PartID.IsWhole)
 	for {
-		all := n.suspicions(now, crashes, explained)
+		all := n.suspicions(now, crashes, explained, isPart)
 		var best *suspicion
 		for _, s := range all {
 			at, due := s.ruleDueAt()
 			switch {
-			case !due:
+			case !due || isOneRequest(parts[s.part], requests):
 			case at > now:
 				if again == 0 || at < again {
 					again = at
@@ -164,7 +178,7 @@
 		if best == nil {
 			return out, again
 		}
-		d := diagnosis{since: best.separateCrashes()[0]}
+		d := diagnosis{since: best.separateCrashes()[0], organisation: best.organisation}
 		for part, s := range all {
 			if s.indistinguishable(best) {
 				d.parts = append(d.parts, part)
@@ -176,12 +190,35 @@
 	}
 }
 
+// isOneRequest reports whether one whole request was in all crashes of a part.
+func isOneRequest(part *suspicion, requests map[PartID]*suspicion) bool {
+	for _, r := range requests {
+		if r.includes(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// includes reports whether all crashes of another suspicion are also crashes of this one.
+func (s *suspicion) includes(other *suspicion) bool {
+	if len(other.crashes) > len(s.crashes) {
+		return false
+	}
+	for c := range other.crashes {
+		if !s.crashes[c] {
+			return false
+		}
+	}
+	return true
+}
+
 // explainedByRules returns the crashes that a rule on a single part explains. Those of a
 // rule on several parts can still tell these apart.
 func (n *Node) explainedByRules(crashes []crash) map[crash]bool {
 	out := map[crash]bool{}
 	for _, r := range n.rules {
-		if len(r.Parts) > 1 {
+		if len(r.Parts) > 1 || r.onRequest() {
 			continue
 		}
 		for i, f := range n.failures {
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -11,10 +11,14 @@
 // View is an immutable copy of the rules for the request path. Only its probes are taken.
 type View struct {
 	rules []viewRule
-	// byPart lists the rules that name a part.
+	// byPart lists the rules that name a part or a whole request.
 	byPart map[PartID][]int
-	// suspects are the parts whose failed runs are not repeated.
+	// suspects are the parts whose failed runs are not repeated, and the whole requests that
+	// are refused even before there is a rule.
 	suspects map[PartID]bool
+	// crashed lists the servers that have crashed under a whole request since its last
+	// success.
+	crashed map[PartID][]uint32
 }
 
 type viewRule struct {
@@ -22,13 +26,18 @@
 	// probe admits one request while this VM may start the probe of the rule, nil
 	// otherwise.
 	probe *atomic.Bool
+	// refusedAt is the time of the last refusal, nil if that is not recorded.
+	refusedAt *atomic.Int64
 }
 
-// RefusedError reports a request that is not sent to an engine, since requests with the
-// same prompt parts have crashed several.
+// RefusedError reports a request that is not sent to a backend server, since the same
+// request, or others with the same prompt parts, have crashed several.
 type RefusedError struct {
 	// Request is set if the rule names the whole request, not parts of its prompt.
 	Request bool
+	// Suspected is set if the request has crashed too few servers to be quarantined. It is
+	// probed within seconds.
+	Suspected bool
 	// Parts is the number of parts that the rule names.
 	Parts int
 	// RetryAfter is the time until the rule is probed.
@@ -36,16 +45,19 @@
 }
 
 func (e *RefusedError) Error() string {
+	if e.Request {
+		return fmt.Sprintf("the same request has crashed backend servers; refused for %v", e.RetryAfter.Round(time.Second))
+	}
 	return fmt.Sprintf("requests with the same %d parts of the prompt have crashed engines; refused for %v", e.Parts, e.RetryAfter.Round(time.Second))
 }
 
 // newView returns the view of a node. probeOf returns the probe of an expired rule, nil
 // if this VM may not start it now.
 func newView(n *Node, now time.Duration, probeOf func(Rule) *atomic.Bool) *View {
-	v := &View{byPart: map[PartID][]int{}, suspects: map[PartID]bool{}}
+	v := &View{byPart: map[PartID][]int{}, suspects: map[PartID]bool{}, crashed: map[PartID][]uint32{}}
 	for i, rule := range n.Rules() {
 		x := viewRule{Rule: rule}
-		if now >= rule.Until {
+		if now >= rule.Until && rule.hasProbe() {
 			x.probe = probeOf(rule)
 		}
 		v.rules = append(v.rules, x)
@@ -53,46 +65,73 @@
 			v.byPart[part] = append(v.byPart[part], i)
 		}
 	}
-	for part, s := range n.suspicions(now, crashesOf(n.failures), nil) {
+	v.addSuspects(n, now)
+	return v
+}
+
+func (v *View) addSuspects(n *Node, now time.Duration) {
+	crashes := crashesOf(n.failures)
+	for part, s := range n.suspicions(now, crashes, nil, isPart) {
 		if len(s.separateCrashes()) >= suspectCrashes {
 			v.suspects[part] = true
 		}
 	}
-	return v
+	for id, s := range n.suspicions(now, crashes, nil, PartID.IsWhole) {
+		for c := range s.crashes {
+			v.crashed[id] = append(v.crashed[id], c.engine)
+		}
+	}
+	for _, s := range n.suspectedRequests(now, crashes) {
+		v.suspects[s.part] = true
+	}
 }
 
-// check returns a *RefusedError if a rule matches a prompt. The request becomes the probe
-// of a rule that offers one, and passes this rule from then on.
-func (v *View) check(now time.Duration, p *Request) error {
-	for rule := range v.matching(p) {
+// names reports whether a success of a whole request changes something.
+func (v *View) names(id PartID) bool { return len(v.crashed[id]) > 0 || len(v.byPart[id]) > 0 }
+
+// check returns a *RefusedError if a rule matches a request, or several crashes speak
+// against it. The request becomes the probe of a rule that offers one, and passes this rule
+// from then on.
+func (v *View) check(now time.Duration, r *Request) error {
+	for rule := range v.matching(r) {
 		if rule.probe == nil || !rule.probe.CompareAndSwap(false, true) {
 			return rule.refusal(now)
 		}
-		p.probes = append(p.probes, probe{key: rule.key(), activations: rule.Activations})
+		r.probes = append(r.probes, probeOf(rule.Rule))
 	}
-	return nil
+	return v.suspected(r)
 }
 
-// refusal returns a *RefusedError if a rule matches a prompt and offers no probe.
-func (v *View) refusal(now time.Duration, p *Request) error {
-	for rule := range v.matching(p) {
+// refusal returns a *RefusedError if a rule matches a request and offers no probe.
+func (v *View) refusal(now time.Duration, r *Request) error {
+	for rule := range v.matching(r) {
 		if rule.probe == nil {
 			return rule.refusal(now)
 		}
 	}
-	return nil
+	return v.suspected(r)
+}
+
+// suspected returns a *RefusedError for a request that several crashes speak against, and
+// on which there is no rule yet.
+func (v *View) suspected(r *Request) error {
+	if r.Whole == 0 || !v.suspects[r.Whole] || len(v.byPart[r.Whole]) > 0 {
+		return nil
+	}
+	return &RefusedError{Request: true, Suspected: true, Parts: 1, RetryAfter: minCanaryInterval}
 }
 
-// matching returns the rules that match a prompt, except those that the request probes.
-func (v *View) matching(p *Request) iter.Seq[viewRule] {
+// matching returns the rules that match a request, except those that it probes.
+func (v *View) matching(r *Request) iter.Seq[viewRule] {
 	return func(yield func(viewRule) bool) {
 		if len(v.rules) == 0 {
 			return
 		}
-		for _, part := range p.Parts {
+		ids := r.ids()
+		for _, part := range ids {
 			for _, i := range v.byPart[part] {
 				rule := v.rules[i]
-				if rule.matches(p.Parts) && !p.isProbeOf(rule) && !yield(rule) {
+				if rule.matches(ids) && !r.isProbeOf(rule) && !yield(rule) {
 					return
 				}
 			}
@@ -101,22 +140,45 @@
 }
 
 func (r viewRule) refusal(now time.Duration) error {
-	return &RefusedError{Parts: len(r.Parts), RetryAfter: max(r.Until-now, probeRound)}
+	if r.refusedAt != nil {
+		r.refusedAt.Store(int64(now))
+	}
+	retryAfter := max(r.Until-now, probeRound)
+	switch {
+	case r.suspects() && r.hasProbe():
+		retryAfter = max(r.Until-now, minCanaryInterval)
+	case !r.hasProbe():
+		retryAfter = maxDuration
+	}
+	return &RefusedError{Request: r.onRequest(), Suspected: r.suspects(), Parts: len(r.Parts), RetryAfter: retryAfter}
 }
 
-// mayRepeat reports whether a request that has failed may be sent to another engine. A
-// probe may not, nor a request with a part that several crashes make suspect.
-func (v *View) mayRepeat(p *Request) bool {
-	return len(p.probes) == 0 && !slices.ContainsFunc(p.Parts, func(part PartID) bool { return v.suspects[part] })
+// mayRepeat reports whether a request that has failed may be sent to another server. A
+// probe may not, nor a request with a part that several crashes make suspect, nor one
+// that has crashed another server, in this run or another one.
+func (v *View) mayRepeat(r *Request) bool {
+	if len(r.probes) > 0 || slices.ContainsFunc(r.Parts, func(part PartID) bool { return v.suspects[part] }) {
+		return false
+	}
+	if r.Whole == 0 {
+		return true
+	}
+	return len(r.crashed) <= 1 && !slices.ContainsFunc(v.crashed[r.Whole], func(server uint32) bool { return !slices.Contains(r.crashed, server) })
 }
 
-// probe identifies the probe of a rule.
+// probe identifies the probe of a rule. version is that before its start.
 type probe struct {
 	key         uint64
 	activations int
+	version     int
+	onRequest   bool
 }
 
-// isProbeOf reports whether the request is the probe of a rule.
-func (p *Request) isProbeOf(r viewRule) bool {
-	return slices.Contains(p.probes, probe{key: r.key(), activations: r.Activations})
+// isProbeOf reports whether the request is the probe of a rule, before or after the rule
+// shows its start.
+func (r *Request) isProbeOf(rule viewRule) bool {
+	key := rule.key()
+	return slices.ContainsFunc(r.probes, func(p probe) bool {
+		return p.key == key && p.activations == rule.Activations && (rule.Version == p.version || rule.Version == p.version+1)
+	})
 }
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -10,7 +10,7 @@
 func envelope(now time.Duration, m Message) *peerpb.Envelope {
 	out := &peerpb.Quarantine{}
 	for _, f := range m.Failures {
-		out.Failures = append(out.Failures, &peerpb.RunFailure{Run: f.Run, Engine: f.Engine, AgeMs: age(now, f.At), Parts: encodeParts(f.Parts)})
+		out.Failures = append(out.Failures, &peerpb.RunFailure{Run: f.Run, Engine: f.Engine, AgeMs: age(now, f.At), Parts: encodeParts(f.Parts), Organisation: f.Organisation})
 	}
 	for _, p := range m.Successes {
 		out.Successes = append(out.Successes, &peerpb.PartSuccess{Part: uint64(p.Part), AgeMs: age(now, p.At)})
@@ -22,9 +22,14 @@
 }
 
 func encodeRule(now time.Duration, r Rule) *peerpb.Rule {
-	return &peerpb.Rule{
+	out := &peerpb.Rule{
 		Parts: encodeParts(r.Parts), SinceMs: age(now, r.Since), ProbeInMs: (r.Until - now).Milliseconds(), Activations: uint32(r.Activations),
+		Organisation: r.Organisation, Version: uint32(r.Version), Spent: uint32(r.Spent), UsedMs: age(now, r.Used),
 	}
+	if r.Started != 0 {
+		out.StartedMs = age(now, r.Started) + 1
+	}
+	return out
 }
 
 func age(now, at time.Duration) uint64 { return uint64(max(now-at, 0).Milliseconds()) }
@@ -41,20 +46,29 @@
 func decode(now time.Duration, in *peerpb.Quarantine) Message {
 	var m Message
 	for _, f := range in.GetFailures() {
-		m.Failures = append(m.Failures, Failure{Run: f.GetRun(), Engine: f.GetEngine(), At: before(now, f.GetAgeMs()), Parts: decodeParts(f.GetParts())})
+		m.Failures = append(m.Failures, Failure{Run: f.GetRun(), Engine: f.GetEngine(), At: before(now, f.GetAgeMs()), Parts: decodeParts(f.GetParts()), Organisation: f.GetOrganisation()})
 	}
 	for _, p := range in.GetSuccesses() {
 		m.Successes = append(m.Successes, Success{Part: PartID(p.GetPart()), At: before(now, p.GetAgeMs())})
 	}
 	for _, r := range in.GetRules() {
-		probeIn := time.Duration(min(max(r.GetProbeInMs(), -maxAgeMS), maxAgeMS)) * time.Millisecond
-		m.Rules = append(m.Rules, Rule{
-			Parts: decodeParts(r.GetParts()), Since: before(now, r.GetSinceMs()), Until: now + probeIn, Activations: int(r.GetActivations()),
-		})
+		m.Rules = append(m.Rules, decodeRule(now, r))
 	}
 	return m
 }
 
+func decodeRule(now time.Duration, in *peerpb.Rule) Rule {
+	probeIn := time.Duration(min(max(in.GetProbeInMs(), -maxAgeMS), maxAgeMS)) * time.Millisecond
+	r := Rule{
+		Parts: decodeParts(in.GetParts()), Since: before(now, in.GetSinceMs()), Until: now + probeIn, Activations: int(in.GetActivations()),
+		Organisation: in.GetOrganisation(), Version: int(in.GetVersion()), Spent: int(in.GetSpent()), Used: before(now, in.GetUsedMs()),
+	}
+	if started := in.GetStartedMs(); started > 0 {
+		r.Started = before(now, started-1)
+	}
+	return r
+}
+
 // maxAgeMS bounds the ages and times that are accepted from peers, in milliseconds.
 const maxAgeMS = 24 * 60 * 60 * 1000
 
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -45,3 +45,16 @@
 	}
 	return ids
 }
+
+// Rank returns the position of a VM among vms by its score for the key, 0 being the
+// highest. A VM that is not in vms has the rank that it would have there.
+func Rank(key string, vms []vmlist.VM, id string) int {
+	own := hash.Pair(key, id)
+	rank := 0
+	for _, vm := range vms {
+		if s := hash.Pair(key, vm.ID); s > own || s == own && vm.ID < id {
+			rank++
+		}
+	}
+	return rank
+}
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -40,3 +40,15 @@
 		t.Errorf("owner without VMs is %q, want none", got)
 	}
 }
+
+// Guards against an order of the VMs that differs from that of their scores.
+func TestRankIsPositionInTop(t *testing.T) {
+	vms := []vmlist.VM{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	for _, key := range []string{"x", "y", "z"} {
+		for i, id := range rendezvous.Top(key, vms, len(vms)) {
+			if rank := rendezvous.Rank(key, vms, id); rank != i {
+				t.Errorf("rank of %s for %s is %d, want %d", id, key, rank, i)
+			}
+		}
+	}
+}
