internal/soak: stops of starved VMs and beside full engines, and first requests that come late

Callers wait before the first request on one connection in four, as the connections on which earlier landings were seen to take requests to their last moment. Settings are not written while a VM starts: a process that read a half-written file did not start, which the check counted as one that ended by itself.

--- a/internal/soak/lost_callers_test.go
+++ b/internal/soak/lost_callers_test.go
@@ -14,10 +14,14 @@
 
 // Pauses of the callers of TestPlannedWorkLosesNoRequest.
 const (
-	lostPause    = 250 * time.Millisecond
-	lostRedial   = 30 * time.Millisecond
-	lostPartGap  = 500 * time.Millisecond
-	lostBodySize = 3000
+	lostPause   = 250 * time.Millisecond
+	lostRedial  = 30 * time.Millisecond
+	lostPartGap = 500 * time.Millisecond
+	// One in lateFirstShare connections sends its first request up to lateFirst late. The VM
+	// closes a connection without a request after 5 s.
+	lateFirstShare = 4
+	lateFirst      = 4900 * time.Millisecond
+	lostBodySize   = 3000
 	// largeBodySize is below the limit of the configuration, and more than one read takes.
 	largeBodySize = 50_000
 	// lostDeadline is the time that a stream may take.
@@ -100,6 +104,9 @@
 			time.Sleep(lostRedial)
 			continue
 		}
+		if c.used == 0 && c.random.IntN(lateFirstShare) == 0 {
+			time.Sleep(c.rand(lateFirst))
+		}
 		k := &lostKinds[c.random.IntN(len(lostKinds))]
 		pause := c.rand(lostPause)
 		if k.idle {
--- a/internal/soak/lost_events_test.go
+++ b/internal/soak/lost_events_test.go
@@ -61,8 +61,11 @@
 }
 
 func (l *lostLoad) reloadOnce(v *vm, r *rand.Rand) {
-	if r.IntN(2) == 0 {
-		if err := v.writeSettings(lostMemoryVariant + r.IntN(4)); err != nil {
+	starting := l.starts[v.name]
+	if r.IntN(2) == 0 && starting.TryLock() {
+		err := v.writeSettings(lostMemoryVariant + r.IntN(4))
+		starting.Unlock()
+		if err != nil {
 			l.t.Error(err)
 		}
 	}
@@ -90,6 +93,8 @@
 		l.t.Errorf("%s did not stop", v.name)
 		v.dumpStacks()
 	}
+	l.starts[v.name].Lock()
+	defer l.starts[v.name].Unlock()
 	if err := v.start(); err != nil {
 		l.t.Error(err)
 	}
@@ -109,6 +114,16 @@
 	l.repeat(ctx, r, func(v *vm) { l.stop(v, nil) })
 }
 
+// stopStarved stops VMs that stand still again and again meanwhile, as with a quota of
+// processor time.
+func (l *lostLoad) stopStarved(ctx context.Context, r *rand.Rand) {
+	l.repeat(ctx, r, func(v *vm) {
+		starved, end := context.WithCancel(ctx)
+		defer end()
+		l.stop(v, func() { go stall(starved, v) })
+	})
+}
+
 // stopWithinReloads stops VMs between SIGHUPs, some of which come during the stop.
 func (l *lostLoad) stopWithinReloads(ctx context.Context, r *rand.Rand) {
 	l.repeat(ctx, r, func(v *vm) {
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -55,8 +56,8 @@
 	manifests []time.Time
 	// away holds the times in which the store was away.
 	away []interval
-	// crashed is set for VMs whose process ended without having been told to.
-	crashed map[string]bool
+	// starts is held for a VM while it starts: its settings are not written then.
+	starts map[string]*sync.Mutex
 }
 
 // interval is a time of planned work or of a fault. A zero end means that it still lasts.
@@ -65,21 +66,34 @@
 // lostEvent is planned work beside the load, until ctx ends.
 type lostEvent func(*lostLoad, context.Context, *rand.Rand)
 
+// lostCase is what happens beside the load.
+type lostCase struct {
+	play []lostEvent
+	// slots is the number of streams that an engine runs, engineSlots if it is 0.
+	slots int
+}
+
 // plannedWork holds the cases by name.
-var plannedWork = map[string][]lostEvent{
-	"control":                     nil,
-	"stops within reloads":        {(*lostLoad).stopWithinReloads},
-	"reloads":                     {(*lostLoad).reload},
-	"stops within starts":         {(*lostLoad).stopWithinStart},
-	"stops within manifests":      {(*lostLoad).stopWithinManifest, (*lostLoad).writeManifests},
-	"manifests":                   {(*lostLoad).writeManifests},
-	"several stops at once":       {(*lostLoad).stopSeveral},
-	"stops signalled twice":       {(*lostLoad).stopTwice},
-	"stops, store away":           {(*lostLoad).stopOne, (*lostLoad).takeStoreAway},
-	"stops as the store returns":  {(*lostLoad).stopAsStoreReturns},
-	"stops, engines leave":        {(*lostLoad).stopOne, (*lostLoad).leaveServers},
-	"all at once":                 {(*lostLoad).stopWithinReloads, (*lostLoad).stopWithinManifest, (*lostLoad).writeManifests, (*lostLoad).reload},
-	"all at once, store away too": {(*lostLoad).stopWithinReloads, (*lostLoad).stopSeveral, (*lostLoad).writeManifests, (*lostLoad).reload, (*lostLoad).takeStoreAway},
+var plannedWork = map[string]lostCase{
+	"control":                    {},
+	"stops within reloads":       {play: []lostEvent{(*lostLoad).stopWithinReloads}},
+	"reloads":                    {play: []lostEvent{(*lostLoad).reload}},
+	"stops within starts":        {play: []lostEvent{(*lostLoad).stopWithinStart}},
+	"stops within manifests":     {play: []lostEvent{(*lostLoad).stopWithinManifest, (*lostLoad).writeManifests}},
+	"manifests":                  {play: []lostEvent{(*lostLoad).writeManifests}},
+	"several stops at once":      {play: []lostEvent{(*lostLoad).stopSeveral}},
+	"stops signalled twice":      {play: []lostEvent{(*lostLoad).stopTwice}},
+	"stops, store away":          {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).takeStoreAway}},
+	"stops as the store returns": {play: []lostEvent{(*lostLoad).stopAsStoreReturns}},
+	"stops, engines leave":       {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).leaveServers}},
+	"stops, engines full":        {play: []lostEvent{(*lostLoad).stopOne}, slots: 3},
+	"stops, VMs starved":         {play: []lostEvent{(*lostLoad).stopStarved, (*lostLoad).stopStarved}},
+	"all at once": {play: []lostEvent{
+		(*lostLoad).stopWithinReloads, (*lostLoad).stopWithinManifest, (*lostLoad).writeManifests, (*lostLoad).reload,
+	}},
+	"all at once, store away too": {play: []lostEvent{
+		(*lostLoad).stopWithinReloads, (*lostLoad).stopSeveral, (*lostLoad).writeManifests, (*lostLoad).reload, (*lostLoad).takeStoreAway,
+	}},
 }
 
 // Guards against requests that a VM has read and that end without an answer, beside planned
@@ -99,8 +113,8 @@
 	}
 }
 
-func playPlannedWork(t *testing.T, work []lostEvent) {
-	l := startLostLoad(t)
+func playPlannedWork(t *testing.T, work lostCase) {
+	l := startLostLoad(t, work)
 	endBusy, err := startBusy(*lostBusy)
 	defer endBusy()
 	if err != nil {
@@ -117,7 +131,7 @@
 			callers.Go(func() { c.run(ctx) })
 		}
 	}
-	for i, play := range work {
+	for i, play := range work.play {
 		events.Go(func() { play(l, ctx, l.rand(fmt.Sprintf("event-%d", i))) })
 	}
 	callers.Wait()
@@ -130,7 +144,7 @@
 	return rand.New(rand.NewPCG(l.seed, xxhash.Sum64String(name)))
 }
 
-func startLostLoad(t *testing.T) *lostLoad {
+func startLostLoad(t *testing.T, work lostCase) *lostLoad {
 	daemon, err := *lostDaemon, error(nil)
 	if daemon == "" {
 		if daemon, err = buildDaemon(); err != nil {
@@ -151,13 +165,14 @@
 	h.fleet = userplatform.NewFleet(h.store)
 	h.addCleanup(h.store.Close)
 	t.Cleanup(h.close)
-	l := &lostLoad{harness: h, t: t, seed: *lostSeed, signals: map[string][]sentSignal{}, crashed: map[string]bool{}}
+	l := &lostLoad{harness: h, t: t, seed: *lostSeed, signals: map[string][]sentSignal{}, starts: map[string]*sync.Mutex{}}
 	l.putManifest(0)
-	l.startServers()
+	l.startServers(cmp.Or(work.slots, engineSlots))
 	if err := h.startVMs(); err != nil {
 		t.Fatal(err)
 	}
 	for _, v := range h.vms {
+		l.starts[v.name] = &sync.Mutex{}
 		if err := v.writeSettings(lostMemoryVariant); err != nil {
 			t.Fatal(err)
 		}
@@ -175,10 +190,10 @@
 }
 
 // startServers starts engines, and plain servers each of which takes another time.
-func (l *lostLoad) startServers() {
+func (l *lostLoad) startServers(slots int) {
 	for i := range lostEngines {
 		s, err := l.fleet.Start(userplatform.ServerOptions{
-			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: "z", Model: "m", Slots: engineSlots,
+			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: "z", Model: "m", Slots: slots,
 			Events: streamEvents, EventInterval: eventInterval,
 		})
 		if err != nil {
