--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -24,7 +24,9 @@
 	active map[*call]struct{}
 	// cutoff is when requests still in progress get their last answer, on the clock of
 	// package boottime. It is 0 while the VM is not draining.
-	cutoff   time.Duration
+	cutoff time.Duration
+	// begunAt is when the drain began, on the same clock.
+	begunAt  time.Duration
 	finished chan struct{}
 }
 
@@ -114,7 +116,8 @@
 // still works on after endAfter get an error response that does not deny that they ran.
 func (g *Gateway) BeginDrain(endAfter time.Duration) {
 	g.drain.mu.Lock()
-	g.drain.cutoff = boottime.Now() + endAfter
+	g.drain.begunAt = boottime.Now()
+	g.drain.cutoff = g.drain.begunAt + endAfter
 	g.drain.mu.Unlock()
 	g.drain.begin()
 }
@@ -130,21 +133,34 @@
 	assumedRepeatableTime = 2 * time.Second
 )
 
+// balancerNotice is the time after the begin of a drain after which the load balancer opens no
+// more connections to the VM: it probes each second, and two failures take a VM out. Later
+// requests come over connections that were kept, and their callers reach another VM at once.
+const balancerNotice = 3 * time.Second
+
+// isAfterNotice reports whether a request has arrived after the notice of a drain.
+func (d *drainState) isAfterNotice(arrived time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cutoff > 0 && arrived-d.begunAt >= balancerNotice
+}
+
 // unlimitedTime is the time that a stream of unknown length needs. It is far below the
 // limit of time.Duration, so that it can be subtracted from.
 const unlimitedTime = time.Duration(math.MaxInt64 / 4)
 
 // timeNeeded returns the time that the request may take from now on. A request that must
-// not run twice may take until its deadline.
+// not run twice may take until its deadline, and so may a stream that arrives after the notice
+// of a drain: an engine that is slower than assumed would have it cut.
 func (c *call) timeNeeded() time.Duration {
-	if c.route.Kind == route.Stream {
+	if c.route.Kind == route.Stream && !c.g.drain.isAfterNotice(c.arrived) {
 		if c.info.MaxTokens <= 0 {
 			return unlimitedTime
 		}
 		return c.g.pace.slowest(c.service.Name, boottime.Now()).timeFor(c.info.MaxTokens)
 	}
 	untilDeadline := c.remaining() + responseGrace
-	if c.route.Retryable() {
+	if c.route.Kind != route.Stream && c.route.Retryable() {
 		return min(untilDeadline, assumedRepeatableTime)
 	}
 	return untilDeadline
