--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -36,9 +36,14 @@
 }
 
 func startDaemon(t *testing.T, settings string, output io.Writer) *daemonProcess {
+	t.Helper()
+	return startProcess(t, "entry --settings "+settings, output)
+}
+
+func startProcess(t *testing.T, arguments string, output io.Writer) *daemonProcess {
 	t.Helper()
 	p := &daemonProcess{t: t, cmd: exec.Command(os.Args[0]), ended: make(chan error, 1)}
-	p.cmd.Env = append(os.Environ(), daemonArguments+"=entry --settings "+settings)
+	p.cmd.Env = append(os.Environ(), daemonArguments+"="+arguments)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
