--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,7 +50,9 @@
 	if err != nil {
 		return err
 	}
-	log := telemetry.NewLogger(os.Stderr, cfg.Log.Level, cfg.VMID)
+	output := telemetry.NewBoundedWriter(os.Stderr)
+	defer output.Close(logFlushTimeout)
+	log := telemetry.NewLogger(output, cfg.Log.Level, cfg.VMID)
 	server, err := vanillaarch.New(cfg, vanillaarch.Options{Log: log})
 	if err != nil {
 		return errors.Wrap(err, "start")
