--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -82,9 +82,10 @@
 	// probeWindow is the time over which the VMs may one after the other start a probe, so
 	// that mostly one does, and a request that reaches only one VM waits no longer.
 	probeWindow = 2 * time.Second
-	// canaryDelay is the time from the suspicion of a request to its first probe. Servers
-	// that have crashed take about a second to return.
-	canaryDelay = 500 * time.Millisecond
+	// canaryDelay is the time from the suspicion of a request to its first probe. Servers that
+	// have crashed return within seconds: a probe before that could take the last one of a
+	// small service.
+	canaryDelay = 3 * time.Second
 	// minCanaryInterval is the time between two probes of a suspected request without a
 	// result. It doubles up to maxCanaryInterval.
 	minCanaryInterval = 5 * time.Second
