control: what a copy has confirmed never counts

Callers: a key that had been revoked was accepted again, 5.01 s after the revocation where 5 s are allowed, and would have been until 6.7 s. The store goes away, the operator revokes a key that no VM hears of, the store comes back from a copy without that, a VM reads the copy, and the store is away again before the operator has written what was lost.

Cause: for 2 s after a return, a read of the copy did not count as a confirmation. Afterwards it did, with the time of the read, as if the store had got everything back by then. Nothing shows that it has: only a read from then on does.

The control state now keeps two times: RoutesConfirmed, the last read that found the configuration, by which duties are divided, and RoutesNewest, the last one that shows that it is the newest. A read of the current era counts for the second only 2 s after the return. Confirmations carry their era, so that one of the era before counts that arrives late.

TestConfirmationsAfterAReturn expected that a read of the copy counts once the 2 s have passed if the store was away for a moment. That is the fault: the test now demands that it never does, and that the confirmation from before and a read after the 2 s do.

--- a/control/control.go
+++ b/control/control.go
@@ -35,17 +35,18 @@
 	// platform lists them separately. VMs is then their concatenation.
 	Servers, Members *vmlist.List
 	// Routes is the operator's configuration of a deployment on a platform and
-	// RoutesContent its source text. RoutesConfirmed is the last time at which
-	// the store is known to have held it, on the clock of package boottime.
-	Routes          *route.Table
-	RoutesContent   []byte
-	RoutesConfirmed time.Duration
+	// RoutesContent its source text. RoutesConfirmed is the last time at which the store is known
+	// to have held it, and RoutesNewest the last one at which it is known to have been the newest
+	// one, which the store does not show right after its return from a copy. Both are on the clock
+	// of package boottime.
+	Routes                        *route.Table
+	RoutesContent                 []byte
+	RoutesConfirmed, RoutesNewest time.Duration
 	// Era is the highest era of the platform's store that this VM knows of. SettledAt is when the
-	// store counts as complete again after its return from a copy, and ConfirmedBefore is the
-	// value of RoutesConfirmed before that return. Both are on the clock of package boottime and
-	// 0 if this VM has seen no return.
-	Era                        int64
-	SettledAt, ConfirmedBefore time.Duration
+	// store counts as complete again after its return from a copy, on the clock of package
+	// boottime, 0 if this VM has seen no return.
+	Era       int64
+	SettledAt time.Duration
 	// Suspect holds the ids of entry VMs that peers have not heard from.
 	// suspectsVersion is incremented with each change of it.
 	Suspect         map[string]bool
@@ -86,13 +87,13 @@
 	VMs    *vmlist.List
 	// Servers and Members are copied from State.
 	Servers, Members *vmlist.List
-	// Routes, RoutesContent and RoutesConfirmed are copied from State.
-	Routes          *route.Table
-	RoutesContent   []byte
-	RoutesConfirmed time.Duration
-	// Era, SettledAt and ConfirmedBefore are copied from State.
-	Era                        int64
-	SettledAt, ConfirmedBefore time.Duration
+	// Routes, RoutesContent, RoutesConfirmed and RoutesNewest are copied from State.
+	Routes                        *route.Table
+	RoutesContent                 []byte
+	RoutesConfirmed, RoutesNewest time.Duration
+	// Era and SettledAt are copied from State.
+	Era       int64
+	SettledAt time.Duration
 	// Retaining is set while something is kept from an earlier era for a time.
 	Retaining bool
 	// VMListCeiling is the lowest VM list revision that is rejected from peers,
@@ -126,22 +127,16 @@
 }
 
 // ConfirmedWithin reports whether the configuration was confirmed as the newest one within a time
-// before now. After its return from a copy the store may confirm a version although it has lost
-// a newer one, which is written again until SettledAt. Until then a confirmation counts only if
-// SettledAt is within that time of the last confirmation before the return.
+// before now.
 func (s *Snapshot) ConfirmedWithin(now, limit time.Duration) bool {
-	confirmed := s.RoutesConfirmed
-	if now < s.SettledAt && s.SettledAt-s.ConfirmedBefore > limit {
-		confirmed = s.ConfirmedBefore
-	}
-	return now-confirmed <= limit
+	return now-s.RoutesNewest <= limit
 }
 
 // ConfirmedForPeers returns the last confirmation of the era that the lists of this VM announce, by
 // which peers tell confirmations from before and after a return apart.
 func (s *Snapshot) ConfirmedForPeers() time.Duration {
 	if s.SettledAt > 0 && vmlist.EraOf(s.Servers.Revision) < s.Era {
-		return s.ConfirmedBefore
+		return s.RoutesNewest
 	}
 	return s.RoutesConfirmed
 }
@@ -249,7 +244,7 @@
 func newSnapshot(s *State, previous *Snapshot) *Snapshot {
 	snap := &Snapshot{
 		Signed: s.Signed, Bundle: s.Bundle, VMs: s.VMs, Servers: s.Servers, Members: s.Members, VMListCeiling: s.listCeiling,
-		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, Era: s.Era, SettledAt: s.SettledAt, ConfirmedBefore: s.ConfirmedBefore, Retaining: s.retains(),
+		Routes: s.Routes, RoutesContent: s.RoutesContent, RoutesConfirmed: s.RoutesConfirmed, RoutesNewest: s.RoutesNewest, Era: s.Era, SettledAt: s.SettledAt, Retaining: s.retains(),
 		suspectsVersion: s.suspectsVersion, leavingVersion: s.leavingVersion,
 	}
 	if previous != nil && previous.VMs == s.VMs && previous.leavingVersion == s.leavingVersion && sameModels(previous.Bundle, s.Bundle) {
--- a/control/era.go
+++ b/control/era.go
@@ -39,16 +39,16 @@
 	s.Era = era
 	// Without a list of the era before, this VM has started and learns its first era.
 	if s.Routes != nil && s.Servers.Revision > 0 {
-		s.beginSettling(boottime.Now())
+		s.SettledAt = boottime.Now() + ReturnSettleTime
 	}
 	s.Changed()
 }
 
-// beginSettling begins the time in which the store may lack a newer configuration. Confirmations
-// since an earlier return that has not settled do not count as ones from before.
-func (s *State) beginSettling(now time.Duration) {
-	if now >= s.SettledAt {
-		s.ConfirmedBefore = s.RoutesConfirmed
+// confirmRoutes records that the store had the configuration in force at a time, in an era. Before
+// SettledAt the store may have lost a newer one, so that this does not show that it is the newest.
+func (s *State) confirmRoutes(at time.Duration, era int64) {
+	s.RoutesConfirmed = max(s.RoutesConfirmed, at)
+	if era < s.Era || at >= s.SettledAt {
+		s.RoutesNewest = max(s.RoutesNewest, at)
 	}
-	s.SettledAt = now + ReturnSettleTime
 }
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -9,37 +9,54 @@
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
-// Guards against a confirmation by a copy that may lack the newest configuration, against one that
-// is never accepted again, and against requests that are refused after a short absence.
+// Guards against a confirmation by a copy that may lack the newest configuration, also once the store
+// has had the time to write again, against one that is never accepted again, and against requests
+// that are refused after a short absence.
 func TestConfirmationsAfterAReturn(t *testing.T) {
 	const limit = 4 * time.Second
-	for name, c := range map[string]struct {
-		age  time.Duration // of the last confirmation when the return is seen
-		want bool
-	}{
-		"away for a moment":     {time.Second, true},
-		"away beyond the bound": {limit - ReturnSettleTime + time.Second, false},
+	for name, age := range map[string]time.Duration{ // of the last confirmation when the return is seen
+		"away for a moment":     time.Second,
+		"away beyond the bound": limit - ReturnSettleTime + time.Second,
 	} {
 		r := newRig()
 		r.listServers(1, 50)
 		now := boottime.Now()
-		r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - c.age})
+		r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - age})
 		r.apply(EraSeen{Era: 2, Source: "test"})
-		r.apply(RoutesConfirmed{Version: 7, At: now + time.Millisecond})
+		r.apply(RoutesConfirmed{Version: 7, At: now + time.Millisecond, Era: 2})
 		snap := newSnapshot(r.State, nil)
-		if got := snap.ConfirmedWithin(now+limit-c.age+time.Millisecond, limit); got != c.want {
-			t.Errorf("%s: confirmed by the copy: %v, want %v", name, got, c.want)
+		if !snap.ConfirmedWithin(now+limit-age, limit) {
+			t.Errorf("%s: the confirmation from before does not count", name)
 		}
-		if !snap.ConfirmedWithin(snap.SettledAt+time.Millisecond, limit) {
-			t.Errorf("%s: not confirmed once the store has had the time to write again", name)
+		for _, at := range []time.Duration{now + limit - age + time.Millisecond, snap.SettledAt + limit - age + time.Millisecond} {
+			if snap.ConfirmedWithin(at, limit) {
+				t.Errorf("%s: confirmed by the copy %v after the return", name, at-now)
+			}
 		}
-		if got := snap.ConfirmedForPeers(); got != now-c.age {
+		if got := snap.ConfirmedForPeers(); got != now-age {
 			t.Errorf("%s: peers are told of a confirmation of an era that they do not know", name)
 		}
 		r.listServers(2, 1)
 		if got := newSnapshot(r.State, nil).ConfirmedForPeers(); got != now+time.Millisecond {
 			t.Errorf("%s: peers are not told of the confirmation", name)
 		}
+		r.apply(RoutesConfirmed{Version: 7, At: snap.SettledAt, Era: 2})
+		if !newSnapshot(r.State, nil).ConfirmedWithin(snap.SettledAt+limit, limit) {
+			t.Errorf("%s: not confirmed once the store has had the time to write again", name)
+		}
+	}
+}
+
+// Guards against a confirmation of the era before that does not count, since it arrives after the return.
+func TestConfirmationOfTheEraBeforeCounts(t *testing.T) {
+	r := newRig()
+	r.listServers(1, 50)
+	now := boottime.Now()
+	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - time.Second, Era: 1})
+	r.apply(EraSeen{Era: 2, Source: "test"})
+	r.apply(RoutesConfirmed{Version: 7, At: now, Era: 1})
+	if !newSnapshot(r.State, nil).ConfirmedWithin(now+time.Second, time.Second) {
+		t.Error("the confirmation does not count")
 	}
 }
 
@@ -77,11 +94,11 @@
 	now := boottime.Now()
 	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - age})
 	r.listServers(2, 10)
-	r.apply(RoutesConfirmed{Version: 7, At: now})
+	r.apply(RoutesConfirmed{Version: 7, At: now, Era: 2})
 	r.listServers(3, 10)
-	r.apply(RoutesConfirmed{Version: 7, At: now + time.Millisecond})
+	r.apply(RoutesConfirmed{Version: 7, At: now + time.Millisecond, Era: 3})
 	snap := newSnapshot(r.State, nil)
-	if snap.ConfirmedBefore != now-age || snap.ConfirmedWithin(now+limit-age+time.Millisecond, limit) {
-		t.Errorf("confirmed %v before the returns, want %v", now-snap.ConfirmedBefore, age)
+	if snap.RoutesNewest != now-age || snap.ConfirmedWithin(now+limit-age+time.Millisecond, limit) {
+		t.Errorf("confirmed %v before the returns, want %v", now-snap.RoutesNewest, age)
 	}
 }
--- a/control/routes.go
+++ b/control/routes.go
@@ -19,6 +19,8 @@
 	// that returned this version. It is 0 if the version was not read from the
 	// store.
 	Confirmed time.Duration
+	// Era is the era of that read.
+	Era int64
 }
 
 // Apply implements Message.
@@ -34,7 +36,9 @@
 		// A confirmation of an earlier version does not apply to this one, but
 		// this one was current when it was read.
 	}
-	s.RoutesConfirmed = max(s.RoutesConfirmed, m.Confirmed)
+	if m.Confirmed > 0 {
+		s.confirmRoutes(m.Confirmed, m.Era)
+	}
 	s.Changed()
 }
 
@@ -44,6 +48,8 @@
 	Version int64
 	// At is on the clock of package boottime.
 	At time.Duration
+	// Era is the era of the store at that time.
+	Era int64
 }
 
 // Apply implements Message.
@@ -51,6 +57,6 @@
 	if s.Routes == nil || m.Version != s.Routes.Version || m.At <= s.RoutesConfirmed {
 		return
 	}
-	s.RoutesConfirmed = m.At
+	s.confirmRoutes(m.At, m.Era)
 	s.Changed()
 }
--- a/discovery/configuration.go
+++ b/discovery/configuration.go
@@ -63,7 +63,7 @@
 func (f *Follower) handleConfigRead(ctx context.Context, duty standby.Duty, asked time.Duration, listing kv.Listing) {
 	position := listing.Position()
 	f.configPosition.Store(&position)
-	f.applyConfigEntries(listing.Entries, "read", asked)
+	f.applyConfigEntries(listing, "read", asked)
 	if duty == standby.Probe {
 		f.opts.Log.Info("store_probed", zap.Duration("confirmation_age", asked-f.opts.Loop.Snapshot().RoutesConfirmed))
 		f.opts.Duties.ProbeSucceeded(asked)
@@ -71,16 +71,31 @@
 	wait.Sleep(ctx, maxWatchLag)
 	f.watches.endBehind(position)
 	poll := f.opts.Duties.PollInterval()
-	wait.Sleep(ctx, max(poll-maxWatchLag, maxWatchLag)-rand.N(poll/pollJitterDivisor))
+	f.awaitNextRead(ctx, asked, max(poll-maxWatchLag, maxWatchLag)-rand.N(poll/pollJitterDivisor))
 }
 
-// applyConfig makes a configuration current. If it cannot be decoded, the previous
+// awaitNextRead waits for an interval after a read that began at asked. It ends earlier when the
+// store has settled after its return from a copy, since only reads from then on confirm.
+func (f *Follower) awaitNextRead(ctx context.Context, asked, interval time.Duration) {
+	for due := boottime.Now() + interval; ctx.Err() == nil; {
+		left := due - boottime.Now()
+		if settled := f.opts.Loop.Snapshot().SettledAt; settled > asked {
+			left = min(left, settled-boottime.Now())
+		}
+		if left <= 0 {
+			return
+		}
+		wait.Sleep(ctx, min(left, roleCheckInterval))
+	}
+}
+
+// applyConfig makes a configuration of an era current. If it cannot be decoded, the previous
 // one stays current.
-func (f *Follower) applyConfig(value []byte, source string, confirmed time.Duration) {
+func (f *Follower) applyConfig(value []byte, era int64, source string, confirmed time.Duration) {
 	snap := f.opts.Loop.Snapshot()
 	if snap.Routes != nil && string(snap.RoutesContent) == string(value) {
 		if confirmed > 0 {
-			f.opts.Loop.Post(control.RoutesConfirmed{Version: snap.Routes.Version, At: confirmed})
+			f.opts.Loop.Post(control.RoutesConfirmed{Version: snap.Routes.Version, At: confirmed, Era: era})
 		}
 		return
 	}
@@ -89,7 +104,7 @@
 		f.opts.Log.Error("configuration_rejected", zap.String("source", source), telemetry.Error(err))
 		return
 	}
-	f.opts.Loop.Post(control.RoutesReceived{Table: table, Content: value, Source: source, Confirmed: confirmed})
+	f.opts.Loop.Post(control.RoutesReceived{Table: table, Content: value, Source: source, Confirmed: confirmed, Era: era})
 }
 
 // watchConfig applies new configurations as soon as they are written. It watches
@@ -131,17 +146,17 @@
 		after = &position
 		for _, c := range changes.Changes {
 			if !c.Removed {
-				f.applyConfigEntries([]kv.Entry{c.Entry}, "watch", 0)
+				f.applyConfigEntries(kv.Listing{Entries: []kv.Entry{c.Entry}, Era: changes.Era}, "watch", 0)
 			}
 		}
 	}
 }
 
-// applyConfigEntries applies the configuration if it is among entries.
-func (f *Follower) applyConfigEntries(entries []kv.Entry, source string, confirmed time.Duration) {
-	for _, e := range entries {
+// applyConfigEntries applies the configuration if it is among the entries of a listing.
+func (f *Follower) applyConfigEntries(listing kv.Listing, source string, confirmed time.Duration) {
+	for _, e := range listing.Entries {
 		if e.Key == f.opts.Codec.ConfigKey() {
-			f.applyConfig(e.Value, source, confirmed)
+			f.applyConfig(e.Value, int64(listing.Era), source, confirmed)
 		}
 	}
 }
--- a/mesh.go
+++ b/mesh.go
@@ -169,8 +169,9 @@
 
 // postConfirmation applies a confirmation of a peer, after the era in which the peer is.
 func (m *mesh) postConfirmation(from string, version, listRevision int64, at time.Duration) {
-	m.opts.Loop.Post(control.EraSeen{Era: vmlist.EraOf(listRevision), Source: "peer " + from})
-	m.opts.Loop.Post(control.RoutesConfirmed{Version: version, At: at})
+	era := vmlist.EraOf(listRevision)
+	m.opts.Loop.Post(control.EraSeen{Era: era, Source: "peer " + from})
+	m.opts.Loop.Post(control.RoutesConfirmed{Version: version, At: at, Era: era})
 }
 
 // receive dispatches messages of peers to their handlers.
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -272,6 +272,35 @@
 	}
 }
 
+// Guards against a key that is accepted again since a copy has confirmed it: the copy lacks the version
+// that revoked it, and the store is away again before the operator has written that again.
+func TestRevokedKeyIsNotAcceptedAfterACopyHasGone(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, options{era: 1, vms: 4, plainServers: 1})
+	from := s.store.Copy()
+	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
+	s.store.StallPendingWatches()
+	time.Sleep(50 * time.Millisecond)
+	s.store.Put(platform.ConfigKey, userplatform.Config(version+1, "new-key"))
+	revoked := time.Now()
+	time.Sleep(time.Second)
+	s.store.Restore(from, time.Hour)
+	s.store.SetFaults(userplatform.StoreFaults{})
+	time.Sleep(1300 * time.Millisecond)
+	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	for time.Since(revoked) < localsite.DefaultBounds().Revoke {
+		time.Sleep(5 * time.Millisecond)
+	}
+	for time.Since(revoked) < 2*localsite.DefaultBounds().Revoke {
+		for _, v := range s.vms {
+			if got := s.send(v, look()); got.status == http.StatusOK {
+				t.Fatalf("%s accepted the revoked key %v after it was revoked", v.Name, time.Since(revoked))
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // Guards against requests that are refused after each return, although nothing can have been
 // missed: the store was away for a moment, and writes again within the bound for revocations.
 func TestShortReturnRefusesNoKeys(t *testing.T) {
