claim: a replacement that takes effect late is abandoned too

Callers: a call that ended with not_run could never be retried: each retry got the outcome unknown, since the claim stayed "started" although nothing had been sent. No call ran twice.

Cause: an attempt replaces an abandoned claim by a write on its revision. If that write gets no answer, the attempt is rejected with not_run and its claim abandoned in the background. When the first write for that got no answer either, the claim was read back: it still was the earlier attempt's, which was taken for the end of the matter. The replacement could still take effect, on that same revision, and did.

As long as the earlier claim stands at the revision that the replacement names, the attempt now goes on until its abandoned record is written there. A late replacement then fails with a conflict. A claim of another attempt at another revision ends it as before: no pending write names that revision.

TestDelayedReplacementIsAbandoned plays the case alone; it failed before.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -289,7 +289,13 @@
 	if readErr != nil {
 		return readErr
 	}
-	if record.Operation != c.record.Operation || record.State != StateStarted {
+	if record.Operation != c.record.Operation {
+		if revision == c.revision {
+			return err // A write that replaces this claim may still take effect.
+		}
+		return nil
+	}
+	if record.State != StateStarted {
 		return nil
 	}
 	c.revision = revision
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -288,6 +288,44 @@
 	})
 }
 
+// TestDelayedReplacementIsAbandoned guards against a claim that stays held after its
+// attempt was rejected with not_run: its replacement of an abandoned claim takes effect
+// only after the attempt has read the earlier claim back, so that a retry could never
+// run.
+func TestDelayedReplacementIsAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{}
+		vm := func(name string) *Manager {
+			opts := longRetention
+			opts.VM, opts.Now = name, time.Now
+			m := NewManager(store, opts)
+			t.Cleanup(m.Close)
+			return m
+		}
+		id, _ := uuid.NewV7()
+		key := keyAt(id, time.Now())
+		c, err := vm("first").Begin(t.Context(), "org", key, "digest")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Abandon()
+		time.Sleep(time.Second)
+		// The lease, the conflict and its read, a write of 5 s and its read, a rejected
+		// write, and the lost request of the first write that abandons the claim.
+		store.mu.Lock()
+		store.script = []fault{noFault, noFault, noFault, delayed, noFault, rejected, requestLost}
+		store.delays = []time.Duration{0, 0, 0, maxDelay, 0, 0, 0}
+		store.mu.Unlock()
+		if _, err := vm("second").Begin(t.Context(), "org", key, "digest"); err == nil {
+			t.Fatal("the claim was created")
+		}
+		time.Sleep(maxDelay + 2*abandonInterval)
+		if _, err := vm("third").Begin(t.Context(), "org", key, "digest"); err != nil {
+			t.Errorf("a retry got %v", err)
+		}
+	})
+}
+
 // keyAt returns a version 7 UUID created at the given time.
 func keyAt(id uuid.UUID, at time.Time) string {
 	ms := at.UnixMilli()
