control: a write of the operator ends the wait after a return

Callers: after 2 s without the store and its return from a copy, all VMs refused keyed requests with 503, although the operator had written its configuration again and readers had found it.

Cause, traced in the test: a confirmation by the new era counted only 2 s after the return. The bound of 5 s (4.6 s with its margin) after the last one from before ends earlier if the store was away for longer than about 2 s. The confirmation after the operator's write was of no use until then, and a second return began these 2 s again.

Why it counts: these 2 s stand for the time in which the operator writes again what was lost. That write can be seen: a change of the configuration in the new era, by the watch or by a revision above that of the first read of the era. Reads from 0.1 s after it show the newest configuration, and the reader makes one at once. The 0.1 s are for an operator that writes several versions again one after the other. What is not written again is still waited for, 2 s.

VMs that do not read the store see no writes. Confirmations between VMs therefore carry a second age, that of the last time at which the version is known to have been the newest one. VMs without that field are understood as before.

--- a/control/era.go
+++ b/control/era.go
@@ -12,6 +12,10 @@
 // from a copy. The operator and the servers write again what was lost.
 const ReturnSettleTime = 2 * time.Second
 
+// rewriteMargin is the time after a write of the operator in a new era from which the store counts as
+// complete. An operator that writes several versions again writes one right after the other.
+const rewriteMargin = 100 * time.Millisecond
+
 // EraSeen reports that the platform's store has answered in an era. Eras only rise.
 type EraSeen struct {
 	Era int64
@@ -44,6 +48,24 @@
 	s.Changed()
 }
 
+// ConfigurationWritten reports that the operator has written its configuration in an era, so that the
+// store has got its newest one again.
+type ConfigurationWritten struct {
+	Era int64
+	// At is a time after the write, on the clock of package boottime.
+	At time.Duration
+}
+
+// Apply implements Message.
+func (m ConfigurationWritten) Apply(s *State) {
+	if m.Era != s.Era || m.At+rewriteMargin >= s.SettledAt {
+		return
+	}
+	s.log.Info("store_settled_by_write", zap.Int64("era", m.Era), zap.Duration("earlier", s.SettledAt-m.At-rewriteMargin))
+	s.SettledAt = m.At + rewriteMargin
+	s.Changed()
+}
+
 // confirmRoutes records that the store had the configuration in force at a time, in an era. Before
 // SettledAt the store may have lost a newer one, so that this does not show that it is the newest.
 func (s *State) confirmRoutes(at time.Duration, era int64) {
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -102,3 +102,47 @@
 		t.Errorf("confirmed %v before the returns, want %v", now-snap.RoutesNewest, age)
 	}
 }
+
+// Guards against requests that are refused although the store has got the operator's configuration
+// again, and against a write of an earlier era that counts as one of the present era.
+func TestWriteOfTheOperatorSettlesTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		era     int64
+		settled bool
+	}{{"this era", 2, true}, {"an earlier era", 1, false}} {
+		r := newRig()
+		r.listServers(1, 50)
+		now := boottime.Now()
+		r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now, Era: 1})
+		r.apply(EraSeen{Era: 2, Source: "test"})
+		r.apply(ConfigurationWritten{Era: c.era, At: now + time.Millisecond})
+		for _, read := range []struct {
+			after   time.Duration
+			settled bool
+		}{{rewriteMargin, false}, {rewriteMargin + time.Millisecond, c.settled}} {
+			r.apply(RoutesConfirmed{Version: 7, At: now + read.after, Era: 2})
+			if got := newSnapshot(r.State, nil).RoutesNewest > now; got != read.settled {
+				t.Errorf("write of %s: a read %v after the return counts: %v", c.name, read.after, got)
+			}
+		}
+	}
+}
+
+// Guards against a VM that does not read the store refusing requests, although a peer knows that the
+// configuration is the newest one.
+func TestPeerKnowsTheNewestConfiguration(t *testing.T) {
+	r := newRig()
+	r.listServers(1, 50)
+	now := boottime.Now()
+	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - time.Second, Era: 1})
+	r.apply(EraSeen{Era: 2, Source: "test"})
+	r.apply(RoutesConfirmed{Version: 7, At: now + 2*time.Millisecond, Era: 2, Newest: now + time.Millisecond})
+	if got := newSnapshot(r.State, nil).RoutesNewest; got != now+time.Millisecond {
+		t.Errorf("newest %v after the return, want 1ms", got-now)
+	}
+	r.apply(RoutesConfirmed{Version: 8, At: now + 4*time.Millisecond, Era: 2, Newest: now + 4*time.Millisecond})
+	if got := newSnapshot(r.State, nil).RoutesNewest; got != now+time.Millisecond {
+		t.Errorf("the confirmation of another version counts for this one")
+	}
+}
--- a/control/routes.go
+++ b/control/routes.go
@@ -50,13 +50,17 @@
 	At time.Duration
 	// Era is the era of the store at that time.
 	Era int64
+	// Newest is the last time at which a peer knows that the version was the newest one, 0 if it
+	// does not say.
+	Newest time.Duration
 }
 
 // Apply implements Message.
 func (m RoutesConfirmed) Apply(s *State) {
-	if s.Routes == nil || m.Version != s.Routes.Version || m.At <= s.RoutesConfirmed {
+	if s.Routes == nil || m.Version != s.Routes.Version || m.At <= s.RoutesConfirmed && m.Newest <= s.RoutesNewest {
 		return
 	}
 	s.confirmRoutes(m.At, m.Era)
+	s.RoutesNewest = max(s.RoutesNewest, m.Newest)
 	s.Changed()
 }
--- a/discovery/configuration.go
+++ b/discovery/configuration.go
@@ -63,6 +63,7 @@
 func (f *Follower) handleConfigRead(ctx context.Context, duty standby.Duty, asked time.Duration, listing kv.Listing) {
 	position := listing.Position()
 	f.configPosition.Store(&position)
+	f.recordEraWrites(listing)
 	f.applyConfigEntries(listing, "read", asked)
 	if duty == standby.Probe {
 		f.opts.Log.Info("store_probed", zap.Duration("confirmation_age", asked-f.opts.Loop.Snapshot().RoutesConfirmed))
@@ -74,6 +75,27 @@
 	f.awaitNextRead(ctx, asked, max(poll-maxWatchLag, maxWatchLag)-rand.N(poll/pollJitterDivisor))
 }
 
+// recordEraWrites reports a configuration that was written in the current era: its revision is above
+// that of the first read of the era.
+func (f *Follower) recordEraWrites(listing kv.Listing) {
+	if listing.Era != f.eraBegin.Era {
+		f.eraBegin = listing.Position()
+	}
+	for _, e := range listing.Entries {
+		if e.Key == f.opts.Codec.ConfigKey() && e.Revision > f.eraBegin.Revision {
+			f.reportWritten(listing.Era)
+		}
+	}
+}
+
+// reportWritten reports that the configuration has been written in an era, while the store does not
+// count as complete.
+func (f *Follower) reportWritten(era kv.Era) {
+	if now := boottime.Now(); now < f.opts.Loop.Snapshot().SettledAt {
+		f.opts.Loop.Post(control.ConfigurationWritten{Era: int64(era), At: now})
+	}
+}
+
 // awaitNextRead waits for an interval after a read that began at asked. It ends earlier when the
 // store has settled after its return from a copy, since only reads from then on confirm.
 func (f *Follower) awaitNextRead(ctx context.Context, asked, interval time.Duration) {
@@ -146,6 +168,7 @@
 		after = &position
 		for _, c := range changes.Changes {
 			if !c.Removed {
+				f.reportWritten(changes.Era)
 				f.applyConfigEntries(kv.Listing{Entries: []kv.Entry{c.Entry}, Era: changes.Era}, "watch", 0)
 			}
 		}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -174,6 +174,9 @@
 	// configPosition is the position of the last read of the configuration, from which the
 	// watch starts, nil if there is none to start from.
 	configPosition atomic.Pointer[kv.Position]
+	// eraBegin is the position of the first read of the configuration in the current era. Only
+	// confirmConfig uses it.
+	eraBegin kv.Position
 	// serversRequestedAt is the time at which this VM first needed the backend
 	// servers, on the clock of package boottime.
 	serversRequestedAt atomic.Int64
--- a/membership/confirmation_test.go
+++ b/membership/confirmation_test.go
@@ -24,15 +24,43 @@
 			defer supersede()
 			return version, 0
 		},
-		ConfirmedAt: func() (time.Duration, bool) {
+		ConfirmedAt: func() (Confirmation, bool) {
 			defer supersede()
-			return confirmedAt, true
+			return Confirmation{At: confirmedAt, Newest: confirmedAt}, true
 		},
 		OnChange: func([]Change) {}, Log: zap.NewNop(),
 	})
 	ack := s.Ack("b", &peerpb.Heartbeat{})
 	age := time.Duration(ack.GetConfirmation().GetAgeMs()) * time.Millisecond
-	if ack.GetBundleVersion() == 1 && age < time.Minute {
-		t.Errorf("version 1 is confirmed %v ago, which was the confirmation of version 2", age)
+	newest := time.Duration(ack.GetConfirmation().GetNewestAgeMs()) * time.Millisecond
+	if ack.GetBundleVersion() == 1 && min(age, newest) < time.Minute {
+		t.Errorf("version 1 is confirmed %v ago, which was the confirmation of version 2", min(age, newest))
+	}
+}
+
+// TestAckTellsWhatACopyHasConfirmed guards against a peer that takes a read of a copy, which may lack
+// a newer version, for one that shows the newest one.
+func TestAckTellsWhatACopyHasConfirmed(t *testing.T) {
+	read := Confirmation{At: boottime.Now() - time.Second, Newest: boottime.Now() - time.Minute}
+	for _, newest := range []time.Duration{read.Newest, 0} {
+		read.Newest = newest
+		var got Confirmation
+		s := NewService(Options{
+			VM: "a", Fanout: 2, HeartbeatInterval: time.Second, SuspectAfter: time.Second,
+			Versions:    func() (int64, int64) { return 1, 0 },
+			ConfirmedAt: func() (Confirmation, bool) { return read, true },
+			OnConfirmed: func(_ string, _, _ int64, c Confirmation) { got = c },
+			OnChange:    func([]Change) {}, Log: zap.NewNop(),
+		})
+		s.sequence, s.sentAt[1] = 1, boottime.Now()
+		ack := s.Ack("b", &peerpb.Heartbeat{})
+		ack.Sequence = 1
+		s.handleConfirmation("b", ack)
+		if late := read.At - got.At; late < 0 || late > 100*time.Millisecond {
+			t.Errorf("read %v too early", late)
+		}
+		if late := read.Newest - got.Newest; newest == 0 && got.Newest != 0 || late < 0 || late > 100*time.Millisecond {
+			t.Errorf("newest %v, want %v", got.Newest, read.Newest)
+		}
 	}
 }
--- a/membership/service.go
+++ b/membership/service.go
@@ -29,13 +29,12 @@
 	// EntryVMsRevision returns the announced revision of the list of entry VMs. It
 	// is nil if that list is not distributed as a separate document.
 	EntryVMsRevision func() int64
-	// ConfirmedAt returns the start time, on the clock of package boottime, of
-	// the latest platform read that confirmed the announced bundle version. The
-	// time is unknown if ConfirmedAt is nil or returns false.
-	ConfirmedAt func() (at time.Duration, ok bool)
+	// ConfirmedAt returns when the platform has confirmed the announced bundle version. This is
+	// unknown if ConfirmedAt is nil or returns false.
+	ConfirmedAt func() (c Confirmation, ok bool)
 	// OnConfirmed is called when a peer reports that the platform has confirmed
 	// a version. It may be nil.
-	OnConfirmed func(from string, version, vmListRevision int64, at time.Duration)
+	OnConfirmed func(from string, version, vmListRevision int64, c Confirmation)
 	// QuarantineDigest returns the announced digest of the rules on prompt parts, and
 	// OnQuarantineDigest is called with that of a peer. Both may be nil.
 	QuarantineDigest   func() uint64
--- a/mesh.go
+++ b/mesh.go
@@ -162,16 +162,17 @@
 }
 
 // routesConfirmedAt returns when the platform last confirmed the current configuration.
-func (m *mesh) routesConfirmedAt() (at time.Duration, ok bool) {
-	at = m.opts.Loop.Snapshot().ConfirmedForPeers()
-	return at, at > 0
+func (m *mesh) routesConfirmedAt() (c membership.Confirmation, ok bool) {
+	snap := m.opts.Loop.Snapshot()
+	c = membership.Confirmation{At: snap.ConfirmedForPeers(), Newest: snap.RoutesNewest}
+	return c, c.At > 0
 }
 
 // postConfirmation applies a confirmation of a peer, after the era in which the peer is.
-func (m *mesh) postConfirmation(from string, version, listRevision int64, at time.Duration) {
+func (m *mesh) postConfirmation(from string, version, listRevision int64, c membership.Confirmation) {
 	era := vmlist.EraOf(listRevision)
 	m.opts.Loop.Post(control.EraSeen{Era: era, Source: "peer " + from})
-	m.opts.Loop.Post(control.RoutesConfirmed{Version: version, At: at, Era: era})
+	m.opts.Loop.Post(control.RoutesConfirmed{Version: version, At: c.At, Era: era, Newest: c.Newest})
 }
 
 // receive dispatches messages of peers to their handlers.
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -24,10 +24,15 @@
 	lostWrites = 200
 )
 
-// returnFromCopy makes the store go away and come back from a copy.
+// returnFromCopy makes the store go away for a moment and come back from a copy.
 func (s *site) returnFromCopy(from *userplatform.StoreCopy, rewriteAfter time.Duration) {
+	s.returnAfter(storeAway, from, rewriteAfter)
+}
+
+// returnAfter makes the store go away for a time and come back from a copy.
+func (s *site) returnAfter(away time.Duration, from *userplatform.StoreCopy, rewriteAfter time.Duration) {
 	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
-	time.Sleep(storeAway)
+	time.Sleep(away)
 	s.store.Restore(from, rewriteAfter)
 	s.store.SetFaults(userplatform.StoreFaults{})
 }
@@ -321,3 +326,37 @@
 		t.Errorf("%d requests were not served", refused)
 	}
 }
+
+// Guards against requests that are refused on all VMs, 0.25 s between two returns: the store had got
+// the operator's configuration again after the first one and confirmed it, but that counted only
+// 2 s after the return.
+func TestConfigurationWrittenAgainIsConfirmed(t *testing.T) {
+	const rewritten = 500 * time.Millisecond
+	for name, returns := range map[string][]time.Duration{
+		"one return":  {2500 * time.Millisecond},
+		"two returns": {2500 * time.Millisecond, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, options{era: 1, vms: 3, plainServers: 4})
+			from := s.store.Copy()
+			s.store.Put(platform.ConfigKey, userplatform.Config(version+1, key))
+			s.writeOthers(lostWrites)
+			stop := s.load(look)
+			for _, away := range returns {
+				s.returnAfter(away, from, rewritten)
+				time.Sleep(2 * rewritten)
+			}
+			time.Sleep(2 * time.Second)
+			refused := 0
+			for _, got := range stop() {
+				if got.status != http.StatusOK {
+					refused++
+				}
+			}
+			if refused > 0 {
+				t.Errorf("%d requests were not served", refused)
+			}
+		})
+	}
+}
