--- a/control/routes.go
+++ b/control/routes.go
@@ -19,6 +19,8 @@
 	// that returned this version. It is 0 if the version was not read from the
 	// store.
 	Confirmed time.Duration
+	// Era is the era of that read.
+	Era int64
 }
 
 // Apply implements Message.
@@ -34,7 +36,9 @@
 		// A confirmation of an earlier version does not apply to this one, but
 		// this one was current when it was read.
 	}
-	s.RoutesConfirmed = max(s.RoutesConfirmed, m.Confirmed)
+	if m.Confirmed > 0 {
+		s.confirmRoutes(m.Confirmed, m.Era)
+	}
 	s.Changed()
 }
 
@@ -44,13 +48,19 @@
 	Version int64
 	// At is on the clock of package boottime.
 	At time.Duration
+	// Era is the era of the store at that time.
+	Era int64
+	// Newest is the last time at which a peer knows that the version was the newest one, 0 if it
+	// does not say.
+	Newest time.Duration
 }
 
 // Apply implements Message.
 func (m RoutesConfirmed) Apply(s *State) {
-	if s.Routes == nil || m.Version != s.Routes.Version || m.At <= s.RoutesConfirmed {
+	if s.Routes == nil || m.Version != s.Routes.Version || m.At <= s.RoutesConfirmed && m.Newest <= s.RoutesNewest {
 		return
 	}
-	s.RoutesConfirmed = m.At
+	s.confirmRoutes(m.At, m.Era)
+	s.RoutesNewest = max(s.RoutesNewest, m.Newest)
 	s.Changed()
 }
