--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -14,18 +14,25 @@
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 )
 
-// serve serves the gateway over TCP, and returns a connection of a caller.
+// serve serves the gateway over TCP as an entry VM does, and returns a connection of a caller.
 func (r *gatewayRig) serve() *net.TCPConn {
 	r.t.Helper()
 	l, err := listen.Listen("127.0.0.1:0")
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	server := &http.Server{Handler: r, ConnState: l.ConnState, ConnContext: listen.ConnContext}
+	limiter := IdleLimit{Limit: func() time.Duration { return time.Minute }}
+	server := &http.Server{
+		Handler: r, ConnContext: listen.ConnContext, IdleTimeout: time.Minute,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			limiter.ConnState(c, state)
+			l.ConnState(c, state)
+		},
+	}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = server.Serve(l)
+		_ = server.Serve(limiter.Listener(l))
 	}()
 	r.t.Cleanup(func() {
 		_ = server.Close()
