--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/quarantine"
@@ -172,7 +173,7 @@
 	}
 	if errors.Is(err, errAborted) {
 		c.recordCompletion(nil, "aborted")
-		panic(http.ErrAbortHandler)
+		c.closeWithoutEnd()
 	}
 	p := asProblem(err)
 	if p != nil && !c.callerLeft() {
@@ -183,10 +184,22 @@
 	if c.status == 0 || c.run != nil && c.run.abandoned {
 		// http.Server would write an empty success, or the end of a whole answer. A caller that
 		// has closed only its half of the connection would take it for one.
-		panic(http.ErrAbortHandler)
+		c.closeWithoutEnd()
 	}
 }
 
+// closeWithoutEnd ends the handler, after which http.Server closes the connection without the
+// end of the answer. In HTTP/1.0 an answer without a length ends with its connection, so the
+// connection is reset.
+func (c *call) closeWithoutEnd() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		if err := listen.ResetOnClose(c.r.Context()); err != nil {
+			c.log.Debug("connection_not_reset", telemetry.Error(err))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // reserveAnswer returns the reservation for the answer of a new attempt at a server. It is released when
 // the attempt fails, or with the request.
 func (c *call) reserveAnswer(server string) *membudget.Reservation {
--- a/internal/listen/peer.go
+++ b/internal/listen/peer.go
@@ -36,3 +36,13 @@
 	})
 	return err != nil || closed
 }
+
+// ResetOnClose makes the connection of a request be reset when it is closed, so that the end
+// of the connection does not pass for the end of the answer. ctx is the context of the request.
+func ResetOnClose(ctx context.Context) error {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || c == nil {
+		return nil
+	}
+	return c.SetLinger(0)
+}
