--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -41,6 +41,8 @@
 
 	mu       sync.Mutex
 	arrivals map[string][]string
+	// generation is that of the latest request to an engine.
+	generation string
 	// answer replaces the answer of a server if it returns true.
 	answer func(id string, w http.ResponseWriter) bool
 }
@@ -94,8 +96,13 @@
 
 func (r *rig) start(id string) vmlist.VM {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		generation := request.Header.Get(api.HeaderGenerationID)
+		if request.Method == http.MethodGet {
+			generation = strings.TrimPrefix(request.URL.Path, "/v1/generations/")
+		}
 		r.mu.Lock()
 		r.arrivals[id] = append(r.arrivals[id], request.Method)
+		r.generation = generation
 		answer := r.answer
 		r.mu.Unlock()
 		if answer != nil && answer(id, w) {
@@ -105,10 +112,6 @@
 			_, _ = w.Write([]byte(id))
 			return
 		}
-		generation := request.Header.Get(api.HeaderGenerationID)
-		if request.Method == http.MethodGet {
-			generation = strings.TrimPrefix(request.URL.Path, "/v1/generations/")
-		}
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = fmt.Fprintf(w, "id: %s:1\ndata: {\"choices\":[{\"text\":%q}]}\n\ndata: %s\n\n", generation, id, api.DoneMarker)
 	}))
--- a/frontend/unanswered_test.go
+++ b/frontend/unanswered_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 )
@@ -80,3 +83,105 @@
 		t.Errorf("requests %v are still active", active)
 	}
 }
+
+// streamSlowly makes the engine send an event, pause, and send the rest of its stream.
+func (r *rig) streamSlowly(pause time.Duration, begun func()) {
+	r.answer = func(_ string, w http.ResponseWriter) bool {
+		w.Header().Set("Content-Type", "text/event-stream")
+		r.mu.Lock()
+		generation := r.generation
+		r.mu.Unlock()
+		_, _ = fmt.Fprintf(w, "id: %s:1\ndata: {\"choices\":[{\"text\":\"a\"}]}\n\n", generation)
+		_ = http.NewResponseController(w).Flush()
+		begun()
+		time.Sleep(pause)
+		_, _ = fmt.Fprintf(w, "id: %s:2\ndata: {\"choices\":[{\"text\":\"b\"}]}\n\ndata: %s\n\n", generation, api.DoneMarker)
+		return true
+	}
+}
+
+// Guards against a resumed stream that is cut after the time for which an answer waits for a
+// body that no handler reads.
+func TestResumeWithABodyIsNotCut(t *testing.T) {
+	r := newRig(t, 1)
+	r.streamSlowly(time.Second, func() {})
+	conn := r.serve()
+	id := api.NewGenerationID("engine-0", "o").String()
+	if _, err := fmt.Fprintf(conn, "GET /v1/generations/%s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 2\r\n\r\n{}", id); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := readAnswer(conn); err != nil || !strings.Contains(body, api.DoneMarker) {
+		t.Errorf("error %v, answer %q", err, body)
+	}
+}
+
+// Guards against a stream that ends early and looks complete to a caller that has closed only
+// its half of the connection.
+func TestStreamOfAHalfClosedCallerOfTheFrontendDoesNotLookComplete(t *testing.T) {
+	r := newRig(t, 1)
+	begun := make(chan struct{}, 1)
+	r.streamSlowly(time.Second, func() {
+		select {
+		case begun <- struct{}{}:
+		default:
+		}
+	})
+	conn := r.serve()
+	const body = `{"model":"m","prompt":"x","stream":true}`
+	if _, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	time.Sleep(50 * time.Millisecond) // The first event is relayed.
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := readAnswer(conn); err == nil && !strings.Contains(got, api.DoneMarker) {
+		t.Errorf("the answer ends as if it were complete: %q", got)
+	}
+}
+
+// Guards against refusals of unknown paths that never come since the body does not arrive.
+func TestRefusalOfAnUnknownPathDoesNotWaitForTheBody(t *testing.T) {
+	conn := newRig(t, 1).serve()
+	if _, err := io.WriteString(conn, "POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readAnswer(conn); err != nil {
+		t.Errorf("no answer: %v", err)
+	}
+}
+
+func readAnswer(conn net.Conn) (string, error) {
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+// Guards against a refusal that is lost since its connection is reset while the caller still
+// sends its body, a part at a time.
+func TestSlowCallerOfTheFrontendGetsItsRefusal(t *testing.T) {
+	const (
+		parts    = 12
+		interval = 100 * time.Millisecond
+	)
+	for _, path := range []string{"/v1/completions", "/none"} {
+		conn := newRig(t, 1).serve()
+		if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", path, parts); err != nil {
+			t.Fatal(err)
+		}
+		for i := range parts {
+			time.Sleep(interval)
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				t.Fatalf("%s: part %d: %v", path, i, err)
+			}
+		}
+		if _, err := readAnswer(conn); err != nil {
+			t.Errorf("%s: no answer: %v", path, err)
+		}
+	}
+}
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 )
@@ -39,3 +42,46 @@
 		t.Errorf("services: %v", table.services)
 	}
 }
+
+// Guards against a stop that takes streams which it cuts, since those that wait for their first
+// event at the same engines do not count as slow.
+func TestStopExpectsStreamsToWaitAsLongAsOthersDo(t *testing.T) {
+	const (
+		waited = assumedFirstEventDelay + 700*time.Millisecond
+		left   = assumedFirstEventDelay + 400*time.Millisecond
+	)
+	r := newGatewayRig(t, 1)
+	release := make(chan struct{})
+	r.answer = func(string, http.ResponseWriter, *http.Request) bool {
+		<-release
+		return false
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.sendStream("first")
+	}()
+	time.Sleep(waited)
+	r.BeginDrain(left)
+	begin := time.Now()
+	go func() {
+		time.Sleep(left / 2)
+		close(release)
+	}()
+	if got := r.sendStream("second"); got.Code != http.StatusServiceUnavailable || time.Since(begin) > left/4 {
+		t.Errorf("status %d after %v", got.Code, time.Since(begin))
+	}
+	<-ended
+}
+
+// sendStream sends a request for a short stream.
+func (r *gatewayRig) sendStream(id string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, streamPath, strings.NewReader("x"))
+	request.Host = "h"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Model", rigModel)
+	request.Header.Set("Token-Count", "10,1")
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, request)
+	return w
+}
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 )
 
@@ -121,3 +122,54 @@
 		t.Errorf("the answer ends as if it were complete: %q", body)
 	}
 }
+
+// Guards against a refusal that is lost since its connection is reset while the caller still
+// sends its body, a part at a time.
+func TestSlowCallerGetsItsRefusal(t *testing.T) {
+	const (
+		parts    = 12
+		interval = 100 * time.Millisecond
+	)
+	conn := newGatewayRig(t, 1).serve()
+	if _, err := fmt.Fprintf(conn, "POST /none/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: slow\r\nContent-Length: %d\r\n\r\n", parts); err != nil {
+		t.Fatal(err)
+	}
+	for i := range parts {
+		time.Sleep(interval)
+		if _, err := io.WriteString(conn, "x"); err != nil {
+			t.Fatalf("part %d: %v", i, err)
+		}
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusNotFound {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
+
+// panickingCodec is a codec with a fault.
+type panickingCodec struct{ edge.Codec }
+
+func (panickingCodec) DecodeRequest(http.Header) edge.RequestInfo { panic("fault") }
+
+// Guards against a connection that is closed without an answer since the head of a request is
+// decoded outside of what answers panics.
+func TestPanicOfTheCodecIsAnswered(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	r.Edge = panickingCodec{r.Edge}
+	conn := r.serve()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", plainPath); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusInternalServerError {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
