--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,7 +32,7 @@
 	cmd := &cobra.Command{
 		Use:           "vanillaarchd --config FILE",
 		Short:         "Run one entry VM",
-		Long:          "Run one entry VM. SIGTERM drains it; a second signal aborts the drain and reports the interrupted requests.",
+		Long:          "Run one entry VM. SIGTERM drains it; a second signal aborts the drain and reports the interrupted requests. SIGHUP is ignored.",
 		Example:       "  vanillaarchd --config /etc/vanillaarch/vm.jsonc",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
@@ -46,6 +46,7 @@
 }
 
 func run(file string) error {
+	signals := awaitSignals()
 	cfg, err := config.Load(file)
 	if err != nil {
 		return err
@@ -59,13 +60,20 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		log.Info("signal_received", zap.Stringer("signal", <-signals))
-		cancel()
-		log.Warn("signal_received", zap.Stringer("signal", <-signals), zap.Bool("abort", true))
-		server.Abort()
-	}()
+	go signals.handle(log, stopOrAbort(log, cancel, server.Abort), func() { log.Warn("reload_unsupported") })
 	return server.Run(ctx)
 }
+
+// stopOrAbort returns a function that calls stop at its first call, and abort at any later one.
+func stopOrAbort(log *zap.Logger, stop, abort func()) func() {
+	stopping := false
+	return func() {
+		if !stopping {
+			stopping = true
+			stop()
+			return
+		}
+		log.Warn("drain_aborted")
+		abort()
+	}
+}
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 )
 
-// entrySignals are the signals to an entry VM. Each kind has a channel of its own: a signal is
+// entrySignals are the signals to an entry VM, on the users' platform or not. Each kind has a channel of its own: a signal is
 // dropped if its channel is full, and a reload may take long.
 type entrySignals struct{ stop, reload chan os.Signal }
 
