--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -141,6 +141,7 @@
 			}
 		}
 		problem := asProblem(err)
+		cut := problem != nil && problem.Status == statusClientClosedRequest && ec.Response().Committed
 		if problem != nil {
 			problem.TraceID = telemetry.TraceID(ctx)
 			span.SetAttributes(telemetry.AttrOutcome.String(string(problem.Outcome)))
@@ -152,6 +153,11 @@
 			}
 		}
 		f.logRequest(c, name, problem, time.Since(start))
+		if cut {
+			// http.Server would write the end of a whole answer, which a caller that has closed
+			// only its half of the connection would take for one.
+			panic(http.ErrAbortHandler)
+		}
 		return err
 	}
 }
--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -314,8 +314,8 @@
 		"the caller closed the connection").WithCause(r.c.ctx.Err())
 }
 
-// statusClientClosedRequest is the status that nginx logs for this case. No caller
-// receives it, since the connection is closed.
+// statusClientClosedRequest is the status that nginx logs for this case. Only a caller that
+// has closed no more than its half of the connection may receive it.
 const statusClientClosedRequest = 499
 
 // cancelGeneration cancels the generation in the background. During a pause of its engine
