--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -23,7 +23,6 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
-	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
@@ -73,6 +72,7 @@
 // Register adds the routes and the error handler of the caller API to e.
 func (f *Frontend) Register(e *echo.Echo) {
 	e.HTTPErrorHandler = handleRoutingError
+	e.Pre(f.limitUnreadBody)
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", f.readyz)
 	e.POST("/v1/completions", f.instrumented("frontend.completion", f.completion))
@@ -123,11 +123,6 @@
 			log: f.Log.With(zap.String("trace", telemetry.TraceID(ctx))),
 		}
 		f.counter.requests.Inc(1)
-		if hasBody(ec.Request()) {
-			if err := listen.LimitUnreadBody(ec.Response()); err != nil { // readBody sets its own limit.
-				c.log.Debug("read_deadline_failed", zap.Error(err))
-			}
-		}
 		if f.drain.draining() {
 			// Callers then connect to another VM, and none sends a request over an
 			// idle connection while the server closes it.
@@ -162,8 +157,6 @@
 	}
 }
 
-func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
-
 // admit registers the request for the drain, authenticates its caller and runs h.
 func (f *Frontend) admit(c *call, name string, h handler) error {
 	release, ok := f.drain.enter(name + " " + telemetry.TraceID(c.ctx))
