--- a/frontend/body.go
+++ b/frontend/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
@@ -12,7 +13,7 @@
 func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
 
 // limitUnreadBody is the middleware that bounds the wait of answers to requests whose body is
-// not read. readBody sets its own limit.
+// not read. readBody and discardBody set their own limits.
 func (f *Frontend) limitUnreadBody(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if hasBody(c.Request()) {
@@ -23,3 +24,14 @@
 		return next(c)
 	}
 }
+
+// discardBody reads the rest of the body of a request that is refused before its body was read.
+func (f *Frontend) discardBody(c echo.Context) {
+	if !hasBody(c.Request()) {
+		return
+	}
+	end := time.Now().Add(f.Config.Timeouts.Body.Std())
+	if err := listen.DiscardBody(c.Response(), c.Request(), func() time.Duration { return time.Until(end) }); err != nil {
+		f.Log.Debug("body_not_dropped", zap.Error(err))
+	}
+}
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -75,6 +75,7 @@
 }
 
 func (f *Frontend) readBody(c *call) ([]byte, error) {
+	c.bodyRead = true
 	limit := f.Config.Limits.BodyBytes
 	control := http.NewResponseController(c.Response())
 	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -71,7 +71,7 @@
 
 // Register adds the routes and the error handler of the caller API to e.
 func (f *Frontend) Register(e *echo.Echo) {
-	e.HTTPErrorHandler = handleRoutingError
+	e.HTTPErrorHandler = f.handleRoutingError
 	e.Pre(f.limitUnreadBody)
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", f.readyz)
@@ -81,10 +81,11 @@
 }
 
 // handleRoutingError responds to requests that match no route.
-func handleRoutingError(err error, c echo.Context) {
+func (f *Frontend) handleRoutingError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
+	f.discardBody(c)
 	p := asProblem(err)
 	if httpErr, ok := errors.Into[*echo.HTTPError](err); ok && httpErr.Code < http.StatusInternalServerError {
 		p = api.NewProblem(api.ProblemNotFound, httpErr.Code, api.OutcomeNotRun, "no such path or method")
@@ -103,6 +104,8 @@
 	log      *zap.Logger
 	// answerLimit bounds a response that is not streamed, in bytes.
 	answerLimit int64
+	// bodyRead is set once the body of the request is read, or the read has failed.
+	bodyRead bool
 	// generation and tokens are set for the log line of the request.
 	generation string
 	tokens     int
@@ -142,6 +145,9 @@
 			span.SetAttributes(telemetry.AttrOutcome.String(string(problem.Outcome)))
 			f.counter.countFailure(problem.Outcome)
 			if !ec.Response().Committed {
+				if !c.bodyRead {
+					f.discardBody(ec)
+				}
 				err = writeProblem(ec, problem)
 			} else {
 				err = nil
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -205,13 +205,14 @@
 	}
 }
 
-// limitUnreadBody bounds the wait of the answer to a request whose body is not read.
-func (c *call) limitUnreadBody() {
+// discardBody reads the rest of the body of a request that is refused before its body was read.
+func (c *call) discardBody() {
 	if c.r.Body == nil || c.r.Body == http.NoBody {
 		return
 	}
-	if err := listen.LimitUnreadBody(c.w); err != nil {
-		c.log.Debug("read_deadline_failed", telemetry.Error(err))
+	if err := listen.DiscardBody(c.w, c.r, c.untilStop); err != nil {
+		c.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
+		c.log.Debug("body_not_dropped", telemetry.Error(err))
 	}
 }
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -166,6 +166,14 @@
 	return untilDeadline
 }
 
+// untilStop returns the time until the request gets its last answer because the VM stops.
+func (c *call) untilStop() time.Duration {
+	if remaining, stopping := c.g.drain.remaining(); stopping {
+		return remaining
+	}
+	return unlimitedTime
+}
+
 // checkStopping rejects a request that may not end before the VM stops. Another VM can
 // serve the caller at once.
 func (c *call) checkStopping() error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,7 +209,7 @@
 // serve admits the request and sends the response.
 func (c *call) serve() error {
 	if err := c.admit(); err != nil {
-		c.limitUnreadBody()
+		c.discardBody()
 		return err
 	}
 	if err := c.readBody(); err != nil {
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -150,6 +150,22 @@
 	}
 }
 
+// Guards against a refused request whose caller is asked to send its body first.
+func TestRefusalDoesNotAskForTheBody(t *testing.T) {
+	conn := newGatewayRig(t, 1).serve()
+	if _, err := io.WriteString(conn, "POST /none/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 12\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusNotFound {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
+
 // panickingCodec is a codec with a fault.
 type panickingCodec struct{ edge.Codec }
 
