--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,20 +150,19 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{g: g, w: w, r: r, arrived: boottime.Now(), info: g.Edge.DecodeRequest(r.Header), snap: g.Snapshot()}
-	c.log = g.Log.With(zap.String("request", c.info.ID))
+	c := &call{g: g, w: w, r: r, arrived: boottime.Now(), snap: g.Snapshot(), log: g.Log}
+	err := recovery.Call(c.decode) // Before other goroutines see the request.
 	c.memory = g.requestBudget.Reserve("")
 	defer c.releaseMemory()
 	g.drain.enter(c)
 	defer g.drain.leave(c)
 	c.watchCaller()
 	defer c.caller.stop()
-	err := recovery.Call(c.serve)
+	if err == nil {
+		err = recovery.Call(c.serve)
+	}
 	if panicked, ok := errors.Into[*recovery.PanicError](err); ok {
-		c.log.Error("request_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
-		if c.status != 0 {
-			err = errAborted
-		}
+		err = c.recovered(panicked)
 	}
 	if errors.Is(err, errAborted) {
 		c.recordCompletion(nil, "aborted")
@@ -182,6 +181,24 @@
 	}
 }
 
+// decode reads the metadata of the request.
+func (c *call) decode() error {
+	c.info = c.g.Edge.DecodeRequest(c.r.Header)
+	c.log = c.g.Log.With(zap.String("request", c.info.ID))
+	return nil
+}
+
+// recovered logs a panic and returns the error that ends the request. An answer that has begun
+// is cut.
+func (c *call) recovered(panicked *recovery.PanicError) error {
+	c.log.Error("request_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
+	if c.status != 0 {
+		return errAborted
+	}
+	c.discardBody() // Has no effect if the body was read.
+	return panicked
+}
+
 // reserveAnswer returns the reservation for the answer of a new attempt at a server. It is released when
 // the attempt fails, or with the request.
 func (c *call) reserveAnswer(server string) *membudget.Reservation {
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -174,18 +174,20 @@
 // Guards against a connection that is closed without an answer since the head of a request is
 // decoded outside of what answers panics.
 func TestPanicOfTheCodecIsAnswered(t *testing.T) {
-	r := newGatewayRig(t, 1)
-	r.Edge = panickingCodec{r.Edge}
-	conn := r.serve()
-	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", plainPath); err != nil {
-		t.Fatal(err)
-	}
-	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	if answer.StatusCode != http.StatusInternalServerError {
-		t.Errorf("status %d", answer.StatusCode)
+	for _, body := range []string{"x", ""} { // The second one never arrives.
+		r := newGatewayRig(t, 1)
+		r.Edge = panickingCodec{r.Edge}
+		conn := r.serve()
+		if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n%s", plainPath, body); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("body %q: no answer: %v", body, err)
+		}
+		if answer.StatusCode != http.StatusInternalServerError {
+			t.Errorf("body %q: status %d", body, answer.StatusCode)
+		}
 	}
 }
