--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -146,7 +146,7 @@
 		return c.noMemory(full)
 	}
 	if err != nil {
-		c.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
+		c.recordBodyError(err)
 		// http.Server would wait for the rest of the body before it sends the answer.
 		c.w.Header().Set("Connection", "close")
 		c.expireRead(control)
@@ -191,12 +191,19 @@
 	}
 	if _, ok := errors.Into[*membudget.ExceededError](err); ok {
 		if _, dropErr := io.Copy(io.Discard, reader); dropErr != nil {
+			c.recordBodyError(dropErr)
 			c.log.Debug("body_not_dropped", telemetry.Error(dropErr))
 		}
 	}
 	return nil, err
 }
 
+// recordBodyError records an error of a read of the body. http.Server ends the context of the
+// request after any, also after one of a time limit of this VM.
+func (c *call) recordBodyError(err error) {
+	c.bodyLate = c.bodyLate || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // clearReadDeadline ends the time limit for the body, which must not end the watch for the
 // caller's leaving.
 func (c *call) clearReadDeadline(control *http.ResponseController) {
@@ -211,7 +218,7 @@
 		return
 	}
 	if err := listen.DiscardBody(c.w, c.r, c.untilStop); err != nil {
-		c.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
+		c.recordBodyError(err)
 		c.log.Debug("body_not_dropped", telemetry.Error(err))
 	}
 }
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
+	"github.com/vanillaarch/vanillaarch/membudget"
 )
 
 // serve serves the gateway over TCP, and returns a connection of a caller.
@@ -191,3 +192,22 @@
 		}
 	}
 }
+
+// Guards against a refusal for lack of memory that is not sent since the rest of the body, which
+// is dropped, does not arrive: the VM took the end of its own time limit for the caller's leaving.
+func TestRefusalForLackOfMemoryOutlivesALateBody(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	r.requestBudget = membudget.New(1, 0)
+	conn := r.serve()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\nDeadline-Ms: 300\r\nContent-Length: 100\r\n\r\nx", plainPath); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
