--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -23,7 +23,6 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
-	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
@@ -72,7 +71,8 @@
 
 // Register adds the routes and the error handler of the caller API to e.
 func (f *Frontend) Register(e *echo.Echo) {
-	e.HTTPErrorHandler = handleRoutingError
+	e.HTTPErrorHandler = f.handleRoutingError
+	e.Pre(f.limitUnreadBody)
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", f.readyz)
 	e.POST("/v1/completions", f.instrumented("frontend.completion", f.completion))
@@ -81,10 +81,11 @@
 }
 
 // handleRoutingError responds to requests that match no route.
-func handleRoutingError(err error, c echo.Context) {
+func (f *Frontend) handleRoutingError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
+	f.discardBody(c)
 	p := asProblem(err)
 	if httpErr, ok := errors.Into[*echo.HTTPError](err); ok && httpErr.Code < http.StatusInternalServerError {
 		p = api.NewProblem(api.ProblemNotFound, httpErr.Code, api.OutcomeNotRun, "no such path or method")
@@ -105,6 +106,8 @@
 	body []byte
 	// answerLimit bounds a response that is not streamed, in bytes.
 	answerLimit int64
+	// bodyRead is set once the body of the request is read, or the read has failed.
+	bodyRead bool
 	// generation and tokens are set for the log line of the request.
 	generation string
 	tokens     int
@@ -125,11 +128,6 @@
 			log: f.Log.With(zap.String("trace", telemetry.TraceID(ctx))),
 		}
 		f.counter.requests.Inc(1)
-		if hasBody(ec.Request()) {
-			if err := listen.LimitUnreadBody(ec.Response()); err != nil { // readBody sets its own limit.
-				c.log.Debug("read_deadline_failed", zap.Error(err))
-			}
-		}
 		if f.drain.draining() {
 			// Callers then connect to another VM, and none sends a request over an
 			// idle connection while the server closes it.
@@ -143,23 +141,30 @@
 			}
 		}
 		problem := asProblem(err)
+		cut := problem != nil && problem.Status == statusClientClosedRequest && ec.Response().Committed
 		if problem != nil {
 			problem.TraceID = telemetry.TraceID(ctx)
 			span.SetAttributes(telemetry.AttrOutcome.String(string(problem.Outcome)))
 			f.counter.countFailure(problem.Outcome)
 			if !ec.Response().Committed {
+				if !c.bodyRead {
+					f.discardBody(ec)
+				}
 				err = writeProblem(ec, problem)
 			} else {
 				err = nil
 			}
 		}
 		f.logRequest(c, name, problem, time.Since(start))
+		if cut {
+			// http.Server would write the end of a whole answer, which a caller that has closed
+			// only its half of the connection would take for one.
+			panic(http.ErrAbortHandler)
+		}
 		return err
 	}
 }
 
-func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
-
 // admit registers the request for the drain, authenticates its caller and runs h.
 func (f *Frontend) admit(c *call, name string, h handler) error {
 	release, ok := f.drain.enter(name + " " + telemetry.TraceID(c.ctx))
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -146,7 +146,7 @@
 		return c.noMemory(full)
 	}
 	if err != nil {
-		c.bodyLate = errors.Is(err, os.ErrDeadlineExceeded)
+		c.recordBodyError(err)
 		// http.Server would wait for the rest of the body before it sends the answer.
 		c.w.Header().Set("Connection", "close")
 		c.expireRead(control)
@@ -191,12 +191,19 @@
 	}
 	if _, ok := errors.Into[*membudget.ExceededError](err); ok {
 		if _, dropErr := io.Copy(io.Discard, reader); dropErr != nil {
+			c.recordBodyError(dropErr)
 			c.log.Debug("body_not_dropped", telemetry.Error(dropErr))
 		}
 	}
 	return nil, err
 }
 
+// recordBodyError records an error of a read of the body. http.Server ends the context of the
+// request after any, also after one of a time limit of this VM.
+func (c *call) recordBodyError(err error) {
+	c.bodyLate = c.bodyLate || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // clearReadDeadline ends the time limit for the body, which must not end the watch for the
 // caller's leaving.
 func (c *call) clearReadDeadline(control *http.ResponseController) {
@@ -205,13 +212,14 @@
 	}
 }
 
-// limitUnreadBody bounds the wait of the answer to a request whose body is not read.
-func (c *call) limitUnreadBody() {
+// discardBody reads the rest of the body of a request that is refused before its body was read.
+func (c *call) discardBody() {
 	if c.r.Body == nil || c.r.Body == http.NoBody {
 		return
 	}
-	if err := listen.LimitUnreadBody(c.w); err != nil {
-		c.log.Debug("read_deadline_failed", telemetry.Error(err))
+	if err := listen.DiscardBody(c.w, c.r, c.untilStop); err != nil {
+		c.recordBodyError(err)
+		c.log.Debug("body_not_dropped", telemetry.Error(err))
 	}
 }
 
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
+	"github.com/vanillaarch/vanillaarch/membudget"
 )
 
 // serve serves the gateway over TCP as an entry VM does, and returns a connection of a caller.
@@ -128,3 +130,91 @@
 		t.Errorf("the answer ends as if it were complete: %q", body)
 	}
 }
+
+// Guards against a refusal that is lost since its connection is reset while the caller still
+// sends its body, a part at a time.
+func TestSlowCallerGetsItsRefusal(t *testing.T) {
+	const (
+		parts    = 12
+		interval = 100 * time.Millisecond
+	)
+	conn := newGatewayRig(t, 1).serve()
+	if _, err := fmt.Fprintf(conn, "POST /none/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: slow\r\nContent-Length: %d\r\n\r\n", parts); err != nil {
+		t.Fatal(err)
+	}
+	for i := range parts {
+		time.Sleep(interval)
+		if _, err := io.WriteString(conn, "x"); err != nil {
+			t.Fatalf("part %d: %v", i, err)
+		}
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusNotFound {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
+
+// Guards against a refused request whose caller is asked to send its body first.
+func TestRefusalDoesNotAskForTheBody(t *testing.T) {
+	conn := newGatewayRig(t, 1).serve()
+	if _, err := io.WriteString(conn, "POST /none/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 12\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusNotFound {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
+
+// panickingCodec is a codec with a fault.
+type panickingCodec struct{ edge.Codec }
+
+func (panickingCodec) DecodeRequest(http.Header) edge.RequestInfo { panic("fault") }
+
+// Guards against a connection that is closed without an answer since the head of a request is
+// decoded outside of what answers panics.
+func TestPanicOfTheCodecIsAnswered(t *testing.T) {
+	for _, body := range []string{"x", ""} { // The second one never arrives.
+		r := newGatewayRig(t, 1)
+		r.Edge = panickingCodec{r.Edge}
+		conn := r.serve()
+		if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n%s", plainPath, body); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("body %q: no answer: %v", body, err)
+		}
+		if answer.StatusCode != http.StatusInternalServerError {
+			t.Errorf("body %q: status %d", body, answer.StatusCode)
+		}
+	}
+}
+
+// Guards against a refusal for lack of memory that is not sent since the rest of the body, which
+// is dropped, does not arrive: the VM took the end of its own time limit for the caller's leaving.
+func TestRefusalForLackOfMemoryOutlivesALateBody(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	r.requestBudget = membudget.New(1, 0)
+	conn := r.serve()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\nDeadline-Ms: 300\r\nContent-Length: 100\r\n\r\nx", plainPath); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
