standin: the port of a server that is down stays its own

A server that has crashed or pauses listens on its port again some seconds later. Meanwhile the port was free: a connection or a listener of another site in the same test process could take it, after which the server never came back, or requests for it reached a server of that site. A socket that is bound to the port and does not listen now keeps it; connections are still refused.

Found while reading runs of the tests of requests that crash servers, several of which run side by side: 25 arrivals with 10 crashes. That the port was taken there is not shown. localsite loses its unused option for the slots of engines.

--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -33,7 +33,6 @@
 	zone          = "z"
 
 	defaultPlainServerSlots = 6
-	defaultEngineSlots      = 24
 	defaultProcessingTime   = 5 * time.Millisecond
 )
 
@@ -52,8 +51,6 @@
 	// PlainServerSlots is the number of requests that a plain server runs concurrently, 0 for
 	// the default. It rejects any others.
 	PlainServerSlots int
-	// EngineSlots is the same for engines.
-	EngineSlots int
 	// ProcessingTime is the time before a plain response, 0 for the default.
 	ProcessingTime time.Duration
 	// UnstartedServers is the number of backend servers that are listed in the store but not running.
@@ -130,7 +127,7 @@
 func (s *Site) start() error {
 	for i := range s.opts.Engines {
 		e, err := s.StartServer(userplatform.ServerOptions{
-			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: zone, Model: "m", Slots: cmp.Or(s.opts.EngineSlots, defaultEngineSlots),
+			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: zone, Model: "m", Slots: 24,
 			Events: s.opts.Events, EventInterval: s.opts.EventInterval,
 		})
 		if err != nil {
--- a/internal/standin/userplatform/lifecycle.go
+++ b/internal/standin/userplatform/lifecycle.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -110,10 +109,16 @@
 }
 
 func (s *Server) listen(address string) (*standin.Server, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := listenReserved(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen as "+s.ID())
 	}
+	if s.reservation == nil {
+		if s.reservation, err = reservePort(l.Addr()); err != nil {
+			_ = l.Close()
+			return nil, err
+		}
+	}
 	s.crashed = &atomic.Bool{}
 	return standin.Serve(refusalListener{l, s.crashed}, s.handler), nil
 }
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -95,10 +96,12 @@
 	// id is the current id.
 	id atomic.Pointer[string]
 
-	// lifeMu guards http, crashed, started, state, stopped, restarting, renamed and
-	// processes.
+	// lifeMu guards http, reservation, crashed, started, state, stopped, restarting, renamed
+	// and processes.
 	lifeMu sync.Mutex
 	http   *standin.Server
+	// reservation keeps the port while the server is down.
+	reservation *os.File
 	// crashed belongs to the connections of http.
 	crashed *atomic.Bool
 	started int64
