--- a/internal/soak/version_callers_test.go
+++ b/internal/soak/version_callers_test.go
@@ -122,7 +122,6 @@
 
 func (l *versionLoad) outcome(r versionResult) string {
 	took := r.ended.Sub(r.sent)
-	stopped, hasStopped := l.stoppedAt[r.vm]
 	switch {
 	case r.err == nil && r.status == http.StatusOK && r.events == draftEvents:
 		return "whole"
@@ -132,7 +131,7 @@
 		return fmt.Sprint(r.status)
 	case took >= shortTimeout && l.timedOut(r), took > draftDeadline-noticedCut:
 		return "time-out"
-	case len(l.fleet.Runs(r.id)) == 0 && hasStopped && r.ended.After(stopped):
+	case len(l.fleet.Runs(r.id)) == 0 && l.isStopping(r.vm, r.ended):
 		return "not read"
 	}
 	for _, e := range l.fleet.Executions(r.id) {
@@ -143,6 +142,13 @@
 	return "cut, engine sound"
 }
 
+// isStopping reports whether a VM stops at a time, or starts again after a stop.
+func (l *versionLoad) isStopping(name string, at time.Time) bool {
+	return slices.ContainsFunc(l.stoppedAt[name], func(stopped time.Time) bool {
+		return at.After(stopped) && at.Before(stopped.Add(stopTimeout+startBound))
+	})
+}
+
 // timedOut reports whether the VM ended a draft since its time was up.
 func (l *versionLoad) timedOut(r versionResult) bool {
 	lines := l.logLines(r)
--- a/internal/soak/version_events_test.go
+++ b/internal/soak/version_events_test.go
@@ -207,7 +207,7 @@
 func (l *versionLoad) stopOne(_ context.Context, r *rand.Rand) {
 	v := l.vms[r.IntN(len(l.vms))]
 	l.mu.Lock()
-	l.stoppedAt[v.name] = time.Now()
+	l.stoppedAt[v.name] = append(l.stoppedAt[v.name], time.Now())
 	l.mu.Unlock()
 	if err := v.terminate(syscall.SIGTERM, stopTimeout); err != nil {
 		l.t.Error(err)
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -63,7 +63,7 @@
 	// crashes holds the times of the crashes of each engine.
 	crashes map[string][]time.Time
 	// stoppedAt holds the signals to VMs.
-	stoppedAt map[string]time.Time
+	stoppedAt map[string][]time.Time
 	versions  []time.Time
 	results   []versionResult
 }
@@ -96,6 +96,10 @@
 	"two engines a service":                {versions: true, engines: 2, play: repeating((*versionLoad).leave)},
 	"store refuses a VM":                   {versions: true, play: repeating((*versionLoad).refuseVM, (*versionLoad).leave)},
 	"VMs stop":                             {versions: true, play: repeating((*versionLoad).stopOne)},
+	"VMs stop, engines leave":              {versions: true, play: repeating((*versionLoad).stopOne, (*versionLoad).leave)},
+	"VMs stop, engines leave, no moves":    {versions: true, faults: userplatform.ServerFaults{RefuseMoves: true}, play: repeating((*versionLoad).stopOne, (*versionLoad).leave)},
+	"VMs stop, late backups":               {versions: true, faults: userplatform.ServerFaults{BackupDelay: 2500 * time.Millisecond}, play: repeating((*versionLoad).stopOne, (*versionLoad).leave)},
+	"VMs stop, entries lapse":              {versions: true, play: repeating((*versionLoad).stopOne, (*versionLoad).lapse)},
 	"a VM is starved":                      {versions: true, play: repeating((*versionLoad).starve, (*versionLoad).leave)},
 }
 
@@ -187,7 +191,7 @@
 	h.fleet = userplatform.NewFleet(h.store)
 	h.addCleanup(h.store.Close)
 	t.Cleanup(h.close)
-	l := &versionLoad{harness: h, t: t, seed: *versionsSeed, faults: c.faults, crashes: map[string][]time.Time{}, stoppedAt: map[string]time.Time{}}
+	l := &versionLoad{harness: h, t: t, seed: *versionsSeed, faults: c.faults, crashes: map[string][]time.Time{}, stoppedAt: map[string][]time.Time{}}
 	l.putVersion(draftRoute{targets: `"service":"engines"`, timeout: longTimeout, idle: 15 * time.Second})
 	for _, service := range engineServices {
 		for range cmp.Or(c.engines, 3) {
