--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -51,8 +51,9 @@
 type idleConn struct {
 	net.Conn
 	limit func() time.Duration
-	idle  atomic.Bool
-	head  callerHead
+	// idle is set from when the connection becomes idle until the server sets a read deadline.
+	idle atomic.Bool
+	head callerHead
 }
 
 // maxCallerHeadLines bounds the lines of the head of a request. A head of maxHeaderBytes in
@@ -108,11 +109,11 @@
 // NetConn returns the connection that c wraps.
 func (c *idleConn) NetConn() net.Conn { return c.Conn }
 
-// SetReadDeadline implements net.Conn. For an idle connection it replaces the
-// deadline by the configured limit. The limit also covers the header of the next
-// request, which the server reads before it marks the connection as active.
+// SetReadDeadline implements net.Conn. The first deadline of an idle connection, which the
+// server sets at once, is replaced by the configured limit. The next one is that for the head
+// of a request of which the first bytes have arrived.
 func (c *idleConn) SetReadDeadline(t time.Time) error {
-	if limit := c.limit(); c.idle.Load() && !t.IsZero() && limit > 0 {
+	if limit := c.limit(); !t.IsZero() && c.idle.CompareAndSwap(true, false) && limit > 0 {
 		t = time.Now().Add(limit)
 	}
 	return c.Conn.SetReadDeadline(t)
