--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -130,7 +130,7 @@
 	control := http.NewResponseController(c.w)
 	limited, release := c.g.drain.limit(c.r.Context(), noTime)
 	defer release()
-	defer context.AfterFunc(limited, func() { c.expireRead(control) })()
+	defer context.AfterFunc(limited, func() { c.endRead(control) })()
 	if err := control.SetReadDeadline(time.Now().Add(c.remaining())); err != nil {
 		c.log.Debug("read_deadline_failed", telemetry.Error(err))
 	}
@@ -201,7 +201,9 @@
 // recordBodyError records an error of a read of the body. http.Server ends the context of the
 // request after any, also after one of a time limit of this VM.
 func (c *call) recordBodyError(err error) {
-	c.bodyLate = c.bodyLate || errors.Is(err, os.ErrDeadlineExceeded)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.bodyLate.Store(true)
+	}
 }
 
 // clearReadDeadline ends the time limit for the body, which must not end the watch for the
@@ -223,6 +225,16 @@
 	}
 }
 
+// endRead ends the read of a body because the VM stops, or after the caller has disconnected. The
+// body may have ended in the same moment. What fails then is the read by which http.Server
+// watches for the caller's leaving.
+func (c *call) endRead(control *http.ResponseController) {
+	if c.r.Context().Err() == nil {
+		c.bodyLate.Store(true)
+	}
+	c.expireRead(control)
+}
+
 // expireRead ends the read of a body, so that a request of which the rest does not arrive
 // gets its answer.
 func (c *call) expireRead(control *http.ResponseController) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,8 +113,9 @@
 	identity *quarantine.Request
 	// memory accounts for the memory of body.
 	memory *membudget.Reservation
-	// bodyLate is set if the body did not arrive in time.
-	bodyLate bool
+	// bodyLate is set before a time limit of the VM ends a read from the caller, or once it has:
+	// the context of the request then ends although the caller is there.
+	bodyLate atomic.Bool
 	// answers accounts for what is held of the answer of each attempt.
 	answers []*membudget.Reservation
 	// arrived and deadline are on the clock of package boottime. deadline is the
@@ -238,7 +239,7 @@
 // callerLeft reports whether the caller has disconnected. The context of the request also
 // ends when its body does not arrive in time.
 func (c *call) callerLeft() bool {
-	return c.caller.closed || c.r.Context().Err() != nil && !c.bodyLate
+	return c.caller.closed || c.r.Context().Err() != nil && !c.bodyLate.Load()
 }
 
 // serve admits the request and sends the response.
