--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -51,9 +51,46 @@
 type paceTable struct {
 	mu       sync.Mutex
 	services map[string]*paceRecord
+	// waiting holds the streams that wait for their first event by service, and since when.
+	// Engines that have just become slow show in these only.
+	waiting map[string]map[*stream]time.Duration
 }
 
-func newPaceTable() *paceTable { return &paceTable{services: map[string]*paceRecord{}} }
+func newPaceTable() *paceTable {
+	return &paceTable{services: map[string]*paceRecord{}, waiting: map[string]map[*stream]time.Duration{}}
+}
+
+// beginWait records that a stream waits for its first event since a time.
+func (t *paceTable) beginWait(s *stream, since time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name := s.service.Name
+	if t.waiting[name] == nil {
+		t.waiting[name] = map[*stream]time.Duration{}
+	}
+	t.waiting[name][s] = since
+}
+
+// endWait ends the wait of a stream, if it waits.
+func (t *paceTable) endWait(s *stream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name := s.service.Name
+	delete(t.waiting[name], s)
+	if len(t.waiting[name]) == 0 {
+		delete(t.waiting, name)
+	}
+}
+
+// longestWait returns for how long streams of a service have waited for their first event. The
+// caller holds t.mu.
+func (t *paceTable) longestWait(service string, now time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, since := range t.waiting[service] {
+		longest = max(longest, now-since)
+	}
+	return longest
+}
 
 // record adds the pace of one stream. Times that are 0 are not known.
 func (t *paceTable) record(service string, seen enginePace, now time.Duration) {
@@ -82,12 +119,13 @@
 func (t *paceTable) slowest(service string, now time.Duration) enginePace {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	least := assumedPace.slower(enginePace{firstEvent: t.longestWait(service, now)})
 	r := t.services[service]
 	if r == nil {
-		return assumedPace
+		return least
 	}
 	r.advance(now)
-	return assumedPace.slower(r.current).slower(r.previous)
+	return least.slower(r.current).slower(r.previous)
 }
 
 // paceSampleEvents is the number of events of a stream after which its pace is recorded, again
@@ -98,6 +136,7 @@
 func (s *stream) recordPace(seg *segment, now time.Duration) {
 	events := s.eventCount.Load()
 	if events == 1 {
+		s.g.pace.endWait(s)
 		s.g.pace.record(s.service.Name, enginePace{firstEvent: now - seg.started}, now)
 		return
 	}
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -59,6 +59,9 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	seg := &segment{ticket: ticket, vm: vm, cancel: cancel, started: boottime.Now(), startEvent: s.lastEvent, fromCopy: source != nil}
 	s.enterEngine(vm)
+	if !s.hasEvents() {
+		s.g.pace.beginWait(s, seg.started)
+	}
 	if err := s.send(ctx, seg, source); err != nil {
 		s.closeConnection(seg, err)
 		s.reportRunFailure(seg, err)
@@ -207,6 +210,7 @@
 		seg.answer.Close()
 	}
 	seg.cancel()
+	s.g.pace.endWait(s)
 	seg.memory.Release()
 	s.logMemory(seg.vm.ID, err)
 	s.leaveEngine(seg.vm)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,6 +69,7 @@
 	defer c.returnPermit()
 	s := &stream{call: c, ctx: ctx}
 	c.run = s
+	defer s.g.pace.endWait(s)
 	if err := s.checkQuarantine(); err != nil {
 		return s.giveUp(err)
 	}
