--- a/internal/listen/descriptors_test.go
+++ b/internal/listen/descriptors_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -61,6 +63,33 @@
 	}
 }
 
+// Guards against a VM that says it is ready and takes no more connections, since accept failed
+// once for lack of memory.
+func TestServerOutlivesALackOfMemoryAtAccept(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failures := 2
+	l.acceptTCP = func() (*net.TCPConn, error) {
+		if failures > 0 {
+			failures--
+			return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", unix.ENOMEM)}
+		}
+		return l.AcceptTCP()
+	}
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: l.ConnState}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := http.Client{Timeout: 2 * time.Second}
+	answer, err := client.Get("http://" + l.Addr().String())
+	if err != nil {
+		t.Fatalf("no answer: %v; the server: %v", err, <-served)
+	}
+	_ = answer.Body.Close()
+}
+
 // forbidDescriptors makes the process unable to open descriptors until restore is called.
 func forbidDescriptors(t *testing.T) (restore func()) {
 	t.Helper()
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -31,6 +31,8 @@
 // Listener is a TCP listener whose accept queue can be drained before it is closed.
 type Listener struct {
 	*net.TCPListener
+	// acceptTCP is TCPListener.AcceptTCP, which a test replaces.
+	acceptTCP func() (*net.TCPConn, error)
 	// draining is closed when DrainBacklog starts, closed by Close.
 	draining, closed chan struct{}
 	// backlog passes connections from DrainBacklog to Accept.
@@ -66,7 +68,7 @@
 		return nil, &NotTCPError{Listener: inner}
 	}
 	return &Listener{
-		TCPListener: tcp, draining: make(chan struct{}), closed: make(chan struct{}), backlog: make(chan *net.TCPConn),
+		TCPListener: tcp, acceptTCP: tcp.AcceptTCP, draining: make(chan struct{}), closed: make(chan struct{}), backlog: make(chan *net.TCPConn),
 		ended: make(chan struct{}), conns: map[*conn]struct{}{},
 	}, nil
 }
@@ -85,14 +87,14 @@
 }
 
 func (l *Listener) accept() (*net.TCPConn, error) {
-	c, err := l.AcceptTCP()
+	c, err := l.acceptTCP()
 	if err == nil {
 		return c, nil
 	}
 	select {
 	case <-l.draining:
 	default:
-		return nil, err
+		return nil, acceptError(err)
 	}
 	select {
 	case c := <-l.backlog:
@@ -201,6 +203,30 @@
 	}
 }
 
+// AcceptError reports a failure of accept that says nothing about the next call. http.Server
+// goes on after an error that is temporary in the sense of net.Error, and ends after any other.
+// To package net, a lack of memory is not temporary.
+type AcceptError struct{ Cause error }
+
+func (e *AcceptError) Error() string { return "accept: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *AcceptError) Unwrap() error { return e.Cause }
+
+// Timeout implements net.Error.
+func (e *AcceptError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (e *AcceptError) Temporary() bool { return true }
+
+// acceptError returns err as an *AcceptError if it says nothing about the next call.
+func acceptError(err error) error {
+	if isTemporary(err) {
+		return &AcceptError{Cause: err}
+	}
+	return err
+}
+
 // isTemporary reports whether an error of accept says nothing about the next call, such as a
 // lack of descriptors.
 func isTemporary(err error) bool {
