quarantine: a canary on the server of another one convicts neither

A sound request that runs long and is always in flight was refused for a minute: its canary ran on the server that the canary of the crashing request took along, so that both were in the same three crashes and never answered.

A request whose last crash and another one are also crashes of another request is now quarantined after two failed canaries instead of one; they start at times of their own.

--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -128,6 +128,35 @@
 	w.wantRequest(true, w.request("org", "/hot"))
 }
 
+// Guards against a sound request that is quarantined since its canary was on the server that
+// the canary of the crashing one took along.
+func TestCanariesOnTheSameServer(t *testing.T) {
+	w := newWorld(t)
+	for i := range 2 {
+		w.crash(fmt.Sprintf("server-%d", i), w.request("org", "/dead"), w.request("org", "/slow"))
+	}
+	w.pass(settleDelay)
+	w.pass(canaryDelay)
+	dead, slow := w.request("org", "/dead"), w.request("org", "/slow")
+	if !w.admit(dead) || !w.admit(slow) {
+		t.Fatal("no canaries")
+	}
+	w.crash("third", dead, slow)
+	w.pass(settleDelay)
+	w.pass(2 * minCanaryInterval)
+	dead, slow = w.request("org", "/dead"), w.request("org", "/slow")
+	if !w.admit(dead) || !w.admit(slow) {
+		t.Fatal("no second canaries")
+	}
+	w.crash("fourth", dead)
+	w.pass(settleDelay)
+	w.answer(slow)
+	w.wantRequest(false, w.request("org", "/slow"))
+	if rules := w.n.Rules(); len(rules) != 1 || rules[0].Activations != 1 || rules[0].Spent != 2 {
+		t.Errorf("rules %+v", rules)
+	}
+}
+
 // Guards against a sound request that is refused for minutes since it was in flight at
 // crashes, when probes of it are lost.
 func TestLostCanaryIsFollowedByAnother(t *testing.T) {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,18 +9,22 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// minAmbiguousProbes is the number of probes that must have crashed servers before a request
+// is quarantined that shares its crashes with another one.
+const minAmbiguousProbes = 2
+
 // suspectedRequests returns the suspicions against whole requests that crashes of several
 // servers support. A request that was never answered explains the crashes for those that
 // share them and were answered before, or were in fewer of them: a request that is often
 // in flight is in flight at nearly every crash.
 func (n *Node) suspectedRequests(now time.Duration, crashes []crash) (out []*suspicion) {
-	all := slices.SortedFunc(maps.Values(n.suspicions(now, crashes, nil, PartID.IsWhole)), (*suspicion).compare)
+	all := slices.Collect(maps.Values(n.suspicions(now, crashes, nil, PartID.IsWhole)))
+	all = slices.DeleteFunc(all, func(s *suspicion) bool { return s.engines() < suspectCrashes })
+	slices.SortFunc(all, (*suspicion).compare)
+	markAmbiguous(all)
 	explained := map[crash]bool{}
 	chosen := map[uint64]bool{}
 	for _, s := range all {
-		if s.engines() < suspectCrashes {
-			continue
-		}
 		id := s.crashSet()
 		if !chosen[id] {
 			maps.DeleteFunc(s.crashes, func(c crash, _ bool) bool { return explained[c] })
@@ -34,6 +39,40 @@
 	return out
 }
 
+// markAmbiguous marks the requests whose last crash and another one are also crashes of
+// another request: their canaries may have been on the same server. Not all crashes need
+// be the same, since a VM may miss a failure.
+func markAmbiguous(all []*suspicion) {
+	atCrash := map[crash][]*suspicion{}
+	for _, s := range all {
+		for c := range s.crashes {
+			atCrash[c] = append(atCrash[c], s)
+		}
+	}
+	for _, s := range all {
+		s.ambiguous = slices.ContainsFunc(atCrash[s.lastCrash()], func(other *suspicion) bool {
+			return other != s && other.succeeded == s.succeeded && s.shares(other, suspectCrashes)
+		})
+	}
+}
+
+// lastCrash returns the latest crash.
+func (s *suspicion) lastCrash() crash {
+	return slices.MaxFunc(slices.Collect(maps.Keys(s.crashes)), func(a, b crash) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.engine, b.engine))
+	})
+}
+
+// shares reports whether at least count crashes are also crashes of another suspicion.
+func (s *suspicion) shares(other *suspicion, count int) bool {
+	for c := range s.crashes {
+		if other.crashes[c] {
+			count--
+		}
+	}
+	return count <= 0
+}
+
 // crashSet identifies the crashes of a suspicion: nothing tells two requests with the same
 // ones apart.
 func (s *suspicion) crashSet() uint64 {
@@ -80,6 +119,8 @@
 			continue
 		}
 		dueAt, due := s.requestDueAt()
+		// The next probes tell requests apart that share crashes.
+		due = due && (!s.ambiguous || known.Spent >= minAmbiguousProbes)
 		suspectAt := crashes[suspectCrashes-1] + settleDelay
 		switch {
 		case due && dueAt <= now && held:
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -50,6 +50,8 @@
 	succeeded bool
 	crashes   map[crash]bool
 	runs      map[uint32]bool
+	// ambiguous is set if much the same crashes speak against another whole request.
+	ambiguous bool
 }
 
 // suspicions returns the suspicion of each id that kind accepts, without the crashes that
