--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -132,3 +133,50 @@
 		})
 	}
 }
+
+// Guards against two canaries of one request when many of its repeats wait, and against an
+// answer that leaves the rule in place.
+func TestOneCanaryAmongManyRequests(t *testing.T) {
+	m := startManager(t)
+	now := boottime.Now()
+	request := func(id int) *Request {
+		return NewRequest(strconv.Itoa(id), Content{Method: "GET", Target: "/slow", Organisation: "org"})
+	}
+	rule := Rule{Parts: request(0).ids(), Since: now, Until: now - time.Millisecond, Used: now}
+	m.Receive("peer", envelope(now, Message{Rules: []Rule{rule}}).GetQuarantine())
+	eventually(t, "the rule is known", func() bool { return len(m.view.Load().rules) > 0 })
+	admitted := make(chan *Request, 50)
+	var wg sync.WaitGroup
+	for i := range cap(admitted) {
+		wg.Go(func() {
+			if r := request(i); m.Check(r) == nil {
+				admitted <- r
+			}
+		})
+	}
+	wg.Wait()
+	if len(admitted) != 1 {
+		t.Fatalf("%d canaries", len(admitted))
+	}
+	canary := <-admitted
+	if m.Check(canary) != nil || m.MayRepeat(canary) {
+		t.Error("the canary is refused before it is sent, or may be repeated")
+	}
+	m.RunSucceeded(canary)
+	eventually(t, "the rule is lifted", func() bool { return m.Check(request(1)) == nil })
+}
+
+// Guards against work on the control loop for each answered request.
+func TestOrdinarySuccessDoesNotReachTheLoop(t *testing.T) {
+	m := startManager(t)
+	blocked := make(blocker)
+	defer close(blocked)
+	m.opts.Loop.Post(blocked)
+	ordinary := NewRequest("a", Content{Method: "GET", Target: "/", Organisation: "org"})
+	if allocations := testing.AllocsPerRun(100, func() { m.RunSucceeded(ordinary) }); allocations > 1 {
+		t.Errorf("%v allocations for a success that changes nothing", allocations)
+	}
+	if !m.node.requests.Contains(ordinary.Whole) {
+		t.Error("the success is not recorded")
+	}
+}
