discovery: a VM that starts from a copy does not trust it

Callers: a key that had been revoked was accepted by a VM that had started right after the store's return from a copy, 5.02 and 5.01 s after the revocation where 5 s are allowed.

Cause: the first era that a VM sees counted as one in which nothing was lost. The VM takes the configuration of a peer, which may lack the newest one too, finds the same in the copy, and takes that for a confirmation.

A VM that starts already tells an era that may have begun a moment ago from an older one (mayLackWrites). It now treats such an era as the other VMs do: its own reads count 2 s later, or once the operator has written. Until then it has the confirmations of its peers.

--- a/control/era.go
+++ b/control/era.go
@@ -48,6 +48,19 @@
 	s.Changed()
 }
 
+// FirstEraBegan reports that the first era that this VM has seen may have begun a moment ago, with the
+// store's return from a copy.
+type FirstEraBegan struct {
+	// At is a time after the return, on the clock of package boottime.
+	At time.Duration
+}
+
+// Apply implements Message.
+func (m FirstEraBegan) Apply(s *State) {
+	s.SettledAt = max(s.SettledAt, m.At+ReturnSettleTime)
+	s.Changed()
+}
+
 // ConfigurationWritten reports that the operator has written its configuration in an era, so that the
 // store has got its newest one again.
 type ConfigurationWritten struct {
--- a/discovery/settle.go
+++ b/discovery/settle.go
@@ -42,6 +42,7 @@
 // time to get its newest one again. It then returns a read of the configuration.
 func (f *Follower) awaitSettled(ctx context.Context, asked time.Duration, listing kv.Listing) (time.Duration, kv.Listing) {
 	begin := boottime.Now()
+	f.opts.Loop.Post(control.FirstEraBegan{At: begin})
 	for f.opts.Loop.Snapshot().Routes == nil && boottime.Now()-begin < control.ReturnSettleTime && ctx.Err() == nil {
 		wait.Sleep(ctx, roleCheckInterval)
 	}
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -280,8 +280,23 @@
 // Guards against a key that is accepted again since a copy has confirmed it: the copy lacks the version
 // that revoked it, and the store is away again before the operator has written that again.
 func TestRevokedKeyIsNotAcceptedAfterACopyHasGone(t *testing.T) {
+	t.Parallel()
+	newSite(t, options{era: 1, vms: 4, plainServers: 1}).refuseKeyRevokedBeforeReturn(func() {})
+}
+
+// Guards against the same on a VM that starts after the return, and takes its first era for one in
+// which nothing was lost.
+func TestRevokedKeyIsNotAcceptedByAVMThatStartsFromACopy(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 4, plainServers: 1})
+	s.refuseKeyRevokedBeforeReturn(func() { s.vms = []*localsite.VM{s.mustStartVM("vm-late")} })
+}
+
+// refuseKeyRevokedBeforeReturn revokes a key without any VM hearing of it, makes the store come back
+// for a moment from a copy without that, and checks that the key is not accepted once the bound for
+// revocations is over.
+func (s *site) refuseKeyRevokedBeforeReturn(returned func()) {
+	t := s.t
 	from := s.store.Copy()
 	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
 	s.store.StallPendingWatches()
@@ -291,6 +306,7 @@
 	time.Sleep(time.Second)
 	s.store.Restore(from, time.Hour)
 	s.store.SetFaults(userplatform.StoreFaults{})
+	returned()
 	time.Sleep(1300 * time.Millisecond)
 	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
 	for time.Since(revoked) < localsite.DefaultBounds().Revoke {
