discovery: a reader reads as soon as any call has seen the return

Cause, from the two logs: no reader had read the configuration between the return and the operator's write, 0.5 s later, since a failed read is repeated after up to 0.9 s. A write before the first read of the era can't be told from what the copy had. In the first log other calls of two VMs had seen the era right after the return, 0.6 and 0.8 s before they read the configuration.

A pause after a failed read now ends when another call or a peer has told of the return.

--- a/discovery/configuration.go
+++ b/discovery/configuration.go
@@ -46,7 +46,7 @@
 			f.recordFailedRead(boottime.Now())
 			f.watches.endLists()
 			if duty == standby.Read {
-				failures.pause(ctx)
+				f.pauseUntilReturn(ctx, &failures)
 			} else {
 				failures.pauseForPeers(ctx)
 			}
@@ -96,6 +96,20 @@
 	}
 }
 
+// pauseUntilReturn waits before a failed read is repeated. It ends when another call or a peer tells
+// that the store has come back from a copy: only a write after the first read of an era shows that
+// the operator has written in it.
+func (f *Follower) pauseUntilReturn(ctx context.Context, failures *backoff) {
+	era := f.era.current()
+	for due := boottime.Now() + failures.next(); ctx.Err() == nil && f.era.current() == era; {
+		left := due - boottime.Now()
+		if left <= 0 {
+			return
+		}
+		wait.Sleep(ctx, min(left, roleCheckInterval))
+	}
+}
+
 // awaitNextRead waits for an interval after a read that began at asked. It ends earlier when the
 // store has settled after its return from a copy, since only reads from then on confirm.
 func (f *Follower) awaitNextRead(ctx context.Context, asked, interval time.Duration) {
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -242,9 +242,12 @@
 type backoff struct{ failures int }
 
 // pause waits before a failed call is retried.
-func (b *backoff) pause(ctx context.Context) bool {
+func (b *backoff) pause(ctx context.Context) bool { return wait.Sleep(ctx, b.next()) }
+
+// next returns the pause before a failed call is retried.
+func (b *backoff) next() time.Duration {
 	b.failures++
-	return wait.Sleep(ctx, retry.Backoff(b.failures, retryPauseMin, retryPauseMax))
+	return retry.Backoff(b.failures, retryPauseMin, retryPauseMax)
 }
 
 // pauseForPeers is the longer pause of a VM that receives updates from peers.
