--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -280,8 +280,23 @@
 // Guards against a key that is accepted again since a copy has confirmed it: the copy lacks the version
 // that revoked it, and the store is away again before the operator has written that again.
 func TestRevokedKeyIsNotAcceptedAfterACopyHasGone(t *testing.T) {
+	t.Parallel()
+	newSite(t, options{era: 1, vms: 4, plainServers: 1}).refuseKeyRevokedBeforeReturn(func() {})
+}
+
+// Guards against the same on a VM that starts after the return, and takes its first era for one in
+// which nothing was lost.
+func TestRevokedKeyIsNotAcceptedByAVMThatStartsFromACopy(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, options{era: 1, vms: 4, plainServers: 1})
+	s.refuseKeyRevokedBeforeReturn(func() { s.vms = []*localsite.VM{s.mustStartVM("vm-late")} })
+}
+
+// refuseKeyRevokedBeforeReturn revokes a key without any VM hearing of it, makes the store come back
+// for a moment from a copy without that, and checks that the key is not accepted once the bound for
+// revocations is over.
+func (s *site) refuseKeyRevokedBeforeReturn(returned func()) {
+	t := s.t
 	from := s.store.Copy()
 	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
 	s.store.StallPendingWatches()
@@ -291,6 +306,7 @@
 	time.Sleep(time.Second)
 	s.store.Restore(from, time.Hour)
 	s.store.SetFaults(userplatform.StoreFaults{})
+	returned()
 	time.Sleep(1300 * time.Millisecond)
 	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
 	for time.Since(revoked) < localsite.DefaultBounds().Revoke {
@@ -331,7 +347,8 @@
 // the operator's configuration again after the first one and confirmed it, but that counted only
 // 2 s after the return.
 func TestConfigurationWrittenAgainIsConfirmed(t *testing.T) {
-	const rewritten = 500 * time.Millisecond
+	// The operator writes after VMs have seen the return, which they ask for at least each 0.9 s.
+	const rewritten, back = time.Second, 1500 * time.Millisecond
 	for name, returns := range map[string][]time.Duration{
 		"one return":  {2500 * time.Millisecond},
 		"two returns": {2500 * time.Millisecond, time.Second},
@@ -342,10 +359,11 @@
 			from := s.store.Copy()
 			s.store.Put(platform.ConfigKey, userplatform.Config(version+1, key))
 			s.writeOthers(lostWrites)
+			s.eventuallyOnAllVMs("the configuration is known", func(v *localsite.VM) bool { return v.Snapshot().Routes.Version == version+1 })
 			stop := s.load(look)
 			for _, away := range returns {
 				s.returnAfter(away, from, rewritten)
-				time.Sleep(2 * rewritten)
+				time.Sleep(back)
 			}
 			time.Sleep(2 * time.Second)
 			refused := 0
