--- a/frontend/body.go
+++ b/frontend/body.go
@@ -30,8 +30,9 @@
 	if !hasBody(c.Request()) {
 		return
 	}
-	end := time.Now().Add(f.Config.Timeouts.Body.Std())
-	if err := listen.DiscardBody(c.Response(), c.Request(), func() time.Duration { return time.Until(end) }); err != nil {
+	begun, limit := time.Now(), f.Config.Timeouts.Body.Std()
+	left := func() time.Duration { return f.drain.bodyWait(begun, limit) }
+	if err := listen.DiscardBody(c.Response(), c.Request(), left); err != nil {
 		f.Log.Debug("body_not_dropped", zap.Error(err))
 	}
 }
--- a/frontend/drain.go
+++ b/frontend/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // drainState tracks requests in progress. New requests are rejected once the
@@ -11,9 +12,30 @@
 	mu        sync.Mutex
 	started   bool // set by BeginDrain
 	rejecting bool // set by Drain
-	nextID    uint64
-	active    map[uint64]string // names of requests by their number
-	finished  chan struct{}     // closed when no request is active; nil until Drain
+	// rejectingSince is when rejecting was set.
+	rejectingSince time.Time
+	nextID         uint64
+	active         map[uint64]string // names of requests by their number
+	finished       chan struct{}     // closed when no request is active; nil until Drain
+}
+
+// drainedBodyWait is how long refusals wait for the rest of their body once new requests are
+// rejected. A VM that has drained closes its connections within two seconds.
+const drainedBodyWait = time.Second
+
+// bodyWait returns how much longer a refusal may wait for the rest of its body. It began to
+// wait at a time, and waits for limit if the VM does not drain.
+func (d *drainState) bodyWait(begun time.Time, limit time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	left := time.Until(begun.Add(limit))
+	if !d.rejecting {
+		return left
+	}
+	if begun.Before(d.rejectingSince) {
+		begun = d.rejectingSince
+	}
+	return min(left, time.Until(begun.Add(drainedBodyWait)))
 }
 
 // enter registers a request. It returns false once new requests are rejected.
@@ -62,7 +84,7 @@
 	d := &f.drain
 	d.mu.Lock()
 	if !d.rejecting {
-		d.rejecting, d.finished = true, make(chan struct{})
+		d.rejecting, d.rejectingSince, d.finished = true, time.Now(), make(chan struct{})
 		if len(d.active) == 0 {
 			close(d.finished)
 		}
--- a/frontend/unanswered_test.go
+++ b/frontend/unanswered_test.go
@@ -185,3 +185,64 @@
 		}
 	}
 }
+
+// Guards against a refusal that waits for the rest of its body until the VM, which has drained,
+// closes the connection.
+func TestSlowCallerIsRefusedBeforeADrainedVMCloses(t *testing.T) {
+	const (
+		interval = 100 * time.Millisecond
+		// closes is when a VM that has drained closes its connections.
+		closes = 2 * time.Second
+	)
+	r := newRig(t, 1)
+	conn := r.serve()
+	r.Drain(t.Context())
+	if _, err := io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-ended:
+				return
+			case <-time.After(interval):
+				_, _ = io.WriteString(conn, "x")
+			}
+		}
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(closes))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
+
+// Guards against a refusal that is lost late in a drain, since it does not wait for a body that
+// is about to arrive.
+func TestSlowCallerIsRefusedLateInADrain(t *testing.T) {
+	const (
+		parts    = 5
+		interval = drainedBodyWait / 10
+	)
+	r := newRig(t, 1)
+	conn := r.serve()
+	r.Drain(t.Context())
+	time.Sleep(drainedBodyWait + interval)
+	if _, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", parts); err != nil {
+		t.Fatal(err)
+	}
+	for i := range parts {
+		time.Sleep(interval)
+		if _, err := io.WriteString(conn, "x"); err != nil {
+			t.Fatalf("part %d: %v", i, err)
+		}
+	}
+	if _, err := readAnswer(conn); err != nil {
+		t.Errorf("no answer: %v", err)
+	}
+}
