--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -144,6 +144,35 @@
 	}
 }
 
+// Guards against a stop signal that is lost, or ends the process, while it starts.
+func TestStopSignalAtTheStartDrainsTheVM(t *testing.T) {
+	regular, ready := writeSettings(t)
+	content, err := os.ReadFile(regular)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := filepath.Join(t.TempDir(), "settings")
+	if err := syscall.Mkfifo(settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startDaemon(t, settings, io.Discard)
+	writer, err := os.OpenFile(settings, os.O_WRONLY, 0) // Opens once the daemon reads.
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGHUP)
+	p.checkRuns(100 * time.Millisecond)
+	if _, err := writer.Write(content); err != nil {
+		t.Fatal(err)
+	}
+	_ = writer.Close()
+	awaitReadiness(t, ready, "stopping", time.Second)
+	if err := <-p.ended; err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+}
+
 // Guards against a process that ends, with all its requests, since the reader of its log has
 // gone.
 func TestClosedLogDoesNotEndTheProcess(t *testing.T) {
