--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 )
 
 // bytesPerToken estimates the token count of a prompt from its length, since only
@@ -46,7 +48,7 @@
 			MaxTokens: request.MaxTokens,
 		},
 	}
-	r.prompt = newQuarantineRequest(r.admissionRequest)
+	r.identity = quarantine.NewRequest(uuid.NewString(), completionContent(c, r.admissionRequest))
 	return r.run()
 }
 
@@ -56,6 +58,7 @@
 	if err != nil {
 		return r, err
 	}
+	c.body = body
 	if err := json.Unmarshal(body, &r); err != nil {
 		return r, invalidRequest("the body is not a completion request: " + err.Error())
 	}
@@ -77,9 +80,7 @@
 func (f *Frontend) readBody(c *call) ([]byte, error) {
 	limit := f.Config.Limits.BodyBytes
 	control := http.NewResponseController(c.Response())
-	if err := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())); err == nil {
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	}
+	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
 	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return nil, api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
@@ -92,6 +93,9 @@
 	if err != nil {
 		return nil, invalidRequest("the body could not be read").WithCause(err)
 	}
+	if limited {
+		_ = control.SetReadDeadline(time.Time{}) // Succeeds as the call before did.
+	}
 	return body, nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,11 +17,13 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/ratelimit/permit"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -35,8 +37,8 @@
 	Snapshot   func() *control.Snapshot
 	Admission  dispatch.Admission
 	HTTPClient *backend.HTTPClient
-	// Prompts tells which prompts must not be sent to an engine.
-	Prompts quarantine.Guard
+	// Quarantine tells which requests must not be sent to a backend server.
+	Quarantine quarantine.Guard
 	// Breaker is the circuit breaker for engines that can't be reached.
 	Breaker *backend.Breaker
 	Servers Servers
@@ -56,6 +58,7 @@
 	runs     *runTable
 	replaced replacedServers
 	drain    *drainState
+	pace     *paceTable
 	// requestBudget bounds the memory for bodies of requests, answerBudget that for answers.
 	requestBudget, answerBudget *membudget.Budget
 	// background tracks calls that outlive their request.
@@ -71,6 +74,7 @@
 		services:      newServiceBalancer(o.Zone),
 		runs:          newRunTable(),
 		drain:         newDrainState(),
+		pace:          newPaceTable(),
 		requestBudget: newRequestBudget(o.MemoryBytes),
 		answerBudget:  newAnswerBudget(o.MemoryBytes),
 	}
@@ -104,6 +108,8 @@
 	service      *route.Service
 	organisation *route.Organisation
 	body         []byte
+	// identity is what the quarantine knows the request by.
+	identity *quarantine.Request
 	// memory accounts for the memory of body.
 	memory *membudget.Reservation
 	// bodyLate is set if the body did not arrive in time.
@@ -123,6 +129,9 @@
 	// latest refusal of one.
 	permit permit.Permit
 	denied *permit.DeniedError
+	// refusedWaiting is the *quarantine.RefusedError that ended the latest wait for a plain
+	// server, nil if none did.
+	refusedWaiting error
 	// past is the latest attempt that has ended, nil before the first one has.
 	past *pastAttempt
 	// lastServer is the backend server that last had the request.
@@ -154,7 +163,13 @@
 	defer g.drain.leave(c)
 	c.watchCaller()
 	defer c.caller.stop()
-	err := c.serve()
+	err := recovery.Call(c.serve)
+	if panicked, ok := errors.Into[*recovery.PanicError](err); ok {
+		c.log.Error("request_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
+		if c.status != 0 {
+			err = errAborted
+		}
+	}
 	if errors.Is(err, errAborted) {
 		c.recordCompletion(nil, "aborted")
 		panic(http.ErrAbortHandler)
@@ -165,8 +180,9 @@
 	}
 	c.recordLostAnswer(p)
 	c.recordCompletion(p, "")
-	if c.status == 0 {
-		// http.Server would write an empty success.
+	if c.status == 0 || c.run != nil && c.run.abandoned {
+		// http.Server would write an empty success, or the end of a whole answer. A caller that
+		// has closed only its half of the connection would take it for one.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -198,6 +214,7 @@
 // serve admits the request and sends the response.
 func (c *call) serve() error {
 	if err := c.admit(); err != nil {
+		c.limitUnreadBody()
 		return err
 	}
 	if err := c.readBody(); err != nil {
@@ -211,6 +228,7 @@
 	if err := c.checkStopping(); err != nil {
 		return err
 	}
+	c.identity = quarantine.NewRequest(c.info.ID, c.content())
 	c.g.budget.Request(c.service.Name, boottime.Now())
 	if c.route.Kind == route.Stream {
 		return c.stream()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,8 @@
 
 // Main runs the command and exits with status 1 on an error.
 func Main() {
+	// Else a write to a log whose reader has gone ends the process, with all its requests.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := newCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "vanillaarchd:", err)
 		os.Exit(1)
@@ -48,7 +50,9 @@
 	if err != nil {
 		return err
 	}
-	log := telemetry.NewLogger(os.Stderr, cfg.Log.Level, cfg.VMID)
+	output := telemetry.NewBoundedWriter(os.Stderr)
+	defer output.Close(logFlushTimeout)
+	log := telemetry.NewLogger(output, cfg.Log.Level, cfg.VMID)
 	server, err := vanillaarch.New(cfg, vanillaarch.Options{Log: log})
 	if err != nil {
 		return errors.Wrap(err, "start")
