--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -128,6 +128,31 @@
 	w.wantRequest(true, w.request("org", "/hot"))
 }
 
+// Guards against probes beyond the bound after two VMs have started a probe at once.
+func TestProbesStartedAtOnceCountEach(t *testing.T) {
+	w := newWorld(t)
+	w.crashRequests(2, 0, "org", "/dead")
+	w.pass(settleDelay)
+	w.pass(canaryDelay)
+	crashes := 0
+	for end := w.now + 12*time.Hour; w.now < end; w.pass(time.Second) {
+		r := w.request("org", "/dead")
+		if !w.admit(r) {
+			continue
+		}
+		crashes++
+		w.crash(fmt.Sprintf("server-%d", w.runs), r)
+		if crashes == 1 { // The announcements of two VMs have crossed.
+			w.pass(settleDelay) // The first crash has led to the quarantine.
+			crashes++
+			w.crash("another", w.request("org", "/dead"))
+		}
+	}
+	if crashes != maxProbes {
+		t.Errorf("%d probes, %d allowed", crashes, maxProbes)
+	}
+}
+
 // Guards against a sound request that is quarantined since its canary was on the server that
 // the canary of the crashing one took along.
 func TestCanariesOnTheSameServer(t *testing.T) {
--- a/quarantine/rule.go
+++ b/quarantine/rule.go
@@ -25,8 +25,10 @@
 	Version int
 	// Spent is the number of probes of a whole request that count against maxProbes.
 	Spent int
-	// Started is the start of the last probe while its result is unknown, 0 otherwise.
+	// Started is the start of the last probe, 0 if there was none or the rule is on parts and
+	// the probe has a result. Pending is set while the probe has none.
 	Started time.Duration
+	Pending bool
 	// Used is the time of the last refusal or change.
 	Used time.Duration
 }
@@ -94,7 +96,7 @@
 // probeStarted returns the rule after the start of a probe.
 func (r Rule) probeStarted(now time.Duration) Rule {
 	r.Version++
-	r.Started, r.Used = now, now
+	r.Started, r.Used, r.Pending = now, now, true
 	switch {
 	case !r.onRequest():
 		r.Until = now + probeRound
@@ -107,20 +109,28 @@
 	return r
 }
 
-// probeFailed returns the rule after a probe has crashed a server.
+// probeFailed returns the rule after a crash of a server since the start of a probe. Two VMs
+// may start a probe at once, so that each crash of a whole request counts, those of a
+// quarantined one less the first, which counted at the start.
 func (r Rule) probeFailed(now time.Duration) Rule {
+	counted := r.Pending && !r.suspects()
 	r.Version++
-	r.Started, r.Used = 0, now
-	if r.suspects() {
+	r.Used, r.Pending = now, false
+	if !r.onRequest() {
+		r.Activations++
+		r.Started = 0
+		r.Until = now + quarantineDuration(r.Activations)
+		return r
+	}
+	if !counted {
 		r.Spent++
+	}
+	if r.suspects() {
 		r.Until = now + minCanaryInterval
 		return r
 	}
 	r.Activations++
-	r.Until = now + quarantineDuration(r.Activations)
-	if r.onRequest() {
-		r.Until = now + maxDuration
-	}
+	r.Until = now + maxDuration
 	return r
 }
 
@@ -129,7 +139,7 @@
 	r.Version++
 	r.Activations = 1
 	r.Spent = max(r.Spent, 1)
-	r.Started = 0
+	r.Pending = false
 	r.Until = now + initialDuration
 	return r
 }
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -24,7 +24,7 @@
 func encodeRule(now time.Duration, r Rule) *peerpb.Rule {
 	out := &peerpb.Rule{
 		Parts: encodeParts(r.Parts), SinceMs: age(now, r.Since), ProbeInMs: (r.Until - now).Milliseconds(), Activations: uint32(r.Activations),
-		Organisation: r.Organisation, Version: uint32(r.Version), Spent: uint32(r.Spent), UsedMs: age(now, r.Used),
+		Organisation: r.Organisation, Version: uint32(r.Version), Spent: uint32(r.Spent), UsedMs: age(now, r.Used), Pending: r.Pending,
 	}
 	if r.Started != 0 {
 		out.StartedMs = age(now, r.Started) + 1
@@ -61,7 +61,7 @@
 	probeIn := time.Duration(min(max(in.GetProbeInMs(), -maxAgeMS), maxAgeMS)) * time.Millisecond
 	r := Rule{
 		Parts: decodeParts(in.GetParts()), Since: before(now, in.GetSinceMs()), Until: now + probeIn, Activations: int(in.GetActivations()),
-		Organisation: in.GetOrganisation(), Version: int(in.GetVersion()), Spent: int(in.GetSpent()), Used: before(now, in.GetUsedMs()),
+		Organisation: in.GetOrganisation(), Version: int(in.GetVersion()), Spent: int(in.GetSpent()), Used: before(now, in.GetUsedMs()), Pending: in.GetPending(),
 	}
 	if started := in.GetStartedMs(); started > 0 {
 		r.Started = before(now, started-1)
