quarantine: lines about rules on whole requests name the request

The lines request_suspected, request_quarantined, quarantine_renewed and quarantine_lifted had only the key of the rule, those of attempts only the id of the request (content), so that nothing connected them.

--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -327,7 +327,15 @@
 }
 
 func (m *Manager) logRule(name string, now time.Duration, r Rule) {
-	m.opts.Log.Warn(name, zap.Uint64("rule", r.key()), zap.Int("parts", len(r.Parts)), zap.Bool("request", r.onRequest()),
+	m.opts.Log.Warn(name, zap.Uint64("rule", r.key()), r.field(), zap.Int("parts", len(r.Parts)),
 		zap.Int("activations", r.Activations), zap.Int("probes_spent", r.Spent), zap.Uint32("organisation", r.Organisation),
 		zap.Duration("since", now-r.Since), zap.Duration("probe_in", r.Until-now))
 }
+
+// field returns the log field of a whole request as requests have it, none for parts.
+func (r Rule) field() zap.Field {
+	if !r.onRequest() {
+		return zap.Skip()
+	}
+	return (&Request{Whole: r.Parts[0]}).Field()
+}
