--- a/entry_http.go
+++ b/entry_http.go
@@ -16,8 +16,10 @@
 // listen opens the listeners and creates the HTTP servers for callers, for readiness
 // probes and for metrics.
 func (e *Entry) listen() error {
-	e.probes = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout}
-	e.admin = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	// Without it, errors go to standard error, where a write may block the server.
+	errorLog := zap.NewStdLog(e.log)
+	e.probes = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+	e.admin = &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	addresses := []string{e.opts.Deployment.Listen.Callers, e.opts.Deployment.Listen.Ready}
 	if metrics := e.opts.Deployment.Listen.Metrics; metrics != "" {
 		addresses = append(addresses, metrics)
--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -104,9 +104,9 @@
 // awaitReadiness waits until the probe of a VM gives a reason.
 func awaitReadiness(t *testing.T, address, reason string, limit time.Duration) {
 	t.Helper()
-	got := ""
+	client, got := http.Client{Timeout: limit}, ""
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		answer, err := http.Get("http://" + address)
+		answer, err := client.Get("http://" + address)
 		if err != nil {
 			continue
 		}
