--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -58,6 +58,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	seg := &segment{ticket: ticket, vm: vm, cancel: cancel, started: boottime.Now(), startEvent: s.lastEvent, fromCopy: source != nil}
+	s.openSegment = seg
 	s.enterEngine(vm)
 	if !s.hasEvents() {
 		s.g.pace.beginWait(s, seg.started)
@@ -206,6 +207,7 @@
 }
 
 func (s *stream) closeConnection(seg *segment, err error) {
+	s.openSegment = nil
 	if seg.answer != nil {
 		seg.answer.Close()
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,8 +33,10 @@
 	lastEventAt time.Duration
 	// headSent is set once the head of the response has been sent. abandoned is set if the
 	// response has ended after it, and before its end, since the caller has disconnected.
-	headSent       bool
-	abandoned      bool
+	headSent  bool
+	abandoned bool
+	// openSegment is nil if no segment is open.
+	openSegment    *segment
 	excluded       []string
 	unsentAttempts int
 	// eventCount is the number of events of the response, firstEventAt the time of the
@@ -70,6 +72,7 @@
 	s := &stream{call: c, ctx: ctx}
 	c.run = s
 	defer s.g.pace.endWait(s)
+	defer s.releaseAfterPanic()
 	if err := s.checkQuarantine(); err != nil {
 		return s.giveUp(err)
 	}
@@ -89,6 +92,16 @@
 	return err
 }
 
+// releaseAfterPanic gives back the place at the engine of a segment that was not closed, which
+// is so after a panic only.
+func (s *stream) releaseAfterPanic() {
+	if seg := s.openSegment; seg != nil {
+		seg.cancel()
+		s.leaveEngine(seg.vm)
+		seg.ticket.Release(s.tokens())
+	}
+}
+
 // run relays one segment after another until the stream is complete.
 func (s *stream) run() error {
 	defer s.releaseCopies()
