--- a/test/platform/crashing_prompts_test.go
+++ b/test/platform/crashing_prompts_test.go
@@ -231,7 +231,9 @@
 	s := newCrashingSite(t)
 	crash := func() response {
 		a := draft()
-		a.header["Prompt-Prefix"] = fmt.Sprintf("first:40,dead:30,%x:10", rand.Uint64())
+		own := rand.Uint64()
+		a.header["Prompt-Prefix"] = fmt.Sprintf("first:40,dead:30,%x:10", own)
+		a.body = fmt.Sprintf("prompt %x", own)
 		return s.send(s.vms[rand.IntN(len(s.vms))], a)
 	}
 	s.eventually(10*time.Second, "the part is refused", func() bool { return crash().refusedPrompt() })
