--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -135,8 +135,9 @@
 
 // balancerNotice is the time after the begin of a drain after which the load balancer opens no
 // more connections to the VM: it probes each second, and two failures take a VM out. Later
-// requests come over connections that were kept, and their callers reach another VM at once.
-const balancerNotice = 3 * time.Second
+// requests come over connections that were kept, and their callers reach another VM at once. The
+// three seconds that this may take count from the signal, which a starved VM handles late.
+const balancerNotice = 2500 * time.Millisecond
 
 // isAfterNotice reports whether a request has arrived after the notice of a drain.
 func (d *drainState) isAfterNotice(arrived time.Duration) bool {
