frontend: TestCallIsNotSentAfterItsCallerHasLeft measures from before its timer begins

The timer of the caller began before the measurement did, so that a call that ended with the caller seemed to end earlier.

--- a/frontend/caller_left_test.go
+++ b/frontend/caller_left_test.go
@@ -34,11 +34,11 @@
 	r.afterCheck = func(vm vmlist.VM) { once.Do(func() { r.pause(vm, pause) }) }
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	begin := time.Now()
 	defer time.AfterFunc(leaves, cancel).Stop()
 	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/services/book", strings.NewReader("{}"))
 	request.Header.Set("Authorization", "Bearer key")
 	request.Header.Set(api.HeaderIdempotencyKey, uuid.Must(uuid.NewV7()).String())
-	begin := time.Now()
 	r.handler.ServeHTTP(httptest.NewRecorder(), request)
 	if elapsed := time.Since(begin); elapsed < leaves || elapsed > pause {
 		t.Errorf("the call ended after %v, its caller left after %v", elapsed, leaves)
