--- a/backend/service.go
+++ b/backend/service.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"github.com/go-faster/errors"
+
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -79,7 +82,7 @@
 		if !sent.Load() {
 			return nil, &NotSentError{Backend: t.ID, Cause: err}
 		}
-		return nil, &UncertainError{Backend: t.ID, Cause: err}
+		return nil, &UncertainError{Backend: t.ID, Cause: closedByServer(ctx, err)}
 	}
 	defer resp.Body.Close()
 	notice := s.notices.observe(t, resp)
@@ -91,6 +94,16 @@
 	return response, nil
 }
 
+// closedByServer returns an error that is io.ErrUnexpectedEOF if a server has closed the
+// connection while the call was written: net/http then closes the connection itself, and
+// reports only that.
+func closedByServer(ctx context.Context, err error) error {
+	if ctx.Err() == nil && errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(io.ErrUnexpectedEOF, err.Error())
+	}
+	return err
+}
+
 func (s *ServiceClient) read(resp *http.Response, t Target) (*ServiceResponse, error) {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, &UncertainError{Backend: t.ID, Cause: &UndelimitedError{}}
