--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -16,8 +16,7 @@
 	// the query as sent.
 	Method, Target, Organisation string
 	Body                         []byte
-	// Prompt names the model and all parts of the prompt. It distinguishes requests without
-	// a body, whose prompt is in headers.
+	// Prompt names the model and all parts of the prompt, which may be in headers only.
 	Prompt []string
 	// Pool names the engines that may run a stream, Parts are the ids of its shared parts in
 	// any order. Both may be empty.
@@ -81,10 +80,7 @@
 	if c.Method == "" {
 		return 0
 	}
-	fields := []string{c.Method, c.Target, c.Organisation}
-	if len(c.Body) == 0 {
-		fields = append(fields, c.Prompt...)
-	}
+	fields := append([]string{c.Method, c.Target, c.Organisation}, c.Prompt...)
 	h := sha256.New()
 	for _, field := range fields {
 		writeField(h.Write, []byte(field))
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -24,15 +24,17 @@
 		}
 	}
 	c := base
-	c.Pool, c.Parts, c.Prompt = "other", nil, []string{"model", "x"}
+	c.Pool, c.Parts = "other", nil
 	if NewRequest("1", c).Whole != id {
-		t.Error("the pool or the prompt of a request with a body belongs to it")
+		t.Error("the pool belongs to a request")
 	}
-	c.Body = nil
-	withoutBody := NewRequest("1", c).Whole
-	c.Prompt = []string{"model", "y"}
-	if NewRequest("1", c).Whole == withoutBody {
-		t.Error("requests without a body and with other prompts are the same")
+	for _, body := range [][]byte{base.Body, nil} {
+		c.Body, c.Prompt = body, []string{"model", "x"}
+		x := NewRequest("1", c).Whole
+		c.Prompt = []string{"model", "y"}
+		if NewRequest("1", c).Whole == x {
+			t.Errorf("requests with body %q and other prompts are the same", body)
+		}
 	}
 	if r := NewRequest("1", Content{Parts: []string{"a", "b", "c", "d"}}); r.Whole != 0 || r.Parts[3].IsWhole() {
 		t.Errorf("parts only: %+v", r)
--- a/test/platform/crashing_prompts_test.go
+++ b/test/platform/crashing_prompts_test.go
@@ -231,9 +231,7 @@
 	s := newCrashingSite(t)
 	crash := func() response {
 		a := draft()
-		own := rand.Uint64()
-		a.header["Prompt-Prefix"] = fmt.Sprintf("first:40,dead:30,%x:10", own)
-		a.body = fmt.Sprintf("prompt %x", own)
+		a.header["Prompt-Prefix"] = fmt.Sprintf("first:40,dead:30,%x:10", rand.Uint64())
 		return s.send(s.vms[rand.IntN(len(s.vms))], a)
 	}
 	s.eventually(10*time.Second, "the part is refused", func() bool { return crash().refusedPrompt() })
