--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -62,7 +62,7 @@
 	)
 	for {
 		vm, ok := c.pickServer(excluded)
-		if !ok && failure == nil {
+		if !ok && !c.mayHaveRun && c.refusedWaiting != nil {
 			failure = c.refusedWaiting
 		}
 		if !ok || c.checkStopping() != nil {
--- a/test/platform/crashing_requests_waiting_test.go
+++ b/test/platform/crashing_requests_waiting_test.go
@@ -111,6 +111,9 @@
 		if after > contactBound {
 			l.t.Errorf("%s was answered %v after the second crash", got.id, after)
 		}
+		if !strings.HasSuffix(problemType(got.body), string(api.ProblemRequestQuarantined)) {
+			l.t.Errorf("%s got problem %s", got.id, problemType(got.body))
+		}
 		if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, string(api.OutcomeNotRun)) || len(l.fleet.Executions(got.id)) > 0 {
 			l.t.Errorf("%s ran on %v and got %+v", got.id, l.fleet.Runs(got.id), got.response)
 		}
