--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -90,19 +90,28 @@
 	}
 }
 
-// evacuateFirst makes the first engine leave and evacuates it once it has a run with an event.
-func (r *gatewayRig) evacuateFirst(ctx context.Context) {
-	engine := r.Snapshot().Backends["engine-0"]
+// awaitRun waits until an engine has a run with an event, and returns its stream. It returns
+// nil if ctx ends first.
+func (r *gatewayRig) awaitRun(ctx context.Context, engine string) *stream {
 	for ctx.Err() == nil {
-		for _, s := range r.runs.streamsOn(engine.ID) {
+		for _, s := range r.runs.streamsOn(engine) {
 			if s.hasEvents() {
-				r.setState(engine.ID, vmlist.StateLeaving)
-				r.evacuate(ctx, engine)
-				return
+				return s
 			}
 		}
 		time.Sleep(time.Millisecond)
 	}
+	return nil
+}
+
+// evacuateFirst makes the first engine leave and evacuates it once it has a run with an event.
+func (r *gatewayRig) evacuateFirst(ctx context.Context) {
+	engine := r.Snapshot().Backends["engine-0"]
+	if r.awaitRun(ctx, engine.ID) == nil {
+		return
+	}
+	r.setState(engine.ID, vmlist.StateLeaving)
+	r.evacuate(ctx, engine)
 }
 
 // beginRun sends the first event of a run.
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -92,3 +92,27 @@
 		t.Errorf("%d moves of one run at the same time, %d in all\n%s", most, total, lines)
 	}
 }
+
+// Guards against a run that is not moved when its engine leaves, since the evacuation of its
+// engine before has not ended yet: it notices only after some time that the run has left. The
+// stream was cut when the second engine stopped.
+func TestRunIsEvacuatedOnceAnEarlierEvacuationHasEnded(t *testing.T) {
+	const endsAfter = 100 * time.Millisecond
+	r := newGatewayRig(t, 2)
+	r.configure(1, "desk", "engines")
+	r.grantCopies(false, true)
+	lines := r.rigLog()
+	e := &movingEngines{finalStatus: http.StatusNotFound}
+	r.answer = e.answer
+	go func() {
+		s := r.awaitRun(t.Context(), "engine-0")
+		if s == nil || !s.beginEvacuation() {
+			return
+		}
+		time.AfterFunc(endsAfter, s.endEvacuation)
+		r.setState("engine-0", vmlist.StateLeaving)
+		r.evacuate(t.Context(), r.Snapshot().Backends["engine-0"])
+	}()
+	requireEnd(t, r.sendInOneSecond(draftPath), lines)
+	r.Close()
+}
--- a/gateway/relocate.go
+++ b/gateway/relocate.go
@@ -33,7 +33,7 @@
 	// progress.
 	copyWaitTimeout = 1500 * time.Millisecond
 	// unstartedRunPollInterval is how often an evacuation checks for runs that have
-	// started since.
+	// started since, or that an earlier evacuation does not handle any more.
 	unstartedRunPollInterval = 60 * time.Millisecond
 	// discardTimeout bounds the call that frees a copy.
 	discardTimeout = 500 * time.Millisecond
@@ -157,19 +157,20 @@
 			if started[s] || !s.hasEvents() {
 				continue
 			}
+			if s.endsWithin(leavesAt - boottime.Now()) {
+				started[s] = true
+				g.Log.Info("run_left_to_end", zap.String("request", s.info.ID), zap.String("backend", vm.ID))
+				continue
+			}
+			if !s.beginEvacuation() {
+				continue // Tried again: the evacuation of the engine before may be about to end.
+			}
 			started[s] = true
 			scheduled, planned := scheduledCopies[s.info.ID]
 			if !planned {
 				scheduled = relocation.ScheduledCopy{ID: s.info.ID}
 			}
-			if s.endsWithin(leavesAt - boottime.Now()) {
-				g.Log.Info("run_left_to_end", zap.String("request", s.info.ID), zap.String("backend", vm.ID))
-				continue
-			}
 			moves.Go(func() {
-				if !s.beginEvacuation() {
-					return
-				}
 				defer s.endEvacuation()
 				if !s.stayWithBackup(ctx, vm, leavesAt, rooms) {
 					s.relocate(ctx, vm, scheduled, noticedAt, leavesAt)
@@ -183,7 +184,7 @@
 }
 
 // beginEvacuation returns false if an earlier evacuation still handles the run: an engine may
-// leave, return and leave again.
+// leave, return and leave again, or the run has just left another engine that leaves.
 func (s *stream) beginEvacuation() bool {
 	s.copies.mu.Lock()
 	defer s.copies.mu.Unlock()
