--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -56,7 +56,9 @@
 
 // takeCopy removes and returns a copy of the run, or nil if there is none. A moved
 // copy is preferred to a backup. A copy whose engine is not live is dropped, one whose
-// engine is paused is passed over.
+// engine is paused is passed over. A run that has begun to write may go on from a backup at
+// an engine that has left a short time ago: that is no new work, and the run would be cut
+// otherwise.
 func (s *stream) takeCopy() *runCopy { return s.takeFirst(&s.copies.moved, &s.copies.backup) }
 
 // takeMoved is takeCopy for a moved copy. Its engine has confirmed that it has it.
@@ -78,6 +80,10 @@
 		if s.g.isLive(rc.vm) {
 			return rc
 		}
+		if !rc.isMoved() && s.hasEvents() && s.g.mayHoldBackup(rc.vm) {
+			s.log.Info("departed_backup_taken", zap.String("backend", rc.vm.ID), zap.String("backend_state", string(s.g.stateOf(rc.vm))))
+			return rc
+		}
 		s.copies.record(rc, copyDropped, nil)
 		s.log.Info("copy_dropped", zap.String("backend", rc.vm.ID), zap.String("backend_state", string(s.g.stateOf(rc.vm))),
 			zap.Bool("moved", rc.isMoved()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,9 +57,11 @@
 	budget   *retry.SharedBudget
 	services *serviceBalancer
 	runs     *runTable
-	replaced replacedServers
-	drain    *drainState
-	pace     *paceTable
+	// departures holds the servers that have left the VM list a short time ago.
+	departures departures
+	replaced   replacedServers
+	drain      *drainState
+	pace       *paceTable
 	// requestBudget bounds the memory for bodies of requests, answerBudget that for answers.
 	requestBudget, answerBudget *membudget.Budget
 	// background tracks calls that outlive their request.
--- a/gateway/relocate.go
+++ b/gateway/relocate.go
@@ -57,10 +57,13 @@
 	runs map[string]map[*stream]vmlist.VM
 	// evacuated holds the engines whose departure has already been handled.
 	evacuated map[string]bool
+	// unnoticed signals that a run has begun at an engine that leaves. Without it, leaving
+	// would be called only when the list changes again.
+	unnoticed chan struct{}
 }
 
 func newRunTable() *runTable {
-	return &runTable{runs: map[string]map[*stream]vmlist.VM{}, evacuated: map[string]bool{}}
+	return &runTable{runs: map[string]map[*stream]vmlist.VM{}, evacuated: map[string]bool{}, unnoticed: make(chan struct{}, 1)}
 }
 
 func (t *runTable) add(engine vmlist.VM, s *stream) {
@@ -81,6 +84,14 @@
 	}
 }
 
+// signalUnnoticed makes WatchEngines call leaving. It does not block.
+func (t *runTable) signalUnnoticed() {
+	select {
+	case t.unnoticed <- struct{}{}:
+	default:
+	}
+}
+
 // streamsOn returns the streams whose current segment is on an engine.
 func (t *runTable) streamsOn(engine string) []*stream {
 	t.mu.Lock()
@@ -118,19 +129,22 @@
 	return out
 }
 
-// WatchEngines evacuates departing engines until ctx ends. It checks the VM list
-// when changed receives a value.
+// WatchEngines records departures, and evacuates departing engines, until ctx ends. It checks
+// the VM list when changed receives a value, and when a run begins at an engine that leaves.
 func (g *Gateway) WatchEngines(ctx context.Context, changed <-chan struct{}) {
 	var moves sync.WaitGroup
 	defer moves.Wait()
 	for {
-		for _, vm := range g.runs.leaving(g.Snapshot()) {
+		snap := g.Snapshot()
+		g.departures.update(snap, boottime.Now())
+		for _, vm := range g.runs.leaving(snap) {
 			moves.Go(func() { g.evacuate(ctx, vm) })
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-g.runs.unnoticed:
 		}
 	}
 }
--- a/gateway/switchover.go
+++ b/gateway/switchover.go
@@ -152,6 +152,9 @@
 // enterEngine records the engine of a segment that begins.
 func (s *stream) enterEngine(vm vmlist.VM) {
 	s.g.runs.add(vm, s)
+	if !s.g.isLive(vm) {
+		s.g.runs.signalUnnoticed()
+	}
 	s.copies.mu.Lock()
 	defer s.copies.mu.Unlock()
 	s.copies.engine = vm.ID
