--- a/frontend/quarantine_test.go
+++ b/frontend/quarantine_test.go
@@ -22,7 +22,7 @@
 // guardAfterTwo refuses a whole request after two failures of it, and allows no repeat.
 type guardAfterTwo struct {
 	mu       sync.Mutex
-	failures map[quarantine.PartID]int
+	failures map[quarantine.Key]int
 }
 
 func (g *guardAfterTwo) Check(r *quarantine.Request) error {
@@ -62,7 +62,7 @@
 			t.Cleanup(store.Close)
 			r.Claims = claim.NewManager(kv.NewClient(store.URL, time.Second), claim.Options{VM: "vm", Retention: time.Hour, ClockTolerance: time.Minute, Now: time.Now})
 			t.Cleanup(r.Claims.Close)
-			guard := &guardAfterTwo{failures: map[quarantine.PartID]int{}}
+			guard := &guardAfterTwo{failures: map[quarantine.Key]int{}}
 			r.Quarantine = guard
 			var crashing atomic.Bool
 			crashing.Store(true)
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -73,7 +73,7 @@
 
 func receiveRule(m *Manager, part string) {
 	now := boottime.Now()
-	rule := Rule{Parts: NewRequest("r", Content{Pool: "pool", Parts: []string{part}}).Parts, Since: now, Until: now + time.Minute, Activations: 1}
+	rule := Rule{Keys: NewRequest("r", Content{Pool: "pool", Parts: []string{part}}).Parts, Since: now, Until: now + time.Minute, Activations: 1}
 	m.Receive("peer", envelope(now, Message{Rules: []Rule{rule}}).GetQuarantine())
 }
 
@@ -130,7 +130,7 @@
 	receiveRule(m, "own")
 	eventually(t, "the rule is stored", func() bool { return store.rules(t) == 1 })
 	now := boottime.Now()
-	other := Rule{Parts: NewRequest("r", Content{Pool: "pool", Parts: []string{"other"}}).Parts, Since: now, Until: now + time.Minute, Activations: 1}
+	other := Rule{Keys: NewRequest("r", Content{Pool: "pool", Parts: []string{"other"}}).Parts, Since: now, Until: now + time.Minute, Activations: 1}
 	value, err := proto.Marshal(&peerpb.StoredRules{UnixMs: time.Now().UnixMilli(), Rules: []*peerpb.Rule{encodeRule(now, other)}})
 	if err != nil {
 		t.Fatal(err)
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -158,7 +158,7 @@
 	}
 	fail := func(parts ...string) {
 		p := NewRequest(fmt.Sprintf("request-%d-%d", engine, f.r.Uint64()), Content{Pool: "pool", Parts: parts})
-		f.perform(vm, -1, f.nodes[vm].RunFailed(f.now, Failure{Run: p.Run, Engine: uint32(engine), Parts: p.Parts}, f.now-time.Second))
+		f.perform(vm, -1, f.nodes[vm].RunFailed(f.now, Failure{Run: p.Run, Server: uint32(engine), Keys: p.Parts}, f.now-time.Second))
 	}
 	fail(parts...)
 	for range 6 {
--- a/quarantine/fuzz_test.go
+++ b/quarantine/fuzz_test.go
@@ -15,9 +15,9 @@
 	now := time.Hour
 	part := NewRequest("request", Content{Pool: "pool", Parts: []string{"dead"}})
 	for _, m := range []Message{
-		{Failures: []Failure{{Run: 1, Engine: 2, At: now, Parts: part.Parts}}},
-		{Successes: []Success{{Part: part.Parts[0], At: now}}},
-		{Rules: []Rule{{Parts: part.Parts, Since: now, Until: now + time.Minute, Activations: 1}}},
+		{Failures: []Failure{{Run: 1, Server: 2, At: now, Keys: part.Parts}}},
+		{Successes: []Success{{Key: part.Parts[0], At: now}}},
+		{Rules: []Rule{{Keys: part.Parts, Since: now, Until: now + time.Minute, Activations: 1}}},
 	} {
 		b, err := proto.Marshal(envelope(now, m).GetQuarantine())
 		if err != nil {
@@ -35,8 +35,8 @@
 		if e := n.Receive(now, decode(now, in)); len(e.Send.Failures)+len(e.Send.Successes) > 0 {
 			t.Errorf("known updates are forwarded: %+v", e.Send)
 		}
-		if len(n.failures) > maxFailures || n.successes.Len() > maxSuccesses || len(n.rules) > maxRules {
-			t.Errorf("%d failures, %d successes, %d rules", len(n.failures), n.successes.Len(), len(n.rules))
+		if len(n.failures) > maxFailures || n.partSuccesses.Len() > maxPartSuccesses || len(n.rules) > maxRules {
+			t.Errorf("%d failures, %d successes, %d rules", len(n.failures), n.partSuccesses.Len(), len(n.rules))
 		}
 		newView(n, now, always).check(now, &Request{Parts: part.Parts})
 	})
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -65,7 +65,7 @@
 	archiveDigest atomic.Uint64
 	// probes holds the probes of the view, so that a later view has the same ones.
 	probes map[probe]*atomic.Bool
-	// refusedAt holds the time of the last refusal of each rule of the view, by its key.
+	// refusedAt holds the time of the last refusal of each rule of the view, by its id.
 	refusedAt map[uint64]*atomic.Int64
 	// syncedAt holds when rules were last sent to a peer because its digest differed.
 	syncedAt map[string]time.Duration
@@ -73,7 +73,7 @@
 	failures, refusals, rules, probesStarted metrics.Counter
 
 	waitingMu sync.Mutex
-	// waiting holds the requests that wait for an engine.
+	// waiting holds the requests that wait for a server.
 	waiting map[*Request]func(error)
 }
 
@@ -121,14 +121,14 @@
 func (m *Manager) MayRepeat(r *Request) bool { return m.view.Load().mayRepeat(r) }
 
 // Watch implements Guard.
-func (m *Manager) Watch(p *Request, refuse func(error)) (stop func()) {
+func (m *Manager) Watch(r *Request, refuse func(error)) (stop func()) {
 	m.waitingMu.Lock()
 	defer m.waitingMu.Unlock()
-	m.waiting[p] = refuse
+	m.waiting[r] = refuse
 	return func() {
 		m.waitingMu.Lock()
 		defer m.waitingMu.Unlock()
-		delete(m.waiting, p)
+		delete(m.waiting, r)
 	}
 }
 
@@ -140,8 +140,8 @@
 	}
 	m.waitingMu.Lock()
 	defer m.waitingMu.Unlock()
-	for p, refuse := range m.waiting {
-		if err := view.refusal(now, p); err != nil {
+	for r, refuse := range m.waiting {
+		if err := view.refusal(now, r); err != nil {
 			refuse(err)
 		}
 	}
@@ -149,13 +149,13 @@
 
 // RunFailed implements Guard.
 func (m *Manager) RunFailed(r *Request, server vmlist.VM, started time.Duration) {
-	ids := r.ids()
-	if len(ids) == 0 {
+	keys := r.keys()
+	if len(keys) == 0 {
 		return
 	}
 	m.failures.Inc(1)
-	f := Failure{Run: r.Run, Engine: lifetime(server), Organisation: r.Organisation, Parts: ids}
-	r.crashed = append(r.crashed, f.Engine)
+	f := Failure{Run: r.Run, Server: lifetime(server), Organisation: r.Organisation, Keys: keys}
+	r.crashed = append(r.crashed, f.Server)
 	m.post("", func(now time.Duration) Effects { return m.node.RunFailed(now, f, started) })
 }
 
@@ -173,8 +173,8 @@
 	if len(r.Parts) == 0 && !m.view.Load().names(r.Whole) {
 		return
 	}
-	ids := r.ids()
-	m.post("", func(now time.Duration) Effects { return m.node.RunSucceeded(now, ids) })
+	keys := r.keys()
+	m.post("", func(now time.Duration) Effects { return m.node.RunSucceeded(now, keys) })
 }
 
 // Receive handles a message of a peer.
@@ -241,9 +241,9 @@
 		if now < m.node.probeAt(r) {
 			return nil
 		}
-		id := probeOf(r)
-		probes[id] = cmp.Or(m.probes[id], &atomic.Bool{})
-		return probes[id]
+		p := probeOf(r)
+		probes[p] = cmp.Or(m.probes[p], &atomic.Bool{})
+		return probes[p]
 	})
 	m.recordRefusals(view)
 	m.view.Store(view)
@@ -256,8 +256,8 @@
 		default: // The archive has not handled the last signal yet.
 		}
 	}
-	for id := range m.syncedAt {
-		if now-m.syncedAt[id] > syncInterval {
+	for id, at := range m.syncedAt {
+		if now-at > syncInterval {
 			delete(m.syncedAt, id)
 		}
 	}
@@ -327,7 +327,7 @@
 }
 
 func (m *Manager) logRule(name string, now time.Duration, r Rule) {
-	m.opts.Log.Warn(name, zap.Uint64("rule", r.key()), r.field(), zap.Int("parts", len(r.Parts)),
+	m.opts.Log.Warn(name, zap.Uint64("rule", r.id()), r.field(), zap.Int("parts", len(r.Keys)),
 		zap.Int("activations", r.Activations), zap.Int("probes_spent", r.Spent), zap.Uint32("organisation", r.Organisation),
 		zap.Duration("since", now-r.Since), zap.Duration("probe_in", r.Until-now))
 }
@@ -337,5 +337,5 @@
 	if !r.onRequest() {
 		return zap.Skip()
 	}
-	return (&Request{Whole: r.Parts[0]}).Field()
+	return (&Request{Whole: r.Keys[0]}).Field()
 }
--- a/quarantine/manager_probes.go
+++ b/quarantine/manager_probes.go
@@ -19,10 +19,10 @@
 
 // probeOf returns the next probe of a rule.
 func probeOf(r Rule) probe {
-	return probe{key: r.key(), activations: r.Activations, version: r.Version, onRequest: r.onRequest()}
+	return probe{rule: r.id(), activations: r.Activations, version: r.Version, onRequest: r.onRequest()}
 }
 
-func (p probe) String() string { return fmt.Sprintf("%x/%d/%d", p.key, p.activations, p.version) }
+func (p probe) String() string { return fmt.Sprintf("%x/%d/%d", p.rule, p.activations, p.version) }
 
 // probeDelay returns how long after the end of a rule this VM may start its probe. The
 // VMs may do so one after the other, in an order that differs from probe to probe.
@@ -43,7 +43,7 @@
 	case started := <-s.started:
 		return started
 	case <-time.After(startTimeout):
-		m.opts.Log.Warn("quarantine_probe_not_started", zap.Uint64("rule", p.key))
+		m.opts.Log.Warn("quarantine_probe_not_started", zap.Uint64("rule", p.rule))
 		return false
 	}
 }
@@ -68,7 +68,7 @@
 	})
 	if started {
 		s.m.probesStarted.Inc(1)
-		s.m.opts.Log.Info("quarantine_probe", zap.Uint64("rule", s.probe.key), zap.Bool("request", s.probe.onRequest),
+		s.m.opts.Log.Info("quarantine_probe", zap.Uint64("rule", s.probe.rule), zap.Bool("request", s.probe.onRequest),
 			zap.Int("activations", s.probe.activations))
 	}
 	s.started <- started
@@ -78,18 +78,18 @@
 func (m *Manager) recordRefusals(v *View) {
 	refusedAt := map[uint64]*atomic.Int64{}
 	for i := range v.rules {
-		key := v.rules[i].key()
-		refusedAt[key] = cmp.Or(m.refusedAt[key], &atomic.Int64{})
-		v.rules[i].refusedAt = refusedAt[key]
+		id := v.rules[i].id()
+		refusedAt[id] = cmp.Or(m.refusedAt[id], &atomic.Int64{})
+		v.rules[i].refusedAt = refusedAt[id]
 	}
 	m.refusedAt = refusedAt
 }
 
 // noteRefusals tells the node of refusals, which keeps the rules that are used.
 func (m *Manager) noteRefusals() {
-	for key, at := range m.refusedAt {
+	for rule, at := range m.refusedAt {
 		if at.Load() != 0 {
-			m.node.Refused(key, time.Duration(at.Load()))
+			m.node.Refused(rule, time.Duration(at.Load()))
 		}
 	}
 }
--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -49,7 +49,7 @@
 	defer m.Watch(sound, func(err error) { t.Errorf("a sound request is refused: %v", err) })()
 	m.Watch(stopped, func(error) { t.Error("a request that no longer waits is refused") })()
 	now := boottime.Now()
-	rule := Rule{Parts: stopped.Parts, Since: now, Until: now + time.Minute, Activations: 1}
+	rule := Rule{Keys: stopped.Parts, Since: now, Until: now + time.Minute, Activations: 1}
 	m.Receive("peer", envelope(now, Message{Rules: []Rule{rule}}).GetQuarantine())
 	select {
 	case err := <-refused:
@@ -73,7 +73,7 @@
 	}}})
 	now := boottime.Now()
 	dead := NewRequest("a", Content{Pool: "pool", Parts: []string{"dead"}})
-	expired := Rule{Parts: dead.Parts, Since: now - time.Hour, Until: now - time.Second, Activations: 1 << 31}
+	expired := Rule{Keys: dead.Parts, Since: now - time.Hour, Until: now - time.Second, Activations: 1 << 31}
 	m.Receive("peer", envelope(now, Message{Rules: []Rule{expired}}).GetQuarantine())
 	// A request that is admitted before the rule has arrived is no probe.
 	eventually(t, "the rule is known", func() bool { return len(m.view.Load().rules) > 0 })
@@ -112,7 +112,7 @@
 			m.RunFailed(&Request{Run: uint32(i), Parts: dead.Parts}, vmlist.VM{ID: strconv.Itoa(i)}, boottime.Now())
 		}},
 		{"of a peer", func(m *Manager, i int) {
-			f := Failure{Run: uint32(i), Engine: uint32(i), At: boottime.Now(), Parts: dead.Parts}
+			f := Failure{Run: uint32(i), Server: uint32(i), At: boottime.Now(), Keys: dead.Parts}
 			m.Receive("peer", envelope(f.At, Message{Failures: []Failure{f}}).GetQuarantine())
 		}},
 	} {
@@ -142,7 +142,7 @@
 	request := func(id int) *Request {
 		return NewRequest(strconv.Itoa(id), Content{Method: "GET", Target: "/slow", Organisation: "org"})
 	}
-	rule := Rule{Parts: request(0).ids(), Since: now, Until: now - time.Millisecond, Used: now}
+	rule := Rule{Keys: request(0).keys(), Since: now, Until: now - time.Millisecond, Used: now}
 	m.Receive("peer", envelope(now, Message{Rules: []Rule{rule}}).GetQuarantine())
 	eventually(t, "the rule is known", func() bool { return len(m.view.Load().rules) > 0 })
 	admitted := make(chan *Request, 50)
@@ -176,7 +176,7 @@
 	if allocations := testing.AllocsPerRun(100, func() { m.RunSucceeded(ordinary) }); allocations > 1 {
 		t.Errorf("%v allocations for a success that changes nothing", allocations)
 	}
-	if !m.node.requests.Contains(ordinary.Whole) {
+	if !m.node.requestSuccesses.Contains(ordinary.Whole) {
 		t.Error("the success is not recorded")
 	}
 }
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -11,25 +11,25 @@
 // safe for concurrent use; the current time is passed as an argument.
 type Node struct {
 	// failures are in the order of arrival.
-	failures  []Failure
-	seen      *lru.Cache[failureKey, struct{}]
-	successes *lru.Cache[PartID, success]
-	// requests holds the successes of whole requests apart, so that the ordinary ones push
-	// out no successes of parts. It may be used from any goroutine.
-	requests *lru.Cache[PartID, success]
-	rules    map[uint64]Rule
+	failures []Failure
+	seen     *lru.Cache[failureID, struct{}]
+	// partSuccesses and requestSuccesses hold the last success of each part and of each whole
+	// request, apart, so that ordinary requests push out no successes of parts.
+	// requestSuccesses may be used from any goroutine.
+	partSuccesses, requestSuccesses *lru.Cache[Key, success]
+	// rules holds the rules in force by their ids.
+	rules map[uint64]Rule
 	// probeDelay returns how long after the end of a rule this VM may start its probe.
 	probeDelay func(Rule) time.Duration
-	// named holds the parts that failures and rules name, nil if it must be built
-	// again.
-	named map[PartID]bool
+	// named holds the keys that failures and rules name, nil if it must be built again.
+	named map[Key]bool
 	// stale is set if the failures must be diagnosed again, dueAt is the time at which
 	// they must be even so, 0 if there is none.
 	stale bool
 	dueAt time.Duration
 }
 
-type failureKey struct{ run, engine uint32 }
+type failureID struct{ run, server uint32 }
 
 // Effects are the results of an event.
 type Effects struct {
@@ -47,11 +47,11 @@
 // NewNode returns a node without any knowledge.
 func NewNode() *Node {
 	return &Node{
-		seen:       newCache[failureKey, struct{}](maxSeenFailures),
-		successes:  newCache[PartID, success](maxSuccesses),
-		requests:   newCache[PartID, success](maxRequestSuccesses),
-		rules:      map[uint64]Rule{},
-		probeDelay: func(Rule) time.Duration { return 0 },
+		seen:             newCache[failureID, struct{}](maxSeenFailures),
+		partSuccesses:    newCache[Key, success](maxPartSuccesses),
+		requestSuccesses: newCache[Key, success](maxRequestSuccesses),
+		rules:            map[uint64]Rule{},
+		probeDelay:       func(Rule) time.Duration { return 0 },
 	}
 }
 
@@ -66,9 +66,9 @@
 // RunFailed records a failed run of this VM that started at a given time.
 func (n *Node) RunFailed(now time.Duration, f Failure, started time.Duration) Effects {
 	f.At = now
-	f.Parts = slices.DeleteFunc(slices.Clone(evidence(f.Parts)), func(part PartID) bool { return n.succeededAfter(part, started) })
+	f.Keys = slices.DeleteFunc(slices.Clone(evidence(f.Keys)), func(key Key) bool { return n.succeededAfter(key, started) })
 	var e Effects
-	if len(f.Parts) > 0 {
+	if len(f.Keys) > 0 {
 		n.addFailure(now, f, &e)
 	}
 	n.check(now, &e)
@@ -79,14 +79,14 @@
 func (n *Node) Receive(now time.Duration, m Message) Effects {
 	var e Effects
 	succeeded := false
-	for _, p := range m.Successes[:min(len(m.Successes), maxMessageItems)] {
-		succeeded = n.receiveSuccess(p, &e) || succeeded
+	for _, s := range m.Successes[:min(len(m.Successes), maxMessageItems)] {
+		succeeded = n.receiveSuccess(s, &e) || succeeded
 	}
 	if succeeded {
 		n.applySuccesses(&e)
 	}
 	for _, f := range m.Failures[:min(len(m.Failures), maxMessageItems)] {
-		if len(f.Parts) > 0 && len(f.Parts) <= MaxParts && slices.IsSorted(f.Parts) {
+		if len(f.Keys) > 0 && len(f.Keys) <= maxKeys && slices.IsSorted(f.Keys) {
 			n.addFailure(now, f, &e)
 		}
 	}
@@ -104,19 +104,19 @@
 	return e
 }
 
-// addFailure records a failure, forwards it, and announces the known successes of its
-// parts.
+// addFailure records a failure, forwards it, and announces the known successes with its
+// keys.
 func (n *Node) addFailure(now time.Duration, f Failure, e *Effects) {
-	key := failureKey{f.Run, f.Engine}
-	if n.seen.Contains(key) {
+	id := failureID{f.Run, f.Server}
+	if n.seen.Contains(id) {
 		return
 	}
-	n.seen.Add(key, struct{}{})
+	n.seen.Add(id, struct{}{})
 	e.Send.Failures = append(e.Send.Failures, f)
-	for _, part := range f.Parts {
-		if p, known := n.table(part).Peek(part); known {
-			n.announce(part, &p, e)
-			n.table(part).Add(part, p)
+	for _, key := range f.Keys {
+		if s, known := n.table(key).Peek(key); known {
+			n.announce(key, &s, e)
+			n.table(key).Add(key, s)
 		}
 	}
 	if len(n.failures) == maxFailures {
@@ -173,9 +173,9 @@
 		n.invalidate()
 		e.Changed = true
 	}
-	for key, r := range n.rules {
+	for id, r := range n.rules {
 		if now > r.expiresAt() {
-			delete(n.rules, key)
+			delete(n.rules, id)
 			n.invalidate()
 			e.Removed = append(e.Removed, r)
 			e.Changed = true
@@ -183,9 +183,9 @@
 	}
 }
 
-// lifetime is how long the failure, which names at least one part, is taken into account.
+// lifetime is how long the failure, which has at least one key, is taken into account.
 func (f Failure) lifetime() time.Duration {
-	if f.Parts[len(f.Parts)-1].IsWhole() {
+	if f.Keys[len(f.Keys)-1].IsWhole() {
 		return requestLifetime
 	}
 	return evidenceLifetime
--- a/quarantine/node_rules.go
+++ b/quarantine/node_rules.go
@@ -12,7 +12,7 @@
 	for _, r := range n.rules {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b Rule) int { return cmp.Compare(a.key(), b.key()) })
+	slices.SortFunc(out, func(a, b Rule) int { return cmp.Compare(a.id(), b.id()) })
 	return out
 }
 
@@ -25,17 +25,17 @@
 func digestOf(rules []Rule) uint64 {
 	var digest uint64
 	for _, r := range rules {
-		digest ^= r.key() * uint64(2*(r.Activations+r.Version<<versionShift)+1)
+		digest ^= r.id() * uint64(2*(r.Activations+r.Version<<versionShift)+1)
 	}
 	return digest
 }
 
 // StartProbe records that a request of this VM is the probe of a rule, and tells the peers.
 // It reports false if the request must not be sent, since the rule is not as it was.
-func (n *Node) StartProbe(now time.Duration, id probe) (Effects, bool) {
+func (n *Node) StartProbe(now time.Duration, p probe) (Effects, bool) {
 	var e Effects
-	r, held := n.rules[id.key]
-	held = held && r.Activations == id.activations && r.Version == id.version && r.hasProbe() && now >= n.probeAt(r)
+	r, held := n.rules[p.rule]
+	held = held && r.Activations == p.activations && r.Version == p.version && r.hasProbe() && now >= n.probeAt(r)
 	if held {
 		n.change(r.probeStarted(now), &e)
 	}
@@ -43,17 +43,18 @@
 	return e, held
 }
 
-// Refused records the last refusal of a rule, which is kept as long as it refuses requests.
-func (n *Node) Refused(key uint64, at time.Duration) {
-	if r, held := n.rules[key]; held {
+// Refused records the last refusal of the rule with an id. It is kept as long as it refuses
+// requests.
+func (n *Node) Refused(rule uint64, at time.Duration) {
+	if r, held := n.rules[rule]; held {
 		r.Used = max(r.Used, at)
-		n.rules[key] = r
+		n.rules[rule] = r
 	}
 }
 
 // change stores a changed rule and sends it.
 func (n *Node) change(r Rule, e *Effects) {
-	n.rules[r.key()] = r
+	n.rules[r.id()] = r
 	e.Renewed = append(e.Renewed, r)
 	e.Send.Rules = append(e.Send.Rules, r)
 	e.Changed = true
@@ -63,7 +64,7 @@
 func (n *Node) applyProbeFailure(now time.Duration, f Failure, e *Effects) {
 	for _, r := range n.rules {
 		ofProbe := f.At >= r.Until || r.Started != 0 && f.At >= r.Started
-		if ofProbe && r.matches(f.Parts) {
+		if ofProbe && r.matches(f.Keys) {
 			n.change(r.probeFailed(now), e)
 		}
 	}
@@ -72,23 +73,23 @@
 // archived returns the rules that outlive a fleet that stops: not mere suspicions.
 func archived(rules []Rule) []Rule { return slices.DeleteFunc(rules, Rule.suspects) }
 
-// receiveRule adopts the rule of a peer if it is newer. If a part has succeeded since, it
-// answers with the success.
+// receiveRule adopts the rule of a peer if it is newer. If a part or request of the rule has
+// succeeded since, it answers with the success.
 func (n *Node) receiveRule(now time.Duration, r Rule, e *Effects) {
-	if len(r.Parts) == 0 || len(r.Parts) > MaxParts || !slices.IsSorted(r.Parts) || now > r.expiresAt() {
+	if len(r.Keys) == 0 || len(r.Keys) > maxKeys || !slices.IsSorted(r.Keys) || now > r.expiresAt() {
 		return
 	}
-	for _, part := range r.Parts {
-		if p, _ := n.table(part).Peek(part); n.succeededAfter(part, r.Since) {
-			e.Reply.Successes = append(e.Reply.Successes, Success{Part: part, At: p.at})
+	for _, key := range r.Keys {
+		if s, _ := n.table(key).Peek(key); n.succeededAfter(key, r.Since) {
+			e.Reply.Successes = append(e.Reply.Successes, Success{Key: key, At: s.at})
 		}
 	}
 	if len(e.Reply.Successes) > 0 {
 		return
 	}
-	known, held := n.rules[r.key()]
+	known, held := n.rules[r.id()]
 	if held && !r.supersedes(known) {
-		n.Refused(r.key(), r.Used)
+		n.Refused(r.id(), r.Used)
 		return
 	}
 	if held {
@@ -116,32 +117,32 @@
 // one that has not been used for longest.
 func (n *Node) putRule(r Rule) bool {
 	n.invalidate()
-	n.rules[r.key()] = r
+	n.rules[r.id()] = r
 	if len(n.rules) <= maxRules {
 		return true
 	}
 	victim := n.ruleToDrop()
 	delete(n.rules, victim)
-	return victim != r.key()
+	return victim != r.id()
 }
 
-// ruleToDrop returns the key of the rule that makes room for others.
+// ruleToDrop returns the id of the rule that makes room for others.
 func (n *Node) ruleToDrop() uint64 {
 	counts := map[uint32]int{}
 	for _, r := range n.rules {
 		counts[r.Organisation]++
 	}
 	var victim uint64
-	for key, r := range n.rules {
+	for id, r := range n.rules {
 		v, some := n.rules[victim]
 		before := cmp.Or(
 			cmp.Compare(counts[v.Organisation], counts[r.Organisation]),
 			compareBool(v.suspects(), r.suspects()),
 			cmp.Compare(r.Used, v.Used),
-			cmp.Compare(key, victim),
+			cmp.Compare(id, victim),
 		)
 		if !some || before < 0 {
-			victim = key
+			victim = id
 		}
 	}
 	return victim
@@ -166,8 +167,8 @@
 	n.dueAt = earliest(requestsDueAt, partsDueAt)
 	n.stale = false
 	for _, d := range due {
-		r := Rule{Parts: d.parts, Since: d.since, Until: now + quarantineDuration(1), Activations: 1, Organisation: d.organisation, Used: now}
-		if _, held := n.rules[r.key()]; !held {
+		r := Rule{Keys: d.parts, Since: d.since, Until: now + quarantineDuration(1), Activations: 1, Organisation: d.organisation, Used: now}
+		if _, held := n.rules[r.id()]; !held {
 			n.addRule(r, e)
 		}
 	}
--- a/quarantine/node_successes.go
+++ b/quarantine/node_successes.go
@@ -7,7 +7,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// success is the last known success of a part.
+// success is the last known success of a part or a whole request.
 type success struct {
 	at time.Duration
 	// announcedAt is the time of the latest success that this VM sent or received, 0 if
@@ -15,26 +15,26 @@
 	announcedAt time.Duration
 }
 
-// table returns the successes of the kind of an id.
-func (n *Node) table(id PartID) *lru.Cache[PartID, success] {
-	if id.IsWhole() {
-		return n.requests
+// table returns the successes of the kind of a key.
+func (n *Node) table(key Key) *lru.Cache[Key, success] {
+	if key.IsWhole() {
+		return n.requestSuccesses
 	}
-	return n.successes
+	return n.partSuccesses
 }
 
 // RunSucceeded records that a run of this VM has written or was answered.
-func (n *Node) RunSucceeded(now time.Duration, parts []PartID) Effects {
+func (n *Node) RunSucceeded(now time.Duration, keys []Key) Effects {
 	var e Effects
 	changed := false
-	for _, part := range evidence(parts) {
-		p, _ := n.table(part).Get(part)
-		p.at = now
-		if n.isNamed(part) {
+	for _, key := range evidence(keys) {
+		s, _ := n.table(key).Get(key)
+		s.at = now
+		if n.isNamed(key) {
 			changed = true
-			n.announce(part, &p, &e)
+			n.announce(key, &s, &e)
 		}
-		n.table(part).Add(part, p)
+		n.table(key).Add(key, s)
 	}
 	if changed {
 		n.applySuccesses(&e)
@@ -45,82 +45,82 @@
 
 // recordRequest records that a whole request was answered. It may be called from any
 // goroutine.
-func (n *Node) recordRequest(now time.Duration, id PartID) {
-	p, _ := n.requests.Get(id)
-	p.at = max(p.at, now)
-	n.requests.Add(id, p)
+func (n *Node) recordRequest(now time.Duration, whole Key) {
+	s, _ := n.requestSuccesses.Get(whole)
+	s.at = max(s.at, now)
+	n.requestSuccesses.Add(whole, s)
 }
 
-// succeededAfter reports whether a run with a part succeeded at or after a time.
-func (n *Node) succeededAfter(part PartID, at time.Duration) bool {
-	p, known := n.table(part).Peek(part)
-	return known && p.at >= at
+// succeededAfter reports whether a run with a key succeeded at or after a time.
+func (n *Node) succeededAfter(key Key, at time.Duration) bool {
+	s, known := n.table(key).Peek(key)
+	return known && s.at >= at
 }
 
-// isNamed reports whether a failure or a rule names a part.
-func (n *Node) isNamed(part PartID) bool {
+// isNamed reports whether a failure or a rule names a key.
+func (n *Node) isNamed(key Key) bool {
 	if n.named == nil {
-		n.named = map[PartID]bool{}
+		n.named = map[Key]bool{}
 		for _, f := range n.failures {
-			n.addNamed(f.Parts)
+			n.addNamed(f.Keys)
 		}
 		for _, r := range n.rules {
-			n.addNamed(r.Parts)
+			n.addNamed(r.Keys)
 		}
 	}
-	return n.named[part]
+	return n.named[key]
 }
 
-func (n *Node) addNamed(parts []PartID) {
-	for _, part := range parts {
-		n.named[part] = true
+func (n *Node) addNamed(keys []Key) {
+	for _, key := range keys {
+		n.named[key] = true
 	}
 }
 
-// announce sends the success of a part unless a recent one was announced.
-func (n *Node) announce(part PartID, p *success, e *Effects) {
-	if p.announcedAt != 0 && p.at < p.announcedAt+announceInterval {
+// announce sends the success of a key unless a recent one was announced.
+func (n *Node) announce(key Key, s *success, e *Effects) {
+	if s.announcedAt != 0 && s.at < s.announcedAt+announceInterval {
 		return
 	}
-	p.announcedAt = p.at
-	e.Send.Successes = append(e.Send.Successes, Success{Part: part, At: p.at})
+	s.announcedAt = s.at
+	e.Send.Successes = append(e.Send.Successes, Success{Key: key, At: s.at})
 }
 
 // receiveSuccess records the success of a peer and forwards it unless a recent one is
 // known. It reports whether the success may change a rule.
 func (n *Node) receiveSuccess(in Success, e *Effects) bool {
-	p, _ := n.table(in.Part).Get(in.Part)
-	later := in.At > p.at
-	p.at = max(p.at, in.At)
-	if p.announcedAt == 0 || in.At >= p.announcedAt+announceInterval {
-		p.announcedAt = in.At
+	s, _ := n.table(in.Key).Get(in.Key)
+	later := in.At > s.at
+	s.at = max(s.at, in.At)
+	if s.announcedAt == 0 || in.At >= s.announcedAt+announceInterval {
+		s.announcedAt = in.At
 		e.Send.Successes = append(e.Send.Successes, in)
 	}
-	n.table(in.Part).Add(in.Part, p)
-	return later && n.isNamed(in.Part)
+	n.table(in.Key).Add(in.Key, s)
+	return later && n.isNamed(in.Key)
 }
 
-// applySuccesses drops the failures that no longer speak against any part, and takes
-// parts that have succeeded out of the rules.
+// applySuccesses drops the failures that no longer speak against any key, and takes the keys
+// that have succeeded out of the rules.
 func (n *Node) applySuccesses(e *Effects) {
 	n.invalidate()
 	e.Changed = true
 	n.failures = slices.DeleteFunc(n.failures, func(f Failure) bool {
-		return !slices.ContainsFunc(f.Parts, func(part PartID) bool { return !n.succeededAfter(part, f.At) })
+		return !slices.ContainsFunc(f.Keys, func(key Key) bool { return !n.succeededAfter(key, f.At) })
 	})
-	for key, r := range n.rules {
-		left := slices.DeleteFunc(slices.Clone(r.Parts), func(part PartID) bool { return n.succeededAfter(part, r.Since) })
-		if len(left) == len(r.Parts) {
+	for id, r := range n.rules {
+		left := slices.DeleteFunc(slices.Clone(r.Keys), func(key Key) bool { return n.succeededAfter(key, r.Since) })
+		if len(left) == len(r.Keys) {
 			continue
 		}
-		delete(n.rules, key)
+		delete(n.rules, id)
 		if len(left) == 0 {
 			e.Removed = append(e.Removed, r)
 			continue
 		}
-		r.Parts = left
+		r.Keys = left
 		r.Version++
-		n.rules[r.key()] = r
+		n.rules[r.id()] = r
 		e.Renewed = append(e.Renewed, r)
 	}
 }
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -25,10 +25,10 @@
 	return NewRequest(fmt.Sprintf("request-%d", w.runs), Content{Pool: "pool", Parts: parts})
 }
 
-// crash lets an engine crash under one run per prompt.
-func (w *world) crash(engine string, prompts ...*Request) {
-	for _, p := range prompts {
-		w.n.RunFailed(w.now, Failure{Run: p.Run, Engine: uint32(hash.Pair(engine, "")), Organisation: p.Organisation, Parts: p.ids()}, w.now-time.Second)
+// crash lets a server crash under one run per request.
+func (w *world) crash(server string, requests ...*Request) {
+	for _, r := range requests {
+		w.n.RunFailed(w.now, Failure{Run: r.Run, Server: uint32(hash.Pair(server, "")), Organisation: r.Organisation, Keys: r.keys()}, w.now-time.Second)
 	}
 }
 
@@ -131,14 +131,14 @@
 	w := newWorld(t)
 	w.crashes(3, "part")
 	w.want(true, "part")
-	success := Success{Part: w.prompt("part").Parts[0], At: w.now}
+	success := Success{Key: w.prompt("part").Parts[0], At: w.now}
 	e := w.n.Receive(w.now, Message{Successes: []Success{success}})
 	w.want(false, "part")
 	if len(e.Removed) != 1 || !slices.Contains(e.Send.Successes, success) {
 		t.Errorf("effects %+v", e)
 	}
 	// A VM that does not know the success gets it in reply to its rule.
-	e = w.n.Receive(w.now, Message{Rules: []Rule{{Parts: []PartID{success.Part}, Since: w.now - time.Second, Until: w.now + time.Minute, Activations: 1}}})
+	e = w.n.Receive(w.now, Message{Rules: []Rule{{Keys: []Key{success.Key}, Since: w.now - time.Second, Until: w.now + time.Minute, Activations: 1}}})
 	w.want(false, "part")
 	if len(e.Reply.Successes) != 1 {
 		t.Errorf("effects %+v", e)
@@ -275,15 +275,15 @@
 	w.crashes(3, "dead")
 	for i := range maxFailures + 20 {
 		var parts []string
-		for j := range 2 * MaxParts {
+		for j := range 2 * maxKeys {
 			parts = append(parts, fmt.Sprintf("%d-%d", i, j))
 		}
 		w.crash(fmt.Sprintf("noise-%d", i), w.prompt(parts...))
 		w.n.RunSucceeded(w.now, w.prompt(parts...).Parts)
 		w.now += 10 * time.Millisecond
 	}
-	if len(w.n.failures) > maxFailures || w.n.successes.Len() > maxSuccesses || w.n.seen.Len() > maxSeenFailures {
-		t.Errorf("%d failures, %d successes, %d seen", len(w.n.failures), w.n.successes.Len(), w.n.seen.Len())
+	if len(w.n.failures) > maxFailures || w.n.partSuccesses.Len() > maxPartSuccesses || w.n.seen.Len() > maxSeenFailures {
+		t.Errorf("%d failures, %d successes, %d seen", len(w.n.failures), w.n.partSuccesses.Len(), w.n.seen.Len())
 	}
 	w.want(true, "dead")
 	for i := range 2 * maxRules {
@@ -300,11 +300,11 @@
 	w := newWorld(t)
 	w.succeed("common")
 	var parts []string
-	for i := range 2 * maxSuccesses {
+	for i := range 2 * maxPartSuccesses {
 		parts = append(parts, fmt.Sprintf("part-%d", i))
 	}
 	w.succeed(parts...)
-	if !w.n.successes.Contains(w.prompt("common").Parts[0]) {
+	if !w.n.partSuccesses.Contains(w.prompt("common").Parts[0]) {
 		t.Error("the success is gone")
 	}
 }
@@ -315,8 +315,8 @@
 	w.crashes(3, "dead")
 	p := w.prompt("dead", "x")
 	updates := Message{
-		Failures:  []Failure{{Run: p.Run, Engine: 1, At: w.now, Parts: p.Parts}},
-		Successes: []Success{{Part: w.prompt("x").Parts[0], At: w.now}},
+		Failures:  []Failure{{Run: p.Run, Server: 1, At: w.now, Keys: p.Parts}},
+		Successes: []Success{{Key: w.prompt("x").Parts[0], At: w.now}},
 		Rules:     w.n.Rules(),
 	}
 	other := NewNode()
--- a/quarantine/repeats_fleet_test.go
+++ b/quarantine/repeats_fleet_test.go
@@ -95,7 +95,7 @@
 	}
 	err := s.views[vm].check(s.now, r)
 	for _, rule := range n.Rules() {
-		n.Refused(rule.key(), s.now)
+		n.Refused(rule.id(), s.now)
 	}
 	if err != nil {
 		return false
@@ -161,7 +161,7 @@
 		if s.now >= s.countFrom {
 			s.answered[x.target]++
 		}
-		s.perform(x.vm, -1, s.nodes[x.vm].RunSucceeded(s.now, x.r.ids()))
+		s.perform(x.vm, -1, s.nodes[x.vm].RunSucceeded(s.now, x.r.keys()))
 	}
 }
 
@@ -182,7 +182,7 @@
 	s.runs = left
 	for _, x := range cut {
 		x.r.crashed = append(x.r.crashed, uint32(life))
-		f := Failure{Run: x.r.Run, Engine: uint32(life), Organisation: x.r.Organisation, Parts: x.r.ids()}
+		f := Failure{Run: x.r.Run, Server: uint32(life), Organisation: x.r.Organisation, Keys: x.r.keys()}
 		s.perform(x.vm, -1, s.nodes[x.vm].RunFailed(s.now, f, x.started))
 	}
 	for _, x := range cut {
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -28,55 +28,56 @@
 type Request struct {
 	// Run identifies the request, another one for each repeat by the caller.
 	Run uint32
-	// Whole identifies method, target, organisation and body, 0 if unknown. It is the same
-	// for each repeat by the caller.
-	Whole PartID
+	// Whole is the key of method, target, organisation, body and prompt, 0 if unknown. It is
+	// the same for each repeat by the caller.
+	Whole Key
 	// Organisation is a hash of the caller's organisation, for the limits of the tables.
 	Organisation uint32
-	// Parts are the distinct parts that other requests may share, in ascending order.
-	Parts  []PartID
+	// Parts are the distinct keys of the parts that other requests may share, in ascending
+	// order.
+	Parts  []Key
 	probes []probe
 	// crashed lists the servers that have crashed under the request.
 	crashed []uint32
 }
 
-// ids returns the parts and the whole request, in ascending order.
-func (r *Request) ids() []PartID {
+// keys returns those of the parts and of the whole request, in ascending order.
+func (r *Request) keys() []Key {
 	if r.Whole == 0 {
 		return r.Parts
 	}
 	return append(slices.Clip(r.Parts), r.Whole)
 }
 
-// evidence returns what failures and successes name of a request.
-func evidence(ids []PartID) []PartID {
-	n := len(ids)
-	if n == 0 || !ids[n-1].IsWhole() {
-		return ids[:min(n, MaxParts)]
+// evidence returns the keys of a request that failures and successes name.
+func evidence(keys []Key) []Key {
+	n := len(keys)
+	if n == 0 || !keys[n-1].IsWhole() {
+		return keys[:min(n, maxKeys)]
 	}
-	return append(slices.Clip(ids[:min(n, MaxParts)-1]), ids[n-1])
+	return append(slices.Clip(keys[:min(n, maxKeys)-1]), keys[n-1])
 }
 
 // NewRequest returns the request with an id.
 func NewRequest(id string, c Content) *Request {
 	r := &Request{Run: uint32(xxhash.Sum64String(id)), Organisation: uint32(xxhash.Sum64String(c.Organisation)), Whole: c.whole()}
 	for _, part := range c.Parts {
-		r.Parts = append(r.Parts, PartID(hash.Pair(c.Pool, part))&^wholeRequest)
+		r.Parts = append(r.Parts, Key(hash.Pair(c.Pool, part))&^wholeRequest)
 	}
 	slices.Sort(r.Parts)
 	r.Parts = slices.Compact(r.Parts)
 	return r
 }
 
-// wholeRequest is the bit that distinguishes a whole request from a part of a prompt.
-const wholeRequest PartID = 1 << 63
+// wholeRequest is the bit of a key that tells a whole request from a part of a prompt.
+const wholeRequest Key = 1 << 63
 
-// IsWhole reports whether the id is that of a whole request.
-func (p PartID) IsWhole() bool { return p&wholeRequest != 0 }
+// IsWhole reports whether the key is that of a whole request.
+func (k Key) IsWhole() bool { return k&wholeRequest != 0 }
 
-// whole returns the id of the whole request. It is a cryptographic hash, so that a caller
-// can't build a request with the id of another one.
-func (c Content) whole() PartID {
+// whole returns the key of the whole request. It is a cryptographic hash, so that a caller
+// can't build a request with the key of another one.
+func (c Content) whole() Key {
 	if c.Method == "" {
 		return 0
 	}
@@ -86,7 +87,7 @@
 		writeField(h.Write, []byte(field))
 	}
 	writeField(h.Write, c.Body)
-	return PartID(binary.LittleEndian.Uint64(h.Sum(nil))) | wholeRequest
+	return Key(binary.LittleEndian.Uint64(h.Sum(nil))) | wholeRequest
 }
 
 // writeField writes a field after its length, so that no two lists of fields look alike.
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -22,7 +22,7 @@
 	}
 }
 
-func (w *world) answer(r *Request) Effects { return w.n.RunSucceeded(w.now, r.ids()) }
+func (w *world) answer(r *Request) Effects { return w.n.RunSucceeded(w.now, r.keys()) }
 
 // admit checks a request on a VM that may start probes, as Manager does.
 func (w *world) admit(r *Request) bool {
@@ -215,7 +215,7 @@
 			w.crash(fmt.Sprintf("server-%d", w.runs), r)
 		}
 		for _, rule := range w.n.Rules() {
-			w.n.Refused(rule.key(), w.now)
+			w.n.Refused(rule.id(), w.now)
 		}
 	}
 	if len(admitted) != maxProbes || admitted[1]-admitted[0] > 70*time.Second || admitted[2]-admitted[1] < time.Hour {
@@ -290,11 +290,11 @@
 func TestRequestsKeepSuccessesOfParts(t *testing.T) {
 	w := newWorld(t)
 	w.succeed("common")
-	for i := range maxSuccesses + 1 {
+	for i := range maxPartSuccesses + 1 {
 		w.answer(w.request("org", fmt.Sprintf("/%d", i)))
 	}
-	if !w.n.successes.Contains(w.prompt("common").Parts[0]) || w.n.requests.Len() > maxRequestSuccesses {
-		t.Errorf("the success is gone, or %d successes of requests are kept", w.n.requests.Len())
+	if !w.n.partSuccesses.Contains(w.prompt("common").Parts[0]) || w.n.requestSuccesses.Len() > maxRequestSuccesses {
+		t.Errorf("the success is gone, or %d successes of requests are kept", w.n.requestSuccesses.Len())
 	}
 }
 
@@ -306,7 +306,7 @@
 	crash := func(server uint32, requests ...*Request) {
 		for _, r := range requests {
 			r.crashed = append(r.crashed, server)
-			w.n.RunFailed(w.now, Failure{Run: r.Run, Engine: server, Parts: r.ids()}, w.now)
+			w.n.RunFailed(w.now, Failure{Run: r.Run, Server: server, Keys: r.keys()}, w.now)
 		}
 	}
 	first, beside, second := w.request("org", "/a"), w.request("org", "/a"), w.request("org", "/a")
--- a/quarantine/rule.go
+++ b/quarantine/rule.go
@@ -1,18 +1,19 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Rule quarantines the requests that hold all of its parts. It has several parts if
+// Rule quarantines the requests that have all of its keys. It has those of several parts if
 // all failed runs held all of them, so that nothing tells the parts apart. A rule on a
-// whole request names only this.
+// whole request has only the key of this.
 type Rule struct {
-	// Parts are in ascending order.
-	Parts []PartID
+	// Keys are in ascending order.
+	Keys []Key
 	// Since is the time of the first crash that led to the rule, Until the time from
 	// which a probe is allowed.
 	Since, Until time.Duration
@@ -33,28 +34,21 @@
 	Used time.Duration
 }
 
-// key identifies the parts of a rule.
-func (r Rule) key() uint64 {
+// id identifies the keys of a rule.
+func (r Rule) id() uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range r.Parts {
-		_, _ = d.Write(appendPart(nil, part))
+	for _, key := range r.Keys {
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(key)))
 	}
 	return d.Sum64()
 }
 
-func appendPart(b []byte, part PartID) []byte {
-	for shift := 0; shift < 64; shift += 8 {
-		b = append(b, byte(part>>shift))
-	}
-	return b
-}
-
-// matches reports whether a request holds all parts of the rule. Both lists are in
-// ascending order.
-func (r Rule) matches(parts []PartID) bool {
-	for _, part := range r.Parts {
-		if _, found := slices.BinarySearch(parts, part); !found {
+// matches reports whether a request has all keys of the rule. Both lists are in ascending
+// order.
+func (r Rule) matches(keys []Key) bool {
+	for _, key := range r.Keys {
+		if _, found := slices.BinarySearch(keys, key); !found {
 			return false
 		}
 	}
@@ -62,12 +56,12 @@
 }
 
 // onRequest reports whether the rule names a whole request.
-func (r Rule) onRequest() bool { return len(r.Parts) == 1 && r.Parts[0].IsWhole() }
+func (r Rule) onRequest() bool { return len(r.Keys) == 1 && r.Keys[0].IsWhole() }
 
 // suspects reports whether the rule names a whole request that is not yet quarantined.
 func (r Rule) suspects() bool { return r.onRequest() && r.Activations == 0 }
 
-// supersedes reports whether a rule replaces another one on the same parts.
+// supersedes reports whether a rule replaces another one with the same keys.
 func (r Rule) supersedes(other Rule) bool {
 	if r.Activations != other.Activations {
 		return r.Activations > other.Activations
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
@@ -18,8 +19,8 @@
 // share them and were answered before, or were in fewer of them: a request that is often
 // in flight is in flight at nearly every crash.
 func (n *Node) suspectedRequests(now time.Duration, crashes []crash) (out []*suspicion) {
-	all := slices.Collect(maps.Values(n.suspicions(now, crashes, nil, PartID.IsWhole)))
-	all = slices.DeleteFunc(all, func(s *suspicion) bool { return s.engines() < suspectCrashes })
+	all := slices.Collect(maps.Values(n.suspicions(now, crashes, nil, Key.IsWhole)))
+	all = slices.DeleteFunc(all, func(s *suspicion) bool { return s.servers() < suspectCrashes })
 	slices.SortFunc(all, (*suspicion).compare)
 	markAmbiguous(all)
 	explained := map[crash]bool{}
@@ -28,7 +29,7 @@
 		id := s.crashSet()
 		if !chosen[id] {
 			maps.DeleteFunc(s.crashes, func(c crash, _ bool) bool { return explained[c] })
-			if s.engines() < suspectCrashes {
+			if s.servers() < suspectCrashes {
 				continue
 			}
 		}
@@ -59,7 +60,7 @@
 // lastCrash returns the latest crash.
 func (s *suspicion) lastCrash() crash {
 	return slices.MaxFunc(slices.Collect(maps.Keys(s.crashes)), func(a, b crash) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.engine, b.engine))
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server))
 	})
 }
 
@@ -78,7 +79,8 @@
 func (s *suspicion) crashSet() uint64 {
 	var id uint64
 	for c := range s.crashes {
-		id += xxhash.Sum64(appendPart(appendPart(nil, PartID(c.engine)), PartID(c.at)))
+		b := binary.LittleEndian.AppendUint64(nil, uint64(c.server))
+		id += xxhash.Sum64(binary.LittleEndian.AppendUint64(b, uint64(c.at)))
 	}
 	if s.succeeded {
 		return ^id
@@ -90,8 +92,8 @@
 func (s *suspicion) firstCrashes() []time.Duration {
 	first := map[uint32]time.Duration{}
 	for c := range s.crashes {
-		if at, known := first[c.engine]; !known || c.at < at {
-			first[c.engine] = c.at
+		if at, known := first[c.server]; !known || c.at < at {
+			first[c.server] = c.at
 		}
 	}
 	return slices.Sorted(maps.Values(first))
@@ -113,8 +115,8 @@
 	for _, s := range n.suspectedRequests(now, crashes) {
 		crashes := s.firstCrashes()
 		// Its last use is not now, so that it doesn't displace one with later crashes.
-		r := Rule{Parts: []PartID{s.part}, Since: crashes[0], Used: crashes[len(crashes)-1], Organisation: s.organisation}
-		known, held := n.rules[r.key()]
+		r := Rule{Keys: []Key{s.key}, Since: crashes[0], Used: crashes[len(crashes)-1], Organisation: s.organisation}
+		known, held := n.rules[r.id()]
 		if held && !known.suspects() {
 			continue
 		}
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -7,24 +7,24 @@
 	"time"
 )
 
-// crash is a set of failures on one engine that follow each other closely.
+// crash is a set of failures on one server that follow each other closely.
 type crash struct {
-	engine uint32
+	server uint32
 	// at is the time of the first failure.
 	at time.Duration
 }
 
-// crashesOf returns the crash to which each failure belongs. An engine may crash again
+// crashesOf returns the crash to which each failure belongs. A server may crash again
 // before its entry shows that it has started again.
 func crashesOf(failures []Failure) []crash {
 	out := make([]crash, len(failures))
 	latest := map[uint32]crash{}
 	for _, i := range inOrderOfTime(failures) {
 		f := failures[i]
-		c, known := latest[f.Engine]
+		c, known := latest[f.Server]
 		if !known || f.At-c.at >= crashInterval {
-			c = crash{engine: f.Engine, at: f.At}
-			latest[f.Engine] = c
+			c = crash{server: f.Server, at: f.At}
+			latest[f.Server] = c
 		}
 		out[i] = c
 	}
@@ -43,10 +43,10 @@
 
 // suspicion collects the failures that speak against a part or a whole request.
 type suspicion struct {
-	part PartID
+	key Key
 	// organisation is that of all failures, 0 if there are several.
 	organisation uint32
-	// succeeded is set if a success of the part before the failures is known.
+	// succeeded is set if a success before the failures is known.
 	succeeded bool
 	crashes   map[crash]bool
 	runs      map[uint32]bool
@@ -54,25 +54,25 @@
 	ambiguous bool
 }
 
-// suspicions returns the suspicion of each id that kind accepts, without the crashes that
+// suspicions returns the suspicion of each key that kind accepts, without the crashes that
 // are explained by another one. crashes holds the crash of each failure.
-func (n *Node) suspicions(now time.Duration, crashes []crash, explained map[crash]bool, kind func(PartID) bool) map[PartID]*suspicion {
-	out := map[PartID]*suspicion{}
+func (n *Node) suspicions(now time.Duration, crashes []crash, explained map[crash]bool, kind func(Key) bool) map[Key]*suspicion {
+	out := map[Key]*suspicion{}
 	for i, f := range n.failures {
 		if explained[crashes[i]] {
 			continue
 		}
-		for _, part := range f.Parts {
-			if !kind(part) || n.succeededAfter(part, f.At) || !part.IsWhole() && now-f.At > evidenceLifetime {
+		for _, key := range f.Keys {
+			if !kind(key) || n.succeededAfter(key, f.At) || !key.IsWhole() && now-f.At > evidenceLifetime {
 				continue
 			}
-			s := out[part]
+			s := out[key]
 			if s == nil {
 				s = &suspicion{
-					part: part, organisation: f.Organisation, succeeded: n.succeededAfter(part, now-evidenceLifetime),
+					key: key, organisation: f.Organisation, succeeded: n.succeededAfter(key, now-evidenceLifetime),
 					crashes: map[crash]bool{}, runs: map[uint32]bool{},
 				}
-				out[part] = s
+				out[key] = s
 			}
 			if s.organisation != f.Organisation {
 				s.organisation = 0
@@ -84,8 +84,8 @@
 	return out
 }
 
-// isPart reports whether an id is that of a part of prompts.
-func isPart(id PartID) bool { return !id.IsWhole() }
+// isPart reports whether a key is that of a part of prompts.
+func isPart(key Key) bool { return !key.IsWhole() }
 
 // separateCrashes returns the times of the crashes that are crashInterval apart, in
 // ascending order.
@@ -103,16 +103,16 @@
 	return out
 }
 
-// engines returns the number of engines that crashed.
-func (s *suspicion) engines() int {
+// servers returns the number of servers that crashed.
+func (s *suspicion) servers() int {
 	seen := map[uint32]bool{}
 	for c := range s.crashes {
-		seen[c.engine] = true
+		seen[c.server] = true
 	}
 	return len(seen)
 }
 
-// required returns the number of crashes after which the part is quarantined.
+// required returns the number of crashes after which the part or request is quarantined.
 func (s *suspicion) required() int {
 	if s.succeeded {
 		return minCrashesAfterSuccess
@@ -120,18 +120,18 @@
 	return minCrashes
 }
 
-// ruleDueAt returns the time at which the part is quarantined if no success comes before
+// partDueAt returns the time at which the part is quarantined if no success comes before
 // it. It returns false if there are too few failures.
-func (s *suspicion) ruleDueAt() (time.Duration, bool) {
+func (s *suspicion) partDueAt() (time.Duration, bool) {
 	crashes := s.separateCrashes()
-	if len(crashes) < s.required() || len(s.runs) < minRuns || s.engines() < minEngines {
+	if len(crashes) < s.required() || len(s.runs) < minRuns || s.servers() < minServers {
 		return 0, false
 	}
 	return crashes[s.required()-1] + settleDelay, true
 }
 
-// compare orders suspicions by how well they explain the crashes: parts without any
-// success first, then those with the most crashes.
+// compare orders suspicions by how well they explain the crashes: those without any success
+// first, then those with the most crashes.
 func (s *suspicion) compare(other *suspicion) int {
 	if s.succeeded != other.succeeded {
 		if other.succeeded {
@@ -139,7 +139,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(len(other.crashes), len(s.crashes)), cmp.Compare(s.part, other.part))
+	return cmp.Or(cmp.Compare(len(other.crashes), len(s.crashes)), cmp.Compare(s.key, other.key))
 }
 
 // indistinguishable reports whether exactly the same failures speak against two parts.
@@ -149,7 +149,7 @@
 
 // diagnosis is a set of parts that must be quarantined together.
 type diagnosis struct {
-	parts        []PartID
+	parts        []Key
 	since        time.Duration
 	organisation uint32
 }
@@ -161,14 +161,14 @@
 func (n *Node) diagnose(now time.Duration, crashes []crash) (out []diagnosis, again time.Duration) {
 	explained := n.explainedByRules(crashes)
 	parts := n.suspicions(now, crashes, nil, isPart)
-	requests := n.suspicions(now, crashes, nil, PartID.IsWhole)
+	requests := n.suspicions(now, crashes, nil, Key.IsWhole)
 	for {
 		all := n.suspicions(now, crashes, explained, isPart)
 		var best *suspicion
 		for _, s := range all {
-			at, due := s.ruleDueAt()
+			at, due := s.partDueAt()
 			switch {
-			case !due || isOneRequest(parts[s.part], requests):
+			case !due || isOneRequest(parts[s.key], requests):
 			case at > now:
 				if again == 0 || at < again {
 					again = at
@@ -193,7 +193,7 @@
 }
 
 // isOneRequest reports whether one whole request was in all crashes of a part.
-func isOneRequest(part *suspicion, requests map[PartID]*suspicion) bool {
+func isOneRequest(part *suspicion, requests map[Key]*suspicion) bool {
 	for _, r := range requests {
 		if r.includes(part) {
 			return true
@@ -220,11 +220,11 @@
 func (n *Node) explainedByRules(crashes []crash) map[crash]bool {
 	out := map[crash]bool{}
 	for _, r := range n.rules {
-		if len(r.Parts) > 1 || r.onRequest() {
+		if len(r.Keys) > 1 || r.onRequest() {
 			continue
 		}
 		for i, f := range n.failures {
-			if r.matches(f.Parts) {
+			if r.matches(f.Keys) {
 				out[crashes[i]] = true
 			}
 		}
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -11,14 +11,14 @@
 // View is an immutable copy of the rules for the request path. Only its probes are taken.
 type View struct {
 	rules []viewRule
-	// byPart lists the rules that name a part or a whole request.
-	byPart map[PartID][]int
+	// byKey lists the rules that name a key.
+	byKey map[Key][]int
 	// suspects are the parts whose failed runs are not repeated, and the whole requests that
 	// are refused even before there is a rule.
-	suspects map[PartID]bool
+	suspects map[Key]bool
 	// crashed lists the servers that have crashed under a whole request since its last
 	// success.
-	crashed map[PartID][]uint32
+	crashed map[Key][]uint32
 }
 
 type viewRule struct {
@@ -38,7 +38,7 @@
 	// Suspected is set if the request has crashed too few servers to be quarantined. It is
 	// probed within seconds.
 	Suspected bool
-	// Parts is the number of parts that the rule names.
+	// Parts is the number of parts of the prompt that the rule names, 1 for a whole request.
 	Parts int
 	// RetryAfter is the time until the rule is probed.
 	RetryAfter time.Duration
@@ -54,15 +54,15 @@
 // newView returns the view of a node. probeOf returns the probe of an expired rule, nil
 // if this VM may not start it now.
 func newView(n *Node, now time.Duration, probeOf func(Rule) *atomic.Bool) *View {
-	v := &View{byPart: map[PartID][]int{}, suspects: map[PartID]bool{}, crashed: map[PartID][]uint32{}}
+	v := &View{byKey: map[Key][]int{}, suspects: map[Key]bool{}, crashed: map[Key][]uint32{}}
 	for i, rule := range n.Rules() {
 		x := viewRule{Rule: rule}
 		if now >= rule.Until && rule.hasProbe() {
 			x.probe = probeOf(rule)
 		}
 		v.rules = append(v.rules, x)
-		for _, part := range rule.Parts {
-			v.byPart[part] = append(v.byPart[part], i)
+		for _, key := range rule.Keys {
+			v.byKey[key] = append(v.byKey[key], i)
 		}
 	}
 	v.addSuspects(n, now)
@@ -71,23 +71,23 @@
 
 func (v *View) addSuspects(n *Node, now time.Duration) {
 	crashes := crashesOf(n.failures)
-	for part, s := range n.suspicions(now, crashes, nil, isPart) {
+	for key, s := range n.suspicions(now, crashes, nil, isPart) {
 		if len(s.separateCrashes()) >= suspectCrashes {
-			v.suspects[part] = true
+			v.suspects[key] = true
 		}
 	}
-	for id, s := range n.suspicions(now, crashes, nil, PartID.IsWhole) {
+	for key, s := range n.suspicions(now, crashes, nil, Key.IsWhole) {
 		for c := range s.crashes {
-			v.crashed[id] = append(v.crashed[id], c.engine)
+			v.crashed[key] = append(v.crashed[key], c.server)
 		}
 	}
 	for _, s := range n.suspectedRequests(now, crashes) {
-		v.suspects[s.part] = true
+		v.suspects[s.key] = true
 	}
 }
 
 // names reports whether a success of a whole request changes something.
-func (v *View) names(id PartID) bool { return len(v.crashed[id]) > 0 || len(v.byPart[id]) > 0 }
+func (v *View) names(whole Key) bool { return len(v.crashed[whole]) > 0 || len(v.byKey[whole]) > 0 }
 
 // check returns a *RefusedError if a rule matches a request, or several crashes speak
 // against it. The request becomes the probe of a rule that offers one, and passes this rule
@@ -115,7 +115,7 @@
 // suspected returns a *RefusedError for a request that several crashes speak against, and
 // on which there is no rule yet.
 func (v *View) suspected(r *Request) error {
-	if r.Whole == 0 || !v.suspects[r.Whole] || len(v.byPart[r.Whole]) > 0 {
+	if r.Whole == 0 || !v.suspects[r.Whole] || len(v.byKey[r.Whole]) > 0 {
 		return nil
 	}
 	return &RefusedError{Request: true, Suspected: true, Parts: 1, RetryAfter: minCanaryInterval}
@@ -127,11 +127,11 @@
 		if len(v.rules) == 0 {
 			return
 		}
-		ids := r.ids()
-		for _, part := range ids {
-			for _, i := range v.byPart[part] {
+		keys := r.keys()
+		for _, key := range keys {
+			for _, i := range v.byKey[key] {
 				rule := v.rules[i]
-				if rule.matches(ids) && !r.isProbeOf(rule) && !yield(rule) {
+				if rule.matches(keys) && !r.isProbeOf(rule) && !yield(rule) {
 					return
 				}
 			}
@@ -150,14 +150,14 @@
 	case !r.hasProbe():
 		retryAfter = maxDuration
 	}
-	return &RefusedError{Request: r.onRequest(), Suspected: r.suspects(), Parts: len(r.Parts), RetryAfter: retryAfter}
+	return &RefusedError{Request: r.onRequest(), Suspected: r.suspects(), Parts: len(r.Keys), RetryAfter: retryAfter}
 }
 
 // mayRepeat reports whether a request that has failed may be sent to another server. A
 // probe may not, nor a request with a part that several crashes make suspect, nor one
 // that has crashed another server, in this run or another one.
 func (v *View) mayRepeat(r *Request) bool {
-	if len(r.probes) > 0 || slices.ContainsFunc(r.Parts, func(part PartID) bool { return v.suspects[part] }) {
+	if len(r.probes) > 0 || slices.ContainsFunc(r.Parts, func(part Key) bool { return v.suspects[part] }) {
 		return false
 	}
 	if r.Whole == 0 {
@@ -168,7 +168,7 @@
 
 // probe identifies the probe of a rule. version is that before its start.
 type probe struct {
-	key         uint64
+	rule        uint64
 	activations int
 	version     int
 	onRequest   bool
@@ -177,8 +177,8 @@
 // isProbeOf reports whether the request is the probe of a rule, before or after the rule
 // shows its start.
 func (r *Request) isProbeOf(rule viewRule) bool {
-	key := rule.key()
+	id := rule.id()
 	return slices.ContainsFunc(r.probes, func(p probe) bool {
-		return p.key == key && p.activations == rule.Activations && (rule.Version == p.version || rule.Version == p.version+1)
+		return p.rule == id && p.activations == rule.Activations && (rule.Version == p.version || rule.Version == p.version+1)
 	})
 }
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -10,10 +10,10 @@
 func envelope(now time.Duration, m Message) *peerpb.Envelope {
 	out := &peerpb.Quarantine{}
 	for _, f := range m.Failures {
-		out.Failures = append(out.Failures, &peerpb.RunFailure{Run: f.Run, Engine: f.Engine, AgeMs: age(now, f.At), Parts: encodeParts(f.Parts), Organisation: f.Organisation})
+		out.Failures = append(out.Failures, &peerpb.RunFailure{Run: f.Run, Engine: f.Server, AgeMs: age(now, f.At), Parts: encodeKeys(f.Keys), Organisation: f.Organisation})
 	}
-	for _, p := range m.Successes {
-		out.Successes = append(out.Successes, &peerpb.PartSuccess{Part: uint64(p.Part), AgeMs: age(now, p.At)})
+	for _, s := range m.Successes {
+		out.Successes = append(out.Successes, &peerpb.PartSuccess{Part: uint64(s.Key), AgeMs: age(now, s.At)})
 	}
 	for _, r := range m.Rules {
 		out.Rules = append(out.Rules, encodeRule(now, r))
@@ -23,7 +23,7 @@
 
 func encodeRule(now time.Duration, r Rule) *peerpb.Rule {
 	out := &peerpb.Rule{
-		Parts: encodeParts(r.Parts), SinceMs: age(now, r.Since), ProbeInMs: (r.Until - now).Milliseconds(), Activations: uint32(r.Activations),
+		Parts: encodeKeys(r.Keys), SinceMs: age(now, r.Since), ProbeInMs: (r.Until - now).Milliseconds(), Activations: uint32(r.Activations),
 		Organisation: r.Organisation, Version: uint32(r.Version), Spent: uint32(r.Spent), UsedMs: age(now, r.Used), Pending: r.Pending,
 	}
 	if r.Started != 0 {
@@ -34,10 +34,10 @@
 
 func age(now, at time.Duration) uint64 { return uint64(max(now-at, 0).Milliseconds()) }
 
-func encodeParts(parts []PartID) []uint64 {
-	out := make([]uint64, len(parts))
-	for i, part := range parts {
-		out[i] = uint64(part)
+func encodeKeys(keys []Key) []uint64 {
+	out := make([]uint64, len(keys))
+	for i, key := range keys {
+		out[i] = uint64(key)
 	}
 	return out
 }
@@ -46,10 +46,10 @@
 func decode(now time.Duration, in *peerpb.Quarantine) Message {
 	var m Message
 	for _, f := range in.GetFailures() {
-		m.Failures = append(m.Failures, Failure{Run: f.GetRun(), Engine: f.GetEngine(), At: before(now, f.GetAgeMs()), Parts: decodeParts(f.GetParts()), Organisation: f.GetOrganisation()})
+		m.Failures = append(m.Failures, Failure{Run: f.GetRun(), Server: f.GetEngine(), At: before(now, f.GetAgeMs()), Keys: decodeKeys(f.GetParts()), Organisation: f.GetOrganisation()})
 	}
-	for _, p := range in.GetSuccesses() {
-		m.Successes = append(m.Successes, Success{Part: PartID(p.GetPart()), At: before(now, p.GetAgeMs())})
+	for _, s := range in.GetSuccesses() {
+		m.Successes = append(m.Successes, Success{Key: Key(s.GetPart()), At: before(now, s.GetAgeMs())})
 	}
 	for _, r := range in.GetRules() {
 		m.Rules = append(m.Rules, decodeRule(now, r))
@@ -60,7 +60,7 @@
 func decodeRule(now time.Duration, in *peerpb.Rule) Rule {
 	probeIn := time.Duration(min(max(in.GetProbeInMs(), -maxAgeMS), maxAgeMS)) * time.Millisecond
 	r := Rule{
-		Parts: decodeParts(in.GetParts()), Since: before(now, in.GetSinceMs()), Until: now + probeIn, Activations: int(in.GetActivations()),
+		Keys: decodeKeys(in.GetParts()), Since: before(now, in.GetSinceMs()), Until: now + probeIn, Activations: int(in.GetActivations()),
 		Organisation: in.GetOrganisation(), Version: int(in.GetVersion()), Spent: int(in.GetSpent()), Used: before(now, in.GetUsedMs()), Pending: in.GetPending(),
 	}
 	if started := in.GetStartedMs(); started > 0 {
@@ -76,10 +76,10 @@
 	return now - time.Duration(min(ageMS, maxAgeMS))*time.Millisecond
 }
 
-func decodeParts(parts []uint64) []PartID {
-	out := make([]PartID, len(parts))
-	for i, part := range parts {
-		out[i] = PartID(part)
+func decodeKeys(keys []uint64) []Key {
+	out := make([]Key, len(keys))
+	for i, key := range keys {
+		out[i] = Key(key)
 	}
 	return out
 }
