--- a/control/era_test.go
+++ b/control/era_test.go
@@ -9,6 +9,17 @@
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
+// newReturnedRig returns a rig with version 7 of the configuration, which the store had confirmed
+// in era 1 at an age, and the time at which the store has returned in era 2.
+func newReturnedRig(age time.Duration) (r *rig, now time.Duration) {
+	r = newRig()
+	r.listServers(1, 50)
+	now = boottime.Now()
+	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - age, Era: 1})
+	r.apply(EraSeen{Era: 2, Source: "test"})
+	return r, now
+}
+
 // Guards against a confirmation by a copy that may lack the newest configuration, also once the store
 // has had the time to write again, against one that is never accepted again, and against requests
 // that are refused after a short absence.
@@ -49,11 +60,7 @@
 
 // Guards against a confirmation of the era before that does not count, since it arrives after the return.
 func TestConfirmationOfTheEraBeforeCounts(t *testing.T) {
-	r := newRig()
-	r.listServers(1, 50)
-	now := boottime.Now()
-	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - time.Second, Era: 1})
-	r.apply(EraSeen{Era: 2, Source: "test"})
+	r, now := newReturnedRig(time.Second)
 	r.apply(RoutesConfirmed{Version: 7, At: now, Era: 1})
 	if !newSnapshot(r.State, nil).ConfirmedWithin(now+time.Second, time.Second) {
 		t.Error("the confirmation does not count")
@@ -111,11 +118,7 @@
 		era     int64
 		settled bool
 	}{{"this era", 2, true}, {"an earlier era", 1, false}} {
-		r := newRig()
-		r.listServers(1, 50)
-		now := boottime.Now()
-		r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now, Era: 1})
-		r.apply(EraSeen{Era: 2, Source: "test"})
+		r, now := newReturnedRig(0)
 		r.apply(ConfigurationWritten{Era: c.era, At: now + time.Millisecond})
 		for _, read := range []struct {
 			after   time.Duration
@@ -132,11 +135,7 @@
 // Guards against a VM that does not read the store refusing requests, although a peer knows that the
 // configuration is the newest one.
 func TestPeerKnowsTheNewestConfiguration(t *testing.T) {
-	r := newRig()
-	r.listServers(1, 50)
-	now := boottime.Now()
-	r.apply(RoutesReceived{Table: route.NewTable(route.TableSpec{Version: 7}), Source: "test", Confirmed: now - time.Second, Era: 1})
-	r.apply(EraSeen{Era: 2, Source: "test"})
+	r, now := newReturnedRig(time.Second)
 	r.apply(RoutesConfirmed{Version: 7, At: now + 2*time.Millisecond, Era: 2, Newest: now + time.Millisecond})
 	if got := newSnapshot(r.State, nil).RoutesNewest; got != now+time.Millisecond {
 		t.Errorf("newest %v after the return, want 1ms", got-now)
--- a/gateway/late_body_test.go
+++ b/gateway/late_body_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -73,12 +72,5 @@
 	if _, err := io.WriteString(conn, "x"); err != nil {
 		t.Fatal(err)
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	if answer.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("status %d", answer.StatusCode)
-	}
+	checkAnswer(t, conn, 3*time.Second, http.StatusServiceUnavailable)
 }
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -10,16 +10,12 @@
 	"time"
 )
 
-// Guards against idle connections that are closed too early or too late after the
-// operator has changed the idle limit.
-func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
-	var limit atomic.Int64
-	limit.Store(int64(time.Hour))
-	idle := IdleLimit{Limit: func() time.Duration { return time.Duration(limit.Load()) }}
-	server := &http.Server{
-		IdleTimeout: 50 * time.Millisecond, ConnState: idle.ConnState,
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-	}
+// serveIdle serves empty answers with an idle limit, and returns a connection of a caller.
+func serveIdle(t *testing.T, limit func() time.Duration, server *http.Server) net.Conn {
+	t.Helper()
+	idle := IdleLimit{Limit: limit}
+	server.ConnState = idle.ConnState
+	server.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -30,7 +26,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// Guards against idle connections that are closed too early or too late after the
+// operator has changed the idle limit.
+func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
+	var limit atomic.Int64
+	limit.Store(int64(time.Hour))
+	conn := serveIdle(t, func() time.Duration { return time.Duration(limit.Load()) }, &http.Server{IdleTimeout: 50 * time.Millisecond})
 	reader := bufio.NewReader(conn)
 	get := func() error {
 		if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
--- a/gateway/slow_head_test.go
+++ b/gateway/slow_head_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -16,22 +15,7 @@
 // longer to arrive than connections may be idle.
 func TestSlowHeadOutlivesTheIdleLimit(t *testing.T) {
 	const limit = 200 * time.Millisecond
-	limiter := IdleLimit{Limit: func() time.Duration { return limit }}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{
-		IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, ConnState: limiter.ConnState,
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-	}
-	go func() { _ = server.Serve(limiter.Listener(l)) }()
-	t.Cleanup(func() { _ = server.Close() })
-	conn, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	conn := serveIdle(t, func() time.Duration { return limit }, &http.Server{IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute})
 	reader := bufio.NewReader(conn)
 	for request, pause := range []time.Duration{0, 2 * limit, 0} {
 		for _, part := range []string{"GET / HTTP/1.1\r\nHost: h\r\n", "\r\n"} {
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -48,6 +48,21 @@
 	return c.(*net.TCPConn)
 }
 
+// checkAnswer reads the first answer on a connection, which must come within a time and have a
+// status.
+func checkAnswer(t *testing.T, conn net.Conn, patience time.Duration, status int) *http.Response {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if answer.StatusCode != status {
+		t.Errorf("status %d, want %d", answer.StatusCode, status)
+	}
+	return answer
+}
+
 // Guards against answers that never come since the body of the refused request does not
 // arrive: http.Server reads it first.
 func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
@@ -61,14 +76,7 @@
 			if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\n%s\r\n\r\n", c.path, c.framing); err != nil {
 				t.Fatal(err)
 			}
-			_ = conn.SetReadDeadline(time.Now().Add(patience))
-			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil {
-				t.Fatalf("no answer: %v", err)
-			}
-			if answer.StatusCode != http.StatusNotFound {
-				t.Errorf("status %d", answer.StatusCode)
-			}
+			checkAnswer(t, conn, patience, http.StatusNotFound)
 		})
 	}
 }
@@ -81,13 +89,8 @@
 	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nModel: m\r\nRequest-Id: panic\r\nContent-Length: 1\r\n\r\nx", streamPath); err != nil {
 		t.Fatal(err)
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	if answer.StatusCode != http.StatusInternalServerError || answer.Header.Get("Request-Id") != "panic" {
-		t.Errorf("status %d, id %q", answer.StatusCode, answer.Header.Get("Request-Id"))
+	if answer := checkAnswer(t, conn, time.Second, http.StatusInternalServerError); answer.Header.Get("Request-Id") != "panic" {
+		t.Errorf("id %q", answer.Header.Get("Request-Id"))
 	}
 	if n := r.Active(); n != 0 {
 		t.Errorf("%d requests are still active", n)
@@ -148,14 +151,7 @@
 			t.Fatalf("part %d: %v", i, err)
 		}
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	if answer.StatusCode != http.StatusNotFound {
-		t.Errorf("status %d", answer.StatusCode)
-	}
+	checkAnswer(t, conn, time.Second, http.StatusNotFound)
 }
 
 // Guards against a refused request whose caller is asked to send its body first.
@@ -164,14 +160,7 @@
 	if _, err := io.WriteString(conn, "POST /none/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 12\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	if answer.StatusCode != http.StatusNotFound {
-		t.Errorf("status %d", answer.StatusCode)
-	}
+	checkAnswer(t, conn, time.Second, http.StatusNotFound)
 }
 
 // panickingCodec is a codec with a fault.
@@ -182,21 +171,16 @@
 // Guards against a connection that is closed without an answer since the head of a request is
 // decoded outside of what answers panics.
 func TestPanicOfTheCodecIsAnswered(t *testing.T) {
-	for _, body := range []string{"x", ""} { // The second one never arrives.
-		r := newGatewayRig(t, 1)
-		r.Edge = panickingCodec{r.Edge}
-		conn := r.serve()
-		if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n%s", plainPath, body); err != nil {
-			t.Fatal(err)
-		}
-		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			t.Fatalf("body %q: no answer: %v", body, err)
-		}
-		if answer.StatusCode != http.StatusInternalServerError {
-			t.Errorf("body %q: status %d", body, answer.StatusCode)
-		}
+	for name, body := range map[string]string{"body": "x", "late body": ""} {
+		t.Run(name, func(t *testing.T) {
+			r := newGatewayRig(t, 1)
+			r.Edge = panickingCodec{r.Edge}
+			conn := r.serve()
+			if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n%s", plainPath, body); err != nil {
+				t.Fatal(err)
+			}
+			checkAnswer(t, conn, time.Second, http.StatusInternalServerError)
+		})
 	}
 }
 
@@ -209,12 +193,5 @@
 	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\nDeadline-Ms: 300\r\nContent-Length: 100\r\n\r\nx", plainPath); err != nil {
 		t.Fatal(err)
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	if answer.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("status %d", answer.StatusCode)
-	}
+	checkAnswer(t, conn, 2*time.Second, http.StatusServiceUnavailable)
 }
--- a/internal/daemon/product_test.go
+++ b/internal/daemon/product_test.go
@@ -1,12 +1,10 @@
 package daemon
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -66,23 +64,12 @@
 // Guards against a process that is ended by a stop signal which arrives while it starts,
 // instead of draining.
 func TestStopSignalAtTheStartDrainsTheProductsDaemon(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "vm.jsonc")
-	if err := syscall.Mkfifo(path, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := startProcess(t, "--config "+path, io.Discard)
-	writer, err := os.OpenFile(path, os.O_WRONLY, 0) // Opens once the daemon reads.
-	if err != nil {
-		t.Fatal(err)
-	}
+	p, writer := startWithoutSettings(t, "--config")
 	p.signal(syscall.SIGTERM)
 	p.checkRuns(200 * time.Millisecond)
 	if _, err := io.WriteString(writer, "{}"); err != nil {
 		t.Fatal(err)
 	}
 	_ = writer.Close()
-	err = <-p.ended
-	if exit := new(exec.ExitError); !errors.As(err, &exit) || exit.ExitCode() != 1 {
-		t.Errorf("the process ended with %v, want status 1 for an invalid configuration", err)
-	}
+	p.checkFails()
 }
--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -53,6 +53,29 @@
 	return p
 }
 
+// startWithoutSettings starts a daemon and returns once it reads its settings, with their
+// writer. arguments end with the option that names the file.
+func startWithoutSettings(t *testing.T, arguments string) (*daemonProcess, *os.File) {
+	t.Helper()
+	settings := makePipe(t)
+	p := startProcess(t, arguments+" "+settings, io.Discard)
+	writer, err := os.OpenFile(settings, os.O_WRONLY, 0) // Opens once the daemon reads.
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, writer
+}
+
+// makePipe makes a named pipe and returns its path.
+func makePipe(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
 func (p *daemonProcess) signal(s os.Signal) {
 	p.t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
@@ -70,6 +93,15 @@
 	}
 }
 
+// checkFails reports an error unless the process ends with the status for invalid settings.
+func (p *daemonProcess) checkFails() {
+	p.t.Helper()
+	err := <-p.ended
+	if exit := new(exec.ExitError); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+		p.t.Errorf("the process ended with %v, want status 1 for invalid settings", err)
+	}
+}
+
 // freeAddress returns an address on loopback on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -123,25 +155,14 @@
 
 // Guards against a process that is ended by a reload signal which arrives while it starts.
 func TestReloadSignalAtTheStartDoesNotEndTheProcess(t *testing.T) {
-	settings := filepath.Join(t.TempDir(), "settings")
-	if err := syscall.Mkfifo(settings, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := startDaemon(t, settings, io.Discard)
-	writer, err := os.OpenFile(settings, os.O_WRONLY, 0) // Opens once the daemon reads.
-	if err != nil {
-		t.Fatal(err)
-	}
+	p, writer := startWithoutSettings(t, "entry --settings")
 	p.signal(syscall.SIGHUP)
 	p.checkRuns(200 * time.Millisecond)
 	if _, err := io.WriteString(writer, "nodeName: ''\n"); err != nil {
 		t.Fatal(err)
 	}
 	_ = writer.Close()
-	err = <-p.ended
-	if exit := new(exec.ExitError); !errors.As(err, &exit) || exit.ExitCode() != 1 {
-		t.Errorf("the process ended with %v, want status 1 for invalid settings", err)
-	}
+	p.checkFails()
 }
 
 // Guards against a stop signal that is lost, or ends the process, while it starts.
@@ -151,15 +172,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	settings := filepath.Join(t.TempDir(), "settings")
-	if err := syscall.Mkfifo(settings, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := startDaemon(t, settings, io.Discard)
-	writer, err := os.OpenFile(settings, os.O_WRONLY, 0) // Opens once the daemon reads.
-	if err != nil {
-		t.Fatal(err)
-	}
+	p, writer := startWithoutSettings(t, "entry --settings")
 	p.signal(syscall.SIGTERM)
 	p.signal(syscall.SIGHUP)
 	p.checkRuns(100 * time.Millisecond)
@@ -200,11 +213,7 @@
 	settings, ready := writeSettings(t)
 	p := startDaemon(t, settings, io.Discard)
 	awaitReadiness(t, ready, withoutConfiguration, 10*time.Second)
-	slow := filepath.Join(t.TempDir(), "slow")
-	if err := syscall.Mkfifo(slow, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Rename(slow, settings); err != nil {
+	if err := os.Rename(makePipe(t), settings); err != nil {
 		t.Fatal(err)
 	}
 	for range 8 {
--- a/internal/listen/descriptors_test.go
+++ b/internal/listen/descriptors_test.go
@@ -1,7 +1,6 @@
 package listen
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -22,45 +21,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var callers []net.Conn
-	for range waiting {
-		c, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		if _, err := io.WriteString(c, "request"); err != nil {
-			t.Fatal(err)
-		}
-		callers = append(callers, c)
-	}
+	callers := queueCallers(t, l, waiting)
 	restore := forbidDescriptors(t)
 	time.AfterFunc(lack, restore)
 	drained := make(chan error, 1)
 	go func() { drained <- l.DrainBacklog(2 * time.Second) }()
 	time.Sleep(lack / 2) // A drain that gives up has closed the listener by now.
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, "answer")
-			_ = c.Close()
-		}
-	}()
+	go answerEach(l)
 	if err := <-drained; err != nil {
 		t.Error(err)
 	}
 	if err := l.Close(); err != nil {
 		t.Error(err)
 	}
-	for i, c := range callers {
-		_ = c.SetReadDeadline(time.Now().Add(time.Second))
-		if got, _ := io.ReadAll(c); string(got) != "answer" {
-			t.Errorf("caller %d got %q", i, got)
-		}
-	}
+	checkAnswers(t, callers)
 }
 
 // Guards against a VM that says it is ready and takes no more connections, since accept failed
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -10,49 +10,65 @@
 	"time"
 )
 
-// Guards against resets of connections in the accept queue when the listener is
-// closed, which leave callers that have sent a request without a response.
-func TestDrainBacklogAcceptsPendingConnections(t *testing.T) {
-	const waiting = 8
-	l, err := Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+// queueCallers opens connections that have sent a request and wait in the accept queue.
+func queueCallers(t *testing.T, l net.Listener, count int) []net.Conn {
+	t.Helper()
 	var callers []net.Conn
-	for range waiting {
+	for range count {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
+		t.Cleanup(func() { _ = c.Close() })
 		if _, err := io.WriteString(c, "request"); err != nil {
 			t.Fatal(err)
 		}
 		callers = append(callers, c)
 	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, "answer")
-			_ = c.Close()
+	return callers
+}
+
+// answerEach answers each connection until the listener is closed.
+func answerEach(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
 		}
-	}()
-	// The server accepts from the queue while DrainBacklog runs.
-	if err := l.DrainBacklog(2 * time.Second); err != nil {
-		t.Fatal(err)
-	}
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
+		_, _ = io.WriteString(c, "answer")
+		_ = c.Close()
 	}
+}
+
+// checkAnswers checks that each caller gets the answer within a second.
+func checkAnswers(t *testing.T, callers []net.Conn) {
+	t.Helper()
 	for i, c := range callers {
 		_ = c.SetReadDeadline(time.Now().Add(time.Second))
 		if got, _ := io.ReadAll(c); string(got) != "answer" {
 			t.Errorf("caller %d got %q", i, got)
 		}
 	}
+}
+
+// Guards against resets of connections in the accept queue when the listener is
+// closed, which leave callers that have sent a request without a response.
+func TestDrainBacklogAcceptsPendingConnections(t *testing.T) {
+	const waiting = 8
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers := queueCallers(t, l, waiting)
+	go answerEach(l)
+	// The server accepts from the queue while DrainBacklog runs.
+	if err := l.DrainBacklog(2 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	checkAnswers(t, callers)
 	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
 		_ = c.Close()
 		t.Error("the listener accepts connections after DrainBacklog")
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
 
 // The test in which VMs are killed while servers name limits. Callers ask for three times
@@ -63,21 +61,11 @@
 
 // startHarness starts processes without faults. The store is in an era.
 func startHarness(t *testing.T, o Options, era int64) *harness {
-	daemon, err := buildDaemon()
-	if err != nil {
-		t.Fatal(err)
-	}
-	o.Dir, o.Daemon = t.TempDir(), daemon
-	started := time.Now()
-	h := &harness{
-		opts: o, started: started, store: userplatform.NewStore(),
-		faults: &timeline{}, keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{started: started}, drainNotices: map[string]time.Time{},
-	}
+	o.Dir, o.Daemon = t.TempDir(), daemonUnderTest(t, "")
+	h := newHarness(o)
+	t.Cleanup(h.close)
 	h.store.SetEra(era)
-	h.fleet = userplatform.NewFleet(h.store)
 	h.fleet.RecordRequests(vmOfRequest)
-	h.addCleanup(h.store.Close)
-	t.Cleanup(h.close)
 	if err := h.start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/lost_callers_test.go
+++ b/internal/soak/lost_callers_test.go
@@ -92,7 +92,7 @@
 }
 
 func newLostCaller(l *lostLoad, v *vm, i, n int) *lostCaller {
-	prefix := fmt.Sprintf("%x-%d-%d", l.seed, i, n)
+	prefix := fmt.Sprintf("%x-%d-%d", l.opts.Seed, i, n)
 	return &lostCaller{load: l, vm: v, prefix: prefix, random: l.rand(prefix)}
 }
 
--- a/internal/soak/lost_check_test.go
+++ b/internal/soak/lost_check_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -41,7 +39,7 @@
 		if strings.HasPrefix(string(o), "LOST") || o == outcomeDenied {
 			l.t.Errorf("%s: %s to %s, first of its connection: %t, sent %v, ended %v, %v; status %d, %d events, %v; ran %v\n%s", o, r.kind.name, r.id,
 				r.first, r.sent.Sub(l.started).Round(time.Millisecond), r.ended.Sub(l.started).Round(time.Millisecond), l.sinceSignals(r),
-				r.status, r.events, r.err, l.fleet.Executions(r.id), l.linesOf(r))
+				r.status, r.events, r.err, l.fleet.Executions(r.id), l.logLines(r))
 		}
 	}
 	stops, reloads := 0, 0
@@ -120,17 +118,7 @@
 	return strings.Join(out, ", ")
 }
 
-// linesOf returns the lines of the VM's log that name a request.
-func (l *lostLoad) linesOf(r lostResult) string {
-	text, err := os.ReadFile(filepath.Join(l.opts.Dir, r.vm+".log"))
-	if err != nil {
-		return err.Error()
-	}
-	var out []string
-	for line := range strings.Lines(string(text)) {
-		if strings.Contains(line, r.id+" ") || strings.Contains(line, r.id+"\"") {
-			out = append(out, "    "+strings.TrimSpace(line))
-		}
-	}
-	return strings.Join(out, "\n")
+// logLines returns the lines of the VM's log that name a request.
+func (l *lostLoad) logLines(r lostResult) string {
+	return l.linesOf(r.vm, r.id+" ", r.id+"\"")
 }
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -7,16 +7,12 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
 
@@ -45,7 +41,6 @@
 type lostLoad struct {
 	*harness
 	t        *testing.T
-	seed     uint64
 	backends []*userplatform.Server
 
 	mu      sync.Mutex
@@ -140,39 +135,10 @@
 	l.report()
 }
 
-// daemonUnderTest returns the path of the daemon, which is another landing in plays by hand.
-func daemonUnderTest(t *testing.T) string {
-	if *lostDaemon != "" {
-		return *lostDaemon
-	}
-	daemon, err := buildDaemon()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return daemon
-}
-
-func (l *lostLoad) rand(name string) *rand.Rand {
-	return rand.New(rand.NewPCG(l.seed, xxhash.Sum64String(name)))
-}
-
 func startLostLoad(t *testing.T, work lostCase) *lostLoad {
-	daemon := daemonUnderTest(t)
-	dir := t.TempDir()
-	if *lostLogs != "" {
-		dir = filepath.Join(*lostLogs, strings.ReplaceAll(strings.ReplaceAll(t.Name(), "/", "-"), " ", "-"))
-		if err := os.MkdirAll(dir, 0o700); err != nil {
-			t.Fatal(err)
-		}
-	}
-	h := &harness{
-		opts: Options{Seed: *lostSeed, VMs: lostVMs, Dir: dir, Daemon: daemon}, started: time.Now(), store: userplatform.NewStore(),
-		faults: &timeline{}, keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{},
-	}
-	h.fleet = userplatform.NewFleet(h.store)
-	h.addCleanup(h.store.Close)
+	h := newHarness(Options{Seed: *lostSeed, VMs: lostVMs, Dir: logDirectory(t, *lostLogs), Daemon: daemonUnderTest(t, *lostDaemon)})
 	t.Cleanup(h.close)
-	l := &lostLoad{harness: h, t: t, seed: *lostSeed, signals: map[string][]sentSignal{}, starts: map[string]*sync.Mutex{}}
+	l := &lostLoad{harness: h, t: t, signals: map[string][]sentSignal{}, starts: map[string]*sync.Mutex{}}
 	l.putManifest(0)
 	l.startServers(cmp.Or(work.slots, engineSlots))
 	if err := h.startVMs(); err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -147,6 +147,19 @@
 	link *proxy
 }
 
+// newHarness returns a harness without processes. close ends its store.
+func newHarness(o Options) *harness {
+	started := time.Now()
+	w := &harness{
+		opts: o, started: started, store: userplatform.NewStore(), faults: &timeline{},
+		keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{started: started},
+		drainNotices: map[string]time.Time{},
+	}
+	w.fleet = userplatform.NewFleet(w.store)
+	w.addCleanup(w.store.Close)
+	return w
+}
+
 // Run runs the soak for one seed. Violations are in the report; an error means
 // that the run itself failed.
 func Run(ctx context.Context, o Options) (*Report, error) {
@@ -154,18 +167,11 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &harness{
-		opts: o, kinds: kinds, started: time.Now(), store: userplatform.NewStore(), faults: &timeline{},
-		keys:        &keyring{revoked: map[string]time.Time{}},
-		storeFaults: map[*userplatform.StoreFaults]struct{}{}, overlaps: newDurationSummary(overlapClasses),
-		drainNotices: map[string]time.Time{},
-	}
+	w := newHarness(o)
+	defer w.close()
+	w.kinds, w.storeFaults, w.overlaps = kinds, map[*userplatform.StoreFaults]struct{}{}, newDurationSummary(overlapClasses)
 	w.store.SetEra(1)
-	w.violations = &violationLog{started: w.started}
-	w.fleet = userplatform.NewFleet(w.store)
 	w.fleet.RecordRequests(vmOfRequest)
-	w.addCleanup(w.store.Close)
-	defer w.close()
 	if err := w.start(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/soak/stop_rush_test.go
+++ b/internal/soak/stop_rush_test.go
@@ -46,9 +46,5 @@
 	awaitStop(t, v, true)
 	group.Wait()
 	close(results)
-	outcomes := map[string]int{}
-	for r := range results {
-		outcomes[r.check(t, h, signalled)]++
-	}
-	t.Logf("%v", outcomes)
+	checkResults(t, h, results, signalled)
 }
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -112,6 +112,11 @@
 	callers.Wait()
 	close(results)
 	close(measured)
+	checkResults(t, h, results, signalled)
+}
+
+// checkResults checks all results of a stop and logs how many have each outcome.
+func checkResults(t *testing.T, h *harness, results <-chan stopResult, signalled time.Time) {
 	outcomes := map[string]int{}
 	for r := range results {
 		outcomes[r.check(t, h, signalled)]++
@@ -121,12 +126,7 @@
 
 // startStopHarness starts a VM and plain servers, each of which takes another time.
 func startStopHarness(t *testing.T) (*harness, []*userplatform.Server) {
-	h := &harness{
-		opts: Options{Engines: 1, VMs: 1, Dir: t.TempDir(), Daemon: daemonUnderTest(t)}, started: time.Now(), store: userplatform.NewStore(),
-		faults: &timeline{}, keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{},
-	}
-	h.fleet = userplatform.NewFleet(h.store)
-	h.addCleanup(h.store.Close)
+	h := newHarness(Options{Engines: 1, VMs: 1, Dir: t.TempDir(), Daemon: daemonUnderTest(t, *lostDaemon)})
 	t.Cleanup(h.close)
 	desks := startDesks(t, h, "quick", 20*time.Millisecond, 60*time.Millisecond, 150*time.Millisecond, 450*time.Millisecond)
 	if err := h.start(t.Context()); err != nil {
--- a/internal/soak/twice_test.go
+++ b/internal/soak/twice_test.go
@@ -7,21 +7,14 @@
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
 
 // newServerHarness returns a harness with two engines behind links and no VM.
 func newServerHarness(t *testing.T) *harness {
 	t.Helper()
-	started := time.Now()
-	h := &harness{
-		started: started, store: userplatform.NewStore(), faults: &timeline{}, keys: &keyring{},
-		violations: &violationLog{started: started}, overlaps: newDurationSummary(overlapClasses),
-	}
+	h := newHarness(Options{})
 	t.Cleanup(h.close)
-	h.addCleanup(h.store.Close)
-	h.fleet = userplatform.NewFleet(h.store)
+	h.overlaps = newDurationSummary(overlapClasses)
 	for range 2 {
 		if err := h.addServer(true); err != nil {
 			t.Fatal(err)
--- a/internal/soak/version_callers_test.go
+++ b/internal/soak/version_callers_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -167,15 +165,5 @@
 
 // logLines returns the lines of the VM's log that name a request.
 func (l *versionLoad) logLines(r versionResult) string {
-	text, err := os.ReadFile(filepath.Join(l.opts.Dir, r.vm+".log"))
-	if err != nil {
-		return err.Error()
-	}
-	var out []string
-	for line := range strings.Lines(string(text)) {
-		if strings.Contains(line, "request="+r.id+" ") {
-			out = append(out, "    "+strings.TrimSpace(line))
-		}
-	}
-	return strings.Join(out, "\n")
+	return l.linesOf(r.vm, "request="+r.id+" ")
 }
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -8,16 +8,11 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 )
@@ -53,7 +48,6 @@
 type versionLoad struct {
 	*harness
 	t      *testing.T
-	seed   uint64
 	faults userplatform.ServerFaults
 
 	mu      sync.Mutex
@@ -165,33 +159,10 @@
 	l.report()
 }
 
-func (l *versionLoad) rand(name string) *rand.Rand {
-	return rand.New(rand.NewPCG(l.seed, xxhash.Sum64String(name)))
-}
-
 func startVersionLoad(t *testing.T, c versionCase) *versionLoad {
-	daemon := *versionsDaemon
-	if daemon == "" {
-		var err error
-		if daemon, err = buildDaemon(); err != nil {
-			t.Fatal(err)
-		}
-	}
-	dir := t.TempDir()
-	if *versionsLogs != "" {
-		dir = filepath.Join(*versionsLogs, strings.ReplaceAll(strings.ReplaceAll(t.Name(), "/", "-"), " ", "-"))
-		if err := os.MkdirAll(dir, 0o700); err != nil {
-			t.Fatal(err)
-		}
-	}
-	h := &harness{
-		opts: Options{Seed: *versionsSeed, VMs: versionVMs, Dir: dir, Daemon: daemon}, started: time.Now(), store: userplatform.NewStore(),
-		faults: &timeline{}, keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{},
-	}
-	h.fleet = userplatform.NewFleet(h.store)
-	h.addCleanup(h.store.Close)
+	h := newHarness(Options{Seed: *versionsSeed, VMs: versionVMs, Dir: logDirectory(t, *versionsLogs), Daemon: daemonUnderTest(t, *versionsDaemon)})
 	t.Cleanup(h.close)
-	l := &versionLoad{harness: h, t: t, seed: *versionsSeed, faults: c.faults, crashes: map[string][]time.Time{}, stoppedAt: map[string][]time.Time{}}
+	l := &versionLoad{harness: h, t: t, faults: c.faults, crashes: map[string][]time.Time{}, stoppedAt: map[string][]time.Time{}}
 	l.putVersion(draftRoute{targets: `"service":"engines"`, timeout: longTimeout, idle: 15 * time.Second})
 	for _, service := range engineServices {
 		for range cmp.Or(c.engines, 3) {
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -249,6 +249,17 @@
 	}
 }
 
+// revokeUnseen revokes the key while the store is silent, so that no VM sees it. It returns a copy
+// of the store from before, and the time.
+func (s *site) revokeUnseen() (from *userplatform.StoreCopy, revoked time.Time) {
+	from = s.store.Copy()
+	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
+	s.store.StallPendingWatches()
+	time.Sleep(50 * time.Millisecond)
+	s.store.Put(platform.ConfigKey, userplatform.Config(version+1, "new-key"))
+	return from, time.Now()
+}
+
 // Guards against a key that is accepted again: it was revoked right before the store went away, so
 // that no VM has seen it, and the store comes back after the bound for revocations from a copy
 // in which the key is there.
@@ -256,12 +267,7 @@
 	t.Parallel()
 	const revoke = 3 * time.Second
 	s := newSite(t, options{era: 1, vms: 4, plainServers: 1, bounds: func(b *config.Bounds) { b.Revoke = revoke }})
-	from := s.store.Copy()
-	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
-	s.store.StallPendingWatches()
-	time.Sleep(50 * time.Millisecond)
-	s.store.Put(platform.ConfigKey, userplatform.Config(version+1, "new-key"))
-	revoked := time.Now()
+	from, revoked := s.revokeUnseen()
 	time.Sleep(revoke)
 	s.store.Restore(from, rewrittenAfter)
 	s.store.SetFaults(userplatform.StoreFaults{})
@@ -297,12 +303,7 @@
 // revocations is over.
 func (s *site) refuseKeyRevokedBeforeReturn(returned func()) {
 	t := s.t
-	from := s.store.Copy()
-	s.store.SetFaults(userplatform.StoreFaults{Silent: []string{"*"}})
-	s.store.StallPendingWatches()
-	time.Sleep(50 * time.Millisecond)
-	s.store.Put(platform.ConfigKey, userplatform.Config(version+1, "new-key"))
-	revoked := time.Now()
+	from, revoked := s.revokeUnseen()
 	time.Sleep(time.Second)
 	s.store.Restore(from, time.Hour)
 	s.store.SetFaults(userplatform.StoreFaults{})
@@ -332,15 +333,7 @@
 	stop := s.load(look)
 	s.returnFromCopy(from, rewrittenAfter)
 	time.Sleep(5 * time.Second)
-	refused := 0
-	for _, got := range stop() {
-		if got.status != http.StatusOK {
-			refused++
-		}
-	}
-	if refused > 0 {
-		t.Errorf("%d requests were not served", refused)
-	}
+	requireServed(t, stop())
 }
 
 // Guards against requests that are refused on all VMs, 0.25 s between two returns: the store had got
@@ -366,15 +359,7 @@
 				time.Sleep(back)
 			}
 			time.Sleep(2 * time.Second)
-			refused := 0
-			for _, got := range stop() {
-				if got.status != http.StatusOK {
-					refused++
-				}
-			}
-			if refused > 0 {
-				t.Errorf("%d requests were not served", refused)
-			}
+			requireServed(t, stop())
 		})
 	}
 }
