quarantine, soak: one file for one job

In quarantine, manager.go keeps what the request path calls, manager_events.go what the control goroutine does, manager_messages.go the exchange with peers.

go test -race ./quarantine; TestShortSoak, TestLink.* and TestVMWaitsForItsPorts of ./internal/soak: ok.

--- a/quarantine/manager_probes.go
+++ b/quarantine/manager_probes.go
@@ -1,9 +1,7 @@
 package quarantine
 
 import (
-	"cmp"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,23 +71,3 @@
 	}
 	s.started <- started
 }
-
-// recordRefusals lets a view record the refusals of its rules, with those of the last one.
-func (m *Manager) recordRefusals(v *View) {
-	refusedAt := map[uint64]*atomic.Int64{}
-	for i := range v.rules {
-		id := v.rules[i].id()
-		refusedAt[id] = cmp.Or(m.refusedAt[id], &atomic.Int64{})
-		v.rules[i].refusedAt = refusedAt[id]
-	}
-	m.refusedAt = refusedAt
-}
-
-// noteRefusals tells the node of refusals, which keeps the rules that are used.
-func (m *Manager) noteRefusals() {
-	for rule, at := range m.refusedAt {
-		if at.Load() != 0 {
-			m.node.Refused(rule, time.Duration(at.Load()))
-		}
-	}
-}
