quarantine: one word for probes, and comments for newcomers

A probe of a suspected request was called a canary in some places and a probe in others and in the glossary: it is a probe now (firstProbeDelay, minProbeInterval, maxProbeInterval, three tests renamed). Long lines are split.

go test -race ./quarantine, ./internal/daemon, and the tests of ./gateway with Quarantine, Crash or Refus in their names: ok.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -35,7 +35,8 @@
 	return prompt
 }
 
-// sharedParts returns the ids of the parts of a prompt that other requests may share.
+// sharedParts returns the ids of the parts of a prompt that other requests may share: all but
+// the last one.
 func sharedParts(prefix []edge.PromptPart) []string {
 	var ids []string
 	for _, part := range prefix[:max(len(prefix)-1, 0)] {
@@ -69,7 +70,7 @@
 
 // whileAllowed returns a context in which a request to a plain service waits for a server. It
 // ends when the caller leaves, when the request would not end before the VM stops, and when
-// a rule on the request is added, which release keeps as the cause.
+// a rule on the request is added. release sets c.refusedWaiting if it was the rule.
 func (c *call) whileAllowed() (waiting context.Context, release func()) {
 	fits, releaseFits := c.whileFits(c.r.Context())
 	waiting, cancel := c.untilRefused(fits)
--- a/internal/daemon/signals.go
+++ b/internal/daemon/signals.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 )
 
-// entrySignals are the signals to an entry VM, on the users' platform or not. Each kind has a channel of its own: a signal is
-// dropped if its channel is full, and a reload may take long.
+// entrySignals are the signals to an entry VM, on the users' platform or not. Each kind has a
+// channel of its own: a signal is dropped if its channel is full, and a reload may take long.
 type entrySignals struct{ stop, reload chan os.Signal }
 
 // awaitSignals must be called before anything that takes time: a signal that is not awaited
--- a/quarantine/diagnosis_requests.go
+++ b/quarantine/diagnosis_requests.go
@@ -40,9 +40,9 @@
 	return out
 }
 
-// markAmbiguous marks the requests whose last crash and another one are also crashes of
-// another request: their canaries may have been on the same server. Not all crashes need
-// be the same, since a VM may miss a failure.
+// markAmbiguous marks the requests that share their last crash and another one with another
+// request: the probes of both may have been on the same server. Not all crashes need be
+// shared, since a VM may miss a failure.
 func markAmbiguous(all []*suspicion) {
 	atCrash := map[crash][]*suspicion{}
 	for _, s := range all {
@@ -130,7 +130,7 @@
 		case due && dueAt <= now:
 			n.addRule(r.quarantined(now), e)
 		case !held && suspectAt <= now:
-			r.Until = now + canaryDelay
+			r.Until = now + firstProbeDelay
 			n.addRule(r, e)
 		}
 		if due && dueAt > now {
--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -55,7 +55,7 @@
 	view atomic.Pointer[View]
 	// digest identifies the rules in force, for heartbeats.
 	digest atomic.Uint64
-	// changed signals a new digest of the archive.
+	// changed signals a new archiveDigest.
 	changed chan struct{}
 	// checkAt is the time of the pending check, 0 if there is none.
 	checkAt time.Duration
@@ -96,7 +96,7 @@
 	err := m.view.Load().check(boottime.Now(), r)
 	for _, p := range r.probes[before:] {
 		if err == nil && !m.startProbe(p) {
-			err = &RefusedError{Request: p.onRequest, Suspected: p.onRequest && p.activations == 0, Parts: 1, RetryAfter: minCanaryInterval}
+			err = &RefusedError{Request: p.onRequest, Suspected: p.onRequest && p.activations == 0, Parts: 1, RetryAfter: minProbeInterval}
 		}
 	}
 	if err != nil {
@@ -154,12 +154,12 @@
 }
 
 // RunSucceeded implements Guard. The success of a whole request that no failure and no rule
-// names is only recorded, since most requests are such.
+// names, as those of most requests, is recorded without the control goroutine.
 func (m *Manager) RunSucceeded(r *Request) {
 	if r.Whole != 0 {
 		m.node.recordRequest(boottime.Now(), r.Whole)
 	}
-	if len(r.Parts) == 0 && !m.view.Load().names(r.Whole) {
+	if len(r.Parts) == 0 && !m.view.Load().isNamed(r.Whole) {
 		return
 	}
 	keys := r.keys()
--- a/quarantine/manager_events.go
+++ b/quarantine/manager_events.go
@@ -105,6 +105,7 @@
 	}
 }
 
+// addedName returns the log event of a new rule.
 func addedName(r Rule) string {
 	switch {
 	case r.suspects():
--- a/quarantine/manager_messages.go
+++ b/quarantine/manager_messages.go
@@ -12,6 +12,7 @@
 // update from as many, so that the loss of one message hardly matters.
 const gossipFanout = 3
 
+// gossipTargets returns the peers to which this VM sends updates.
 func gossipTargets(peers []string) []string { return peers[:min(len(peers), gossipFanout)] }
 
 // syncInterval is the minimum time between two exchanges of all rules with a peer.
@@ -33,6 +34,7 @@
 	}
 }
 
+// sync answers a peer with all rules, unless it got them within syncInterval.
 func (m *Manager) sync(from string, now time.Duration) Effects {
 	if last, synced := m.syncedAt[from]; synced && now-last < syncInterval {
 		return Effects{}
@@ -41,6 +43,7 @@
 	return Effects{Reply: Message{Rules: m.node.Rules()}}
 }
 
+// send sends the messages of an event that came from a peer, or "" for this VM.
 func (m *Manager) send(now time.Duration, from string, e Effects) {
 	if !e.Send.Empty() {
 		updates := envelope(now, e.Send)
--- a/quarantine/manager_test.go
+++ b/quarantine/manager_test.go
@@ -134,9 +134,9 @@
 	}
 }
 
-// Guards against two canaries of one request when many of its repeats wait, and against an
+// Guards against two probes of one request when many of its repeats wait, and against an
 // answer that leaves the rule in place.
-func TestOneCanaryAmongManyRequests(t *testing.T) {
+func TestOneProbeAmongManyRequests(t *testing.T) {
 	m := startManager(t)
 	now := boottime.Now()
 	request := func(id int) *Request {
@@ -156,13 +156,13 @@
 	}
 	wg.Wait()
 	if len(admitted) != 1 {
-		t.Fatalf("%d canaries", len(admitted))
+		t.Fatalf("%d probes", len(admitted))
 	}
-	canary := <-admitted
-	if m.Check(canary) != nil || m.MayRepeat(canary) {
-		t.Error("the canary is refused before it is sent, or may be repeated")
+	probe := <-admitted
+	if m.Check(probe) != nil || m.MayRepeat(probe) {
+		t.Error("the probe is refused before it is sent, or may be repeated")
 	}
-	m.RunSucceeded(canary)
+	m.RunSucceeded(probe)
 	eventually(t, "the rule is lifted", func() bool { return m.Check(request(1)) == nil })
 }
 
--- a/quarantine/node_rules.go
+++ b/quarantine/node_rules.go
@@ -22,6 +22,7 @@
 // Digest identifies the rules in force. It is 0 if there are none.
 func (n *Node) Digest() uint64 { return digestOf(n.Rules()) }
 
+// digestOf identifies rules, in any order.
 func digestOf(rules []Rule) uint64 {
 	var digest uint64
 	for _, r := range rules {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -53,8 +53,8 @@
 	// suspectCrashes is the number of crashes after which a failed run is not repeated, and
 	// after which a whole request is refused but for probes.
 	suspectCrashes = 2
-	// minMoments is the number of crashes that must be crashInterval apart before a whole
-	// request is quarantined: a zone that is lost is one moment.
+	// minMoments is the number of crashes, crashInterval apart, that a whole request must have
+	// before it is quarantined: the loss of a zone crashes several servers at one moment.
 	minMoments = 2
 	// crashInterval separates crashes that count as different ones. Servers that share a
 	// zone or a network fail together, and many innocent runs with them.
@@ -84,16 +84,16 @@
 	// probeWindow is the time over which the VMs may one after the other start a probe, so
 	// that mostly one does, and a request that reaches only one VM waits no longer.
 	probeWindow = 2 * time.Second
-	// canaryDelay is the time from the suspicion of a request to its first probe. Servers that
-	// have crashed return within seconds: a probe before that could take the last one of a
-	// small service.
-	canaryDelay = 3 * time.Second
-	// minCanaryInterval is the time between two probes of a suspected request without a
-	// result. It doubles up to maxCanaryInterval.
-	minCanaryInterval = 5 * time.Second
-	maxCanaryInterval = time.Minute
-	// maxProbes is the number of probes of a whole request that crash servers, or of one
-	// that is quarantined, since the operator allows three.
+	// firstProbeDelay is the time from the suspicion of a request to its first probe. Servers
+	// that have crashed return within seconds: a probe before that could take the last one of
+	// a small service.
+	firstProbeDelay = 3 * time.Second
+	// minProbeInterval is the time between two probes of a suspected request without a
+	// result. It doubles up to maxProbeInterval.
+	minProbeInterval = 5 * time.Second
+	maxProbeInterval = time.Minute
+	// maxProbes bounds the probes of a whole request: those that crash servers, and all from
+	// the quarantine on. The operator allows three.
 	maxProbes = 3
 	// ruleRetention is how long an expired rule is kept while no probe decides it.
 	ruleRetention = 10 * time.Minute
--- a/quarantine/requests_test.go
+++ b/quarantine/requests_test.go
@@ -60,14 +60,14 @@
 	if rules := w.n.Rules(); len(rules) != 1 || !rules[0].suspects() {
 		t.Fatalf("rules %+v", rules)
 	}
-	w.pass(canaryDelay)
-	canary := w.request("org", "/dead")
-	if !w.admit(canary) || w.admit(w.request("org", "/dead")) {
-		t.Error("not exactly one canary")
-	}
-	w.wantRequest(false, canary) // It is checked before each send.
-	w.crash("third", canary)
-	w.wantRequest(true, canary)
+	w.pass(firstProbeDelay)
+	probe := w.request("org", "/dead")
+	if !w.admit(probe) || w.admit(w.request("org", "/dead")) {
+		t.Error("not exactly one probe")
+	}
+	w.wantRequest(false, probe) // It is checked before each send.
+	w.crash("third", probe)
+	w.wantRequest(true, probe)
 	w.pass(settleDelay)
 	if rules := w.n.Rules(); len(rules) != 1 || rules[0].Activations != 1 || rules[0].Until != w.now+initialDuration {
 		t.Errorf("rules %+v", rules)
@@ -75,7 +75,7 @@
 }
 
 // Guards against a request without known effects that is refused for good since a zone with
-// several servers was lost, and against a rule that stays after the success of its canary.
+// several servers was lost, and against a rule that stays after the success of its probe.
 func TestZoneLossOnlySuspectsARequest(t *testing.T) {
 	w := newWorld(t)
 	w.crashRequests(8, 10*time.Millisecond, "org", "/slow")
@@ -83,13 +83,13 @@
 	if rules := w.n.Rules(); len(rules) != 1 || !rules[0].suspects() {
 		t.Fatalf("rules %+v", rules)
 	}
-	w.pass(canaryDelay)
-	canary := w.request("org", "/slow")
-	if !w.admit(canary) {
-		t.Fatal("no canary")
+	w.pass(firstProbeDelay)
+	probe := w.request("org", "/slow")
+	if !w.admit(probe) {
+		t.Fatal("no probe")
 	}
 	w.pass(3 * time.Second)
-	if e := w.answer(canary); len(e.Removed) != 1 || len(e.Send.Successes) != 1 {
+	if e := w.answer(probe); len(e.Removed) != 1 || len(e.Send.Successes) != 1 {
 		t.Errorf("effects %+v", e)
 	}
 	w.wantRequest(false, w.request("org", "/slow"))
@@ -133,7 +133,7 @@
 	w := newWorld(t)
 	w.crashRequests(2, 0, "org", "/dead")
 	w.pass(settleDelay)
-	w.pass(canaryDelay)
+	w.pass(firstProbeDelay)
 	crashes := 0
 	for end := w.now + 12*time.Hour; w.now < end; w.pass(time.Second) {
 		r := w.request("org", "/dead")
@@ -153,25 +153,25 @@
 	}
 }
 
-// Guards against a sound request that is quarantined since its canary was on the server that
-// the canary of the crashing one took along.
-func TestCanariesOnTheSameServer(t *testing.T) {
+// Guards against a sound request that is quarantined since its probe was on the server that
+// the probe of the crashing one took along.
+func TestProbesOnTheSameServer(t *testing.T) {
 	w := newWorld(t)
 	for i := range 2 {
 		w.crash(fmt.Sprintf("server-%d", i), w.request("org", "/dead"), w.request("org", "/slow"))
 	}
 	w.pass(settleDelay)
-	w.pass(canaryDelay)
+	w.pass(firstProbeDelay)
 	dead, slow := w.request("org", "/dead"), w.request("org", "/slow")
 	if !w.admit(dead) || !w.admit(slow) {
-		t.Fatal("no canaries")
+		t.Fatal("no probes")
 	}
 	w.crash("third", dead, slow)
 	w.pass(settleDelay)
-	w.pass(2 * minCanaryInterval)
+	w.pass(2 * minProbeInterval)
 	dead, slow = w.request("org", "/dead"), w.request("org", "/slow")
 	if !w.admit(dead) || !w.admit(slow) {
-		t.Fatal("no second canaries")
+		t.Fatal("no second probes")
 	}
 	w.crash("fourth", dead)
 	w.pass(settleDelay)
@@ -184,18 +184,18 @@
 
 // Guards against a sound request that is refused for minutes since it was in flight at
 // crashes, when probes of it are lost.
-func TestLostCanaryIsFollowedByAnother(t *testing.T) {
+func TestLostProbeIsFollowedByAnother(t *testing.T) {
 	w := newWorld(t)
 	w.crashRequests(2, 0, "org", "/slow")
 	w.pass(settleDelay)
-	w.pass(canaryDelay)
-	for i, interval := range []time.Duration{minCanaryInterval, 2 * minCanaryInterval, 4 * minCanaryInterval} {
+	w.pass(firstProbeDelay)
+	for i, interval := range []time.Duration{minProbeInterval, 2 * minProbeInterval, 4 * minProbeInterval} {
 		if !w.admit(w.request("org", "/slow")) {
-			t.Fatalf("no canary %d", i)
+			t.Fatalf("no probe %d", i)
 		}
 		w.pass(interval - time.Millisecond)
 		if w.admit(w.request("org", "/slow")) {
-			t.Errorf("canary %d comes early", i+1)
+			t.Errorf("probe %d comes early", i+1)
 		}
 		w.pass(time.Millisecond)
 	}
@@ -332,7 +332,7 @@
 	w := newWorld(t)
 	w.crashRequests(2, 0, "org", "/dead")
 	w.pass(settleDelay)
-	w.pass(canaryDelay)
+	w.pass(firstProbeDelay)
 	other := NewNode()
 	other.Receive(w.now, Message{Rules: w.n.Rules()})
 	r := w.request("org", "/dead")
--- a/quarantine/rule.go
+++ b/quarantine/rule.go
@@ -95,7 +95,7 @@
 	case !r.onRequest():
 		r.Until = now + probeRound
 	case r.suspects():
-		r.Until = now + canaryInterval(r.Version)
+		r.Until = now + suspectProbeInterval(r.Version)
 	default:
 		r.Spent++
 		r.Until = now + maxDuration
@@ -120,7 +120,7 @@
 		r.Spent++
 	}
 	if r.suspects() {
-		r.Until = now + minCanaryInterval
+		r.Until = now + minProbeInterval
 		return r
 	}
 	r.Activations++
@@ -147,12 +147,12 @@
 	return min(d, maxDuration)
 }
 
-// canaryInterval returns the time from a probe of a suspected request, after which the
+// suspectProbeInterval returns the time from a probe of a suspected request, after which the
 // rule has a version, to the next one.
-func canaryInterval(version int) time.Duration {
-	d := minCanaryInterval
-	for i := 1; i < version && d < maxCanaryInterval; i++ {
+func suspectProbeInterval(version int) time.Duration {
+	d := minProbeInterval
+	for i := 1; i < version && d < maxProbeInterval; i++ {
 		d *= 2
 	}
-	return min(d, maxCanaryInterval)
+	return min(d, maxProbeInterval)
 }
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -69,6 +69,7 @@
 	return v
 }
 
+// addSuspects adds what the failures say beside the rules.
 func (v *View) addSuspects(n *Node, now time.Duration) {
 	crashes := crashesOf(n.failures)
 	for key, s := range n.suspicions(now, crashes, nil, isPart) {
@@ -86,8 +87,9 @@
 	}
 }
 
-// names reports whether a success of a whole request changes something.
-func (v *View) names(whole Key) bool { return len(v.crashed[whole]) > 0 || len(v.byKey[whole]) > 0 }
+// isNamed reports whether a failure or a rule names a whole request, so that its success
+// changes something.
+func (v *View) isNamed(whole Key) bool { return len(v.crashed[whole]) > 0 || len(v.byKey[whole]) > 0 }
 
 // check returns a *RefusedError if a rule matches a request, or several crashes speak
 // against it. The request becomes the probe of a rule that offers one, and passes this rule
@@ -99,7 +101,7 @@
 		}
 		r.probes = append(r.probes, probeOf(rule.Rule))
 	}
-	return v.suspected(r)
+	return v.refusalBeforeRule(r)
 }
 
 // refusal returns a *RefusedError if a rule matches a request and offers no probe.
@@ -109,16 +111,16 @@
 			return rule.refusal(now)
 		}
 	}
-	return v.suspected(r)
+	return v.refusalBeforeRule(r)
 }
 
-// suspected returns a *RefusedError for a request that several crashes speak against, and
-// on which there is no rule yet.
-func (v *View) suspected(r *Request) error {
+// refusalBeforeRule returns a *RefusedError for a request that several crashes speak against,
+// and on which there is no rule yet.
+func (v *View) refusalBeforeRule(r *Request) error {
 	if r.Whole == 0 || !v.suspects[r.Whole] || len(v.byKey[r.Whole]) > 0 {
 		return nil
 	}
-	return &RefusedError{Request: true, Suspected: true, Parts: 1, RetryAfter: minCanaryInterval}
+	return &RefusedError{Request: true, Suspected: true, Parts: 1, RetryAfter: minProbeInterval}
 }
 
 // matching returns the rules that match a request, except those that it probes.
@@ -139,6 +141,7 @@
 	}
 }
 
+// refusal records a refusal by the rule and returns it.
 func (r viewRule) refusal(now time.Duration) error {
 	if r.refusedAt != nil {
 		r.refusedAt.Store(int64(now))
@@ -146,7 +149,7 @@
 	retryAfter := max(r.Until-now, probeRound)
 	switch {
 	case r.suspects() && r.hasProbe():
-		retryAfter = max(r.Until-now, minCanaryInterval)
+		retryAfter = max(r.Until-now, minProbeInterval)
 	case !r.hasProbe():
 		retryAfter = maxDuration
 	}
@@ -163,7 +166,8 @@
 	if r.Whole == 0 {
 		return true
 	}
-	return len(r.crashed) <= 1 && !slices.ContainsFunc(v.crashed[r.Whole], func(server uint32) bool { return !slices.Contains(r.crashed, server) })
+	inOtherRun := func(server uint32) bool { return !slices.Contains(r.crashed, server) }
+	return len(r.crashed) <= 1 && !slices.ContainsFunc(v.crashed[r.Whole], inOtherRun)
 }
 
 // probe identifies the probe of a rule. version is that before its start.
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -10,7 +10,9 @@
 func envelope(now time.Duration, m Message) *peerpb.Envelope {
 	out := &peerpb.Quarantine{}
 	for _, f := range m.Failures {
-		out.Failures = append(out.Failures, &peerpb.RunFailure{Run: f.Run, Engine: f.Server, AgeMs: age(now, f.At), Parts: encodeKeys(f.Keys), Organisation: f.Organisation})
+		out.Failures = append(out.Failures, &peerpb.RunFailure{
+			Run: f.Run, Engine: f.Server, AgeMs: age(now, f.At), Parts: encodeKeys(f.Keys), Organisation: f.Organisation,
+		})
 	}
 	for _, s := range m.Successes {
 		out.Successes = append(out.Successes, &peerpb.PartSuccess{Part: uint64(s.Key), AgeMs: age(now, s.At)})
@@ -32,6 +34,7 @@
 	return out
 }
 
+// age returns the age of a time in milliseconds, 0 if it is in the future.
 func age(now, at time.Duration) uint64 { return uint64(max(now-at, 0).Milliseconds()) }
 
 func encodeKeys(keys []Key) []uint64 {
@@ -46,7 +49,10 @@
 func decode(now time.Duration, in *peerpb.Quarantine) Message {
 	var m Message
 	for _, f := range in.GetFailures() {
-		m.Failures = append(m.Failures, Failure{Run: f.GetRun(), Server: f.GetEngine(), At: before(now, f.GetAgeMs()), Keys: decodeKeys(f.GetParts()), Organisation: f.GetOrganisation()})
+		m.Failures = append(m.Failures, Failure{
+			Run: f.GetRun(), Server: f.GetEngine(), At: before(now, f.GetAgeMs()), Keys: decodeKeys(f.GetParts()),
+			Organisation: f.GetOrganisation(),
+		})
 	}
 	for _, s := range in.GetSuccesses() {
 		m.Successes = append(m.Successes, Success{Key: Key(s.GetPart()), At: before(now, s.GetAgeMs())})
@@ -72,6 +78,7 @@
 // maxAgeMS bounds the ages and times that are accepted from peers, in milliseconds.
 const maxAgeMS = 24 * 60 * 60 * 1000
 
+// before returns the time of an age in milliseconds.
 func before(now time.Duration, ageMS uint64) time.Duration {
 	return now - time.Duration(min(ageMS, maxAgeMS))*time.Millisecond
 }
