--- a/quarantine/manager.go
+++ b/quarantine/manager.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,7 +13,6 @@
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/hash"
 	"github.com/vanillaarch/vanillaarch/peer"
-	"github.com/vanillaarch/vanillaarch/peer/peerpb"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -57,7 +55,7 @@
 	view atomic.Pointer[View]
 	// digest identifies the rules in force, for heartbeats.
 	digest atomic.Uint64
-	// changed signals a new digest of the archive.
+	// changed signals a new archiveDigest.
 	changed chan struct{}
 	// checkAt is the time of the pending check, 0 if there is none.
 	checkAt time.Duration
@@ -65,7 +63,7 @@
 	archiveDigest atomic.Uint64
 	// probes holds the probes of the view, so that a later view has the same ones.
 	probes map[probe]*atomic.Bool
-	// refusedAt holds the time of the last refusal of each rule of the view, by its key.
+	// refusedAt holds the time of the last refusal of each rule of the view, by its id.
 	refusedAt map[uint64]*atomic.Int64
 	// syncedAt holds when rules were last sent to a peer because its digest differed.
 	syncedAt map[string]time.Duration
@@ -73,19 +71,10 @@
 	failures, refusals, rules, probesStarted metrics.Counter
 
 	waitingMu sync.Mutex
-	// waiting holds the requests that wait for an engine.
+	// waiting holds the requests that wait for a server.
 	waiting map[*Request]func(error)
 }
 
-// gossipFanout is the number of peers to which a VM sends updates. Each VM receives an
-// update from as many, so that the loss of one message hardly matters.
-const gossipFanout = 3
-
-func gossipTargets(peers []string) []string { return peers[:min(len(peers), gossipFanout)] }
-
-// syncInterval is the minimum time between two exchanges of all rules with a peer.
-const syncInterval = time.Second
-
 // New returns a manager without rules.
 func New(o Options) *Manager {
 	m := &Manager{
@@ -107,7 +96,7 @@
 	err := m.view.Load().check(boottime.Now(), r)
 	for _, p := range r.probes[before:] {
 		if err == nil && !m.startProbe(p) {
-			err = &RefusedError{Request: p.onRequest, Suspected: p.onRequest && p.activations == 0, Parts: 1, RetryAfter: minCanaryInterval}
+			err = &RefusedError{Request: p.onRequest, Suspected: p.onRequest && p.activations == 0, Parts: 1, RetryAfter: minProbeInterval}
 		}
 	}
 	if err != nil {
@@ -121,14 +110,14 @@
 func (m *Manager) MayRepeat(r *Request) bool { return m.view.Load().mayRepeat(r) }
 
 // Watch implements Guard.
-func (m *Manager) Watch(p *Request, refuse func(error)) (stop func()) {
+func (m *Manager) Watch(r *Request, refuse func(error)) (stop func()) {
 	m.waitingMu.Lock()
 	defer m.waitingMu.Unlock()
-	m.waiting[p] = refuse
+	m.waiting[r] = refuse
 	return func() {
 		m.waitingMu.Lock()
 		defer m.waitingMu.Unlock()
-		delete(m.waiting, p)
+		delete(m.waiting, r)
 	}
 }
 
@@ -140,8 +129,8 @@
 	}
 	m.waitingMu.Lock()
 	defer m.waitingMu.Unlock()
-	for p, refuse := range m.waiting {
-		if err := view.refusal(now, p); err != nil {
+	for r, refuse := range m.waiting {
+		if err := view.refusal(now, r); err != nil {
 			refuse(err)
 		}
 	}
@@ -149,13 +138,13 @@
 
 // RunFailed implements Guard.
 func (m *Manager) RunFailed(r *Request, server vmlist.VM, started time.Duration) {
-	ids := r.ids()
-	if len(ids) == 0 {
+	keys := r.keys()
+	if len(keys) == 0 {
 		return
 	}
 	m.failures.Inc(1)
-	f := Failure{Run: r.Run, Engine: lifetime(server), Organisation: r.Organisation, Parts: ids}
-	r.crashed = append(r.crashed, f.Engine)
+	f := Failure{Run: r.Run, Server: lifetime(server), Organisation: r.Organisation, Keys: keys}
+	r.crashed = append(r.crashed, f.Server)
 	m.post("", func(now time.Duration) Effects { return m.node.RunFailed(now, f, started) })
 }
 
@@ -165,177 +154,14 @@
 }
 
 // RunSucceeded implements Guard. The success of a whole request that no failure and no rule
-// names is only recorded, since most requests are such.
+// names, as those of most requests, is recorded without the control goroutine.
 func (m *Manager) RunSucceeded(r *Request) {
 	if r.Whole != 0 {
 		m.node.recordRequest(boottime.Now(), r.Whole)
 	}
-	if len(r.Parts) == 0 && !m.view.Load().names(r.Whole) {
-		return
-	}
-	ids := r.ids()
-	m.post("", func(now time.Duration) Effects { return m.node.RunSucceeded(now, ids) })
-}
-
-// Receive handles a message of a peer.
-func (m *Manager) Receive(from string, in *peerpb.Quarantine) {
-	m.post(from, func(now time.Duration) Effects { return m.node.Receive(now, decode(now, in)) })
-}
-
-// Digest identifies the rules in force.
-func (m *Manager) Digest() uint64 { return m.digest.Load() }
-
-// ReceiveDigest handles the digest in a heartbeat of a peer. If it differs from that of
-// this VM, the peer gets all rules: it may have started after they were sent.
-func (m *Manager) ReceiveDigest(from string, digest uint64) {
-	if digest != m.Digest() {
-		m.post(from, func(now time.Duration) Effects { return m.sync(from, now) })
-	}
-}
-
-func (m *Manager) sync(from string, now time.Duration) Effects {
-	if last, synced := m.syncedAt[from]; synced && now-last < syncInterval {
-		return Effects{}
-	}
-	m.syncedAt[from] = now
-	return Effects{Reply: Message{Rules: m.node.Rules()}}
-}
-
-// event is a control message that changes the node.
-type event struct {
-	m *Manager
-	// from is the peer that caused the event, "" for this VM.
-	from string
-	// at is the time of the event. If crashes had the time at which the control goroutine
-	// handles them, those that it handles together after a stall would count as one.
-	at    time.Duration
-	apply func(now time.Duration) Effects
-}
-
-// post applies an event of this moment on the control goroutine.
-func (m *Manager) post(from string, apply func(now time.Duration) Effects) {
-	m.opts.Loop.Post(event{m, from, boottime.Now(), apply})
-}
-
-// Apply implements control.Message.
-func (e event) Apply(*control.State) { e.m.perform(e.from, e.at, e.apply) }
-
-// perform applies an event to the node and performs its effects. It runs on the control
-// goroutine.
-func (m *Manager) perform(from string, at time.Duration, apply func(now time.Duration) Effects) {
-	m.noteRefusals()
-	e := apply(at)
-	now := boottime.Now()
-	m.log(now, e)
-	m.send(now, from, e)
-	if e.Changed || e.CheckAt != 0 && e.CheckAt <= now {
-		m.publish(now)
-	}
-	m.schedule(now, e.CheckAt)
-}
-
-// publish stores a new view for the request path.
-func (m *Manager) publish(now time.Duration) {
-	probes := map[probe]*atomic.Bool{}
-	view := newView(m.node, now, func(r Rule) *atomic.Bool {
-		if now < m.node.probeAt(r) {
-			return nil
-		}
-		id := probeOf(r)
-		probes[id] = cmp.Or(m.probes[id], &atomic.Bool{})
-		return probes[id]
-	})
-	m.recordRefusals(view)
-	m.view.Store(view)
-	m.probes = probes
-	m.refuseWaiting(now)
-	m.digest.Store(m.node.Digest())
-	if digest := digestOf(archived(m.node.Rules())); m.archiveDigest.Swap(digest) != digest {
-		select {
-		case m.changed <- struct{}{}:
-		default: // The archive has not handled the last signal yet.
-		}
-	}
-	for id := range m.syncedAt {
-		if now-m.syncedAt[id] > syncInterval {
-			delete(m.syncedAt, id)
-		}
-	}
-}
-
-// schedule posts a check at a time unless an earlier one is pending.
-func (m *Manager) schedule(now, at time.Duration) {
-	if at == 0 || m.checkAt != 0 && m.checkAt <= at {
+	if len(r.Parts) == 0 && !m.view.Load().isNamed(r.Whole) {
 		return
 	}
-	m.checkAt = at
-	time.AfterFunc(max(at-now, 0), func() {
-		m.post("", func(time.Duration) Effects {
-			if m.checkAt == at {
-				m.checkAt = 0
-			}
-			e := m.node.Check(boottime.Now())
-			e.Changed = true // A probe may have become due.
-			return e
-		})
-	})
-}
-
-func (m *Manager) send(now time.Duration, from string, e Effects) {
-	if !e.Send.Empty() {
-		updates := envelope(now, e.Send)
-		for _, id := range gossipTargets(m.opts.Peers()) {
-			if id != from {
-				m.sendTo(id, updates)
-			}
-		}
-	}
-	if from != "" && !e.Reply.Empty() {
-		m.sendTo(from, envelope(now, e.Reply))
-	}
-}
-
-func (m *Manager) sendTo(id string, e *peerpb.Envelope) {
-	if err := m.opts.Transport.Send(id, e); err != nil {
-		m.opts.Log.Debug("quarantine_not_sent", zap.String("peer", id), zap.Error(err))
-	}
-}
-
-// log writes a line for each rule that has changed.
-func (m *Manager) log(now time.Duration, e Effects) {
-	m.rules.Inc(int64(len(e.Added)))
-	for _, r := range e.Added {
-		m.logRule(addedName(r), now, r)
-	}
-	for _, r := range e.Renewed {
-		m.logRule("quarantine_renewed", now, r)
-	}
-	for _, r := range e.Removed {
-		m.logRule("quarantine_lifted", now, r)
-	}
-}
-
-func addedName(r Rule) string {
-	switch {
-	case r.suspects():
-		return "request_suspected"
-	case r.onRequest():
-		return "request_quarantined"
-	default:
-		return "prompt_parts_quarantined"
-	}
-}
-
-func (m *Manager) logRule(name string, now time.Duration, r Rule) {
-	m.opts.Log.Warn(name, zap.Uint64("rule", r.key()), r.field(), zap.Int("parts", len(r.Parts)),
-		zap.Int("activations", r.Activations), zap.Int("probes_spent", r.Spent), zap.Uint32("organisation", r.Organisation),
-		zap.Duration("since", now-r.Since), zap.Duration("probe_in", r.Until-now))
-}
-
-// field returns the log field of a whole request as requests have it, none for parts.
-func (r Rule) field() zap.Field {
-	if !r.onRequest() {
-		return zap.Skip()
-	}
-	return (&Request{Whole: r.Parts[0]}).Field()
+	keys := r.keys()
+	m.post("", func(now time.Duration) Effects { return m.node.RunSucceeded(now, keys) })
 }
