--- a/internal/localcluster/crash_test.go
+++ b/internal/localcluster/crash_test.go
@@ -21,7 +21,6 @@
 		requests = 60
 		// Later than contactBound after the fifth crash, maxLateCrashes are allowed.
 		noticedCrashes = 5
-		contactBound   = 3 * time.Second
 		maxLateCrashes = 3
 	)
 	c, ctx := startCluster(t, localcluster.Options{VMs: 3, Engines: 6, TokenInterval: 5 * time.Millisecond})
