--- a/internal/localcluster/crash_requests_test.go
+++ b/internal/localcluster/crash_requests_test.go
@@ -35,8 +35,9 @@
 // The servers and the load of the tests of requests that crash servers.
 const (
 	crashingServerCount = 3
-	// engineCrashDelay is the time from the arrival of the crashing request to the end of its
-	// server. Crashes within 250 ms count as one for the rules on prompt parts.
+	// callCrashDelay and engineCrashDelay are the times from the arrival of the crashing request
+	// to the end of its server. Crashes within 250 ms count as one for the rules on prompt parts.
+	callCrashDelay   = 20 * time.Millisecond
 	engineCrashDelay = 300 * time.Millisecond
 	// crashDowntime is the time from the end of a server until another one is listed in its place.
 	crashDowntime   = time.Second
@@ -299,3 +300,30 @@
 		})
 	}
 }
+
+// Guards against a call, repeatable or under a claim, that crashes the servers that run it and
+// is sent to one server after the other.
+func TestCallThatCrashesServersIsRefused(t *testing.T) {
+	for _, route := range []string{localcluster.LookupRoute, localcluster.BookingRoute} {
+		t.Run(route, func(t *testing.T) {
+			c, ctx := startCluster(t, localcluster.Options{VMs: 2, Configure: usualTimeouts})
+			servers := startCrashingServers(t, c, callCrashDelay, vmlist.VM{Role: vmlist.RoleService, Services: []string{localcluster.Service}}, func(string) http.Handler {
+				return standin.NewService()
+			})
+			call := func(caller *client.Client, body string) func(context.Context) error {
+				return func(ctx context.Context) error {
+					key, err := client.NewIdempotencyKey() // With the same key, an attempt gets the result of the first one.
+					if err != nil {
+						return err
+					}
+					_, err = caller.Call(ctx, route, key, []byte(body))
+					return err
+				}
+			}
+			repeatedCrash{
+				crashingServers: servers,
+				crashing:        call(c.Client(localcluster.APIKey), deadly), sound: call(c.Client(localcluster.APIKey), "harmless"),
+			}.run(ctx)
+		})
+	}
+}
