--- a/test/platform/crashing_requests_harness_test.go
+++ b/test/platform/crashing_requests_harness_test.go
@@ -115,12 +115,13 @@
 }
 
 // putOrganisations stores a configuration with a second organisation, with routes that allow
-// requests to wait, and waits until all VMs have it.
+// requests to wait and bodies of longestBodyBytes, and waits until all VMs have it.
 func (s *site) putOrganisations() {
 	s.t.Helper()
 	text := string(userplatform.Config(version+1, key))
 	text = strings.ReplaceAll(text, `"timeoutMs":1000,"targetLatencyMs":150,`, `"timeoutMs":20000,`)
 	text = strings.Replace(text, `"targetLatencyMs":1800,`, ``, 1)
+	text = strings.Replace(text, `"maxBodyBytes":65536`, fmt.Sprintf(`"maxBodyBytes":%d`, longestBodyBytes), 1)
 	text = strings.Replace(text, `"tenants":[`, fmt.Sprintf(`"tenants":[{"name":%q,"apiKeys":[%q],"priority":1},`, otherOrganisation, keyOfOther), 1)
 	s.store.Put(platform.ConfigKey, []byte(text))
 	for _, v := range s.vms {
--- a/test/platform/crashing_requests_test.go
+++ b/test/platform/crashing_requests_test.go
@@ -28,8 +28,12 @@
 	return a
 }
 
-// longBodyBytes is the largest body that the configuration allows.
-const longBodyBytes = 64 << 10
+// longBodyBytes is the largest body that the configuration of other sites allows,
+// longestBodyBytes the largest one on the sites of these tests.
+const (
+	longBodyBytes    = 64 << 10
+	longestBodyBytes = 256 << 10
+)
 
 func crashingLongPost() request {
 	a := crashingPost()
@@ -37,6 +41,12 @@
 	return a
 }
 
+func crashingLongestPost() request {
+	a := crashingPost()
+	a.body = strings.Repeat("7", longestBodyBytes)
+	return a
+}
+
 // plainSound returns the sound requests beside a plain request that crashes servers.
 func plainSound(victim func() request) []soundKind {
 	same := func(change func(*request)) func() request {
@@ -102,6 +112,21 @@
 	l.run()
 }
 
+// Guards against a request that crashes servers being forgotten between two of its attempts if
+// its body comes in chunks, so that its length is not known before its content.
+func TestSeldomChunkedPostThatCrashesServersIsRefused(t *testing.T) {
+	l := plainCrashes(t, crashingChunkedPost)
+	l.interval, l.duration = slowInterval, slowDuration
+	l.run()
+}
+
+// Guards against the same if its body is long and is kept by no VM.
+func TestSeldomLongPostThatCrashesServersIsRefused(t *testing.T) {
+	l := plainCrashes(t, crashingLongestPost)
+	l.interval, l.duration = slowInterval, slowDuration
+	l.run()
+}
+
 // streamWithPrompt returns a stream whose prompt has the given parts.
 func streamWithPrompt(path, parts string) request {
 	a := request{method: http.MethodPost, path: path, body: "tell me", key: key, header: map[string]string{"Model": "m", "Token-Count": "300,20"}}
