--- a/quarantine/repeats_fleet_test.go
+++ b/quarantine/repeats_fleet_test.go
@@ -347,7 +347,7 @@
 		for range suspectCrashes {
 			s.ids++
 			r := NewRequest(fmt.Sprintf("request-%d", s.ids), s.variant(-n))
-			f := Failure{Run: r.Run, Engine: uint32(s.ids + repeatServers), Organisation: r.Organisation, Parts: r.ids()}
+			f := Failure{Run: r.Run, Server: uint32(s.ids + repeatServers), Organisation: r.Organisation, Keys: r.keys()}
 			vm := s.r.IntN(len(s.nodes))
 			s.perform(vm, -1, s.nodes[vm].RunFailed(s.now, f, s.now))
 		}
