--- a/ratelimit/node_test.go
+++ b/ratelimit/node_test.go
@@ -327,3 +327,46 @@
 		t.Error("a VM without peers is not synced")
 	}
 }
+
+// Guards against a request that waits in vain since the parts of a permit that several servers
+// have together count as one: such requests were denied after 170 to 260 ms.
+func TestPartsOfPermitsAreNoPermit(t *testing.T) {
+	p := newPair(0.2)
+	servers := []serverstate.Server{testServer, {ID: "second", Incarnation: 1}, {ID: "third", Incarnation: 1}}
+	for _, s := range servers {
+		p.owner.table.Observe(p.now, 0, s, 0.2, true)
+		p.owner.service("service").bucket(s)
+	}
+	request := func() Request {
+		r := p.request(75*time.Millisecond, 500*time.Millisecond)
+		r.Servers = servers
+		return r
+	}
+	p.pass(10 * time.Second)
+	for range servers {
+		if !p.grantedAtOnce(request()) {
+			t.Fatal("no permit before")
+		}
+	}
+	p.pass(3 * time.Second)
+	d := p.owner.Request(p.now, request()).Decisions
+	if len(d) != 1 || d[0].Granted || d[0].RetryAfter < 1600*time.Millisecond {
+		t.Errorf("decisions 1.75 s before the first permit: %+v", d)
+	}
+	p.pass(1700 * time.Millisecond)
+	for i := range servers {
+		if d := p.owner.Request(p.now, request()).Decisions; len(d) != 0 {
+			t.Errorf("request %d does not wait for a permit that comes in 50 ms: %+v", i, d)
+		}
+	}
+	if d := p.owner.Request(p.now, request()).Decisions; len(d) != 1 || d[0].Granted {
+		t.Errorf("one request more than permits to come waits: %+v", d)
+	}
+	granted := 0
+	for _, d := range p.pass(100 * time.Millisecond) {
+		granted += map[bool]int{true: 1}[d.Granted]
+	}
+	if granted != len(servers) {
+		t.Errorf("%d of %d waiting requests are granted", granted, len(servers))
+	}
+}
