--- a/ratelimit/admission.go
+++ b/ratelimit/admission.go
@@ -97,19 +97,15 @@
 	})
 }
 
-// free returns the candidate with most free permits, nil if none is free.
+// free returns the first candidate with a free permit, nil if there is none.
 func (s *service) free(w *waiter) *bucket {
-	var best *bucket
 	inDebt := w.request.Urgent && s.mayOwe()
 	for _, b := range w.buckets {
-		if !b.limited() {
+		if b.allows(s.node.now, inDebt) {
 			return b
 		}
-		if b.allows(s.node.now, inDebt) && (best == nil || b.tokens > best.tokens) {
-			best = b
-		}
 	}
-	return best
+	return nil
 }
 
 // expectedWait returns the time until a request is served if as many others as given are
--- a/ratelimit/node_test.go
+++ b/ratelimit/node_test.go
@@ -328,6 +328,28 @@
 	}
 }
 
+// Guards against permits for a server that the asking VM prefers less, such as one that does
+// not answer and has collected permits, while a preferred one has some.
+func TestPermitsFollowTheOrderOfPreference(t *testing.T) {
+	p := newPair(40)
+	other := serverstate.Server{ID: "other", Incarnation: 1}
+	p.owner.table.Observe(p.now, 0, other, 40, true)
+	p.owner.service("service").bucket(other)
+	p.pass(time.Second)
+	preferred := p.free()
+	for i := range preferred + 1 {
+		r := p.request(0, 0)
+		r.Servers = []serverstate.Server{testServer, other}
+		want := testServer
+		if i == preferred {
+			want = other
+		}
+		if d := p.owner.Request(p.now, r).Decisions; len(d) != 1 || !d[0].Granted || d[0].Server != want {
+			t.Errorf("request %d, with %d permits of the preferred server left: %+v", i, preferred-i, d)
+		}
+	}
+}
+
 // Guards against a request that waits in vain since the parts of a permit that several servers
 // have together count as one: such requests were denied after 170 to 260 ms.
 func TestPartsOfPermitsAreNoPermit(t *testing.T) {
