--- a/ratelimit/client.go
+++ b/ratelimit/client.go
@@ -142,6 +142,9 @@
 	c.pending[r.Sequence] = p
 	c.order = append(c.order, p)
 	c.ask(p)
+	if o.silent {
+		c.useFloor(p, false)
+	}
 }
 
 // unlimited returns a candidate that needs no permit.
--- a/ratelimit/node_test.go
+++ b/ratelimit/node_test.go
@@ -350,6 +350,33 @@
 	}
 }
 
+// Guards against a request that waits for the answer of a silent owner although the part of
+// its VM has a permit, since it could wait, and against a permit that is then taken twice.
+func TestWaitingRequestUsesTheFloorAtOnce(t *testing.T) {
+	p := newPair(40)
+	p.other.Request(p.now, p.request(0, 0))
+	for range 2 * ownerTimeout / TickInterval {
+		p.now += TickInterval
+		p.other.Tick(p.now)
+	}
+	p.now += time.Second
+	r := p.request(time.Second, time.Second)
+	e := p.other.Request(p.now, r)
+	if len(e.Decisions) != 1 || !e.Decisions[0].Granted || !e.Decisions[0].Floor {
+		t.Fatalf("decisions with a silent owner: %+v", e.Decisions)
+	}
+	var withdrawn []uint64
+	for _, out := range e.Send {
+		withdrawn = append(withdrawn, out.Message.Withdraw...)
+	}
+	if len(withdrawn) != 1 || withdrawn[0] != r.Sequence {
+		t.Errorf("the owner was told that %v do not wait, %d wanted", withdrawn, r.Sequence)
+	}
+	if d := p.other.Request(p.now, p.request(time.Second, time.Second)).Decisions; len(d) != 0 {
+		t.Errorf("decisions beyond the part of the VM: %+v", d)
+	}
+}
+
 // Guards against a request that waits in vain since the parts of a permit that several servers
 // have together count as one: such requests were denied after 170 to 260 ms.
 func TestPartsOfPermitsAreNoPermit(t *testing.T) {
