--- a/ratelimit/node_test.go
+++ b/ratelimit/node_test.go
@@ -327,3 +327,95 @@
 		t.Error("a VM without peers is not synced")
 	}
 }
+
+// Guards against permits for a server that the asking VM prefers less, such as one that does
+// not answer and has collected permits, while a preferred one has some.
+func TestPermitsFollowTheOrderOfPreference(t *testing.T) {
+	p := newPair(40)
+	other := serverstate.Server{ID: "other", Incarnation: 1}
+	p.owner.table.Observe(p.now, 0, other, 40, true)
+	p.owner.service("service").bucket(other)
+	p.pass(time.Second)
+	preferred := p.free()
+	for i := range preferred + 1 {
+		r := p.request(0, 0)
+		r.Servers = []serverstate.Server{testServer, other}
+		want := testServer
+		if i == preferred {
+			want = other
+		}
+		if d := p.owner.Request(p.now, r).Decisions; len(d) != 1 || !d[0].Granted || d[0].Server != want {
+			t.Errorf("request %d, with %d permits of the preferred server left: %+v", i, preferred-i, d)
+		}
+	}
+}
+
+// Guards against a request that waits for the answer of a silent owner although the part of
+// its VM has a permit, since it could wait, and against a permit that is then taken twice.
+func TestWaitingRequestUsesTheFloorAtOnce(t *testing.T) {
+	p := newPair(40)
+	p.other.Request(p.now, p.request(0, 0))
+	for range 2 * ownerTimeout / TickInterval {
+		p.now += TickInterval
+		p.other.Tick(p.now)
+	}
+	p.now += time.Second
+	r := p.request(time.Second, time.Second)
+	e := p.other.Request(p.now, r)
+	if len(e.Decisions) != 1 || !e.Decisions[0].Granted || !e.Decisions[0].Floor {
+		t.Fatalf("decisions with a silent owner: %+v", e.Decisions)
+	}
+	var withdrawn []uint64
+	for _, out := range e.Send {
+		withdrawn = append(withdrawn, out.Message.Withdraw...)
+	}
+	if len(withdrawn) != 1 || withdrawn[0] != r.Sequence {
+		t.Errorf("the owner was told that %v do not wait, %d wanted", withdrawn, r.Sequence)
+	}
+	if d := p.other.Request(p.now, p.request(time.Second, time.Second)).Decisions; len(d) != 0 {
+		t.Errorf("decisions beyond the part of the VM: %+v", d)
+	}
+}
+
+// Guards against a request that waits in vain since the parts of a permit that several servers
+// have together count as one: such requests were denied after 170 to 260 ms.
+func TestPartsOfPermitsAreNoPermit(t *testing.T) {
+	p := newPair(0.2)
+	servers := []serverstate.Server{testServer, {ID: "second", Incarnation: 1}, {ID: "third", Incarnation: 1}}
+	for _, s := range servers {
+		p.owner.table.Observe(p.now, 0, s, 0.2, true)
+		p.owner.service("service").bucket(s)
+	}
+	request := func() Request {
+		r := p.request(75*time.Millisecond, 500*time.Millisecond)
+		r.Servers = servers
+		return r
+	}
+	p.pass(10 * time.Second)
+	for range servers {
+		if !p.grantedAtOnce(request()) {
+			t.Fatal("no permit before")
+		}
+	}
+	p.pass(3 * time.Second)
+	d := p.owner.Request(p.now, request()).Decisions
+	if len(d) != 1 || d[0].Granted || d[0].RetryAfter < 1600*time.Millisecond {
+		t.Errorf("decisions 1.75 s before the first permit: %+v", d)
+	}
+	p.pass(1700 * time.Millisecond)
+	for i := range servers {
+		if d := p.owner.Request(p.now, request()).Decisions; len(d) != 0 {
+			t.Errorf("request %d does not wait for a permit that comes in 50 ms: %+v", i, d)
+		}
+	}
+	if d := p.owner.Request(p.now, request()).Decisions; len(d) != 1 || d[0].Granted {
+		t.Errorf("one request more than permits to come waits: %+v", d)
+	}
+	granted := 0
+	for _, d := range p.pass(100 * time.Millisecond) {
+		granted += map[bool]int{true: 1}[d.Granted]
+	}
+	if granted != len(servers) {
+		t.Errorf("%d of %d waiting requests are granted", granted, len(servers))
+	}
+}
