--- a/quarantine/repeats_fleet_test.go
+++ b/quarantine/repeats_fleet_test.go
@@ -410,3 +410,21 @@
 		}
 	}
 }
+
+// Guards against a sound request of another organisation that runs for seconds and is refused for a
+// minute or more as one that crashes servers, since its probes were on servers that variants crashed.
+func TestLongRequestBesideVariants(t *testing.T) {
+	const (
+		seeds    = 10
+		variants = 8
+	)
+	for seed := range uint64(seeds) {
+		s := newService(3, 0, seed)
+		long := Content{Method: "GET", Target: "/slow", Organisation: "other"}
+		sent := s.playVariants(variants, func() { s.sendContent("/slow", long) })
+		t.Logf("seed %d: %d crashes; %d sent, %d answered, %d refused", seed, len(s.crashes), sent, s.answered["/slow"], s.refused["/slow"])
+		if s.refused["/slow"] > sent/2 {
+			t.Errorf("seed %d: %d of %d refused", seed, s.refused["/slow"], sent)
+		}
+	}
+}
