--- a/internal/localcluster/crash_requests_test.go
+++ b/internal/localcluster/crash_requests_test.go
@@ -20,6 +20,7 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
+	"github.com/vanillaarch/vanillaarch/internal/testlog"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -271,6 +272,23 @@
 	return out
 }
 
+// newCrashLog returns a writer for the logs of all VMs. What concerns crashes and refusals is shown
+// if the test fails.
+func newCrashLog(t *testing.T) *testlog.Buffer {
+	logs := &testlog.Buffer{}
+	t.Cleanup(func() {
+		if !t.Failed() {
+			return
+		}
+		for line := range strings.Lines(logs.String()) {
+			if strings.Contains(line, "quarantine") || strings.Contains(line, "suspect") || strings.Contains(line, "failed_run") || strings.Contains(line, "crash") {
+				t.Log(strings.TrimSpace(line))
+			}
+		}
+	})
+	return logs
+}
+
 // usualTimeouts leaves the timeouts as they are by default, so that a sound request on a busy
 // machine does not fail for another reason.
 func usualTimeouts(*config.Config) {}
@@ -283,7 +301,7 @@
 	shared := strings.Repeat("You answer questions about fuse boards briefly and in German. \n\n", 4)
 	for name, soundWhenNoticed := range map[string]bool{"sound ones beside it": false, "sound ones after it": true} {
 		t.Run(name, func(t *testing.T) {
-			c, ctx := startCluster(t, localcluster.Options{VMs: 3, Configure: usualTimeouts})
+			c, ctx := startCluster(t, localcluster.Options{VMs: 3, Configure: usualTimeouts, Logs: newCrashLog(t)})
 			engines := startCrashingServers(t, c, engineCrashDelay, vmlist.VM{Role: vmlist.RoleEngine, Models: []string{localcluster.Model}}, func(id string) http.Handler {
 				return standin.NewEngine(standin.EngineOptions{ID: id, TokenInterval: 5 * time.Millisecond})
 			})
@@ -306,7 +324,7 @@
 func TestCallThatCrashesServersIsRefused(t *testing.T) {
 	for _, route := range []string{localcluster.LookupRoute, localcluster.BookingRoute} {
 		t.Run(route, func(t *testing.T) {
-			c, ctx := startCluster(t, localcluster.Options{VMs: 2, Configure: usualTimeouts})
+			c, ctx := startCluster(t, localcluster.Options{VMs: 2, Configure: usualTimeouts, Logs: newCrashLog(t)})
 			servers := startCrashingServers(t, c, callCrashDelay, vmlist.VM{Role: vmlist.RoleService, Services: []string{localcluster.Service}}, func(string) http.Handler {
 				return standin.NewService()
 			})
