--- a/entry_run.go
+++ b/entry_run.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -78,6 +79,7 @@
 	e.gateway.BeginDrain(grace - answerMargin)
 	limit := begin.Add(grace)
 	notice := min(drainNotice, e.bounds.Load().Grace/2)
+	e.callerListener.GiveNotice(listen.Notice{Period: notice, Until: limit.Add(-answerMargin)})
 	time.Sleep(notice)
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
@@ -89,6 +91,7 @@
 		e.log.Warn("drain_incomplete", zap.Int("active", e.gateway.Active()),
 			zap.Stringers("connections", e.callerListener.Open(maxLoggedConnections)), telemetry.Error(err))
 	}
+	e.log.Info("connections_drained", zap.Int("unannounced", e.callerListener.Unannounced()), zap.Duration("since_signal", time.Since(begin)))
 	return e.gateway.WaitDrained(ctx)
 }
 
--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -118,7 +118,7 @@
 }
 
 // DrainConnections closes the listener, and has each connection closed once no request on it
-// is pending. It returns when all connections are closed or ctx ends. Requests are still
+// is pending and its notice is over, see GiveNotice. It returns when all connections are closed or ctx ends. Requests are still
 // served, and their responses must close the connection.
 //
 // It replaces http.Server.Shutdown, after which the server closes a connection without a
@@ -154,29 +154,6 @@
 	}
 }
 
-// closeIdle makes the server close connections without a pending request. It returns how
-// many connections are open.
-func (l *Listener) closeIdle(now time.Time) (open int) {
-	conns := l.tracked()
-	for _, c := range conns {
-		c.expireIfIdle(now)
-	}
-	return len(conns)
-}
-
-// expireIfIdle lets the pending Read of an idle connection fail, after which the server
-// closes the connection. The goroutine that reads thus decides whether a request has
-// arrived: if the connection were closed here, the server could read a request, and handle
-// it, between the check and the close.
-func (c *conn) expireIfIdle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.expired || !c.idle(now) {
-		return
-	}
-	c.expired = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) == nil
-}
-
 func (l *Listener) tracked() []*conn {
 	l.connsMu.Lock()
 	defer l.connsMu.Unlock()
@@ -217,22 +194,6 @@
 	return Connection{Remote: c.RemoteAddr().String(), State: c.state, Since: c.since}
 }
 
-// idle reports whether the server waits for a request of which nothing has arrived. The
-// caller holds c.mu.
-func (c *conn) idle(now time.Time) bool {
-	if c.hasRead || !c.reading {
-		return false
-	}
-	switch c.state {
-	case http.StateIdle:
-		return !c.hasInput()
-	case http.StateNew:
-		return now.Sub(c.since) >= firstRequestTimeout && !c.hasInput()
-	default:
-		return false
-	}
-}
-
 // Read implements net.Conn. A read deadline that has passed, for instance while the process
 // did not run, does not discard a request that has arrived.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/listen/connections_test.go
+++ b/internal/listen/connections_test.go
@@ -197,22 +197,22 @@
 func TestIdleConnection(t *testing.T) {
 	c, server := acceptOne(t)
 	now := time.Now()
-	if server.idle(now.Add(firstRequestTimeout)) {
+	if server.idle(now.Add(firstRequestTimeout), Notice{}) {
 		t.Error("idle before the server waits for a request")
 	}
 	server.beginRead()
-	if server.idle(now) || !server.idle(now.Add(firstRequestTimeout)) {
-		t.Errorf("new connection: idle at once %v, after the timeout %v", server.idle(now), server.idle(now.Add(firstRequestTimeout)))
+	if server.idle(now, Notice{}) || !server.idle(now.Add(firstRequestTimeout), Notice{}) {
+		t.Errorf("new connection: idle at once %v, after the timeout %v", server.idle(now, Notice{}), server.idle(now.Add(firstRequestTimeout), Notice{}))
 	}
 	server.l.ConnState(server, http.StateIdle)
-	if !server.idle(now) {
+	if !server.idle(now, Notice{}) {
 		t.Error("kept connection without a request is not idle")
 	}
 	c.write(t, testRequest)
 	for begin := time.Now(); !server.hasInput() && time.Since(begin) < 5*time.Second; {
 		time.Sleep(time.Millisecond)
 	}
-	if server.idle(now) {
+	if server.idle(now, Notice{}) {
 		t.Error("idle although a request has arrived")
 	}
 }
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -48,6 +49,11 @@
 	conns map[*conn]struct{}
 	// open is the number of accepted connections that are open, those of HTTP/2 included.
 	open int
+	// notice is that of DrainConnections.
+	notice Notice
+
+	// unannounced counts the idle connections that DrainConnections has ended.
+	unannounced atomic.Int64
 
 	// budget bounds the memory of connections that wait for a request, maxConnections the open
 	// connections. Without them, nil and 0, there is no bound.
