--- a/internal/localcluster/stop_test.go
+++ b/internal/localcluster/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -152,6 +154,62 @@
 	}
 }
 
+// TestDrainAnswersTheRequestAfterAStream guards against a planned stop that closes the connection
+// of the last stream as soon as it ends, although its head could not announce that, so that the
+// next request gets no answer.
+func TestDrainAnswersTheRequestAfterAStream(t *testing.T) {
+	const (
+		notice = 2 * time.Second
+		length = 250 // The stream outlasts the notice: a token takes 10 ms.
+		pause  = 800 * time.Millisecond
+		auth   = "Host: h\r\nAuthorization: Bearer " + localcluster.APIKey + "\r\n"
+	)
+	c, _ := startCluster(t, localcluster.Options{VMs: 1, Engines: 1, Configure: func(cfg *config.Config) {
+		cfg.Timeouts.DrainNotice = config.Duration(notice)
+	}})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(c.VMs[0].URL(), "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	reader := bufio.NewReader(conn)
+	streamed := prompt(length)
+	streamed.Stream = true
+	body, err := json.Marshal(streamed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exchange := func(request string, begun func()) (*http.Response, error) {
+		if _, err := io.WriteString(conn, request); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return nil, err
+		}
+		begun()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp, err
+	}
+	stream := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", auth, len(body), body)
+	if resp, err := exchange(stream, c.VMs[0].BeginStop); err != nil || resp.StatusCode != http.StatusOK || resp.Close {
+		t.Fatalf("stream: %v, %v", resp, err)
+	}
+	time.Sleep(pause)
+	resp, err := exchange("GET /v1/generations/x HTTP/1.1\r\n"+auth+"\r\n", func() {})
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("got status %d, closes %v", resp.StatusCode, resp.Close)
+	}
+	ended := time.Now()
+	if err := c.VMs[0].Stop(); err != nil || time.Since(ended) > notice {
+		t.Errorf("the stop ended with %v, %v after the last answer", err, time.Since(ended))
+	}
+}
+
 // TestLongAnswer guards against answers that are ended by the timeout of the
 // request body, which is 30 s by default and 200 ms in this test.
 func TestLongAnswer(t *testing.T) {
--- a/server.go
+++ b/server.go
@@ -199,11 +199,9 @@
 // Abort ends a drain immediately.
 func (s *Server) Abort() { s.abortOnce.Do(func() { close(s.abort) }) }
 
-func (s *Server) drain() (interrupted []string) {
-	s.log.Info("drain_started", zap.Int("active", len(s.frontend.Active())))
-	s.frontend.BeginDrain()
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.Timeouts.DrainNotice.Std()+s.cfg.Timeouts.Drain.Std())
-	defer cancel()
+// untilAbort returns a context that ends after limit, or when the drain is aborted.
+func (s *Server) untilAbort(limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	go func() {
 		select {
 		case <-s.abort:
@@ -211,6 +209,14 @@
 		case <-ctx.Done():
 		}
 	}()
+	return ctx, cancel
+}
+
+func (s *Server) drain() (interrupted []string) {
+	s.log.Info("drain_started", zap.Int("active", len(s.frontend.Active())))
+	s.frontend.BeginDrain()
+	ctx, cancel := s.untilAbort(s.cfg.Timeouts.DrainNotice.Std() + s.cfg.Timeouts.Drain.Std())
+	defer cancel()
 	select {
 	case <-time.After(s.cfg.Timeouts.DrainNotice.Std()):
 	case <-ctx.Done():
@@ -222,7 +228,10 @@
 // connections immediately and gives the handlers up to interruptedTimeout to return.
 func (s *Server) closeHTTP(interrupted bool) {
 	if !interrupted {
-		s.http.close(s.log)
+		notice := s.cfg.Timeouts.DrainNotice.Std()
+		ctx, cancel := s.untilAbort(settleTimeout*time.Duration(len(s.http.listeners)) + notice + closeTimeout)
+		defer cancel()
+		s.http.close(ctx, s.log, notice)
 		return
 	}
 	s.http.abort()
--- a/server_http.go
+++ b/server_http.go
@@ -103,14 +103,17 @@
 	}
 }
 
-// close shuts the servers down. Requests in progress must have been drained before.
-func (h *httpServers) close(log *zap.Logger) {
+// close shuts the servers down. Requests in progress must have been drained before. Callers whose
+// last answer began before the drain get the notice, from its end, to send another request, which
+// is rejected. ctx ends it early.
+func (h *httpServers) close(ctx context.Context, log *zap.Logger, notice time.Duration) {
+	h.listeners[0].GiveNotice(listen.Notice{Period: notice, Until: time.Now().Add(notice)})
 	for _, l := range h.listeners {
 		if err := l.DrainBacklog(settleTimeout); err != nil {
 			log.Warn("listener_not_settled", zap.Error(err))
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, notice+closeTimeout)
 	defer cancel()
 	for i, server := range h.servers {
 		if err := h.listeners[i].DrainConnections(ctx); err != nil {
