--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -150,6 +150,7 @@
 	}
 	if err != nil {
 		c.recordBodyError(err)
+		listen.ExpectInput(c.r.Context())
 		// http.Server would wait for the rest of the body before it sends the answer.
 		c.w.Header().Set("Connection", "close")
 		c.expireRead(control)
--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -39,7 +39,7 @@
 	}
 	control := http.NewResponseController(w)
 	end := time.Now().Add(unreadBodyWait)
-	body := io.LimitReader(r.Body, unreadBodyBytes)
+	body := &io.LimitedReader{R: r.Body, N: unreadBodyBytes}
 	buffer := make([]byte, 4<<10)
 	for {
 		now := time.Now()
@@ -48,6 +48,9 @@
 			return errors.Wrap(err, "read deadline")
 		}
 		_, err := body.Read(buffer)
+		if err != nil && (body.N <= 0 || !errors.Is(err, io.EOF)) {
+			ExpectInput(r.Context())
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,6 +42,13 @@
 	head     waitingHead
 	// refused fails every later Read once there was no memory for the connection.
 	refused error
+	// served is set once a request was read, closing once the connection is being closed.
+	served, closing bool
+	// inputEnded is set once the caller has closed its half of the connection or reset it, resets
+	// if a close must reset it.
+	inputEnded, resets bool
+	// expectsInput is set if a request was answered before its body was read.
+	expectsInput atomic.Bool
 
 	closeOnce sync.Once
 }
@@ -101,6 +109,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since, c.hasRead, c.head = state, time.Now(), false, waitingHead{}
+	c.served = c.served || state == http.StateActive
 }
 
 // underlying returns the connection that nc wraps, nil if no Listener has accepted it.
@@ -118,7 +127,8 @@
 }
 
 // DrainConnections closes the listener, and has each connection closed once no request on it
-// is pending. It returns when all connections are closed or ctx ends. Requests are still
+// is pending. It returns when all connections are closed, those that linger included, or ctx
+// ends. Requests are still
 // served, and their responses must close the connection.
 //
 // It replaces http.Server.Shutdown, after which the server closes a connection without a
@@ -132,7 +142,7 @@
 	for {
 		// Checked first: a connection that Accept has returned is tracked.
 		ended := l.acceptEnded()
-		if left := l.closeIdle(time.Now()); ended && left == 0 {
+		if left := l.closeIdle(time.Now()); ended && left == 0 && l.lingers() == 0 {
 			return nil
 		}
 		select {
@@ -243,27 +253,31 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsRequest() && c.hasInput() {
 		n, err = c.readArrived(p)
 	}
-	c.endRead(n)
+	c.endRead(n, err)
 	if full := c.reserveHead(p[:n]); full != nil {
 		return 0, full
 	}
 	return n, err
 }
 
-// beginRead returns the error of a connection that was refused.
+// beginRead returns the error of a connection that was refused or closed.
 func (c *conn) beginRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return net.ErrClosed
+	}
 	c.reading = c.refused == nil
 	return c.refused
 }
 
 // endRead records the end of a Read. A request that arrives although its connection seemed
 // idle is read to its end.
-func (c *conn) endRead(n int) {
+func (c *conn) endRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
+	c.inputEnded = c.inputEnded || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	c.hasRead = c.hasRead || n > 0
 	if c.expired && n > 0 {
 		deadline := c.deadline
@@ -289,8 +303,11 @@
 	return !c.hasRead && (c.state == http.StateNew || c.state == http.StateIdle)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The connection may linger first. A second call ends that.
 func (c *conn) Close() error {
+	if c.beginClose() && c.lingerIfNeeded() {
+		return nil
+	}
 	c.l.untrack(c)
 	c.closeOnce.Do(c.l.connectionClosed)
 	c.l.budget.release(c)
@@ -298,14 +315,7 @@
 }
 
 // hasInput reports whether the kernel holds bytes that were not read.
-func (c *conn) hasInput() bool {
-	unread := 0
-	err := c.control(func(fd int) (err error) {
-		unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
-		return err
-	})
-	return err == nil && unread > 0
-}
+func (c *conn) hasInput() bool { return c.queueSize(unix.TIOCINQ) > 0 }
 
 // readArrived reads bytes that the kernel holds, regardless of the read deadline.
 func (c *conn) readArrived(p []byte) (int, error) {
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -48,6 +48,8 @@
 	conns map[*conn]struct{}
 	// open is the number of accepted connections that are open, those of HTTP/2 included.
 	open int
+	// lingering is the number of those that linger.
+	lingering int
 
 	// budget bounds the memory of connections that wait for a request, maxConnections the open
 	// connections. Without them, nil and 0, there is no bound.
--- a/internal/listen/peer.go
+++ b/internal/listen/peer.go
@@ -44,5 +44,8 @@
 	if !ok || c == nil {
 		return nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = true
 	return c.SetLinger(0)
 }
