--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -49,6 +49,8 @@
 	conns map[*conn]struct{}
 	// open is the number of accepted connections that are open, those of HTTP/2 included.
 	open int
+	// lingering is the number of those that linger.
+	lingering int
 	// notice is that of DrainConnections.
 	notice Notice
 
