--- a/entry_run.go
+++ b/entry_run.go
@@ -42,7 +42,8 @@
 	e.mesh.sessions.Close()
 	e.waitForTasks(&background)
 	e.httpClient.Close()
-	e.log.Info("vm_stopped", zap.Int("cut", interrupted))
+	counts := e.gateway.Counts()
+	e.log.Info("vm_stopped", zap.Int("cut", interrupted), zap.Int64("accepted", counts.Accepted), zap.Int64("ended", counts.Ended))
 	return nil
 }
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -210,25 +210,30 @@
 // WaitDrained waits until no request is active or ctx ends. It returns the number of
 // requests that are still active.
 func (g *Gateway) WaitDrained(ctx context.Context) (left int) {
-	d := g.drain
-	d.mu.Lock()
-	if len(d.active) == 0 {
-		d.mu.Unlock()
-		return 0
-	}
-	if d.finished == nil {
-		d.finished = make(chan struct{})
-	}
-	finished := d.finished
-	d.mu.Unlock()
 	select {
-	case <-finished:
+	case <-g.drain.awaitEmpty():
 		return 0
 	case <-ctx.Done():
 		return g.logCut()
 	}
 }
 
+// awaitEmpty returns a channel that is closed once no request is active.
+func (d *drainState) awaitEmpty() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.finished != nil {
+		return d.finished
+	}
+	finished := make(chan struct{})
+	if len(d.active) == 0 {
+		close(finished)
+	} else {
+		d.finished = finished
+	}
+	return finished
+}
+
 // logCut logs the requests whose connections are about to be closed without a complete
 // answer, and returns their number.
 func (g *Gateway) logCut() int {
@@ -259,8 +264,12 @@
 	}
 }
 
-// Close waits for background calls that outlive their request.
-func (g *Gateway) Close() { g.background.Wait() }
+// Close waits for background calls that outlive their request, and for the handlers of requests
+// whose connections were closed, so that each has recorded its end.
+func (g *Gateway) Close() {
+	g.background.Wait()
+	<-g.drain.awaitEmpty()
+}
 
 // SetVMs sets the number of VMs that share the retry budget.
 func (g *Gateway) SetVMs(n int) { g.budget.SetVMs(n) }
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -10,6 +10,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
@@ -28,7 +29,8 @@
 	endedByTimeLimit endedBy = "time_limit"
 	// endedByStop means that this VM stops.
 	endedByStop endedBy = "vm_stop"
-	// endedByVM means that this VM rejected what the backend server sent.
+	// endedByVM means that this VM rejected what the backend server sent, or that its handler
+	// panicked.
 	endedByVM endedBy = "vm"
 	// endedByCaller means that the caller disconnected.
 	endedByCaller endedBy = "caller"
@@ -57,7 +59,7 @@
 }
 
 // rejectedHere reports whether an error says that this VM does not accept what a backend
-// server sent.
+// server sent, or has failed itself.
 func rejectedHere(err error) bool {
 	_, order := errors.Into[*EventOrderError](err)
 	_, id := errors.Into[*EventIDError](err)
@@ -65,7 +67,8 @@
 	_, unsigned := errors.Into[*UnsignedError](err)
 	_, memory := errors.Into[*membudget.ExceededError](err)
 	_, size := errors.Into[*backend.ResponseTooLargeError](err)
-	return order || id || event || unsigned || memory || size
+	_, panicked := errors.Into[*recovery.PanicError](err)
+	return order || id || event || unsigned || memory || size || panicked
 }
 
 // serverState is what this VM believes of a backend server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,6 +179,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.Metrics.accepted.Inc(1)
 	c := &call{g: g, w: w, r: r, arrived: boottime.Now(), snap: g.Snapshot(), log: g.Log, caller: &callerWatch{}}
 	err := recovery.Call(c.decode) // Before other goroutines see the request.
 	c.memory = g.requestBudget.Reserve("")
@@ -234,6 +235,7 @@
 func (c *call) recovered(panicked *recovery.PanicError) error {
 	c.log.Error("request_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
 	if c.status != 0 {
+		c.ended = endedByVM
 		return errAborted
 	}
 	c.discardBody() // Has no effect if the body was read.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,7 +12,9 @@
 
 // Metrics are the counters and histograms of a gateway.
 type Metrics struct {
-	registry        metrics.Registry
+	registry metrics.Registry
+	// accepted counts the requests whose head was read, requests those that have ended.
+	accepted        metrics.Counter
 	requests        metrics.Counter
 	budgetExhausted metrics.Counter
 	// outsideRegions counts the requests that were refused since no server is in a home region.
@@ -63,6 +65,7 @@
 	}
 	return &Metrics{
 		registry:        r,
+		accepted:        metrics.GetOrRegisterCounter("gateway.requests_accepted", r),
 		requests:        metrics.GetOrRegisterCounter("gateway.requests", r),
 		budgetExhausted: metrics.GetOrRegisterCounter("gateway.retry_budget_exhausted", r),
 		outsideRegions:  metrics.GetOrRegisterCounter("gateway.outside_home_regions", r),
@@ -105,6 +108,18 @@
 	metrics.NewRegisteredFunctionalGauge("gateway.outstanding_bytes", m.registry, t.Bytes)
 }
 
+// Counts are numbers of requests since the start of a VM.
+type Counts struct {
+	// Accepted are those whose head was read, Ended those with a line request_done.
+	Accepted, Ended int64
+}
+
+// Counts returns the numbers of requests so far.
+func (g *Gateway) Counts() Counts {
+	ended := g.Metrics.requests.Count() // Before the other, so that it is not the larger one.
+	return Counts{Accepted: g.Metrics.accepted.Count(), Ended: ended}
+}
+
 // recordRequest counts a completed request by its outcome. It updates the latency of
 // responses without events.
 func (m *Metrics) recordRequest(c *call, outcome string) {
--- /dev/null
+++ b/gateway/one_end_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/vanillaarch/vanillaarch/dispatch"
+)
+
+// observeLog replaces the log of the gateway by one that is kept.
+func (r *gatewayRig) observeLog() *observer.ObservedLogs {
+	core, logged := observer.New(zapcore.InfoLevel)
+	r.Log = zap.New(core)
+	return logged
+}
+
+// beginStream answers with the head and one event, and then goes on until the request ends.
+func beginStream(_ string, w http.ResponseWriter, request *http.Request) bool {
+	w.Header().Set("Response-Signature", "s")
+	_, _ = io.Copy(io.Discard, request.Body)
+	_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	_ = http.NewResponseController(w).Flush()
+	<-request.Context().Done()
+	return true
+}
+
+// Guards against an accepted request that leaves no end in the log and the counters of its VM, or
+// two, or an end without a cause.
+func TestEachRequestHasOneEnd(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		prepare    func(*gatewayRig)
+		// leaves is set if the caller closes its connection before the answer is complete.
+		leaves         bool
+		outcome, cause string
+	}{
+		{name: "answered", path: plainPath, outcome: "answered"},
+		{name: "refused", path: "/none/1", outcome: "not_run"},
+		{name: "panic", path: streamPath, outcome: "unknown", cause: "vm", prepare: func(r *gatewayRig) {
+			r.acquire = func(dispatch.AdmissionRequest) (dispatch.Ticket, error) { panic("fault") }
+		}},
+		{name: "stream, its server breaks off", path: draftPath, outcome: "aborted", cause: "server", prepare: func(r *gatewayRig) {
+			r.answer = func(_ string, w http.ResponseWriter, _ *http.Request) bool {
+				w.Header().Set("Response-Signature", "s")
+				_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}},
+		{name: "stream, its caller leaves", path: streamPath, leaves: true, outcome: "caller_left", cause: "caller", prepare: func(r *gatewayRig) {
+			r.answer = beginStream
+		}},
+		{name: "its caller leaves before the answer", path: plainPath, leaves: true, outcome: "caller_left", cause: "caller", prepare: func(r *gatewayRig) {
+			r.answer = func(_ string, _ http.ResponseWriter, request *http.Request) bool {
+				_, _ = io.Copy(io.Discard, request.Body)
+				<-request.Context().Done()
+				return true
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newGatewayRig(t, 1)
+			logged := r.observeLog()
+			if c.prepare != nil {
+				c.prepare(r)
+			}
+			conn := r.serve()
+			if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nModel: m\r\nRequest-Id: one\r\nContent-Length: 1\r\n\r\nx", c.path); err != nil {
+				t.Fatal(err)
+			}
+			if c.leaves {
+				time.Sleep(100 * time.Millisecond) // The request is at its server.
+				_ = conn.Close()
+			} else if answer, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if left := r.WaitDrained(ctx); left > 0 {
+				t.Errorf("%d requests are active", left)
+			}
+			if counts := r.Counts(); counts != (Counts{Accepted: 1, Ended: 1}) {
+				t.Errorf("%+v", counts)
+			}
+			ends := logged.FilterMessage("request_done").All()
+			if len(ends) != 1 {
+				t.Fatalf("%d lines request_done", len(ends))
+			}
+			fields := ends[0].ContextMap()
+			if cause, _ := fields["ended_by"].(string); fields["outcome"] != c.outcome || cause != c.cause {
+				t.Errorf("outcome %v, ended by %q, want %s, %q", fields["outcome"], cause, c.outcome, c.cause)
+			}
+		})
+	}
+}
