--- a/gateway/one_end_test.go
+++ b/gateway/one_end_test.go
@@ -102,3 +102,39 @@
 		})
 	}
 }
+
+// Guards against an answer that the caller never gets, since it reads too late or not at all, and
+// that counts as answered: http.Server sends a short one after the handler has returned.
+func TestUndeliveredAnswerIsRecorded(t *testing.T) {
+	// pipelined answers of answerBytes are more than the buffers of a connection hold.
+	const pipelined, answerBytes = 4000, 3000
+	r := newGatewayRig(t, 1)
+	logged := r.observeLog()
+	r.answer = func(_ string, w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Response-Signature", "s")
+		_, _ = w.Write(make([]byte, answerBytes))
+		return true
+	}
+	conn := r.serve()
+	if err := conn.SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for i := range pipelined {
+			if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 300\r\nRequest-Id: unread-%d\r\n\r\n", plainPath, i); err != nil {
+				return
+			}
+		}
+	}()
+	ended := func() *observer.ObservedLogs {
+		return logged.Filter(func(e observer.LoggedEntry) bool { return e.ContextMap()["ended_by"] == string(endedByTimeLimit) })
+	}
+	for begin := time.Now(); ended().FilterMessage("request_done").Len() == 0; time.Sleep(50 * time.Millisecond) {
+		if time.Since(begin) > 20*time.Second {
+			t.Fatalf("%d answers of %d are recorded, none as lost", logged.FilterMessage("request_done").Len(), pipelined)
+		}
+	}
+	if n := ended().FilterMessage("answer_lost").Len(); n != 1 {
+		t.Errorf("%d lines answer_lost", n)
+	}
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -267,8 +267,7 @@
 	c.status = a.status
 	c.w.WriteHeader(a.status)
 	c.limitWrite()
-	if _, err := c.w.Write(a.body); err != nil {
-		c.writeErr = err
+	if err := c.write(a.body); err != nil {
 		return api.NewProblem(api.ProblemStreamInterrupted, http.StatusBadGateway, api.OutcomeFailed,
 			"the answer could not be delivered").WithCause(err)
 	}
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -30,6 +30,10 @@
 	retryAfterJitter = 500 * time.Millisecond
 )
 
+// problemWriteLimit is how long a problem document is held for a caller that does not read it and
+// whose connection has no room for it.
+const problemWriteLimit = 10 * time.Second
+
 func retryAfterDelay() time.Duration { return minRetryAfter + rand.N(retryAfterJitter) }
 
 // notReady returns the problem of a request that this VM can't serve, but another
@@ -141,11 +145,26 @@
 	c.beginAnswer()
 	c.status = p.Status
 	c.w.WriteHeader(p.Status)
-	if _, err := c.w.Write(body); err != nil {
+	c.limitWriteTo(problemWriteLimit)
+	if err := c.write(body); err != nil {
 		c.log.Debug("problem_not_delivered", telemetry.Error(err))
 	}
 }
 
+// write sends the whole body of an answer. http.Server would send a short one, and ignore the
+// error, only after the handler has recorded the end of the request.
+func (c *call) write(body []byte) error {
+	_, err := c.w.Write(body)
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		err = nil // An answer to HEAD ends with its head.
+	}
+	if err == nil {
+		err = http.NewResponseController(c.w).Flush()
+	}
+	c.writeErr = err
+	return err
+}
+
 // hashFraction hashes a string to a number in [0, 1).
 func hashFraction(s string) float64 {
 	return float64(xxhash.Sum64String(s)>>11) / (1 << 53)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -139,7 +139,10 @@
 
 // limitWrite bounds the time for which the response is held for a caller that does not read it.
 func (c *call) limitWrite() {
-	limit := max(c.remaining(), 0) + responseGrace
+	c.limitWriteTo(max(c.remaining(), 0) + responseGrace)
+}
+
+func (c *call) limitWriteTo(limit time.Duration) {
 	if err := http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(limit)); err != nil {
 		c.log.Debug("write_deadline_failed", telemetry.Error(err))
 	}
