--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -148,6 +148,7 @@
 		case line := <-w.lines:
 			lastReport = w.write(line, lastReport)
 		case <-w.stop:
+			w.reportDropped()
 			return
 		}
 	}
@@ -163,8 +164,15 @@
 	if w.dropped.Load() == 0 || time.Since(lastReport) < dropReportInterval {
 		return lastReport
 	}
+	return w.reportDropped()
+}
+
+// reportDropped writes the number of lines that were dropped since the last report, if any was. It
+// returns the time of the report.
+func (w *BoundedWriter) reportDropped() time.Time {
 	now := time.Now()
-	_, _ = fmt.Fprintf(w.out, "time=%s level=warn event=log_lines_dropped count=%d\n",
-		now.UTC().Format(timeLayout), w.dropped.Swap(0))
+	if dropped := w.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(w.out, "time=%s level=warn event=log_lines_dropped count=%d\n", now.UTC().Format(timeLayout), dropped)
+	}
 	return now
 }
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -110,3 +111,39 @@
 		t.Errorf("%d of 100 lines written", n)
 	}
 }
+
+// Guards against dropped lines that the log does not mention, since they were dropped shortly
+// before the end of the process or after another report.
+func TestAllDroppedLinesAreReported(t *testing.T) {
+	const lines = 3 * queuedLines
+	out := &blockingWriter{release: make(chan struct{})}
+	w := NewBoundedWriter(out)
+	w.dropped.Store(1)
+	_, _ = w.Write([]byte("line\n"))
+	for begin := time.Now(); len(w.lines) > 0; time.Sleep(time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("the line is not being written")
+		}
+	}
+	out.release <- struct{}{} // The line and the first report.
+	out.release <- struct{}{}
+	for range lines {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	close(out.release)
+	w.Close(5 * time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	got := out.written.String()
+	reported := 0
+	for _, report := range strings.Split(got, "event=log_lines_dropped count=")[1:] {
+		n, err := strconv.Atoi(strings.Fields(report)[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		reported += n
+	}
+	if written := strings.Count(got, "line\n"); written+reported != lines+2 {
+		t.Errorf("%d lines written, %d reported as dropped, want %d in all", written, reported, lines+2)
+	}
+}
