--- a/entry_run.go
+++ b/entry_run.go
@@ -28,11 +28,12 @@
 	for _, task := range tasks {
 		background.Go(func() { task(work) })
 	}
+	// Before the first request, so that no line of one precedes it.
+	e.log.Info("vm_started", zap.String("callers", e.opts.Deployment.Listen.Callers), zap.String("zone", e.opts.Deployment.Zone))
 	servers := []*http.Server{e.callers, e.probes, e.admin}[:len(e.listeners)]
 	for i, s := range servers {
 		background.Go(func() { e.serve(s, e.listeners[i]) })
 	}
-	e.log.Info("vm_started", zap.String("callers", e.opts.Deployment.Listen.Callers), zap.String("zone", e.opts.Deployment.Zone))
 	<-ctx.Done()
 	interrupted := e.drain()
 	for _, s := range servers {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -51,6 +51,7 @@
 	// Unparsed counts request_done lines that could not be parsed.
 	Unparsed    int
 	evacuations evacuations
+	ends        Ends
 }
 
 // Read adds the requests of a log to the summary.
@@ -59,6 +60,7 @@
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
 		s.evacuations.read(lines.Text())
+		s.ends.read(lines.Text())
 		if !strings.Contains(lines.Text(), "event=request_done") {
 			continue
 		}
@@ -142,7 +144,10 @@
 	if err := w.Flush(); err != nil {
 		return errors.Wrap(err, "write table")
 	}
-	return s.evacuations.write(out, s.refusedBy("evacuation"))
+	if err := s.evacuations.write(out, s.refusedBy("evacuation")); err != nil {
+		return err
+	}
+	return s.ends.Write(out)
 }
 
 // refusedBy returns the number of requests that a part of the system has refused.
