--- a/test/callerlimits/callers_test.go
+++ b/test/callerlimits/callers_test.go
@@ -53,9 +53,15 @@
 // and after an ordinary request.
 func runCrowd(d *daemon, address string, behaviour func(n int) caller) {
 	d.t.Helper()
-	conns := make([]net.Conn, crowd)
+	runCrowdOf(crowd, d, address, behaviour)
+}
+
+// runCrowdOf is runCrowd with another number of callers.
+func runCrowdOf(size int, d *daemon, address string, behaviour func(n int) caller) {
+	d.t.Helper()
+	conns := make([]net.Conn, size)
 	var group sync.WaitGroup
-	for n := range crowd {
+	for n := range size {
 		group.Go(func() {
 			c, err := net.DialTimeout("tcp", address, sendLimit)
 			if err != nil {
--- a/test/callerlimits/daemon_test.go
+++ b/test/callerlimits/daemon_test.go
@@ -74,6 +74,13 @@
 
 // startEntry starts an entry VM with a plain server behind it.
 func startEntry(t *testing.T) *daemon {
+	t.Helper()
+	return startEntryWith(t, nil)
+}
+
+// startEntryWith is startEntry with another configuration than that of the stand-in, unless it is
+// nil.
+func startEntryWith(t *testing.T, config []byte) *daemon {
 	t.Helper()
 	store := userplatform.NewStore()
 	t.Cleanup(store.Close)
@@ -85,6 +92,9 @@
 	if err := userplatform.NewFleet(store).StartAll(0, 1); err != nil {
 		t.Fatal(err)
 	}
+	if config != nil {
+		store.Put("op/config", config)
+	}
 	d := &daemon{t: t, callers: freeAddress(t), ready: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t)}
 	d.ordinary = d.booking
 	settings := userplatform.Settings{
