--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -72,6 +72,16 @@
 	return b.used
 }
 
+// OwnerBytes returns the bytes that an owner holds and that count.
+func (b *Budget) OwnerBytes(name string) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if o := b.owners[name]; o != nil {
+		return o.bytes
+	}
+	return 0
+}
+
 // Reserve returns a reservation of 0 bytes for an owner.
 func (b *Budget) Reserve(owner string) *Reservation { return &Reservation{budget: b, owner: owner} }
 
@@ -82,6 +92,8 @@
 	owner  string
 	// head and body are the bytes of both parts.
 	head, body int64
+	// leaves is the part of the limit that the reservation leaves to others.
+	leaves int64
 
 	// budget.mu guards the following fields. counted is the sum of both parts less the part
 	// that does not count.
@@ -167,6 +179,14 @@
 	r.budget.count(r, min(r.counted, max(r.head+r.body-r.budget.uncounted, 0)))
 }
 
+// Leave makes the reservation leave a part of the limit to others: it is not raised while less than
+// that is free. What it holds already stays.
+func (r *Reservation) Leave(bytes int64) {
+	if r != nil {
+		r.leaves = bytes
+	}
+}
+
 // Release returns the bytes to the budget.
 func (r *Reservation) Release() {
 	if r == nil {
@@ -207,7 +227,7 @@
 	if counted <= r.counted {
 		return nil, nil
 	}
-	if b.used+counted-r.counted <= b.limit {
+	if b.used+counted-r.counted <= b.limit-r.leaves {
 		b.count(r, counted)
 		return nil, nil
 	}
