--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -1,16 +1,14 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"math"
-	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/membudget"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
@@ -21,15 +19,16 @@
 	// requests. Bodies are kept as long as a run may go on at another engine, so most of the
 	// memory that the process does not need for itself is theirs. With 0.6, and an eighth for
 	// answers, both budgets full took a VM of 120 MB to 120 MB.
-	requestMemoryFraction = 0.55
+	requestMemoryFraction = 0.555
+	// smallPartDivisor is the divisor of this budget that gives the part which only small
+	// requests may take, so that they are served while bodies take the rest. 16 bodies of 4 MB
+	// still fit beside it on a VM of 120 MB.
+	smallPartDivisor = 40
+	// smallRequestBytes is the memory of the largest of them: requestBaseBytes, and about 64 KiB of head and body.
+	smallRequestBytes = 112 << 10
 	// requestBaseBytes is the memory of a request in progress beside its head and body:
 	// goroutines and buffers of two connections. 400 streams in progress took 38 KB each.
 	requestBaseBytes = 40 << 10
-	// requestMemoryWait bounds the wait for memory that other requests hold. A caller whose
-	// request is not read gives up after a second.
-	requestMemoryWait = 500 * time.Millisecond
-	// requestMemoryPoll is the time between two attempts to get it.
-	requestMemoryPoll = 10 * time.Millisecond
 	// uncountedResponseBytes is the part of each response, head included, that does not
 	// count against the budget. Responses of typical size therefore still succeed while
 	// another server exhausts the budget with endless responses.
@@ -50,26 +49,16 @@
 	return membudget.New(max(vmBytes/bufferMemoryDivisor, minBufferBudgetBytes), uncountedResponseBytes)
 }
 
-// newRequestBudget returns the budget for requests. It has no limit if the memory of the VM
-// is unknown.
-func newRequestBudget(vmBytes int64) *membudget.Budget {
+// newRequestMemory returns the memory for requests. It has no limit if the memory of the VM is
+// unknown.
+func newRequestMemory(vmBytes int64) *requestbody.Memory {
 	if vmBytes == 0 {
-		return membudget.New(math.MaxInt64, 0)
-	}
-	return membudget.New(max(int64(requestMemoryFraction*float64(vmBytes)), minBufferBudgetBytes), 0)
-}
-
-// awaitMemory raises the body of a reservation to size bytes. It waits for memory that others
-// hold.
-func awaitMemory(ctx context.Context, memory *membudget.Reservation, size int) error {
-	ctx, cancel := context.WithTimeout(ctx, requestMemoryWait)
-	defer cancel()
-	for {
-		err := memory.RaiseBody(int64(size))
-		if err == nil || !wait.Sleep(ctx, requestMemoryPoll) {
-			return err
-		}
+		return requestbody.New(requestbody.Options{LimitBytes: math.MaxInt64})
 	}
+	limit := max(int64(requestMemoryFraction*float64(vmBytes)), minBufferBudgetBytes)
+	return requestbody.New(requestbody.Options{
+		LimitBytes: limit, SmallPartBytes: limit / smallPartDivisor, SmallRequestBytes: smallRequestBytes,
+	})
 }
 
 // readAll reads a body to its end into memory of the reservation. It stops after limit+1 bytes,
--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -5,13 +5,17 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/route"
 )
@@ -74,6 +78,14 @@
 
 func (h halfReader) Read(p []byte) (int, error) { return h.r.Read(p[:(len(p)+1)/2]) }
 
+// deadlineRecorder is a recorder that takes read deadlines.
+type deadlineRecorder struct{ *httptest.ResponseRecorder }
+
+func (deadlineRecorder) SetReadDeadline(time.Time) error { return nil }
+
+// collectLimit bounds the wait for a collection to free buffers that are not used.
+const collectLimit = 5 * time.Second
+
 // Guards against a burst of requests with large bodies that exhausts the memory of a VM, each
 // within the limit of the configuration. Those that do not fit are rejected after their body
 // is read, with a length or in chunks, and fit once others have ended.
@@ -85,17 +97,27 @@
 	)
 	for name, length := range map[string]int64{"with a length": bodyBytes, "in chunks": -1} {
 		t.Run(name, func(t *testing.T) {
-			g := &Gateway{requestBudget: newRequestBudget(vmBytes)}
+			g := &Gateway{
+				Options: Options{Metrics: NewMetrics(metrics.NewRegistry())}, requestMemory: newRequestMemory(vmBytes),
+				drain: newDrainState(),
+			}
 			snap := &control.Snapshot{Routes: route.NewTable(route.TableSpec{Limits: route.Limits{BodyBytes: bodyBytes}})}
 			read := func() (*call, int, error) {
 				body := bytes.NewReader(make([]byte, bodyBytes))
-				c := &call{g: g, snap: snap, log: zap.NewNop(), w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", body)}
+				c := &call{
+					g: g, snap: snap, log: zap.NewNop(), w: deadlineRecorder{httptest.NewRecorder()},
+					r: httptest.NewRequest(http.MethodPost, "/", body), deadline: boottime.Now() + time.Minute,
+				}
 				c.r.ContentLength = length
-				c.memory = g.requestBudget.Reserve("")
-				got, err := c.bufferBody(t.Context())
+				control := http.NewResponseController(c.w)
+				c.memory = g.requestMemory.Reserve("")
+				got, err := c.bufferBody(t.Context(), control)
 				if err == nil && len(got) != bodyBytes {
 					t.Errorf("read %d bytes", len(got))
 				}
+				if err != nil {
+					err = c.bodyNotRead(control, err)
+				}
 				return c, body.Len(), err
 			}
 			var accepted []*call
@@ -110,7 +132,7 @@
 				} else {
 					c.memory.Release()
 				}
-				if used := g.requestBudget.Used(); used > g.requestBudget.Limit() || used > vmBytes {
+				if used := g.requestMemory.Used(); used > g.requestMemory.Limit() || used > vmBytes {
 					t.Errorf("%d bytes are reserved", used)
 				}
 			}
@@ -120,7 +142,12 @@
 			for _, c := range accepted {
 				c.memory.Release()
 			}
-			if used := g.requestBudget.Used(); used != 0 {
+			// A large buffer counts until it was collected.
+			accepted = nil
+			for end := time.Now().Add(collectLimit); g.requestMemory.Used() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				runtime.GC()
+			}
+			if used := g.requestMemory.Used(); used != 0 {
 				t.Errorf("%d bytes are still reserved", used)
 			}
 			if _, _, err := read(); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/vanillaarch/vanillaarch/outstanding"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/ratelimit/permit"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/route"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -71,8 +72,9 @@
 	replaced   replacedServers
 	drain      *drainState
 	pace       *paceTable
-	// requestBudget bounds the memory for bodies of requests, answerBudget that for answers.
-	requestBudget, answerBudget *membudget.Budget
+	// requestMemory bounds the memory for requests, answerBudget that for answers.
+	requestMemory *requestbody.Memory
+	answerBudget  *membudget.Budget
 	// background tracks calls that outlive their request.
 	background sync.WaitGroup
 }
@@ -90,10 +92,10 @@
 		runs:          newRunTable(),
 		drain:         newDrainState(),
 		pace:          newPaceTable(),
-		requestBudget: newRequestBudget(o.MemoryBytes),
+		requestMemory: newRequestMemory(o.MemoryBytes),
 		answerBudget:  newAnswerBudget(o.MemoryBytes),
 	}
-	g.Metrics.observeMemory(g.requestBudget, g.answerBudget)
+	g.Metrics.observeMemory(g.requestMemory, g.answerBudget)
 	g.Metrics.observeOutstanding(g.outstanding)
 	return g
 }
@@ -130,8 +132,8 @@
 	body           []byte
 	// identity is what the quarantine knows the request by.
 	identity *quarantine.Request
-	// memory accounts for the memory of body.
-	memory *membudget.Reservation
+	// memory accounts for the memory of body, nil before the request is read.
+	memory *requestbody.Request
 	// bodyLate is set before a time limit of the VM ends a read from the caller, or once it has:
 	// the context of the request then ends although the caller is there.
 	bodyLate atomic.Bool
@@ -181,7 +183,6 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrived: boottime.Now(), snap: g.Snapshot(), log: g.Log, caller: &callerWatch{}}
 	err := recovery.Call(c.decode) // Before other goroutines see the request.
-	c.memory = g.requestBudget.Reserve("")
 	defer c.releaseMemory()
 	g.drain.enter(c)
 	defer g.drain.leave(c)
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/membudget"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
@@ -134,17 +135,16 @@
 		burst        = 16
 		bodyBytes    = 4 << 20
 	)
-	requests, answers := newRequestBudget(vmBytes), newAnswerBudget(vmBytes)
+	requests, answers := newRequestMemory(vmBytes), newAnswerBudget(vmBytes)
 	if left := vmBytes - requests.Limit() - answers.Limit(); left < processBytes {
 		t.Errorf("%d MB are left for the process", left>>20)
 	}
 	for i := range burst {
-		memory := requests.Reserve("")
-		if err := memory.AddHead(requestBaseBytes); err != nil {
-			t.Fatalf("request %d: %v", i, err)
-		}
-		if err := memory.RaiseBody(bodyBytes + bytes.MinRead); err != nil {
+		body := requestbody.Body{Reader: bytes.NewReader(make([]byte, bodyBytes)), Length: bodyBytes, Limit: bodyBytes, End: func() {}}
+		request := requests.Reserve("")
+		if _, err := request.Read(t.Context(), requestBaseBytes, body); err != nil {
 			t.Fatalf("body %d: %v", i, err)
 		}
+		defer request.Release()
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/outstanding"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
@@ -21,8 +22,9 @@
 	runsFailedBeforeEvent metrics.Counter
 	// requestsSentAgain counts the sends after the first one of each request.
 	requestsSentAgain metrics.Counter
-	// requestsWithoutMemory counts the requests that were rejected for want of memory.
-	requestsWithoutMemory metrics.Counter
+	// requestsWithoutMemory counts the requests that were rejected for want of memory,
+	// bodiesEvicted those whose incomplete body gave way to another request.
+	requestsWithoutMemory, bodiesEvicted metrics.Counter
 	// answersWithoutMemory counts the answers that were given up for want of memory,
 	// answersEvicted those that gave way to answers of other servers.
 	answersWithoutMemory, answersEvicted metrics.Counter
@@ -70,6 +72,7 @@
 		runsFailedBeforeEvent: metrics.GetOrRegisterCounter("gateway.runs_failed_before_event", r),
 		requestsSentAgain:     metrics.GetOrRegisterCounter("gateway.requests_sent_again", r),
 		requestsWithoutMemory: metrics.GetOrRegisterCounter("gateway.requests_without_memory", r),
+		bodiesEvicted:         metrics.GetOrRegisterCounter("gateway.request_bodies_evicted", r),
 		answersWithoutMemory:  metrics.GetOrRegisterCounter("gateway.answers_without_memory", r),
 		answersEvicted:        metrics.GetOrRegisterCounter("gateway.answers_evicted", r),
 
@@ -95,7 +98,7 @@
 }
 
 // observeMemory registers gauges of the bytes that budgets hold.
-func (m *Metrics) observeMemory(requests, answers *membudget.Budget) {
+func (m *Metrics) observeMemory(requests *requestbody.Memory, answers *membudget.Budget) {
 	metrics.NewRegisteredFunctionalGauge("gateway.request_memory_bytes", m.registry, requests.Used)
 	metrics.NewRegisteredFunctionalGauge("gateway.answer_memory_bytes", m.registry, answers.Used)
 }
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -14,7 +14,7 @@
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/testnet"
-	"github.com/vanillaarch/vanillaarch/membudget"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 )
 
 // serve serves the gateway over TCP as an entry VM does, and returns a connection of a caller.
@@ -186,7 +186,7 @@
 // is dropped, does not arrive: the VM took the end of its own time limit for the caller's leaving.
 func TestRefusalForLackOfMemoryOutlivesALateBody(t *testing.T) {
 	r := newGatewayRig(t, 1)
-	r.requestBudget = membudget.New(1, 0)
+	r.requestMemory = requestbody.New(requestbody.Options{LimitBytes: 1})
 	conn := r.serve()
 	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\nDeadline-Ms: 300\r\nContent-Length: 100\r\n\r\nx", plainPath); err != nil {
 		t.Fatal(err)
--- a/requestbody/requestbody_test.go
+++ b/requestbody/requestbody_test.go
@@ -94,30 +94,39 @@
 	const full, half = bodyLimit, bodyLimit / 2
 	for name, test := range map[string]struct {
 		arrivals []arrival
-		// needs is the memory of the lookup that comes last, of organisation "z".
+		// owner is the owner of the lookup that comes last, needs its memory.
+		owner string
 		needs int64
 		// gives are the numbers of the arrivals that give way.
 		gives []int
 	}{
-		"nobody while there is memory": {[]arrival{{"a", full, 200 << 10, time.Minute}}, 40 << 10, nil},
+		"nobody while there is memory": {[]arrival{{"a", full, 200 << 10, time.Minute}}, "z", 40 << 10, nil},
 		"one without progress, then the largest": {
 			[]arrival{{"a", full, 100 << 10, 2 * time.Second}, {"b", full, 230 << 10, 0}, {"c", full, 220 << 10, 0}},
+			"z",
 			300 << 10,
 			[]int{0},
 		},
 		"the largest of those that make progress": {
 			[]arrival{{"a", half, 100 << 10, 0}, {"b", full, 230 << 10, 0}, {"c", half, 110 << 10, 0}, {"d", half, 110 << 10, 0}},
+			"z",
 			120 << 10,
 			[]int{1},
 		},
 		"the largest of the owner that holds most": {
 			[]arrival{{"a", half, 110 << 10, 0}, {"a", 100 << 10, 90 << 10, 0}, {"a", 90 << 10, 80 << 10, 0}, {"b", full, 230 << 10, 0}},
+			"z",
 			120 << 10,
 			[]int{0},
 		},
+		"the largest of the same owner": {
+			[]arrival{{"z", half, 100 << 10, 0}, {"z", full, 230 << 10, 0}, {"z", half, 110 << 10, 0}, {"z", half, 110 << 10, 0}},
+			"z", 120 << 10,
+			[]int{1},
+		},
 		"nobody of similar size": {
 			[]arrival{{"a", full, 230 << 10, 0}, {"b", full, 230 << 10, 0}, {"c", full, 230 << 10, 0}},
-			200 << 10, nil,
+			"z", 200 << 10, nil,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -129,7 +138,7 @@
 					time.Sleep(a.later)
 				}
 				before := m.Used()
-				err := lookup(m, "z", test.needs)
+				err := lookup(m, test.owner, test.needs)
 				if fits := before+test.needs <= testLimit-testPart; (err == nil) != (fits || test.gives != nil) {
 					t.Errorf("answer to the lookup: %v, %d bytes were used", err, before)
 				}
@@ -137,7 +146,7 @@
 				for n, u := range uploads {
 					if evicted := u.gaveWay(); evicted != nil {
 						gave = append(gave, n)
-						if evicted.For != "z" || evicted.Owner != test.arrivals[n].owner || evicted.Bytes == 0 || evicted.OwnerBytes < evicted.Bytes {
+						if evicted.For != test.owner || evicted.Owner != test.arrivals[n].owner || evicted.Bytes == 0 || evicted.OwnerBytes < evicted.Bytes {
 							t.Errorf("body %d: %v", n, evicted)
 						}
 					}
--- a/requestbody/victim.go
+++ b/requestbody/victim.go
@@ -16,7 +16,7 @@
 type claim struct {
 	// stalled is set if its body makes less progress than the least rate.
 	stalled bool
-	// ownerBytes is what its owner holds, bytes what it holds itself; of a request that needs
+	// ownerBytes is what its owner holds. bytes is what it holds itself; of a request that needs
 	// memory with what it needs for its whole body.
 	ownerBytes, bytes int64
 	// progressAt is when its body last made progress.
@@ -28,7 +28,7 @@
 	if c.stalled != needs.stalled {
 		return c.stalled
 	}
-	return c.ownerBytes > evictionRatio*needs.ownerBytes || c.ownerBytes >= needs.ownerBytes && c.bytes > evictionRatio*needs.bytes
+	return c.ownerBytes > evictionRatio*(needs.ownerBytes+needs.bytes) || c.ownerBytes >= needs.ownerBytes && c.bytes > evictionRatio*needs.bytes
 }
 
 // before reports whether a body gives way before another one.
@@ -58,7 +58,6 @@
 		return claim{stalled: now-progressAt > progressTime, ownerBytes: owners[r.owner], bytes: bytes, progressAt: progressAt}
 	}
 	needs := claimOf(r, max(r.bytes+bytes, r.announced))
-	needs.ownerBytes += bytes
 	var (
 		victim *Request
 		first  claim
