--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/membudget"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 	"github.com/vanillaarch/vanillaarch/route"
 )
 
@@ -99,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := &Gateway{
 				Options: Options{Metrics: NewMetrics(metrics.NewRegistry())}, requestMemory: newRequestMemory(vmBytes),
-				drain: newDrainState(),
+				drain: newDrainState(), refusedBytes: requestbody.NewAllowance(refusedBytesPerSecond, boottime.Now),
 			}
 			snap := &control.Snapshot{Routes: route.NewTable(route.TableSpec{Limits: route.Limits{BodyBytes: bodyBytes}})}
 			read := func() (*call, int, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,8 @@
 	// requestMemory bounds the memory for requests, answerBudget that for answers.
 	requestMemory *requestbody.Memory
 	answerBudget  *membudget.Budget
+	// refusedBytes bounds what is read of bodies that were refused.
+	refusedBytes *requestbody.Allowance
 	// background tracks calls that outlive their request.
 	background sync.WaitGroup
 }
@@ -94,6 +96,7 @@
 		pace:          newPaceTable(),
 		requestMemory: newRequestMemory(o.MemoryBytes),
 		answerBudget:  newAnswerBudget(o.MemoryBytes),
+		refusedBytes:  requestbody.NewAllowance(refusedBytesPerSecond, boottime.Now),
 	}
 	g.Metrics.observeMemory(g.requestMemory, g.answerBudget)
 	g.Metrics.observeOutstanding(g.outstanding)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,8 +23,9 @@
 	// requestsSentAgain counts the sends after the first one of each request.
 	requestsSentAgain metrics.Counter
 	// requestsWithoutMemory counts the requests that were rejected for want of memory,
-	// bodiesEvicted those whose incomplete body gave way to another request.
-	requestsWithoutMemory, bodiesEvicted metrics.Counter
+	// bodiesEvicted those whose incomplete body gave way to another request, and bodiesCutShort
+	// the refused bodies that were not read to their end since too many were refused.
+	requestsWithoutMemory, bodiesEvicted, bodiesCutShort metrics.Counter
 	// answersWithoutMemory counts the answers that were given up for want of memory,
 	// answersEvicted those that gave way to answers of other servers.
 	answersWithoutMemory, answersEvicted metrics.Counter
@@ -73,6 +74,7 @@
 		requestsSentAgain:     metrics.GetOrRegisterCounter("gateway.requests_sent_again", r),
 		requestsWithoutMemory: metrics.GetOrRegisterCounter("gateway.requests_without_memory", r),
 		bodiesEvicted:         metrics.GetOrRegisterCounter("gateway.request_bodies_evicted", r),
+		bodiesCutShort:        metrics.GetOrRegisterCounter("gateway.refused_bodies_cut_short", r),
 		answersWithoutMemory:  metrics.GetOrRegisterCounter("gateway.answers_without_memory", r),
 		answersEvicted:        metrics.GetOrRegisterCounter("gateway.answers_evicted", r),
 
--- a/gateway/read_body.go
+++ b/gateway/read_body.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/httphead"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/membudget"
@@ -29,6 +29,10 @@
 		}
 		return nil
 	}
+	if limit := c.snap.Routes.Limits.BodyBytes; c.r.ContentLength > limit {
+		c.dropBody()
+		return bodyTooLarge(&http.MaxBytesError{Limit: limit})
+	}
 	control := http.NewResponseController(c.w)
 	limited, release := c.g.drain.limit(c.r.Context(), noTime)
 	defer release()
@@ -113,13 +117,35 @@
 	return notReady("the VM needs the memory of the incomplete body").WithCause(evicted)
 }
 
+const (
+	// refusedBytesPerSecond bounds what a VM reads of bodies that it refuses, beyond the first
+	// part of each. Callers that send on without end had a VM read 1 GB/s.
+	refusedBytesPerSecond = 64 << 20
+	// refusedPartBytes is what listen.DiscardBody reads at most.
+	refusedPartBytes = 256 << 10
+	// maxDropTime limits how long the rest of a refused body is read.
+	maxDropTime = 10 * time.Second
+)
+
 // dropBody reads and drops the rest of a refused body, since a caller that is still sending may not see
-// the answer.
+// the answer: as much as a legal body may have, if not too much is refused at the same time.
 func (c *call) dropBody() {
-	reader := http.MaxBytesReader(c.w, c.r.Body, c.snap.Routes.Limits.BodyBytes)
-	if _, err := io.Copy(io.Discard, reader); err != nil {
-		c.recordBodyError(err)
-		c.log.Debug("body_not_dropped", telemetry.Error(err))
+	end := boottime.Now() + maxDropTime
+	left := func() time.Duration { return min(c.untilStop(), end-boottime.Now(), c.remaining()) }
+	most := c.snap.Routes.Limits.BodyBytes
+	if c.r.ContentLength > most {
+		most = refusedPartBytes // No caller that keeps to the limit sends it.
+	}
+	for dropped := int64(0); dropped < most; dropped += refusedPartBytes {
+		if dropped > 0 && !c.g.refusedBytes.Take(refusedPartBytes) {
+			c.g.Metrics.bodiesCutShort.Inc(1)
+			return
+		}
+		if err := listen.DiscardBody(c.w, c.r, left); err != nil {
+			c.recordBodyError(err)
+			c.log.Debug("body_not_dropped", telemetry.Error(err))
+			return
+		}
 	}
 }
 
