--- a/requestbody/memory.go
+++ b/requestbody/memory.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/membudget"
 )
@@ -33,7 +32,8 @@
 	// SmallPartBytes is the part of it that only requests of up to SmallRequestBytes, head and
 	// body, may take.
 	SmallPartBytes, SmallRequestBytes int64
-	// Now returns the time. Default boottime.Now.
+	// Now returns the time. By default it is monotonic, and stands still while the machine is
+	// suspended: bodies make no progress then.
 	Now func() time.Duration
 }
 
@@ -53,7 +53,8 @@
 // New returns a memory.
 func New(o Options) *Memory {
 	if o.Now == nil {
-		o.Now = boottime.Now
+		begun := time.Now()
+		o.Now = func() time.Duration { return time.Since(begun) }
 	}
 	return &Memory{Options: o, budget: membudget.New(o.LimitBytes, 0), incomplete: map[*Request]struct{}{}}
 }
