--- a/internal/soak/outside.go
+++ b/internal/soak/outside.go
@@ -16,8 +16,12 @@
 	outsideHold = 2 * time.Second
 	// outsideHeadBytes is just below the limit on the head of a request, 64 KiB.
 	outsideHeadBytes = 62 << 10
-	// endlessBytes is what is sent of a head or of empty lines without end.
+	// endlessBytes is what is sent of a head, of empty lines or of a body without end.
 	endlessBytes = 1 << 20
+	// outsideBodyBytes is the limit on a body in the configuration of the stand-in.
+	outsideBodyBytes = 64 << 10
+	// outsideBodyHead is the head of a request but for the lines that frame its body.
+	outsideBodyHead = "POST /look/1 HTTP/1.1\r\nHost: site.example\r\nRequest-Id: outside\r\nAuthorization: Bearer " + stableKey + "\r\n"
 )
 
 // outsideMessages are what callers outside the limits send before they fall silent. None of
@@ -30,6 +34,13 @@
 	// Its path has no route, so that the connection is kept after 404.
 	"GET /none HTTP/1.1\r\nHost: h\r\n\r\n",
 	strings.Repeat("GET /none HTTP/1.1\r\nHost: h\r\n\r\n", 8) + "GET / HTTP/1.1\r\nHost: h\r\n",
+	// Bodies that stop short, or are far over the limit.
+	outsideBodyHead + "Content-Length: 65536\r\n\r\n" + strings.Repeat("x", outsideBodyBytes-1),
+	outsideBodyHead + "Content-Length: 65536\r\n\r\n",
+	outsideBodyHead + "Transfer-Encoding: chunked\r\n\r\n8000\r\n" + strings.Repeat("x", outsideBodyBytes/2) + "\r\n",
+	outsideBodyHead + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;name=value\r\nx\r\n", outsideBodyBytes/2),
+	outsideBodyHead + "Content-Length: 100000000000\r\n\r\n" + strings.Repeat("x", endlessBytes),
+	outsideBodyHead + "Transfer-Encoding: chunked\r\n\r\n4000000000000000\r\n" + strings.Repeat("x", endlessBytes),
 }
 
 // runOutsideCallers keeps connections outside the limits open to every VM until ctx ends. They
