--- a/requestbody/memory.go
+++ b/requestbody/memory.go
@@ -86,7 +86,7 @@
 			return evicted
 		}
 		if poll%pollsPerSearch == 0 {
-			m.makeRoom(r, bytes)
+			m.makeRoom(r, bytes, poll == 0)
 		}
 		m.garbage.collect()
 		r.progressAt.Store(int64(m.Now())) // The caller doesn't pause, this VM does.
@@ -99,38 +99,34 @@
 	}
 }
 
-// makeRoom lets incomplete bodies give way until those that leave hold as much as r lacks.
-func (m *Memory) makeRoom(r *Request, bytes int64) {
-	for _, victim := range m.choose(r, bytes) {
-		victim.end()
-	}
-}
-
-func (m *Memory) choose(r *Request, bytes int64) []*Request {
+// makeRoom lets incomplete bodies give way until those that leave hold as much as r lacks. Garbage
+// counts as free if it can be expected to be collected.
+func (m *Memory) makeRoom(r *Request, bytes int64, withGarbage bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	free := m.budget.Limit() - r.leaves() - m.budget.Used()
-	lacks := bytes - free - m.leaving - m.garbage.waiting()
-	var victims []*Request
+	lacks := bytes + m.budget.Used() + r.leaves() - m.budget.Limit() - m.leaving
+	if withGarbage {
+		lacks -= m.garbage.waiting()
+	}
 	for lacks > 0 {
 		victim := m.victim(r, bytes)
 		if victim == nil {
-			break
+			return
 		}
 		m.evict(victim, r)
 		lacks -= victim.bytes
-		victims = append(victims, victim)
 	}
-	return victims
 }
 
-// evict records that a body gives way to r. The caller holds m.mu.
+// evict lets a body give way to r. The caller holds m.mu, so that end is not called after the
+// request has ended.
 func (m *Memory) evict(victim, r *Request) {
 	victim.evicted = &membudget.EvictedError{
 		Owner: victim.owner, OwnerBytes: m.budget.OwnerBytes(victim.owner), Bytes: victim.bytes, For: r.owner,
 	}
 	delete(m.incomplete, victim)
 	m.leaving += victim.bytes
+	victim.end()
 }
 
 // evictedBy returns the *membudget.EvictedError of a request that gave way, nil of any other.
--- a/requestbody/request.go
+++ b/requestbody/request.go
@@ -51,8 +51,8 @@
 	Length int64
 	// Limit bounds the body. Of a longer one, Limit+1 bytes are read.
 	Limit int64
-	// End makes the pending Read of the Reader fail without delay, and every later one. It is called at most
-	// once, from any goroutine, and must not block.
+	// End makes the pending Read of the Reader fail without delay, and every later one. It is
+	// called at most once, from any goroutine, before Request.Read returns. It must not block.
 	End func()
 }
 
