--- a/gateway/bodies_give_way_test.go
+++ b/gateway/bodies_give_way_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -45,7 +46,18 @@
 	if r.Metrics.bodiesEvicted.Count() == 0 {
 		t.Error("no body gave way")
 	}
+	refused := 0
 	for _, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if answer, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			refused++
+			if answer.StatusCode != http.StatusServiceUnavailable || !answer.Close {
+				t.Errorf("status %d, closes the connection: %v", answer.StatusCode, answer.Close)
+			}
+		}
 		_ = conn.Close()
 	}
+	if refused == 0 {
+		t.Error("no caller whose body gave way got an answer")
+	}
 }
--- a/gateway/read_body.go
+++ b/gateway/read_body.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -127,16 +128,31 @@
 	maxDropTime = 10 * time.Second
 )
 
-// dropBody reads and drops the rest of a refused body, since a caller that is still sending may not see
-// the answer: as much as a legal body may have, if not too much is refused at the same time.
+// partlyRead is a body that tells whether its end was read.
+type partlyRead struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *partlyRead) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err != nil
+	return n, err
+}
+
+// dropBody reads and drops the rest of a refused body, since a caller that is still sending may
+// not see the answer: as much as a legal body may have, if not too much is refused at a time.
 func (c *call) dropBody() {
 	end := boottime.Now() + maxDropTime
 	left := func() time.Duration { return min(c.untilStop(), end-boottime.Now(), c.remaining()) }
 	most := c.snap.Routes.Limits.BodyBytes
-	if c.r.ContentLength > most {
-		most = refusedPartBytes // No caller that keeps to the limit sends it.
+	if c.r.ContentLength > most || c.r.Header.Get("Expect") != "" {
+		most = refusedPartBytes // Too long, or the caller may not have begun to send it.
 	}
-	for dropped := int64(0); dropped < most; dropped += refusedPartBytes {
+	body := &partlyRead{ReadCloser: c.r.Body}
+	c.r.Body = body
+	for dropped := int64(0); dropped < most && !body.ended; dropped += refusedPartBytes {
 		if dropped > 0 && !c.g.refusedBytes.Take(refusedPartBytes) {
 			c.g.Metrics.bodiesCutShort.Inc(1)
 			return
--- a/gateway/refused_bodies_test.go
+++ b/gateway/refused_bodies_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,24 @@
 	return len(p), nil
 }
 
+// Guards against small refused bodies that use up what may be read of large ones.
+func TestSmallRefusedBodiesTakeNoAllowance(t *testing.T) {
+	g := &Gateway{
+		Options: Options{Metrics: NewMetrics(metrics.NewRegistry())}, drain: newDrainState(),
+		requestMemory: requestbody.New(requestbody.Options{LimitBytes: 1}),
+		refusedBytes:  requestbody.NewAllowance(0, func() time.Duration { return 0 }),
+	}
+	snap := &control.Snapshot{Routes: route.NewTable(route.TableSpec{})}
+	c := &call{
+		g: g, snap: snap, log: zap.NewNop(), w: deadlineRecorder{httptest.NewRecorder()},
+		r: httptest.NewRequest(http.MethodPost, "/", strings.NewReader("small")), deadline: boottime.Now() + time.Minute,
+	}
+	c.r.ContentLength = -1
+	if err := c.readBody(); err == nil || g.Metrics.bodiesCutShort.Count() > 0 {
+		t.Errorf("error %v, %d bodies were cut short", err, g.Metrics.bodiesCutShort.Count())
+	}
+}
+
 // Guards against refused bodies that a VM reads as fast as they come: it read 8 to 32 GB in 5 s
 // of bodies far over the limit.
 func TestRefusedBodiesAreReadInPart(t *testing.T) {
