--- a/api/problem.go
+++ b/api/problem.go
@@ -34,6 +34,7 @@
 	ProblemUnknownRoute        ProblemType = "unknown-route"
 	ProblemNoBundle            ProblemType = "no-bundle"
 	ProblemDraining            ProblemType = "draining"
+	ProblemNoMemory            ProblemType = "no-memory"
 	ProblemQueueFull           ProblemType = "queue-full"
 	ProblemQueueTimeout        ProblemType = "queue-timeout"
 	ProblemNoBackend           ProblemType = "no-backend"
--- a/config/config.go
+++ b/config/config.go
@@ -111,8 +111,8 @@
 	QueuedPerOrganisation int `json:"queued_per_organisation,omitempty" validate:"gte=0"`
 	// Queued bounds the queued requests of the VM. Default 4096.
 	Queued int `json:"queued,omitempty" validate:"gte=0"`
-	// MemoryBytes is the memory of the VM, from which the bound on connections that wait for a
-	// request follows. Default: the memory of the machine.
+	// MemoryBytes is the memory of the VM, from which the bounds on connections that wait for a
+	// request and on requests in progress follow. Default: the memory of the machine.
 	MemoryBytes int64 `json:"memory_bytes,omitempty" validate:"gte=0"`
 	// Descriptors is the number of descriptors that the VM may open, from which the bound on
 	// connections follows. Default: the soft limit of the process.
--- a/frontend/body.go
+++ b/frontend/body.go
@@ -1,12 +1,16 @@
 package frontend
 
 import (
+	"fmt"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 )
 
@@ -36,3 +40,55 @@
 		f.Log.Debug("body_not_dropped", zap.Error(err))
 	}
 }
+
+// readBody reads the body of a request into memory of the budget for requests. If another request
+// needs the memory before the body has ended, the request gives way and was not run.
+func (f *Frontend) readBody(c *call) ([]byte, error) {
+	if c.Request().ContentLength > f.Config.Limits.BodyBytes {
+		return nil, f.bodyTooLarge()
+	}
+	if err := f.reserveMemory(c); err != nil {
+		return nil, err
+	}
+	control := http.NewResponseController(c.Response())
+	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
+	if limited {
+		c.memory.EvictWith(func(error) { _ = control.SetReadDeadline(time.Unix(1, 0)) }) // Succeeds as the call before did.
+	}
+	reader := http.MaxBytesReader(c.Response(), c.Request().Body, f.Config.Limits.BodyBytes)
+	body, err := readInto(c.ctx, c.memory, reader, int(c.Request().ContentLength))
+	if evicted := c.memory.Keep(); evicted != nil {
+		c.bodyRead = true // The rest of the body is not awaited.
+		c.Response().Header().Set("Connection", "close")
+		return nil, f.noMemory(c, evicted)
+	}
+	if err != nil {
+		return nil, f.bodyProblem(c, err)
+	}
+	c.bodyRead = true
+	if limited {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, nil
+}
+
+// bodyProblem returns the problem of a request whose body was not read to its end.
+func (f *Frontend) bodyProblem(c *call, err error) error {
+	if isWithoutMemory(err) {
+		return f.noMemory(c, err)
+	}
+	c.bodyRead = true // Another read would fail as well.
+	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
+		return f.bodyTooLarge()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return api.NewProblem(api.ProblemBodyTimeout, http.StatusRequestTimeout, api.OutcomeNotRun,
+			fmt.Sprintf("the body did not arrive within %s", f.Config.Timeouts.Body.Std())).WithCause(err)
+	}
+	return invalidRequest("the body could not be read").WithCause(err)
+}
+
+func (f *Frontend) bodyTooLarge() error {
+	return api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
+		fmt.Sprintf("the body exceeds %d bytes", f.Config.Limits.BodyBytes))
+}
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -3,12 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"github.com/vanillaarch/vanillaarch/api"
@@ -39,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.reserveCopies(c); err != nil {
+		return err
+	}
 	f.budget.Attempt(c.identity.Organisation)
 	r := &relay{
 		f: f, c: c, request: request, sink: newSink(c, request),
@@ -49,6 +49,7 @@
 		},
 	}
 	r.identity = quarantine.NewRequest(uuid.NewString(), completionContent(c, r.admissionRequest))
+	c.body = nil // From now on, the request is held as its prompt.
 	return r.run()
 }
 
@@ -77,29 +78,6 @@
 	return r, nil
 }
 
-func (f *Frontend) readBody(c *call) ([]byte, error) {
-	c.bodyRead = true
-	limit := f.Config.Limits.BodyBytes
-	control := http.NewResponseController(c.Response())
-	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
-		return nil, api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
-			fmt.Sprintf("the body exceeds %d bytes", limit))
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, api.NewProblem(api.ProblemBodyTimeout, http.StatusRequestTimeout, api.OutcomeNotRun,
-			fmt.Sprintf("the body did not arrive within %s", f.Config.Timeouts.Body.Std())).WithCause(err)
-	}
-	if err != nil {
-		return nil, invalidRequest("the body could not be read").WithCause(err)
-	}
-	if limited {
-		_ = control.SetReadDeadline(time.Time{}) // Succeeds as the call before did.
-	}
-	return body, nil
-}
-
 func invalidRequest(detail string) *api.Problem {
 	return api.NewProblem(api.ProblemInvalidRequest, http.StatusBadRequest, api.OutcomeNotRun, detail)
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -24,6 +24,7 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
+	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -31,12 +32,14 @@
 
 // Options are the dependencies of a Frontend.
 type Options struct {
-	Config    *config.Config
-	Snapshot  func() *control.Snapshot
-	Admission dispatch.Admission
-	Engines   *backend.EngineClient
-	Services  *backend.ServiceClient
-	Claims    *claim.Manager
+	Config *config.Config
+	// MemoryBytes is the memory of the VM, 0 if unknown.
+	MemoryBytes int64
+	Snapshot    func() *control.Snapshot
+	Admission   dispatch.Admission
+	Engines     *backend.EngineClient
+	Services    *backend.ServiceClient
+	Claims      *claim.Manager
 	// Quarantine tells which requests must not be sent to a backend server.
 	Quarantine quarantine.Guard
 	Servers    Servers
@@ -51,6 +54,8 @@
 	budget  *retry.Budget
 	drain   drainState
 	counter counters
+	// requests bounds the memory for requests in progress.
+	requests *membudget.Budget
 	// serviceCursor selects the first backend server of a service call, round robin.
 	serviceCursor atomic.Uint64
 	// background tracks cancellations of generations that may outlast their request.
@@ -59,11 +64,14 @@
 
 // New returns a Frontend. Register adds its routes to a server.
 func New(o Options) *Frontend {
-	return &Frontend{
-		Options: o,
-		budget:  retry.NewBudget(o.Config.Limits.RetryRatio),
-		counter: newCounters(o.Metrics),
+	f := &Frontend{
+		Options:  o,
+		budget:   retry.NewBudget(o.Config.Limits.RetryRatio),
+		counter:  newCounters(o.Metrics),
+		requests: newRequestBudget(o.MemoryBytes, o.Config.Limits),
 	}
+	metrics.NewRegisteredFunctionalGauge("frontend.request_memory_bytes", o.Metrics, f.requests.Used)
+	return f
 }
 
 // Close waits for cancellations of generations to end.
@@ -108,6 +116,8 @@
 	answerLimit int64
 	// bodyRead is set once the body of the request is read, or the read has failed.
 	bodyRead bool
+	// memory is the part of the budget for requests that the request holds, nil before readBody.
+	memory *membudget.Reservation
 	// generation and tokens are set for the log line of the request.
 	generation string
 	tokens     int
@@ -173,6 +183,7 @@
 			"the VM is draining").WithRetryAfter(time.Second)
 	}
 	defer release()
+	defer func() { c.memory.Release() }()
 	if err := f.authenticate(c); err != nil {
 		return err
 	}
@@ -238,6 +249,7 @@
 
 type counters struct {
 	requests, tokens, restarts, resumes, preemptions, notRun, unknown, failed metrics.Counter
+	withoutMemory                                                             metrics.Counter
 	firstToken, gap                                                           metrics.Histogram
 }
 
@@ -253,16 +265,17 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return counters{
-		requests:    metrics.GetOrRegisterCounter("frontend.requests", r),
-		tokens:      metrics.GetOrRegisterCounter("frontend.tokens", r),
-		restarts:    metrics.GetOrRegisterCounter("frontend.restarts", r),
-		resumes:     metrics.GetOrRegisterCounter("frontend.resumes", r),
-		preemptions: metrics.GetOrRegisterCounter("frontend.preemptions", r),
-		notRun:      metrics.GetOrRegisterCounter("frontend.outcome.not_run", r),
-		unknown:     metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
-		failed:      metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
-		firstToken:  histogram("frontend.first_token_us"),
-		gap:         histogram("frontend.token_gap_us"),
+		requests:      metrics.GetOrRegisterCounter("frontend.requests", r),
+		tokens:        metrics.GetOrRegisterCounter("frontend.tokens", r),
+		restarts:      metrics.GetOrRegisterCounter("frontend.restarts", r),
+		resumes:       metrics.GetOrRegisterCounter("frontend.resumes", r),
+		preemptions:   metrics.GetOrRegisterCounter("frontend.preemptions", r),
+		notRun:        metrics.GetOrRegisterCounter("frontend.outcome.not_run", r),
+		unknown:       metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
+		failed:        metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
+		withoutMemory: metrics.GetOrRegisterCounter("frontend.requests_without_memory", r),
+		firstToken:    histogram("frontend.first_token_us"),
+		gap:           histogram("frontend.token_gap_us"),
 	}
 }
 
--- /dev/null
+++ b/frontend/memory_test.go
@@ -0,0 +1,84 @@
+package frontend
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/api"
+)
+
+// smallVM is the memory of a VM whose budget for requests has room for one request with the
+// largest body.
+const smallVM = 1
+
+// largestBody is a completion request of the largest legal size.
+func (r *rig) largestBody() string {
+	begin, end := `{"model":"`+rigModel+`","prompt":"`, `"}`
+	return begin + strings.Repeat("p", int(r.Config.Limits.BodyBytes)-len(begin)-len(end)) + end
+}
+
+// Guards against a budget for requests that refuses a single one inside the limits.
+func TestLargestBodyIsServedInCalm(t *testing.T) {
+	r := newRig(t, 1)
+	r.requests = newRequestBudget(smallVM, r.Config.Limits)
+	for path, body := range map[string]string{"/v1/completions": r.largestBody(), "/v1/services/look": r.largestBody()} {
+		if w := r.send(http.MethodPost, path, body); w.Code != http.StatusOK {
+			t.Errorf("%s: %d %s", path, w.Code, w.Body)
+		}
+		if used := r.requests.Used(); used != 0 {
+			t.Errorf("%s: %d bytes are still reserved", path, used)
+		}
+	}
+}
+
+// Guards against bodies that stop before their end and take the memory that other requests need.
+func TestIncompleteBodyGivesWay(t *testing.T) {
+	r := newRig(t, 1)
+	r.requests = newRequestBudget(smallVM, r.Config.Limits)
+	server := httptest.NewServer(r.handler)
+	defer server.Close()
+	body := r.largestBody()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)-1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for r.requests.Used() < int64(len(body)) {
+		time.Sleep(time.Millisecond)
+	}
+	rest := r.requests.Reserve("another request")
+	defer rest.Release()
+	if err := rest.RaiseBody(r.requests.Limit() - r.requests.Used()); err != nil {
+		t.Fatal(err)
+	}
+	if w := r.send(http.MethodPost, "/v1/services/look", "{}"); w.Code != http.StatusOK {
+		t.Errorf("a small request: %d %s", w.Code, w.Body)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var problem api.Problem
+	if err := json.NewDecoder(answer.Body).Decode(&problem); err != nil {
+		t.Fatal(err)
+	}
+	if answer.StatusCode != http.StatusServiceUnavailable || problem.Kind() != api.ProblemNoMemory || problem.Outcome != api.OutcomeNotRun ||
+		answer.Header.Get("Retry-After") == "" || !answer.Close {
+		t.Errorf("the incomplete request: %d %v", answer.StatusCode, problem)
+	}
+	if calls := r.calls("engine-0"); len(calls) != 0 {
+		t.Errorf("the incomplete request was passed on: %v", calls)
+	}
+}
--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -96,6 +97,7 @@
 
 func (r *rig) start(id string) vmlist.VM {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body) // Else a large body may be cut by the answer.
 		generation := request.Header.Get(api.HeaderGenerationID)
 		if request.Method == http.MethodGet {
 			generation = strings.TrimPrefix(request.URL.Path, "/v1/generations/")
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -210,6 +210,9 @@
 // KVURL returns the base URL of the key-value service.
 func (c *Cluster) KVURL() string { return c.kvServer.URL() }
 
+// VMListURL returns the base URL of the VM list.
+func (c *Cluster) VMListURL() string { return c.listServer.URL() }
+
 // Client returns a client that authenticates with apiKey and uses all VMs.
 func (c *Cluster) Client(apiKey string) *client.Client {
 	urls := make([]string, len(c.VMs))
--- /dev/null
+++ b/test/callerlimits/completions_bodies_test.go
@@ -0,0 +1,206 @@
+package callerlimits
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/client"
+	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/localcluster"
+)
+
+const (
+	// serverBodyBytes is the limit on a body of the completions API, its default.
+	serverBodyBytes = 1 << 20
+	// bodyParts is the number of parts of a body that arrives piece by piece.
+	bodyParts = 8
+	// smallChunks is the number of chunks of one byte that a caller sends.
+	smallChunks = 64 << 10
+	// endlessChunks is the number of large chunks that stand for a body without end.
+	endlessChunks = 16
+)
+
+// largeBody is a completion request of the largest legal size.
+var largeBody = completionBody(serverBodyBytes)
+
+// completionBody returns a completion request of some size.
+func completionBody(size int) []byte {
+	begin, end := []byte(`{"model":"`+localcluster.Model+`","stream":true,"max_tokens":4,"prompt":"`), []byte(`"}`)
+	return append(append(begin, bytes.Repeat([]byte("p"), size-len(begin)-len(end))...), end...)
+}
+
+// bodyKind sends the body of a request. begin is its head without the lines that describe the body.
+type bodyKind func(begin string) caller
+
+func withLength(length, rest string, parts ...[]byte) bodyKind {
+	return func(begin string) caller {
+		return send(append([][]byte{[]byte(begin + "Content-Length: " + length + "\r\n" + rest + "\r\n")}, parts...)...)
+	}
+}
+
+func inChunks(parts ...[]byte) bodyKind {
+	return func(begin string) caller {
+		return send(append([][]byte{[]byte(begin + "Transfer-Encoding: chunked\r\n\r\n")}, parts...)...)
+	}
+}
+
+// chunk returns a chunk with an extension, which may be empty.
+func chunk(data []byte, extension string) []byte {
+	return append(append(fmt.Appendf(nil, "%x%s\r\n", len(data), extension), data...), "\r\n"...)
+}
+
+// pieceByPiece sends all but the last byte of a legal body with pauses.
+func pieceByPiece(begin string) caller {
+	return func(c net.Conn) {
+		withLength(legalLength, "")(begin)(c)
+		body := largeBody[:len(largeBody)-1]
+		for part := range bodyParts {
+			send(body[part*len(body)/bodyParts : (part+1)*len(body)/bodyParts])(c)
+			time.Sleep(holdTime / bodyParts)
+		}
+	}
+}
+
+// halfAfterContinue sends half of a legal body once the VM has asked for it.
+func halfAfterContinue(begin string) caller {
+	return func(c net.Conn) {
+		withLength(legalLength, "Expect: 100-continue\r\n")(begin)(c)
+		if _, err := io.ReadFull(c, make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n"))); err == nil {
+			send(largeBody[:len(largeBody)/2])(c)
+		}
+	}
+}
+
+var legalLength = fmt.Sprint(serverBodyBytes)
+
+// bodyKinds are bodies that take memory and do not end, or that are far over the limit.
+var bodyKinds = map[string]bodyKind{
+	"whole":                       withLength(legalLength, "", largeBody),
+	"short of the end":            withLength(legalLength, "", largeBody[:len(largeBody)-1]),
+	"piece by piece":              pieceByPiece,
+	"large chunks":                inChunks(chunk(largeBody[:len(largeBody)-1], "")),
+	"small chunks":                inChunks(bytes.Repeat(chunk([]byte("x"), ""), smallChunks)),
+	"small chunks with extension": inChunks(bytes.Repeat(chunk([]byte("x"), ";name=value"), smallChunks)),
+	"half a chunk":                inChunks(chunk(largeBody, "")[:len(largeBody)/2]),
+	"chunks without end":          inChunks(bytes.Repeat(chunk(largeBody, ""), endlessChunks)),
+	"chunk of 2^62 bytes":         inChunks([]byte("4000000000000000\r\n"), largeBody),
+	"100 GB announced":            withLength("100000000000", "", largeBody, largeBody),
+	"length beyond 64 bits":       withLength("100000000000000000000000", "", largeBody),
+	"announced and never sent":    withLength(legalLength, ""),
+	"half after 100 Continue":     halfAfterContinue,
+}
+
+// beginRequest returns the head of a request of the completions API without the lines that
+// describe its body.
+func beginRequest(path, lines string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nAuthorization: Bearer " + localcluster.APIKey + "\r\n" + lines
+}
+
+const completionsPath = "/v1/completions"
+
+// servicePath returns the path of a route.
+func servicePath(route string) string { return "/v1/services/" + route }
+
+// startServing starts a VM of the completions API with an engine and a service behind it. An
+// ordinary request is a small one to path.
+func startServing(t *testing.T, path string, files config.TLS) *daemon {
+	t.Helper()
+	cluster, err := localcluster.Start(localcluster.Options{Engines: 1, Services: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cluster.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	if err := cluster.RollOut(ctx, localcluster.Document(1)); err != nil {
+		t.Fatal(err)
+	}
+	d := startServerOn(t, cluster.KVURL(), cluster.VMListURL(), files)
+	scheme := schemeOf(files)
+	d.ordinary = func() (*http.Request, error) { return ordinaryRequest(scheme+d.callers+path, path) }
+	d.awaitAnswer(startLimit)
+	return d
+}
+
+func ordinaryRequest(url, path string) (*http.Request, error) {
+	body := string(completionBody(200))
+	if path != completionsPath {
+		body = "{}"
+	}
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	key, err := client.NewIdempotencyKey()
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+localcluster.APIKey)
+	r.Header.Set(api.HeaderIdempotencyKey, key)
+	return r, nil
+}
+
+// Guards against bodies of completion requests that do not end, or are far over the limit. No
+// bound covered the bodies of requests in progress together.
+func TestBodiesOfCompletions(t *testing.T) {
+	for name, kind := range bodyKinds {
+		t.Run(name, func(t *testing.T) {
+			d := startServing(t, completionsPath, config.TLS{})
+			runCrowd(d, d.callers, func(int) caller { return kind(beginRequest(completionsPath, "")) })
+		})
+	}
+}
+
+// mixedBodies lets each caller send the next kind of body.
+func mixedBodies(begin func() string) func(int) caller {
+	names := slices.Sorted(maps.Keys(bodyKinds))
+	return func(n int) caller { return bodyKinds[names[n%len(names)]](begin()) }
+}
+
+// Guards against the same bodies of service calls, which were read as a whole as well.
+func TestBodiesOfServiceCalls(t *testing.T) {
+	for name, route := range map[string]string{"repeatable": localcluster.LookupRoute, "claimed": localcluster.BookingRoute} {
+		t.Run(name, func(t *testing.T) {
+			path := servicePath(route)
+			d := startServing(t, path, config.TLS{})
+			runCrowd(d, d.callers, mixedBodies(func() string {
+				key, err := client.NewIdempotencyKey()
+				if err != nil {
+					t.Error(err)
+				}
+				return beginRequest(path, api.HeaderIdempotencyKey+": "+key+"\r\n")
+			}))
+		})
+	}
+}
+
+// Guards against the same bodies of requests that resume a run, which need none and were read.
+func TestBodiesOfResumedRuns(t *testing.T) {
+	d := startServing(t, completionsPath, config.TLS{})
+	runCrowd(d, d.callers, mixedBodies(func() string {
+		return beginRequest(completionsPath, api.HeaderLastEventID+": unknown:1\r\n")
+	}))
+}
+
+// Guards against the same bodies of requests that are refused before their body is read, at the
+// listeners for callers and for operators.
+func TestBodiesOfRefusedRequests(t *testing.T) {
+	for name, address := range map[string]func(*daemon) string{
+		"callers": func(d *daemon) string { return d.callers }, "operators": func(d *daemon) string { return d.admin },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startServer(t)
+			runCrowd(d, address(d), mixedBodies(func() string { return beginRequest("/status", "") }))
+		})
+	}
+}
--- a/test/callerlimits/daemon_test.go
+++ b/test/callerlimits/daemon_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
@@ -102,18 +104,25 @@
 
 // startServer starts a VM of the completions API, whose platform does not answer.
 func startServer(t *testing.T) *daemon {
+	t.Helper()
+	platform := "http://" + freeAddress(t)
+	return startServerOn(t, platform, platform, config.TLS{})
+}
+
+// startServerOn starts a VM of the completions API with a key-value service and a VM list.
+func startServerOn(t *testing.T, kv, vmList string, files config.TLS) *daemon {
 	t.Helper()
 	d := &daemon{t: t, callers: freeAddress(t), peers: freeAddress(t), admin: freeAddress(t)}
+	scheme := schemeOf(files)
 	d.ordinary = func() (*http.Request, error) {
-		return http.NewRequest(http.MethodGet, "http://"+d.callers+"/healthz", nil)
+		return http.NewRequest(http.MethodGet, scheme+d.callers+"/healthz", nil)
 	}
-	platform := freeAddress(t)
-	config := fmt.Sprintf(`{"vm_id": "vm", "zone": "z", "region": "r", "listen": {"http": %q, "peer": %q, "admin": %q},
-		"limits": {"memory_bytes": %d, "descriptors": %d, "header_bytes": %d},
-		"platform": {"kv": "http://%s", "vm_list": "http://%s"}}`,
-		d.callers, d.peers, d.admin, vmMemoryMB<<20, maxDescriptors, serverHeaderBytes, platform, platform)
+	settings := fmt.Sprintf(`{"vm_id": "vm", "zone": "z", "region": "r", "listen": {"http": %q, "peer": %q, "admin": %q},
+		"limits": {"memory_bytes": %d, "descriptors": %d, "header_bytes": %d}, "tls": {"cert_file": %q, "key_file": %q},
+		"platform": {"kv": %q, "vm_list": %q}}`,
+		d.callers, d.peers, d.admin, vmMemoryMB<<20, maxDescriptors, serverHeaderBytes, files.CertFile, files.KeyFile, kv, vmList)
 	path := filepath.Join(t.TempDir(), "vm.jsonc")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	d.start("--config", path)
@@ -121,6 +130,14 @@
 	return d
 }
 
+// schemeOf returns how callers address a VM with a certificate, or without one.
+func schemeOf(files config.TLS) string {
+	if files.CertFile == "" {
+		return "http://"
+	}
+	return "https://"
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -177,7 +194,8 @@
 
 // request sends an ordinary request on a connection of its own.
 func (d *daemon) request() error {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}} // The certificate is the test's own.
+	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
 	r, err := d.ordinary()
 	if err != nil {
 		return err
