--- a/frontend/body.go
+++ b/frontend/body.go
@@ -12,6 +12,8 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
+	"github.com/vanillaarch/vanillaarch/membudget"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 )
 
 func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
@@ -47,21 +49,14 @@
 	if c.Request().ContentLength > f.Config.Limits.BodyBytes {
 		return nil, f.bodyTooLarge()
 	}
-	if err := f.reserveMemory(c); err != nil {
-		return nil, err
-	}
 	control := http.NewResponseController(c.Response())
 	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
-	if limited {
-		c.memory.EvictWith(func(error) { _ = control.SetReadDeadline(time.Unix(1, 0)) }) // Succeeds as the call before did.
-	}
-	reader := http.MaxBytesReader(c.Response(), c.Request().Body, f.Config.Limits.BodyBytes)
-	body, err := readInto(c.ctx, c.memory, reader, int(c.Request().ContentLength))
-	if evicted := c.memory.Keep(); evicted != nil {
-		c.bodyRead = true // The rest of the body is not awaited.
-		c.Response().Header().Set("Connection", "close")
-		return nil, f.noMemory(c, evicted)
-	}
+	c.memory = f.requests.Reserve(c.identity.Organisation)
+	body, err := c.memory.Read(c.ctx, headMemory(c.Request()), requestbody.Body{
+		Reader: http.MaxBytesReader(c.Response(), c.Request().Body, f.Config.Limits.BodyBytes),
+		Length: c.Request().ContentLength, Limit: f.Config.Limits.BodyBytes,
+		End: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only without a connection.
+	})
 	if err != nil {
 		return nil, f.bodyProblem(c, err)
 	}
@@ -74,10 +69,14 @@
 
 // bodyProblem returns the problem of a request whose body was not read to its end.
 func (f *Frontend) bodyProblem(c *call, err error) error {
-	if isWithoutMemory(err) {
+	if _, ok := errors.Into[*membudget.ExceededError](err); ok {
 		return f.noMemory(c, err)
 	}
 	c.bodyRead = true // Another read would fail as well.
+	if _, ok := errors.Into[*membudget.EvictedError](err); ok {
+		c.Response().Header().Set("Connection", "close")
+		return f.noMemory(c, err)
+	}
 	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return f.bodyTooLarge()
 	}
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -36,20 +36,17 @@
 	if err != nil {
 		return err
 	}
-	if err := f.reserveCopies(c); err != nil {
-		return err
+	admission := dispatch.AdmissionRequest{
+		Tenant: c.identity.Tenant, Organisation: c.identity.Organisation, Model: request.Model,
+		PromptTokens: 1 + len(request.Prompt)/bytesPerToken, PrefixHashes: dispatch.PrefixHashes(request.Prompt),
+		MaxTokens: request.MaxTokens,
 	}
+	identity := quarantine.NewRequest(uuid.NewString(), completionContent(c, admission))
+	c.body = nil // From now on, the request is held as its prompt.
 	f.budget.Attempt(c.identity.Organisation)
 	r := &relay{
-		f: f, c: c, request: request, sink: newSink(c, request),
-		admissionRequest: dispatch.AdmissionRequest{
-			Tenant: c.identity.Tenant, Organisation: c.identity.Organisation, Model: request.Model,
-			PromptTokens: 1 + len(request.Prompt)/bytesPerToken, PrefixHashes: dispatch.PrefixHashes(request.Prompt),
-			MaxTokens: request.MaxTokens,
-		},
+		f: f, c: c, request: request, sink: newSink(c, request), admissionRequest: admission, identity: identity,
 	}
-	r.identity = quarantine.NewRequest(uuid.NewString(), completionContent(c, r.admissionRequest))
-	c.body = nil // From now on, the request is held as its prompt.
 	return r.run()
 }
 
@@ -60,6 +57,9 @@
 		return r, err
 	}
 	c.body = body
+	if err := f.holdCopies(c); err != nil {
+		return r, err
+	}
 	if err := json.Unmarshal(body, &r); err != nil {
 		return r, invalidRequest("the body is not a completion request: " + err.Error())
 	}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -24,8 +24,8 @@
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
-	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/quarantine"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
@@ -54,8 +54,8 @@
 	budget  *retry.Budget
 	drain   drainState
 	counter counters
-	// requests bounds the memory for requests in progress.
-	requests *membudget.Budget
+	// requests is the memory of requests in progress.
+	requests *requestbody.Memory
 	// serviceCursor selects the first backend server of a service call, round robin.
 	serviceCursor atomic.Uint64
 	// background tracks cancellations of generations that may outlast their request.
@@ -68,7 +68,7 @@
 		Options:  o,
 		budget:   retry.NewBudget(o.Config.Limits.RetryRatio),
 		counter:  newCounters(o.Metrics),
-		requests: newRequestBudget(o.MemoryBytes, o.Config.Limits),
+		requests: newRequestMemory(o.MemoryBytes, o.Config.Limits),
 	}
 	metrics.NewRegisteredFunctionalGauge("frontend.request_memory_bytes", o.Metrics, f.requests.Used)
 	return f
@@ -116,8 +116,8 @@
 	answerLimit int64
 	// bodyRead is set once the body of the request is read, or the read has failed.
 	bodyRead bool
-	// memory is the part of the budget for requests that the request holds, nil before readBody.
-	memory *membudget.Reservation
+	// memory is what the request holds of the memory of requests, nil before readBody.
+	memory *requestbody.Request
 	// generation and tokens are set for the log line of the request.
 	generation string
 	tokens     int
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -1,21 +1,16 @@
 package frontend
 
 import (
-	"context"
-	"fmt"
-	"io"
+	"bytes"
 	"math"
 	"net/http"
-	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/internal/httphead"
-	"github.com/vanillaarch/vanillaarch/internal/wait"
-	"github.com/vanillaarch/vanillaarch/membudget"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 )
 
 // Limits on the memory for requests in progress.
@@ -28,40 +23,37 @@
 	// completionCopies is how often the body of a completion request exists while it is encoded
 	// for an engine: its prompt, the encoder's buffer, which doubles, and the encoded request.
 	completionCopies = 4
-	// requestMemoryWait bounds the wait for memory that other requests hold, requestMemoryPoll
-	// is the time between two attempts to get it.
-	requestMemoryWait = 500 * time.Millisecond
-	requestMemoryPoll = 10 * time.Millisecond
-	// initialBodyBytes is the size of the first buffer for a body. Larger bodies take memory as
-	// they arrive.
-	initialBodyBytes = 16 << 10
+	// smallPartDivisor is the divisor of the budget that gives the part which only requests of up
+	// to smallRequestBytes, head and body, may take.
+	smallPartDivisor  = 8
+	smallRequestBytes = requestBaseBytes + 64<<10
 )
 
-// newRequestBudget returns the budget for requests. It has no limit if the memory of the VM is
-// unknown, and always room for one request with the largest body.
-func newRequestBudget(vmBytes int64, limits config.Limits) *membudget.Budget {
+// newRequestMemory returns the memory that requests share. It has no limit if the memory of the
+// VM is unknown, and always room for one request with the largest body.
+func newRequestMemory(vmBytes int64, limits config.Limits) *requestbody.Memory {
 	if vmBytes == 0 {
-		return membudget.New(math.MaxInt64, 0)
+		return requestbody.New(requestbody.Options{LimitBytes: math.MaxInt64, SmallRequestBytes: math.MaxInt64})
 	}
-	single := requestBaseBytes + 2*int64(limits.HeaderBytes) + completionCopies*(limits.BodyBytes+1)
-	return membudget.New(max(int64(requestMemoryFraction*float64(vmBytes)), single), 0)
+	single := requestBaseBytes + 2*int64(limits.HeaderBytes) + (1+completionCopies)*(limits.BodyBytes+bytes.MinRead)
+	limit := max(int64(requestMemoryFraction*float64(vmBytes)), single+single/(smallPartDivisor-1)+1)
+	return requestbody.New(requestbody.Options{
+		LimitBytes: limit, SmallPartBytes: limit / smallPartDivisor, SmallRequestBytes: smallRequestBytes,
+	})
 }
 
-// reserveMemory reserves the memory of a request beside its body. Until readBody has read the
-// body, the request gives way to one that needs less than half of what it holds.
-func (f *Frontend) reserveMemory(c *call) error {
-	c.memory = f.requests.Reserve(fmt.Sprintf("%s %p", c.identity.Organisation, c))
-	if err := c.memory.AddHead(requestBaseBytes + 2*httphead.Size(c.Request().Header)); err != nil {
-		return f.noMemory(c, err)
-	}
-	return nil
-}
+// headMemory returns the memory of a request beside its body.
+func headMemory(r *http.Request) int64 { return requestBaseBytes + 2*httphead.Size(r.Header) }
 
-// reserveCopies reserves the memory for the copies of a completion request, whose body was read.
-func (f *Frontend) reserveCopies(c *call) error {
-	if err := awaitBody(c.ctx, c.memory, completionCopies*len(c.body)); err != nil {
+// holdCopies replaces the memory of a completion request whose body was read by that for the
+// copies of the body. The body itself counts until it was collected.
+func (f *Frontend) holdCopies(c *call) error {
+	copies := f.requests.Reserve(c.identity.Organisation)
+	if err := copies.Admit(c.ctx, headMemory(c.Request())+completionCopies*int64(len(c.body))); err != nil {
 		return f.noMemory(c, err)
 	}
+	c.memory.Release()
+	c.memory = copies
 	return nil
 }
 
@@ -73,61 +65,3 @@
 		zap.Int64("used", f.requests.Used()), zap.Error(cause))
 	return notRunProblem(api.ProblemNoMemory, http.StatusServiceUnavailable, "the VM has no memory for the request", retryAfterBackend, cause)
 }
-
-// isWithoutMemory reports whether err means that the budget for requests was exhausted, or that
-// the request gave way to others.
-func isWithoutMemory(err error) bool {
-	if _, ok := errors.Into[*membudget.ExceededError](err); ok {
-		return true
-	}
-	_, ok := errors.Into[*membudget.EvictedError](err)
-	return ok
-}
-
-// awaitBody raises the bytes that a request holds of its body. It waits for memory that others
-// hold.
-func awaitBody(ctx context.Context, memory *membudget.Reservation, bytes int) error {
-	ctx, cancel := context.WithTimeout(ctx, requestMemoryWait)
-	defer cancel()
-	for {
-		err := memory.RaiseBody(int64(bytes))
-		if err == nil || !wait.Sleep(ctx, requestMemoryPoll) {
-			return err
-		}
-	}
-}
-
-// readInto reads a body of an expected size, -1 if that is unknown, into memory of the
-// reservation.
-func readInto(ctx context.Context, memory *membudget.Reservation, r io.Reader, expected int) ([]byte, error) {
-	var buffer []byte
-	for {
-		if len(buffer) == cap(buffer) {
-			larger := nextBuffer(cap(buffer), expected)
-			// Both buffers are allocated while the bytes are copied.
-			if err := awaitBody(ctx, memory, larger+cap(buffer)); err != nil {
-				return nil, err
-			}
-			buffer = append(make([]byte, 0, larger), buffer...)
-			memory.LowerBody(int64(larger))
-		}
-		n, err := r.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF {
-			return buffer, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// nextBuffer returns the size of the buffer that follows one of some size. A body of which a
-// quarter has arrived gets a buffer of its whole size.
-func nextBuffer(size, expected int) int {
-	next := max(2*size, initialBodyBytes)
-	if expected >= size && next > expected/2 {
-		return expected + 1 // One more byte is needed to read the end of the body.
-	}
-	return next
-}
