--- a/connection_limits.go
+++ b/connection_limits.go
@@ -23,6 +23,13 @@
 	// callerFileFraction is the fraction of the VM's descriptors that connections of callers may
 	// take. Each request in progress needs another one for a backend server.
 	callerFileFraction = 0.4
+	// tlsConnectionBytes is the memory of a TLS connection with HTTP/2 beside its requests: the
+	// buffers for records and frames, and bodies that have arrived and were not read. 200 of them
+	// took 114 KB each.
+	tlsConnectionBytes = 128 << 10
+	// tlsMemoryDivisor is the divisor of the VM's memory that gives what TLS connections may take
+	// together.
+	tlsMemoryDivisor = 8
 	// probeFileFraction is the fraction for readiness probes, and that for metrics.
 	probeFileFraction = 0.04
 )
@@ -35,14 +42,29 @@
 	callers, probes int
 }
 
-func newConnectionLimits(vm config.VMLimits, log *zap.Logger, registry metrics.Registry) connectionLimits {
+// newConnectionLimits returns the limits of a VM. isTLS is set if callers connect over TLS.
+func newConnectionLimits(vm config.VMLimits, isTLS bool, log *zap.Logger, registry metrics.Registry) connectionLimits {
 	budget := newConnectionBudget(vm.MemoryBytes, log, registry)
 	return connectionLimits{
 		budget:  budget,
-		callers: int(callerFileFraction * float64(vm.Files)), probes: int(probeFileFraction * float64(vm.Files)),
+		callers: maxCallerConnections(vm, isTLS), probes: int(probeFileFraction * float64(vm.Files)),
 	}
 }
 
+// maxCallerConnections returns the limit on open connections of callers, which also limits their
+// requests over HTTP/2. It is 0, no limit, if neither the descriptors of the VM nor, for TLS, its
+// memory are known.
+func maxCallerConnections(vm config.VMLimits, isTLS bool) int {
+	byFiles, byMemory := int(callerFileFraction*float64(vm.Files)), int(vm.MemoryBytes/tlsMemoryDivisor/tlsConnectionBytes)
+	if !isTLS || byMemory == 0 {
+		return byFiles
+	}
+	if byFiles == 0 {
+		return byMemory
+	}
+	return min(byFiles, byMemory)
+}
+
 // newConnectionBudget returns the budget for connections that wait for a request. It has no
 // limit if the memory of the VM is unknown.
 func newConnectionBudget(vmBytes int64, log *zap.Logger, registry metrics.Registry) *listen.Budget {
--- a/entry_http.go
+++ b/entry_http.go
@@ -25,7 +25,7 @@
 	if metrics := e.opts.Deployment.Listen.Metrics; metrics != "" {
 		addresses = append(addresses, metrics)
 	}
-	limits := newConnectionLimits(e.opts.Deployment.Limits, e.log, e.metrics)
+	limits := newConnectionLimits(e.opts.Deployment.Limits, false, e.log, e.metrics)
 	for i, address := range addresses {
 		l, err := listen.Listen(address)
 		if err != nil {
--- a/frontend/body.go
+++ b/frontend/body.go
@@ -32,8 +32,9 @@
 }
 
 // discardBody reads the rest of the body of a request that is refused before its body was read.
+// Over HTTP/2 the answer arrives without that, since a stream ends without its connection.
 func (f *Frontend) discardBody(c echo.Context) {
-	if !hasBody(c.Request()) {
+	if !hasBody(c.Request()) || isHTTP2(c.Request()) {
 		return
 	}
 	begun, limit := time.Now(), f.Config.Timeouts.Body.Std()
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -35,11 +35,13 @@
 	Config *config.Config
 	// MemoryBytes is the memory of the VM, 0 if unknown.
 	MemoryBytes int64
-	Snapshot    func() *control.Snapshot
-	Admission   dispatch.Admission
-	Engines     *backend.EngineClient
-	Services    *backend.ServiceClient
-	Claims      *claim.Manager
+	// MaxStreams bounds the HTTP/2 requests in progress, 0 is no limit.
+	MaxStreams int
+	Snapshot   func() *control.Snapshot
+	Admission  dispatch.Admission
+	Engines    *backend.EngineClient
+	Services   *backend.ServiceClient
+	Claims     *claim.Manager
 	// Quarantine tells which requests must not be sent to a backend server.
 	Quarantine quarantine.Guard
 	Servers    Servers
@@ -56,6 +58,8 @@
 	counter counters
 	// requests is the memory of requests in progress.
 	requests *requestbody.Memory
+	// streams is the number of HTTP/2 requests in progress.
+	streams atomic.Int64
 	// serviceCursor selects the first backend server of a service call, round robin.
 	serviceCursor atomic.Uint64
 	// background tracks cancellations of generations that may outlast their request.
@@ -80,7 +84,7 @@
 // Register adds the routes and the error handler of the caller API to e.
 func (f *Frontend) Register(e *echo.Echo) {
 	e.HTTPErrorHandler = f.handleRoutingError
-	e.Pre(f.limitUnreadBody)
+	e.Pre(f.limitStreams, f.limitUnreadBody)
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", f.readyz)
 	e.POST("/v1/completions", f.instrumented("frontend.completion", f.completion))
@@ -249,7 +253,7 @@
 
 type counters struct {
 	requests, tokens, restarts, resumes, preemptions, notRun, unknown, failed metrics.Counter
-	withoutMemory                                                             metrics.Counter
+	withoutMemory, streamsRefused                                             metrics.Counter
 	firstToken, gap                                                           metrics.Histogram
 }
 
@@ -265,17 +269,18 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return counters{
-		requests:      metrics.GetOrRegisterCounter("frontend.requests", r),
-		tokens:        metrics.GetOrRegisterCounter("frontend.tokens", r),
-		restarts:      metrics.GetOrRegisterCounter("frontend.restarts", r),
-		resumes:       metrics.GetOrRegisterCounter("frontend.resumes", r),
-		preemptions:   metrics.GetOrRegisterCounter("frontend.preemptions", r),
-		notRun:        metrics.GetOrRegisterCounter("frontend.outcome.not_run", r),
-		unknown:       metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
-		failed:        metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
-		withoutMemory: metrics.GetOrRegisterCounter("frontend.requests_without_memory", r),
-		firstToken:    histogram("frontend.first_token_us"),
-		gap:           histogram("frontend.token_gap_us"),
+		requests:       metrics.GetOrRegisterCounter("frontend.requests", r),
+		tokens:         metrics.GetOrRegisterCounter("frontend.tokens", r),
+		restarts:       metrics.GetOrRegisterCounter("frontend.restarts", r),
+		resumes:        metrics.GetOrRegisterCounter("frontend.resumes", r),
+		preemptions:    metrics.GetOrRegisterCounter("frontend.preemptions", r),
+		notRun:         metrics.GetOrRegisterCounter("frontend.outcome.not_run", r),
+		unknown:        metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
+		failed:         metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
+		withoutMemory:  metrics.GetOrRegisterCounter("frontend.requests_without_memory", r),
+		streamsRefused: metrics.GetOrRegisterCounter("frontend.streams_refused", r),
+		firstToken:     histogram("frontend.first_token_us"),
+		gap:            histogram("frontend.token_gap_us"),
 	}
 }
 
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -26,7 +26,7 @@
 	// smallPartDivisor is the divisor of the budget that gives the part which only requests of up
 	// to smallRequestBytes, head and body, may take.
 	smallPartDivisor  = 8
-	smallRequestBytes = requestBaseBytes + 64<<10
+	smallRequestBytes = requestBaseBytes + tlsBytes + receiveWindowBytes + maxFrameBytes + 64<<10
 )
 
 // newRequestMemory returns the memory that requests share. It has no limit if the memory of the
@@ -35,7 +35,7 @@
 	if vmBytes == 0 {
 		return requestbody.New(requestbody.Options{LimitBytes: math.MaxInt64, SmallRequestBytes: math.MaxInt64})
 	}
-	single := requestBaseBytes + 2*int64(limits.HeaderBytes) + (1+completionCopies)*(limits.BodyBytes+bytes.MinRead)
+	single := requestBaseBytes + tlsBytes + receiveWindowBytes + maxFrameBytes + 2*int64(limits.HeaderBytes) + (1+completionCopies)*(limits.BodyBytes+bytes.MinRead)
 	limit := max(int64(requestMemoryFraction*float64(vmBytes)), single+single/(smallPartDivisor-1)+1)
 	return requestbody.New(requestbody.Options{
 		LimitBytes: limit, SmallPartBytes: limit / smallPartDivisor, SmallRequestBytes: smallRequestBytes,
@@ -43,7 +43,9 @@
 }
 
 // headMemory returns the memory of a request beside its body.
-func headMemory(r *http.Request) int64 { return requestBaseBytes + 2*httphead.Size(r.Header) }
+func headMemory(r *http.Request) int64 {
+	return requestBaseBytes + connectionMemory(r) + 2*httphead.Size(r.Header)
+}
 
 // holdCopies replaces the memory of a completion request whose body was read by that for the
 // copies of the body. The body itself counts until it was collected.
--- a/server.go
+++ b/server.go
@@ -112,8 +112,9 @@
 	if err != nil {
 		return err
 	}
+	vm := vmLimits(s.cfg.Limits)
 	s.frontend = frontend.New(frontend.Options{
-		Config: s.cfg, MemoryBytes: vmLimits(s.cfg.Limits).MemoryBytes, Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.services,
+		Config: s.cfg, MemoryBytes: vm.MemoryBytes, MaxStreams: maxCallerConnections(vm, s.servesTLS()), Snapshot: s.loop.Snapshot, Admission: admission, Engines: s.engines, Services: s.services,
 		Claims: s.claims, Quarantine: s.mesh.quarantine, Servers: s.mesh.servers, Log: s.log, Tracer: s.tracing.Tracer(), Metrics: s.metrics,
 	})
 	s.http, err = s.listen()
--- a/server_http.go
+++ b/server_http.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/frontend"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/membership"
 )
@@ -51,7 +52,7 @@
 		return nil, errors.Wrap(err, "log of HTTP servers")
 	}
 	h := &httpServers{tls: [2]string{s.cfg.TLS.CertFile, s.cfg.TLS.KeyFile}, errorLog: errorLog}
-	limits := newConnectionLimits(vmLimits(s.cfg.Limits), s.log, s.metrics)
+	limits := newConnectionLimits(vmLimits(s.cfg.Limits), s.servesTLS(), s.log, s.metrics)
 	if err := h.add(s.cfg.Listen.HTTP, callers, s.cfg.Limits.HeaderBytes); err != nil {
 		return nil, err
 	}
@@ -66,6 +67,9 @@
 	return h, nil
 }
 
+// servesTLS reports whether callers connect over TLS.
+func (s *Server) servesTLS() bool { return s.cfg.TLS.CertFile != "" }
+
 func newEcho() *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -79,6 +83,7 @@
 	}
 	h.listeners = append(h.listeners, l)
 	h.servers = append(h.servers, &http.Server{
+		HTTP2:   frontend.HTTP2Config(),
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: h.errorLog, ConnState: l.ConnState,
 		ConnContext: listen.ConnContext,
