--- a/frontend/body.go
+++ b/frontend/body.go
@@ -1,13 +1,19 @@
 package frontend
 
 import (
+	"fmt"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/internal/listen"
+	"github.com/vanillaarch/vanillaarch/membudget"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 )
 
 func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
@@ -26,8 +32,9 @@
 }
 
 // discardBody reads the rest of the body of a request that is refused before its body was read.
+// Over HTTP/2 the answer arrives without that, since a stream ends without its connection.
 func (f *Frontend) discardBody(c echo.Context) {
-	if !hasBody(c.Request()) {
+	if !hasBody(c.Request()) || isHTTP2(c.Request()) {
 		return
 	}
 	begun, limit := time.Now(), f.Config.Timeouts.Body.Std()
@@ -36,3 +43,52 @@
 		f.Log.Debug("body_not_dropped", zap.Error(err))
 	}
 }
+
+// readBody reads the body of a request into memory of the budget for requests. If another request
+// needs the memory before the body has ended, the request gives way and was not run.
+func (f *Frontend) readBody(c *call) ([]byte, error) {
+	if c.Request().ContentLength > f.Config.Limits.BodyBytes {
+		return nil, f.bodyTooLarge()
+	}
+	control := http.NewResponseController(c.Response())
+	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
+	c.memory = f.requests.Reserve(c.identity.Organisation)
+	body, err := c.memory.Read(c.ctx, headMemory(c.Request()), requestbody.Body{
+		Reader: http.MaxBytesReader(c.Response(), c.Request().Body, f.Config.Limits.BodyBytes),
+		Length: c.Request().ContentLength, Limit: f.Config.Limits.BodyBytes,
+		End: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only without a connection.
+	})
+	if err != nil {
+		return nil, f.bodyProblem(c, err)
+	}
+	c.bodyRead = true
+	if limited {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, nil
+}
+
+// bodyProblem returns the problem of a request whose body was not read to its end.
+func (f *Frontend) bodyProblem(c *call, err error) error {
+	if _, ok := errors.Into[*membudget.ExceededError](err); ok {
+		return f.noMemory(c, err)
+	}
+	c.bodyRead = true // Another read would fail as well.
+	if _, ok := errors.Into[*membudget.EvictedError](err); ok {
+		c.Response().Header().Set("Connection", "close")
+		return f.noMemory(c, err)
+	}
+	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
+		return f.bodyTooLarge()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return api.NewProblem(api.ProblemBodyTimeout, http.StatusRequestTimeout, api.OutcomeNotRun,
+			fmt.Sprintf("the body did not arrive within %s", f.Config.Timeouts.Body.Std())).WithCause(err)
+	}
+	return invalidRequest("the body could not be read").WithCause(err)
+}
+
+func (f *Frontend) bodyTooLarge() error {
+	return api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
+		fmt.Sprintf("the body exceeds %d bytes", f.Config.Limits.BodyBytes))
+}
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -3,12 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"github.com/vanillaarch/vanillaarch/api"
@@ -39,16 +36,17 @@
 	if err != nil {
 		return err
 	}
+	admission := dispatch.AdmissionRequest{
+		Tenant: c.identity.Tenant, Organisation: c.identity.Organisation, Model: request.Model,
+		PromptTokens: 1 + len(request.Prompt)/bytesPerToken, PrefixHashes: dispatch.PrefixHashes(request.Prompt),
+		MaxTokens: request.MaxTokens,
+	}
+	identity := quarantine.NewRequest(uuid.NewString(), completionContent(c, admission))
+	c.body = nil // From now on, the request is held as its prompt.
 	f.budget.Attempt(c.identity.Organisation)
 	r := &relay{
-		f: f, c: c, request: request, sink: newSink(c, request),
-		admissionRequest: dispatch.AdmissionRequest{
-			Tenant: c.identity.Tenant, Organisation: c.identity.Organisation, Model: request.Model,
-			PromptTokens: 1 + len(request.Prompt)/bytesPerToken, PrefixHashes: dispatch.PrefixHashes(request.Prompt),
-			MaxTokens: request.MaxTokens,
-		},
+		f: f, c: c, request: request, sink: newSink(c, request), admissionRequest: admission, identity: identity,
 	}
-	r.identity = quarantine.NewRequest(uuid.NewString(), completionContent(c, r.admissionRequest))
 	return r.run()
 }
 
@@ -59,6 +57,9 @@
 		return r, err
 	}
 	c.body = body
+	if err := f.holdCopies(c); err != nil {
+		return r, err
+	}
 	if err := json.Unmarshal(body, &r); err != nil {
 		return r, invalidRequest("the body is not a completion request: " + err.Error())
 	}
@@ -77,29 +78,6 @@
 	return r, nil
 }
 
-func (f *Frontend) readBody(c *call) ([]byte, error) {
-	c.bodyRead = true
-	limit := f.Config.Limits.BodyBytes
-	control := http.NewResponseController(c.Response())
-	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
-		return nil, api.NewProblem(api.ProblemBodyTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
-			fmt.Sprintf("the body exceeds %d bytes", limit))
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, api.NewProblem(api.ProblemBodyTimeout, http.StatusRequestTimeout, api.OutcomeNotRun,
-			fmt.Sprintf("the body did not arrive within %s", f.Config.Timeouts.Body.Std())).WithCause(err)
-	}
-	if err != nil {
-		return nil, invalidRequest("the body could not be read").WithCause(err)
-	}
-	if limited {
-		_ = control.SetReadDeadline(time.Time{}) // Succeeds as the call before did.
-	}
-	return body, nil
-}
-
 func invalidRequest(detail string) *api.Problem {
 	return api.NewProblem(api.ProblemInvalidRequest, http.StatusBadRequest, api.OutcomeNotRun, detail)
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -25,18 +25,23 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/quarantine"
+	"github.com/vanillaarch/vanillaarch/requestbody"
 	"github.com/vanillaarch/vanillaarch/retry"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
 // Options are the dependencies of a Frontend.
 type Options struct {
-	Config    *config.Config
-	Snapshot  func() *control.Snapshot
-	Admission dispatch.Admission
-	Engines   *backend.EngineClient
-	Services  *backend.ServiceClient
-	Claims    *claim.Manager
+	Config *config.Config
+	// MemoryBytes is the memory of the VM, 0 if unknown.
+	MemoryBytes int64
+	// MaxStreams bounds the HTTP/2 requests in progress, 0 is no limit.
+	MaxStreams int
+	Snapshot   func() *control.Snapshot
+	Admission  dispatch.Admission
+	Engines    *backend.EngineClient
+	Services   *backend.ServiceClient
+	Claims     *claim.Manager
 	// Quarantine tells which requests must not be sent to a backend server.
 	Quarantine quarantine.Guard
 	Servers    Servers
@@ -51,6 +56,10 @@
 	budget  *retry.Budget
 	drain   drainState
 	counter counters
+	// requests is the memory of requests in progress.
+	requests *requestbody.Memory
+	// streams is the number of HTTP/2 requests in progress.
+	streams atomic.Int64
 	// serviceCursor selects the first backend server of a service call, round robin.
 	serviceCursor atomic.Uint64
 	// background tracks cancellations of generations that may outlast their request.
@@ -59,11 +68,14 @@
 
 // New returns a Frontend. Register adds its routes to a server.
 func New(o Options) *Frontend {
-	return &Frontend{
-		Options: o,
-		budget:  retry.NewBudget(o.Config.Limits.RetryRatio),
-		counter: newCounters(o.Metrics),
+	f := &Frontend{
+		Options:  o,
+		budget:   retry.NewBudget(o.Config.Limits.RetryRatio),
+		counter:  newCounters(o.Metrics),
+		requests: newRequestMemory(o.MemoryBytes, o.Config.Limits),
 	}
+	metrics.NewRegisteredFunctionalGauge("frontend.request_memory_bytes", o.Metrics, f.requests.Used)
+	return f
 }
 
 // Close waits for cancellations of generations to end.
@@ -72,7 +84,7 @@
 // Register adds the routes and the error handler of the caller API to e.
 func (f *Frontend) Register(e *echo.Echo) {
 	e.HTTPErrorHandler = f.handleRoutingError
-	e.Pre(f.limitUnreadBody)
+	e.Pre(f.limitStreams, f.limitUnreadBody)
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", f.readyz)
 	e.POST("/v1/completions", f.instrumented("frontend.completion", f.completion))
@@ -108,6 +120,8 @@
 	answerLimit int64
 	// bodyRead is set once the body of the request is read, or the read has failed.
 	bodyRead bool
+	// memory is what the request holds of the memory of requests, nil before readBody.
+	memory *requestbody.Request
 	// generation and tokens are set for the log line of the request.
 	generation string
 	tokens     int
@@ -173,6 +187,7 @@
 			"the VM is draining").WithRetryAfter(time.Second)
 	}
 	defer release()
+	defer func() { c.memory.Release() }()
 	if err := f.authenticate(c); err != nil {
 		return err
 	}
@@ -238,6 +253,7 @@
 
 type counters struct {
 	requests, tokens, restarts, resumes, preemptions, notRun, unknown, failed metrics.Counter
+	withoutMemory, streamsRefused                                             metrics.Counter
 	firstToken, gap                                                           metrics.Histogram
 }
 
@@ -253,16 +269,18 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return counters{
-		requests:    metrics.GetOrRegisterCounter("frontend.requests", r),
-		tokens:      metrics.GetOrRegisterCounter("frontend.tokens", r),
-		restarts:    metrics.GetOrRegisterCounter("frontend.restarts", r),
-		resumes:     metrics.GetOrRegisterCounter("frontend.resumes", r),
-		preemptions: metrics.GetOrRegisterCounter("frontend.preemptions", r),
-		notRun:      metrics.GetOrRegisterCounter("frontend.outcome.not_run", r),
-		unknown:     metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
-		failed:      metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
-		firstToken:  histogram("frontend.first_token_us"),
-		gap:         histogram("frontend.token_gap_us"),
+		requests:       metrics.GetOrRegisterCounter("frontend.requests", r),
+		tokens:         metrics.GetOrRegisterCounter("frontend.tokens", r),
+		restarts:       metrics.GetOrRegisterCounter("frontend.restarts", r),
+		resumes:        metrics.GetOrRegisterCounter("frontend.resumes", r),
+		preemptions:    metrics.GetOrRegisterCounter("frontend.preemptions", r),
+		notRun:         metrics.GetOrRegisterCounter("frontend.outcome.not_run", r),
+		unknown:        metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
+		failed:         metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
+		withoutMemory:  metrics.GetOrRegisterCounter("frontend.requests_without_memory", r),
+		streamsRefused: metrics.GetOrRegisterCounter("frontend.streams_refused", r),
+		firstToken:     histogram("frontend.first_token_us"),
+		gap:            histogram("frontend.token_gap_us"),
 	}
 }
 
