--- a/internal/listen/linger_test.go
+++ b/internal/listen/linger_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -41,7 +43,7 @@
 		t.Fatal(err)
 	}
 	l.LimitWith(nil, maxConnections)
-	s := &largeServer{l: l, entered: make(chan struct{}, 8), proceed: make(chan struct{}, 8), answered: make(chan struct{}, 8)}
+	s := newLargeServer(l)
 	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: s, MaxHeaderBytes: 1 << 10}
 	served := make(chan struct{})
 	go func() {
@@ -55,6 +57,10 @@
 	return s
 }
 
+func newLargeServer(l *Listener) *largeServer {
+	return &largeServer{l: l, entered: make(chan struct{}, 8), proceed: make(chan struct{}, 8), answered: make(chan struct{}, 8)}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *largeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.entered <- struct{}{}
@@ -308,3 +314,26 @@
 	_ = server.Close()
 	waitForClose(t, server.l, lingerQuiet/2)
 }
+
+// Guards against answers over TLS that are cut as those in TestClosedConnectionDeliversItsAnswer.
+func TestClosedTLSConnectionDeliversItsAnswer(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newLargeServer(l)
+	server := httptest.NewUnstartedServer(s)
+	_ = server.Listener.Close()
+	server.Listener, server.Config.ConnState, server.Config.ConnContext = l, l.ConnState, ConnContext
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	c := tls.Client(dialSlow(t, l), &tls.Config{RootCAs: server.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"})
+	send(t, c, "GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-s.entered
+	s.proceed <- struct{}{}
+	<-s.answered
+	time.Sleep(afterTheAnswer)
+	send(t, c, testRequest)
+	time.Sleep(afterTheAnswer / 10)
+	checkLargeAnswer(t, bufio.NewReader(c))
+}
