--- a/frontend/relay.go
+++ b/frontend/relay.go
@@ -310,6 +310,10 @@
 	if !r.delivered && r.generation.Backend != "" {
 		r.cancelGeneration()
 	}
+	if !r.delivered && !r.mayHaveRun {
+		return notRunProblem(api.ProblemBackendUnavailable, http.StatusServiceUnavailable,
+			"the caller closed its half of the connection before the request was sent", retryAfterBackend, r.c.ctx.Err())
+	}
 	return api.NewProblem(api.ProblemStreamInterrupted, statusClientClosedRequest, api.OutcomeUnknown,
 		"the caller closed the connection").WithCause(r.c.ctx.Err())
 }
