--- a/internal/listen/linger.go
+++ b/internal/listen/linger.go
@@ -10,18 +10,19 @@
 )
 
 // Limits of connections that linger. A connection lingers if it is closed before the caller has
-// received the whole answer, or while the caller still sends: the kernel answers bytes that arrive
-// on a closed connection, or that were not read before, with a reset, and drops the rest of the
-// answer.
+// received the whole answer, or while the body of the answered request still arrives: the kernel
+// answers bytes that arrive on a closed connection, or that were not read before, with a reset,
+// and drops the rest of the answer. What may be the next request is not read, so that its caller
+// learns from the reset that nobody has read it.
 const (
 	// lingerTime limits how long a connection lingers, lingerStall how long without progress. A
 	// lost packet is sent again after 0.2, 0.6, 1.4 and 3 s.
 	lingerTime  = 30 * time.Second
 	lingerStall = 5 * time.Second
-	// lingerQuiet is how long a caller that still sends may pause once it has the whole answer.
+	// lingerQuiet is how long a caller that sends a body may pause once it has the whole answer.
 	lingerQuiet = unreadBodyPause
-	// lingerBytes limits what is read from the caller and dropped. Some callers send a body to
-	// its end before they read the answer, and bodies of 4 MB are usual.
+	// lingerBytes limits what is read of a body and dropped. Some callers send a body to its end
+	// before they read the answer, and bodies of 4 MB are usual.
 	lingerBytes = 4 << 20
 	// lingerBufferBytes is the size of the buffer for what is dropped.
 	lingerBufferBytes = 4 << 10
@@ -52,27 +53,21 @@
 	return mayLinger
 }
 
-// lingerIfNeeded begins to linger if the answer or input of the caller would be lost otherwise.
+// lingerIfNeeded begins to linger if the answer would be lost otherwise. Where the kernel can't
+// tell what is in flight, that is only if the body of the request has not arrived.
 func (c *conn) lingerIfNeeded() bool {
-	inFlight, unread := c.queued()
-	unread = unread || c.expectsInput.Load()
-	if !inFlight && !unread || !c.l.beginLinger(c) {
+	drops := c.expectsInput.Load()
+	if !drops && c.queueSize(unix.TIOCOUTQ) == 0 || !c.l.beginLinger(c) {
 		return false
 	}
 	c.l.budget.release(c)
 	go func() {
 		defer c.l.endLinger(c)
-		c.linger(unread)
+		c.linger(drops)
 	}()
 	return true
 }
 
-// queued reports whether bytes of the answer were not acknowledged, and whether bytes of the
-// caller were not read. Where the kernel can't tell, it reports neither.
-func (c *conn) queued() (inFlight, unread bool) {
-	return c.queueSize(unix.TIOCOUTQ) > 0, c.hasInput()
-}
-
 // queueSize returns the bytes in a queue of the connection, 0 if it is unknown.
 func (c *conn) queueSize(request uint) int {
 	size := 0
@@ -86,32 +81,28 @@
 	return size
 }
 
-// linger ends the answer, and drops what the caller sends, until the caller has the whole answer
-// or a limit is reached. A caller that still sends is then waited for until it closes the
-// connection or pauses.
-func (c *conn) linger(sends bool) {
+// linger ends the answer and waits until the caller has all of it, or a limit is reached. If it
+// drops the rest of a body, it also waits until the caller closes the connection or pauses.
+func (c *conn) linger(drops bool) {
 	if c.TCPConn.CloseWrite() != nil {
 		return
 	}
-	var (
-		buffer   = make([]byte, lingerBufferBytes)
-		dropped  int
-		begun    = time.Now()
-		progress = begun
-		inFlight = c.queueSize(unix.TIOCOUTQ)
-	)
+	begun := time.Now()
+	progress, inFlight, dropped := begun, c.queueSize(unix.TIOCOUTQ), 0
 	for poll := minLingerPoll; dropped <= lingerBytes && time.Since(begun) < lingerTime; poll = min(2*poll, maxLingerPoll) {
-		n, open := c.drop(buffer, poll)
-		if !open {
-			return
+		n, open := 0, true
+		if drops {
+			n, open = c.drop(poll)
+		} else {
+			time.Sleep(poll)
 		}
 		left := c.queueSize(unix.TIOCOUTQ)
 		if n > 0 || left < inFlight {
 			progress = time.Now()
 		}
-		dropped, inFlight, sends = dropped+n, left, sends || n > 0
+		dropped, inFlight = dropped+n, left
 		quiet := time.Since(progress)
-		if left == 0 && (!sends || quiet >= lingerQuiet) || quiet >= lingerStall {
+		if !open || left == 0 && (!drops || quiet >= lingerQuiet) || quiet >= lingerStall {
 			return
 		}
 	}
@@ -119,7 +110,8 @@
 
 // drop reads and drops what arrives within a time, and up to lingerBytes. It returns false if the
 // caller has closed the connection.
-func (c *conn) drop(buffer []byte, wait time.Duration) (dropped int, open bool) {
+func (c *conn) drop(wait time.Duration) (dropped int, open bool) {
+	buffer := make([]byte, lingerBufferBytes)
 	if c.TCPConn.SetReadDeadline(time.Now().Add(wait)) != nil {
 		return 0, false
 	}
--- a/internal/listen/linger_test.go
+++ b/internal/listen/linger_test.go
@@ -207,18 +207,19 @@
 
 // Guards against callers that never read, or never stop sending, and keep a closed connection.
 func TestLingeringEnds(t *testing.T) {
-	for name, flood := range map[string]bool{"caller does not read": false, "caller sends without end": true} {
+	for name, request := range map[string]string{
+		"caller does not read":     "GET /close HTTP/1.1\r\nHost: h\r\n\r\n",
+		"caller sends without end": "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000000\r\n\r\n",
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := startLargeServer(t, 0)
 			c := dialSlow(t, s.l)
-			send(t, c, "GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+			send(t, c, request)
 			<-s.entered
 			s.proceed <- struct{}{}
 			<-s.answered
-			if flood {
-				go func() { _, _ = io.Copy(c, neverEnding{}) }()
-			}
+			go func() { _, _ = io.Copy(c, neverEnding{}) }()
 			waitForClose(t, s.l, lingerTime/2)
 		})
 	}
@@ -296,15 +297,32 @@
 	}
 }
 
+// Guards against a next request that is read and dropped: its caller could not tell that nobody
+// has read it, and that it may be sent again.
+func TestLingeringDoesNotReadTheNextRequest(t *testing.T) {
+	s := startLargeServer(t, 0)
+	c := dialSlow(t, s.l)
+	send(t, c, "GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-s.entered
+	server := s.l.tracked()[0]
+	s.proceed <- struct{}{}
+	<-s.answered
+	waitForConnections(t, s.l, 0)
+	send(t, c, testRequest)
+	time.Sleep(afterTheAnswer)
+	if s.l.lingers() != 1 || server.queueSize(unix.TIOCINQ) != len(testRequest) {
+		t.Errorf("%d connections linger, %d bytes are unread", s.l.lingers(), server.queueSize(unix.TIOCINQ))
+	}
+	checkLargeAnswer(t, bufio.NewReader(c))
+}
+
 // Guards against a handler that reads the next request from a connection that lingers, and against
 // a second close, that of a process which ends, that does not close it.
 func TestConnectionThatLingersIsClosed(t *testing.T) {
 	c, server := acceptOne(t)
 	server.l.ConnState(server, http.StateActive)
 	c.write(t, testRequest)
-	for !server.hasInput() {
-		time.Sleep(time.Millisecond)
-	}
+	ExpectInput(ConnContext(t.Context(), server))
 	if err := server.Close(); err != nil || server.l.lingers() != 1 {
 		t.Fatalf("%d connections linger, %v", server.l.lingers(), err)
 	}
