--- a/connection_limits.go
+++ b/connection_limits.go
@@ -63,3 +63,13 @@
 	metrics.NewRegisteredFunctionalGauge("connections.waiting_bytes", registry, budget.Used)
 	return budget
 }
+
+// reportUndelivered returns the function that counts and logs answers that their callers have not
+// received when the connection is closed.
+func reportUndelivered(log *zap.Logger, registry metrics.Registry) func(listen.Undelivered) {
+	counter := metrics.GetOrRegisterCounter("connections.closed_with_answer_in_flight", registry)
+	return func(u listen.Undelivered) {
+		counter.Inc(1)
+		log.Warn("answer_not_received", zap.String("remote", u.Remote), zap.Int("bytes", u.Bytes), zap.Duration("lingered", u.Lingered))
+	}
+}
--- a/internal/listen/linger.go
+++ b/internal/listen/linger.go
@@ -35,6 +35,25 @@
 	maxLingerPoll = 200 * time.Millisecond
 )
 
+// Undelivered describes a connection that was closed before the caller had received the answer.
+type Undelivered struct {
+	Remote string
+	// Bytes is how much of the answer was not acknowledged.
+	Bytes int
+	// Lingered is how long the connection was kept for it, 0 if too many others were.
+	Lingered time.Duration
+}
+
+// ReportUndelivered makes the listener call f for each connection that is closed although the
+// caller has not received the whole answer, and has not left. It must be called before Accept.
+func (l *Listener) ReportUndelivered(f func(Undelivered)) { l.undelivered = f }
+
+func (l *Listener) reportUndelivered(c *conn, bytes int, lingered time.Duration) {
+	if l.undelivered != nil && bytes > 0 {
+		l.undelivered(Undelivered{Remote: c.RemoteAddr().String(), Bytes: bytes, Lingered: lingered})
+	}
+}
+
 // ExpectInput records that the caller may send the rest of the body of a request that is
 // answered. ctx is the context of the request.
 func ExpectInput(ctx context.Context) {
@@ -56,8 +75,12 @@
 // lingerIfNeeded begins to linger if the answer would be lost otherwise. Where the kernel can't
 // tell what is in flight, that is only if the body of the request has not arrived.
 func (c *conn) lingerIfNeeded() bool {
-	drops := c.expectsInput.Load()
-	if !drops && c.queueSize(unix.TIOCOUTQ) == 0 || !c.l.beginLinger(c) {
+	drops, inFlight := c.expectsInput.Load(), c.queueSize(unix.TIOCOUTQ)
+	if !drops && inFlight == 0 {
+		return false
+	}
+	if !c.l.beginLinger(c) {
+		c.l.reportUndelivered(c, inFlight, 0)
 		return false
 	}
 	c.l.budget.release(c)
@@ -89,6 +112,7 @@
 	}
 	begun := time.Now()
 	progress, inFlight, dropped := begun, c.queueSize(unix.TIOCOUTQ), 0
+	defer func() { c.l.reportUndelivered(c, inFlight, time.Since(begun)) }()
 	for poll := minLingerPoll; dropped <= lingerBytes && time.Since(begun) < lingerTime; poll = min(2*poll, maxLingerPoll) {
 		n, open := 0, true
 		if drops {
--- a/internal/listen/linger_test.go
+++ b/internal/listen/linger_test.go
@@ -34,6 +34,7 @@
 	l *Listener
 	// entered receives when a handler begins, proceed lets it answer, answered receives when it has.
 	entered, proceed, answered chan struct{}
+	undelivered                chan Undelivered
 }
 
 func startLargeServer(t *testing.T, maxConnections int) *largeServer {
@@ -44,6 +45,7 @@
 	}
 	l.LimitWith(nil, maxConnections)
 	s := newLargeServer(l)
+	l.ReportUndelivered(func(u Undelivered) { s.undelivered <- u })
 	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: s, MaxHeaderBytes: 1 << 10}
 	served := make(chan struct{})
 	go func() {
@@ -58,7 +60,10 @@
 }
 
 func newLargeServer(l *Listener) *largeServer {
-	return &largeServer{l: l, entered: make(chan struct{}, 8), proceed: make(chan struct{}, 8), answered: make(chan struct{}, 8)}
+	return &largeServer{
+		l: l, entered: make(chan struct{}, 8), proceed: make(chan struct{}, 8), answered: make(chan struct{}, 8),
+		undelivered: make(chan Undelivered, 8),
+	}
 }
 
 // ServeHTTP implements http.Handler.
@@ -205,7 +210,8 @@
 	}
 }
 
-// Guards against callers that never read, or never stop sending, and keep a closed connection.
+// Guards against callers that never read, or never stop sending, and keep a closed connection, and
+// against their answers not being reported.
 func TestLingeringEnds(t *testing.T) {
 	for name, request := range map[string]string{
 		"caller does not read":     "GET /close HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -221,6 +227,9 @@
 			<-s.answered
 			go func() { _, _ = io.Copy(c, neverEnding{}) }()
 			waitForClose(t, s.l, lingerTime/2)
+			if u := <-s.undelivered; u.Bytes == 0 || u.Lingered == 0 {
+				t.Errorf("reported %+v", u)
+			}
 		})
 	}
 }
@@ -261,6 +270,9 @@
 	if n := s.l.lingers(); n != 2 {
 		t.Errorf("%d connections linger, want 2", n)
 	}
+	if n := len(s.undelivered); n != callers-2 {
+		t.Errorf("%d answers are reported, want %d", n, callers-2)
+	}
 }
 
 // Guards against connections that linger although nothing is in flight, which would delay each
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -50,6 +50,8 @@
 	open int
 	// lingering is the number of those that linger.
 	lingering int
+	// undelivered is told of connections that are closed before their answer has arrived.
+	undelivered func(Undelivered)
 
 	// budget bounds the memory of connections that wait for a request, maxConnections the open
 	// connections. Without them, nil and 0, there is no bound.
