--- a/internal/listen/linger_test.go
+++ b/internal/listen/linger_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -32,6 +34,7 @@
 	l *Listener
 	// entered receives when a handler begins, proceed lets it answer, answered receives when it has.
 	entered, proceed, answered chan struct{}
+	undelivered                chan Undelivered
 }
 
 func startLargeServer(t *testing.T, maxConnections int) *largeServer {
@@ -41,7 +44,8 @@
 		t.Fatal(err)
 	}
 	l.LimitWith(nil, maxConnections)
-	s := &largeServer{l: l, entered: make(chan struct{}, 8), proceed: make(chan struct{}, 8), answered: make(chan struct{}, 8)}
+	s := newLargeServer(l)
+	l.ReportUndelivered(func(u Undelivered) { s.undelivered <- u })
 	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: s, MaxHeaderBytes: 1 << 10}
 	served := make(chan struct{})
 	go func() {
@@ -55,6 +59,13 @@
 	return s
 }
 
+func newLargeServer(l *Listener) *largeServer {
+	return &largeServer{
+		l: l, entered: make(chan struct{}, 8), proceed: make(chan struct{}, 8), answered: make(chan struct{}, 8),
+		undelivered: make(chan Undelivered, 8),
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *largeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.entered <- struct{}{}
@@ -199,21 +210,26 @@
 	}
 }
 
-// Guards against callers that never read, or never stop sending, and keep a closed connection.
+// Guards against callers that never read, or never stop sending, and keep a closed connection, and
+// against their answers not being reported.
 func TestLingeringEnds(t *testing.T) {
-	for name, flood := range map[string]bool{"caller does not read": false, "caller sends without end": true} {
+	for name, request := range map[string]string{
+		"caller does not read":     "GET /close HTTP/1.1\r\nHost: h\r\n\r\n",
+		"caller sends without end": "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000000\r\n\r\n",
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := startLargeServer(t, 0)
 			c := dialSlow(t, s.l)
-			send(t, c, "GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+			send(t, c, request)
 			<-s.entered
 			s.proceed <- struct{}{}
 			<-s.answered
-			if flood {
-				go func() { _, _ = io.Copy(c, neverEnding{}) }()
-			}
+			go func() { _, _ = io.Copy(c, neverEnding{}) }()
 			waitForClose(t, s.l, lingerTime/2)
+			if u := <-s.undelivered; u.Bytes == 0 || u.Lingered == 0 {
+				t.Errorf("reported %+v", u)
+			}
 		})
 	}
 }
@@ -254,6 +270,9 @@
 	if n := s.l.lingers(); n != 2 {
 		t.Errorf("%d connections linger, want 2", n)
 	}
+	if n := len(s.undelivered); n != callers-2 {
+		t.Errorf("%d answers are reported, want %d", n, callers-2)
+	}
 }
 
 // Guards against connections that linger although nothing is in flight, which would delay each
@@ -290,15 +309,32 @@
 	}
 }
 
+// Guards against a next request that is read and dropped: its caller could not tell that nobody
+// has read it, and that it may be sent again.
+func TestLingeringDoesNotReadTheNextRequest(t *testing.T) {
+	s := startLargeServer(t, 0)
+	c := dialSlow(t, s.l)
+	send(t, c, "GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-s.entered
+	server := s.l.tracked()[0]
+	s.proceed <- struct{}{}
+	<-s.answered
+	waitForConnections(t, s.l, 0)
+	send(t, c, testRequest)
+	time.Sleep(afterTheAnswer)
+	if s.l.lingers() != 1 || server.queueSize(unix.TIOCINQ) != len(testRequest) {
+		t.Errorf("%d connections linger, %d bytes are unread", s.l.lingers(), server.queueSize(unix.TIOCINQ))
+	}
+	checkLargeAnswer(t, bufio.NewReader(c))
+}
+
 // Guards against a handler that reads the next request from a connection that lingers, and against
 // a second close, that of a process which ends, that does not close it.
 func TestConnectionThatLingersIsClosed(t *testing.T) {
 	c, server := acceptOne(t)
 	server.l.ConnState(server, http.StateActive)
 	c.write(t, testRequest)
-	for !server.hasInput() {
-		time.Sleep(time.Millisecond)
-	}
+	ExpectInput(ConnContext(t.Context(), server))
 	if err := server.Close(); err != nil || server.l.lingers() != 1 {
 		t.Fatalf("%d connections linger, %v", server.l.lingers(), err)
 	}
@@ -308,3 +344,26 @@
 	_ = server.Close()
 	waitForClose(t, server.l, lingerQuiet/2)
 }
+
+// Guards against answers over TLS that are cut as those in TestClosedConnectionDeliversItsAnswer.
+func TestClosedTLSConnectionDeliversItsAnswer(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newLargeServer(l)
+	server := httptest.NewUnstartedServer(s)
+	_ = server.Listener.Close()
+	server.Listener, server.Config.ConnState, server.Config.ConnContext = l, l.ConnState, ConnContext
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	c := tls.Client(dialSlow(t, l), &tls.Config{RootCAs: server.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"})
+	send(t, c, "GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-s.entered
+	s.proceed <- struct{}{}
+	<-s.answered
+	time.Sleep(afterTheAnswer)
+	send(t, c, testRequest)
+	time.Sleep(afterTheAnswer / 10)
+	checkLargeAnswer(t, bufio.NewReader(c))
+}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -56,6 +56,8 @@
 
 	// unannounced counts the idle connections that DrainConnections has ended.
 	unannounced atomic.Int64
+	// undelivered is told of connections that are closed before their answer has arrived.
+	undelivered func(Undelivered)
 
 	// budget bounds the memory of connections that wait for a request, maxConnections the open
 	// connections. Without them, nil and 0, there is no bound.
