--- a/frontend/body.go
+++ b/frontend/body.go
@@ -74,9 +74,8 @@
 		return f.noMemory(c, err)
 	}
 	c.bodyRead = true // Another read would fail as well.
-	if _, ok := errors.Into[*membudget.EvictedError](err); ok {
-		c.Response().Header().Set("Connection", "close")
-		return f.noMemory(c, err)
+	if evicted, ok := errors.Into[*membudget.EvictedError](err); ok {
+		return f.gaveWay(c, evicted)
 	}
 	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return f.bodyTooLarge()
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -253,7 +253,7 @@
 
 type counters struct {
 	requests, tokens, restarts, resumes, preemptions, notRun, unknown, failed metrics.Counter
-	withoutMemory, streamsRefused                                             metrics.Counter
+	withoutMemory, bodiesEvicted, streamsRefused                              metrics.Counter
 	firstToken, gap                                                           metrics.Histogram
 }
 
@@ -278,6 +278,7 @@
 		unknown:        metrics.GetOrRegisterCounter("frontend.outcome.unknown", r),
 		failed:         metrics.GetOrRegisterCounter("frontend.outcome.failed", r),
 		withoutMemory:  metrics.GetOrRegisterCounter("frontend.requests_without_memory", r),
+		bodiesEvicted:  metrics.GetOrRegisterCounter("frontend.bodies_evicted", r),
 		streamsRefused: metrics.GetOrRegisterCounter("frontend.streams_refused", r),
 		firstToken:     histogram("frontend.first_token_us"),
 		gap:            histogram("frontend.token_gap_us"),
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -10,6 +10,7 @@
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/internal/httphead"
+	"github.com/vanillaarch/vanillaarch/membudget"
 	"github.com/vanillaarch/vanillaarch/requestbody"
 )
 
@@ -67,3 +68,15 @@
 		zap.Int64("used", f.requests.Used()), zap.Error(cause))
 	return notRunProblem(api.ProblemNoMemory, http.StatusServiceUnavailable, "the VM has no memory for the request", retryAfterBackend, cause)
 }
+
+// gaveWay returns the problem of a request whose incomplete body gave way to another request.
+// Its connection is closed.
+func (f *Frontend) gaveWay(c *call, evicted *membudget.EvictedError) error {
+	f.counter.bodiesEvicted.Inc(1)
+	c.log.Warn("request_body_evicted", zap.String("owner", evicted.Owner), zap.Int64("owner_bytes", evicted.OwnerBytes),
+		zap.Int64("held", evicted.Bytes), zap.Int64("bytes", c.Request().ContentLength), zap.String("for", evicted.For),
+		zap.String("remote", c.Request().RemoteAddr))
+	c.Response().Header().Set("Connection", "close")
+	return notRunProblem(api.ProblemNoMemory, http.StatusServiceUnavailable,
+		"the VM needs the memory of the incomplete body", retryAfterBackend, evicted)
+}
