--- a/test/callerlimits/completions_bodies_test.go
+++ b/test/callerlimits/completions_bodies_test.go
@@ -204,3 +204,19 @@
 		})
 	}
 }
+
+// Guards against the same bodies at the listeners of an entry VM for readiness and metrics.
+func TestBodiesToReadinessAndMetrics(t *testing.T) {
+	for name, path := range map[string]string{"ready": "/readyz", "metrics": "/metrics"} {
+		t.Run(name, func(t *testing.T) {
+			d := startEntry(t)
+			runCrowd(d, listeners[name](d), mixedBodies(func() string { return beginRequest(path, "") }))
+		})
+	}
+}
+
+// Guards against bodies sent to the listener for peers, which is no HTTP server.
+func TestBodiesToPeers(t *testing.T) {
+	d := startEntry(t)
+	runCrowd(d, d.peers, mixedBodies(func() string { return beginRequest("/", "") }))
+}
