--- a/entry_http.go
+++ b/entry_http.go
@@ -36,6 +36,7 @@
 		case 0:
 			e.callerListener = l
 			l.LimitWith(limits.budget, limits.callers)
+			l.GiveWayWith(func() bool { return e.gateway.EvictStalledBody() })
 		case 1:
 			l.LimitWith(limits.budget, limits.probes)
 			e.probes.ConnState = l.ConnState
--- a/frontend/body.go
+++ b/frontend/body.go
@@ -55,7 +55,7 @@
 	c.memory = f.requests.Reserve(c.identity.Organisation)
 	body, err := c.memory.Read(c.ctx, headMemory(c.Request()), requestbody.Body{
 		Reader: http.MaxBytesReader(c.Response(), c.Request().Body, f.Config.Limits.BodyBytes),
-		Length: c.Request().ContentLength, Limit: f.Config.Limits.BodyBytes,
+		Length: c.Request().ContentLength, Limit: f.Config.Limits.BodyBytes, Shared: isHTTP2(c.Request()),
 		End: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only without a connection.
 	})
 	if err != nil {
--- a/frontend/memory.go
+++ b/frontend/memory.go
@@ -60,6 +60,10 @@
 	return nil
 }
 
+// EvictStalledBody lets a request whose body does not arrive give way to a new connection. It
+// returns false if there is none.
+func (f *Frontend) EvictStalledBody() bool { return f.requests.EvictStalled() }
+
 // noMemory returns the problem of a request for which the VM has no memory, of which nothing was
 // passed on.
 func (f *Frontend) noMemory(c *call, cause error) error {
--- a/gateway/read_body.go
+++ b/gateway/read_body.go
@@ -109,6 +109,10 @@
 	return notReady("the VM has no memory for the request").WithCause(cause)
 }
 
+// EvictStalledBody lets a request whose body does not arrive give way to a new connection. It
+// returns false if there is none.
+func (g *Gateway) EvictStalledBody() bool { return g.requestMemory.EvictStalled() }
+
 // gaveWay returns the problem of a request whose incomplete body gave way to another request.
 func (c *call) gaveWay(evicted *membudget.EvictedError) error {
 	c.log.Warn("request_body_evicted", zap.String("owner", evicted.Owner), zap.Int64("owner_bytes", evicted.OwnerBytes),
--- a/internal/listen/budget.go
+++ b/internal/listen/budget.go
@@ -97,6 +97,11 @@
 	l.budget, l.maxConnections = b, maxConnections
 }
 
+// GiveWayWith sets what closes a connection with a request in progress when the open ones have
+// reached their limit and none of them waits for a request. giveWay returns false if there is
+// none. It must be called before Accept.
+func (l *Listener) GiveWayWith(giveWay func() bool) { l.giveWay = giveWay }
+
 // admit counts a connection that was accepted. It returns false if the connection must be
 // closed.
 func (b *Budget) admit(c *conn) bool {
@@ -109,17 +114,25 @@
 	return b.reserve(c, connectionBytes) == nil
 }
 
-// makePlace closes a waiting connection of the listener of c. It returns false if there is none.
+// makePlace closes a waiting connection of the listener of c, or else one whose request gives way.
+// It returns false if there is none.
 func (b *Budget) makePlace(c *conn) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.evict(ReasonConnections, func(other *conn) bool { return other.l == c.l }) {
+	if b.evictWaiting(c.l) || c.l.giveWay != nil && c.l.giveWay() {
 		return true
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.closed(b.describe(c, ReasonConnections, 0))
 	return false
 }
 
+// evictWaiting closes a waiting connection of a listener. It returns false if there is none.
+func (b *Budget) evictWaiting(l *Listener) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.evict(ReasonConnections, func(other *conn) bool { return other.l == l })
+}
+
 // reserve sets the bytes of a connection that waits. Others are closed if the budget is
 // exhausted. It returns a *BudgetError if none of them can be.
 func (b *Budget) reserve(c *conn, bytes int64) error {
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -53,6 +53,8 @@
 	// connections. Without them, nil and 0, there is no bound.
 	budget         *Budget
 	maxConnections int
+	// giveWay closes a connection with a request in progress, nil if none gives way.
+	giveWay func() bool
 }
 
 // NotTCPError reports a listener that is not a TCP listener.
--- a/requestbody/memory.go
+++ b/requestbody/memory.go
@@ -139,11 +139,11 @@
 	return r.evicted
 }
 
-// began lets the body of a request give way from now on. end ends its pending read.
-func (m *Memory) began(r *Request, bytes int64, end func()) {
+// began lets the body of a request give way from now on.
+func (m *Memory) began(r *Request, bytes int64, b Body) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r.bytes, r.end = bytes, end
+	r.bytes, r.shared, r.end = bytes, b.Shared, b.End
 	m.incomplete[r] = struct{}{}
 }
 
--- /dev/null
+++ b/requestbody/place_test.go
@@ -0,0 +1,31 @@
+package requestbody
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against bodies that stop short and keep connections from others, and against bodies that
+// arrive slowly and would give way to new connections.
+func TestStalledBodyGivesWayToAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		stalled, larger := begin(m, "a", bodyLimit, 30<<10), begin(m, "b", bodyLimit, 100<<10)
+		time.Sleep(progressTime + time.Millisecond)
+		arriving := begin(m, "c", bodyLimit, 200<<10)
+		for _, want := range []*upload{larger, stalled} {
+			if !m.EvictStalled() {
+				t.Fatal("no body gives way")
+			}
+			synctest.Wait()
+			if evicted := want.gaveWay(); evicted == nil || evicted.For != newConnection {
+				t.Errorf("another body than the largest without progress gave way: %v", evicted)
+			}
+		}
+		if m.EvictStalled() {
+			t.Errorf("a body that arrives gave way: %v", arriving.gaveWay())
+		}
+		_ = arriving.writer.Close()
+	})
+}
--- a/requestbody/request.go
+++ b/requestbody/request.go
@@ -39,7 +39,9 @@
 
 	// m.mu guards the following fields. bytes is what an incomplete body holds with its head,
 	// end ends its pending read.
+	// shared is Body.Shared.
 	bytes   int64
+	shared  bool
 	end     func()
 	evicted *membudget.EvictedError
 }
@@ -51,6 +53,9 @@
 	Length int64
 	// Limit bounds the body. Of a longer one, Limit+1 bytes are read.
 	Limit int64
+	// Shared is set if the connection carries other requests too, as with HTTP/2, so that it stays
+	// open if the body gives way.
+	Shared bool
 	// End makes the pending Read of the Reader fail without delay, and every later one. It is
 	// called at most once, from any goroutine, before Request.Read returns. It must not block.
 	End func()
@@ -77,7 +82,7 @@
 	if err := r.raise(ctx, headBytes+int64(size), max(r.announced, headBytes+int64(size))); err != nil {
 		return nil, err
 	}
-	r.m.began(r, r.small, b.End)
+	r.m.began(r, r.small, b)
 	body, err := r.readInto(ctx, make([]byte, 0, size), b, known)
 	if evicted := r.m.ended(r); evicted != nil {
 		err = evicted
--- a/requestbody/requestbody_test.go
+++ b/requestbody/requestbody_test.go
@@ -224,7 +224,7 @@
 			t.Fatal(err)
 		}
 		ended := false
-		m.began(first, first.small, func() { ended = true })
+		m.began(first, first.small, Body{End: func() { ended = true }})
 		go func() { // Drops its memory late.
 			<-hold
 			_ = m.ended(first)
--- a/server_http.go
+++ b/server_http.go
@@ -57,6 +57,7 @@
 		return nil, err
 	}
 	h.listeners[0].LimitWith(limits.budget, limits.callers)
+	h.listeners[0].GiveWayWith(s.frontend.EvictStalledBody)
 	if s.cfg.Listen.Admin != "" {
 		if err := h.add(s.cfg.Listen.Admin, admin, s.cfg.Limits.HeaderBytes); err != nil {
 			_ = h.listeners[0].Close()
--- a/test/callerlimits/completions_bodies_test.go
+++ b/test/callerlimits/completions_bodies_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/client"
-	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/internal/localcluster"
 )
 
@@ -113,7 +112,7 @@
 
 // startServing starts a VM of the completions API with an engine and a service behind it. An
 // ordinary request is a small one to path.
-func startServing(t *testing.T, path string, files config.TLS) *daemon {
+func startServing(t *testing.T, path string, o serverSettings) *daemon {
 	t.Helper()
 	cluster, err := localcluster.Start(localcluster.Options{Engines: 1, Services: 1})
 	if err != nil {
@@ -125,8 +124,8 @@
 	if err := cluster.RollOut(ctx, localcluster.Document(1)); err != nil {
 		t.Fatal(err)
 	}
-	d := startServerOn(t, cluster.KVURL(), cluster.VMListURL(), files)
-	scheme := schemeOf(files)
+	d := startServerOn(t, cluster.KVURL(), cluster.VMListURL(), o)
+	scheme := schemeOf(o.files)
 	d.ordinary = func() (*http.Request, error) { return ordinaryRequest(scheme+d.callers+path, path) }
 	d.awaitAnswer(startLimit)
 	return d
@@ -155,7 +154,7 @@
 func TestBodiesOfCompletions(t *testing.T) {
 	for name, kind := range serverBodyKinds {
 		t.Run(name, func(t *testing.T) {
-			d := startServing(t, completionsPath, config.TLS{})
+			d := startServing(t, completionsPath, serverSettings{})
 			runCrowd(d, d.callers, func(int) caller { return kind(beginRequest(completionsPath, "")) })
 		})
 	}
@@ -172,7 +171,7 @@
 	for name, route := range map[string]string{"repeatable": localcluster.LookupRoute, "claimed": localcluster.BookingRoute} {
 		t.Run(name, func(t *testing.T) {
 			path := servicePath(route)
-			d := startServing(t, path, config.TLS{})
+			d := startServing(t, path, serverSettings{})
 			runCrowd(d, d.callers, mixedBodies(func() string {
 				key, err := client.NewIdempotencyKey()
 				if err != nil {
@@ -186,7 +185,7 @@
 
 // Guards against the same bodies of requests that resume a run, which need none and were read.
 func TestBodiesOfResumedRuns(t *testing.T) {
-	d := startServing(t, completionsPath, config.TLS{})
+	d := startServing(t, completionsPath, serverSettings{})
 	runCrowd(d, d.callers, mixedBodies(func() string {
 		return beginRequest(completionsPath, api.HeaderLastEventID+": unknown:1\r\n")
 	}))
@@ -220,3 +219,23 @@
 	d := startEntry(t)
 	runCrowd(d, d.peers, mixedBodies(func() string { return beginRequest("/", "") }))
 }
+
+// Guards against bodies that are announced and never sent, on all connections that callers may
+// have: they kept every other caller out for as long as timeouts.body allows, since they take too
+// little memory to give way for its sake.
+func TestBodiesNeverSentLeaveConnections(t *testing.T) {
+	// With 100 descriptors there are 40 connections, whose requests fit into the memory.
+	d := startServing(t, completionsPath, serverSettings{descriptors: 100, bodyTimeout: "5m"})
+	runCrowd(d, d.callers, func(int) caller {
+		return serverBodyKinds["announced and never sent"](beginRequest(completionsPath, ""))
+	})
+}
+
+// Guards against the same at an entry VM, where the time limit of a route bounds the wait.
+func TestBodiesNeverSentLeaveConnectionsOfEntry(t *testing.T) {
+	d := startEntryWith(t, []byte(strings.Replace(string(largeBodyConfig()), `"timeoutMs":20000`, `"timeoutMs":300000`, 1)))
+	runCrowd(d, d.callers, func(n int) caller {
+		return send(fmt.Appendf(nil, "POST /draft/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: never-%d\r\nDeadline-Ms: 300000\r\nAuthorization: Bearer %s\r\nContent-Length: 64\r\n\r\n",
+			host, n, apiKey))
+	})
+}
--- a/test/callerlimits/completions_http2_test.go
+++ b/test/callerlimits/completions_http2_test.go
@@ -86,7 +86,7 @@
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			d := startServing(t, completionsPath, certificate(t))
+			d := startServing(t, completionsPath, serverSettings{files: certificate(t)})
 			checkLargestBody(d)
 			runCrowd(d, d.callers, func(int) caller { return http2Caller(ctx, path) })
 		})
@@ -116,7 +116,7 @@
 
 // Guards against the bodies of TestBodiesOfCompletions over TLS, whose records are buffered too.
 func TestBodiesOverTLS(t *testing.T) {
-	d := startServing(t, completionsPath, certificate(t))
+	d := startServing(t, completionsPath, serverSettings{files: certificate(t)})
 	mixed := mixedBodies(func() string { return beginRequest(completionsPath, "") })
 	runCrowd(d, d.callers, func(n int) caller {
 		return func(c net.Conn) { mixed(n)(tls.Client(c, &tls.Config{InsecureSkipVerify: true})) }
--- a/test/callerlimits/daemon_test.go
+++ b/test/callerlimits/daemon_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -116,21 +117,28 @@
 func startServer(t *testing.T) *daemon {
 	t.Helper()
 	platform := "http://" + freeAddress(t)
-	return startServerOn(t, platform, platform, config.TLS{})
+	return startServerOn(t, platform, platform, serverSettings{})
+}
+
+// serverSettings are settings of a VM of the completions API that differ from the usual ones.
+type serverSettings struct {
+	files       config.TLS
+	descriptors int
+	bodyTimeout string
 }
 
 // startServerOn starts a VM of the completions API with a key-value service and a VM list.
-func startServerOn(t *testing.T, kv, vmList string, files config.TLS) *daemon {
+func startServerOn(t *testing.T, kv, vmList string, o serverSettings) *daemon {
 	t.Helper()
 	d := &daemon{t: t, callers: freeAddress(t), peers: freeAddress(t), admin: freeAddress(t)}
-	scheme := schemeOf(files)
+	scheme := schemeOf(o.files)
 	d.ordinary = func() (*http.Request, error) {
 		return http.NewRequest(http.MethodGet, scheme+d.callers+"/healthz", nil)
 	}
 	settings := fmt.Sprintf(`{"vm_id": "vm", "zone": "z", "region": "r", "listen": {"http": %q, "peer": %q, "admin": %q},
-		"limits": {"memory_bytes": %d, "descriptors": %d, "header_bytes": %d}, "tls": {"cert_file": %q, "key_file": %q},
+		"limits": {"memory_bytes": %d, "descriptors": %d, "header_bytes": %d}, "timeouts": {"body": %q}, "tls": {"cert_file": %q, "key_file": %q},
 		"platform": {"kv": %q, "vm_list": %q}}`,
-		d.callers, d.peers, d.admin, vmMemoryMB<<20, maxDescriptors, serverHeaderBytes, files.CertFile, files.KeyFile, kv, vmList)
+		d.callers, d.peers, d.admin, vmMemoryMB<<20, cmp.Or(o.descriptors, maxDescriptors), serverHeaderBytes, cmp.Or(o.bodyTimeout, "30s"), o.files.CertFile, o.files.KeyFile, kv, vmList)
 	path := filepath.Join(t.TempDir(), "vm.jsonc")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
