--- a/entry_http.go
+++ b/entry_http.go
@@ -37,6 +37,7 @@
 			e.callerListener = l
 			l.LimitWith(limits.budget, limits.callers)
 			l.ReportUndelivered(reportUndelivered(e.log, e.metrics))
+			l.GiveWayWith(func() bool { return e.gateway.EvictStalledBody() })
 		case 1:
 			l.LimitWith(limits.budget, limits.probes)
 			e.probes.ConnState = l.ConnState
--- a/frontend/body.go
+++ b/frontend/body.go
@@ -55,7 +55,7 @@
 	c.memory = f.requests.Reserve(c.identity.Organisation)
 	body, err := c.memory.Read(c.ctx, headMemory(c.Request()), requestbody.Body{
 		Reader: http.MaxBytesReader(c.Response(), c.Request().Body, f.Config.Limits.BodyBytes),
-		Length: c.Request().ContentLength, Limit: f.Config.Limits.BodyBytes,
+		Length: c.Request().ContentLength, Limit: f.Config.Limits.BodyBytes, Shared: isHTTP2(c.Request()),
 		End: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only without a connection.
 	})
 	if err != nil {
@@ -74,9 +74,8 @@
 		return f.noMemory(c, err)
 	}
 	c.bodyRead = true // Another read would fail as well.
-	if _, ok := errors.Into[*membudget.EvictedError](err); ok {
-		c.Response().Header().Set("Connection", "close")
-		return f.noMemory(c, err)
+	if evicted, ok := errors.Into[*membudget.EvictedError](err); ok {
+		return f.gaveWay(c, evicted)
 	}
 	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return f.bodyTooLarge()
--- a/server_http.go
+++ b/server_http.go
@@ -58,6 +58,7 @@
 	}
 	h.listeners[0].LimitWith(limits.budget, limits.callers)
 	h.listeners[0].ReportUndelivered(reportUndelivered(s.log, s.metrics))
+	h.listeners[0].GiveWayWith(s.frontend.EvictStalledBody)
 	if s.cfg.Listen.Admin != "" {
 		if err := h.add(s.cfg.Listen.Admin, admin, s.cfg.Limits.HeaderBytes); err != nil {
 			_ = h.listeners[0].Close()
