--- a/requestbody/request.go
+++ b/requestbody/request.go
@@ -59,6 +59,7 @@
 // Admit reserves memory for a request without a body. It returns a *membudget.ExceededError if
 // there is none within half a second.
 func (r *Request) Admit(ctx context.Context, headBytes int64) error {
+	r.progressAt.Store(int64(r.m.Now())) // It has no body that could stop.
 	return r.raise(ctx, headBytes, headBytes)
 }
 
--- a/requestbody/requestbody_test.go
+++ b/requestbody/requestbody_test.go
@@ -160,6 +160,23 @@
 	}
 }
 
+// Guards against lookups that wait while bodies hold the memory that stopped short: a request
+// without a body counted as one that makes no progress, and the first search found nobody.
+func TestStoppedBodiesGiveWayToALookupAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		for _, owner := range []string{"a", "b", "c", "d"} {
+			u := begin(m, owner, bodyLimit, bodyLimit-1)
+			defer func() { _ = u.writer.Close() }()
+		}
+		time.Sleep(2 * progressTime)
+		const needs = 200 << 10
+		if begun := time.Now(); lookup(m, "z", needs) != nil || time.Since(begun) > pollInterval {
+			t.Errorf("no memory, or only after %v", time.Since(begun))
+		}
+	})
+}
+
 // Guards against the loss of a body that is complete: the request may have been passed on.
 func TestCompleteBodiesDoNotGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
