--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -110,6 +110,9 @@
 	defer c.mu.Unlock()
 	c.state, c.since, c.hasRead, c.head = state, time.Now(), false, waitingHead{}
 	c.served = c.served || state == http.StateActive
+	if state == http.StateIdle {
+		c.expectsInput.Store(false) // The server has read the body to its end.
+	}
 }
 
 // underlying returns the connection that nc wraps, nil if no Listener has accepted it.
--- a/internal/listen/linger_test.go
+++ b/internal/listen/linger_test.go
@@ -308,3 +308,45 @@
 	_ = server.Close()
 	waitForClose(t, server.l, lingerQuiet/2)
 }
+
+// Guards against connections that linger, and delay a stop, although nothing is in flight: an
+// earlier request on them was refused, and its long body was read to its end.
+func TestKeptConnectionDoesNotLingerForABodyThatWasRead(t *testing.T) {
+	const bodyBytes = unreadBodyBytes + 1<<10
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range 2 { // The first call reads a part.
+			if err := DiscardBody(w, r, func() time.Duration { return time.Minute }); err != nil {
+				t.Error(err)
+			}
+		}
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, make([]byte, bodyBytes))
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.Close {
+		t.Fatalf("the connection is closed: %v, %v", answer.Close, err)
+	}
+	waitForConnections(t, l, 1)
+	kept := l.tracked()[0]
+	for begin := time.Now(); kept.describe().State != http.StateIdle; time.Sleep(time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("the connection is not idle")
+		}
+	}
+	if kept.expectsInput.Load() {
+		t.Error("the rest of the body is still expected")
+	}
+}
