--- a/frontend/body.go
+++ b/frontend/body.go
@@ -74,6 +74,7 @@
 		return f.noMemory(c, err)
 	}
 	c.bodyRead = true // Another read would fail as well.
+	listen.ExpectInput(c.Request().Context())
 	if _, ok := errors.Into[*membudget.EvictedError](err); ok {
 		c.Response().Header().Set("Connection", "close")
 		return f.noMemory(c, err)
