--- a/internal/listen/notice.go
+++ b/internal/listen/notice.go
@@ -11,18 +11,19 @@
 type Notice struct {
 	// Period counts from the end of the last answer. 0 closes such connections at once.
 	Period time.Duration
-	// Until is when they are closed in any case, unless it is zero.
+	// Until is when they are closed in any case, unless it is zero. So are new connections without
+	// a request: one that is read still has time to be answered.
 	Until time.Time
 }
 
 // over reports whether a connection may be closed whose last answer ended at a time.
 func (n Notice) over(now, answered time.Time) bool {
-	if n.Period <= 0 || !n.Until.IsZero() && !now.Before(n.Until) {
-		return true
-	}
-	return now.Sub(answered) >= n.Period
+	return n.Period <= 0 || n.ended(now) || now.Sub(answered) >= n.Period
 }
 
+// ended reports whether Until has passed.
+func (n Notice) ended(now time.Time) bool { return !n.Until.IsZero() && !now.Before(n.Until) }
+
 // GiveNotice sets the notice of DrainConnections, which is none before.
 func (l *Listener) GiveNotice(n Notice) {
 	l.connsMu.Lock()
@@ -77,7 +78,7 @@
 	case http.StateIdle:
 		return notice.over(now, c.since) && !c.hasInput()
 	case http.StateNew:
-		return now.Sub(c.since) >= firstRequestTimeout && !c.hasInput()
+		return (notice.ended(now) || now.Sub(c.since) >= firstRequestTimeout) && !c.hasInput()
 	default:
 		return false
 	}
--- a/internal/listen/notice_test.go
+++ b/internal/listen/notice_test.go
@@ -50,6 +50,23 @@
 	}
 }
 
+// Guards against a drain that lasts to its limit for a new connection without a request: one that
+// is read just before that is cut.
+func TestNewConnectionsEndWithTheNotice(t *testing.T) {
+	l, _ := startHeldServer(t)
+	l.GiveNotice(Notice{Period: time.Minute, Until: time.Now().Add(10 * drainPollInterval)})
+	c := dial(t, l)
+	waitForConnections(t, l, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), firstRequestTimeout/2)
+	defer cancel()
+	if err := l.DrainConnections(ctx); err != nil {
+		t.Errorf("the drain ended with %v", err)
+	}
+	if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v, want the end of the connection", err)
+	}
+}
+
 // Guards against a notice that counts from the begin of the drain, or from that of the answer.
 func TestNoticeCountsFromTheLastAnswer(t *testing.T) {
 	answered := time.Unix(100, 0)
--- a/server_http.go
+++ b/server_http.go
@@ -107,7 +107,7 @@
 // last answer began before the drain get the notice, from its end, to send another request, which
 // is rejected. ctx ends it early.
 func (h *httpServers) close(ctx context.Context, log *zap.Logger, notice time.Duration) {
-	h.listeners[0].GiveNotice(listen.Notice{Period: notice, Until: time.Now().Add(notice)})
+	h.listeners[0].GiveNotice(listen.Notice{Period: notice, Until: time.Now().Add(notice + closeTimeout)})
 	for _, l := range h.listeners {
 		if err := l.DrainBacklog(settleTimeout); err != nil {
 			log.Warn("listener_not_settled", zap.Error(err))
