--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -30,6 +30,7 @@
 	invariantCrashingPrompts    = "prompts that crash engines are refused, sound ones are not"
 	invariantCrashingRequests   = "a request that crashes its servers is refused, sound ones are not"
 	invariantAttempts           = "a safe call runs on no more servers than its route allows"
+	invariantOneEnd             = "the log tells one end of each accepted request and of each process"
 	invariantRecovery           = "all VMs serve after the faults have ended"
 )
 
--- a/internal/soak/lost_callers_test.go
+++ b/internal/soak/lost_callers_test.go
@@ -67,7 +67,9 @@
 // lostResult is a request and what its caller saw.
 type lostResult struct {
 	id, vm string
-	kind   *lostKind
+	// process is that of the VM as the request was sent.
+	process *process
+	kind    *lostKind
 	// sent is the time at which the last byte was written, ended that of the response or of
 	// the end of the connection.
 	sent, ended time.Time
@@ -160,7 +162,7 @@
 func (c *lostCaller) newResult(k *lostKind) *lostResult {
 	c.sent++
 	c.used++
-	return &lostResult{id: fmt.Sprintf("%s.%s-%d", c.vm.name, c.prefix, c.sent), vm: c.vm.name, kind: k, first: c.used == 1}
+	return &lostResult{id: fmt.Sprintf("%s.%s-%d", c.vm.name, c.prefix, c.sent), vm: c.vm.name, process: c.vm.currentProcess(), kind: k, first: c.used == 1}
 }
 
 func (c *lostCaller) head(k *lostKind, id string) string {
--- a/internal/soak/lost_check_test.go
+++ b/internal/soak/lost_check_test.go
@@ -58,6 +58,7 @@
 			l.t.Errorf("the log of %s holds a panic", v.name)
 		}
 	}
+	l.checkEnds()
 	l.t.Logf("%d requests, %d stops, %d reloads, %d manifests, store away %d times: %v", len(l.results), stops, reloads, len(l.manifests), len(l.away), counts)
 	l.t.Logf("kinds: %v", kinds)
 }
@@ -122,3 +123,19 @@
 func (l *lostLoad) logLines(r lostResult) string {
 	return l.linesOf(r.vm, r.id+" ", r.id+"\"")
 }
+
+// checkEnds reports each request that a VM has answered or passed on, and each process, of which
+// the log tells no end, or two.
+func (l *lostLoad) checkEnds() {
+	read := map[string][]readRequest{}
+	for _, r := range l.results {
+		if r.status != 0 || len(l.fleet.Executions(r.id)) > 0 {
+			read[r.vm] = append(read[r.vm], readRequest{r.id, r.process})
+		}
+	}
+	for _, v := range l.vms {
+		for _, fault := range v.endFaultsOf(read[v.name]) {
+			l.t.Error(fault)
+		}
+	}
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +39,8 @@
 
 	mu      sync.Mutex
 	process *process
+	// processes holds all processes in the order of their starts.
+	processes []*process
 	// inFault is set while a fault pauses or restarts the process.
 	inFault bool
 }
@@ -47,6 +51,10 @@
 	ended chan struct{}
 	// err is valid once ended is closed.
 	err error
+	// dumped is set if the process was made to dump its stacks.
+	dumped atomic.Bool
+	// logOffset is where its output begins in the log file.
+	logOffset int64
 }
 
 func newVM(name, dir, daemon string, store *proxy) (*vm, error) {
@@ -90,18 +98,23 @@
 		return errors.Wrap(err, "open log")
 	}
 	defer output.Close()
+	offset, err := output.Seek(0, io.SeekEnd)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
 	cmd := exec.Command(v.daemon, "entry", "--settings", v.settings)
 	cmd.Stdout, cmd.Stderr = output, output
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start "+v.name)
 	}
-	p := &process{cmd: cmd, ended: make(chan struct{})}
+	p := &process{cmd: cmd, ended: make(chan struct{}), logOffset: offset}
 	go func() {
 		p.err = cmd.Wait()
 		close(p.ended)
 	}()
 	v.process, v.inFault = p, false
+	v.processes = append(v.processes, p)
 	return nil
 }
 
@@ -166,6 +179,7 @@
 	v.inFault = true
 	p := v.process
 	v.mu.Unlock()
+	p.dumped.Store(true)
 	_ = p.cmd.Process.Signal(syscall.SIGQUIT) // The process may have exited.
 	select {
 	case <-p.ended:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -176,6 +176,7 @@
 	w.checkPrompts()
 	w.checkCrashingRequests()
 	w.checkProcesses()
+	w.checkEnds()
 	return &Report{
 		Seed: o.Seed, Violations: w.violations.all(), Faults: w.appliedFaults, Outcomes: w.outcomes.all(),
 		Overlaps: w.overlaps, Departures: w.departures, Pauses: w.pauses, Limits: w.limits, Evacuations: w.evacuations, LongestDelay: w.delays.longest(w.started, time.Now()),
