--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -175,7 +175,7 @@
 	s.copies.mu.Lock()
 	defer s.copies.mu.Unlock()
 	if s.copies.ended || s.copies.engine != "" && s.copies.engine != rc.source.ID {
-		s.g.background.Go(func() { s.discard(rc) })
+		s.g.inBackground(func() { s.discard(rc) })
 		return
 	}
 	if old := s.copies.moved; old != nil {
@@ -197,7 +197,7 @@
 	}
 	if rc := s.copies.moved; rc != nil {
 		s.copies.moved = nil
-		s.g.background.Go(func() { s.discard(rc) })
+		s.g.inBackground(func() { s.discard(rc) })
 	}
 }
 
--- a/gateway/end_run.go
+++ b/gateway/end_run.go
@@ -65,7 +65,7 @@
 	s.unended = nil
 	begin := boottime.Now()
 	move := &finalMove{engine: *previous, done: make(chan struct{})}
-	s.g.background.Go(func() {
+	s.g.inBackground(func() {
 		defer close(move.done)
 		s.stopRun(move, next.Address)
 	})
@@ -106,7 +106,7 @@
 	if move == nil {
 		return
 	}
-	s.g.background.Go(func() {
+	s.g.inBackground(func() {
 		<-move.done
 		isUsed := used != nil && *used == edge.Copy{Address: move.engine.Address, Handle: move.handle}
 		if move.handle != "" && !isUsed {
--- a/gateway/load_questions.go
+++ b/gateway/load_questions.go
@@ -37,7 +37,7 @@
 		return
 	}
 	g.Metrics.loadQuestions.Inc(1)
-	g.background.Go(func() { g.ask(vm, healthPath) })
+	g.inBackground(func() { g.ask(vm, healthPath) })
 }
 
 // ask sends one health request and records the load and the notice in the answer.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,8 @@
 	// runsMovedOut counts the runs that were moved out of evacuated zones, runsNotMovedOut the
 	// attempts that failed.
 	runsMovedOut, runsNotMovedOut metrics.Counter
+	// backgroundPanics counts the panics of work that outlives its request or serves none.
+	backgroundPanics metrics.Counter
 	// callersLeft counts the callers that disconnected before their answer was complete.
 	callersLeft metrics.Counter
 	// hedges counts the requests that were sent to a second server before the first had
@@ -89,6 +91,8 @@
 		invalidLoads:        metrics.GetOrRegisterCounter("gateway.invalid_loads", r),
 		withoutRoom:         metrics.GetOrRegisterCounter("gateway.refused_outstanding_bytes", r),
 
+		backgroundPanics: metrics.GetOrRegisterCounter("gateway.background_panics", r),
+
 		callersLeft: metrics.GetOrRegisterCounter("gateway.callers_left", r),
 
 		firstEvent:  histogram("gateway.first_event_us"),
--- a/gateway/open_copy.go
+++ b/gateway/open_copy.go
@@ -145,6 +145,6 @@
 	}
 	s.freeUnused(source.move, &source.from)
 	if source.isMoved() && source.from != source.location {
-		s.g.background.Go(func() { s.g.freeCopy(s.log, source.source, source.location.Handle) })
+		s.g.inBackground(func() { s.g.freeCopy(s.log, source.source, source.location.Handle) })
 	}
 }
--- a/gateway/panic_test.go
+++ b/gateway/panic_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 )
@@ -38,3 +41,30 @@
 		t.Errorf("the ticket was released %d times", n)
 	}
 }
+
+// panickingHealth is a client that fails at each answer to a health request.
+type panickingHealth struct{ edge.EngineClient }
+
+func (panickingHealth) Health(context.Context, backend.Target, string) (edge.HealthReport, error) {
+	panic("fault")
+}
+
+// Guards against a process that ends, with all its requests, since work beside them panics: a
+// question for the load of a server.
+func TestPanicBesideRequestsDoesNotEndTheProcess(t *testing.T) {
+	r, logs := newReportRig(t, 2, always("1,0,8,150"))
+	r.Engines = panickingHealth{r.Engines}
+	r.answersOf(plainPath, 4)
+	for range 200 {
+		r.questions.Request()
+	}
+	for begin := time.Now(); r.count("gateway.load_questions") == 0 && time.Since(begin) < 20*time.Second; {
+		time.Sleep(figuresFade + 50*time.Millisecond)
+		r.answersOf(plainPath, 1)
+	}
+	r.Close()
+	asked, panics, lines := r.count("gateway.load_questions"), r.count("gateway.background_panics"), logs.FilterMessage("background_panicked").Len()
+	if asked == 0 || panics != asked || int64(lines) != asked {
+		t.Errorf("%d questions, %d panics, %d lines", asked, panics, lines)
+	}
+}
--- a/gateway/relocate.go
+++ b/gateway/relocate.go
@@ -157,7 +157,7 @@
 		snap := g.Snapshot()
 		g.departures.update(snap, boottime.Now())
 		for _, vm := range g.runs.leaving(snap) {
-			moves.Go(func() { g.evacuate(ctx, vm) })
+			moves.Go(func() { g.protect(func() { g.evacuate(ctx, vm) }) })
 		}
 		select {
 		case <-ctx.Done():
@@ -205,9 +205,11 @@
 			}
 			moves.Go(func() {
 				defer s.endEvacuation()
-				if !s.stayWithBackup(ctx, vm, leavesAt, rooms) {
-					s.relocate(ctx, vm, scheduled, noticedAt, leavesAt)
-				}
+				g.protect(func() {
+					if !s.stayWithBackup(ctx, vm, leavesAt, rooms) {
+						s.relocate(ctx, vm, scheduled, noticedAt, leavesAt)
+					}
+				})
 			})
 		}
 		if !wait.Sleep(ctx, unstartedRunPollInterval) {
--- a/gateway/zone_moves.go
+++ b/gateway/zone_moves.go
@@ -145,5 +145,5 @@
 	}
 	s.copies.moved = nil
 	s.copies.record(rc, copyDropped, nil)
-	s.g.background.Go(func() { s.discard(rc) })
+	s.g.inBackground(func() { s.discard(rc) })
 }
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -1,5 +1,6 @@
-// Package recovery turns the panic of a request handler into an error, so that its caller gets
-// an answer. http.Server only closes the connection.
+// Package recovery turns panics into errors: that of a request handler, so that its caller gets an
+// answer where http.Server only closes the connection, and that of background work, which would end
+// the process.
 package recovery
 
 import (
@@ -31,3 +32,14 @@
 	}()
 	return f()
 }
+
+// Run calls f and returns its panic, nil if there was none.
+func Run(f func()) (panicked *PanicError) {
+	defer func() {
+		if value := recover(); value != nil {
+			panicked = &PanicError{Value: value, Stack: debug.Stack()}
+		}
+	}()
+	f()
+	return nil
+}
