--- a/explain/ends.go
+++ b/explain/ends.go
@@ -141,12 +141,17 @@
 	return p
 }
 
+// addRequest adds a line that names a request. Requests that have no id are not told apart: only the
+// numbers of the last line tell whether one of them has no end.
 func (p *Process) addRequest(event, id string) {
-	switch event {
-	case eventDone:
+	if event == eventDone {
 		p.Done++
+	}
+	switch {
+	case id == "":
+	case event == eventDone:
 		p.ends[id]++
-	case eventCut:
+	case event == eventCut:
 		p.cut[id] = true
 	default:
 		p.ends[id] += 0 // The request is known.
--- a/explain/ends_test.go
+++ b/explain/ends_test.go
@@ -23,6 +23,10 @@
 		{name: "two ends", log: []string{
 			"vm_started vm=a", "request_done vm=a request=r1", "request_done vm=a request=r1", "vm_stopped vm=a cut=0 accepted=1 ended=2",
 		}, want: "a: 1 requests accepted, 2 ended\na: 1 requests with more than one end: r1\n"},
+		{name: "no ids", log: []string{
+			"vm_started vm=a", "attempt_done vm=a request= backend=b", "request_done vm=a request= status=200", "request_done vm=a request= status=200",
+			"vm_stopped vm=a cut=0 accepted=2 ended=2",
+		}},
 		{name: "cut, ended late", log: []string{
 			"vm_started vm=a", "request_cut vm=a request=r1", "request_done vm=a request=r1", "vm_stopped vm=a cut=1 accepted=1 ended=1",
 		}},
