--- a/gateway/caller_left.go
+++ b/gateway/caller_left.go
@@ -30,6 +30,13 @@
 	c.caller.stop = context.AfterFunc(c.r.Context(), c.recordCallerLeft)
 }
 
+// unwatch ends the watch, unless the caller has left before.
+func (w *callerWatch) unwatch() {
+	if w != nil && w.stop != nil {
+		w.stop()
+	}
+}
+
 func (c *call) recordCallerLeft() {
 	if !c.caller.leftAt.CompareAndSwap(0, int64(boottime.Now())) {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,6 +164,8 @@
 	run *stream
 	// caller records when the caller disconnects.
 	caller *callerWatch
+	// delivered is set once the whole answer of a request without events is written.
+	delivered atomic.Bool
 	// writeErr is the error of writing the answer to the caller.
 	writeErr error
 	// ended is who ended a request that has no whole answer, "" for any other.
@@ -187,7 +189,7 @@
 	g.drain.enter(c)
 	defer g.drain.leave(c)
 	c.watchCaller()
-	defer c.caller.stop()
+	defer c.caller.unwatch()
 	if err == nil {
 		err = recovery.Call(c.serve)
 	}
@@ -260,9 +262,12 @@
 	}
 }
 
-// callerLeft reports whether the caller has disconnected. The context of the request also
-// ends when its body does not arrive in time.
+// callerLeft reports whether the caller has disconnected before its answer was written. The context
+// of the request also ends when its body does not arrive in time.
 func (c *call) callerLeft() bool {
+	if c.delivered.Load() {
+		return false
+	}
 	return c.caller.wasClosed() || c.r.Context().Err() != nil && !c.bodyLate.Load()
 }
 
--- a/gateway/one_end_test.go
+++ b/gateway/one_end_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,6 +105,35 @@
 	}
 }
 
+// leavingOnFlush is a writer whose caller closes its connection as soon as it has the answer.
+type leavingOnFlush struct {
+	*httptest.ResponseRecorder
+	leave func()
+}
+
+func (w leavingOnFlush) Flush() {
+	w.ResponseRecorder.Flush()
+	w.leave()
+	time.Sleep(20 * time.Millisecond) // What watches the caller has run.
+}
+
+// Guards against a caller that closes its connection once it has its answer, and counts as one
+// that has left before.
+func TestCallerThatClosesAfterItsAnswerHasNotLeft(t *testing.T) {
+	for path, outcome := range map[string]string{plainPath: "answered", "/none/1": "not_run"} {
+		r := newGatewayRig(t, 1)
+		logged := r.observeLog()
+		ctx, cancel := context.WithCancel(t.Context())
+		request := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader("x"))
+		request.Host = "h"
+		r.ServeHTTP(leavingOnFlush{httptest.NewRecorder(), cancel}, request)
+		fields := logged.FilterMessage("request_done").All()[0].ContextMap()
+		if fields["outcome"] != outcome || fields["ended_by"] != nil || logged.FilterMessage("caller_left").Len() > 0 {
+			t.Errorf("%s: %v", path, fields)
+		}
+	}
+}
+
 // Guards against an answer that the caller never gets, since it reads too late or not at all, and
 // that counts as answered: http.Server sends a short one after the handler has returned.
 func TestUndeliveredAnswerIsRecorded(t *testing.T) {
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -152,8 +153,11 @@
 }
 
 // write sends the whole body of an answer. http.Server would send a short one, and ignore the
-// error, only after the handler has recorded the end of the request.
+// error, only after the handler has recorded the end of the request. A caller that closes its
+// connection once it has the answer has not left.
 func (c *call) write(body []byte) error {
+	left := c.callerLeft()
+	c.caller.unwatch()
 	_, err := c.w.Write(body)
 	if errors.Is(err, http.ErrBodyNotAllowed) {
 		err = nil // An answer to HEAD ends with its head.
@@ -162,6 +166,10 @@
 		err = http.NewResponseController(c.w).Flush()
 	}
 	c.writeErr = err
+	c.delivered.Store(err == nil && !left)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.recordCallerLeft()
+	}
 	return err
 }
 
