--- a/entry_run.go
+++ b/entry_run.go
@@ -10,23 +10,26 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
-// Run serves requests until ctx is cancelled. It then drains: it reports not ready,
-// asks callers to open other connections, and lets requests in progress continue for
-// as long as the platform allows.
+// Run serves requests until ctx is cancelled, or a task panics. It then drains: it reports not
+// ready, asks callers to open other connections, and lets requests in progress continue for
+// as long as the platform allows. It returns a *recovery.PanicError if a task has panicked.
 func (e *Entry) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
 	var background sync.WaitGroup
 	tasks := append(append(e.follower.Tasks(), e.mesh.tasks()...), e.loop.Run, e.trackVMCount, e.closeIdleConnections, e.grants.Run,
 		func(ctx context.Context) { e.gateway.WatchEngines(ctx, e.loop.Subscribe()) }, e.gateway.ProbeEngines,
 		func(ctx context.Context) { e.gateway.MoveOutOfZones(ctx, e.loop.Subscribe()) },
 		func(ctx context.Context) { e.mesh.quarantine.KeepArchive(ctx, e.opts.Store) })
 	for _, task := range tasks {
-		background.Go(func() { task(work) })
+		background.Go(func() { e.runTask(work, task, fail) })
 	}
 	// Before the first request, so that no line of one precedes it.
 	e.log.Info("vm_started", zap.String("callers", e.opts.Deployment.Listen.Callers), zap.String("zone", e.opts.Deployment.Zone))
@@ -45,9 +48,21 @@
 	e.httpClient.Close()
 	counts := e.gateway.Counts()
 	e.log.Info("vm_stopped", zap.Int("cut", interrupted), zap.Int64("accepted", counts.Accepted), zap.Int64("ended", counts.Ended))
+	if panicked, ok := errors.Into[*recovery.PanicError](context.Cause(ctx)); ok {
+		return panicked
+	}
 	return nil
 }
 
+// runTask runs a background task. Its state can't be trusted after a panic, so that the VM stops,
+// but the requests that it has accepted end first.
+func (e *Entry) runTask(ctx context.Context, task func(context.Context), fail context.CancelCauseFunc) {
+	if panicked := recovery.Run(func() { task(ctx) }); panicked != nil {
+		e.log.Error("task_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
+		fail(panicked)
+	}
+}
+
 // waitForTasks waits for the background tasks, but at most taskStopTimeout, since the
 // platform kills a process that is still running after its grace period.
 func (e *Entry) waitForTasks(background *sync.WaitGroup) {
--- a/internal/localsite/site.go
+++ b/internal/localsite/site.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaarch/vanillaarch"
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/discovery"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
@@ -66,6 +67,8 @@
 	EventInterval time.Duration
 	// Bounds are the operator's bounds. DefaultBounds returns usable values.
 	Bounds config.Bounds
+	// Codec decodes the entries of the store, nil for that of the platform.
+	Codec discovery.Codec
 	// Logs returns the writer for the log of a VM. Nil discards all logs.
 	Logs func(vm string) io.Writer
 }
@@ -204,9 +207,13 @@
 	s.addCleanup(store.Close)
 	client := platform.NewStore(store.Address(), storeCallTimeout)
 	s.addCleanup(client.Close)
+	codec := s.opts.Codec
+	if codec == nil {
+		codec = platform.StoreCodec{}
+	}
 	entry, err := vanillaarch.NewEntry(vanillaarch.EntryOptions{
 		Deployment: s.deployment(name, store.Address()), Store: client,
-		Codec: platform.StoreCodec{}, Edge: platform.HeaderCodec{}, Log: s.log(name),
+		Codec: codec, Edge: platform.HeaderCodec{}, Log: s.log(name),
 		Engines: func(x *backend.HTTPClient) edge.EngineClient { return platform.EngineClient{HTTPClient: x} },
 	})
 	if err != nil {
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/discovery"
 	"github.com/vanillaarch/vanillaarch/internal/localsite"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 	"github.com/vanillaarch/vanillaarch/internal/testlog"
@@ -50,6 +51,8 @@
 	interval         time.Duration
 	bounds           func(*config.Bounds)
 	era              int64
+	// codec decodes the entries of the store, nil for that of the platform.
+	codec discovery.Codec
 }
 
 func newSite(t *testing.T, o options) *site {
@@ -59,7 +62,7 @@
 		o.bounds(&bounds)
 	}
 	s, err := localsite.Start(localsite.Options{
-		VMs: o.vms, Engines: o.engines, PlainServers: o.plainServers, PlainServerSlots: o.plainServerSlots, ProcessingTime: o.processingTime, UnstartedServers: o.entries, ConfigDelay: o.configDelay, FirstStart: o.firstStart, Events: o.events, EventInterval: o.interval, Bounds: bounds, Era: o.era,
+		VMs: o.vms, Engines: o.engines, PlainServers: o.plainServers, PlainServerSlots: o.plainServerSlots, ProcessingTime: o.processingTime, UnstartedServers: o.entries, ConfigDelay: o.configDelay, FirstStart: o.firstStart, Events: o.events, EventInterval: o.interval, Bounds: bounds, Era: o.era, Codec: o.codec,
 		Logs: func(vm string) io.Writer { return logOnFailure(t, vm) },
 	})
 	if err != nil {
