--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -99,7 +99,7 @@
 // reload applies the settings file. If it is invalid, the current settings stay in
 // force.
 func reload(log *zap.Logger, path string, entry *vanillaarch.Entry) {
-	d, err := platform.LoadSettings(path)
+	d, err := loadSettled(path)
 	if err != nil {
 		log.Error("settings_rejected", telemetry.Error(err))
 		return
