--- a/internal/soak/lost_events_test.go
+++ b/internal/soak/lost_events_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -235,3 +236,37 @@
 		s.Register("ready")
 	}
 }
+
+// evacuateZones evacuates the zones in turn. Their servers are cold once that has ended.
+func (l *lostLoad) evacuateZones(ctx context.Context, r *rand.Rand) {
+	zones := []string{foreignZone, ownZone}
+	for n := 0; wait.Sleep(ctx, randomDuration(r, 200*time.Millisecond, 1500*time.Millisecond)); n++ {
+		end := l.store.Evacuate(zones[n%len(zones)])
+		wait.Sleep(ctx, randomDuration(r, time.Second, 3*time.Second))
+		end()
+	}
+}
+
+// lostRate is the limit that limitServers sets, in requests a second for each server. The servers
+// take a multiple of it otherwise.
+const lostRate = 20
+
+// limitServers makes servers name a limit for a while, so that requests wait for permits.
+func (l *lostLoad) limitServers(ctx context.Context, r *rand.Rand) {
+	for wait.Sleep(ctx, randomDuration(r, 100*time.Millisecond, time.Second)) {
+		s := l.backends[r.IntN(len(l.backends))]
+		s.SetLimit(strconv.Itoa(lostRate))
+		wait.Sleep(ctx, randomDuration(r, 500*time.Millisecond, 3*time.Second))
+		s.SetLimit()
+	}
+}
+
+// changeSpeedsOfAll makes all servers change their speed and report it, so that safe calls are sent
+// to a second server when the first is slow.
+func (l *lostLoad) changeSpeedsOfAll(ctx context.Context, r *rand.Rand) {
+	for _, s := range l.backends {
+		s.SetSpeeds(randomSpeeds(r))
+		defer s.SetSpeeds(nil)
+	}
+	<-ctx.Done()
+}
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -66,6 +66,8 @@
 	play []lostEvent
 	// slots is the number of streams that an engine runs, engineSlots if it is 0.
 	slots int
+	// zones puts every other server into a zone of its own.
+	zones bool
 }
 
 // plannedWork holds the cases by name.
@@ -83,6 +85,9 @@
 	"stops, engines leave":       {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).leaveServers}},
 	"stops, engines full":        {play: []lostEvent{(*lostLoad).stopOne}, slots: 3},
 	"stops, VMs starved":         {play: []lostEvent{(*lostLoad).stopStarved, (*lostLoad).stopStarved}},
+	"stops, zones evacuated":     {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).evacuateZones}, zones: true},
+	"stops, servers limited":     {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).limitServers}},
+	"stops, calls hedged":        {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).changeSpeedsOfAll}},
 	"all at once": {play: []lostEvent{
 		(*lostLoad).stopWithinReloads, (*lostLoad).stopWithinManifest, (*lostLoad).writeManifests, (*lostLoad).reload,
 	}},
@@ -140,7 +145,7 @@
 	t.Cleanup(h.close)
 	l := &lostLoad{harness: h, t: t, signals: map[string][]sentSignal{}, starts: map[string]*sync.Mutex{}}
 	l.putManifest(0)
-	l.startServers(cmp.Or(work.slots, engineSlots))
+	l.startServers(cmp.Or(work.slots, engineSlots), work.zones)
 	if err := h.startVMs(); err != nil {
 		t.Fatal(err)
 	}
@@ -163,10 +168,16 @@
 }
 
 // startServers starts engines, and plain servers each of which takes another time.
-func (l *lostLoad) startServers(slots int) {
+func (l *lostLoad) startServers(slots int, zones bool) {
+	zoneOf := func(n int) string {
+		if zones && n%2 == 1 {
+			return foreignZone
+		}
+		return ownZone
+	}
 	for i := range lostEngines {
 		s, err := l.fleet.Start(userplatform.ServerOptions{
-			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: "z", Model: "m", Slots: slots,
+			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: zoneOf(i), Model: "m", Slots: slots,
 			Events: streamEvents, EventInterval: eventInterval,
 		})
 		if err != nil {
@@ -176,7 +187,7 @@
 	}
 	for i := range lostServers {
 		s, err := l.fleet.Start(userplatform.ServerOptions{
-			ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: "z", Slots: 200,
+			ID: fmt.Sprintf("desk-%d", i), Service: "desk", Zone: zoneOf(i), Slots: 200,
 			ProcessingTime: time.Duration(20+80*i) * time.Millisecond,
 		})
 		if err != nil {
