--- a/internal/soak/lost_events_test.go
+++ b/internal/soak/lost_events_test.go
@@ -127,6 +127,23 @@
 	})
 }
 
+// Times of a VM with a fifth of a processor, and periods of a quota of 100 ms.
+const (
+	quotaStill = 80 * time.Millisecond
+	quotaRuns  = 20 * time.Millisecond
+)
+
+// stopAtAFifth stops VMs that run for a fifth of each period of a quota, from 2 s before the signal.
+func (l *lostLoad) stopAtAFifth(ctx context.Context, r *rand.Rand) {
+	l.repeat(ctx, r, func(v *vm) {
+		starved, end := context.WithCancel(ctx)
+		defer end()
+		go stallFor(starved, v, quotaStill, quotaRuns)
+		wait.Sleep(ctx, 2*time.Second)
+		l.stop(v, nil)
+	})
+}
+
 // stopWithinReloads stops VMs between SIGHUPs, some of which come during the stop.
 func (l *lostLoad) stopWithinReloads(ctx context.Context, r *rand.Rand) {
 	l.repeat(ctx, r, func(v *vm) {
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -88,6 +88,7 @@
 	"stops, zones evacuated":     {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).evacuateZones}, zones: true},
 	"stops, servers limited":     {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).limitServers}},
 	"stops, calls hedged":        {play: []lostEvent{(*lostLoad).stopOne, (*lostLoad).changeSpeedsOfAll}},
+	"stops, VMs at a fifth":      {play: []lostEvent{(*lostLoad).stopAtAFifth, (*lostLoad).stopAtAFifth, (*lostLoad).stopAtAFifth}},
 	"all at once": {play: []lostEvent{
 		(*lostLoad).stopWithinReloads, (*lostLoad).stopWithinManifest, (*lostLoad).writeManifests, (*lostLoad).reload,
 	}},
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -170,12 +170,15 @@
 }
 
 // stall lets the process of a VM stand still again and again until ctx ends.
-func stall(ctx context.Context, v *vm) {
+func stall(ctx context.Context, v *vm) { stallFor(ctx, v, stallTime, runTime) }
+
+// stallFor is stall with given times. The process stands still for the first and runs for the second.
+func stallFor(ctx context.Context, v *vm, still, runs time.Duration) {
 	for ctx.Err() == nil {
 		v.signal(syscall.SIGSTOP)
-		time.Sleep(stallTime)
+		time.Sleep(still)
 		v.signal(syscall.SIGCONT)
-		time.Sleep(runTime)
+		time.Sleep(runs)
 	}
 }
 
