--- a/entry_http.go
+++ b/entry_http.go
@@ -60,11 +60,16 @@
 func (e *Entry) newCallerServer() {
 	limiter := gateway.IdleLimit{Limit: e.idleLimit}
 	e.listeners[0] = limiter.Listener(e.callerListener)
+	// Heads that arrived in part or are refused by http.Server reach no handler.
+	heads := metrics.GetOrRegisterCounter("connections.heads", e.metrics)
 	e.callers = &http.Server{
 		Handler: e.gateway, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: zap.NewStdLog(e.log),
 		ConnContext: listen.ConnContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateActive {
+				heads.Inc(1)
+			}
 			limiter.ConnState(c, state)
 			e.callerListener.ConnState(c, state)
 		},
