--- a/requestbody/place.go
+++ b/requestbody/place.go
@@ -9,15 +9,6 @@
 // new connection: of the owner that holds the most, the largest. It returns false if there is
 // none.
 func (m *Memory) EvictStalled() bool {
-	victim := m.chooseStalled()
-	if victim == nil {
-		return false
-	}
-	victim.end()
-	return true
-}
-
-func (m *Memory) chooseStalled() *Request {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Now()
@@ -35,8 +26,9 @@
 			victim, first = r, c
 		}
 	}
-	if victim != nil {
-		m.evict(victim, &Request{owner: newConnection})
+	if victim == nil {
+		return false
 	}
-	return victim
+	m.evict(victim, &Request{owner: newConnection})
+	return true
 }
--- a/requestbody/place_test.go
+++ b/requestbody/place_test.go
@@ -6,6 +6,19 @@
 	"time"
 )
 
+// Guards against a second call of End, which may come after the request has ended.
+func TestBodyThatGivesWayToAConnectionEndsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, ends := newMemory(), 0
+		r := m.Reserve("a")
+		m.began(r, testHead, Body{End: func() { ends++ }})
+		time.Sleep(progressTime + time.Millisecond)
+		if !m.EvictStalled() || m.EvictStalled() || ends != 1 {
+			t.Errorf("the body was ended %d times", ends)
+		}
+	})
+}
+
 // Guards against bodies that stop short and keep connections from others, and against bodies that
 // arrive slowly and would give way to new connections.
 func TestStalledBodyGivesWayToAConnection(t *testing.T) {
