--- a/gateway/buffers.go
+++ b/gateway/buffers.go
@@ -20,6 +20,10 @@
 	// memory that the process does not need for itself is theirs. With 0.6, and an eighth for
 	// answers, both budgets full took a VM of 120 MB to 120 MB.
 	requestMemoryFraction = 0.555
+	// processBytes is what the process needs for itself and for garbage, which is no smaller on
+	// a small VM: the budget is less there. minRequestFraction is the least fraction.
+	processBytes       = 28 << 20
+	minRequestFraction = 0.45
 	// smallPartDivisor is the divisor of this budget that gives the part which only small
 	// requests may take, so that they are served while bodies take the rest. 16 bodies of 4 MB
 	// still fit beside it on a VM of 120 MB.
@@ -55,7 +59,9 @@
 	if vmBytes == 0 {
 		return requestbody.New(requestbody.Options{LimitBytes: math.MaxInt64})
 	}
-	limit := max(int64(requestMemoryFraction*float64(vmBytes)), minBufferBudgetBytes)
+	rest := vmBytes - vmBytes/bufferMemoryDivisor - processBytes
+	limit := min(int64(requestMemoryFraction*float64(vmBytes)), rest)
+	limit = max(limit, int64(minRequestFraction*float64(vmBytes)), minBufferBudgetBytes)
 	return requestbody.New(requestbody.Options{
 		LimitBytes: limit, SmallPartBytes: limit / smallPartDivisor, SmallRequestBytes: smallRequestBytes,
 	})
