--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -196,3 +196,25 @@
 	}
 	checkAnswer(t, conn, 2*time.Second, http.StatusServiceUnavailable)
 }
+
+// Guards against a refusal that comes only with the deadline of its request: http.Server waited
+// for the rest of a body that the VM had asked for, had no memory for, and that did not arrive.
+func TestRefusalAfterContinueDoesNotWaitForTheBody(t *testing.T) {
+	const (
+		patience  = 3 * time.Second // The deadline is later.
+		bodyBytes = 1 << 20
+		// firstPart fits into the memory for requests, the whole body does not.
+		firstPart, memory = 100 << 10, 256 << 10
+	)
+	r := newGatewayRig(t, 1)
+	r.requestMemory = requestbody.New(requestbody.Options{LimitBytes: memory})
+	conn := r.serve()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: asked\r\nDeadline-Ms: 60000\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", plainPath, bodyBytes); err != nil {
+		t.Fatal(err)
+	}
+	checkAnswer(t, conn, patience, http.StatusContinue)
+	if _, err := conn.Write(make([]byte, firstPart)); err != nil {
+		t.Fatal(err)
+	}
+	checkAnswer(t, conn, patience, http.StatusServiceUnavailable)
+}
--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -35,7 +35,7 @@
 // ended the read, which is os.ErrDeadlineExceeded if the next part did not arrive in time.
 func DiscardBody(w http.ResponseWriter, r *http.Request, left func() time.Duration) error {
 	if r.Header.Get("Expect") != "" {
-		return nil // A read would ask the caller for a body that it has not begun to send.
+		return leaveBody(w, r) // A read would ask the caller for a body that it has not begun to send.
 	}
 	control := http.NewResponseController(w)
 	end := time.Now().Add(unreadBodyWait)
@@ -59,3 +59,11 @@
 		}
 	}
 }
+
+// leaveBody makes the answer close the connection without a wait for the body, which the caller
+// may have begun to send.
+func leaveBody(w http.ResponseWriter, r *http.Request) error {
+	ExpectInput(r.Context())
+	w.Header().Set("Connection", "close")
+	return LimitUnreadBody(w)
+}
--- a/internal/listen/linger_test.go
+++ b/internal/listen/linger_test.go
@@ -350,3 +350,39 @@
 		t.Error("the rest of the body is still expected")
 	}
 }
+
+// Guards against a refusal that is lost since a caller that was asked for its body still sends it,
+// and against a connection that waits for the rest of that body without a limit.
+func TestRefusalAfterContinueOutlivesTheRestOfTheBody(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = r.Body.Read(make([]byte, 1)) // Asks for the body.
+		_ = DiscardBody(w, r, func() time.Duration { return time.Minute })
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	send(t, c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	reader := bufio.NewReader(c)
+	if answer, err := http.ReadResponse(reader, nil); err != nil || answer.StatusCode != http.StatusContinue {
+		t.Fatalf("%v, %v", answer, err)
+	}
+	send(t, c, "x")
+	waitForConnections(t, l, 0) // It is closed, or lingers.
+	for range 2 {
+		send(t, c, "x")
+		time.Sleep(10 * time.Millisecond)
+	}
+	if answer, err := http.ReadResponse(reader, nil); err != nil || answer.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v, %v", answer, err)
+	}
+}
