--- a/gateway/caller_left.go
+++ b/gateway/caller_left.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/internal/caller"
+	"github.com/vanillaarch/vanillaarch/internal/listen"
 )
 
 // callerWatch records when the caller of a request disconnects. A nil or zero value watches
@@ -25,9 +26,14 @@
 func (w *callerWatch) wasClosed() bool { return w != nil && w.closed.Load() }
 
 // watchCaller logs at once that the caller has disconnected. The lines of the attempts tell
-// how long it took until each backend server was told.
+// how long it took until each backend server was told. A time limit of this VM on the read of a
+// body ends the context of the request, too.
 func (c *call) watchCaller() {
-	c.caller.stop = context.AfterFunc(c.r.Context(), c.recordCallerLeft)
+	c.caller.stop = context.AfterFunc(c.r.Context(), func() {
+		if !listen.ReadTimedOut(c.r.Context()) {
+			c.recordCallerLeft()
+		}
+	})
 }
 
 // unwatch ends the watch, unless the caller has left before.
--- a/gateway/one_end_test.go
+++ b/gateway/one_end_test.go
@@ -169,3 +169,23 @@
 		t.Errorf("%d lines answer_lost", n)
 	}
 }
+
+// Guards against a log that says that a caller has left, although it holds its connection and gets
+// the answer that its body did not arrive in time.
+func TestCallerOfALateBodyHasNotLeft(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	logged := r.observeLog()
+	conn := r.serve()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: late\r\nDeadline-Ms: 200\r\nContent-Length: 100\r\n\r\nx", plainPath); err != nil {
+		t.Fatal(err)
+	}
+	checkAnswer(t, conn, 5*time.Second, http.StatusRequestTimeout)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if left := r.WaitDrained(ctx); left > 0 {
+		t.Errorf("%d requests are active", left)
+	}
+	if lines, n := logged.FilterMessage("caller_left").Len(), r.Metrics.callersLeft.Count(); lines+int(n) > 0 {
+		t.Errorf("%d lines, %d callers are counted", lines, n)
+	}
+}
--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -37,6 +37,8 @@
 	reading, hasRead bool
 	// expired is set while a Read is made to fail since no request has arrived.
 	expired bool
+	// timedOut is set if the latest Read ended with its deadline.
+	timedOut bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
 	head     waitingHead
@@ -241,7 +243,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	c.inputEnded = c.inputEnded || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	c.inputEnded = c.inputEnded || err != nil && !c.timedOut
 	c.hasRead = c.hasRead || n > 0
 	if c.expired && n > 0 {
 		deadline := c.deadline
--- a/internal/listen/peer.go
+++ b/internal/listen/peer.go
@@ -25,6 +25,18 @@
 	return ok && c != nil && c.peerClosed()
 }
 
+// ReadTimedOut reports whether the latest read from the connection of a request ended with its
+// deadline. http.Server then ends the context of the request, as it does when the peer closes.
+func ReadTimedOut(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timedOut
+}
+
 // peerClosed reports whether the kernel holds the end of the connection and nothing before it.
 func (c *conn) peerClosed() bool {
 	closed := false
