--- a/frontend/body.go
+++ b/frontend/body.go
@@ -53,15 +53,20 @@
 	control := http.NewResponseController(c.Response())
 	limited := control.SetReadDeadline(time.Now().Add(f.Config.Timeouts.Body.Std())) == nil
 	c.memory = f.requests.Reserve(c.identity.Organisation)
+	listen.BeginBody(c.ctx)
 	body, err := c.memory.Read(c.ctx, headMemory(c.Request()), requestbody.Body{
 		Reader: http.MaxBytesReader(c.Response(), c.Request().Body, f.Config.Limits.BodyBytes),
 		Length: c.Request().ContentLength, Limit: f.Config.Limits.BodyBytes,
 		End: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only without a connection.
 	})
+	open := listen.EndBody(c.ctx)
 	if err != nil {
 		return nil, f.bodyProblem(c, err)
 	}
 	c.bodyRead = true
+	if !open {
+		return nil, f.noMemory(c, nil)
+	}
 	if limited {
 		_ = control.SetReadDeadline(time.Time{})
 	}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/vanillaarch/vanillaarch/config"
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/dispatch"
+	"github.com/vanillaarch/vanillaarch/internal/listen"
 	"github.com/vanillaarch/vanillaarch/internal/recovery"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/requestbody"
@@ -137,6 +138,8 @@
 		ctx, span := f.Tracer.Start(telemetry.Extract(ec.Request().Context(), ec.Request().Header), name,
 			trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(telemetry.AttrVM.String(f.Config.VMID)))
 		defer span.End()
+		open := listen.BeginRequest(ctx)
+		defer listen.EndRequest(ctx)
 		c := &call{
 			Context: ec, ctx: ctx, span: span, answerLimit: f.Config.Limits.AnswerBytes,
 			log: f.Log.With(zap.String("trace", telemetry.TraceID(ctx))),
@@ -147,7 +150,12 @@
 			// idle connection while the server closes it.
 			ec.Response().Header().Set("Connection", "close")
 		}
-		err := recovery.Call(func() error { return f.admit(c, name, h) })
+		err := recovery.Call(func() error {
+			if !open {
+				return f.noMemory(c, nil)
+			}
+			return f.admit(c, name, h)
+		})
 		if panicked, ok := errors.Into[*recovery.PanicError](err); ok {
 			c.log.Error("request_panicked", zap.Error(panicked), zap.ByteString("stack", panicked.Stack))
 			if ec.Response().Committed {
--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -50,6 +50,8 @@
 	// expectsInput is set if a request was answered before its body was read.
 	expectsInput atomic.Bool
 
+	progress progress
+
 	closeOnce sync.Once
 }
 
@@ -91,7 +93,7 @@
 	}
 	if t, ok := nc.(*tls.Conn); ok && t.ConnectionState().NegotiatedProtocol == "h2" {
 		l.untrack(c) // http.Server.Shutdown closes HTTP/2 connections gracefully.
-		l.budget.release(c)
+		c.setHTTP2State(state)
 		return
 	}
 	c.setState(state)
