--- a/internal/soak/outside.go
+++ b/internal/soak/outside.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,8 +22,10 @@
 	endlessBytes = 1 << 20
 	// outsideBodyBytes is the limit on a body in the configuration of the stand-in.
 	outsideBodyBytes = 64 << 10
+	// outsideIDPlace stands for the id of a request in outsideMessages.
+	outsideIDPlace = "$ID"
 	// outsideBodyHead is the head of a request but for the lines that frame its body.
-	outsideBodyHead = "POST /look/1 HTTP/1.1\r\nHost: site.example\r\nRequest-Id: outside\r\nAuthorization: Bearer " + stableKey + "\r\n"
+	outsideBodyHead = "POST /look/1 HTTP/1.1\r\nHost: site.example\r\nRequest-Id: " + outsideIDPlace + "\r\nAuthorization: Bearer " + stableKey + "\r\n"
 )
 
 // outsideMessages are what callers outside the limits send before they fall silent. None of
@@ -47,12 +51,15 @@
 // may be refused or closed; the checks of processes and of ordinary callers cover the rest.
 func (h *harness) runOutsideCallers(ctx context.Context) {
 	var callers sync.WaitGroup
+	var sent atomic.Int64
 	for _, v := range h.vms {
 		for _, message := range outsideMessages {
 			for range outsideConnections {
 				callers.Go(func() {
 					for ctx.Err() == nil {
-						holdOutside(ctx, v.callers, message)
+						// Each request has an id of its own: the log of a VM tells one end of each.
+						id := requestID(v, "outside-"+strconv.FormatInt(sent.Add(1), 10))
+						holdOutside(ctx, v.callers, strings.Replace(message, outsideIDPlace, id, 1))
 					}
 				})
 			}
