--- a/internal/listen/budget.go
+++ b/internal/listen/budget.go
@@ -269,7 +269,7 @@
 func (c *conn) addHead(b []byte) (memory int64, waits bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.progress.http2 || c.state != http.StateNew && c.state != http.StateIdle {
+	if c.http2Requests.http2 || c.state != http.StateNew && c.state != http.StateIdle {
 		return 0, false
 	}
 	n, lines := c.head.scanner.Scan(b)
@@ -290,7 +290,7 @@
 func (c *conn) waitsSince() (waits bool, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reading && !c.expired && c.progress.mayClose(c.state), c.since
+	return c.reading && !c.expired && c.http2Requests.mayClose(c.state), c.since
 }
 
 // expireIfReading lets the pending Read fail, after which the server closes the connection. It
@@ -298,7 +298,7 @@
 func (c *conn) expireIfReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.reading || c.expired || !c.progress.mayClose(c.state) {
+	if !c.reading || c.expired || !c.http2Requests.mayClose(c.state) {
 		return false
 	}
 	c.expired = true
--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -52,7 +52,7 @@
 	// expectsInput is set if a request was answered before its body was read.
 	expectsInput atomic.Bool
 
-	progress progress
+	http2Requests http2Requests
 
 	closeOnce sync.Once
 }
--- a/requestbody/place.go
+++ b/requestbody/place.go
@@ -14,14 +14,14 @@
 	now := m.Now()
 	var (
 		victim *Request
-		first  claim
+		first  usage
 	)
 	for r := range m.incomplete {
 		if r.shared {
 			continue // Its connection would stay open.
 		}
 		progressAt := time.Duration(r.progressAt.Load())
-		c := claim{stalled: now-progressAt > progressTime, ownerBytes: m.budget.OwnerBytes(r.owner), bytes: r.bytes, progressAt: progressAt}
+		c := usage{stalled: now-progressAt > progressTime, ownerBytes: m.budget.OwnerBytes(r.owner), bytes: r.bytes, progressAt: progressAt}
 		if c.stalled && (victim == nil || c.before(first)) {
 			victim, first = r, c
 		}
--- a/requestbody/victim.go
+++ b/requestbody/victim.go
@@ -12,8 +12,8 @@
 	evictionRatio = 2
 )
 
-// claim is what the decision who gives way knows of a request.
-type claim struct {
+// usage is what a request holds and how its body arrives, by which it is decided who gives way.
+type usage struct {
 	// stalled is set if its body makes less progress than the least rate.
 	stalled bool
 	// ownerBytes is what its owner holds. bytes is what it holds itself; of a request that needs
@@ -24,7 +24,7 @@
 }
 
 // givesWayTo reports whether an incomplete body gives way to a request that needs memory.
-func (c claim) givesWayTo(needs claim) bool {
+func (c usage) givesWayTo(needs usage) bool {
 	if c.stalled != needs.stalled {
 		return c.stalled
 	}
@@ -32,7 +32,7 @@
 }
 
 // before reports whether a body gives way before another one.
-func (c claim) before(other claim) bool {
+func (c usage) before(other usage) bool {
 	if c.stalled != other.stalled {
 		return c.stalled
 	}
@@ -50,20 +50,20 @@
 func (m *Memory) victim(r *Request, bytes int64) *Request {
 	now := m.Now()
 	owners := map[string]int64{}
-	claimOf := func(r *Request, bytes int64) claim {
+	usageOf := func(r *Request, bytes int64) usage {
 		if _, ok := owners[r.owner]; !ok {
 			owners[r.owner] = m.budget.OwnerBytes(r.owner)
 		}
 		progressAt := time.Duration(r.progressAt.Load())
-		return claim{stalled: now-progressAt > progressTime, ownerBytes: owners[r.owner], bytes: bytes, progressAt: progressAt}
+		return usage{stalled: now-progressAt > progressTime, ownerBytes: owners[r.owner], bytes: bytes, progressAt: progressAt}
 	}
-	needs := claimOf(r, max(r.bytes+bytes, r.announced))
+	needs := usageOf(r, max(r.bytes+bytes, r.announced))
 	var (
 		victim *Request
-		first  claim
+		first  usage
 	)
 	for candidate := range m.incomplete {
-		c := claimOf(candidate, candidate.bytes)
+		c := usageOf(candidate, candidate.bytes)
 		if candidate != r && c.givesWayTo(needs) && (victim == nil || c.before(first)) {
 			victim, first = candidate, c
 		}
