--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -65,3 +65,48 @@
 	rec.add("client: %s gets %d with %d events, complete %v, error %v %s", id, out.status, out.events, out.complete, out.err, strings.TrimSpace(text))
 	return out
 }
+
+// keptClient sends short streams one after another over a connection that is kept. It counts the
+// requests whose connection was closed without a byte of an answer.
+func keptClient(b *bench, v *vm, name string, stop <-chan struct{}, unanswered func(id string)) {
+	var c net.Conn
+	var in *bufio.Reader
+	for n, served := 0, 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if c == nil {
+			var err error
+			if c, err = net.DialTimeout("tcp", v.front, time.Second); err != nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			in, served = bufio.NewReader(c), 0
+		}
+		id := fmt.Sprintf("%s-%d", name, n)
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(c, "POST /check/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 6000\r\nModel: m\r\nToken-Count: 350,12\r\nLength-Hint: 12\r\nPrompt-Prefix: c3:300,%s:50\r\nContent-Length: 6\r\n\r\nprompt",
+			host, id, apiKey, id)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			b.record.add("client: %s gets no answer after %d on its connection: %v", id, served, err)
+			if served > 0 && b.fleet.hasArrived(id) {
+				unanswered(id)
+			}
+			c.Close()
+			c = nil
+			continue
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		served++
+		if err != nil || resp.Close {
+			c.Close()
+			c = nil
+		}
+		if resp.StatusCode != 200 {
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -35,6 +35,12 @@
 	server  *http.Server
 }
 
+// Limits of a page.
+const (
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
+
 type storeLease struct {
 	ttl     time.Duration
 	expires time.Time
@@ -200,9 +206,13 @@
 		}
 	}
 	sort.Slice(out.Items, func(a, b int) bool { return out.Items[a].Key < out.Items[b].Key })
-	const page = 500
-	if len(out.Items) > page {
-		out.Items, out.MorePages = out.Items[:page], true
+	bytes := 0
+	for n, i := range out.Items {
+		bytes += len(i.Value)
+		if n == maxPageItems || n > 0 && bytes > maxPageBytes {
+			out.Items, out.MorePages = out.Items[:n], true
+			break
+		}
 	}
 	reply(w, 200, out)
 }
--- a/review/standin-2/vm.go
+++ b/review/standin-2/vm.go
@@ -7,7 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"syscall"
+	"strings"
 	"time"
 )
 
@@ -16,6 +16,7 @@
 	name, zone, addr, front, ready, control string
 	cmd                                     *exec.Cmd
 	log                                     *os.File
+	settings                                string
 }
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
@@ -72,6 +73,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		return nil, err
 	}
+	v.settings = path
 	log, err := os.Create(filepath.Join(dir, v.name+".log"))
 	if err != nil {
 		return nil, err
@@ -89,7 +91,34 @@
 	v.log.Close()
 }
 
-func (v *vm) signal(s syscall.Signal) { v.cmd.Process.Signal(s) }
+// restart starts a process again that has ended. The system does not start for the first time then.
+func (v *vm) restart(daemon string) error {
+	settings, err := os.ReadFile(v.settings)
+	if err != nil {
+		return err
+	}
+	again := strings.Replace(string(settings), "bootstrap: true", "bootstrap: false", 1)
+	if err := os.WriteFile(v.settings, []byte(again), 0o644); err != nil {
+		return err
+	}
+	cmd := exec.Command(daemon, "entry")
+	cmd.Env, cmd.Stdout, cmd.Stderr = v.cmd.Env, v.log, v.log
+	v.cmd = cmd
+	return cmd.Start()
+}
+
+// memoryKB returns the anonymous resident memory of the process.
+func (v *vm) memoryKB() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, line := range strings.Split(string(text), "\n") {
+		fmt.Sscanf(line, "RssAnon: %d kB", &n)
+	}
+	return n
+}
 
 // awaitReady waits until the VM says that it is ready.
 func (v *vm) awaitReady(limit time.Duration) error {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -84,6 +84,8 @@
 	workers []*worker
 	record  *record
 	spans   []*span
+	// arrived holds the ids of the requests that have reached a worker.
+	arrived map[string]bool
 }
 
 // span is the work of one worker on one request.
@@ -102,6 +104,22 @@
 	return s
 }
 
+// arrive records that a request has reached a worker that takes it.
+func (f *fleet) arrive(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.arrived == nil {
+		f.arrived = map[string]bool{}
+	}
+	f.arrived[id] = true
+}
+
+func (f *fleet) hasArrived(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.arrived[id]
+}
+
 func (f *fleet) end(s *span) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -398,6 +416,7 @@
 	if id == "" {
 		return w.answer(c, r, 400, nil, "Not-Executed: 1")
 	}
+	w.fleet.arrive(id)
 	deadline := time.Now().Add(39 * time.Second)
 	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
 		deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
@@ -424,6 +443,7 @@
 		}
 		defer func() { <-w.slots }()
 		if prefill := time.Duration(w.prefill.Load()); prefill > 0 {
+			w.record.add("%s: reads the prompt of %s", w.id, id)
 			w.countWaiting(1)
 			defer w.countWaiting(-1)
 			select {
