--- a/backend/http_client.go
+++ b/backend/http_client.go
@@ -198,7 +198,7 @@
 
 func (hc *HTTPClient) exchange(ctx context.Context, t Target, c *clientConn, r *HTTPRequest, stop func() bool) (*HTTPResponse, error) {
 	header := r.encodeHeader()
-	var written chan error
+	var upload *bodyWrite
 	if len(r.Body) <= inlineBodyBytes {
 		n, err := c.Write(append(header, r.Body...))
 		if err != nil && n == 0 {
@@ -214,15 +214,11 @@
 			}
 			return nil, &UncertainError{Backend: t.ID, Cause: err}
 		}
-		written = make(chan error, 1)
-		go func() {
-			_, err := c.Write(r.Body)
-			written <- err
-		}()
+		upload = beginBodyWrite(c, r.Body)
 	}
 	resp, err := hc.readResponse(c, r)
 	if err != nil {
 		return nil, &UncertainError{Backend: t.ID, Cause: err}
 	}
-	return newHTTPResponse(ctx, t, c, r, resp, stop, written), nil
+	return newHTTPResponse(ctx, t, c, r, resp, stop, upload), nil
 }
--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -17,13 +17,15 @@
 	// Length is the length of the body, -1 if unknown.
 	Length int64
 	// Delimited reports whether the body has a length or chunks, or whether the response
-	// has none by its method or status. The end of any other body cannot be told from a
-	// connection that was closed early.
+	// has none by its method or status. Any other body ends with the connection: it is
+	// complete only if the connection has not failed, but a server that closed the
+	// connection early cannot be told from one that was done.
 	Delimited bool
 
 	body      io.Reader
 	conn      *clientConn
 	reusable  bool
+	upload    *bodyWrite
 	stopAbort func() bool
 	ctx       context.Context
 	backend   string
@@ -108,10 +110,10 @@
 // TooManyInterimError reports that more interim responses than allowed arrived.
 type TooManyInterimError struct{}
 
-func newHTTPResponse(ctx context.Context, t Target, c *clientConn, r *HTTPRequest, resp *http.Response, stop func() bool, written chan error) *HTTPResponse {
+func newHTTPResponse(ctx context.Context, t Target, c *clientConn, r *HTTPRequest, resp *http.Response, stop func() bool, upload *bodyWrite) *HTTPResponse {
 	result := &HTTPResponse{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		body: resp.Body, conn: c, stopAbort: stop, ctx: ctx, backend: t.ID,
+		body: resp.Body, conn: c, upload: upload, stopAbort: stop, ctx: ctx, backend: t.ID,
 	}
 	if r.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) > 0 {
 		result.Length = -1
@@ -121,15 +123,10 @@
 	// response to the next such request, so it is the last one on its connection.
 	result.reusable = result.Delimited && !resp.Close && r.ID != ""
 	c.idleTimeout = keepAliveTimeout(resp.Header)
-	if written != nil {
-		select {
-		case err := <-written:
-			result.reusable = result.reusable && err == nil
-		default:
-			// The response arrived before the whole body was sent. The server must
-			// not read the rest of the body as another request.
-			result.reusable = false
-		}
+	if !upload.hasSucceeded() {
+		// The response arrived before the whole body was sent. The server must
+		// not read the rest of the body as another request.
+		result.reusable = false
 	}
 	return result
 }
@@ -138,6 +135,9 @@
 // other error is an *UncertainError.
 func (r *HTTPResponse) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if errors.Is(err, io.EOF) && !r.Delimited {
+		err = r.connectionEnd()
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -152,6 +152,17 @@
 	return n, &UncertainError{Backend: r.backend, Cause: err}
 }
 
+// connectionEnd returns io.EOF if a body that ends with its connection is complete. The error of
+// a connection is reported once, to its reader or to its writer; the other one sees an ordinary
+// end. The body is therefore complete only once the whole request has been written without an
+// error.
+func (r *HTTPResponse) connectionEnd() error {
+	if err := r.upload.wait(); err != nil {
+		return errors.Wrap(err, "the connection failed while the request was written")
+	}
+	return io.EOF
+}
+
 // HasUnread reports whether bytes of the body, or its end, have arrived that were not
 // read yet.
 func (r *HTTPResponse) HasUnread() bool { return r.finished || !r.conn.isQuiet() }
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -85,6 +85,8 @@
 	RefuseMoves bool
 	// Script responds to requests that are executed, if it is not nil.
 	Script Script
+	// EarlyScript responds to requests before their bodies are read, if it is not nil.
+	EarlyScript Script
 }
 
 // Server is a backend server with its own listener.
@@ -247,6 +249,12 @@
 	return s.faults, s.life, true
 }
 
+func (s *Server) earlyScript() Script {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.EarlyScript
+}
+
 // releaseSlot frees a slot, unless a crash has freed it.
 func (s *Server) releaseSlot(life int) {
 	s.mu.Lock()
@@ -257,6 +265,10 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if script := s.earlyScript(); script != nil {
+		s.runScript(w, r, script)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
