--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 )
 
 // HTTPResponse is the response of a backend server. The caller must read the body
@@ -80,6 +82,9 @@
 		if !validStatus(resp.StatusCode) {
 			return nil, &InvalidStatusError{Status: resp.StatusCode}
 		}
+		if err := httphead.CheckNames(resp.Header); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
--- /dev/null
+++ b/backend/invalid_name_test.go
@@ -0,0 +1,47 @@
+package backend
+
+import (
+	"bufio"
+	"net"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+// invalidNameLines are lines of a head that hold no field by RFC 9110, section 5.1, and RFC 9112,
+// section 5.
+var invalidNameLines = map[string]string{
+	"blank inside":           "X Trace: a",
+	"blank before the colon": "X-Trace : a",
+	"length not seen":        "Content-Length : 2",
+	"chunks not seen":        "Transfer-Encoding : chunked",
+	"tab":                    "X\tTrace: a",
+	"tab before the colon":   "X-Trace\t: a",
+	"NUL":                    "X\x00Trace: a",
+	"control byte":           "X\x01Trace: a",
+	"vertical tab":           "X\x0bTrace: a",
+	"DEL":                    "X\x7fTrace: a",
+	"carriage return":        "X\rTrace: a",
+	"byte over 0x7f":         "X\xe9Trace: a",
+	"separator":              "X(Trace): a",
+	"no name":                ": a",
+	"no colon":               "X-Trace",
+}
+
+// Guards against a response whose head holds a line that is no field: it is passed on, or the length
+// or the chunks of the body are not seen.
+func TestInvalidNameIsNoResponse(t *testing.T) {
+	for name, line := range invalidNameLines {
+		t.Run(name, func(t *testing.T) {
+			target := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, err := readRequest(r); err == nil {
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\n" + line + "\r\n\r\nno"))
+				}
+			})
+			body, err := get(newTestClient(t), target, "a")
+			if _, uncertain := errors.Into[*UncertainError](err); !uncertain {
+				t.Errorf("%q, %v, want an UncertainError", body, err)
+			}
+		})
+	}
+}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,4 +1,4 @@
-// Package httphead estimates the memory that the head of an HTTP message takes.
+// Package httphead checks the heads of HTTP messages and estimates the memory that they take.
 package httphead
 
 import "net/http"
--- a/test/platform/broken_answers_test.go
+++ b/test/platform/broken_answers_test.go
@@ -60,13 +60,12 @@
 			atFaulty := 0
 			for range uploads {
 				got := s.send(s.vms[0], c.request)
-				runs := s.fleet.Runs(got.id)
-				if len(runs) == 0 || runs[0] != s.plainServers[0].ID() && runs[0] != s.engines[0].ID() {
+				if !s.wentToFaulty(got) {
 					continue
 				}
 				atFaulty++
 				if got.status != c.status || c.cut != (got.err != nil) || !c.cut && strings.Contains(got.body, "part of") {
-					t.Errorf("status %d, %q, %v, ran on %v", got.status, got.body, got.err, runs)
+					t.Errorf("status %d, %q, %v", got.status, got.body, got.err)
 				}
 			}
 			if atFaulty == 0 {
@@ -75,3 +74,65 @@
 		})
 	}
 }
+
+// wrongEvent is the body of the answers of faulty servers, which is an event so that streams would
+// relay it.
+const wrongEvent = "id: 1\ndata: wrong\n\n"
+
+// invalidNames are lines of a head with a name that is none by RFC 9110, section 5.1. The test of
+// package backend has more of them.
+var invalidNames = map[string]string{
+	"blank inside":           "X Trace: a\r\nContent-Length: 19",
+	"blank before the colon": "X-Trace : a\r\nContent-Length: 19",
+	"length not seen":        "Content-Length : 19",
+	"chunks not seen":        "Transfer-Encoding : chunked",
+	"control byte":           "X\x01Trace: a\r\nContent-Length: 19",
+}
+
+// Guards against an answer whose head is none and that is delivered, with the line in question
+// passed on, or with a body whose length or chunks were not seen.
+func TestAnswerWithAnInvalidFieldNameIsNotDelivered(t *testing.T) {
+	for name, lines := range invalidNames {
+		t.Run(name, func(t *testing.T) { checkBrokenAnswer(t, signedHead+lines+"\r\n\r\n"+wrongEvent) })
+	}
+	t.Run("interim head", func(t *testing.T) {
+		checkBrokenAnswer(t, "HTTP/1.1 103 Early Hints\r\nX Trace: a\r\n\r\n"+signedHead+"Content-Length: 19\r\n\r\n"+wrongEvent)
+	})
+}
+
+// checkBrokenAnswer checks that callers do not get the answer of a faulty server beside a sound one:
+// requests that must not be repeated have an unknown outcome, the others are served.
+func checkBrokenAnswer(t *testing.T, answer string) {
+	faults := userplatform.ServerFaults{Script: respondWith(answer)}
+	// A new site knows nothing of failures, so it uses the faulty servers.
+	for status, requests := range map[int][]request{http.StatusBadGateway: {book(), draft()}, http.StatusOK: {look(), check()}} {
+		s := newSite(t, options{vms: 1, engines: 2, plainServers: 2, events: 3, interval: time.Millisecond})
+		s.plainServers[0].SetFaults(faults)
+		s.engines[0].SetFaults(faults)
+		for _, a := range requests {
+			got := s.sendToFaulty(a)
+			if got.status != status || got.err != nil || strings.Contains(got.body, "wrong") {
+				t.Errorf("%s: status %d, want %d, %v, %q, %v", a.path, got.status, status, got.err, got.body, got.header)
+			}
+		}
+	}
+}
+
+// sendToFaulty sends a request until the first server of its kind was the first to get it.
+func (s *site) sendToFaulty(a request) response {
+	s.t.Helper()
+	for range maxProvocations {
+		got := s.send(s.vms[0], a)
+		if s.wentToFaulty(got) {
+			return got
+		}
+	}
+	s.t.Fatalf("%s: never sent to the faulty server first", a.path)
+	return response{}
+}
+
+// wentToFaulty reports whether the first server of its kind was the first to get a request.
+func (s *site) wentToFaulty(a response) bool {
+	runs := s.fleet.Runs(a.id)
+	return len(runs) > 0 && (runs[0] == s.plainServers[0].ID() || runs[0] == s.engines[0].ID())
+}
