--- a/backend/connection_end_test.go
+++ b/backend/connection_end_test.go
@@ -102,3 +102,36 @@
 		t.Errorf("%q, %v after %v", body, err, time.Since(begin))
 	}
 }
+
+// Guards against a stream without a length that counts as complete since its connection was reset
+// while HasUnread looked for further bytes, which takes the error off the socket.
+func TestResetSeenByHasUnreadIsNoEnd(t *testing.T) {
+	received := make(chan struct{})
+	target := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, undelimitedHead+"part")
+		<-received
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	resp, err := newTestClient(t).Do(t.Context(), target, &HTTPRequest{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"X-Id": {"a"}}, ID: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	part := make([]byte, len("part"))
+	if _, err := io.ReadFull(resp, part); err != nil {
+		t.Fatal(err)
+	}
+	close(received)
+	for begin := time.Now(); !resp.HasUnread(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("the reset did not arrive")
+		}
+	}
+	rest, err := io.ReadAll(resp)
+	if _, uncertain := errors.Into[*UncertainError](err); !uncertain || !ConnectionLost(err) {
+		t.Errorf("%q, %v, want an UncertainError of a lost connection", rest, err)
+	}
+}
--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -158,10 +158,13 @@
 }
 
 // connectionEnd returns io.EOF if a body that ends with its connection is complete. The error of
-// a connection is reported once, to its reader or to its writer; the other one sees an ordinary
-// end. The body is therefore complete only once the whole request has been written without an
-// error.
+// a connection is reported once, to its reader, to its writer or to isQuiet; the others see an
+// ordinary end. The body is therefore complete only once the whole request has been written
+// without an error, and if isQuiet has met none.
 func (r *HTTPResponse) connectionEnd() error {
+	if r.conn.failure != nil {
+		return r.conn.failure
+	}
 	if err := r.upload.wait(); err != nil {
 		return errors.Wrap(err, "the connection failed while the request was written")
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -30,8 +31,10 @@
 	net.Conn
 	address string
 	// reader reads from limiter, which reads from Conn.
-	reader      *bufio.Reader
-	limiter     headerLimitReader
+	reader  *bufio.Reader
+	limiter headerLimitReader
+	// failure is an error of the connection that isQuiet has met. The socket reports it once.
+	failure     error
 	pool        *pool
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -67,6 +70,9 @@
 		var b [1]byte
 		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = e == unix.EAGAIN || e == unix.EWOULDBLOCK
+		if e != nil && !quiet && e != unix.EINTR {
+			c.failure = os.NewSyscallError("recvfrom", e)
+		}
 		return true
 	})
 	return err == nil && quiet
