--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -85,6 +85,9 @@
 		if err := httphead.CheckNames(resp.Header); err != nil {
 			return nil, err
 		}
+		if c.limiter.scanner.Folded() {
+			return nil, &FoldedLineError{}
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -112,6 +115,13 @@
 	return fmt.Sprintf("response has the invalid status %03d", e.Status)
 }
 
+// FoldedLineError reports a head with a line that begins with white space. net/http joins it with
+// the field before, which would be passed on with a value that is not the server's. RFC 9112, section
+// 5.2, lets a gateway reject such a response.
+type FoldedLineError struct{}
+
+func (e *FoldedLineError) Error() string { return "head has a line that begins with white space" }
+
 // TooManyInterimError reports that more interim responses than allowed arrived.
 type TooManyInterimError struct{}
 
--- a/backend/invalid_name_test.go
+++ b/backend/invalid_name_test.go
@@ -13,6 +13,10 @@
 var invalidNameLines = map[string]string{
 	"blank inside":           "X Trace: a",
 	"blank before the colon": "X-Trace : a",
+	"blank at the begin":     " X-Trace: a",
+	"tab at the begin":       "\tX-Trace: a",
+	"blanks only":            "  ",
+	"length after a blank":   " Content-Length: 2",
 	"length not seen":        "Content-Length : 2",
 	"chunks not seen":        "Transfer-Encoding : chunked",
 	"tab":                    "X\tTrace: a",
@@ -35,7 +39,7 @@
 		t.Run(name, func(t *testing.T) {
 			target := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
 				if _, err := readRequest(r); err == nil {
-					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\n" + line + "\r\n\r\nno"))
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Before: b\r\n" + line + "\r\n\r\nno"))
 				}
 			})
 			body, err := get(newTestClient(t), target, "a")
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -27,8 +27,13 @@
 	// begun is set once a line that is not empty has ended, ended once the blank line after the
 	// head has.
 	begun, ended bool
+	folded       bool
 }
 
+// Folded reports whether a line after the first one begins with white space, which continues the line
+// before it by the obsolete line folding of RFC 9112, section 5.2.
+func (s *Scanner) Folded() bool { return s.folded }
+
 // Scan returns the number of bytes of b that belong to the head, and that of its lines.
 func (s *Scanner) Scan(b []byte) (n, lines int) {
 	for i, c := range b {
@@ -40,6 +45,9 @@
 			s.ended = s.begun && s.lineBytes == 0
 			s.begun, s.lineBytes = s.begun || s.lineBytes > 0, 0
 		case c != '\r':
+			if s.begun && s.lineBytes == 0 && (c == ' ' || c == '\t') {
+				s.folded = true
+			}
 			s.lineBytes++
 		}
 	}
--- a/test/platform/broken_answers_test.go
+++ b/test/platform/broken_answers_test.go
@@ -87,6 +87,8 @@
 	"length not seen":        "Content-Length : 19",
 	"chunks not seen":        "Transfer-Encoding : chunked",
 	"control byte":           "X\x01Trace: a\r\nContent-Length: 19",
+	"blank at the begin":     " X-Trace: a\r\nContent-Length: 19",
+	"length after a blank":   " Content-Length: 19",
 }
 
 // Guards against an answer whose head is none and that is delivered, with the line in question
