--- a/backend/before_send_end_test.go
+++ b/backend/before_send_end_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 )
 
 // Guards against a request that is counted at its server after its caller has left:
@@ -43,7 +44,7 @@
 	}
 	defer listener.Close()
 	dialling, release, dialled := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	transport := client.Transport.(*http.Transport)
+	transport := client.Transport.(httphead.Transport)
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		defer close(dialled)
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -62,11 +63,15 @@
 	}
 }
 
+// CheckHeads returns a transport whose responses have a valid head. Other responses are returned as
+// *InvalidStatusError or *httphead.InvalidNameError.
+func CheckHeads(t *http.Transport) http.RoundTripper { return httphead.Transport{Transport: t} }
+
 // newTransport returns a transport that uses each connection for one request if
 // singleUse is set.
-func newTransport(singleUse bool) *http.Transport {
+func newTransport(singleUse bool) http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return CheckHeads(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return dialAndCheck(ctx, dialer, network, address)
 		},
@@ -75,7 +80,7 @@
 		IdleConnTimeout:        30 * time.Second,
 		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // beforeSendKey is the context key of the *beforeSend of a request.
@@ -278,10 +283,6 @@
 		return nil, &UncertainError{Backend: t.ID, Cause: err}
 	}
 	notice := e.notices.observe(t, resp)
-	if !validStatus(resp.StatusCode) {
-		_ = resp.Body.Close()
-		return nil, &UncertainError{Backend: t.ID, Cause: &InvalidStatusError{Status: resp.StatusCode}}
-	}
 	if resp.StatusCode < http.StatusInternalServerError || notice.AsksForPause() {
 		e.breaker.RecordResponse(t.ID)
 	}
--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -79,10 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if !validStatus(resp.StatusCode) {
-			return nil, &InvalidStatusError{Status: resp.StatusCode}
-		}
-		if err := httphead.CheckNames(resp.Header); err != nil {
+		if err := httphead.CheckResponse(resp); err != nil {
 			return nil, err
 		}
 		if c.limiter.scanner.Folded() {
@@ -95,25 +92,8 @@
 	return nil, &TooManyInterimError{}
 }
 
-// Statuses are three-digit numbers from 100 to 599, by RFC 9110, section 15.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
-// validStatus reports whether a status can be that of a response. 101 answers only a request for
-// an upgrade, which this client does not make.
-func validStatus(status int) bool {
-	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
-}
-
-// InvalidStatusError reports a response whose status is none. It is not an interim response, so
-// that nothing more is awaited.
-type InvalidStatusError struct{ Status int }
-
-func (e *InvalidStatusError) Error() string {
-	return fmt.Sprintf("response has the invalid status %03d", e.Status)
-}
+// InvalidStatusError reports a response whose status is none.
+type InvalidStatusError = httphead.InvalidStatusError
 
 // FoldedLineError reports a head with a line that begins with white space. net/http joins it with
 // the field before, which would be passed on with a value that is not the server's. RFC 9112, section
--- a/backend/service.go
+++ b/backend/service.go
@@ -105,9 +105,6 @@
 }
 
 func (s *ServiceClient) read(resp *http.Response, t Target) (*ServiceResponse, error) {
-	if !validStatus(resp.StatusCode) {
-		return nil, &UncertainError{Backend: t.ID, Cause: &InvalidStatusError{Status: resp.StatusCode}}
-	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, &UncertainError{Backend: t.ID, Cause: &UndelimitedError{}}
 	}
--- /dev/null
+++ b/internal/httphead/check.go
@@ -0,0 +1,62 @@
+package httphead
+
+import (
+	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Statuses are three-digit numbers from 100 to 599, by RFC 9110, section 15.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// InvalidStatusError reports a response whose status is none. It is not an interim response, so
+// that nothing more is awaited.
+type InvalidStatusError struct{ Status int }
+
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("response has the invalid status %03d", e.Status)
+}
+
+// InvalidNameError reports a field of a head whose name is no token by RFC 9110, section 5.1.
+type InvalidNameError struct{ Name string }
+
+func (e *InvalidNameError) Error() string {
+	return fmt.Sprintf("head has the invalid field name %q", e.Name)
+}
+
+// CheckResponse returns an *InvalidStatusError or an *InvalidNameError if the head of a response
+// to a request without an upgrade is none. net/http accepts any status of three digits, and blanks in
+// names, also before the colon. It does not interpret fields with such names, so that a length or an id
+// is not seen.
+func CheckResponse(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
+		return &InvalidStatusError{Status: r.StatusCode}
+	}
+	for name := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidNameError{Name: name}
+		}
+	}
+	return nil
+}
+
+// Transport is an http.RoundTripper that returns the errors of CheckResponse. Interim responses are not
+// checked.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/testnet/answer.go
@@ -0,0 +1,51 @@
+package testnet
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// ServeAnswer starts a server that writes the same bytes after the first request of each connection and
+// closes the connection. It returns its address as IP:port.
+func ServeAnswer(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// BrokenHeads are heads of answers that hold an error by RFC 9110 which net/http accepts, without the blank
+// line at their end.
+var BrokenHeads = map[string]string{
+	"blank in a name":          "HTTP/1.1 200 OK\r\nX Trace: a\r\n",
+	"blank before a colon":     "HTTP/1.1 200 OK\r\nX-Trace : a\r\n",
+	"status 000":               "HTTP/1.1 000 None\r\n",
+	"status 007":               "HTTP/1.1 007 Low\r\n",
+	"status 600":               "HTTP/1.1 600 High\r\n",
+	"status 999":               "HTTP/1.1 999 High\r\n",
+	"upgrade nobody asked for": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n",
+}
