--- a/kv/client.go
+++ b/kv/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 )
 
 // HeaderRevision is the response header with the revision of a key.
@@ -39,7 +41,7 @@
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
+	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: httphead.Transport{Transport: transport}}}
 }
 
 // Close closes idle connections.
--- a/order/client.go
+++ b/order/client.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 	"github.com/vanillaarch/vanillaarch/internal/wait"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/telemetry"
@@ -85,7 +86,9 @@
 	}
 	if o.Transport == nil {
 		// net/http retries requests only on reused connections.
-		o.Transport = &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true}
+		o.Transport = httphead.Transport{Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true,
+		}}
 	}
 }
 
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 )
 
 // maxListBytes bounds the size of a list response. 13,000 entries take about 4 MB.
@@ -131,7 +133,7 @@
 func NewClient(base string, timeout time.Duration) *Client {
 	return &Client{base: base, http: &http.Client{
 		Timeout:   timeout,
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext},
+		Transport: httphead.Transport{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext}},
 	}}
 }
 
