--- a/backend/errors.go
+++ b/backend/errors.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 )
 
 // NotSentError reports that no part of a request was sent to the backend server.
@@ -49,9 +51,7 @@
 
 // UndelimitedError reports a response with neither a Content-Length nor chunked
 // encoding. Its end cannot be distinguished from a broken connection.
-type UndelimitedError struct{}
-
-func (e *UndelimitedError) Error() string { return "response has neither a length nor chunks" }
+type UndelimitedError = httphead.UndelimitedError
 
 // RejectedError reports that an engine answered a request with a status other than 200.
 type RejectedError struct {
--- a/backend/service.go
+++ b/backend/service.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 )
 
@@ -105,8 +106,8 @@
 }
 
 func (s *ServiceClient) read(resp *http.Response, t Target) (*ServiceResponse, error) {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return nil, &UncertainError{Backend: t.ID, Cause: &UndelimitedError{}}
+	if err := httphead.CheckDelimited(resp); err != nil {
+		return nil, &UncertainError{Backend: t.ID, Cause: err}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.limit+1))
 	if err != nil {
--- a/client/client.go
+++ b/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/vanillaarch/vanillaarch/api"
+	"github.com/vanillaarch/vanillaarch/internal/httphead"
 )
 
 const (
@@ -241,6 +242,9 @@
 	if resp.Header.Get("Content-Type") == api.ContentTypeProblem {
 		return nil, readProblem(resp)
 	}
+	if err := httphead.CheckDelimited(resp); err != nil {
+		return nil, errors.Wrap(err, "read service response")
+	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return nil, errors.Wrap(err, "read service response")
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/client"
+	"github.com/vanillaarch/vanillaarch/internal/testnet"
 )
 
 // TestCutEvents guards against a stream that fails, loses a token or appears complete
@@ -63,3 +64,26 @@
 	})
 	return text, err
 }
+
+// Guards against a part of an answer that is returned as the whole: behind a proxy that passes it on without a
+// length, it ends like one whose connection was closed early.
+func TestServiceResultWithoutALengthIsAnError(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"no length":   {"HTTP/1.1 200 OK\r\n\r\npart", false},
+		"length":      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", true},
+		"length, cut": {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart", false},
+		"chunks":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true},
+		"chunks, cut": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := client.New(client.Options{Addresses: []string{"http://" + testnet.ServeAnswer(t, test.answer)}, APIKey: "key"})
+			result, err := c.Call(t.Context(), "route", "", nil)
+			if test.whole != (err == nil) || test.whole && string(result.Body) != "whole" {
+				t.Errorf("%+v, %v", result, err)
+			}
+		})
+	}
+}
--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -60,3 +60,18 @@
 	}
 	return resp, nil
 }
+
+// UndelimitedError reports a response with neither a length nor chunks. Its end cannot be told from a
+// broken connection.
+type UndelimitedError struct{}
+
+func (e *UndelimitedError) Error() string { return "response has neither a length nor chunks" }
+
+// CheckDelimited returns an *UndelimitedError if the body of a response ends with its connection only. From
+// HTTP/2 on, frames mark the end, and a body that net/http has decompressed has an end of its own.
+func CheckDelimited(r *http.Response) error {
+	if r.ProtoMajor < 2 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed {
+		return &UndelimitedError{}
+	}
+	return nil
+}
--- a/kv/client.go
+++ b/kv/client.go
@@ -79,6 +79,9 @@
 	default:
 		return Entry{}, &UnavailableError{Op: "get", Cause: &StatusError{Status: resp.StatusCode}}
 	}
+	if err := httphead.CheckDelimited(resp); err != nil {
+		return Entry{}, &UnavailableError{Op: "get", Cause: err}
+	}
 	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
 	if err != nil {
 		return Entry{}, &UnavailableError{Op: "get", Cause: err}
--- a/kv/client_test.go
+++ b/kv/client_test.go
@@ -1,6 +1,8 @@
 package kv_test
 
 import (
+	"compress/gzip"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,3 +34,38 @@
 		})
 	}
 }
+
+// Guards against a part of a value that counts as the value, also as a part of a protobuf message: an answer
+// without a length ends like one whose connection was closed early.
+func TestValueWithoutALengthIsAnError(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"no length":        {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\n\r\nval", false},
+		"HTTP/1.0":         {"HTTP/1.0 200 OK\r\nX-Revision: 7\r\n\r\nval", false},
+		"length":           {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 5\r\n\r\nvalue", true},
+		"length, cut":      {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 5\r\n\r\nval", false},
+		"chunks":           {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n0\r\n\r\n", true},
+		"chunks, cut":      {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nval\r\n", false},
+		"encoded, in part": {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Encoding: gzip\r\n\r\n" + gzipped("value")[:20], false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := kv.NewClient("http://"+testnet.ServeAnswer(t, test.answer), 5*time.Second)
+			defer client.Close()
+			entry, err := client.Get(t.Context(), "k")
+			_, unavailable := errors.Into[*kv.UnavailableError](err)
+			if test.whole != (err == nil && string(entry.Value) == "value") || test.whole == unavailable {
+				t.Errorf("%q, %v", entry.Value, err)
+			}
+		})
+	}
+}
+
+func gzipped(text string) string {
+	var b strings.Builder
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write([]byte(text))
+	_ = w.Close()
+	return b.String()
+}
