--- a/kv/client.go
+++ b/kv/client.go
@@ -86,6 +86,9 @@
 	if err != nil {
 		return Entry{}, &UnavailableError{Op: "get", Cause: err}
 	}
+	if len(value) > MaxValueBytes {
+		return Entry{}, &UnavailableError{Op: "get", Cause: &ValueTooLargeError{Key: key, Size: len(value)}}
+	}
 	return Entry{Key: key, Value: value, Revision: revision(resp)}, nil
 }
 
--- a/kv/client_test.go
+++ b/kv/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"compress/gzip"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -69,3 +70,17 @@
 	_ = w.Close()
 	return b.String()
 }
+
+// Guards against the beginning of a value beyond the limit that counts as the value.
+func TestValueBeyondTheLimitIsAnError(t *testing.T) {
+	for _, size := range []int{kv.MaxValueBytes, kv.MaxValueBytes + 1, kv.MaxValueBytes + 2} {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("v", size))
+		client := kv.NewClient("http://"+testnet.ServeAnswer(t, answer), 5*time.Second)
+		defer client.Close()
+		entry, err := client.Get(t.Context(), "k")
+		_, tooLarge := errors.Into[*kv.ValueTooLargeError](err)
+		if whole := size <= kv.MaxValueBytes; whole != (err == nil && len(entry.Value) == size) || whole == tooLarge {
+			t.Errorf("%d of %d bytes, %v", len(entry.Value), size, err)
+		}
+	}
+}
