--- a/backend/broken_head_test.go
+++ b/backend/broken_head_test.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +40,33 @@
 		})
 	}
 }
+
+// Guards against a folded line that is passed on with the media type of the answer of a plain service, also after
+// an interim head. The end of the head arrives in the same bytes as the begin of the body, or apart.
+func TestFoldedLinesOnTheCompletionsAPIAreErrors(t *testing.T) {
+	const interim, head = "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Type: text/plain\r\n"
+	for name, test := range map[string]struct {
+		answer string
+		folded bool
+	}{
+		"folded":               {head + " X-Trace: a\r\n\r\nab\r\n b\r\n c\r\n", true},
+		"tab":                  {head + "\tX-Trace: a\r\n\r\nab\r\n b\r\n c\r\n", true},
+		"after interim heads":  {interim + interim + head + " X-Trace: a\r\n\r\nab\r\n b\r\n c\r\n", true},
+		"in an interim head":   {"HTTP/1.1  103 Early Hints\r\nX-A: b\r\n c\r\n\r\n" + head + "\r\nab\r\n b\r\n c\r\n", true},
+		"only in the body":     {head + "\r\nab\r\n b\r\n c\r\n", false},
+		"body after interim":   {interim + head + "\r\nab\r\n b\r\n c\r\n", false},
+		"body like a new head": {head + "\r\nHTTP/\r\n b: c", false},
+	} {
+		for _, piece := range []int{1, len(test.answer)} {
+			t.Run(fmt.Sprintf("%s in pieces of %d bytes", name, piece), func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				response, err := NewServiceClient(1<<20).Do(ctx, answerWith(t, test.answer, piece), Call{Path: "/"})
+				_, uncertain := errors.Into[*UncertainError](err)
+				if test.folded != uncertain || !test.folded && (err != nil || response.ContentType != "text/plain" || len(response.Body) != 12) {
+					t.Errorf("%+v, %v", response, err)
+				}
+			})
+		}
+	}
+}
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -73,7 +73,11 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return CheckHeads(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialAndCheck(ctx, dialer, network, address)
+			conn, err := dialAndCheck(ctx, dialer, network, address)
+			if err != nil || !singleUse {
+				return conn, err
+			}
+			return &singleResponseConn{Conn: conn}, nil
 		},
 		MaxIdleConnsPerHost:    maxIdlePerBackend,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -95,13 +95,6 @@
 // InvalidStatusError reports a response whose status is none.
 type InvalidStatusError = httphead.InvalidStatusError
 
-// FoldedLineError reports a head with a line that begins with white space. net/http joins it with
-// the field before, which would be passed on with a value that is not the server's. RFC 9112, section
-// 5.2, lets a gateway reject such a response.
-type FoldedLineError struct{}
-
-func (e *FoldedLineError) Error() string { return "head has a line that begins with white space" }
-
 // TooManyInterimError reports that more interim responses than allowed arrived.
 type TooManyInterimError struct{}
 
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -28,8 +28,15 @@
 	// head has.
 	begun, ended bool
 	folded       bool
+	// blank is set after the first blank of the first line, which the status of a response follows.
+	blank bool
+	// class is the first digit of the status of a response, 0 until it has been scanned.
+	class byte
 }
 
+// Interim reports whether the head is that of an interim response, so that another one follows.
+func (s *Scanner) Interim() bool { return s.class == '1' }
+
 // Folded reports whether a line after the first one begins with white space, which continues the line
 // before it by the obsolete line folding of RFC 9112, section 5.2.
 func (s *Scanner) Folded() bool { return s.folded }
@@ -45,11 +52,22 @@
 			s.ended = s.begun && s.lineBytes == 0
 			s.begun, s.lineBytes = s.begun || s.lineBytes > 0, 0
 		case c != '\r':
-			if s.begun && s.lineBytes == 0 && (c == ' ' || c == '\t') {
-				s.folded = true
-			}
+			s.scanByte(c)
 			s.lineBytes++
 		}
 	}
 	return len(b), lines
 }
+
+// scanByte takes a byte of a line before its end.
+func (s *Scanner) scanByte(c byte) {
+	isBlank := c == ' ' || c == '\t'
+	switch {
+	case s.begun:
+		s.folded = s.folded || isBlank && s.lineBytes == 0
+	case isBlank:
+		s.blank = true
+	case s.blank && s.class == 0:
+		s.class = c
+	}
+}
