--- a/client/client.go
+++ b/client/client.go
@@ -124,7 +124,7 @@
 	if s.last.Generation != "" {
 		req.Header.Set(api.HeaderLastEventID, s.last.String())
 	}
-	resp, err := c.opts.HTTP.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return false, err
 	}
@@ -190,7 +190,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.opts.HTTP.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "completion")
 	}
@@ -234,7 +234,7 @@
 	if key != "" {
 		req.Header.Set(api.HeaderIdempotencyKey, key)
 	}
-	resp, err := c.opts.HTTP.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "send service request")
 	}
@@ -252,6 +252,19 @@
 	return &ServiceResult{Status: resp.StatusCode, Body: data, Replayed: resp.Header.Get(api.HeaderReplayed) != ""}, nil
 }
 
+// do sends a request and checks the head of the response, since net/http returns some that are none.
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := httphead.CheckResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 func (c *Client) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
 	base := c.opts.Addresses[c.next.Add(1)%uint64(len(c.opts.Addresses))]
 	// The wrapped body leaves GetBody unset, so that net/http doesn't retry a request
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -87,3 +87,20 @@
 		})
 	}
 }
+
+// Guards against an answer whose head is none and that is returned as the answer of a VM.
+func TestBrokenHeadsAreErrors(t *testing.T) {
+	for name, head := range testnet.BrokenHeads {
+		t.Run(name, func(t *testing.T) {
+			const body = `{"choices":[{"text":"wrong"}]}`
+			answer := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+			c := client.New(client.Options{Addresses: []string{"http://" + testnet.ServeAnswer(t, answer)}, APIKey: "key"})
+			if result, err := c.Call(t.Context(), "route", "", nil); err == nil {
+				t.Errorf("call: %+v", result)
+			}
+			if completion, err := c.Complete(t.Context(), api.CompletionRequest{}); err == nil {
+				t.Errorf("completion: %+v", completion)
+			}
+		})
+	}
+}
