--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -85,6 +85,9 @@
 		if c.limiter.scanner.Folded() {
 			return nil, &FoldedLineError{}
 		}
+		if !resp.ProtoAtLeast(1, 1) && c.limiter.scanner.HasTransferEncoding() {
+			return nil, &FramingError{Version: resp.Proto}
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -95,6 +98,12 @@
 // InvalidStatusError reports a response whose status is none.
 type InvalidStatusError = httphead.InvalidStatusError
 
+// FramingError reports a response with Transfer-Encoding of a version of HTTP that has none. Its body has no
+// end that can be told, by RFC 9112, section 6.1, and net/http would return the chunks as the body.
+type FramingError struct{ Version string }
+
+func (e *FramingError) Error() string { return "response of " + e.Version + " has a transfer encoding" }
+
 // TooManyInterimError reports that more interim responses than allowed arrived.
 type TooManyInterimError struct{}
 
--- a/backend/invalid_name_test.go
+++ b/backend/invalid_name_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/internal/testnet"
 )
 
 // invalidNameLines are lines of a head that hold no field by RFC 9110, section 5.1, and RFC 9112,
@@ -32,6 +34,30 @@
 	"no colon":               "X-Trace",
 }
 
+// Guards against chunks that are passed on as the body: net/http ignores Transfer-Encoding in a response of HTTP/1.0.
+func TestChunksOfHTTP10AreNoBody(t *testing.T) {
+	for name, test := range map[string]struct {
+		head, body string
+	}{
+		"chunked":         {"Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", ""},
+		"small letters":   {"transfer-encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", ""},
+		"with a length":   {"Content-Length: 2\r\nTransfer-Encoding:chunked\r\n\r\nno", ""},
+		"length only":     {"Content-Length: 3\r\n\r\nyes", "yes"},
+		"no length":       {"X-Transfer-Encoding: chunked\r\n\r\nyes", "yes"},
+		"longer name":     {"Transfer-Encodings: chunked\r\n\r\nyes", "yes"},
+		"only in a value": {"Trailer: transfer-encoding: chunked\r\n\r\nyes", "yes"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := Target{ID: "server", Address: testnet.ServeAnswer(t, "HTTP/1.0 200 OK\r\nX-Id: a\r\n"+test.head)}
+			body, err := get(newTestClient(t), target, "a")
+			_, uncertain := errors.Into[*UncertainError](err)
+			if whole := test.body != ""; whole == uncertain || whole && body != test.body {
+				t.Errorf("%q, %v", body, err)
+			}
+		})
+	}
+}
+
 // Guards against a response whose head holds a line that is no field: it is passed on, or the length
 // or the chunks of the body are not seen.
 func TestInvalidNameIsNoResponse(t *testing.T) {
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -32,8 +32,18 @@
 	blank bool
 	// class is the first digit of the status of a response, 0 until it has been scanned.
 	class byte
+	// matched is how many bytes of transferEncoding the current line begins with.
+	matched      int
+	hasEncodings bool
 }
 
+// transferEncoding is the begin of a line with the field Transfer-Encoding, in small letters.
+const transferEncoding = "transfer-encoding:"
+
+// HasTransferEncoding reports whether the head has the field Transfer-Encoding. net/http removes it from a head
+// of HTTP/1.0.
+func (s *Scanner) HasTransferEncoding() bool { return s.hasEncodings }
+
 // Interim reports whether the head is that of an interim response, so that another one follows.
 func (s *Scanner) Interim() bool { return s.class == '1' }
 
@@ -50,7 +60,7 @@
 		case c == '\n':
 			lines++
 			s.ended = s.begun && s.lineBytes == 0
-			s.begun, s.lineBytes = s.begun || s.lineBytes > 0, 0
+			s.begun, s.lineBytes, s.matched = s.begun || s.lineBytes > 0, 0, 0
 		case c != '\r':
 			s.scanByte(c)
 			s.lineBytes++
@@ -65,9 +75,21 @@
 	switch {
 	case s.begun:
 		s.folded = s.folded || isBlank && s.lineBytes == 0
+		s.matchTransferEncoding(c)
 	case isBlank:
 		s.blank = true
 	case s.blank && s.class == 0:
 		s.class = c
 	}
 }
+
+// matchTransferEncoding takes a byte of a line after the first one.
+func (s *Scanner) matchTransferEncoding(c byte) {
+	if c >= 'A' && c <= 'Z' {
+		c += 'a' - 'A'
+	}
+	if s.matched == s.lineBytes && s.matched < len(transferEncoding) && c == transferEncoding[s.matched] {
+		s.matched++
+		s.hasEncodings = s.hasEncodings || s.matched == len(transferEncoding)
+	}
+}
--- a/test/platform/broken_answers_test.go
+++ b/test/platform/broken_answers_test.go
@@ -102,6 +102,12 @@
 	})
 }
 
+// Guards against chunks that are delivered as the body, since a response of HTTP/1.0 has none.
+func TestChunksOfHTTP10AreNotDelivered(t *testing.T) {
+	head := strings.Replace(signedHead, "HTTP/1.1", "HTTP/1.0", 1)
+	checkBrokenAnswer(t, fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(wrongEvent), wrongEvent))
+}
+
 // checkBrokenAnswer checks that callers do not get the answer of a faulty server beside a sound one:
 // requests that must not be repeated have an unknown outcome, the others are served.
 func checkBrokenAnswer(t *testing.T, answer string) {
