--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -33,16 +33,16 @@
 	// class is the first digit of the status of a response, 0 until it has been scanned.
 	class byte
 	// matched is how many bytes of transferEncoding the current line begins with.
-	matched      int
-	hasEncodings bool
+	matched             int
+	hasTransferEncoding bool
 }
 
-// transferEncoding is the begin of a line with the field Transfer-Encoding, in small letters.
+// transferEncoding is the beginning of a line with the field Transfer-Encoding, in lower case.
 const transferEncoding = "transfer-encoding:"
 
 // HasTransferEncoding reports whether the head has the field Transfer-Encoding. net/http removes it from a head
 // of HTTP/1.0.
-func (s *Scanner) HasTransferEncoding() bool { return s.hasEncodings }
+func (s *Scanner) HasTransferEncoding() bool { return s.hasTransferEncoding }
 
 // Interim reports whether the head is that of an interim response, so that another one follows.
 func (s *Scanner) Interim() bool { return s.class == '1' }
@@ -90,6 +90,6 @@
 	}
 	if s.matched == s.lineBytes && s.matched < len(transferEncoding) && c == transferEncoding[s.matched] {
 		s.matched++
-		s.hasEncodings = s.hasEncodings || s.matched == len(transferEncoding)
+		s.hasTransferEncoding = s.hasTransferEncoding || s.matched == len(transferEncoding)
 	}
 }
--- a/internal/testnet/answer.go
+++ b/internal/testnet/answer.go
@@ -8,9 +8,9 @@
 	"testing"
 )
 
-// ServeAnswer starts a server that writes the same bytes after the first request of each connection and
-// closes the connection. It returns its address as IP:port.
-func ServeAnswer(t *testing.T, answer string) string {
+// Serve starts a TCP server that runs script on each connection and closes it afterwards. It returns the address
+// as IP:port.
+func Serve(t *testing.T, script func(conn net.Conn, requests *bufio.Reader)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -25,19 +25,28 @@
 			}
 			go func() {
 				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, r.Body); err == nil {
-					_, _ = io.WriteString(conn, answer)
-				}
+				script(conn, bufio.NewReader(conn))
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// ServeAnswer starts a server that writes the same bytes after the first request of each connection and
+// closes the connection. It returns its address as IP:port.
+func ServeAnswer(t *testing.T, answer string) string {
+	t.Helper()
+	return Serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		r, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			_, _ = io.WriteString(conn, answer)
+		}
+	})
+}
+
 // BrokenHeads are heads of answers that hold an error by RFC 9110 which net/http accepts, without the blank
 // line at their end.
 var BrokenHeads = map[string]string{
