--- a/test/platform/broken_answers_test.go
+++ b/test/platform/broken_answers_test.go
@@ -1,9 +1,12 @@
 package platform_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -145,3 +148,32 @@
 	runs := s.fleet.Runs(a.id)
 	return len(runs) > 0 && (runs[0] == s.plainServers[0].ID() || runs[0] == s.engines[0].ID())
 }
+
+// Guards against a refusal in a head that is none and that counts: the caller would be told that its request
+// did not run, or another server would run it, too. Nothing more is sent over its connection.
+func TestRefusalInABrokenHeadDoesNotCount(t *testing.T) {
+	for name, line := range invalidNames {
+		t.Run(name, func(t *testing.T) {
+			var again atomic.Int64
+			answer := respondWith("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 1\r\nRequest-Id: ID\r\n" + line + "\r\n\r\n" + wrongEvent)
+			s := newSite(t, options{vms: 1, engines: 2, plainServers: 2, events: 3, interval: time.Millisecond})
+			for _, server := range append(s.engines, s.plainServers...) {
+				server.SetFaults(userplatform.ServerFaults{Script: func(conn net.Conn, r *http.Request) {
+					answer(conn, r)
+					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						again.Add(1)
+					}
+				}})
+			}
+			for _, a := range []request{book(), draft()} {
+				got := s.send(s.vms[0], a)
+				if runs := s.fleet.Runs(got.id); got.status != http.StatusBadGateway || got.err != nil || len(runs) != 1 {
+					t.Errorf("%s: status %d, want 502, %v, ran on %v", a.path, got.status, got.err, runs)
+				}
+			}
+			if n := again.Load(); n != 0 {
+				t.Errorf("%d requests over the connection of such an answer", n)
+			}
+		})
+	}
+}
