--- a/client/client.go
+++ b/client/client.go
@@ -254,15 +254,7 @@
 
 // do sends a request and checks the head of the response, since net/http returns some that are none.
 func (c *Client) do(req *http.Request) (*http.Response, error) {
-	resp, err := c.opts.HTTP.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	if err := httphead.CheckResponse(resp); err != nil {
-		_ = resp.Body.Close()
-		return nil, err
-	}
-	return resp, nil
+	return httphead.Send(req, c.opts.HTTP.Do)
 }
 
 func (c *Client) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -36,7 +39,11 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &InvalidStatusError{Status: r.StatusCode}
 	}
-	for name := range r.Header {
+	return checkNames(r.Header)
+}
+
+func checkNames(h map[string][]string) error {
+	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return &InvalidNameError{Name: name}
 		}
@@ -44,18 +51,29 @@
 	return nil
 }
 
-// Transport is an http.RoundTripper that returns the errors of CheckResponse. Interim responses are not
-// checked.
+// Transport is an http.RoundTripper that returns the errors of Send.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	return Send(r, t.Transport.RoundTrip)
+}
+
+// Send sends a request by send. It returns the error of CheckResponse. The connection of such a response is closed, since net/http has returned it
+// to its pool if the response has no body. Over HTTP/2 other requests share the connection, which stays.
+func Send(r *http.Request, send func(*http.Request) (*http.Response, error)) (*http.Response, error) {
+	var conn atomic.Pointer[net.Conn]
+	resp, err := send(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+	})))
 	if err != nil {
 		return nil, err
 	}
 	if err := CheckResponse(resp); err != nil {
 		_ = resp.Body.Close()
+		if c := conn.Load(); c != nil && resp.ProtoMajor < 2 {
+			_ = (*c).Close()
+		}
 		return nil, err
 	}
 	return resp, nil
--- /dev/null
+++ b/internal/httphead/transport_test.go
@@ -0,0 +1,44 @@
+package httphead
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/vanillaarch/vanillaarch/internal/testnet"
+)
+
+// Guards against a further request over the connection of a response whose head is none: net/http keeps the
+// connection after a response without a body.
+func TestConnectionOfABrokenHeadIsNotUsedAgain(t *testing.T) {
+	for name, answer := range map[string]string{
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 0\r\n\r\n",
+		"status 600":      "HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n",
+		"short body":      "HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 2\r\n\r\nno",
+	} {
+		t.Run(name, func(t *testing.T) {
+			const requests = 5
+			var connections atomic.Int64
+			address := testnet.Serve(t, func(conn net.Conn, r *bufio.Reader) {
+				connections.Add(1)
+				for _, err := http.ReadRequest(r); err == nil; _, err = http.ReadRequest(r) {
+					_, _ = io.WriteString(conn, answer)
+				}
+			})
+			client := &http.Client{Transport: Transport{&http.Transport{}}}
+			defer client.CloseIdleConnections()
+			for range requests {
+				if resp, err := client.Get("http://" + address); err == nil {
+					t.Errorf("status %d, %v", resp.StatusCode, resp.Header)
+					_ = resp.Body.Close()
+				}
+			}
+			if n := connections.Load(); n != requests {
+				t.Errorf("%d requests over %d connections", requests, n)
+			}
+		})
+	}
+}
