--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 
 	"golang.org/x/net/http/httpguts"
@@ -59,12 +60,14 @@
 	return Send(r, t.Transport.RoundTrip)
 }
 
-// Send sends a request by send. It returns the error of CheckResponse. The connection of such a response is closed, since net/http has returned it
+// Send sends a request by send. It returns the error of CheckResponse, or an *InvalidNameError for the
+// head of an interim response. The connection of such a response is closed, since net/http has returned it
 // to its pool if the response has no body. Over HTTP/2 other requests share the connection, which stays.
 func Send(r *http.Request, send func(*http.Request) (*http.Response, error)) (*http.Response, error) {
 	var conn atomic.Pointer[net.Conn]
 	resp, err := send(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn:        func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(h) },
 	})))
 	if err != nil {
 		return nil, err
--- a/internal/httphead/transport_test.go
+++ b/internal/httphead/transport_test.go
@@ -12,12 +12,13 @@
 )
 
 // Guards against a further request over the connection of a response whose head is none: net/http keeps the
-// connection after a response without a body.
+// connection after a response without a body. Invalid names in interim heads are no answer, either.
 func TestConnectionOfABrokenHeadIsNotUsedAgain(t *testing.T) {
 	for name, answer := range map[string]string{
 		"blank in a name": "HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 0\r\n\r\n",
 		"status 600":      "HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n",
 		"short body":      "HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 2\r\n\r\nno",
+		"interim head":    "HTTP/1.1 103 Early Hints\r\nX Trace: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			const requests = 5
