--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/freeport"
 )
 
 // daemonArguments is the environment variable that makes the test binary run the daemon.
@@ -105,12 +106,12 @@
 // freeAddress returns an address on loopback on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { freeport.Release(address) })
+	return address
 }
 
 // writeSettings writes settings of a VM without a store, and returns their path and the
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/vanillaarch/vanillaarch/internal/freeport"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 	"github.com/vanillaarch/vanillaarch/platform"
 )
@@ -64,7 +65,7 @@
 	}
 	for _, a := range []*string{&v.callers, &v.ready, &v.peers} {
 		var err error
-		if *a, err = ports.freeAddress(); err != nil {
+		if *a, err = freeport.Address(); err != nil {
 			return nil, err
 		}
 	}
@@ -73,7 +74,7 @@
 
 // releasePorts returns the ports of the VM to the allocator.
 func (v *vm) releasePorts() {
-	ports.release(v.callers, v.ready, v.peers)
+	freeport.Release(v.callers, v.ready, v.peers)
 }
 
 // writeSettings writes the settings file. The variant changes the memory limit,
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/vanillaarch/vanillaarch/internal/freeport"
 )
 
 // linkFault is a network fault that a proxy applies to its connections.
@@ -83,7 +85,7 @@
 }
 
 func newProxy(target string, closes *closeLog) (*proxy, error) {
-	l, err := ports.listen()
+	l, err := freeport.Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -137,7 +139,7 @@
 
 func (p *proxy) close() {
 	p.refuse()
-	ports.release(p.listens)
+	freeport.Release(p.listens)
 }
 
 func (p *proxy) currentFault() linkFault {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -130,25 +130,6 @@
 	}
 }
 
-// Guards against ports of VMs that another run or a connection can take while their VM
-// restarts.
-func TestPortsStayTaken(t *testing.T) {
-	a := portAllocator{taken: map[string]struct{}{}}
-	seen := map[string]bool{}
-	for range 300 {
-		address, err := a.freeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, text, _ := net.SplitHostPort(address)
-		if port, err := strconv.Atoi(text); err != nil || port < firstPort || port >= firstPort+portCount || seen[address] {
-			t.Fatalf("%s, %v, handed out before: %t", address, err, seen[address])
-		}
-		seen[address] = true
-		a.next = 0
-	}
-}
-
 // Guards against a VM that counts as having exited since another process of the machine
 // took one of its ports while it was down.
 func TestVMWaitsForItsPorts(t *testing.T) {
--- a/test/callerlimits/daemon_test.go
+++ b/test/callerlimits/daemon_test.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"crypto/tls"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -21,6 +20,7 @@
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/config"
+	"github.com/vanillaarch/vanillaarch/internal/freeport"
 	"github.com/vanillaarch/vanillaarch/internal/standin"
 	"github.com/vanillaarch/vanillaarch/internal/standin/userplatform"
 )
@@ -158,12 +158,12 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { freeport.Release(address) })
+	return address
 }
 
 func portOf(t *testing.T, address string) int {
