--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -17,14 +17,26 @@
 const (
 	firstPort = 10000
 	portCount = 22000
-	// portsPerProcess is the distance between the first ports of two process ids, so
-	// that concurrent tests use different ports.
-	portsPerProcess = 1500
+	// blockPorts is the number of ports that a process reserves together, against other processes
+	// that use this package.
+	blockPorts = 500
+	blockCount = portCount / blockPorts
 )
 
+// block is a reserved part of the ports. It is reserved as long as mark is open, which is at most
+// until the process ends.
+type block struct {
+	firstPort int
+	// mark is bound to the UDP port with the number of the first port. The processes that get the
+	// ports listen on TCP ports only.
+	mark net.PacketConn
+}
+
 // allocator hands out the ports of a process.
 type allocator struct {
-	mu    sync.Mutex
+	mu     sync.Mutex
+	blocks []block
+	// next is the number of the next port to try, counted over blocks.
 	next  int
 	taken map[string]struct{}
 }
@@ -51,19 +63,44 @@
 func (a *allocator) listen() (net.Listener, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for range portCount {
-		port := firstPort + (os.Getpid()*portsPerProcess+a.next)%portCount
-		a.next++
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if _, taken := a.taken[address]; taken {
-			continue
+	for {
+		total := len(a.blocks) * blockPorts
+		for range total {
+			n := a.next % total
+			a.next = n + 1
+			address := loopback(a.blocks[n/blockPorts].firstPort + n%blockPorts)
+			if _, taken := a.taken[address]; taken {
+				continue
+			}
+			if l, err := net.Listen("tcp", address); err == nil {
+				a.taken[address] = struct{}{}
+				return l, nil
+			}
 		}
-		if l, err := net.Listen("tcp", address); err == nil {
-			a.taken[address] = struct{}{}
-			return l, nil
+		if err := a.reserveBlock(); err != nil {
+			return nil, err
+		}
+		a.next = total
+	}
+}
+
+// reserveBlock reserves one more block. The search begins at a block that depends on the process id,
+// so that ports are not used again soon by the next process. The caller must hold a.mu.
+func (a *allocator) reserveBlock() error {
+	var err error
+	for i := range blockCount {
+		first := firstPort + (os.Getpid()+i)%blockCount*blockPorts
+		var mark net.PacketConn
+		if mark, err = net.ListenPacket("udp4", loopback(first)); err == nil {
+			a.blocks = append(a.blocks, block{first, mark})
+			return nil
 		}
 	}
-	return nil, errors.New("no free port")
+	return errors.Wrap(err, "no free port")
+}
+
+func loopback(port int) string {
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
 func (a *allocator) release(addresses ...string) {
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -2,9 +2,7 @@
 package e2e
 
 import (
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +20,7 @@
 	"github.com/vanillaarch/vanillaarch/client"
 	"github.com/vanillaarch/vanillaarch/internal/cli"
 	"github.com/vanillaarch/vanillaarch/internal/daemon"
+	"github.com/vanillaarch/vanillaarch/internal/freeport"
 	"github.com/vanillaarch/vanillaarch/internal/standin/standincmd"
 )
 
@@ -72,32 +70,13 @@
 	return ts.Value(processesKey{}).(processes)
 }
 
-// Ports of the scripts are below the ephemeral range, so that no outgoing
-// connection takes a port between its selection and its use.
-const (
-	firstPort = 10_000
-	lastPort  = 30_000
-)
-
-// nextPort is shared by all scripts. Its initial value depends on the process ID,
-// because other test binaries run at the same time.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 64 % (lastPort - firstPort)) }
-
 // addresses NAME... sets each variable to a free loopback address.
 func addresses(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
-		for {
-			port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-			if err != nil {
-				continue
-			}
-			ts.Setenv(name, l.Addr().String())
-			ts.Check(l.Close())
-			break
-		}
+		address, err := freeport.Address()
+		ts.Check(err)
+		ts.Defer(func() { freeport.Release(address) })
+		ts.Setenv(name, address)
 	}
 }
 
