--- a/backend/engine.go
+++ b/backend/engine.go
@@ -64,7 +64,7 @@
 }
 
 // CheckHeads returns a transport whose responses have a valid head. Other responses are returned as
-// *InvalidStatusError or *httphead.InvalidNameError.
+// *InvalidStatusError, *httphead.InvalidNameError or *httphead.InvalidVersionError.
 func CheckHeads(t *http.Transport) http.RoundTripper { return httphead.Transport{Transport: t} }
 
 // newTransport returns a transport that uses each connection for one request if
--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -79,6 +79,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httphead.CheckVersion(resp); err != nil {
+			return nil, err
+		}
 		if err := httphead.CheckResponse(resp); err != nil {
 			return nil, err
 		}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -73,6 +73,7 @@
 		whole  bool
 	}{
 		"no length":   {"HTTP/1.1 200 OK\r\n\r\npart", false},
+		"HTTP/2.0":    {"HTTP/2.0 200 OK\r\n\r\npart", false},
 		"length":      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", true},
 		"length, cut": {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart", false},
 		"chunks":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true},
--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -32,6 +32,21 @@
 	return fmt.Sprintf("head has the invalid field name %q", e.Name)
 }
 
+// InvalidVersionError reports a response to a request of HTTP/1.1 whose version has another major number,
+// so that its format is not known, by RFC 9110, section 2.5.
+type InvalidVersionError struct{ Version string }
+
+func (e *InvalidVersionError) Error() string { return "response has the version " + e.Version }
+
+// CheckVersion returns an *InvalidVersionError if the response to a request of HTTP/1.1 is none of HTTP/1.
+// net/http accepts any version.
+func CheckVersion(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return &InvalidVersionError{Version: r.Proto}
+	}
+	return nil
+}
+
 // CheckResponse returns an *InvalidStatusError or an *InvalidNameError if the head of a response
 // to a request without an upgrade is none. net/http accepts any status of three digits, and blanks in
 // names, also before the colon. It does not interpret fields with such names, so that a length or an id
@@ -60,26 +75,40 @@
 	return Send(r, t.Transport.RoundTrip)
 }
 
-// Send sends a request by send. It returns the error of CheckResponse, or an *InvalidNameError for the
-// head of an interim response. The connection of such a response is closed, since net/http has returned it
-// to its pool if the response has no body. Over HTTP/2 other requests share the connection, which stays.
+// Send sends a request by send. It returns the error of CheckResponse, that of CheckVersion if the request
+// was one of HTTP/1.1, or an *InvalidNameError for the head of an interim response. The connection of such a
+// response is closed, since net/http has returned it to its pool if the response has no body. Over HTTP/2
+// other requests share the connection, which stays.
 func Send(r *http.Request, send func(*http.Request) (*http.Response, error)) (*http.Response, error) {
-	var conn atomic.Pointer[net.Conn]
+	var (
+		conn  atomic.Pointer[net.Conn]
+		http1 atomic.Bool
+	)
 	resp, err := send(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		// Requests of HTTP/2 have the pseudo-header field :authority in place of Host.
+		WroteHeaderField: func(name string, _ []string) {
+			if name == "Host" {
+				http1.Store(true)
+			}
+		},
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(h) },
 	})))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckResponse(resp); err != nil {
-		_ = resp.Body.Close()
-		if c := conn.Load(); c != nil && resp.ProtoMajor < 2 {
-			_ = (*c).Close()
-		}
-		return nil, err
+	err = CheckResponse(resp)
+	if err == nil && http1.Load() {
+		err = CheckVersion(resp)
+	}
+	if err == nil {
+		return resp, nil
+	}
+	_ = resp.Body.Close()
+	if c := conn.Load(); c != nil && http1.Load() {
+		_ = (*c).Close()
 	}
-	return resp, nil
+	return nil, err
 }
 
 // UndelimitedError reports a response with neither a length nor chunks. Its end cannot be told from a
--- a/internal/httphead/transport_test.go
+++ b/internal/httphead/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -17,6 +18,7 @@
 	for name, answer := range map[string]string{
 		"blank in a name": "HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 0\r\n\r\n",
 		"status 600":      "HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/2.0":        "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"short body":      "HTTP/1.1 200 OK\r\nX Trace: a\r\nContent-Length: 2\r\n\r\nno",
 		"interim head":    "HTTP/1.1 103 Early Hints\r\nX Trace: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
@@ -43,3 +45,21 @@
 		})
 	}
 }
+
+// Guards against responses of HTTP/2 that count as ones of another version.
+func TestResponsesOfHTTP2AreAccepted(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	client := server.Client()
+	client.Transport = Transport{client.Transport.(*http.Transport)}
+	resp, err := client.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.ProtoMajor != 2 {
+		t.Errorf("version %s, want HTTP/2.0", resp.Proto)
+	}
+}
--- a/internal/testnet/answer.go
+++ b/internal/testnet/answer.go
@@ -56,5 +56,7 @@
 	"status 007":               "HTTP/1.1 007 Low\r\n",
 	"status 600":               "HTTP/1.1 600 High\r\n",
 	"status 999":               "HTTP/1.1 999 High\r\n",
+	"HTTP/2.0":                 "HTTP/2.0 200 OK\r\n",
+	"HTTP/0.9":                 "HTTP/0.9 200 OK\r\n",
 	"upgrade nobody asked for": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n",
 }
--- a/kv/client_test.go
+++ b/kv/client_test.go
@@ -45,6 +45,7 @@
 	}{
 		"no length":        {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\n\r\nval", false},
 		"HTTP/1.0":         {"HTTP/1.0 200 OK\r\nX-Revision: 7\r\n\r\nval", false},
+		"HTTP/2.0":         {"HTTP/2.0 200 OK\r\nX-Revision: 7\r\n\r\nval", false},
 		"length":           {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 5\r\n\r\nvalue", true},
 		"length, cut":      {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nContent-Length: 5\r\n\r\nval", false},
 		"chunks":           {"HTTP/1.1 200 OK\r\nX-Revision: 7\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n0\r\n\r\n", true},
--- a/test/platform/broken_answers_test.go
+++ b/test/platform/broken_answers_test.go
@@ -112,6 +112,15 @@
 	checkBrokenAnswer(t, fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(wrongEvent), wrongEvent))
 }
 
+// Guards against an answer that is delivered although its version is not that of the request.
+func TestAnswerOfAnotherVersionIsNotDelivered(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.7"} {
+		t.Run(version, func(t *testing.T) {
+			checkBrokenAnswer(t, strings.Replace(signedHead, "HTTP/1.1", version, 1)+"Content-Length: 19\r\n\r\n"+wrongEvent)
+		})
+	}
+}
+
 // checkBrokenAnswer checks that callers do not get the answer of a faulty server beside a sound one:
 // requests that must not be repeated have an unknown outcome, the others are served.
 func checkBrokenAnswer(t *testing.T, answer string) {
