--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -85,7 +85,10 @@
 		http1 atomic.Bool
 	)
 	resp, err := send(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn.Store(&info.Conn)
+			http1.Store(false) // A redirect may lead from HTTP/1.1 to HTTP/2.
+		},
 		// Requests of HTTP/2 have the pseudo-header field :authority in place of Host.
 		WroteHeaderField: func(name string, _ []string) {
 			if name == "Host" {
--- a/internal/httphead/transport_test.go
+++ b/internal/httphead/transport_test.go
@@ -63,3 +63,25 @@
 		t.Errorf("version %s, want HTTP/2.0", resp.Proto)
 	}
 }
+
+// Guards against a response of HTTP/2 that is rejected since a request before its redirect was one of HTTP/1.1.
+func TestRedirectToHTTP2IsFollowed(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	redirect := httptest.NewServer(http.RedirectHandler(server.URL, http.StatusFound))
+	defer redirect.Close()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, redirect.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := Send(r, server.Client().Do)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.ProtoMajor != 2 {
+		t.Errorf("version %s, want HTTP/2.0", resp.Proto)
+	}
+}
