--- a/backend/http_client.go
+++ b/backend/http_client.go
@@ -76,6 +76,11 @@
 	if err != nil {
 		return nil, &NotSentError{Backend: t.ID, Cause: err}
 	}
+	return hc.checkAndDo(ctx, t, c, r)
+}
+
+// checkAndDo runs the checks of a request right before it is sent.
+func (hc *HTTPClient) checkAndDo(ctx context.Context, t Target, c *clientConn, r *HTTPRequest) (*HTTPResponse, error) {
 	if err := r.runBeforeSend(ctx); err != nil {
 		c.abort()
 		return nil, &NotSentError{Backend: t.ID, Cause: err}
@@ -96,15 +101,15 @@
 	return r.BeforeSend()
 }
 
-// Connection is a new connection to a backend server on which nothing has been sent.
-// Its owner calls either Do or Close, once.
+// Connection is a connection to a backend server that carries no request. Its owner calls either
+// Do or Close, once.
 type Connection struct {
 	client *HTTPClient
 	target Target
 	conn   *clientConn
 }
 
-// Connect opens a new connection to a backend server. The error is a *NotSentError.
+// Connect opens a new connection to a backend server, on which nothing has been sent. The error is a *NotSentError.
 func (hc *HTTPClient) Connect(ctx context.Context, t Target) (*Connection, error) {
 	c, err := hc.dial(ctx, t)
 	if err != nil {
@@ -113,9 +118,19 @@
 	return &Connection{client: hc, target: t, conn: c}, nil
 }
 
+// ConnectIdle takes an idle connection to a backend server from the pool. It returns nil if there is
+// none that is usable.
+func (hc *HTTPClient) ConnectIdle(t Target) *Connection {
+	c := hc.pool.get(t.Address, time.Now(), 0)
+	if c == nil {
+		return nil
+	}
+	return &Connection{client: hc, target: t, conn: c}
+}
+
 // Do sends a request over the connection, as HTTPClient.Do does.
 func (c *Connection) Do(ctx context.Context, r *HTTPRequest) (*HTTPResponse, error) {
-	return c.client.do(ctx, c.target, c.conn, r)
+	return c.client.checkAndDo(ctx, c.target, c.conn, r)
 }
 
 // IsQuiet reports whether the server has neither closed the connection nor sent anything
--- a/edge/engine.go
+++ b/edge/engine.go
@@ -67,6 +67,9 @@
 	To string
 	// Final stops the run before the copy.
 	Final bool
+	// Connection is the connection over which the call is made. Nil is an idle one, or else a new
+	// one.
+	Connection *backend.Connection
 }
 
 // MoveResult describes a complete copy.
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -33,7 +33,8 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, backupTimeout)
 	defer cancel()
-	request := s.admissionRequest([]string{primary.ID})
+	// An engine that may still work on the run is asked to end it: not to hold its backup.
+	request := s.admissionRequest(append(s.unendedEngines(), primary.ID))
 	request.Spare, request.Zone = true, primary.Zone
 	ticket, vm, err := s.acquireEngine(ctx, request)
 	if err != nil {
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -27,7 +27,10 @@
 	// copying is set by the first copy attempt and closed when the latest
 	// attempt ends.
 	copying chan struct{}
-	ended   bool
+	// copyingAt is the engine at which a call that copies the run may be in progress: one that was
+	// sent and not answered. It is nil if there is none.
+	copyingAt *vmlist.VM
+	ended     bool
 	// lastBackup and lastMoved are the last that became of the two kinds of copies.
 	lastBackup, lastMoved copyRecord
 	// evacuating is set while an evacuation handles the run.
@@ -169,6 +172,20 @@
 	return done, true
 }
 
+// recordCopyCall records the engine at which a call that copies the run may be in progress.
+func (s *stream) recordCopyCall(at *vmlist.VM) {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	s.copies.copyingAt = at
+}
+
+// mayBeCopying reports whether a call that copies the run may be in progress at an engine.
+func (s *stream) mayBeCopying(vm vmlist.VM) bool {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	return s.copies.copyingAt != nil && s.copies.copyingAt.ID == vm.ID
+}
+
 // addCopy stores a completed copy, or discards it if the stream has ended or goes on
 // elsewhere.
 func (s *stream) addCopy(rc *runCopy) {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -266,10 +266,22 @@
 
 // Close waits for background calls that outlive their request, and for the handlers of requests
 // whose connections were closed, so that each has recorded its end.
+// Engines are not asked any more to end runs that the VM has left.
 func (g *Gateway) Close() {
+	g.closeOnce.Do(func() { close(g.closing) })
 	g.background.Wait()
 	<-g.drain.awaitEmpty()
 }
 
+// isClosing reports whether Close was called.
+func (g *Gateway) isClosing() bool {
+	select {
+	case <-g.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 // SetVMs sets the number of VMs that share the retry budget.
 func (g *Gateway) SetVMs(n int) { g.budget.SetVMs(n) }
--- a/gateway/end_run_test.go
+++ b/gateway/end_run_test.go
@@ -27,6 +27,8 @@
 	refused map[string]bool
 	// resets is the number of requests for a copy whose connection engine-1 closes.
 	resets int
+	// ending is set while a final move is in progress. Another call for the run is refused then.
+	ending bool
 	// asked holds the copies that engine-1 was asked to go on from, freed the handles that
 	// were freed, in this order.
 	asked, freed []string
@@ -60,14 +62,27 @@
 		moveAnswer(w)
 		return
 	}
+	if !e.beginEnding() {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
 	time.Sleep(e.finalDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.ending = false
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(e.finalStatus)
 	_, _ = fmt.Fprintf(w, `{"handle":%q,"createdRev":1}`, e.finalHandle)
 }
 
+func (e *movingEngines) beginEnding() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	begins := !e.ending
+	e.ending = true
+	return begins
+}
+
 // goOn goes on with the second event after the last one, and ends the stream with it.
 func (e *movingEngines) goOn(w http.ResponseWriter, r *http.Request) {
 	_, handle, _ := strings.Cut(r.Header.Get("Kv-From"), "/")
@@ -95,6 +110,9 @@
 	_, _ = w.Write([]byte(body))
 }
 
+// slowEnd is longer than a VM waits for the answer of an engine before it asks once more.
+const slowEnd = 200 * time.Millisecond
+
 // Guards against a run that is cut, or a copy that stays at an engine, since the VM takes
 // the copy of a final move for another one than that from which the run goes on.
 func TestFinalMoveLeavesTheRunACopy(t *testing.T) {
@@ -106,12 +124,12 @@
 		"another copy":       {&movingEngines{finalHandle: "h2", finalStatus: http.StatusOK}, "h2", "h1"},
 		"the same copy":      {&movingEngines{finalHandle: "h1", finalStatus: http.StatusOK}, "h1", ""},
 		"no room":            {&movingEngines{finalHandle: "h2", finalStatus: http.StatusServiceUnavailable}, "h1", "h2"},
-		"slow, another copy": {&movingEngines{finalHandle: "h2", finalStatus: http.StatusOK, finalDelay: 2 * endRunTimeout}, "h1", "h2"},
+		"slow, another copy": {&movingEngines{finalHandle: "h2", finalStatus: http.StatusOK, finalDelay: slowEnd}, "h1", "h2"},
 		"slow, the same copy": {
-			&movingEngines{finalHandle: "h1", finalStatus: http.StatusOK, finalDelay: 2 * endRunTimeout}, "h1", "",
+			&movingEngines{finalHandle: "h1", finalStatus: http.StatusOK, finalDelay: slowEnd}, "h1", "",
 		},
 		"slow, the earlier copy is refused": {
-			&movingEngines{finalHandle: "h2", finalStatus: http.StatusOK, finalDelay: 2 * endRunTimeout, refused: map[string]bool{"h1": true}},
+			&movingEngines{finalHandle: "h2", finalStatus: http.StatusOK, finalDelay: slowEnd, refused: map[string]bool{"h1": true}},
 			"h1 h2", "h1",
 		},
 		"the run was dropped": {&movingEngines{finalStatus: http.StatusNotFound}, "h1", ""},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,13 +71,21 @@
 	refusedBytes *requestbody.Allowance
 	// background tracks calls that outlive their request.
 	background sync.WaitGroup
+	// engineCalls makes the calls that end runs.
+	engineCalls observedEngines
+	// closing is closed when calls that outlive their request must end.
+	closing   chan struct{}
+	closeOnce sync.Once
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	o.Engines = observedEngines{o.Engines, o.Servers, o.Permits, o.Snapshot}
+	engines := observedEngines{o.Engines, o.Servers, o.Permits, o.Snapshot}
+	o.Engines = engines
 	g := &Gateway{
 		Options:       o,
+		engineCalls:   engines,
+		closing:       make(chan struct{}),
 		budget:        retry.NewSharedBudget(o.Bounds().RetryRatio, o.Bounds().RetrySlack, o.Bounds().RetryWindow),
 		services:      newServiceBalancer(o.Zone),
 		outstanding:   outstanding.New(),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// countRunEnd counts something about the ends of runs at engines that they have left: "run_ends" by
+// state, "run_end_attempts" by outcome, and whether the next engine was allowed to begin by reason.
+func (m *Metrics) countRunEnd(what, kind string) {
+	metrics.GetOrRegisterCounter("gateway."+what+"."+kind, m.registry).Inc(1)
+}
+
 // observeMemory registers gauges of the bytes that budgets hold.
 func (m *Metrics) observeMemory(requests *requestbody.Memory, answers *membudget.Budget) {
 	metrics.NewRegisteredFunctionalGauge("gateway.request_memory_bytes", m.registry, requests.Used)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/backend"
@@ -84,8 +85,12 @@
 	}
 	moving, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	s.recordCopyCall(&source)
 	moved, err := s.g.Engines.Move(moving, backend.TargetOf(source),
 		edge.MoveRequest{RunID: s.info.ID, To: vm.Address})
+	if _, unknown := errors.Into[*backend.UncertainError](err); !unknown {
+		s.recordCopyCall(nil)
+	}
 	if err != nil {
 		ticket.Release(0)
 		s.recordNotCopied(copyFailed, vm.ID, err)
--- a/gateway/open_copy.go
+++ b/gateway/open_copy.go
@@ -52,23 +52,23 @@
 }
 
 // connectFinal connects once more to the engine that has refused to go on from a copy, if
-// the final move has put all of the run's memory there since. It returns nil if not.
+// the end of the run at its previous engine has put all of the run's memory there since. It returns nil if not.
 func (s *stream) connectFinal(source *connectedCopy, err error) *connectedCopy {
-	if usedState(err) != copyRefused || source.move == nil {
+	if usedState(err) != copyRefused || source.end == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, copyWaitTimeout)
 	defer cancel()
 	select {
-	case <-source.move.done:
+	case <-source.end.done:
 	case <-ctx.Done():
 	}
-	if at := source.move.location(); at == nil || *at == source.from {
+	if at := source.end.location(); at == nil || *at == source.from {
 		return nil
 	}
 	final := s.connectAgain(source, err)
 	if final != nil {
-		final.useFinal(source.move)
+		final.useFinal(source.end)
 	}
 	return final
 }
@@ -132,7 +132,7 @@
 		return nil
 	}
 	s.log.Info("copy_asked_again", zap.String("backend", source.vm.ID), telemetry.NamedError("previous_error", cause))
-	again.backupAcquired, again.from, again.move = source.backupAcquired, source.from, source.move
+	again.backupAcquired, again.from, again.end = source.backupAcquired, source.from, source.end
 	return again
 }
 
@@ -140,10 +140,10 @@
 // could not. err is the error of that.
 func (s *stream) freeRest(source *connectedCopy, err error) {
 	if err != nil {
-		s.freeUnused(source.move, nil)
+		s.freeUnused(source.end, nil)
 		return
 	}
-	s.freeUnused(source.move, &source.from)
+	s.freeUnused(source.end, &source.from)
 	if source.isMoved() && source.from != source.location {
 		s.g.inBackground(func() { s.g.freeCopy(s.log, source.source, source.location.Handle) })
 	}
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -174,23 +174,43 @@
 	return &backend.NotSentError{Backend: vm.ID, Cause: &permit.LimitedError{Server: tracker.ServerOf(vm)}}
 }
 
-// acquirePermit obtains a permit for a call to an engine, if that is limited. It returns a
-// function that must be called right before the call is sent.
-func (e observedEngines) acquirePermit(ctx context.Context, engine backend.Target, urgent bool) (mayStart func() error, err error) {
+// enginePermit allows one call to an engine.
+type enginePermit struct {
+	permits Permits
+	vm      vmlist.VM
+	permit  permit.Permit
+}
+
+// start must be called right before the call is sent.
+func (p enginePermit) start() error { return p.permits.Start(p.vm, p.permit) }
+
+// giveBack must be called if the call is not sent.
+func (p enginePermit) giveBack() { p.permits.Return(p.permit) }
+
+// listedAs returns the entry of an engine in the VM list, or what is known of one that it lacks.
+func (e observedEngines) listedAs(engine backend.Target) vmlist.VM {
 	vm, listed := e.snapshot().Backends[engine.ID]
 	if !listed || vm.Incarnation != engine.Incarnation {
-		vm = vmlist.VM{ID: engine.ID, Incarnation: engine.Incarnation}
+		return vmlist.VM{ID: engine.ID, Incarnation: engine.Incarnation}
 	}
-	var p permit.Permit
-	if e.permits.Limited(vm) {
-		r := permit.Request{Servers: []vmlist.VM{vm}}
-		if urgent {
-			r = urgentRequest(vm)
-		}
-		r.Service, r.Organisation = vm.ServiceName(), route.Anonymous
-		if p, err = e.permits.Acquire(ctx, r); err != nil {
-			return nil, notPermitted(vm)
-		}
+	return vm
+}
+
+// acquirePermit obtains a permit for a call to an engine, if that is limited.
+func (e observedEngines) acquirePermit(ctx context.Context, engine backend.Target, urgent bool) (enginePermit, error) {
+	vm := e.listedAs(engine)
+	p := enginePermit{permits: e.permits, vm: vm}
+	if !e.permits.Limited(vm) {
+		return p, nil
+	}
+	r := permit.Request{Servers: []vmlist.VM{vm}}
+	if urgent {
+		r = urgentRequest(vm)
+	}
+	r.Service, r.Organisation = vm.ServiceName(), route.Anonymous
+	var err error
+	if p.permit, err = e.permits.Acquire(ctx, r); err != nil {
+		return p, notPermitted(vm)
 	}
-	return func() error { return e.permits.Start(vm, p) }, nil
+	return p, nil
 }
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -50,11 +50,11 @@
 // the connected copy from which the run continues, nil for a new run. For a new run,
 // open releases the ticket if it returns an error; otherwise the caller still owns it.
 func (s *stream) open(ticket dispatch.Ticket, vm vmlist.VM, source *connectedCopy) (*segment, error) {
-	move := s.endPreviousRun(vm)
-	if source == nil {
-		s.freeUnused(move, nil)
-	} else {
-		source.useFinal(move)
+	if err := s.leavePreviousEngines(vm, source); err != nil {
+		if source == nil {
+			ticket.Release(0)
+		}
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	seg := &segment{ticket: ticket, vm: vm, cancel: cancel, started: boottime.Now(), startEvent: s.lastEvent, fromCopy: source != nil}
@@ -78,6 +78,19 @@
 	return seg, nil
 }
 
+// leavePreviousEngines makes sure that the engines that the run has left do not work on it beside the
+// engine that is next.
+func (s *stream) leavePreviousEngines(next vmlist.VM, source *connectedCopy) error {
+	if source == nil {
+		end, err := s.endPreviousRuns(next, nil)
+		s.freeUnused(end, nil)
+		return err
+	}
+	end, err := s.endPreviousRuns(next, source.takePrepared())
+	source.useFinal(end)
+	return err
+}
+
 // send makes one attempt and checks the head of the response.
 func (s *stream) send(ctx context.Context, seg *segment, source *connectedCopy) error {
 	a := edge.Attempt{
@@ -218,7 +231,7 @@
 	s.logMemory(seg.vm.ID, err)
 	s.leaveEngine(seg.vm)
 	if mayStillRun(seg, err) {
-		s.unended = &seg.vm
+		s.oweEnd(seg)
 	}
 	s.recordResult(seg.vm.ID, err)
 	s.recordWorkAfterCaller()
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -190,7 +190,7 @@
 // still valid, by the time at which the connection is open. urgent is set if a run depends
 // on the call. mayCall is checked as well. end must be called when the call has ended.
 func (e observedEngines) begin(ctx context.Context, engine backend.Target, urgent bool, mayCall func() error) (*engineCall, error) {
-	mayStart, err := e.acquirePermit(ctx, engine, urgent)
+	permit, err := e.acquirePermit(ctx, engine, urgent)
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +203,7 @@
 		if err := mayCall(); err != nil {
 			return err
 		}
-		if err := mayStart(); err != nil {
+		if err := permit.start(); err != nil {
 			return err
 		}
 		c.sentAt = boottime.Now()
@@ -254,10 +254,14 @@
 // Move implements edge.EngineClient. No copy of a run is placed in an evacuated zone. A final move
 // ends a run whose next engine has been chosen.
 func (e observedEngines) Move(ctx context.Context, engine backend.Target, m edge.MoveRequest) (edge.MoveResult, error) {
-	mayMove := func() error { return nil }
-	if !m.Final {
-		mayMove = func() error { return e.checkTarget(m.To) }
+	if m.Final {
+		p, err := e.acquirePermit(ctx, engine, true)
+		if err != nil {
+			return edge.MoveResult{}, err
+		}
+		return e.endRun(ctx, engine, endCall{MoveRequest: m, permit: p, onSend: func() {}})
 	}
+	mayMove := func() error { return e.checkTarget(m.To) }
 	c, err := e.begin(ctx, engine, true, mayMove)
 	if err != nil {
 		return edge.MoveResult{}, err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,7 +11,6 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
-	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // maxStreamUnsentAttempts bounds the attempts that fail before anything is sent to
@@ -47,8 +46,8 @@
 	// segmentEnd is the error that ended the last segment of which events were relayed, nil
 	// before the first one has ended.
 	segmentEnd error
-	// unended is the engine of the previous segment if it may still work on the run.
-	unended *vmlist.VM
+	// unended holds the engines of previous segments that may still work on the run.
+	unended []*unendedRun
 
 	// succeeded is set once the run has written, failedBeforeSuccess once an engine broke the
 	// connection before that.
@@ -215,6 +214,9 @@
 	if s.mayHaveRun && !s.route.Retryable() {
 		return false
 	}
+	if _, notEnded := errors.Into[*RunNotEndedError](err); notEnded {
+		return false
+	}
 	if s.failedBeforeSuccess && !s.g.Quarantine.MayRepeat(s.identity) || s.checkQuarantine() != nil {
 		return false
 	}
--- a/internal/standin/userplatform/copies.go
+++ b/internal/standin/userplatform/copies.go
@@ -140,6 +140,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	fault := EndFault("")
+	if in.Last {
+		fault = s.nextEndFault()
+	}
+	if s.failsEnd(w, fault) {
+		return
+	}
 	run, handle, status := s.beginMove(in.ID, in.To)
 	if status != http.StatusOK {
 		w.WriteHeader(status)
@@ -152,6 +159,10 @@
 		<-run.ended
 		holders = append(holders, s.Address())
 	}
+	if fault == EndAnswerLost {
+		drop(w)
+		return
+	}
 	if !wait.Sleep(r.Context(), moveTime) {
 		return
 	}
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -101,7 +101,11 @@
 	ctx context.Context, w http.ResponseWriter, r *http.Request, f ServerFaults, run *engineRun,
 ) (held string, complete bool) {
 	crashes := s.fleet.crashesEngines(r.Header.Get("Prompt-Prefix"))
-	for n := int(run.events.Load()) + 1; n <= s.opts.Events; n++ {
+	last := s.opts.Events
+	if f.EndAfter > 0 {
+		last = f.EndAfter
+	}
+	for n := int(run.events.Load()) + 1; n <= last; n++ {
 		if !wait.Sleep(ctx, s.opts.EventInterval) {
 			// A run that a move has stopped ends without the end of its stream.
 			drop(w)
--- a/internal/standin/userplatform/lifecycle.go
+++ b/internal/standin/userplatform/lifecycle.go
@@ -120,7 +120,7 @@
 		}
 	}
 	s.crashed = &atomic.Bool{}
-	return standin.Serve(refusalListener{l, s.crashed}, s.handler), nil
+	return standin.Serve(refusalListener{idleListener{l, s}, s.crashed}, s.handler), nil
 }
 
 // Crash closes the listener and all connections, and discards the copies of runs
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -66,6 +66,8 @@
 	// BreakAfter closes streams in the middle of the event that follows this many. 0
 	// disables it.
 	BreakAfter int
+	// EndAfter completes streams after this many events. 0 is the number of ServerOptions.
+	EndAfter int
 	// HoldAfter sends the events after this many at once at the end of the run, as they
 	// arrive over a link that stalls until then. 0 disables it.
 	HoldAfter int
@@ -83,6 +85,11 @@
 	Full bool
 	// RefuseMoves answers POST /kv-move with 503, as if no room were left at the target.
 	RefuseMoves bool
+	// EndFaults are what becomes of the first calls that end a run, in their order.
+	EndFaults []EndFault
+	// DropIdleAfter resets connections on which something arrives after they were idle for longer.
+	// 0 disables it.
+	DropIdleAfter time.Duration
 	// Script responds to requests that are executed, if it is not nil.
 	Script Script
 	// EarlyScript responds to requests before their bodies are read, if it is not nil.
@@ -131,6 +138,8 @@
 	arrivals    map[string]int
 	lastArrival Arrival
 	moves       int
+	// endCalls counts the calls that end a run.
+	endCalls int
 	// runs holds the runs in progress of an engine by request.
 	runs map[string]*engineRun
 }
