--- a/gateway/end_attempt.go
+++ b/gateway/end_attempt.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaarch/vanillaarch/ratelimit/permit"
 	"github.com/vanillaarch/vanillaarch/runend"
 	"github.com/vanillaarch/vanillaarch/serverstate"
+	"github.com/vanillaarch/vanillaarch/serverstate/tracker"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -57,11 +58,7 @@
 
 // checkEnd returns a *serverstate.PausedError if an engine must not be asked to end a run now.
 func (g *Gateway) checkEnd(engine vmlist.VM) error {
-	paused, ok := errors.Into[*serverstate.PausedError](g.Servers.Check(engine))
-	if ok && !paused.Resuming {
-		return paused
-	}
-	return nil
+	return g.Servers.Table().CheckEnd(boottime.Now(), tracker.ServerOf(engine))
 }
 
 // isUsable reports whether the call may still be made over the connection, or need not be made.
@@ -86,19 +83,22 @@
 	onSend func()
 }
 
-// endRun asks an engine to end a run and to copy its memory to another engine, unless the engine has
-// asked for a pause.
+// endRun asks an engine to end a run and to copy its memory to another engine. It is the only call
+// that is sent to an engine in a pause, as often as package serverstate allows.
 func (e observedEngines) endRun(ctx context.Context, engine backend.Target, c endCall) (edge.MoveResult, error) {
+	server := serverstate.Server{ID: engine.ID, Incarnation: engine.Incarnation}
 	var sentAt time.Duration
 	ctx, end := backend.WithBeforeSend(ctx, func() error {
-		paused, ok := errors.Into[*serverstate.PausedError](e.servers.Check(e.listedAs(engine)))
-		if ok && !paused.Resuming {
-			return paused
+		if err := e.servers.Table().CheckEnd(boottime.Now(), server); err != nil {
+			return err
 		}
 		if err := c.permit.start(); err != nil {
 			return err
 		}
 		sentAt = boottime.Now()
+		if err := e.servers.Table().StartEnd(sentAt, server); err != nil {
+			return err
+		}
 		c.onSend()
 		return nil
 	})
--- a/runend/runend_test.go
+++ b/runend/runend_test.go
@@ -102,7 +102,7 @@
 // Guards against an engine that refuses to end a run for longer than callers wait, beside which the
 // next engine begins.
 func TestNextEngineDoesNotBeginBesideOneThatAnswers(t *testing.T) {
-	for kind, want := range map[string]Reason{failing: NotEnded, busy: NotEnded, limited: Withheld} {
+	for kind, want := range map[string]Reason{failing: NotEnded, busy: NotEnded, limited: Withheld, paused: Withheld} {
 		e := &simEngine{hasIdle: true, troubles: []trouble{{kind, 0, simTimeLimit}}}
 		s := newSimulation(e, Options{RunSeen: true, CopyInProgress: true})
 		s.pauseAllowance = 0
--- a/runend/simulation_test.go
+++ b/runend/simulation_test.go
@@ -324,7 +324,7 @@
 // want, and against a next engine that never begins: for each fault of a call that ends a run,
 // alone and together with others, at any time.
 func TestNoRunWorksAtTwoEnginesInAnyTrouble(t *testing.T) {
-	kinds := []string{deadIdle, lost, lostUnread, refusing, resetting, dark, busy, failing, slow, gone, limited}
+	kinds := []string{deadIdle, lost, lostUnread, paused, refusing, resetting, dark, busy, failing, slow, gone, limited}
 	rapid.Check(t, func(t *rapid.T) {
 		e := &simEngine{hasIdle: rapid.Bool().Draw(t, "idle connection")}
 		for range rapid.IntRange(0, 4).Draw(t, "troubles") {
--- a/runend/verdict.go
+++ b/runend/verdict.go
@@ -91,7 +91,7 @@
 // for if its pause ends too late.
 func (e *End) whileWithheld(now, holdUntil time.Duration) Verdict {
 	if e.withheldBy == Paused && e.withheldUntil >= holdUntil {
-		return Verdict{Decision: Begin, Reason: Withheld}
+		return Verdict{Decision: GiveUp, Reason: Withheld}
 	}
 	return hold(now, holdUntil, GiveUp, Withheld)
 }
--- a/serverstate/entry.go
+++ b/serverstate/entry.go
@@ -55,8 +55,10 @@
 	pausedAt, pausedUntil, lastAskedAt time.Duration
 	// spread is how much later this VM returns. It is drawn once for each pause, or else
 	// many answers would move it towards its maximum.
-	spread  time.Duration
-	resume  resumption
+	spread time.Duration
+	resume resumption
+	// ends counts the calls that end runs in the current pause.
+	ends    int
 	logged  bool
 	logTime time.Duration
 }
@@ -130,6 +132,7 @@
 		window := spreadWindow(until-now, t.vms, slots)
 		e.spread = spread(window, t.config.VM, e.server, now)
 		t.rounds++
+		e.ends = 0
 	}
 	e.resume = newResumption(t.rounds, t.vms, slots)
 	e.pausedAt, e.pausedUntil = now, until
--- a/test/platform/run_end_test.go
+++ b/test/platform/run_end_test.go
@@ -115,6 +115,41 @@
 	}
 }
 
+// Guards against a run that works at two engines since the first one has asked for a pause when its
+// connection breaks, and against more calls in the pause than the users allow.
+func TestRunIsEndedAtAnEngineThatPauses(t *testing.T) {
+	const maxPauseCalls = 2
+	r := newEndedRunSite(t).startEndedRun(userplatform.ServerFaults{BreakAfter: 150})
+	r.fleet.RecordExchanges(func(string) string { return "" })
+	r.first.Announce(userplatform.Announcement{RetryAfter: []string{"3"}})
+	go r.sendChecks(9)
+	r.check()
+	pausedAt := r.refusedAt()
+	if pausedAt.IsZero() {
+		t.Fatal("no request was refused")
+	}
+	calls := 0
+	for _, e := range r.fleet.Exchanges() {
+		since := e.ArrivedAt.Sub(pausedAt)
+		if e.Server == r.first.ID() && since > 500*time.Millisecond && since < 3*time.Second {
+			calls++
+		}
+	}
+	if calls > maxPauseCalls {
+		t.Errorf("%d calls in the pause, at most %d are allowed", calls, maxPauseCalls)
+	}
+}
+
+// refusedAt returns when the first engine first refused a request, zero if it has not.
+func (r *endedRun) refusedAt() time.Time {
+	for _, e := range r.fleet.Exchanges() {
+		if e.Server == r.first.ID() && len(e.RetryAfter) > 0 && !e.AnsweredAt.IsZero() {
+			return e.AnsweredAt
+		}
+	}
+	return time.Time{}
+}
+
 // Guards against a run that works at two engines since a call that ends it has failed: for each way
 // in which one may fail, alone and in a row, in a planned move and after a broken connection.
 func TestRunIsEndedAlthoughCallsFail(t *testing.T) {
