--- a/gateway/end_run.go
+++ b/gateway/end_run.go
@@ -81,12 +81,12 @@
 //
 // A run that leaves a sound engine has been ended before, see leave. Otherwise its connection is
 // closed, at which most engines drop it.
-func (s *stream) endPreviousRuns(next vmlist.VM, prepared *preparedEnd) (*runEnd, error) {
+func (s *stream) endPreviousRuns(next vmlist.VM) (*runEnd, error) {
 	if !s.mayAskToEnd() {
 		s.unended = nil
 		return nil, nil
 	}
-	s.beginEnds(next, prepared)
+	s.beginEnds(next)
 	var last *runEnd
 	var unsettled []*unendedRun
 	for i, u := range s.unended {
@@ -116,7 +116,7 @@
 
 // beginEnds begins to ask the engines that may still work on the run. The next engine is not asked
 // any more: it could take the request that follows for the run that it is to end.
-func (s *stream) beginEnds(next vmlist.VM, prepared *preparedEnd) {
+func (s *stream) beginEnds(next vmlist.VM) {
 	for _, u := range s.unended {
 		switch {
 		case u.isAt(next):
@@ -125,11 +125,7 @@
 				u.end = nil
 			}
 		case u.end == nil:
-			p := prepared
-			if p != nil && !u.isAt(p.engine) {
-				p = nil
-			}
-			u.end = s.beginEnd(u, next, p)
+			u.end = s.beginEnd(u, next, nil)
 		}
 	}
 }
@@ -211,7 +207,7 @@
 	lastLogged runend.Outcome
 }
 
-// beginEnd begins to ask an engine to end the run.
+// beginEnd begins to ask an engine to end the run, over the prepared connection if there is one.
 func (s *stream) beginEnd(u *unendedRun, next vmlist.VM, prepared *preparedEnd) *runEnd {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(s.ctx))
 	r := &runEnd{
--- a/gateway/end_run_test.go
+++ b/gateway/end_run_test.go
@@ -282,3 +282,30 @@
 		})
 	}
 }
+
+// Guards against a call that ends a run and reaches another server, which has the address of the engine
+// by then: such calls are repeated for seconds after an engine has stopped.
+func TestCallsThatEndRunsNameTheirEngine(t *testing.T) {
+	r := newGatewayRig(t, 2)
+	r.configure(1, "desk", "engines")
+	r.grantCopies(false, true)
+	engines := &movingEngines{finalStatus: http.StatusNotFound}
+	var mu sync.Mutex
+	var named []string
+	r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
+		if request.URL.Path == "/kv-move" {
+			mu.Lock()
+			defer mu.Unlock()
+			named = append(named, request.Header.Get("Expect-Instance"))
+		}
+		return engines.answer(id, w, request)
+	}
+	go r.evacuateFirst(t.Context())
+	r.sendInOneSecond(draftPath)
+	r.Close()
+	mu.Lock()
+	defer mu.Unlock()
+	if len(named) < 2 || named[len(named)-1] != "engine-0" {
+		t.Errorf("calls name %q, the last one must name engine-0", named)
+	}
+}
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -81,12 +81,11 @@
 // leavePreviousEngines makes sure that the engines that the run has left do not work on it beside the
 // engine that is next.
 func (s *stream) leavePreviousEngines(next vmlist.VM, source *connectedCopy) error {
+	end, err := s.endPreviousRuns(next)
 	if source == nil {
-		end, err := s.endPreviousRuns(next, nil)
 		s.freeUnused(end, nil)
 		return err
 	}
-	end, err := s.endPreviousRuns(next, source.takePrepared())
 	source.useFinal(end)
 	return err
 }
