--- a/gateway/end_run.go
+++ b/gateway/end_run.go
@@ -323,16 +323,6 @@
 		zap.Int("attempts", r.end.Attempts()), zap.Bool("was_running", r.handle != ""), zap.Bool("copied", r.copied))
 }
 
-// ended reports whether no attempt is in progress and none will be made.
-func (r *runEnd) ended() bool {
-	select {
-	case <-r.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // location returns where the next engine has all of the run's memory. It returns nil if it
 // does not, or if that is not known yet.
 func (r *runEnd) location() *edge.Copy {
--- a/gateway/end_run_test.go
+++ b/gateway/end_run_test.go
@@ -309,3 +309,48 @@
 		t.Errorf("calls name %q, the last one must name engine-0", named)
 	}
 }
+
+// Guards against a stream without a length or chunks that looks complete since its engine has closed it
+// to end the run in a planned move.
+func TestMovedStreamWithoutALengthIsNotCutShort(t *testing.T) {
+	r := newGatewayRig(t, 2)
+	r.configure(1, "desk", "engines")
+	r.grantCopies(false, true)
+	lines := r.rigLog()
+	engines := &movingEngines{finalStatus: http.StatusNotFound}
+	ended := make(chan struct{})
+	end := sync.OnceFunc(func() { close(ended) })
+	t.Cleanup(end)
+	r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
+		if request.URL.Path == "/kv-move" && request.Header.Get("Expect-Instance") != "" {
+			end()
+		}
+		if request.Header.Get("Kv-From") != "" || !strings.HasPrefix(request.URL.Path, "/draft/") {
+			return engines.answer(id, w, request)
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return true
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nConnection: close\r\n\r\n", request.Header.Get("Request-Id"))
+		for event := 1; ; event++ {
+			_, err := fmt.Fprintf(conn, "id: %d\ndata: x\n\n", event)
+			select {
+			case <-ended:
+				return true
+			case <-time.After(5 * time.Millisecond):
+			}
+			if err != nil {
+				return true
+			}
+		}
+	}
+	go r.evacuateFirst(t.Context())
+	got := r.sendInOneSecond(draftPath)
+	r.Close()
+	if body := got.Body.String(); !strings.Contains(body, "data: end") {
+		t.Errorf("the stream was cut: %.80q\n%s", body[max(0, len(body)-80):], lines)
+	}
+}
--- a/gateway/leave_engine.go
+++ b/gateway/leave_engine.go
@@ -121,7 +121,9 @@
 // run has left the engine. If the engine does not end it, the run stays, and err is errSwitchover or
 // what has ended the segment.
 func (s *stream) leave(seg *segment, source *connectedCopy) (left bool, err error) {
-	if !s.mayAskToEnd() {
+	if !s.mayAskToEnd() || !seg.answer.Delimited {
+		// The close of a stream without a length or chunks would look like its end.
+		source.takePrepared().close()
 		return true, errSwitchover
 	}
 	u := &unendedRun{engine: seg.vm, leftAt: boottime.Now(), seen: true}
