--- a/test/platform/run_end_test.go
+++ b/test/platform/run_end_test.go
@@ -205,3 +205,35 @@
 		t.Errorf("the engine was asked %d times, want some", n)
 	}
 }
+
+// Guards against a VM that forgets the engine that a run has left first when the next one fails, too.
+func TestRunIsEndedAtEachEngineThatItHasLeft(t *testing.T) {
+	s := newSite(t, options{vms: 1, engines: 4, events: endedRunEvents, interval: 10 * time.Millisecond})
+	faults := userplatform.ServerFaults{
+		KeepsRuns: true, EndFaults: []userplatform.EndFault{userplatform.EndUnread, userplatform.EndRefused, userplatform.EndAnswerLost},
+	}
+	faults.BreakAfter = 80
+	for _, e := range s.engines {
+		e.SetFaults(faults)
+	}
+	r := &endedRun{site: s, id: "left-twice"}
+	r.ended = s.startDraft(r.id)
+	r.first = s.engineOf(r.id)
+	faults.BreakAfter = 220
+	for _, e := range s.engines {
+		if e != r.first {
+			e.SetFaults(faults)
+		}
+	}
+	s.eventually(5*time.Second, "the run goes on at its second engine", func() bool { return len(s.fleet.Executions(r.id)) > 1 })
+	second := s.fleet.Executions(r.id)[1].Server
+	for _, e := range s.engines {
+		if e != r.first && e.ID() != second {
+			e.SetFaults(userplatform.ServerFaults{})
+		}
+	}
+	r.check()
+	if executions := s.fleet.Executions(r.id); len(executions) < 3 {
+		t.Errorf("%d executions, want 3: %v", len(executions), executions)
+	}
+}
