--- a/gateway/end_run.go
+++ b/gateway/end_run.go
@@ -323,6 +323,24 @@
 		zap.Int("attempts", r.end.Attempts()), zap.Bool("was_running", r.handle != ""), zap.Bool("copied", r.copied))
 }
 
+// awaitCopy waits while the engine that is to end the run may be copying it to the next one: a call
+// was sent to it and is not answered.
+func (r *runEnd) awaitCopy(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		waits, changed := r.end.AwaitsAnswer(), r.changed
+		r.mu.Unlock()
+		if !waits {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // location returns where the next engine has all of the run's memory. It returns nil if it
 // does not, or if that is not known yet.
 func (r *runEnd) location() *edge.Copy {
--- a/gateway/end_run_test.go
+++ b/gateway/end_run_test.go
@@ -354,3 +354,31 @@
 		t.Errorf("the stream was cut: %.80q\n%s", body[max(0, len(body)-80):], lines)
 	}
 }
+
+// Guards against a run that is held for seconds after the engine with its backup has refused it, since
+// the engine that has crashed before is still asked to end the run: it copies nothing any more.
+func TestRefusedBackupOfACrashedEngineEndsInTime(t *testing.T) {
+	r := newGatewayRig(t, 2)
+	r.configure(1, "desk", "engines")
+	r.grantCopies(true, false)
+	lines := r.rigLog()
+	var once sync.Once
+	r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
+		if request.Header.Get("Kv-From") != "" {
+			refuseCopy(w)
+			return true
+		}
+		if !strings.HasPrefix(request.URL.Path, "/draft/") {
+			return false
+		}
+		beginRun(w)
+		once.Do(func() { r.crash(id) })
+		panic(http.ErrAbortHandler)
+	}
+	begin := time.Now()
+	r.sendWithin("run", 10*time.Second)
+	if took := time.Since(begin); took > 2*refusedAskDelay {
+		t.Errorf("cut after %v\n%s", took, lines)
+	}
+	r.Close()
+}
--- a/gateway/open_copy.go
+++ b/gateway/open_copy.go
@@ -59,10 +59,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, copyWaitTimeout)
 	defer cancel()
-	select {
-	case <-source.end.done:
-	case <-ctx.Done():
-	}
+	source.end.awaitCopy(ctx)
 	if at := source.end.location(); at == nil || *at == source.from {
 		return nil
 	}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -121,6 +122,8 @@
 	arrivals map[string]int
 	// current is the snapshot of the gateway.
 	current *control.Snapshot
+	// listeners holds the listeners of the servers by id.
+	listeners map[string]net.Listener
 	// answer replaces the answer of a server if it returns true.
 	answer func(id string, w http.ResponseWriter, r *http.Request) bool
 	failed int
@@ -129,7 +132,7 @@
 // newGatewayRig starts n plain servers and n engines.
 func newGatewayRig(t *testing.T, n int) *gatewayRig {
 	t.Helper()
-	r := &gatewayRig{t: t, known: &knownServers{table: serverstate.New(serverstate.Config{VM: "vm"})}, arrivals: map[string]int{}}
+	r := &gatewayRig{t: t, known: &knownServers{table: serverstate.New(serverstate.Config{VM: "vm"})}, arrivals: map[string]int{}, listeners: map[string]net.Listener{}}
 	snap := &control.Snapshot{
 		VMs: &vmlist.List{}, Backends: map[string]vmlist.VM{}, Services: map[string][]vmlist.VM{}, Engines: map[string][]vmlist.VM{},
 		Routes: route.NewTable(route.TableSpec{
@@ -180,6 +183,9 @@
 	return r.current
 }
 
+// crash makes a server refuse connections from now on.
+func (r *gatewayRig) crash(id string) { _ = r.listeners[id].Close() }
+
 // setState changes the state of a server in the list.
 func (r *gatewayRig) setState(id string, state vmlist.State) {
 	r.mu.Lock()
@@ -212,6 +218,7 @@
 		_, _ = w.Write([]byte(body))
 	}))
 	r.t.Cleanup(s.Close)
+	r.listeners[id] = s.Listener
 	vm := vmlist.VM{ID: id, Role: role, State: vmlist.StateLive, Address: strings.TrimPrefix(s.URL, "http://"), Incarnation: 1, Slots: 8}
 	if role == vmlist.RoleEngine {
 		vm.Services = []string{"engines"}
--- a/runend/runend.go
+++ b/runend/runend.go
@@ -270,7 +270,7 @@
 // StreamClosed records that the engine has closed the stream of the run before its end. If it was
 // asked to end the run, it has: it closes the stream then.
 func (e *End) StreamClosed() {
-	if e.state == Asked && e.awaitsAnswer() {
+	if e.state == Asked && e.AwaitsAnswer() {
 		e.state = Confirmed
 	}
 }
@@ -402,7 +402,7 @@
 // inProgress handles an engine that serves another call for the run. If that is an attempt which it
 // has not answered yet, the run has stopped: the engine stops it before it copies.
 func (e *End) inProgress(now time.Duration) {
-	if e.awaitsAnswer() && !e.options.CopyInProgress {
+	if e.AwaitsAnswer() && !e.options.CopyInProgress {
 		e.state = Confirmed
 		return
 	}
@@ -410,8 +410,9 @@
 	e.again(now, e.next)
 }
 
-// awaitsAnswer reports whether another attempt was sent and is not answered.
-func (e *End) awaitsAnswer() bool {
+// AwaitsAnswer reports whether a call was sent that is not answered. The engine may be copying the
+// run then.
+func (e *End) AwaitsAnswer() bool {
 	for _, a := range e.progress {
 		if a.sent {
 			return true
