--- a/backend/http_response.go
+++ b/backend/http_response.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 
 	"github.com/go-faster/errors"
 
@@ -131,6 +133,24 @@
 	return result
 }
 
+// MalformedBodyError reports a body whose framing is not that of HTTP.
+type MalformedBodyError struct{ Cause error }
+
+func (e *MalformedBodyError) Error() string { return "malformed body: " + e.Cause.Error() }
+
+func (e *MalformedBodyError) Unwrap() error { return e.Cause }
+
+// bodyError returns an error of the body as a *MalformedBodyError, unless it is one of the connection
+// or of its limits. net/http has no type for it.
+func bodyError(err error) error {
+	_, network := errors.Into[net.Error](err)
+	_, system := errors.Into[syscall.Errno](err)
+	if network || system || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return &MalformedBodyError{Cause: err}
+}
+
 // Read reads the body. It returns io.EOF only at the end of a complete body; any
 // other error is an *UncertainError.
 func (r *HTTPResponse) Read(p []byte) (int, error) {
@@ -147,6 +167,8 @@
 	}
 	if cause := endCause(r.ctx); cause != nil {
 		err = cause
+	} else {
+		err = bodyError(err)
 	}
 	r.closeConn()
 	return n, &UncertainError{Backend: r.backend, Cause: err}
--- a/entry.go
+++ b/entry.go
@@ -243,9 +243,10 @@
 // and the intervals at which it is read, which are derived from the bounds, take effect
 // after a restart.
 func (e *Entry) Reload(d config.Deployment) {
-	e.bounds.Store(&d.Bounds)
+	before := e.bounds.Swap(&d.Bounds)
 	e.log.Info("settings_in_force", zap.Duration("revoke", d.Bounds.Revoke), zap.Duration("grace", d.Bounds.Grace),
-		zap.Duration("drain", d.Bounds.Drain))
+		zap.Duration("drain", d.Bounds.Drain), zap.Bool("bounds_changed", *before != d.Bounds),
+		zap.Int("requests_in_progress", e.gateway.Active()), zap.Int("streams_at_engines", e.gateway.Runs()))
 }
 
 // Snapshot returns the current control state.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -116,6 +116,9 @@
 	c.log.Error("request_panicked", telemetry.Error(panicked), zap.ByteString("stack", panicked.Stack))
 	if c.status != 0 {
 		c.ended = endedByVM
+		if c.run != nil {
+			c.run.cut(cutPanicked, panicked)
+		}
 		return errAborted
 	}
 	c.discardBody() // Has no effect if the body was read.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -207,6 +207,9 @@
 	return len(g.drain.active)
 }
 
+// Runs returns the number of streams of this VM that are at an engine.
+func (g *Gateway) Runs() int { return g.runs.count() }
+
 // WaitDrained waits until no request is active or ctx ends. It returns the number of
 // requests that are still active.
 func (g *Gateway) WaitDrained(ctx context.Context) (left int) {
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -34,10 +34,12 @@
 	endedByVM endedBy = "vm"
 	// endedByCaller means that the caller disconnected.
 	endedByCaller endedBy = "caller"
+	// endedByUnknown means that the error of a stream does not show who ended it.
+	endedByUnknown endedBy = "unknown"
 )
 
-// whoEnded returns who ended a request. ended is the error that ended its last segment or
-// attempt.
+// whoEnded returns who ended a request of which the caller has got no part of an answer. ended is
+// the error of its last attempt.
 func (c *call) whoEnded(ended error) endedBy {
 	left, stopping := c.g.drain.remaining()
 	switch {
@@ -66,9 +68,10 @@
 	_, event := errors.Into[*EventTooLargeError](err)
 	_, unsigned := errors.Into[*UnsignedError](err)
 	_, memory := errors.Into[*membudget.ExceededError](err)
+	_, evicted := errors.Into[*membudget.EvictedError](err)
 	_, size := errors.Into[*backend.ResponseTooLargeError](err)
 	_, panicked := errors.Into[*recovery.PanicError](err)
-	return order || id || event || unsigned || memory || size || panicked
+	return order || id || event || unsigned || memory || evicted || size || panicked
 }
 
 // serverState is what this VM believes of a backend server.
@@ -128,13 +131,6 @@
 	return fields
 }
 
-// logCut logs a stream that ends after its first event and before its end. err is the
-// error of the last attempt to go on.
-func (s *stream) logCut(err error) {
-	fields := append(s.endFields(), zap.Int64("last_event", s.lastEvent), telemetry.NamedError("segment_error", s.segmentEnd))
-	s.log.Warn("stream_cut", append(fields, telemetry.NamedError("write_error", s.writeErr), telemetry.Error(err))...)
-}
-
 // copyState is what became of a copy of a run.
 type copyState string
 
@@ -264,7 +260,7 @@
 
 // recordLostAnswer sets who ended a request that has run, or may have, and gets no whole
 // answer of its backend server. It logs a warning, unless the caller has left. Streams
-// that are cut after their first event are logged by logCut.
+// that are cut after their first event are logged by stream.cut.
 func (c *call) recordLostAnswer(p *api.Problem) {
 	lost := p != nil && p.Outcome != api.OutcomeNotRun
 	if !lost && !c.callerLeft() {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -112,6 +112,12 @@
 	metrics.GetOrRegisterCounter("gateway."+what+"."+kind, m.registry).Inc(1)
 }
 
+// countCut counts something about streams that are cut after their first event: "streams_cut" by
+// cutReason, and "streams_not_resumed" by noNextReason.
+func (m *Metrics) countCut(what, reason string) {
+	metrics.GetOrRegisterCounter("gateway."+what+"."+reason, m.registry).Inc(1)
+}
+
 // observeMemory registers gauges of the bytes that budgets hold.
 func (m *Metrics) observeMemory(requests *requestbody.Memory, answers *membudget.Budget) {
 	metrics.NewRegisteredFunctionalGauge("gateway.request_memory_bytes", m.registry, requests.Used)
--- a/gateway/relocate.go
+++ b/gateway/relocate.go
@@ -103,6 +103,17 @@
 	return out
 }
 
+// count returns the number of streams whose current segment is on any engine.
+func (t *runTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, runs := range t.runs {
+		n += len(runs)
+	}
+	return n
+}
+
 // engines returns the engines that have runs of this VM.
 func (t *runTable) engines() []vmlist.VM {
 	t.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/quarantine"
 )
 
 // maxStreamUnsentAttempts bounds the attempts that fail before anything is sent to
@@ -46,6 +47,10 @@
 	// segmentEnd is the error that ended the last segment of which events were relayed, nil
 	// before the first one has ended.
 	segmentEnd error
+	// moveErr is why the run did not go on from the copy for which it has left its last engine.
+	moveErr error
+	// noNext is why the stream is not sent to another engine.
+	noNext noNextReason
 	// unended holds the engines of previous segments that may still work on the run.
 	unended []*unendedRun
 
@@ -129,6 +134,7 @@
 		}
 		ticket, vm, err := s.acquire()
 		if err != nil {
+			s.noNext = whyNotAcquired(err)
 			return nil, s.giveUp(err)
 		}
 		if s.callerLeft() {
@@ -169,6 +175,7 @@
 	if err == nil || errors.Is(err, errResponded) {
 		return next, err
 	}
+	s.moveErr = err
 	return s.resume(seg, err)
 }
 
@@ -201,8 +208,7 @@
 		return errResponded
 	}
 	if s.headSent {
-		s.ended = s.whoEnded(s.segmentEnd)
-		s.logCut(err)
+		s.cut(s.whyCut(), err)
 		return errAborted
 	}
 	return s.failure(err)
@@ -211,21 +217,64 @@
 // mayResume reports whether the stream may continue on another engine without a
 // copy.
 func (s *stream) mayResume(err error) bool {
+	s.noNext = s.whyNotResumed(err)
+	return s.noNext == noNextNone
+}
+
+func (s *stream) whyNotResumed(err error) noNextReason {
 	if s.mayHaveRun && !s.route.Retryable() {
-		return false
+		return noNextNotRepeatable
 	}
 	if _, notEnded := errors.Into[*RunNotEndedError](err); notEnded {
-		return false
+		return noNextNotEnded
 	}
 	if s.failedBeforeSuccess && !s.g.Quarantine.MayRepeat(s.identity) || s.checkQuarantine() != nil {
-		return false
+		return noNextQuarantined
 	}
 	if _, notSent := errors.Into[*backend.NotSentError](err); (notSent || misdirected(err)) && !s.headSent {
 		// The addressed engine was not reached, so no retry budget is taken.
 		s.unsentAttempts++
-		return s.unsentAttempts < maxStreamUnsentAttempts && s.remaining() > 0
+		if s.unsentAttempts < maxStreamUnsentAttempts && s.remaining() > 0 {
+			return noNextNone
+		}
+		return noNextAttempts
+	}
+	if !s.retryAllowed(s.ctx) {
+		return s.whyNoRetry()
+	}
+	if !s.takeRetry() {
+		return noNextBudget
+	}
+	return noNextNone
+}
+
+// whyNoRetry tells the reasons of retryAllowed apart.
+func (s *stream) whyNoRetry() noNextReason {
+	switch {
+	case s.remaining() <= 0:
+		return noNextTime
+	case s.ctx.Err() != nil:
+		return noNextEnded
+	case s.sends >= s.route.MaxAttempts:
+		return noNextAttempts
+	default:
+		return noNextUnconfirmed
+	}
+}
+
+// whyNotAcquired tells the reasons for which no engine was acquired apart.
+func whyNotAcquired(err error) noNextReason {
+	if _, refused := errors.Into[*quarantine.RefusedError](err); refused {
+		return noNextQuarantined
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return noNextTime
+	case errors.Is(err, context.Canceled):
+		return noNextEnded
+	default:
+		return noNextEngine
 	}
-	return s.mayRetry(s.ctx)
 }
 
 // tokens returns the number of tokens that were received for the caller.
