--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -8,12 +8,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/vanillaarch/vanillaarch/internal/freeport"
+	"github.com/vanillaarch/vanillaarch/internal/testlog"
 )
 
 // daemonArguments is the environment variable that makes the test binary run the daemon.
@@ -208,6 +210,37 @@
 	}
 }
 
+// Guards against a reload that does not tell whether it changed anything, and what was in progress:
+// streams that are cut around it can't be told from others then.
+func TestReloadTellsWhatItChanges(t *testing.T) {
+	settings, ready := writeSettings(t)
+	lines := &testlog.Buffer{}
+	p := startDaemon(t, settings, lines)
+	awaitReadiness(t, ready, withoutConfiguration, 10*time.Second)
+	p.signal(syscall.SIGHUP)
+	awaitLine(t, lines, "event=settings_in_force .*bounds_changed=false requests_in_progress=0 streams_at_engines=0")
+	content, err := os.ReadFile(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(content), "graceS: 2", "graceS: 3", 1)
+	if err := os.WriteFile(settings, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	awaitLine(t, lines, "event=settings_in_force .*bounds_changed=true")
+}
+
+func awaitLine(t *testing.T, lines *testlog.Buffer, pattern string) {
+	t.Helper()
+	line := regexp.MustCompile(pattern)
+	for end := time.Now().Add(5 * time.Second); !line.MatchString(lines.String()); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no line %q in\n%s", pattern, lines)
+		}
+	}
+}
+
 // Guards against a stop signal that is dropped behind reload signals, after which the platform
 // kills the process with all its requests.
 func TestStopSignalIsNotDroppedBehindReloads(t *testing.T) {
