--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -148,10 +148,6 @@
 	return c.failure(failure)
 }
 
-// mayRetry reports whether the request may be sent to another server. It takes the
-// retry from the retry budget.
-func (c *call) mayRetry(ctx context.Context) bool { return c.retryAllowed(ctx) && c.takeRetry() }
-
 // retryAllowed reports whether the time, the route and the configuration allow to send the
 // request to another server.
 func (c *call) retryAllowed(ctx context.Context) bool {
