--- a/gateway/end_run.go
+++ b/gateway/end_run.go
@@ -193,6 +193,9 @@
 	// done is closed once no attempt is in progress and none will be made. The handle is final then.
 	done chan struct{}
 	free sync.Once
+	// returnTried is set once the run was to go back to the engine. It belongs to the goroutine of
+	// the request.
+	returnTried bool
 
 	mu  sync.Mutex
 	end *runend.End
--- /dev/null
+++ b/gateway/go_back_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// leaveBehind makes the first engine leave in the list once it has a run, and evacuates it.
+func (r *gatewayRig) leaveBehind(state vmlist.State) {
+	engine := r.Snapshot().Backends["engine-0"]
+	if r.awaitRun(r.t.Context(), engine.ID) == nil {
+		return
+	}
+	r.departures.update(r.Snapshot(), boottime.Now())
+	r.setState(engine.ID, state)
+	r.departures.update(r.Snapshot(), boottime.Now())
+	r.evacuate(r.t.Context(), engine)
+}
+
+// Guards against a stream that is cut since a planned move has ended its run at a sound engine and the
+// next engine does not go on from the copy, although the first one keeps the memory of the run.
+func TestRunGoesBackIfItsNextEngineFails(t *testing.T) {
+	for name, test := range map[string]struct {
+		next func(http.ResponseWriter)
+		// used is the copy from which the run goes on, freed are those that are freed. An engine that may
+		// have begun the run is asked to end it, which makes another copy.
+		used, freed string
+	}{
+		"refuses":     {refuseCopy, "engine-0/h2", "engine-0/h1"},
+		"breaks off":  {func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, "engine-1/h2", "engine-0/h1 engine-0/h2"},
+		"is at fault": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, "engine-0/h2", "engine-0/h1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newGatewayRig(t, 2)
+			r.configure(1, "desk", "engines")
+			r.grantCopies(false, true)
+			for range 20 { // The budget for retries is that of a service in use.
+				r.budget.Request("engines", boottime.Now())
+			}
+			lines := r.rigLog()
+			var asked, freed calls
+			names := map[string]string{}
+			for id, vm := range r.Snapshot().Backends {
+				names[vm.Address] = id
+			}
+			e := &movingEngines{finalHandle: "h2", finalStatus: http.StatusOK}
+			r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
+				if handle, ok := strings.CutPrefix(request.URL.Path, "/kv-handle/"); ok {
+					freed.add(id + "/" + handle)
+				}
+				if from := request.Header.Get("Kv-From"); from != "" && id == "engine-1" {
+					test.next(w)
+					return true
+				} else if from != "" {
+					address, handle, _ := strings.Cut(from, "/")
+					asked.add(names[address] + "/" + handle)
+				}
+				return e.answer(id, w, request)
+			}
+			go r.leaveBehind(vmlist.StateLeaving)
+			requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+			r.Close()
+			if got := strings.Join(asked.all(), " "); got != test.used {
+				t.Errorf("the first engine was asked to go on from %q, want %q", got, test.used)
+			}
+			all := freed.all()
+			slices.Sort(all)
+			if got := strings.Join(all, " "); got != test.freed {
+				t.Errorf("freed %q, want %q", got, test.freed)
+			}
+			if n := r.Metrics.runsReturned.Count(); n != 1 {
+				t.Errorf("%d runs returned", n)
+			}
+		})
+	}
+}
+
+// Guards against a run that is sent back to an engine which must get no work: one that has announced its
+// departure, pauses, or is in an evacuated zone, and against a copy that stays at such an engine.
+func TestRunDoesNotGoBackToAnEngineThatWantsNoWork(t *testing.T) {
+	for name, before := range map[string]func(*gatewayRig, vmlist.VM){
+		"has announced its departure": func(r *gatewayRig, vm vmlist.VM) { r.known.announceLeaving(vm) },
+		"pauses":                      func(r *gatewayRig, vm vmlist.VM) { r.known.announcePause(vm, time.Minute) },
+		"restarts":                    func(r *gatewayRig, vm vmlist.VM) { r.restartEntry(vm.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newGatewayRig(t, 2)
+			r.configure(1, "desk", "engines")
+			r.grantCopies(false, true)
+			lines := r.rigLog()
+			var made calls
+			engine := r.Snapshot().Backends["engine-0"]
+			e := &movingEngines{finalHandle: "h2", finalStatus: http.StatusOK}
+			r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
+				if request.Header.Get("Kv-From") != "" {
+					made.add("ask " + id)
+					before(r, engine)
+					refuseCopy(w)
+					return true
+				}
+				return e.answer(id, w, request)
+			}
+			go r.leaveBehind(vmlist.StateLeaving)
+			r.sendWithin("run", 2*time.Second)
+			r.Close()
+			if at, ok := made.first("ask engine-0"); ok {
+				t.Errorf("engine-0 was asked at %v: %v", at, made.all())
+			}
+			if got := logLine(t, lines, "stream_cut"); got["reason"] != string(cutMoveRefused) {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
+
+// restartEntry gives the entry of a server another incarnation.
+func (r *gatewayRig) restartEntry(id string) {
+	r.setState(id, vmlist.StateLive)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	vm := r.current.Backends[id]
+	vm.Incarnation++
+	r.current.Backends[id] = vm
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -38,6 +38,8 @@
 	// runsMovedOut counts the runs that were moved out of evacuated zones, runsNotMovedOut the
 	// attempts that failed.
 	runsMovedOut, runsNotMovedOut metrics.Counter
+	// runsReturned counts the runs that went back to their engine, since the next one did not go on.
+	runsReturned metrics.Counter
 	// backgroundPanics counts the panics of work that outlives its request or serves none.
 	backgroundPanics metrics.Counter
 	// callersLeft counts the callers that disconnected before their answer was complete.
@@ -89,6 +91,8 @@
 		runsMovedOut:    metrics.GetOrRegisterCounter("gateway.runs_moved_out_of_zones", r),
 		runsNotMovedOut: metrics.GetOrRegisterCounter("gateway.runs_not_moved_out_of_zones", r),
 
+		runsReturned: metrics.GetOrRegisterCounter("gateway.runs_returned", r),
+
 		hedges:              metrics.GetOrRegisterCounter("gateway.hedges", r),
 		hedgesWon:           metrics.GetOrRegisterCounter("gateway.hedges_won", r),
 		hedgesWithoutBudget: metrics.GetOrRegisterCounter("gateway.hedges_without_budget", r),
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -27,7 +27,8 @@
 	defer context.AfterFunc(s.ctx, cancel)()
 	wait.Sleep(ctx, noticedAt+scheduled.CopyAt-boottime.Now())
 	excluded := []string{vm.ID}
-	for try := 0; s.isOn(vm) && !s.mayStayOn(vm); try++ {
+	var returnedFrom []string
+	for try := 0; s.isOn(vm) && !s.mayStayOn(vm) && len(returnedFrom) <= maxReturns; try++ {
 		rc, err := s.copyTo(ctx, vm, excluded, false)
 		fields := []zap.Field{
 			zap.String("backend", vm.ID), zap.Bool("fits", scheduled.Fits), zap.Duration("planned", scheduled.CopiedAt),
@@ -41,10 +42,13 @@
 			s.log.Info("run_copied", fields...)
 		}
 		if err == nil && s.requestSwitch(ctx, vm.ID) {
-			return
+			if !s.comesBack(ctx, vm) {
+				return
+			}
+			returnedFrom = append(returnedFrom, rc.vm.ID)
 		}
 		interval := moveRetryInterval
-		if boottime.Now() >= leavesAt {
+		if boottime.Now() >= leavesAt || len(returnedFrom) > 0 {
 			interval = lateMoveRetryInterval
 		}
 		if !wait.Sleep(ctx, interval) {
@@ -52,7 +56,7 @@
 		}
 		if rc == nil {
 			// No engine had capacity. One that failed before may accept the copy now.
-			excluded = []string{vm.ID}
+			excluded = append([]string{vm.ID}, returnedFrom...)
 		}
 	}
 }
--- a/gateway/open_copy.go
+++ b/gateway/open_copy.go
@@ -22,13 +22,18 @@
 // against the retry budget of the service.
 const refusedAskDelay = 500 * time.Millisecond
 
-// openCopy opens a segment that continues the run from a copy. It releases the copy if
-// there is an error.
+// openCopy opens a segment that continues the run from a copy, or from the memory at the engine that
+// it has left for that copy, if the copy can't be used. It releases the copy if there is an error.
 func (s *stream) openCopy(source *connectedCopy) (*segment, error) {
 	sentAt := boottime.Now()
 	seg, err := s.open(source.ticket, source.vm, source)
 	for reconnects := 0; err != nil; reconnects++ {
 		again := s.connectFinal(source, err)
+		if again == nil && usedState(err) == copyRefused {
+			if back := s.goBack(source, err); back != nil {
+				return back, nil
+			}
+		}
 		if again == nil {
 			again = s.askAgain(source, err, reconnects)
 		}
@@ -38,6 +43,11 @@
 		source = again
 		seg, err = s.open(source.ticket, source.vm, source)
 	}
+	if err != nil {
+		if back := s.goBack(source, err); back != nil {
+			return back, nil
+		}
+	}
 	s.freeRest(source, err)
 	s.recordCopy(source.runCopy, usedState(err), err)
 	if err != nil {
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -168,10 +168,15 @@
 
 // close closes the connection of a segment and releases its ticket.
 func (s *stream) close(seg *segment, err error) {
+	s.endSegment(seg, err)
+	seg.ticket.Release(s.tokens())
+}
+
+// endSegment closes the connection of a segment.
+func (s *stream) endSegment(seg *segment, err error) {
 	s.closeConnection(seg, err)
 	s.reportRunFailure(seg, err)
 	s.reportEngineFailure(seg, err)
-	seg.ticket.Release(s.tokens())
 }
 
 // reportEngineFailure reports an engine to the dispatcher if it failed the run
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillaarch/vanillaarch/api"
 	"github.com/vanillaarch/vanillaarch/backend"
+	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 )
 
@@ -32,7 +33,10 @@
 	headSent  bool
 	abandoned bool
 	// openSegment is nil if no segment is open.
-	openSegment    *segment
+	openSegment *segment
+	// left is the place at the engine that the run has left in a planned move, until it goes on at
+	// the next one. It is nil otherwise.
+	left           dispatch.Ticket
 	excluded       []string
 	unsentAttempts int
 	// eventCount is the number of events of the response, firstEventAt the time of the
@@ -113,6 +117,10 @@
 		var source *connectedCopy
 		source, err = s.relayUntilSwitch(seg)
 		s.segmentEnd = err
+		if source != nil {
+			seg, err = s.leaveTo(seg, source, err)
+			continue
+		}
 		s.close(seg, err)
 		if err == nil {
 			if seg.answer.Delimited {
@@ -120,11 +128,24 @@
 			}
 			return nil
 		}
-		seg, err = s.goOn(seg, source, err)
+		seg, err = s.resume(seg, err)
 	}
 	return err
 }
 
+// leaveTo ends a segment whose engine has ended the run, and opens the next one from source.
+func (s *stream) leaveTo(seg *segment, source *connectedCopy, cause error) (*segment, error) {
+	settled := s.leaveFor(seg.ticket)
+	defer settled()
+	s.endSegment(seg, cause)
+	next, err := s.openCopy(source)
+	if err == nil || errors.Is(err, errResponded) {
+		return next, err
+	}
+	s.moveErr = err
+	return s.resume(seg, err)
+}
+
 // openNext opens a segment without a copy: the first one, or the one after a
 // failure with the given cause.
 func (s *stream) openNext(cause error) (*segment, error) {
@@ -166,19 +187,6 @@
 	}
 }
 
-// goOn opens the segment after one that has ended early, from source if that is not nil.
-func (s *stream) goOn(seg *segment, source *connectedCopy, cause error) (*segment, error) {
-	if source == nil {
-		return s.resume(seg, cause)
-	}
-	next, err := s.openCopy(source)
-	if err == nil || errors.Is(err, errResponded) {
-		return next, err
-	}
-	s.moveErr = err
-	return s.resume(seg, err)
-}
-
 // resume opens the segment after one that has ended early. It continues from a copy
 // of the run if there is one. Without a copy, the cause decides whether the run may
 // start anew: the failure to open a copy says nothing about the run itself.
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,7 +52,8 @@
 // received. crash is the crash that the run leads to, or nil.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, f ServerFaults, crash *RequestCrashes) {
 	request, from := r.Header.Get("Request-Id"), r.Header.Get("Kv-From")
-	if from != "" && !s.fleet.useCopy(from, s.Address(), request) {
+	elsewhere := !strings.HasPrefix(from, copyName(s.Address(), ""))
+	if from != "" && (f.RefuseCopies && elsewhere || !s.fleet.useCopy(from, s.Address(), request)) {
 		refuse(w, r, f)
 		return
 	}
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -85,6 +85,8 @@
 	Full bool
 	// RefuseMoves answers POST /kv-move with 503, as if no room were left at the target.
 	RefuseMoves bool
+	// RefuseCopies refuses runs that go on from a copy which another engine has made.
+	RefuseCopies bool
 	// EndFaults are what becomes of the first calls that end a run, in their order.
 	EndFaults []EndFault
 	// DropIdleAfter resets connections on which something arrives after they were idle for longer.
--- a/test/platform/repeat_test.go
+++ b/test/platform/repeat_test.go
@@ -34,12 +34,7 @@
 // channel receives the response.
 func (s *site) startDraft(id string) <-chan response {
 	s.t.Helper()
-	a := draft()
-	a.id = id
-	ended := make(chan response, 1)
-	go func() { ended <- s.send(s.vms[0], a) }()
-	s.eventually(3*time.Second, "the draft runs", func() bool { return len(s.fleet.Runs(id)) == 1 })
-	return ended
+	return s.startDraftAt(s.vms[0], id)
 }
 
 // engineOf returns the engine that ran a request first, nil if there is none.
