--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,6 +33,9 @@
 	// LastEvent is the id of the last event of a stream that the caller has
 	// received, "" for a new stream.
 	LastEvent string
+	// Resumes is the id of the request that brought the first event of the stream that LastEvent is
+	// from, "" if the caller names none.
+	Resumes string
 	// ExpectsWeights is set if the caller accepts only certain weights. An engine with
 	// others rejects the request as one that was meant for another server.
 	ExpectsWeights bool
--- a/internal/standin/userplatform/engine.go
+++ b/internal/standin/userplatform/engine.go
@@ -118,8 +118,8 @@
 			return "", false
 		}
 		if f.HoldAfter > 0 && n > f.HoldAfter {
-			held += eventOf(r, n)
-		} else if !sendEvent(w, r, f, n) {
+			held += s.eventOf(r, n)
+		} else if !s.sendEvent(w, r, f, n) {
 			if f.KeepsRuns {
 				wait.Sleep(ctx, time.Duration(s.opts.Events-n)*s.opts.EventInterval)
 			}
@@ -164,17 +164,21 @@
 }
 
 // eventOf returns event n of a run.
-func eventOf(r *http.Request, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, r.Header.Get("Request-Id"), n)
+func (s *Server) eventOf(r *http.Request, n int) string {
+	data := fmt.Sprintf("%s %d", r.Header.Get("Request-Id"), n)
+	if version := s.softwareVersion(); version != "" {
+		data += " " + version
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, data)
 }
 
 // sendEvent sends event n. It returns false if the stream was broken by a fault.
-func sendEvent(w http.ResponseWriter, r *http.Request, f ServerFaults, n int) bool {
+func (s *Server) sendEvent(w http.ResponseWriter, r *http.Request, f ServerFaults, n int) bool {
 	if f.TrickleAfter > 0 && n > f.TrickleAfter {
 		trickle(w, r)
 		return false
 	}
-	event := eventOf(r, n)
+	event := s.eventOf(r, n)
 	broken := f.BreakAfter > 0 && n > f.BreakAfter
 	if broken {
 		event = event[:len(event)/2]
--- a/internal/standin/userplatform/lifecycle.go
+++ b/internal/standin/userplatform/lifecycle.go
@@ -1,6 +1,7 @@
 package userplatform
 
 import (
+	"cmp"
 	"encoding/json"
 	"sync/atomic"
 	"time"
@@ -13,10 +14,11 @@
 // Register writes the server's entry to the store, with the given state.
 func (s *Server) Register(state string) {
 	s.lifeMu.Lock()
-	started := s.started
+	started, version := s.started, s.version
 	s.state = state
 	s.lifeMu.Unlock()
 	o := s.opts
+	o.SoftwareVersion = version
 	o.ID = s.ID()
 	putEntry(s.fleet.store, o, s.Address(), state, started, s.cold.remaining())
 }
@@ -26,9 +28,12 @@
 	putEntry(store, ServerOptions{ID: id, Service: service, Slots: 1}, "127.0.0.1:1", "ready", 1, 0)
 }
 
+// commonSoftwareVersion is the version in the entries of servers for which none is set.
+const commonSoftwareVersion = "v1"
+
 func putEntry(store *Store, o ServerOptions, address, state string, started int64, cold time.Duration) {
 	entry := map[string]any{
-		"service": o.Service, "address": address, "zone": o.Zone, "version": "v1", "slots": o.Slots,
+		"service": o.Service, "address": address, "zone": o.Zone, "version": cmp.Or(o.SoftwareVersion, commonSoftwareVersion), "slots": o.Slots,
 		"state": state, "coldRemainingMs": cold.Milliseconds(), "sequence": 1, "born": started,
 	}
 	if o.Model != "" {
@@ -59,6 +64,21 @@
 	s.Register("ready")
 }
 
+// SetSoftwareVersion sets the version of the software from the next start on, and of events from now
+// on. The entry follows with Register or Restart.
+func (s *Server) SetSoftwareVersion(version string) {
+	s.lifeMu.Lock()
+	defer s.lifeMu.Unlock()
+	s.version = version
+}
+
+// softwareVersion returns the version of the current start, "" if none was set.
+func (s *Server) softwareVersion() string {
+	s.lifeMu.Lock()
+	defer s.lifeMu.Unlock()
+	return s.version
+}
+
 // startTime returns the time of the last start in Unix milliseconds.
 func (s *Server) startTime() int64 {
 	s.lifeMu.Lock()
--- a/internal/standin/userplatform/server.go
+++ b/internal/standin/userplatform/server.go
@@ -21,7 +21,10 @@
 	ID, Service, Zone string
 	// Model makes it an inference engine.
 	Model string
-	Slots int
+	// SoftwareVersion is the version in the entry and at the end of each event. If it is "", the entry
+	// holds a version that all such servers have in common, and events name none.
+	SoftwareVersion string
+	Slots           int
 	// Cold is the time for which the server is cold after its start.
 	Cold time.Duration
 	// ProcessingTime is the time before a plain response, EventInterval the time
@@ -110,8 +113,8 @@
 	// id is the current id.
 	id atomic.Pointer[string]
 
-	// lifeMu guards http, reservation, crashed, started, state, stopped, restarting, renamed
-	// and processes.
+	// lifeMu guards http, reservation, crashed, started, state, stopped, restarting, renamed,
+	// processes and version.
 	lifeMu sync.Mutex
 	http   *standin.Server
 	// reservation keeps the port while the server is down.
@@ -128,6 +131,8 @@
 	// back under another id. processes counts these returns.
 	renamed   bool
 	processes int
+	// version is the version of the software of the current start.
+	version string
 
 	mu     sync.Mutex
 	faults ServerFaults
@@ -149,7 +154,7 @@
 // Start starts a server and registers it.
 func (f *Fleet) Start(o ServerOptions) (*Server, error) {
 	s := &Server{
-		opts: o, fleet: f, started: time.Now().UnixMilli(),
+		opts: o, fleet: f, started: time.Now().UnixMilli(), version: o.SoftwareVersion,
 		headers: map[string]http.Header{}, arrivals: map[string]int{}, runs: map[string]*engineRun{},
 	}
 	s.id.Store(&o.ID)
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -69,6 +69,8 @@
 	Incarnation int64 `json:"incarnation,omitempty"`
 	// Era is the era of the store in which an entry VM has announced itself.
 	Era int64 `json:"era,omitempty"`
+	// SoftwareVersion is the version of the software of a backend server, "" if it is not known.
+	SoftwareVersion SoftwareVersion `json:"software_version,omitempty"`
 	// Cold is set while the entry of a backend server says that the server is cold.
 	Cold *Cold `json:"cold,omitempty"`
 	// ChecksFencing reports whether the backend server rejects orders with a stale fencing token.
@@ -89,6 +91,14 @@
 	Invalid bool `json:"invalid,omitempty"`
 }
 
+// SoftwareVersion names a version of the software of backend servers, as opposed to that of model
+// weights or of the configuration. Versions have no order.
+type SoftwareVersion string
+
+// Is reports whether two versions are known and the same. An unknown version is no version, not
+// even another unknown one.
+func (v SoftwareVersion) Is(other SoftwareVersion) bool { return v != "" && v == other }
+
 // MayBe reports whether the listed VM may be the start of its id with an incarnation.
 // Incarnation 0, on either side, is unknown and may be any.
 func (vm VM) MayBe(incarnation int64) bool {
