--- a/kv/kv.go
+++ b/kv/kv.go
@@ -42,6 +42,22 @@
 	CompareAndSwap(ctx context.Context, key string, value []byte, prev int64, lease LeaseID) (int64, error)
 }
 
+// Put is a key with the value that is written to it.
+type Put struct {
+	Key   string
+	Value []byte
+}
+
+// Writer writes and deletes keys unconditionally.
+type Writer interface {
+	// Write applies all puts and deletes in one transaction. A non-zero lease is attached to
+	// all keys that are put; keys to delete may be missing. It performs a single attempt, and
+	// returns a *ValueTooLargeError, a *NotFoundError if the lease does not exist, an
+	// *UncertainError if the transaction may have taken effect or may do so later, and an
+	// *UnavailableError if it had no effect.
+	Write(ctx context.Context, puts []Put, deletes []string, lease LeaseID) error
+}
+
 // Watcher waits for changes of a single key.
 type Watcher interface {
 	// Watch returns the entry of key once its revision is above after. It
