--- a/streamorigin/listing.go
+++ b/streamorigin/listing.go
@@ -1,11 +1,11 @@
 package streamorigin
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"strings"
 
 	"github.com/vanillaarch/vanillaarch/internal/hash"
@@ -50,19 +50,28 @@
 	Passed bool `json:"passed,omitempty"`
 }
 
-// put returns the write of a document. The key depends on the writer and the attempt.
+// put returns the write of a document. The key depends on the writer, the attempt and the era: a
+// write of an earlier era that is executed late must not replace a later one.
 func (d document) put(prefix string) (kv.Put, error) {
 	value, err := json.Marshal(d)
 	if err != nil {
 		return kv.Put{}, err
 	}
-	return kv.Put{Key: prefix + fmt.Sprintf("%016x", hash.Pair(d.Writer, strconv.Itoa(d.Attempt))), Value: value}, nil
+	return kv.Put{Key: prefix + fmt.Sprintf("%016x", hash.Pair(d.Writer, fmt.Sprintf("%d/%d", d.Attempt, d.Era))), Value: value}, nil
 }
 
 func (d document) origin() Origin {
 	return Origin{Version: d.Version, Server: d.Server, Incarnation: d.Incarnation}
 }
 
+// countsBefore reports whether a document counts rather than another one of the same writer.
+func (d document) countsBefore(other document) bool {
+	if d.Passed != other.Passed {
+		return d.Passed
+	}
+	return cmp.Or(cmp.Compare(d.Attempt, other.Attempt), cmp.Compare(d.Era, other.Era)) > 0
+}
+
 // read returns the document of an entry. The error is an *AmbiguousError.
 func read(request string, e kv.Entry) (document, error) {
 	var d document
@@ -94,7 +103,7 @@
 		if known && before.Passed && d.Passed && before.Version != d.Version {
 			return Origin{}, &AmbiguousError{Request: request, Reason: "events of two versions were passed on"}
 		}
-		if !known || d.Passed && !before.Passed || d.Passed == before.Passed && d.Attempt > before.Attempt {
+		if !known || d.countsBefore(before) {
 			latest[d.Writer] = d
 		}
 	}
