--- /dev/null
+++ b/streamorigin/origins.go
@@ -0,0 +1,227 @@
+package streamorigin
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillaarch/vanillaarch/control"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/rendezvous"
+	"github.com/vanillaarch/vanillaarch/telemetry"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+const (
+	// dutyInterval is how often the VM that keeps the registry compares it with the VM list.
+	dutyInterval = time.Second
+	// firstStartRead is the time after the first start of the whole system at which VMs other than
+	// the keeper read the registry, and readJitter the time over which their reads are spread.
+	firstStartRead = 4 * time.Second
+	readJitter     = 2 * time.Second
+)
+
+// TrackerOptions configure a Tracker.
+type TrackerOptions struct {
+	Options
+	VM string
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool
+	// Loop is the control loop whose snapshots hold the backend servers and entry VMs.
+	Loop *control.Loop
+}
+
+// Tracker knows where streams began: by their records, and by the registry of versions where a service
+// has one version only.
+//
+// A stream begins without a record only at a version that is the sole one in the registry and in the
+// list of its VM. Any other version is registered before one of its streams passes on an event without
+// an acknowledged record. So if a stream has no record and the registry holds one version, the stream
+// began there; if it holds several, nobody knows where.
+type Tracker struct {
+	*Records
+	opts    TrackerOptions
+	started time.Duration
+	// OnMixed is called when a service gets a second version, after which streams need records,
+	// those in progress too. It must be set before Run.
+	OnMixed func(service string)
+
+	mu       sync.Mutex
+	registry *registry
+}
+
+// NewTracker returns the tracker of a VM. The caller must call Run and RunRegistry.
+func NewTracker(o TrackerOptions) *Tracker {
+	t := &Tracker{Records: New(o.Options), opts: o, OnMixed: func(string) {}}
+	t.started = t.Records.opts.Now()
+	delay := time.Duration(0)
+	if o.FirstStart {
+		delay = firstStartRead
+	}
+	t.registry = newRegistry(t.started + delay + rand.N(readJitter))
+	return t
+}
+
+// NotStoredError reports that a stream can't begin at a version: the store does not take its record, and
+// its version may not be in the registry.
+type NotStoredError struct{ Version vmlist.SoftwareVersion }
+
+func (e *NotStoredError) Error() string {
+	return "streamorigin: the store takes no record of a stream at version " + string(e.Version)
+}
+
+// BeginIn is Records.Begin for a stream of a service. It returns nil if the stream needs no record, and a
+// *NotStoredError if the stream must not begin.
+func (t *Tracker) BeginIn(service, request string, o Origin, lifetime time.Duration) (*Record, error) {
+	t.mu.Lock()
+	known := t.registry.standing(t.now(), service, o.Version, lifetime)
+	t.mu.Unlock()
+	if known == sole || known == registered && o.Version == "" {
+		return nil, nil // What the registry says is enough.
+	}
+	if known == unregistered && (o.Version == "" || !t.Available()) {
+		return nil, &NotStoredError{Version: o.Version}
+	}
+	record := t.Begin(request, o, lifetime)
+	if known == unregistered {
+		record.RequireStored()
+	}
+	return record, nil
+}
+
+// RequireStored makes Settled wait until the record is stored.
+func (rec *Record) RequireStored() {
+	rec.records.mu.Lock()
+	defer rec.records.mu.Unlock()
+	if e := rec.entry; !e.isStored {
+		e.settled, e.isSettled = e.stored, false
+	}
+}
+
+// FindIn is Records.Find for a stream of a service. It calls the store once more if there is no record.
+func (t *Tracker) FindIn(ctx context.Context, service, request string) (Origin, error) {
+	o, err := t.Find(ctx, request)
+	if !isA[*UnknownError](err) {
+		return o, err
+	}
+	l, readErr := t.opts.Store.ListPage(ctx, RegistryPrefix, kv.Linearizable)
+	if readErr != nil {
+		return Origin{}, &UnavailableError{Request: request, Cause: readErr}
+	}
+	versions, complete := readRegistry(l)
+	if !complete || len(versions[service]) != 1 || versions[service][0] == "" || l.Era < t.era() {
+		return Origin{}, err
+	}
+	return Origin{Version: versions[service][0]}, nil
+}
+
+func (t *Tracker) now() time.Duration { return t.Records.opts.Now() }
+
+// RunRegistry reads the registry, and keeps it if this VM is to, until ctx ends.
+func (t *Tracker) RunRegistry(ctx context.Context) {
+	changed := t.opts.Loop.Subscribe()
+	var last *control.Snapshot
+	for {
+		snap := t.opts.Loop.Snapshot()
+		if last == nil || !snap.SameBackends(last) {
+			t.adopt(snap)
+		}
+		if last != nil && snap.Era > last.Era {
+			t.eraRose(kv.Era(snap.Era))
+		}
+		last = snap
+		wait := t.perform(ctx, snap)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (t *Tracker) adopt(snap *control.Snapshot) {
+	listed := VersionsOf(snap.Backends)
+	t.mu.Lock()
+	mixed := t.registry.setListed(listed)
+	t.mu.Unlock()
+	for _, service := range mixed {
+		t.Records.opts.Log.Info("software_versions_mixed", zap.String("service", service), zap.Strings("versions", names(listed[service])))
+		t.OnMixed(service)
+	}
+}
+
+func names(versions []vmlist.SoftwareVersion) []string {
+	out := make([]string, len(versions))
+	for i, v := range versions {
+		out[i] = string(v)
+	}
+	return out
+}
+
+func (t *Tracker) eraRose(era kv.Era) {
+	t.EraChanged(era)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registry.forgetKnown(t.now())
+}
+
+// perform makes the calls that are due, and returns when to look again.
+func (t *Tracker) perform(ctx context.Context, snap *control.Snapshot) time.Duration {
+	keeper := rendezvous.Owner(RegistryPrefix, snap.EntryVMs) == t.opts.VM
+	hasEngines := false
+	for _, vm := range snap.Backends {
+		hasEngines = hasEngines || vm.Role == vmlist.RoleEngine
+	}
+	if !hasEngines {
+		return dutyInterval // Nothing to know.
+	}
+	now := t.now()
+	t.mu.Lock()
+	due, at := t.registry.readDue(now)
+	if keeper && t.registry.readAt == 0 && now >= t.started+dutyInterval && t.registry.nextRead > now && !t.registry.failed() {
+		due = true // The others read what the keeper writes.
+	}
+	t.mu.Unlock()
+	if due {
+		t.readRegistry(ctx)
+	}
+	if keeper {
+		t.keep(ctx)
+		return dutyInterval
+	}
+	return max(at-now, 10*time.Millisecond)
+}
+
+func (t *Tracker) readRegistry(ctx context.Context) {
+	asked := t.now()
+	l, err := t.opts.Store.ListPage(ctx, RegistryPrefix, kv.Linearizable)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registry.read(asked, t.now(), l, err)
+	if err != nil {
+		t.Records.opts.Log.Info("version_registry_not_read", telemetry.Error(err))
+	}
+}
+
+// keep writes what is to change in the registry.
+func (t *Tracker) keep(ctx context.Context) {
+	t.mu.Lock()
+	puts, deletes := t.registry.duties(t.now(), t.opts.FirstStart)
+	t.mu.Unlock()
+	if len(puts)+len(deletes) == 0 {
+		return
+	}
+	err := t.opts.Store.Write(ctx, puts, deletes, 0)
+	t.mu.Lock()
+	t.registry.wrote(t.now(), err)
+	t.mu.Unlock()
+	t.Records.opts.Log.Info("version_registry_written", zap.Int("registered", len(puts)), zap.Int("removed", len(deletes)), telemetry.Error(err))
+}
--- /dev/null
+++ b/streamorigin/registry.go
@@ -0,0 +1,255 @@
+package streamorigin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/hash"
+	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// RegistryPrefix is that of the keys of the versions in service. It sorts after the other keys of the
+// store and before those of records, of which there may be many.
+const RegistryPrefix = "zregistry/"
+
+// Times of the registry.
+const (
+	// maxKnownAge is the age of what a VM has read of the registry from which its streams need
+	// records, and refreshAge the age at which it reads it again.
+	maxKnownAge = 60 * time.Second
+	refreshAge  = 45 * time.Second
+	// maxUnrecordedLifetime bounds the lifetime of a stream that begins without a record.
+	maxUnrecordedLifetime = 45 * time.Second
+	// forgetAge is the time without a server of a version after which the version is removed. It covers
+	// what another VM has read before, the lifetime of its streams, and the lag of its list.
+	forgetAge = maxKnownAge + maxUnrecordedLifetime + 15*time.Second
+	// settleAge is the time after a return of the store from a copy, or after the start of the VM that
+	// keeps the registry, for which it waits before it registers versions anew: streams that began
+	// before may have no record in the copy.
+	settleAge = maxUnrecordedLifetime
+	// searchInterval is the time between two reads while the registry lacks a listed version, or
+	// holds one that is not listed.
+	searchInterval = 15 * time.Second
+	// maxVersions bounds the versions of a service that are registered.
+	maxVersions = 64
+)
+
+// versionSet holds versions of the servers of one service, sorted.
+type versionSet []vmlist.SoftwareVersion
+
+// VersionsOf returns the versions of the engines of each service, whatever their state, sorted. An unknown
+// version counts as one, and is registered like one: a stream that began there goes on nowhere.
+func VersionsOf(backends map[string]vmlist.VM) map[string][]vmlist.SoftwareVersion {
+	out := map[string][]vmlist.SoftwareVersion{}
+	for _, vm := range backends {
+		if vm.Role != vmlist.RoleEngine {
+			continue
+		}
+		for _, service := range vm.Services {
+			if !slices.Contains(out[service], vm.SoftwareVersion) {
+				out[service] = append(out[service], vm.SoftwareVersion)
+			}
+		}
+	}
+	for _, versions := range out {
+		slices.Sort(versions)
+	}
+	return out
+}
+
+// registration is the value of a key of the registry.
+type registration struct {
+	Service string                 `json:"service"`
+	Version vmlist.SoftwareVersion `json:"version"`
+	// Era is that of the store in which the version was registered. In a later one the registry may
+	// lack versions, so the registration does not count.
+	Era kv.Era `json:"era,omitempty"`
+}
+
+func registryKey(service string, v vmlist.SoftwareVersion) string {
+	return fmt.Sprintf("%s%016x/%016x", RegistryPrefix, hash.Pair("service", service), hash.Pair(service, string(v)))
+}
+
+// readRegistry returns the registered versions of each service. Entries of an earlier era don't
+// count, and complete is false for a service that has one, or if an entry can't be read.
+func readRegistry(l kv.Listing) (versions map[string]versionSet, complete bool) {
+	versions, complete = map[string]versionSet{}, !l.Partial
+	for _, e := range l.Entries {
+		var r registration
+		if err := json.Unmarshal(e.Value, &r); err != nil || r.Era != l.Era {
+			complete = false
+			continue
+		}
+		versions[r.Service] = append(versions[r.Service], r.Version)
+	}
+	return versions, complete
+}
+
+// standing is what a VM knows of a version of a service.
+type standing int
+
+const (
+	// unregistered versions may be missing in the registry. Their streams pass on events only once
+	// their record is stored.
+	unregistered standing = iota
+	// registered versions are in the registry. Their streams need records, but do not wait for them
+	// longer than for a short time: without one nobody knows where they began.
+	registered
+	// sole versions are the only ones, in the registry and in the list. Their streams need no record:
+	// no other version may have begun a stream without one.
+	sole
+)
+
+// registry is what a VM knows of the versions in service, and decides what it reads and writes. It does
+// no network I/O. The current time is always an argument, on one monotonic clock.
+type registry struct {
+	listed map[string][]vmlist.SoftwareVersion
+	// missingSince holds, by key, since when a registered version is not listed.
+	missingSince map[string]time.Duration
+
+	known    map[string]versionSet
+	complete bool
+	// readAt is when the last successful read began, 0 if there was none, nextRead when the next
+	// one may begin.
+	readAt, nextRead time.Duration
+	// readFailed is set if the first reads have failed.
+	readFailed bool
+	// era is that of the last read, and eraSince when this VM first saw it.
+	era      kv.Era
+	eraSince time.Duration
+	// isFirstEra is set if the VM has seen no earlier era.
+	isFirstEra bool
+}
+
+func newRegistry(firstRead time.Duration) *registry {
+	return &registry{missingSince: map[string]time.Duration{}, nextRead: firstRead, era: kv.NoEra}
+}
+
+// setListed adopts the versions of the servers in the VM list. It returns the services that have
+// several versions now and had one before.
+func (r *registry) setListed(listed map[string][]vmlist.SoftwareVersion) (mixed []string) {
+	for service, versions := range listed {
+		if len(versions) > 1 && len(r.listed[service]) <= 1 {
+			mixed = append(mixed, service)
+		}
+	}
+	r.listed = listed
+	return mixed
+}
+
+// standing returns what is known of a version at which a stream is to begin.
+func (r *registry) standing(now time.Duration, service string, v vmlist.SoftwareVersion, lifetime time.Duration) standing {
+	known := r.known[service]
+	if r.readAt == 0 || !slices.Contains(known, v) {
+		return unregistered
+	}
+	listed := r.listed[service]
+	if r.complete && now-r.readAt < maxKnownAge && lifetime <= maxUnrecordedLifetime && len(known) == 1 && len(listed) == 1 && listed[0] == v {
+		return sole
+	}
+	return registered
+}
+
+// readDue reports whether to read the registry now, and otherwise when to ask again.
+func (r *registry) readDue(now time.Duration) (due bool, at time.Duration) {
+	next := r.nextRead
+	if r.readAt > 0 {
+		next = r.readAt + refreshAge
+		if !r.matches() {
+			next = min(next, r.readAt+searchInterval)
+		}
+		next = max(next, r.nextRead)
+	}
+	return now >= next, next
+}
+
+// matches reports whether the registry holds the listed versions and no others.
+func (r *registry) matches() bool {
+	for service, listed := range r.listed {
+		known := slices.Clone(r.known[service])
+		slices.Sort(known)
+		if !slices.Equal(listed, known) {
+			return false
+		}
+	}
+	return r.complete
+}
+
+// read adopts the answer to a read that began at asked. A failed read is tried again after a pause.
+func (r *registry) read(asked, now time.Duration, l kv.Listing, err error) {
+	if err != nil {
+		r.nextRead, r.readFailed = now+pauseMax, true
+		return
+	}
+	if l.Era != r.era {
+		r.isFirstEra = r.era == kv.NoEra
+		r.era, r.eraSince = l.Era, asked
+	}
+	r.known, r.complete = readRegistry(l)
+	r.readAt = asked
+}
+
+// forgetKnown is called when the era of the store rises.
+func (r *registry) forgetKnown(now time.Duration) {
+	r.known, r.complete, r.readAt, r.nextRead = nil, false, 0, now
+}
+
+// duties returns what the VM that keeps the registry is to write: listed versions that are not
+// registered, and the keys of registered ones of which no server was listed for forgetAge. first is set
+// if the whole system starts for the first time, when no stream can have begun before.
+func (r *registry) duties(now time.Duration, first bool) (puts []kv.Put, deletes []string) {
+	if r.readAt == 0 || now-r.readAt >= maxKnownAge {
+		return nil, nil
+	}
+	settled := first && r.isFirstEra || now-r.eraSince >= settleAge
+	missing := map[string]time.Duration{}
+	for service, listed := range r.listed {
+		known := r.known[service]
+		for _, v := range listed {
+			if slices.Contains(known, v) || len(puts) >= batchSize || len(known) >= maxVersions {
+				continue
+			}
+			if len(known) == 0 && !settled {
+				continue // Streams may have begun before the registry was lost.
+			}
+			value, err := json.Marshal(registration{Service: service, Version: v, Era: r.era})
+			if err == nil {
+				puts = append(puts, kv.Put{Key: registryKey(service, v), Value: value})
+			}
+		}
+	}
+	for service, known := range r.known {
+		for _, v := range known {
+			if slices.Contains(r.listed[service], v) {
+				continue
+			}
+			key := registryKey(service, v)
+			since, ok := r.missingSince[key]
+			if !ok {
+				since = now
+			}
+			missing[key] = since
+			// The last version of a service stays until another one is registered.
+			if now-since >= forgetAge && len(known) > 1 && len(deletes) < batchSize {
+				deletes = append(deletes, key)
+			}
+		}
+	}
+	r.missingSince = missing
+	return puts, deletes
+}
+
+// wrote adopts the result of a write of duties.
+func (r *registry) wrote(now time.Duration, err error) {
+	r.nextRead = now
+	if err != nil {
+		r.nextRead = now + pauseMax
+	}
+	r.readAt = min(r.readAt, now-refreshAge) // To be read again.
+}
+
+// failed reports whether reads have failed and none has succeeded.
+func (r *registry) failed() bool { return r.readFailed }
