--- a/config/deployment.go
+++ b/config/deployment.go
@@ -50,6 +50,9 @@
 	Address string
 	// MinLease is the shortest lease that the service grants.
 	MinLease time.Duration
+	// WritesPerSecond is the number of writes that the service takes from all VMs together, 0 if it is
+	// not known.
+	WritesPerSecond int
 }
 
 // Bounds holds the operator's limits on how long changes may take to become
--- a/entry.go
+++ b/entry.go
@@ -26,14 +26,21 @@
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/ratelimit/permit"
 	"github.com/vanillaarch/vanillaarch/standby"
+	"github.com/vanillaarch/vanillaarch/streamorigin"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
+// EntryStore is the platform's key-value service.
+type EntryStore interface {
+	discovery.Store
+	kv.Writer
+}
+
 // EntryOptions are the settings and dependencies of an Entry.
 type EntryOptions struct {
 	Deployment config.Deployment
 	// Store is the platform's key-value service.
-	Store discovery.Store
+	Store EntryStore
 	Codec discovery.Codec
 	Edge  edge.Codec
 	// Engines returns a client of the engines' management API that sends its requests
@@ -52,6 +59,7 @@
 	httpClient *backend.HTTPClient
 	follower   *discovery.Follower
 	mesh       *mesh
+	origins    *streamorigin.Tracker
 	grants     *grant.Manager
 	breaker    *backend.Breaker
 	metrics    metrics.Registry
@@ -156,11 +164,19 @@
 		Store: o.Store, Codec: o.Codec, Loop: e.loop, MinLease: d.Store.MinLease, FirstStart: d.FirstStart,
 		OnEntry: e.loadRules, OnAnnounced: e.mesh.members.Announced, Duties: e.mesh, Intervals: intervals, Metrics: e.metrics, Log: o.Log,
 	})
+	e.origins = streamorigin.NewTracker(streamorigin.TrackerOptions{
+		Options: streamorigin.Options{
+			Store: o.Store, VMs: func() int { return e.loop.Snapshot().EntryVMCount() }, WritesPerSecond: d.Store.WritesPerSecond,
+			Log: o.Log, Metrics: e.metrics,
+		},
+		VM: d.VM, FirstStart: d.FirstStart, Loop: e.loop,
+	})
 	e.grants = e.newGrantManager()
 	e.gateway = gateway.New(gateway.Options{
-		VM: d.VM, Zone: d.Zone, Region: d.Region, ZoneRegions: d.ZoneRegions, MemoryBytes: d.Limits.MemoryBytes, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker, Quarantine: e.mesh.quarantine, Servers: e.mesh.servers, Permits: e.mesh.permits,
+		VM: d.VM, Zone: d.Zone, Region: d.Region, ZoneRegions: d.ZoneRegions, MemoryBytes: d.Limits.MemoryBytes, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker, Quarantine: e.mesh.quarantine, Servers: e.mesh.servers, Permits: e.mesh.permits, Origins: e.origins,
 		HTTPClient: e.httpClient, Engines: o.Engines(e.httpClient), Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
 	})
+	e.origins.OnMixed = e.gateway.RecordOrigins
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		e.mesh.sessions.Close()
--- a/entry_run.go
+++ b/entry_run.go
@@ -28,6 +28,7 @@
 	tasks := append(append(e.follower.Tasks(), e.mesh.tasks()...), e.loop.Run, e.trackVMCount, e.closeIdleConnections, e.grants.Run,
 		func(ctx context.Context) { e.gateway.WatchEngines(ctx, e.loop.Subscribe()) }, e.gateway.ProbeEngines,
 		func(ctx context.Context) { e.gateway.MoveOutOfZones(ctx, e.loop.Subscribe()) },
+		e.origins.Run, e.origins.RunRegistry,
 		func(ctx context.Context) { e.mesh.quarantine.KeepArchive(ctx, e.opts.Store) })
 	for _, task := range tasks {
 		background.Go(func() { e.runTask(work, task, fail) })
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -14,12 +14,12 @@
 )
 
 // admissionRequest builds the dispatcher's admission request for the rest of the
-// stream: tokens already received count as prompt tokens.
-func (s *stream) admissionRequest(excluded []string) dispatch.AdmissionRequest {
+// stream: tokens already received count as prompt tokens. It is for engines that a rule allows.
+func (s *stream) admissionRequest(excluded []string, rule engineRule) dispatch.AdmissionRequest {
 	request := dispatch.AdmissionRequest{
 		Organisation: route.Anonymous, Model: s.poolName(),
 		PromptTokens: s.info.PromptTokens + s.tokens(), MaxTokens: s.info.MaxTokens,
-		Excluded: slices.Concat(excluded, s.outside()), Zone: s.g.Zone,
+		Excluded: slices.Concat(excluded, s.allBut(rule)), Zone: s.g.Zone,
 	}
 	if request.MaxTokens > 0 {
 		request.MaxTokens = max(request.MaxTokens-s.tokens(), 1)
@@ -36,7 +36,7 @@
 
 // runRequest builds the admission request for a run, which may wait in the dispatcher's queue.
 func (s *stream) runRequest() dispatch.AdmissionRequest {
-	request := s.admissionRequest(s.excluded)
+	request := s.admissionRequest(s.excluded, s.mayRunAt)
 	request.Priority, request.Target, request.Deadline = s.priority(), s.firstEventDue(), dispatch.TimeLeft(s.remaining())
 	if s.identity != nil {
 		request.Identity = uint64(s.identity.Whole)
@@ -84,7 +84,10 @@
 // one if that is soon enough for the request, and returns a *dispatch.PausedError if not.
 func (s *stream) acquireUnpaused(ctx context.Context) (dispatch.Ticket, vmlist.VM, error) {
 	for {
-		ticket, vm, err := s.acquireEngine(ctx, s.runRequest())
+		if err := s.checkInService(); err != nil {
+			return nil, vmlist.VM{}, err
+		}
+		ticket, vm, err := s.acquireEngine(ctx, s.runRequest(), s.mayRunAt)
 		paused, ok := errors.Into[*dispatch.PausedError](err)
 		if !ok || !s.awaitEngine(ctx, paused.ResumeAt) {
 			return ticket, vm, err
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -34,9 +34,10 @@
 	ctx, cancel := context.WithTimeout(s.ctx, backupTimeout)
 	defer cancel()
 	// An engine that may still work on the run is asked to end it: not to hold its backup.
-	request := s.admissionRequest(append(s.unendedEngines(), primary.ID))
+	rule := s.mayHoldCopyOf(primary)
+	request := s.admissionRequest(append(s.unendedEngines(), primary.ID), rule)
 	request.Spare, request.Zone = true, primary.Zone
-	ticket, vm, err := s.acquireEngine(ctx, request)
+	ticket, vm, err := s.acquireEngine(ctx, request, rule)
 	if err != nil {
 		reason := s.whyNotGranted(ctx, primary)
 		s.log.Info("backup_not_granted", zap.String("backend", primary.ID), zap.String("reason", string(reason)), telemetry.Error(err))
@@ -92,10 +93,11 @@
 func (s *stream) backupAddress(primary vmlist.VM) string {
 	s.copies.mu.Lock()
 	defer s.copies.mu.Unlock()
-	if s.copies.backup == nil || s.copies.backup.vm.ID == primary.ID || !s.g.mayContinueAt(s.copies.backup.vm) {
+	backup := s.copies.backup
+	if backup == nil || backup.vm.ID == primary.ID || !s.g.mayContinueAt(backup.vm) || s.mayHoldCopyOf(primary)(backup.vm) != nil {
 		return ""
 	}
-	return s.copies.backup.vm.Address
+	return backup.vm.Address
 }
 
 // backupArrivesAt returns the time from which the backup can be relied on. It returns
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -83,16 +83,17 @@
 			continue
 		}
 		*at = nil
-		if s.g.isLive(rc.vm) {
+		mismatch := s.software.Check(rc.vm)
+		if mismatch == nil && s.g.isLive(rc.vm) {
 			return rc
 		}
-		if !rc.isMoved() && s.hasEvents() && s.g.mayHoldBackup(rc.vm) {
+		if mismatch == nil && !rc.isMoved() && s.hasEvents() && s.g.mayHoldBackup(rc.vm) {
 			s.log.Info("departed_backup_taken", zap.String("backend", rc.vm.ID), zap.String("backend_state", string(s.g.stateOf(rc.vm))))
 			return rc
 		}
-		s.copies.record(rc, copyDropped, nil)
+		s.copies.record(rc, copyDropped, mismatch)
 		s.log.Info("copy_dropped", zap.String("backend", rc.vm.ID), zap.String("backend_state", string(s.g.stateOf(rc.vm))),
-			zap.Bool("moved", rc.isMoved()))
+			zap.Bool("moved", rc.isMoved()), telemetry.Error(mismatch))
 		rc.ticket.Release(0)
 	}
 	return nil
--- a/gateway/cut.go
+++ b/gateway/cut.go
@@ -183,6 +183,9 @@
 	noNextUnconfirmed noNextReason = "configuration_unconfirmed"
 	// noNextEngine means that no engine was granted.
 	noNextEngine noNextReason = "no_engine"
+	// noNextVersion means that no engine of the software version that began the stream is in service,
+	// or that the version is not known.
+	noNextVersion noNextReason = "software_version"
 	// noNextTime means that the time was up, noNextEnded that the VM stops or the caller has left.
 	noNextTime  noNextReason = "time_limit"
 	noNextEnded noNextReason = "ended"
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -236,6 +236,8 @@
 	// them has memory to spare.
 	noOtherEngine notGrantedReason = "no_other_engine"
 	noRoom        notGrantedReason = "no_room"
+	// noEngineOfVersion means that no other live engine has the software version of the run.
+	noEngineOfVersion notGrantedReason = "no_engine_of_version"
 	// notInTime means that there was no answer in time.
 	notInTime notGrantedReason = "not_in_time"
 )
@@ -245,12 +247,17 @@
 	if ctx.Err() != nil {
 		return notInTime
 	}
+	reason := noOtherEngine
 	for _, vm := range s.engines() {
-		if vm.ID != primary.ID {
+		switch {
+		case vm.ID == primary.ID:
+		case s.mayHoldCopyOf(primary)(vm) == nil:
 			return noRoom
+		default:
+			reason = noEngineOfVersion
 		}
 	}
-	return noOtherEngine
+	return reason
 }
 
 // backupNotGrantedError tells why a run has no backup.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	// Breaker is the circuit breaker for engines that can't be reached.
 	Breaker *backend.Breaker
 	Servers Servers
+	// Origins holds the records of where streams began.
+	Origins Origins
 	// Permits tells which backend servers limit the rate of requests, and obtains permits.
 	Permits Permits
 	Engines edge.EngineClient
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -122,6 +122,11 @@
 	metrics.GetOrRegisterCounter("gateway."+what+"."+reason, m.registry).Inc(1)
 }
 
+// countTakeUp counts something about streams that callers take up.
+func (m *Metrics) countTakeUp(what string) {
+	metrics.GetOrRegisterCounter("gateway.take_ups."+what, m.registry).Inc(1)
+}
+
 // observeMemory registers gauges of the bytes that budgets hold.
 func (m *Metrics) observeMemory(requests *requestbody.Memory, answers *membudget.Budget) {
 	metrics.NewRegisteredFunctionalGauge("gateway.request_memory_bytes", m.registry, requests.Used)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -72,10 +72,11 @@
 	defer close(done)
 	acquiring, cancel := context.WithTimeout(ctx, targetAcquireTimeout)
 	defer cancel()
-	request := s.admissionRequest(excluded)
+	rule := s.mayHoldCopyOf(source)
+	request := s.admissionRequest(excluded, rule)
 	// The same zone is preferred: a copy to another zone takes twice as long.
 	request.Zone, request.Resumed, request.Spare = source.Zone, true, mayStay
-	ticket, vm, err := s.acquireEngine(acquiring, request)
+	ticket, vm, err := s.acquireEngine(acquiring, request, rule)
 	if err != nil {
 		s.recordNotCopied(copyNotGranted, "", err)
 		return nil, err
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -100,26 +100,27 @@
 		"no backend server is in a home region of the request").WithRetryAfter(retryAfterDelay())
 }
 
-// outside returns the ids of the engines that the run must not reach.
-func (s *stream) outside() []string {
-	if s.regions.Any() {
-		return nil
-	}
+// engineRule tells which engines a request to the dispatcher is for. It returns why an engine is
+// none of them.
+type engineRule func(vmlist.VM) error
+
+// allBut returns the ids of the engines of the pool for which a rule returns an error.
+func (s *stream) allBut(rule engineRule) []string {
 	var ids []string
 	for _, vm := range s.g.Snapshot().Engines[s.poolName()] {
-		if s.mayReach(vm) != nil {
+		if rule(vm) != nil {
 			ids = append(ids, vm.ID)
 		}
 	}
 	return ids
 }
 
-// acquireEngine is Gateway.acquire for engines that the run may reach. The dispatcher may know
+// acquireEngine is Gateway.acquire for engines that a rule allows. The dispatcher may know
 // engines that this VM did not know when it asked.
-func (s *stream) acquireEngine(ctx context.Context, request dispatch.AdmissionRequest) (dispatch.Ticket, vmlist.VM, error) {
+func (s *stream) acquireEngine(ctx context.Context, request dispatch.AdmissionRequest, rule engineRule) (dispatch.Ticket, vmlist.VM, error) {
 	for {
 		ticket, vm, err := s.g.acquire(ctx, request)
-		if err != nil || s.mayReach(vm) == nil {
+		if err != nil || rule(vm) == nil {
 			return ticket, vm, err
 		}
 		ticket.Release(0)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -89,6 +89,9 @@
 
 // forward writes an event to the caller and flushes it on request.
 func (s *stream) forward(seg *segment, event []byte, flush bool) error {
+	if err := s.beginAt(seg.vm); err != nil {
+		return err
+	}
 	s.sendHead(seg.answer)
 	s.recordEvent(seg)
 	_, err := s.w.Write(event)
--- a/gateway/relocate.go
+++ b/gateway/relocate.go
@@ -114,6 +114,19 @@
 	return n
 }
 
+// streams returns all streams.
+func (t *runTable) streams() []*stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*stream
+	for _, runs := range t.runs {
+		for s := range runs {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // engines returns the engines that have runs of this VM.
 func (t *runTable) engines() []vmlist.VM {
 	t.mu.Lock()
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -171,7 +171,7 @@
 			return &config.Bounds{RetryRatio: 0.2, RetrySlack: 10, RetryWindow: time.Second}
 		},
 		Snapshot: r.currentSnapshot, Admission: r, HTTPClient: client, Quarantine: allPrompts{},
-		Breaker: backend.NewBreaker(), Servers: r.known, Permits: noLimits{}, Engines: platform.EngineClient{HTTPClient: client}, Edge: codec,
+		Breaker: backend.NewBreaker(), Servers: r.known, Permits: noLimits{}, Origins: newOrigins(t), Engines: platform.EngineClient{HTTPClient: client}, Edge: codec,
 		Log: zap.NewNop(), Metrics: NewMetrics(metrics.NewRegistry()),
 	})
 	return r
@@ -219,7 +219,7 @@
 	}))
 	r.t.Cleanup(s.Close)
 	r.listeners[id] = s.Listener
-	vm := vmlist.VM{ID: id, Role: role, State: vmlist.StateLive, Address: strings.TrimPrefix(s.URL, "http://"), Incarnation: 1, Slots: 8}
+	vm := vmlist.VM{ID: id, Role: role, State: vmlist.StateLive, Address: strings.TrimPrefix(s.URL, "http://"), Incarnation: 1, Slots: 8, SoftwareVersion: "v1"}
 	if role == vmlist.RoleEngine {
 		vm.Services = []string{"engines"}
 	}
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -50,7 +50,7 @@
 // the connected copy from which the run continues, nil for a new run. For a new run,
 // open releases the ticket if it returns an error; otherwise the caller still owns it.
 func (s *stream) open(ticket dispatch.Ticket, vm vmlist.VM, source *connectedCopy) (*segment, error) {
-	if err := s.leavePreviousEngines(vm, source); err != nil {
+	if err := s.beforeOpen(vm, source); err != nil {
 		if source == nil {
 			ticket.Release(0)
 		}
@@ -78,6 +78,14 @@
 	return seg, nil
 }
 
+// beforeOpen checks that an engine may run the rest of the stream, and makes sure that no other works on it.
+func (s *stream) beforeOpen(vm vmlist.VM, source *connectedCopy) error {
+	if err := s.software.Check(vm); err != nil {
+		return &backend.NotSentError{Backend: vm.ID, Cause: err}
+	}
+	return s.leavePreviousEngines(vm, source)
+}
+
 // leavePreviousEngines makes sure that the engines that the run has left do not work on it beside the
 // engine that is next.
 func (s *stream) leavePreviousEngines(next vmlist.VM, source *connectedCopy) error {
@@ -109,6 +117,11 @@
 	if err := s.checkQuarantine(); err != nil && source == nil {
 		return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
 	}
+	if source == nil {
+		if err := s.recordOrigin(seg.vm); err != nil {
+			return &backend.NotSentError{Backend: seg.vm.ID, Cause: err}
+		}
+	}
 	before := s.mayHaveRun
 	request := s.request(a)
 	seg.memory = request.Memory
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,6 +13,7 @@
 	"github.com/vanillaarch/vanillaarch/backend"
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/quarantine"
+	"github.com/vanillaarch/vanillaarch/softwareversion"
 )
 
 // maxStreamUnsentAttempts bounds the attempts that fail before anything is sent to
@@ -55,6 +56,10 @@
 	moveErr error
 	// noNext is why the stream is not sent to another engine.
 	noNext noNextReason
+	// software is the software version that the stream is bound to.
+	software softwareversion.Binding
+	// origin is the record of where the stream began.
+	origin originRecord
 	// unended holds the engines of previous segments that may still work on the run.
 	unended []*unendedRun
 
@@ -91,6 +96,10 @@
 		}
 		s.lastEvent = n
 	}
+	defer s.endOrigin()
+	if err := s.takeUp(); err != nil {
+		return err
+	}
 	err := s.run()
 	if errors.Is(err, errResponded) {
 		s.abandoned = s.headSent
@@ -170,6 +179,12 @@
 			cause = nil // Admission avoids the engine until a permit is expected.
 			continue
 		}
+		if err := s.confirmStart(vm); err != nil {
+			ticket.Release(0)
+			s.excluded = append(s.excluded, vm.ID)
+			cause = nil // Nothing was sent to it, which is no attempt.
+			continue
+		}
 		acquired := s.acquireBackup(vm)
 		seg, err := s.open(ticket, vm, nil)
 		if err == nil || errors.Is(err, errResponded) {
@@ -276,6 +291,8 @@
 		return noNextQuarantined
 	}
 	switch {
+	case isVersionError(err):
+		return noNextVersion
 	case errors.Is(err, context.DeadlineExceeded):
 		return noNextTime
 	case errors.Is(err, context.Canceled):
