--- a/test/platform/software_version_test.go
+++ b/test/platform/software_version_test.go
@@ -125,6 +125,43 @@
 				first(s).Crash()
 			},
 		},
+		"others of its version are not reachable": {
+			engines: "abab", want: cut, wantOfOthers: cut, act: func(s *versionSite) {
+				for _, e := range s.of(oldVersion) {
+					e.Pause()
+				}
+			},
+		},
+		"others of its version have lost their addresses": {
+			engines: "abab", want: cut, act: func(s *versionSite) {
+				s.of(oldVersion)[1].SetFaults(userplatform.ServerFaults{Replaced: true})
+				first(s).Crash()
+			},
+		},
+		"engine leaves, others of its version pause": {
+			engines: "abab", prepare: withoutBackups, act: func(s *versionSite) {
+				s.of(oldVersion)[1].Announce(userplatform.Announcement{RetryAfter: []string{"5"}, RejectManagement: true})
+				s.leave(first(s))
+			}, want: wholeOrCut,
+		},
+		"engine leaves, others of its version are full": {
+			engines: "abab", prepare: withoutBackups, act: func(s *versionSite) {
+				s.setFaults(userplatform.ServerFaults{Shed: true}, s.of(oldVersion)[1])
+				s.leave(first(s))
+			}, want: wholeOrCut,
+		},
+		"engine leaves, others of its version are not reachable": {
+			engines: "abab", prepare: withoutBackups, wantOfOthers: wholeOrCut, act: func(s *versionSite) {
+				s.of(oldVersion)[1].Pause()
+				s.leave(first(s))
+			},
+		},
+		"engine leaves, others of its version have lost their addresses": {
+			engines: "abab", prepare: withoutBackups, want: wholeOrCut, act: func(s *versionSite) {
+				s.of(oldVersion)[1].SetFaults(userplatform.ServerFaults{Replaced: true})
+				s.leave(first(s))
+			},
+		},
 		"engine starts again with the other version": {
 			engines: "abb", want: cut, act: func(s *versionSite) { s.restartAs(first(s), "b") },
 		},
@@ -216,6 +253,24 @@
 		"others of its version leave": {
 			engines: "abab", want: cut, prepare: func(s *versionSite) { s.leave(second(s)) }, act: crashFirst,
 		},
+		"others of its version are full": {
+			engines: "abab", want: wholeOrCut, act: func(s *versionSite) {
+				s.setFaults(userplatform.ServerFaults{Shed: true}, second(s))
+				first(s).Crash()
+			},
+		},
+		"others of its version are not reachable": {
+			engines: "abab", want: cut, wantOfOthers: cut, act: func(s *versionSite) {
+				first(s).Pause()
+				second(s).Pause()
+			},
+		},
+		"others of its version have lost their addresses": {
+			engines: "abab", want: cut, act: func(s *versionSite) {
+				second(s).SetFaults(userplatform.ServerFaults{Replaced: true})
+				first(s).Crash()
+			},
+		},
 		"others of its version are gone": {
 			engines: "abab", want: cut, prepare: func(s *versionSite) { s.remove(second(s)) }, act: crashFirst,
 		},
