--- a/gateway/connected_copy.go
+++ b/gateway/connected_copy.go
@@ -72,7 +72,7 @@
 		}
 		s.recordCopy(rc, copyUnreachable, err)
 		s.log.Info("copy_unreachable", zap.String("backend", rc.vm.ID), telemetry.Error(err))
-		if s.ctx.Err() == nil && !unusable(err) {
+		if s.ctx.Err() == nil && !unusable(err) && !isMismatch(err) {
 			s.g.recordUnreachable(rc.vm, err)
 		}
 		rc.ticket.Release(0)
@@ -82,6 +82,9 @@
 
 // connectTo connects to the engine with a copy. The error is a *backend.NotSentError.
 func (s *stream) connectTo(rc *runCopy) (*connectedCopy, error) {
+	if err := s.confirmStart(rc.vm); err != nil {
+		return nil, &backend.NotSentError{Backend: rc.vm.ID, Cause: err}
+	}
 	p, err := s.acquireCopyPermit(rc.vm)
 	if err != nil {
 		return nil, err
--- a/gateway/software_version.go
+++ b/gateway/software_version.go
@@ -259,7 +259,7 @@
 
 // confirmStart returns a *softwareversion.MismatchError if an engine that is to go on with the stream
 // has started again, maybe with another software version, since the VM list was read. A request names
-// its engine by an id that may outlive a start.
+// its engine by an id that may outlive a start, and a backup is sent to an address.
 func (s *stream) confirmStart(vm vmlist.VM) error {
 	version, begun := s.software.Version()
 	if !begun || s.service.Engine == nil || s.g.isPaused(vm) {
@@ -275,6 +275,12 @@
 	return &softwareversion.MismatchError{Backend: vm.ID, Want: version}
 }
 
+// isMismatch reports whether a server has another software version than the one that must go on.
+func isMismatch(err error) bool {
+	_, ok := errors.Into[*softwareversion.MismatchError](err)
+	return ok
+}
+
 // isVersionError reports whether no engine may go on with a stream because of its software version.
 func isVersionError(err error) bool {
 	_, unknown := errors.Into[*softwareversion.UnknownError](err)
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -65,6 +65,9 @@
 	return t
 }
 
+// unknownVersion stands in records for the version of a server that names none.
+const unknownVersion = "\x00unknown"
+
 // NotStoredError reports that a stream can't begin at a version: the store does not take its record, and
 // its version may not be in the registry.
 type NotStoredError struct{ Version vmlist.SoftwareVersion }
@@ -82,9 +85,12 @@
 	if known == sole || known == registered && o.Version == "" {
 		return nil, nil // What the registry says is enough.
 	}
-	if known == unregistered && (o.Version == "" || !t.Available()) {
+	if known == unregistered && !t.Available() {
 		return nil, &NotStoredError{Version: o.Version}
 	}
+	if o.Version == "" {
+		o.Version = unknownVersion
+	}
 	record := t.Begin(request, o, lifetime)
 	if known == unregistered {
 		record.RequireStored()
@@ -104,6 +110,9 @@
 // FindIn is Records.Find for a stream of a service. It calls the store once more if there is no record.
 func (t *Tracker) FindIn(ctx context.Context, service, request string) (Origin, error) {
 	o, err := t.Find(ctx, request)
+	if err == nil && o.Version == unknownVersion {
+		return Origin{}, &UnknownError{Request: request}
+	}
 	if !isA[*UnknownError](err) {
 		return o, err
 	}
