--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -62,6 +62,8 @@
 	// causes, nil if it is sound.
 	target  string
 	crashes *requestFault
+	// takesUp is the stream of which the request asks for the rest, nil if it asks for a new one.
+	takesUp *takenUp
 	// process is the process of the VM at the time of sending.
 	process    *process
 	sent, done time.Time
@@ -70,8 +72,10 @@
 	status   int
 	// signed is set if the response carries the signature of a backend server.
 	signed bool
-	err    error
-	body   string
+	// returnable is set if the response names a time after which the caller may come back.
+	returnable bool
+	err        error
+	body       string
 }
 
 // succeeded reports whether the caller received a complete response with status
@@ -130,6 +134,7 @@
 		c.harness.replace(r, c.rand)
 		c.send(ctx, r)
 		c.harness.check(r)
+		c.takeUp(ctx, faultCtx, r)
 		time.Sleep(requestPause)
 	}
 }
@@ -140,9 +145,14 @@
 	if c.rand.Float64() < cancelProbability {
 		r.canceled, timeout = true, rand.N(maxCancelDelay)
 	}
+	c.transmit(ctx, r, timeout)
+}
+
+// transmit sends a request and reads the response for as long as the caller waits.
+func (c *caller) transmit(ctx context.Context, r *request, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r.process, r.sent = c.vm.currentProcess(), time.Now()
+	r.process, r.sent = r.vm.currentProcess(), time.Now()
 	r.err = exchange(ctx, c.client, r)
 	r.done = time.Now()
 }
@@ -161,12 +171,16 @@
 	req.Header = userplatform.CallerHeaders(r.id, r.key)
 	userplatform.SetPrompt(req.Header, r.prompt)
 	r.kind.setLimits(req.Header)
+	if r.takesUp != nil {
+		userplatform.SetTakenUp(req.Header, r.takesUp.first, r.takesUp.last)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "send")
 	}
 	defer resp.Body.Close()
 	r.status, r.signed = resp.StatusCode, userplatform.Signed(resp.Header)
+	r.returnable = resp.Header.Get("Retry-After") != ""
 	text, err := io.ReadAll(resp.Body)
 	r.body = string(text)
 	if err != nil {
@@ -199,13 +213,16 @@
 
 // validateEvents checks that the events belong to this request, that they are in
 // order without gaps or duplicates, and that a stream that ended without an error
-// is complete.
+// is complete. The name of a version may follow the number of an event.
 func (r *request) validateEvents() error {
 	next := 1
+	if r.takesUp != nil {
+		next = r.takesUp.last + 1
+	}
 	scanner := bufio.NewScanner(strings.NewReader(r.body))
 	for scanner.Scan() {
 		if data, ok := strings.CutPrefix(scanner.Text(), "data: "); ok {
-			if want := fmt.Sprintf("%s %d", r.id, next); data != want && (r.err == nil || !strings.HasPrefix(want, data)) {
+			if want := fmt.Sprintf("%s %d", r.id, next); data != want && !strings.HasPrefix(data, want+" ") && (r.err == nil || !strings.HasPrefix(want, data)) {
 				return &responseError{fmt.Sprintf("event %q instead of %q", data, want)}
 			}
 			next++
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -19,6 +19,8 @@
 type server struct {
 	*userplatform.Server
 	link *proxy
+	// version is the version of its software, "" for a plain server.
+	version string
 }
 
 // newHarness returns a harness without processes. Its store lasts until close.
@@ -27,7 +29,7 @@
 	w := &harness{
 		opts: o, started: started, store: userplatform.NewStore(), faults: &timeline{},
 		keys: &keyring{revoked: map[string]time.Time{}}, violations: &violationLog{started: started},
-		drainNotices: map[string]time.Time{},
+		drainNotices: map[string]time.Time{}, version: firstVersion,
 	}
 	w.fleet = userplatform.NewFleet(w.store)
 	w.addCleanup(w.store.Close)
@@ -81,8 +83,14 @@
 	return slices.DeleteFunc(errs, func(err error) bool { return err == nil })
 }
 
-// addServer starts a backend server behind a proxy.
+// addServer starts a backend server of the first version.
 func (h *harness) addServer(engine bool) error {
+	_, err := h.startServer(engine, firstVersion)
+	return err
+}
+
+// startServer starts a backend server behind a proxy. Plain servers have no version.
+func (h *harness) startServer(engine bool, version string) (*server, error) {
 	h.mu.Lock()
 	h.nextID++
 	n := h.nextID
@@ -109,17 +117,18 @@
 	if engine {
 		o.ID, o.Service, o.Model, o.Slots = fmt.Sprintf("engine-%d", n), "engines", "m", engineSlots
 		o.Events, o.EventInterval = streamEvents, eventInterval
+		o.SoftwareVersion, x.version = version, version
 	}
 	var err error
 	if x.Server, err = h.fleet.Start(o); err != nil {
-		return errors.Wrap(err, "start server")
+		return nil, errors.Wrap(err, "start server")
 	}
 	h.addCleanup(func() { x.Crash(); x.link.close() })
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.servers = append(h.servers, x)
 	h.startedServers = append(h.startedServers, startedServer{x, time.Now()})
-	return nil
+	return x, nil
 }
 
 // startVMs starts all VMs, a few at a time.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -79,7 +79,7 @@
 
 // allowedKinds returns the kinds with the given names, all if there are none.
 func allowedKinds(names []string) ([]fault, error) {
-	all := append(slices.Clone(faultKinds), storeReturns, requestCrashes, zoneEvacuations, speedChanges)
+	all := append(slices.Clone(faultKinds), storeReturns, requestCrashes, zoneEvacuations, speedChanges, releases, killsOfAll)
 	if len(names) == 0 {
 		return all, nil
 	}
@@ -103,6 +103,8 @@
 	out := append(returns(seed, length, kinds), requestFaultsOf(seed, length, kinds)...)
 	out = append(out, evacuationsOf(seed, length, kinds)...)
 	out = append(out, speedFaultsOf(seed, length, kinds)...)
+	out = append(out, releasesOf(seed, length, kinds)...)
+	out = append(out, killsOfAllOf(seed, length, kinds)...)
 	kinds = slices.DeleteFunc(slices.Clone(kinds), drawnApart)
 	if len(kinds) == 0 {
 		slices.SortStableFunc(out, byTime)
@@ -129,7 +131,8 @@
 
 // drawnApart reports whether the times of a fault are drawn from a source of their own.
 func drawnApart(f fault) bool {
-	return slices.Contains([]string{storeReturns.name, requestCrashes.name, zoneEvacuations.name, speedChanges.name}, f.name)
+	apart := []string{storeReturns.name, requestCrashes.name, zoneEvacuations.name, speedChanges.name, releases.name, killsOfAll.name}
+	return slices.Contains(apart, f.name)
 }
 
 // hasKind reports whether a fault is among those that are allowed.
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -15,6 +15,7 @@
 	invariantCompleteResponse   = "each caller receives the complete response to its own request"
 	invariantAtMostOnce         = "non-repeatable work runs at most once"
 	invariantOneEngine          = "a stream is continued on one engine at a time"
+	invariantOneVersion         = "a stream holds events of one software version"
 	invariantNotRun             = "work reported as not run has not run"
 	invariantValidKeyAccepted   = "a valid key is accepted"
 	invariantRevokedKeyRejected = "a revoked key is rejected after the revocation bound"
@@ -43,6 +44,7 @@
 			h.violations.add(invariantCompleteResponse, "%s to %s: %v", r.id, r.vm.name, err)
 		}
 	}
+	h.checkVersions(r)
 	h.checkKey(r)
 	h.checkStop(r)
 	h.mu.Lock()
--- a/internal/soak/serverfaults.go
+++ b/internal/soak/serverfaults.go
@@ -85,9 +85,9 @@
 	h.drainNotices[x.ID()] = time.Now()
 }
 
-// startReplacement starts another server of the same service.
+// startReplacement starts another server of the same service and software version.
 func (h *harness) startReplacement(x *server) {
-	if err := h.addServer(x.IsEngine()); err != nil {
+	if _, err := h.startServer(x.IsEngine(), x.version); err != nil {
 		h.violations.add(invariantNoUnexpectedExit, "%v", err)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,6 +85,7 @@
 	Evacuations        EvacuationSummary
 	// LongestDelay is the longest delay of a goroutine of the soak.
 	LongestDelay time.Duration
+	TakeUps      TakeUpSummary
 }
 
 // harness is a running deployment with the records of its faults, requests and
@@ -130,6 +131,10 @@
 	nextID        int
 	// evacuatedZones holds the zones whose evacuation is ordered.
 	evacuatedZones map[string]bool
+	// version is the software version of the latest whole release. releasing is held during one.
+	version   string
+	releasing sync.Mutex
+	takeUps   TakeUpSummary
 	// returning is held while the store returns from a copy.
 	returning sync.Mutex
 	// storeFaults holds the active faults of the store.
@@ -180,6 +185,7 @@
 	return &Report{
 		Seed: o.Seed, Violations: w.violations.all(), Faults: w.appliedFaults, Outcomes: w.outcomes.all(),
 		Overlaps: w.overlaps, Departures: w.departures, Pauses: w.pauses, Limits: w.limits, Evacuations: w.evacuations, LongestDelay: w.delays.longest(w.started, time.Now()),
+		TakeUps: w.takeUps,
 	}, w.writeDetails()
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,8 +59,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: %d faults, outcomes %v, overlaps %v, departures %v, pauses %v, limits %v, evacuations %v, longest delay %v", seed, len(r.Faults), r.Outcomes,
-		r.Overlaps, r.Departures, r.Pauses, r.Limits, r.Evacuations, r.LongestDelay)
+	t.Logf("seed %d: %d faults, outcomes %v, overlaps %v, departures %v, pauses %v, limits %v, evacuations %v, take-ups %v, longest delay %v", seed, len(r.Faults), r.Outcomes,
+		r.Overlaps, r.Departures, r.Pauses, r.Limits, r.Evacuations, r.TakeUps, r.LongestDelay)
 	for _, v := range r.Violations {
 		t.Errorf("seed %d: %v", seed, v)
 	}
--- a/internal/soak/soakcmd/soakcmd.go
+++ b/internal/soak/soakcmd/soakcmd.go
@@ -162,7 +162,8 @@
 	slices.Sort(outcomes)
 	fmt.Printf("  outcomes: %v\n", outcomes)
 	fmt.Printf("  overlaps: %v; longest delay of the soak %v\n", r.Overlaps, r.LongestDelay.Round(time.Millisecond))
-	fmt.Printf("  departures: %v\n  pauses: %v\n  limits: %v\n  evacuations: %v\n", r.Departures, r.Pauses, r.Limits, r.Evacuations)
+	fmt.Printf("  departures: %v\n  pauses: %v\n  limits: %v\n  evacuations: %v\n  take-ups: %v\n", r.Departures, r.Pauses, r.Limits, r.Evacuations,
+		r.TakeUps)
 	if len(r.Violations) == 0 {
 		return
 	}
--- a/internal/soak/tables.go
+++ b/internal/soak/tables.go
@@ -94,7 +94,11 @@
 	if t.counts == nil {
 		t.counts = map[string]int{}
 	}
-	t.counts[r.kind.String()+" "+outcome]++
+	kind := r.kind.String()
+	if r.takesUp != nil {
+		kind = "take-up"
+	}
+	t.counts[kind+" "+outcome]++
 }
 
 func (t *outcomeCounts) all() map[string]int {
--- a/internal/soak/vmfaults.go
+++ b/internal/soak/vmfaults.go
@@ -9,14 +9,21 @@
 // reserveVM reserves a random VM, or returns nil if another fault has reserved
 // it.
 func (h *harness) reserveVM(r *rand.Rand) *vm {
-	v := h.vms[r.IntN(len(h.vms))]
+	if v := h.vms[r.IntN(len(h.vms))]; v.reserve() {
+		return v
+	}
+	return nil
+}
+
+// reserve reserves a VM for a fault. It returns false if another fault has reserved it.
+func (v *vm) reserve() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.inFault {
-		return nil
+		return false
 	}
 	v.inFault = true
-	return v
+	return true
 }
 
 // killVM kills a VM without warning and restarts it.
