--- a/internal/soak/takeups.go
+++ b/internal/soak/takeups.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxTakeUps is how often a caller asks for the rest of a stream.
-	maxTakeUps = 4
+	// takeUpTime is the time from the end of a request for which its caller asks for the rest of a stream.
+	// It is longer than all VMs are away at once.
+	takeUpTime = 5 * time.Second
 	// takeUpPause is the time until a caller asks for the rest of a stream that broke off, or again.
 	takeUpPause = 250 * time.Millisecond
 )
@@ -50,7 +51,7 @@
 func (c *caller) takeUp(ctx, faultCtx context.Context, r *request) {
 	t := r.brokenOff()
 	at := slices.Index(c.harness.vms, r.vm)
-	for n := 1; t != nil && n <= maxTakeUps && wait.Sleep(faultCtx, takeUpPause); n++ {
+	for n := 1; t != nil && time.Since(r.done) < takeUpTime && wait.Sleep(faultCtx, takeUpPause); n++ {
 		v := c.harness.vms[(at+n)%len(c.harness.vms)]
 		x := &request{
 			id: requestID(v, fmt.Sprintf("%s.up-%d", strings.ReplaceAll(r.id, ".", "-"), n)), kind: r.kind, vm: v, key: r.key, prompt: r.prompt,
