--- a/runend/runend.go
+++ b/runend/runend.go
@@ -340,24 +340,24 @@
 	case OtherServer:
 		e.state = Gone
 	case NotFound:
-		e.notFound(now)
+		e.notFound(now, id)
 	case InProgress:
-		e.inProgress(now)
+		e.inProgress(now, id)
 	case Refused:
 		e.answer()
-		e.again(now, e.next)
+		e.again(now, id, e.next)
 	case Lost:
 		e.lost(now, a)
 	case DeadConnection:
 		e.idleTried = e.closedAt != 0
-		e.retry(now, New)
+		e.schedule(id, New, now)
 	case NoIdle:
-		e.noIdle(now)
+		e.noIdle(now, id)
 	case PortClosed:
-		e.portClosed(now)
+		e.portClosed(now, id)
 	case NotConnected:
 		// The time that the attempt took counts: a dial may wait for hundreds of milliseconds.
-		e.next, e.nextAt = Idle, max(now+minInterval, a.since+maxInterval)
+		e.schedule(id, Idle, max(now+minInterval, a.since+maxInterval))
 	case NotPermitted:
 		e.withhold(now+minInterval, o)
 	case Paused:
@@ -370,15 +370,22 @@
 	e.reached, e.answered, e.closedAt, e.idleTried = true, true, 0, false
 }
 
+// schedule sets the next attempt as the result of attempt id requires. If a later attempt has begun,
+// the result may only bring the next one forward: the connection of an earlier one may have been
+// dead for seconds, which tells nothing of the engine now.
+func (e *End) schedule(id Attempt, c Connection, at time.Duration) {
+	if id < e.attempts && e.nextAt <= at {
+		return
+	}
+	e.next, e.nextAt = c, at
+}
+
 // again schedules an attempt after the interval, which grows with each failure.
-func (e *End) again(now time.Duration, c Connection) {
-	e.next, e.nextAt = c, now+min(minInterval<<(e.failures/2), maxInterval)
+func (e *End) again(now time.Duration, id Attempt, c Connection) {
+	e.schedule(id, c, now+min(minInterval<<(e.failures/2), maxInterval))
 	e.failures = min(e.failures+1, 16)
 }
 
-// retry schedules an attempt at once.
-func (e *End) retry(now time.Duration, c Connection) { e.next, e.nextAt = c, now }
-
 // withhold delays the next attempt: the engine must not be asked before.
 func (e *End) withhold(until time.Duration, by Outcome) {
 	e.withheldUntil, e.withheldBy = until, by
@@ -387,7 +394,7 @@
 
 // notFound handles an engine that has no such run. A request whose run was not seen to begin may
 // be in its queue.
-func (e *End) notFound(now time.Duration) {
+func (e *End) notFound(now time.Duration, id Attempt) {
 	if e.options.RunSeen {
 		e.state = Confirmed
 		return
@@ -396,18 +403,18 @@
 	if e.notFoundAt == 0 {
 		e.notFoundAt = now
 	}
-	e.next, e.nextAt = Any, now+maxInterval
+	e.schedule(id, Any, now+maxInterval)
 }
 
 // inProgress handles an engine that serves another call for the run. If that is an attempt which it
 // has not answered yet, the run has stopped: the engine stops it before it copies.
-func (e *End) inProgress(now time.Duration) {
+func (e *End) inProgress(now time.Duration, id Attempt) {
 	if e.AwaitsAnswer() && !e.options.CopyInProgress {
 		e.state = Confirmed
 		return
 	}
 	e.answer()
-	e.again(now, e.next)
+	e.again(now, id, e.next)
 }
 
 // AwaitsAnswer reports whether a call was sent that is not answered. The engine may be copying the
@@ -426,33 +433,33 @@
 func (e *End) lost(now time.Duration, a attempt) {
 	if a.connection != New {
 		e.idleTried = e.closedAt != 0
-		e.retry(now, New)
+		e.schedule(a.id, New, now)
 		return
 	}
 	e.answered = false
-	e.again(now, Idle)
+	e.again(now, a.id, Idle)
 }
 
 // noIdle handles an attempt for which there was no idle connection.
-func (e *End) noIdle(now time.Duration) {
+func (e *End) noIdle(now time.Duration, id Attempt) {
 	if e.closedAt == 0 || e.idleTried {
 		e.next = New // At the time of the attempt that was due.
 		return
 	}
 	e.idleTried = true
-	e.again(now, New)
+	e.again(now, id, New)
 }
 
 // portClosed handles an engine that refuses connections. It may have stopped, or accept none for
 // now and answer over an idle one.
-func (e *End) portClosed(now time.Duration) {
+func (e *End) portClosed(now time.Duration, id Attempt) {
 	if e.closedAt == 0 {
 		e.closedAt, e.idleTried = now, false
 	}
 	if e.idleTried || e.inProgressOver(Idle) {
 		e.idleTried = true // One that is silent tells no more than none.
-		e.again(now, New)
+		e.again(now, id, New)
 		return
 	}
-	e.retry(now, Idle)
+	e.schedule(id, Idle, now)
 }
--- a/runend/runend_test.go
+++ b/runend/runend_test.go
@@ -123,3 +123,40 @@
 		}
 	}
 }
+
+// Guards against a late result of an early attempt, over a connection that has been dead for seconds,
+// that puts off the next attempt: two engines worked on a run for 447 ms (issue 59).
+func TestLateResultDoesNotPutOffTheNextAttempt(t *testing.T) {
+	const second = simBegin + silenceLimit
+	for name, test := range map[string]struct {
+		// answered is when attempt 2 is lost, 0 if it brings no answer.
+		answered, due time.Duration
+	}{
+		"attempt 2 is lost":       {second + 5*ms, second + 5*ms + minInterval},
+		"attempt 2 has no answer": {0, second + silenceLimit},
+	} {
+		for _, outcome := range []Outcome{Lost, Refused, InProgress, NotFound, NotConnected} {
+			t.Run(name+", attempt 1 is "+string(outcome), func(t *testing.T) {
+				e := NewEnd(Options{Begin: simBegin, TimeLimit: simTimeLimit, CopyInProgress: true})
+				for i, now := range []time.Duration{simBegin, second} {
+					step := e.Next(now)
+					if step.Kind != Ask || step.Attempt != Attempt(i+1) {
+						t.Fatalf("step %+v", step)
+					}
+					e.Connecting(now, step.Attempt)
+					e.Sent(now, step.Attempt, New)
+				}
+				if test.answered != 0 {
+					e.Result(test.answered, 2, Lost, 0)
+				}
+				e.Result(test.due-ms, 1, outcome, 0)
+				if step := e.Next(test.due - ms); step.Kind != Wait || step.Until != test.due {
+					t.Errorf("step %+v before the next attempt is due at %v", step, test.due)
+				}
+				if step := e.Next(test.due); step.Kind != Ask {
+					t.Errorf("step %+v when the next attempt is due", step)
+				}
+			})
+		}
+	}
+}
