--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/vanillaarch/vanillaarch/control"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -147,6 +149,32 @@
 	r.Close()
 }
 
+// Guards against a run that is not copied from an engine that leaves: an evacuation found it among the
+// runs of that engine before it was on the engine, and took it for one that had left.
+func TestRunIsOnItsEngineOnceItIsAmongTheRunsThere(t *testing.T) {
+	r := newGatewayRig(t, 1)
+	vm := r.Snapshot().Backends["engine-0"]
+	s := &stream{call: &call{g: r.Gateway, log: zap.NewNop()}, ctx: t.Context()}
+	checks := 0
+	snapshot := r.Gateway.Snapshot
+	r.Gateway.Snapshot = func() *control.Snapshot { // Called by enterEngine, too.
+		for _, found := range r.runs.streamsOn(vm.ID) {
+			checks++
+			if !found.isOn(vm) {
+				t.Error("the run is among those of its engine, and not on it")
+			}
+		}
+		return snapshot()
+	}
+	s.enterEngine(vm)
+	r.Snapshot()
+	s.leaveEngine(vm)
+	r.Snapshot()
+	if checks != 2 {
+		t.Errorf("%d checks of the run, want one while it enters the engine and one after", checks)
+	}
+}
+
 // Guards against departures that are kept for good, against one of an earlier start that counts
 // for a later one, and against one that counts although the server is back.
 func TestDeparturesAreForgotten(t *testing.T) {
--- a/gateway/switchover.go
+++ b/gateway/switchover.go
@@ -102,15 +102,16 @@
 	}
 }
 
-// enterEngine records the engine of a segment that begins.
+// enterEngine records the engine of a segment that begins. The run is indexed last: an evacuation
+// that found it in the index before it was on the engine would take it for one that has left.
 func (s *stream) enterEngine(vm vmlist.VM) {
+	s.copies.mu.Lock()
+	s.copies.engine = vm.ID
+	s.copies.mu.Unlock()
 	s.g.runs.add(vm, s)
 	if !s.g.isLive(vm) {
 		s.g.runs.signalUnnoticed()
 	}
-	s.copies.mu.Lock()
-	defer s.copies.mu.Unlock()
-	s.copies.engine = vm.ID
 }
 
 // leaveEngine records the end of a segment. A requested switchover ends with it: on the
