--- a/runend/runend.go
+++ b/runend/runend.go
@@ -289,7 +289,9 @@
 func (e *End) Connecting(now time.Duration, id Attempt) {
 	if a := e.find(id); a != nil {
 		a.awaitsPermit, a.since = false, now
-		e.withheldUntil, e.withheldBy = 0, ""
+		if id == e.attempts {
+			e.permit()
+		}
 	}
 }
 
@@ -331,7 +333,9 @@
 	if !ok || e.state != Asked {
 		return
 	}
-	e.withheldUntil, e.withheldBy = 0, ""
+	if id == e.attempts || o == PortClosed {
+		e.permit()
+	}
 	switch o {
 	case Stopped:
 		e.state = Confirmed
@@ -359,9 +363,9 @@
 		// The time that the attempt took counts: a dial may wait for hundreds of milliseconds.
 		e.schedule(id, Idle, max(now+minInterval, a.since+maxInterval))
 	case NotPermitted:
-		e.withhold(now+minInterval, o)
+		e.withhold(id, now+minInterval, o)
 	case Paused:
-		e.withhold(max(until, now+minInterval), o)
+		e.withhold(id, max(until, now+minInterval), o)
 	}
 }
 
@@ -386,12 +390,20 @@
 	e.failures = min(e.failures+1, 16)
 }
 
-// withhold delays the next attempt: the engine must not be asked before.
-func (e *End) withhold(until time.Duration, by Outcome) {
+// withhold delays the next attempt: the engine must not be asked before. What a later attempt has
+// found counts if it is the longer time.
+func (e *End) withhold(id Attempt, until time.Duration, by Outcome) {
+	if id < e.attempts && e.withheldUntil >= until {
+		return
+	}
 	e.withheldUntil, e.withheldBy = until, by
 	e.next = Any
 }
 
+// permit ends what withhold began. Of the outcomes of an attempt that was made before the engine asked
+// for a pause, only a closed port tells that the pause has no meaning any more.
+func (e *End) permit() { e.withheldUntil, e.withheldBy = 0, "" }
+
 // notFound handles an engine that has no such run. A request whose run was not seen to begin may
 // be in its queue.
 func (e *End) notFound(now time.Duration, id Attempt) {
--- a/runend/runend_test.go
+++ b/runend/runend_test.go
@@ -160,3 +160,35 @@
 		}
 	}
 }
+
+// Guards against a late result of an attempt that was made before the engine asked for a pause, after
+// which the engine is asked in the pause, and the next engine begins beside it.
+func TestLateResultDoesNotEndAPause(t *testing.T) {
+	const second, paused = simBegin + silenceLimit, simBegin + silenceLimit + 5*ms
+	for _, first := range []Outcome{Lost, Refused, InProgress, NotFound, NotConnected, NotPermitted} {
+		t.Run(string(first), func(t *testing.T) {
+			e := NewEnd(Options{Begin: simBegin, TimeLimit: simTimeLimit, CopyInProgress: true})
+			for i, now := range []time.Duration{simBegin, second} {
+				if step := e.Next(now); step.Kind != Ask || step.Attempt != Attempt(i+1) {
+					t.Fatalf("step %+v", step)
+				}
+				e.Connecting(now, Attempt(i+1))
+			}
+			until := simBegin + simHold + 100*ms // Beyond the hold.
+			e.Result(paused, 2, Paused, until)
+			e.Result(paused+ms, 1, first, 0)
+			if step := e.Next(paused + maxInterval); step.Kind != Wait || step.Until != until {
+				t.Errorf("step %+v in a pause until %v", step, until)
+			}
+			if !e.Declined() {
+				t.Error("the engine counts as one that may be asked")
+			}
+			if v := e.Verdict(paused+ms, simBegin+simHold); first != NotFound && (v.Decision != GiveUp || v.Reason != Withheld) {
+				t.Errorf("verdict %+v in a pause beyond the hold", v)
+			}
+			if step := e.Next(until); step.Kind != Ask {
+				t.Errorf("step %+v at the end of the pause", step)
+			}
+		})
+	}
+}
