--- a/runend/runend.go
+++ b/runend/runend.go
@@ -448,7 +448,9 @@
 		e.schedule(a.id, New, now)
 		return
 	}
-	e.answered = false
+	if a.id == e.attempts { // A later attempt may have been answered meanwhile.
+		e.answered = false
+	}
 	e.again(now, a.id, Idle)
 }
 
--- a/runend/runend_test.go
+++ b/runend/runend_test.go
@@ -192,3 +192,22 @@
 		})
 	}
 }
+
+// Guards against a next engine that begins beside one that has answered without ending the run, since
+// an earlier attempt was lost after that.
+func TestLateLossDoesNotHideAnAnswer(t *testing.T) {
+	const second, now = simBegin + silenceLimit, simBegin + simHold
+	e := NewEnd(Options{Begin: simBegin, TimeLimit: simTimeLimit, RunSeen: true})
+	for i, at := range []time.Duration{simBegin, second} {
+		if step := e.Next(at); step.Kind != Ask || step.Attempt != Attempt(i+1) {
+			t.Fatalf("step %+v", step)
+		}
+		e.Connecting(at, Attempt(i+1))
+		e.Sent(at, Attempt(i+1), New)
+	}
+	e.Result(now-2*ms, 2, Refused, 0)
+	e.Result(now-ms, 1, Lost, 0)
+	if v := e.Verdict(now, now); v.Decision != GiveUp || v.Reason != NotEnded {
+		t.Errorf("verdict %+v, want %v %s", v, GiveUp, NotEnded)
+	}
+}
