--- a/runend/runend.go
+++ b/runend/runend.go
@@ -88,8 +88,8 @@
 	// reached again is asked well within the 400 ms for which two engines may work on a run.
 	minInterval = 30 * time.Millisecond
 	maxInterval = 250 * time.Millisecond
-	// unstartedTime is the time for which an engine that knows no run is asked further if this
-	// VM has not seen the run begin: the request may still be in the engine's queue.
+	// unstartedTime is the time for which an engine that knows no run is asked further at least, if
+	// this VM has not seen the run begin: the request may still be in the engine's queue.
 	unstartedTime = 2 * time.Second
 	// callLimit bounds the first attempt, whose answer comes when the memory of the run is copied.
 	// repeatLimit bounds the others, which an engine that has got the first answers at once.
@@ -258,8 +258,6 @@
 		e.state = Lapsed
 	case e.unlisted && (!e.reached || e.closedAt != 0 && e.idleTried):
 		e.state = Gone
-	case e.notFoundAt != 0 && now >= e.notFoundAt+unstartedTime:
-		e.state = Confirmed
 	}
 }
 
@@ -405,9 +403,10 @@
 func (e *End) permit() { e.withheldUntil, e.withheldBy = 0, "" }
 
 // notFound handles an engine that has no such run. A request whose run was not seen to begin may
-// be in its queue.
+// be in its queue. Only an answer at the end of unstartedTime tells that it is not: the run may have
+// begun while the engine did not answer.
 func (e *End) notFound(now time.Duration, id Attempt) {
-	if e.options.RunSeen {
+	if e.options.RunSeen || e.notFoundAt != 0 && now >= e.notFoundAt+unstartedTime {
 		e.state = Confirmed
 		return
 	}
--- a/runend/runend_test.go
+++ b/runend/runend_test.go
@@ -99,6 +99,19 @@
 	}
 }
 
+// Guards against a run that is never ended: it begins after its engine has said that it has none, and
+// the engine can't be asked until the time is over in which such a run may begin.
+func TestRunThatBeginsLateIsEndedAtAnEngineInTrouble(t *testing.T) {
+	const recovers = simBegin + unstartedTime + 300*ms
+	for _, kind := range []string{failing, dark, limited, slow, resetting, refusing, paused} {
+		e := &simEngine{startsAt: simBegin + 1500*ms, troubles: []trouble{{kind, simBegin + 1400*ms, recovers}}}
+		r := newSimulation(e, Options{}).run(simBegin + simHold)
+		if e.endedAt == 0 || e.endedAt-recovers > maxOverlap {
+			t.Errorf("%s: %+v, ended after %v", kind, r, e.endedAt-recovers)
+		}
+	}
+}
+
 // Guards against an engine that refuses to end a run for longer than callers wait, beside which the
 // next engine begins.
 func TestNextEngineDoesNotBeginBesideOneThatAnswers(t *testing.T) {
