--- a/gateway/cut.go
+++ b/gateway/cut.go
@@ -37,6 +37,10 @@
 	// cutMoveNotEnded means that the engine that the run has left may still work on it.
 	cutMoveNotEnded cutReason = "move_not_ended"
 
+	// cutEndTakenBack means that the engine closed the connection after this VM had asked it to end the
+	// run for a planned move, and had taken that back since no answer came in time.
+	cutEndTakenBack cutReason = "end_taken_back"
+
 	// The reasons of what this VM rejects: the framing of the body, an event that is too large,
 	// whose id is no number or whose id does not follow.
 	cutMalformedBody cutReason = "malformed_body"
@@ -73,7 +77,7 @@
 var cutBy = map[cutReason]endedBy{
 	cutEngineBrokeOff: endedByServer, cutPartialEvent: endedByServer,
 	cutMoveRefused: endedBySwitchover, cutMoveUnreachable: endedBySwitchover, cutMoveUnanswered: endedBySwitchover,
-	cutMoveRejected: endedBySwitchover, cutMoveNotEnded: endedBySwitchover,
+	cutMoveRejected: endedBySwitchover, cutMoveNotEnded: endedBySwitchover, cutEndTakenBack: endedBySwitchover,
 	cutMalformedBody: endedByVM, cutEventTooLarge: endedByVM, cutEventID: endedByVM, cutEventOrder: endedByVM,
 	cutMemoryRefused: endedByVM, cutMemoryEvicted: endedByVM, cutClosedHere: endedByVM, cutCancelled: endedByVM,
 	cutPanicked: endedByVM, cutCallerClosedHere: endedByVM,
@@ -98,9 +102,12 @@
 		return moveReason(s.moveErr)
 	case errors.Is(s.segmentEnd, context.DeadlineExceeded), s.remaining() <= 0:
 		return cutTimeLimit
-	default:
-		return segmentReason(s.segmentEnd)
 	}
+	reason := segmentReason(s.segmentEnd)
+	if reason == cutEngineBrokeOff && s.endTakenBack {
+		return cutEndTakenBack
+	}
+	return reason
 }
 
 // moveReason returns why a run did not go on from a moved copy.
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -300,6 +300,22 @@
 			c.leaves, c.answer = true, runOn
 			c.copyAnswer = func(w http.ResponseWriter) { sendPart(w, "id: 2\ndata: x\n\n") }
 		}, timeout, cutMoveRejected, endedBySwitchover, noNextNotRepeatable},
+		"engine ends the run after the call was taken back": {func(c *cutRig) {
+			ended := make(chan struct{})
+			c.leaves, c.copyAnswer = true, refuseCopy
+			c.answer = func(w http.ResponseWriter, r *http.Request) {
+				ctx, cancel := context.WithCancel(r.Context())
+				defer cancel()
+				go func() { <-ended; cancel() }()
+				runOn(w, r.WithContext(ctx))
+				panic(http.ErrAbortHandler)
+			}
+			var once sync.Once
+			c.endAnswer = func(w http.ResponseWriter) {
+				once.Do(func() { time.Sleep(maxEndWait + 50*time.Millisecond); close(ended) })
+				w.WriteHeader(http.StatusNotFound)
+			}
+		}, 2 * timeout, cutEndTakenBack, endedBySwitchover, noNextNotRepeatable},
 		// Why a stream that may be repeated does not go on.
 		"no attempt left": {
 			func(c *cutRig) { c.resumable(1); c.answer = breakOff(c) },
--- a/gateway/leave_engine.go
+++ b/gateway/leave_engine.go
@@ -134,6 +134,7 @@
 	})
 	if err == nil || errors.Is(err, errSwitchover) {
 		// The run has ended by itself, or goes on: it must not be ended later.
+		seg.endTakenBack = err != nil && !u.end.isDeclined()
 		u.end.abandon()
 		s.freeUnused(u.end, nil)
 		if err != nil {
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -32,6 +32,9 @@
 	// from a copy counts as resumed once its first event has arrived.
 	startEvent int64
 	fromCopy   bool
+	// endTakenBack is set if the engine was asked to end the run, and the call was taken back before
+	// an answer came.
+	endTakenBack bool
 }
 
 // RefusedError reports a response that states that the request was not executed.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,6 +54,8 @@
 	segmentEnd error
 	// moveErr is why the run did not go on from the copy for which it has left its last engine.
 	moveErr error
+	// endTakenBack is that of this segment.
+	endTakenBack bool
 	// noNext is why the stream is not sent to another engine.
 	noNext noNextReason
 	// software is the software version that the stream is bound to.
@@ -125,7 +127,7 @@
 	for err == nil {
 		var source *connectedCopy
 		source, err = s.relayUntilSwitch(seg)
-		s.segmentEnd = err
+		s.segmentEnd, s.endTakenBack = err, seg.endTakenBack
 		if source != nil {
 			seg, err = s.leaveTo(seg, source, err)
 			continue
