--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -154,6 +154,7 @@
 		return next, err
 	}
 	s.moveErr = err
+	s.releaseLeft() // The stream may wait for another engine.
 	return s.resume(seg, err)
 }
 
