--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -98,11 +98,13 @@
 		}
 		s.lastEvent = n
 	}
-	defer s.endOrigin()
 	if err := s.takeUp(); err != nil {
 		return err
 	}
 	err := s.run()
+	if _, begun := s.software.Version(); err == nil || !begun {
+		s.endOrigin() // Nobody takes the stream up.
+	}
 	if errors.Is(err, errResponded) {
 		s.abandoned = s.headSent
 		return nil
