--- a/streamorigin/records.go
+++ b/streamorigin/records.go
@@ -13,7 +13,9 @@
 
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/kv"
+	"github.com/vanillaarch/vanillaarch/peer"
 	"github.com/vanillaarch/vanillaarch/telemetry"
+	"github.com/vanillaarch/vanillaarch/vmlist"
 )
 
 // dropLogInterval is the time between two log lines on dropped records.
@@ -36,6 +38,11 @@
 	WritesPerSecond int
 	Log             *zap.Logger
 	Metrics         metrics.Registry
+	// VM is the id of this VM, Transport sends messages to others, and Members returns the VMs among
+	// which copies are kept. It must not block. Without a Transport there are no copies.
+	VM        string
+	Transport peer.Transport
+	Members   func() []vmlist.VM
 	// Now is the clock, by default that of package boottime.
 	Now func() time.Duration
 }
@@ -50,6 +57,7 @@
 
 	mu      sync.Mutex
 	machine *machine
+	copies  *copies
 	// droppedReported is the number of dropped records that are counted, and droppedLogged those
 	// in the log, the latest of which is of droppedLoggedAt.
 	droppedReported, droppedLogged int64
@@ -70,7 +78,7 @@
 	if o.Now == nil {
 		o.Now = boottime.Now
 	}
-	r := &Records{opts: o, changed: make(chan struct{}, 1)}
+	r := &Records{opts: o, changed: make(chan struct{}, 1), copies: newCopies()}
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("streamorigin."+name, o.Metrics)
 	}
@@ -129,11 +137,18 @@
 }
 
 // FirstEventPassed records that the first event was passed on, after which the origin is final. The
-// store learns of it beside other writes, so that the record counts after a return from a copy too.
+// store learns of it beside other writes, so that the record counts after a return from a copy too,
+// and two other VMs keep a copy.
 func (rec *Record) FirstEventPassed() {
-	rec.records.mu.Lock()
-	defer rec.records.mu.Unlock()
-	rec.records.machine.firstEventPassed(rec.entry)
+	r, e := rec.records, rec.entry
+	r.mu.Lock()
+	first := !e.passed
+	r.machine.firstEventPassed(e)
+	o, remaining := e.origin, e.until-r.opts.Now()
+	r.mu.Unlock()
+	if first {
+		r.sendCopy(e.prefix, o, remaining)
+	}
 }
 
 // End records that the stream has ended: there are no further attempts to write its record. A
@@ -163,7 +178,7 @@
 
 // Find returns where the stream of a request began. The error is an *UnknownError, an
 // *AmbiguousError or an *UnavailableError. It calls the store once, unless this VM has begun the
-// stream itself.
+// stream itself or keeps a copy.
 func (r *Records) Find(ctx context.Context, request string) (Origin, error) {
 	o, err := r.find(ctx, request)
 	switch {
@@ -183,11 +198,19 @@
 
 func (r *Records) find(ctx context.Context, request string) (Origin, error) {
 	r.mu.Lock()
-	o, known, err := r.machine.find(r.opts.Now(), request)
+	now := r.opts.Now()
+	o, known, err := r.machine.find(now, request)
+	if !known {
+		o, known, err = r.copies.find(now, request, requestPrefix(request))
+	}
 	r.mu.Unlock()
 	if known {
 		return o, err
 	}
+	return r.findElsewhere(ctx, request)
+}
+
+func (r *Records) findInStore(ctx context.Context, request string) (Origin, error) {
 	listing, err := r.opts.Store.ListPage(ctx, requestPrefix(request), kv.Linearizable)
 	if err != nil {
 		return Origin{}, &UnavailableError{Request: request, Cause: err}
--- a/streamorigin/streamorigin.go
+++ b/streamorigin/streamorigin.go
@@ -25,10 +25,17 @@
 // This holds as long as the id of a request is used once. Records of two requests with the same id
 // and different versions are an *AmbiguousError if both were stored.
 //
+// # Copies at other VMs
+//
+// Two other VMs keep a copy in memory, by rendezvous of the request id, so that streams are taken up
+// while the store is away. A copy is sent once the first event was passed on, when the origin is
+// final, so a late or repeated message is never wrong. VMs are asked when the store is silent, fails
+// or knows nothing.
+//
 // # Memory
 //
-// Records holds at most maxRecords records, in less than 8 MiB (4.7 MB measured), of which at
-// most maxWaiting wait for their first write.
+// Records holds at most maxRecords records, of which at most maxWaiting wait for their first write,
+// and maxCopies copies for other VMs. Both together take less than 16 MiB.
 package streamorigin
 
 import (
