--- a/streamorigin/copies_test.go
+++ b/streamorigin/copies_test.go
@@ -185,23 +185,34 @@
 		}
 		passed := map[string]vmlist.SoftwareVersion{}
 		version := rapid.SampledFrom(simVersions)
-		begin := func(request string) {
-			r := f.vms[rapid.SampledFrom(ids).Draw(t, "VM")]
-			if r == nil {
-				return
-			}
+		// open holds the streams without a first event.
+		type openStream struct {
+			rec     *Record
+			version vmlist.SoftwareVersion
+		}
+		open := map[string]openStream{}
+		goOn := func(request string) {
+			st, isOpen := open[request]
 			latest := version.Draw(t, "version")
-			rec := r.Begin(request, Origin{Version: latest}, time.Minute)
-			for range rapid.IntRange(0, 2).Draw(t, "replacements") {
-				latest = version.Draw(t, "version")
-				rec.Replace(Origin{Version: latest})
-			}
-			if rapid.Bool().Draw(t, "first event") {
-				passed[request] = latest
-				rec.FirstEventPassed()
+			switch {
+			case !isOpen:
+				if r := f.vms[rapid.SampledFrom(ids).Draw(t, "VM")]; r != nil && passed[request] == "" {
+					open[request] = openStream{r.Begin(request, Origin{Version: latest}, time.Minute), latest}
+				}
+			case f.vms[st.rec.records.opts.VM] == nil:
+				passed[request] = "none" // The id is not used again.
+				delete(open, request)
+			case rapid.Bool().Draw(t, "first event"):
+				passed[request] = st.version
+				st.rec.FirstEventPassed()
+				delete(open, request)
+			default:
+				st.rec.Replace(Origin{Version: latest})
+				open[request] = openStream{st.rec, latest}
 			}
 		}
-		for i := range rapid.IntRange(1, 20).Draw(t, "steps") {
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			request := fmt.Sprint("request-", rapid.IntRange(0, 3).Draw(t, "request"))
 			switch {
 			case len(f.sent) > 0 && rapid.Bool().Draw(t, "delivers"):
 				_ = f.deliver(rapid.SampledFrom(f.sent).Draw(t, "message")) // To a VM that was killed it is lost.
@@ -209,11 +220,11 @@
 				f.kill(rapid.SampledFrom(ids).Draw(t, "killed"))
 			case rapid.Bool().Draw(t, "asks"):
 				if r := f.vms[rapid.SampledFrom(ids).Draw(t, "asking")]; r != nil {
-					prefix := requestPrefix(fmt.Sprint("request-", rapid.IntRange(0, i).Draw(t, "asked")))
+					prefix := requestPrefix(request)
 					r.send(r.others(prefix, askedKeepers), &peerpb.StreamOrigins{Asked: [][]byte{hashOf(prefix)}})
 				}
 			default:
-				begin(fmt.Sprint("request-", i))
+				goOn(request)
 			}
 			for request, want := range passed {
 				for id, r := range f.vms {
