--- a/entry.go
+++ b/entry.go
@@ -167,10 +167,12 @@
 	e.origins = streamorigin.NewTracker(streamorigin.TrackerOptions{
 		Options: streamorigin.Options{
 			Store: o.Store, VMs: func() int { return e.loop.Snapshot().EntryVMCount() }, WritesPerSecond: d.Store.WritesPerSecond,
-			Log: o.Log, Metrics: e.metrics,
+			Log: o.Log, Metrics: e.metrics, VM: d.VM, Transport: e.mesh.sessions,
+			Members: func() []vmlist.VM { return e.loop.Snapshot().EntryVMs },
 		},
 		VM: d.VM, FirstStart: d.FirstStart, Loop: e.loop,
 	})
+	e.mesh.onOrigins = e.origins.Receive
 	e.grants = e.newGrantManager()
 	e.gateway = gateway.New(gateway.Options{
 		VM: d.VM, Zone: d.Zone, Region: d.Region, ZoneRegions: d.ZoneRegions, MemoryBytes: d.Limits.MemoryBytes, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker, Quarantine: e.mesh.quarantine, Servers: e.mesh.servers, Permits: e.mesh.permits, Origins: e.origins,
--- a/mesh.go
+++ b/mesh.go
@@ -72,6 +72,9 @@
 	// onDispatch handles dispatch messages of peers, which are dropped if it is nil. It
 	// must be set before the tasks run.
 	onDispatch peer.Handler
+	// onOrigins handles the messages of peers about where streams began, which are dropped if it is nil.
+	// It must be set before the tasks run.
+	onOrigins func(from string, m *peerpb.StreamOrigins)
 	// onSuspected is called when this VM learns that others suspect it, if it is not nil.
 	// It must be set before the tasks start.
 	onSuspected func()
@@ -203,6 +206,12 @@
 		m.permits.Receive(from, l)
 		return
 	}
+	if o := e.GetStreamOrigins(); o != nil {
+		if m.onOrigins != nil {
+			m.onOrigins(from, o)
+		}
+		return
+	}
 	if m.onDispatch != nil {
 		m.onDispatch(from, e)
 	}
