--- a/gateway/go_back.go
+++ b/gateway/go_back.go
@@ -46,6 +46,9 @@
 // still has the memory of the run and may get work. cause is why the run does not go on from source.
 // It returns nil if the run can't go back. It is tried once for each planned move.
 func (s *stream) goBack(source *connectedCopy, cause error) *segment {
+	if state := usedState(cause); state != copyRefused && state != copyUnreachable {
+		return nil // The next engine may have begun the run, and it must not be sent again.
+	}
 	if s.left == nil || source.end == nil || source.end.returnTried {
 		return nil
 	}
