--- a/gateway/go_back.go
+++ b/gateway/go_back.go
@@ -13,8 +13,8 @@
 )
 
 // An engine that has ended a run for a planned move keeps the memory of the run, and a request may
-// go on from it there. The run goes back if the engine with the copy does not go on: the stream
-// would be cut otherwise, although its engine is sound.
+// go on from it there. The run goes back if the engine with the copy refuses it or can't be sent it: the
+// stream would be cut otherwise, although its engine is sound.
 
 // maxReturns is the number of returns after which an evacuation moves a run no more. Each counts twice
 // against the retry budget, without which a run can't go back, and pauses the stream.
--- a/gateway/go_back_test.go
+++ b/gateway/go_back_test.go
@@ -24,7 +24,7 @@
 }
 
 // Guards against a stream that is cut since a planned move has ended its run at a sound engine and the
-// next engine does not go on from the copy, although the first one keeps the memory of the run.
+// next engine refuses the copy, although the first one keeps the memory of the run.
 func TestRunGoesBackIfItsNextEngineFails(t *testing.T) {
 	for name, test := range map[string]struct {
 		next func(http.ResponseWriter)
