--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"strings"
 	"time"
@@ -102,8 +103,13 @@
 		total += t.Weight
 	}
 	// The hash of the request id is uniformly distributed. A retry by the caller has
-	// another id and may go to another service.
-	point := hashFraction(c.info.ID) * total
+	// another id and may go to another service, unless it takes up a stream: that goes on at the
+	// service that began it.
+	id := c.info.ID
+	if c.info.LastEvent != "" {
+		id = cmp.Or(c.info.Resumes, id)
+	}
+	point := hashFraction(id) * total
 	for _, t := range targets {
 		if point -= t.Weight; point < 0 {
 			return t.Service
