--- a/gateway/software_version.go
+++ b/gateway/software_version.go
@@ -21,6 +21,7 @@
 // Origins tells at which software version streams began. It is a *streamorigin.Tracker.
 type Origins interface {
 	BeginIn(service, request string, o streamorigin.Origin, lifetime time.Duration) (*streamorigin.Record, error)
+	ReplaceIn(service string, rec *streamorigin.Record, o streamorigin.Origin, lifetime time.Duration) error
 	FindIn(ctx context.Context, service, request string) (streamorigin.Origin, error)
 	Available() bool
 }
@@ -160,15 +161,17 @@
 	s.origin.mu.Lock()
 	defer s.origin.mu.Unlock()
 	if s.origin.record != nil {
-		s.origin.record.Replace(origin)
-		return nil
+		return s.g.Origins.ReplaceIn(s.service.Name, s.origin.record, origin, s.originLifetime())
 	}
 	return s.beginOrigin(origin)
 }
 
+// originLifetime returns the time after which nobody takes the stream up any more.
+func (s *stream) originLifetime() time.Duration { return s.route.Timeout + responseGrace }
+
 // beginOrigin begins the record of an origin, unless it needs none. The caller holds s.origin.mu.
 func (s *stream) beginOrigin(origin streamorigin.Origin) error {
-	record, err := s.g.Origins.BeginIn(s.service.Name, s.info.ID, origin, s.route.Timeout+responseGrace)
+	record, err := s.g.Origins.BeginIn(s.service.Name, s.info.ID, origin, s.originLifetime())
 	if err != nil {
 		return err
 	}
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -79,25 +79,56 @@
 // BeginIn is Records.Begin for a stream of a service. It returns nil if the stream needs no record, and a
 // *NotStoredError if the stream must not begin.
 func (t *Tracker) BeginIn(service, request string, o Origin, lifetime time.Duration) (*Record, error) {
-	t.mu.Lock()
-	known := t.registry.standing(t.now(), service, o.Version, lifetime)
-	t.mu.Unlock()
+	known := t.standing(service, o.Version, lifetime)
 	if known == sole || known == registered && o.Version == "" {
 		return nil, nil // What the registry says is enough.
 	}
-	if known == unregistered && !t.Available() {
-		return nil, &NotStoredError{Version: o.Version}
-	}
-	if o.Version == "" {
-		o.Version = unknownVersion
+	if err := t.mayBegin(known, o.Version); err != nil {
+		return nil, err
 	}
-	record := t.Begin(request, o, lifetime)
+	record := t.Begin(request, recorded(o), lifetime)
 	if known == unregistered {
 		record.RequireStored()
 	}
 	return record, nil
 }
 
+// ReplaceIn is Record.Replace for a stream of a service. It returns a *NotStoredError if the stream must
+// not begin at the origin; the record is unchanged then.
+func (t *Tracker) ReplaceIn(service string, rec *Record, o Origin, lifetime time.Duration) error {
+	known := t.standing(service, o.Version, lifetime)
+	if err := t.mayBegin(known, o.Version); err != nil {
+		return err
+	}
+	rec.Replace(recorded(o))
+	if known == unregistered {
+		rec.RequireStored()
+	}
+	return nil
+}
+
+func (t *Tracker) standing(service string, v vmlist.SoftwareVersion, lifetime time.Duration) standing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.registry.standing(t.now(), service, v, lifetime)
+}
+
+// recorded returns an origin as records have it.
+func recorded(o Origin) Origin {
+	if o.Version == "" {
+		o.Version = unknownVersion
+	}
+	return o
+}
+
+// mayBegin returns a *NotStoredError if a stream must not begin at a version.
+func (t *Tracker) mayBegin(known standing, v vmlist.SoftwareVersion) error {
+	if known == unregistered && !t.Available() {
+		return &NotStoredError{Version: v}
+	}
+	return nil
+}
+
 // RequireStored makes Settled wait until the record is stored.
 func (rec *Record) RequireStored() {
 	rec.records.mu.Lock()
