--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -33,6 +33,9 @@
 	// searchInterval is the time between two reads while the registry lacks a listed version, or
 	// holds one that is not listed.
 	searchInterval = 15 * time.Second
+	// maxDutyGap is the time between two calls of duties after which the VM may have missed versions
+	// that came and went.
+	maxDutyGap = 10 * time.Second
 	// maxVersions bounds the versions of a service that are registered.
 	maxVersions = 64
 )
@@ -107,8 +110,11 @@
 // no network I/O. The current time is always an argument, on one monotonic clock.
 type registry struct {
 	listed map[string][]vmlist.SoftwareVersion
-	// missingSince holds, by key, since when a registered version is not listed.
+	// missingSince holds, by key, since when a registered version is not listed while another one is
+	// registered. It starts anew after a failed call or a gap: this VM may have been cut off, or may
+	// not have kept the registry. dutiesAt is when it was last updated.
 	missingSince map[string]time.Duration
+	dutiesAt     time.Duration
 
 	known    map[string]versionSet
 	complete bool
@@ -182,6 +188,7 @@
 func (r *registry) read(asked, now time.Duration, l kv.Listing, err error) {
 	if err != nil {
 		r.nextRead, r.readFailed = now+pauseMax, true
+		clear(r.missingSince)
 		return
 	}
 	if l.Era != r.era {
@@ -204,6 +211,10 @@
 	if r.readAt == 0 || now-r.readAt >= maxKnownAge {
 		return nil, nil
 	}
+	if now-r.dutiesAt > maxDutyGap {
+		clear(r.missingSince)
+	}
+	r.dutiesAt = now
 	settled := first && r.isFirstEra || now-r.eraSince >= settleAge
 	missing := map[string]time.Duration{}
 	for service, listed := range r.listed {
@@ -223,8 +234,8 @@
 	}
 	for service, known := range r.known {
 		for _, v := range known {
-			if slices.Contains(r.listed[service], v) {
-				continue
+			if slices.Contains(r.listed[service], v) || len(known) == 1 {
+				continue // The last version of a service stays until another one is registered.
 			}
 			key := registryKey(service, v)
 			since, ok := r.missingSince[key]
@@ -232,8 +243,7 @@
 				since = now
 			}
 			missing[key] = since
-			// The last version of a service stays until another one is registered.
-			if now-since >= forgetAge && len(known) > 1 && len(deletes) < batchSize {
+			if now-since >= forgetAge && len(deletes) < batchSize {
 				deletes = append(deletes, key)
 			}
 		}
@@ -247,6 +257,7 @@
 	r.nextRead = now
 	if err != nil {
 		r.nextRead = now + pauseMax
+		clear(r.missingSince)
 	}
 	r.readAt = min(r.readAt, now-refreshAge) // To be read again.
 }
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -99,3 +99,118 @@
 	}
 	return kv.Entry{Key: registryKey(testService, v), Value: value}
 }
+
+// keeperRig is a registry that keeps the one of a store.
+type keeperRig struct {
+	t *testing.T
+	*registry
+	now    time.Duration
+	store  map[string]kv.Entry
+	era    kv.Era
+	first  bool
+	writes int
+}
+
+func newKeeperRig(t *testing.T, versions ...vmlist.SoftwareVersion) *keeperRig {
+	t.Helper()
+	k := &keeperRig{t: t, registry: newRegistry(0), now: time.Minute, store: map[string]kv.Entry{}}
+	for _, e := range registryListing(t, 0, versions...).Entries {
+		k.store[e.Key] = e
+	}
+	return k
+}
+
+// listing returns what the store holds.
+func (k *keeperRig) listing() kv.Listing {
+	l := kv.Listing{Era: k.era}
+	for _, e := range k.store {
+		l.Entries = append(l.Entries, e)
+	}
+	return l
+}
+
+// run plays seconds with a list of versions.
+func (k *keeperRig) run(d time.Duration, listed ...vmlist.SoftwareVersion) {
+	k.t.Helper()
+	k.setListed(listedVersions(listed...))
+	for end := k.now + d; k.now < end; k.now += time.Second {
+		if due, _ := k.readDue(k.now); due {
+			k.read(k.now, k.now, k.listing(), nil)
+		}
+		puts, deletes := k.duties(k.now, k.first)
+		if len(puts)+len(deletes) == 0 {
+			continue
+		}
+		k.writes++
+		for _, p := range puts {
+			k.store[p.Key] = kv.Entry{Key: p.Key, Value: p.Value}
+		}
+		for _, key := range deletes {
+			delete(k.store, key)
+		}
+		k.wrote(k.now, nil)
+	}
+}
+
+func (k *keeperRig) registered() []vmlist.SoftwareVersion {
+	versions, _ := readRegistry(k.listing())
+	slices.Sort(versions[testService])
+	return versions[testService]
+}
+
+func (k *keeperRig) want(what string, versions ...vmlist.SoftwareVersion) {
+	k.t.Helper()
+	if got := k.registered(); !slices.Equal(got, versions) {
+		k.t.Errorf("%s: registered %q, want %q", what, got, versions)
+	}
+}
+
+// Guards against the removal of a version of which streams without a record may still be taken up, and
+// against versions that are never removed.
+func TestKeeperRemovesVersionsAfterForgetAge(t *testing.T) {
+	k := newKeeperRig(t, "v1")
+	k.run(10*time.Second, "v1", "v2")
+	k.want("a second version", "v1", "v2")
+	k.run(forgetAge-time.Second, "v2")
+	k.want("before forgetAge", "v1", "v2")
+	k.run(time.Second, "v1")
+	k.run(forgetAge-time.Second, "v2")
+	k.want("a version that came back", "v1", "v2")
+	k.run(5*time.Second, "v2")
+	k.want("after forgetAge", "v2")
+	writes := k.writes
+	k.run(time.Hour, "v2")
+	if k.writes != writes {
+		t.Errorf("%d writes without a change", k.writes-writes)
+	}
+}
+
+// Guards against the removal of the last version as soon as another one is registered: a VM that has read
+// the registry before may begin streams at it when it comes back.
+func TestKeeperCountsFromTheRegistrationOfAnotherVersion(t *testing.T) {
+	k := newKeeperRig(t, "v1")
+	k.run(2 * forgetAge)
+	k.want("no version is listed", "v1")
+	k.run(forgetAge-5*time.Second, "v2")
+	k.want("soon after the next version", "v1", "v2")
+	k.run(10*time.Second, "v2")
+	k.want("long after the next version", "v2")
+}
+
+// Guards against the removal of a version that came back while the keeper was frozen, was cut off, or was
+// not the keeper.
+func TestKeeperCountsAnewWhenItMayHaveMissedAVersion(t *testing.T) {
+	for name, miss := range map[string]func(*keeperRig){
+		"frozen":      func(k *keeperRig) { k.now += 40 * time.Second },
+		"read fails":  func(k *keeperRig) { k.read(k.now, k.now, kv.Listing{}, &kv.UnavailableError{}) },
+		"write fails": func(k *keeperRig) { k.wrote(k.now, &kv.UnavailableError{}) },
+	} {
+		k := newKeeperRig(t, "v1", "v2")
+		k.run(forgetAge-10*time.Second, "v2")
+		miss(k)
+		k.run(forgetAge-10*time.Second, "v2")
+		k.want(name, "v1", "v2")
+		k.run(30*time.Second, "v2")
+		k.want(name+", later", "v2")
+	}
+}
