--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -151,11 +151,11 @@
 	if readErr != nil {
 		return Origin{}, &UnavailableError{Request: request, Cause: readErr}
 	}
-	versions, complete := readRegistry(l)
-	if !complete || len(versions[service]) != 1 || versions[service][0] == "" || l.Era < t.era() {
+	v, ok := readRegistry(l).origin(service)
+	if !ok || l.Era < t.era() {
 		return Origin{}, err
 	}
-	return Origin{Version: versions[service][0]}, nil
+	return Origin{Version: v}, nil
 }
 
 func (t *Tracker) now() time.Duration { return t.Records.opts.Now() }
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -76,19 +76,43 @@
 	return fmt.Sprintf("%s%016x/%016x", RegistryPrefix, hash.Pair("service", service), hash.Pair(service, string(v)))
 }
 
-// readRegistry returns the registered versions of each service. Entries of an earlier era don't
-// count, and complete is false for a service that has one, or if an entry can't be read.
-func readRegistry(l kv.Listing) (versions map[string]versionSet, complete bool) {
-	versions, complete = map[string]versionSet{}, !l.Partial
+// registryContents is what an answer of the store says about versions in service.
+type registryContents struct {
+	// versions holds the registered versions of each service, and stale those of entries of an earlier
+	// era, which don't count.
+	versions, stale map[string]versionSet
+	// unreadable is set if there are entries that can't be read, or more than in the answer.
+	unreadable bool
+}
+
+func readRegistry(l kv.Listing) registryContents {
+	c := registryContents{map[string]versionSet{}, map[string]versionSet{}, l.Partial}
 	for _, e := range l.Entries {
 		var r registration
-		if err := json.Unmarshal(e.Value, &r); err != nil || r.Era != l.Era {
-			complete = false
-			continue
+		switch err := json.Unmarshal(e.Value, &r); {
+		case err != nil:
+			c.unreadable = true
+		case r.Era != l.Era:
+			c.stale[r.Service] = append(c.stale[r.Service], r.Version)
+		default:
+			c.versions[r.Service] = append(c.versions[r.Service], r.Version)
 		}
-		versions[r.Service] = append(versions[r.Service], r.Version)
 	}
-	return versions, complete
+	return c
+}
+
+// complete reports whether the registry lacks no version of a service that may have begun streams.
+func (c registryContents) complete(service string) bool {
+	return !c.unreadable && len(c.stale[service]) == 0
+}
+
+// origin returns the version at which all streams of a service began that have no record.
+func (c registryContents) origin(service string) (v vmlist.SoftwareVersion, ok bool) {
+	versions := c.versions[service]
+	if !c.complete(service) || len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], versions[0] != ""
 }
 
 // standing is what a VM knows of a version of a service.
@@ -116,8 +140,7 @@
 	missingSince map[string]time.Duration
 	dutiesAt     time.Duration
 
-	known    map[string]versionSet
-	complete bool
+	known registryContents
 	// readAt is when the last successful read began, 0 if there was none, nextRead when the next
 	// one may begin.
 	readAt, nextRead time.Duration
@@ -148,12 +171,12 @@
 
 // standing returns what is known of a version at which a stream is to begin.
 func (r *registry) standing(now time.Duration, service string, v vmlist.SoftwareVersion, lifetime time.Duration) standing {
-	known := r.known[service]
+	known := r.known.versions[service]
 	if r.readAt == 0 || !slices.Contains(known, v) {
 		return unregistered
 	}
 	listed := r.listed[service]
-	if r.complete && now-r.readAt < maxKnownAge && lifetime <= maxUnrecordedLifetime && len(known) == 1 && len(listed) == 1 && listed[0] == v {
+	if r.known.complete(service) && now-r.readAt < maxKnownAge && lifetime <= maxUnrecordedLifetime && len(known) == 1 && len(listed) == 1 && listed[0] == v {
 		return sole
 	}
 	return registered
@@ -175,13 +198,13 @@
 // matches reports whether the registry holds the listed versions and no others.
 func (r *registry) matches() bool {
 	for service, listed := range r.listed {
-		known := slices.Clone(r.known[service])
+		known := slices.Clone(r.known.versions[service])
 		slices.Sort(known)
-		if !slices.Equal(listed, known) {
+		if !slices.Equal(listed, known) || !r.known.complete(service) {
 			return false
 		}
 	}
-	return r.complete
+	return true
 }
 
 // read adopts the answer to a read that began at asked. A failed read is tried again after a pause.
@@ -195,17 +218,17 @@
 		r.isFirstEra = r.era == kv.NoEra
 		r.era, r.eraSince = l.Era, asked
 	}
-	r.known, r.complete = readRegistry(l)
+	r.known = readRegistry(l)
 	r.readAt = asked
 }
 
 // forgetKnown is called when the era of the store rises.
 func (r *registry) forgetKnown(now time.Duration) {
-	r.known, r.complete, r.readAt, r.nextRead = nil, false, 0, now
+	r.known, r.readAt, r.nextRead = registryContents{}, 0, now
 }
 
 // duties returns what the VM that keeps the registry is to write: listed versions that are not
-// registered, and the keys of registered ones of which no server was listed for forgetAge. first is set
+// registered, and the keys of those of which no server was listed for forgetAge. first is set
 // if the whole system starts for the first time, when no stream can have begun before.
 func (r *registry) duties(now time.Duration, first bool) (puts []kv.Put, deletes []string) {
 	if r.readAt == 0 || now-r.readAt >= maxKnownAge {
@@ -218,7 +241,7 @@
 	settled := first && r.isFirstEra || now-r.eraSince >= settleAge
 	missing := map[string]time.Duration{}
 	for service, listed := range r.listed {
-		known := r.known[service]
+		known := r.known.versions[service]
 		for _, v := range listed {
 			if slices.Contains(known, v) || len(puts) >= batchSize || len(known) >= maxVersions {
 				continue
@@ -232,10 +255,14 @@
 			}
 		}
 	}
-	for service, known := range r.known {
-		for _, v := range known {
-			if slices.Contains(r.listed[service], v) || len(known) == 1 {
-				continue // The last version of a service stays until another one is registered.
+	for service, known := range r.known.versions {
+		candidates := r.known.stale[service]
+		if len(known) > 1 { // The last version of a service stays until another one is registered.
+			candidates = slices.Concat(known, candidates)
+		}
+		for _, v := range candidates {
+			if slices.Contains(r.listed[service], v) {
+				continue
 			}
 			key := registryKey(service, v)
 			since, ok := r.missingSince[key]
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -153,9 +153,9 @@
 }
 
 func (k *keeperRig) registered() []vmlist.SoftwareVersion {
-	versions, _ := readRegistry(k.listing())
-	slices.Sort(versions[testService])
-	return versions[testService]
+	versions := readRegistry(k.listing()).versions[testService]
+	slices.Sort(versions)
+	return versions
 }
 
 func (k *keeperRig) want(what string, versions ...vmlist.SoftwareVersion) {
@@ -214,3 +214,42 @@
 		k.want(name+", later", "v2")
 	}
 }
+
+// Guards against a registry that stays incomplete after the store came back from a copy, so that each
+// stream of every service needs a record for good: a version in the copy that is in service no longer.
+func TestEntriesOfAnEarlierEraAreReplaced(t *testing.T) {
+	k := newKeeperRig(t, "v1", "v2")
+	k.run(10*time.Second, "v1", "v2")
+	k.era = 1
+	k.forgetKnown(k.now)
+	k.run(forgetAge, "v2")
+	if c := readRegistry(k.listing()); c.complete(testService) {
+		t.Error("complete while streams at a version of the copy may be taken up")
+	} else if !c.complete("other") {
+		t.Error("other services are incomplete too")
+	}
+	k.run(forgetAge, "v2")
+	if v, ok := readRegistry(k.listing()).origin(testService); !ok || v != "v2" {
+		t.Errorf("%q, %v after forgetAge", v, ok)
+	}
+}
+
+// Guards against a look-up that trusts a registry with entries that a VM can't read.
+func TestUnreadableEntryMakesTheRegistryIncomplete(t *testing.T) {
+	l := registryListing(t, 0, "v1")
+	if _, ok := readRegistry(l).origin(testService); !ok {
+		t.Error("a sole version is not found")
+	}
+	l.Entries = append(l.Entries, kv.Entry{Key: RegistryPrefix + "x", Value: []byte("x")})
+	if _, ok := readRegistry(l).origin(testService); ok {
+		t.Error("found beside an unreadable entry")
+	}
+	if _, ok := readRegistry(registryListing(t, 0, "")).origin(testService); ok {
+		t.Error("an unknown version is found")
+	}
+	l = registryListing(t, 0, "v1")
+	l.Partial = true
+	if _, ok := readRegistry(l).origin(testService); ok {
+		t.Error("found in a part of the registry")
+	}
+}
