--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -108,8 +108,12 @@
 }
 
 func (t *Tracker) standing(service string, v vmlist.SoftwareVersion, lifetime time.Duration) standing {
+	era := t.era()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.registry.readAt > 0 {
+		t.registry.eraChanged(t.now(), era) // A record may have met it first.
+	}
 	return t.registry.standing(t.now(), service, v, lifetime)
 }
 
@@ -210,7 +214,7 @@
 	t.EraChanged(era)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.registry.forgetKnown(t.now())
+	t.registry.eraChanged(t.now(), era)
 }
 
 // perform makes the calls that are due, and returns when to look again.
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -27,9 +27,9 @@
 	// what another VM has read before, the lifetime of its streams, and the lag of its list.
 	forgetAge = maxKnownAge + maxUnrecordedLifetime + 15*time.Second
 	// settleAge is the time after a return of the store from a copy, or after the start of the VM that
-	// keeps the registry, for which it waits before it registers versions anew: streams that began
-	// before may have no record in the copy.
-	settleAge = maxUnrecordedLifetime
+	// keeps the registry, in which a service without versions in it may have lost some, and streams
+	// that began at them may have no record. Another VM may learn of the return late.
+	settleAge = forgetAge
 	// searchInterval is the time between two reads while the registry lacks a listed version, or
 	// holds one that is not listed.
 	searchInterval = 15 * time.Second
@@ -214,7 +214,10 @@
 		clear(r.missingSince)
 		return
 	}
-	if l.Era != r.era {
+	if l.Era < r.era {
+		return // It is older than what is known of the store.
+	}
+	if l.Era > r.era {
 		r.isFirstEra = r.era == kv.NoEra
 		r.era, r.eraSince = l.Era, asked
 	}
@@ -222,8 +225,13 @@
 	r.readAt = asked
 }
 
-// forgetKnown is called when the era of the store rises.
-func (r *registry) forgetKnown(now time.Duration) {
+// eraChanged is called when the VM learns the era of the store. What it has read in an earlier one does
+// not count.
+func (r *registry) eraChanged(now time.Duration, era kv.Era) {
+	if era <= r.era {
+		return
+	}
+	r.isFirstEra, r.era, r.eraSince = false, era, now
 	r.known, r.readAt, r.nextRead = registryContents{}, 0, now
 }
 
@@ -247,12 +255,11 @@
 				continue
 			}
 			if len(known) == 0 && !settled {
-				continue // Streams may have begun before the registry was lost.
-			}
-			value, err := json.Marshal(registration{Service: service, Version: v, Era: r.era})
-			if err == nil {
-				puts = append(puts, kv.Put{Key: registryKey(service, v), Value: value})
+				// Streams may have begun before the registry was lost. The unknown version stands
+				// for theirs, and is removed after forgetAge like any other.
+				puts = r.register(puts, service, "")
 			}
+			puts = r.register(puts, service, v)
 		}
 	}
 	for service, known := range r.known.versions {
@@ -279,6 +286,19 @@
 	return puts, deletes
 }
 
+// register adds the write of a registration.
+func (r *registry) register(puts []kv.Put, service string, v vmlist.SoftwareVersion) []kv.Put {
+	value, err := json.Marshal(registration{Service: service, Version: v, Era: r.era})
+	if err != nil {
+		return puts // A registration of strings and numbers can always be encoded.
+	}
+	put := kv.Put{Key: registryKey(service, v), Value: value}
+	if slices.ContainsFunc(puts, func(p kv.Put) bool { return p.Key == put.Key }) {
+		return puts
+	}
+	return append(puts, put)
+}
+
 // wrote adopts the result of a write of duties.
 func (r *registry) wrote(now time.Duration, err error) {
 	r.nextRead = now
