--- a/gateway/software_version.go
+++ b/gateway/software_version.go
@@ -22,7 +22,7 @@
 type Origins interface {
 	BeginIn(service, request string, o streamorigin.Origin, lifetime time.Duration) (*streamorigin.Record, error)
 	ReplaceIn(service string, rec *streamorigin.Record, o streamorigin.Origin, lifetime time.Duration) error
-	FindIn(ctx context.Context, service, request string) (streamorigin.Origin, error)
+	FindIn(ctx context.Context, service, request string, lifetime time.Duration) (streamorigin.Origin, error)
 	Available() bool
 }
 
@@ -105,7 +105,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, originFindTime)
 	defer cancel()
-	origin, err := s.g.Origins.FindIn(ctx, s.service.Name, s.info.Resumes)
+	origin, err := s.g.Origins.FindIn(ctx, s.service.Name, s.info.Resumes, s.originLifetime())
 	if err != nil {
 		return origin, err
 	}
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -142,13 +142,15 @@
 	}
 }
 
-// FindIn is Records.Find for a stream of a service. It calls the store once more if there is no record.
-func (t *Tracker) FindIn(ctx context.Context, service, request string) (Origin, error) {
+// FindIn is Records.Find for a stream of a service, of the lifetime with which it began. It calls the store
+// once more if there is no record and the registry is to answer: after longer lifetimes than
+// maxUnrecordedLifetime, the version may have left it.
+func (t *Tracker) FindIn(ctx context.Context, service, request string, lifetime time.Duration) (Origin, error) {
 	o, err := t.Find(ctx, request)
 	if err == nil && o.Version == unknownVersion {
 		return Origin{}, &UnknownError{Request: request}
 	}
-	if !isA[*UnknownError](err) {
+	if !isA[*UnknownError](err) || lifetime > maxUnrecordedLifetime {
 		return o, err
 	}
 	l, readErr := t.opts.Store.ListPage(ctx, RegistryPrefix, kv.Linearizable)
@@ -194,7 +196,7 @@
 func (t *Tracker) adopt(snap *control.Snapshot) {
 	listed := VersionsOf(snap.Backends)
 	t.mu.Lock()
-	mixed := t.registry.setListed(listed)
+	mixed := t.registry.setListed(t.now(), listed)
 	t.mu.Unlock()
 	for _, service := range mixed {
 		t.Records.opts.Log.Info("software_versions_mixed", zap.String("service", service), zap.Strings("versions", names(listed[service])))
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -33,6 +33,10 @@
 	// searchInterval is the time between two reads while the registry lacks a listed version, or
 	// holds one that is not listed.
 	searchInterval = 15 * time.Second
+	// confirmAge is the time for which a version must have been listed before a read that shows it as
+	// registered. It covers a removal in progress: the lag of the keeper's list, and a write that the
+	// store executes late.
+	confirmAge = 10 * time.Second
 	// maxDutyGap is the time between two calls of duties after which the VM may have missed versions
 	// that came and went.
 	maxDutyGap = 10 * time.Second
@@ -119,7 +123,7 @@
 type standing int
 
 const (
-	// unregistered versions may be missing in the registry. Their streams pass on events only once
+	// unregistered versions may be missing in the registry, now or before the stream is taken up. Their streams pass on events only once
 	// their record is stored.
 	unregistered standing = iota
 	// registered versions are in the registry. Their streams need records, but do not wait for them
@@ -134,6 +138,8 @@
 // no network I/O. The current time is always an argument, on one monotonic clock.
 type registry struct {
 	listed map[string][]vmlist.SoftwareVersion
+	// listedSince holds, by key, since when a version is listed.
+	listedSince map[string]time.Duration
 	// missingSince holds, by key, since when a registered version is not listed while another one is
 	// registered. It starts anew after a failed call or a gap: this VM may have been cut off, or may
 	// not have kept the registry. dutiesAt is when it was last updated.
@@ -144,6 +150,8 @@
 	// readAt is when the last successful read began, 0 if there was none, nextRead when the next
 	// one may begin.
 	readAt, nextRead time.Duration
+	// outdated is set if this VM has written to the registry since.
+	outdated bool
 	// readFailed is set if the first reads have failed.
 	readFailed bool
 	// era is that of the last read, and eraSince when this VM first saw it.
@@ -159,29 +167,59 @@
 
 // setListed adopts the versions of the servers in the VM list. It returns the services that have
 // several versions now and had one before.
-func (r *registry) setListed(listed map[string][]vmlist.SoftwareVersion) (mixed []string) {
+func (r *registry) setListed(now time.Duration, listed map[string][]vmlist.SoftwareVersion) (mixed []string) {
 	for service, versions := range listed {
 		if len(versions) > 1 && len(r.listed[service]) <= 1 {
 			mixed = append(mixed, service)
 		}
 	}
-	r.listed = listed
+	since := map[string]time.Duration{}
+	for service, versions := range listed {
+		for _, v := range versions {
+			key := registryKey(service, v)
+			since[key] = now
+			if before, ok := r.listedSince[key]; ok {
+				since[key] = before
+			}
+		}
+	}
+	r.listed, r.listedSince = listed, since
 	return mixed
 }
 
 // standing returns what is known of a version at which a stream is to begin.
 func (r *registry) standing(now time.Duration, service string, v vmlist.SoftwareVersion, lifetime time.Duration) standing {
+	if lifetime > maxUnrecordedLifetime {
+		return registered // The registry is not asked for such a stream.
+	}
 	known := r.known.versions[service]
 	if r.readAt == 0 || !slices.Contains(known, v) {
 		return unregistered
 	}
 	listed := r.listed[service]
-	if r.known.complete(service) && now-r.readAt < maxKnownAge && lifetime <= maxUnrecordedLifetime && len(known) == 1 && len(listed) == 1 && listed[0] == v {
+	if r.known.complete(service) && now-r.readAt < maxKnownAge && len(known) == 1 && len(listed) == 1 && listed[0] == v {
 		return sole
 	}
+	if !r.isConfirmed(service, v) {
+		return unregistered
+	}
 	return registered
 }
 
+// isConfirmed reports whether a registered version has been listed since confirmAge before the last read,
+// or since the read if it was the only one. One that came back later may have been removed from the
+// registry since.
+func (r *registry) isConfirmed(service string, v vmlist.SoftwareVersion) bool {
+	since, ok := r.listedSince[registryKey(service, v)]
+	if !ok {
+		return false
+	}
+	if len(r.known.versions[service]) == 1 {
+		return r.readAt >= since
+	}
+	return r.readAt-since >= confirmAge
+}
+
 // readDue reports whether to read the registry now, and otherwise when to ask again.
 func (r *registry) readDue(now time.Duration) (due bool, at time.Duration) {
 	next := r.nextRead
@@ -190,12 +228,15 @@
 		if !r.matches() {
 			next = min(next, r.readAt+searchInterval)
 		}
+		if r.outdated {
+			next = 0
+		}
 		next = max(next, r.nextRead)
 	}
 	return now >= next, next
 }
 
-// matches reports whether the registry holds the listed versions and no others.
+// matches reports whether the registry holds the listed versions and no others, as far as is needed.
 func (r *registry) matches() bool {
 	for service, listed := range r.listed {
 		known := slices.Clone(r.known.versions[service])
@@ -203,6 +244,9 @@
 		if !slices.Equal(listed, known) || !r.known.complete(service) {
 			return false
 		}
+		if len(listed) > 1 && slices.ContainsFunc(listed, func(v vmlist.SoftwareVersion) bool { return !r.isConfirmed(service, v) }) {
+			return false
+		}
 	}
 	return true
 }
@@ -222,7 +266,7 @@
 		r.era, r.eraSince = l.Era, asked
 	}
 	r.known = readRegistry(l)
-	r.readAt = asked
+	r.readAt, r.outdated = asked, false
 }
 
 // eraChanged is called when the VM learns the era of the store. What it has read in an earlier one does
@@ -239,7 +283,7 @@
 // registered, and the keys of those of which no server was listed for forgetAge. first is set
 // if the whole system starts for the first time, when no stream can have begun before.
 func (r *registry) duties(now time.Duration, first bool) (puts []kv.Put, deletes []string) {
-	if r.readAt == 0 || now-r.readAt >= maxKnownAge {
+	if r.readAt == 0 || now-r.readAt >= maxKnownAge || r.outdated {
 		return nil, nil
 	}
 	if now-r.dutiesAt > maxDutyGap {
@@ -306,7 +350,7 @@
 		r.nextRead = now + pauseMax
 		clear(r.missingSince)
 	}
-	r.readAt = min(r.readAt, now-refreshAge) // To be read again.
+	r.outdated = true
 }
 
 // failed reports whether reads have failed and none has succeeded.
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -61,7 +61,7 @@
 	tracker := NewTracker(TrackerOptions{Options: Options{
 		Store: &memoryStore{entries: map[string][]byte{}}, Now: func() time.Duration { return now },
 	}})
-	tracker.registry.setListed(listedVersions("v1", "v2"))
+	tracker.registry.setListed(now-confirmAge, listedVersions("v1", "v2"))
 	tracker.registry.read(now, now, registryListing(t, 0, "v1"), nil)
 	now += time.Second
 	rec, err := tracker.BeginIn(testService, "request", Origin{Version: "v1"}, 30*time.Second)
@@ -132,7 +132,7 @@
 // run plays seconds with a list of versions.
 func (k *keeperRig) run(d time.Duration, listed ...vmlist.SoftwareVersion) {
 	k.t.Helper()
-	k.setListed(listedVersions(listed...))
+	k.setListed(k.now, listedVersions(listed...))
 	for end := k.now + d; k.now < end; k.now += time.Second {
 		if due, _ := k.readDue(k.now); due {
 			k.read(k.now, k.now, k.listing(), nil)
@@ -289,10 +289,10 @@
 			want = []vmlist.SoftwareVersion{"", "v2"}
 		}
 		k.want(row.name, want...)
+		k.run(forgetAge-10*time.Second, "v2")
 		if row.lost && k.standing(k.now, testService, "v2", time.Second) != registered {
 			t.Errorf("%s: streams at a registered version wait for their records", row.name)
 		}
-		k.run(forgetAge-10*time.Second, "v2")
 		k.want(row.name+", before forgetAge", want...)
 		k.run(20*time.Second, "v2")
 		k.want(row.name+", after it", "v2")
@@ -320,3 +320,111 @@
 		t.Error("the registry is not read again")
 	}
 }
+
+// Guards against events of a version that are passed on without a stored record while the version is being
+// removed: the VM has read the registry before, and the version has just come back. A
+// stream with a long lifetime does not wait, since the registry does not answer for it.
+func TestVersionThatCameBackIsUnregistered(t *testing.T) {
+	r := newRegistry(0)
+	now := time.Minute
+	r.setListed(now, listedVersions("v1", "v2"))
+	want := func(what string, v vmlist.SoftwareVersion, lifetime time.Duration, want standing) {
+		t.Helper()
+		if got := r.standing(now, testService, v, lifetime); got != want {
+			t.Errorf("%s: standing %v, want %v", what, got, want)
+		}
+	}
+	read := func() { r.read(now, now, registryListing(t, 0, "v1", "v2"), nil) }
+	want("before the first read", "v1", time.Second, unregistered)
+	now += confirmAge
+	read()
+	want("listed for long", "v1", time.Second, registered)
+	want("a version that is not in the registry", "v3", time.Second, unregistered)
+	want("the unknown version", "", time.Second, unregistered)
+	want("a long lifetime", "v3", maxUnrecordedLifetime+1, registered)
+	now += time.Second
+	r.setListed(now, listedVersions("v1"))
+	want("gone", "v2", time.Second, unregistered)
+	now += time.Second
+	r.setListed(now, listedVersions("v1", "v2"))
+	want("back", "v2", time.Second, unregistered)
+	want("never gone", "v1", time.Second, registered)
+	now += confirmAge
+	if due, at := r.readDue(now); due || at-r.readAt != searchInterval {
+		t.Errorf("read due: %v, at %v", due, at)
+	}
+	read()
+	want("back for long", "v2", time.Second, registered)
+	now += 24 * time.Hour
+	want("while the store is away", "v2", time.Second, registered)
+}
+
+// Guards against streams without a record where another version may have begun some: it is listed only,
+// or registered only, or the registry was read long ago, or the stream outlives what is known.
+func TestSoleVersion(t *testing.T) {
+	r := newRegistry(0)
+	now := time.Minute
+	want := func(what string, lifetime time.Duration, isSole bool) {
+		t.Helper()
+		if got := r.standing(now, testService, "v1", lifetime) == sole; got != isSole {
+			t.Errorf("%s: sole is %v", what, got)
+		}
+	}
+	read := func(versions ...vmlist.SoftwareVersion) {
+		r.read(now, now, registryListing(t, 0, versions...), nil)
+	}
+	r.setListed(now, listedVersions("v1"))
+	want("not read", time.Second, false)
+	if got := r.standing(now, testService, "v1", time.Second); got != unregistered {
+		t.Errorf("not read: standing %v", got)
+	}
+	read()
+	want("not registered", time.Second, false)
+	read("v1")
+	want("one version", maxUnrecordedLifetime, true)
+	want("one version and a long lifetime", maxUnrecordedLifetime+1, false)
+	if mixed := r.setListed(now, listedVersions("v1", "v2")); !slices.Equal(mixed, []string{testService}) {
+		t.Errorf("mixed: %v", mixed)
+	}
+	want("another one listed", time.Second, false)
+	if mixed := r.setListed(now, listedVersions("v1", "v2", "v3")); mixed != nil {
+		t.Errorf("mixed again: %v", mixed)
+	}
+	r.setListed(now, listedVersions("v1"))
+	read("v1", "v2")
+	want("another one registered", time.Second, false)
+	read("", "v1")
+	want("the unknown version registered", time.Second, false)
+	read("v1")
+	now += maxKnownAge - 1
+	want("at the end of maxKnownAge", time.Second, true)
+	r.read(now, now, kv.Listing{}, &kv.UnavailableError{})
+	now++
+	want("after maxKnownAge", time.Second, false)
+	if got := r.standing(now, testService, "v1", time.Second); got != registered {
+		t.Errorf("streams at the only version wait for records while the store is away: %v", got)
+	}
+	r.wrote(now, nil)
+	now += pauseMax // Since the failed read.
+	if due, _ := r.readDue(now); !due {
+		t.Error("what was written is not read")
+	}
+	if puts, deletes := r.duties(now, true); len(puts)+len(deletes) != 0 {
+		t.Error("written again before a read")
+	}
+}
+
+// Guards against a look-up that trusts the registry for a stream that may be older than the time for which
+// a version without servers stays registered.
+func TestRegistryDoesNotAnswerForLongLifetimes(t *testing.T) {
+	store := &memoryStore{entries: map[string][]byte{}}
+	e := registryEntry(t, 0, "v1")
+	store.entries[e.Key] = e.Value
+	tracker := NewTracker(TrackerOptions{Options: Options{Store: store}})
+	if o, err := tracker.FindIn(t.Context(), testService, "request", maxUnrecordedLifetime); err != nil || o.Version != "v1" {
+		t.Errorf("found %+v, %v", o, err)
+	}
+	if o, err := tracker.FindIn(t.Context(), testService, "request", maxUnrecordedLifetime+1); !isA[*UnknownError](err) {
+		t.Errorf("found %+v, %v", o, err)
+	}
+}
