--- a/streamorigin/simulation_test.go
+++ b/streamorigin/simulation_test.go
@@ -115,6 +115,8 @@
 	number int
 	*machine
 	killed bool
+	// frozenUntil is when the VM runs again if it is frozen.
+	frozenUntil time.Duration
 	// wake is when the next step is asked for.
 	wake time.Duration
 }
@@ -253,6 +255,10 @@
 	if vm.killed {
 		return
 	}
+	if s.now < vm.frozenUntil {
+		s.at(vm.frozenUntil, func() { s.pump(vm) })
+		return
+	}
 	switch step := vm.next(s.now); step.kind {
 	case stepWait:
 		if step.until > 0 && step.until != vm.wake {
@@ -300,11 +306,16 @@
 
 // call makes a call of a VM to the store.
 func (s *simulation) call(vm *simVM, execute func() bool, result func(writeOutcome)) {
-	answer := func(d time.Duration, o writeOutcome, answered bool) {
+	var answer func(d time.Duration, o writeOutcome, answered bool)
+	answer = func(d time.Duration, o writeOutcome, answered bool) {
 		s.after(d, func() {
 			if vm.killed {
 				return
 			}
+			if s.now < vm.frozenUntil {
+				answer(vm.frozenUntil-s.now, o, answered)
+				return
+			}
 			if answered {
 				vm.eraChanged(s.store.era)
 			}
