--- a/entry.go
+++ b/entry.go
@@ -178,7 +178,7 @@
 		VM: d.VM, Zone: d.Zone, Region: d.Region, ZoneRegions: d.ZoneRegions, MemoryBytes: d.Limits.MemoryBytes, Bounds: e.bounds.Load, Snapshot: e.loop.Snapshot, Admission: e.grants, Breaker: e.breaker, Quarantine: e.mesh.quarantine, Servers: e.mesh.servers, Permits: e.mesh.permits, Origins: e.origins,
 		HTTPClient: e.httpClient, Engines: o.Engines(e.httpClient), Edge: o.Edge, Log: o.Log, Metrics: gateway.NewMetrics(e.metrics),
 	})
-	e.origins.OnMixed = e.gateway.RecordOrigins
+	e.origins.OnSecondVersion = e.gateway.RecordOrigins
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		e.mesh.sessions.Close()
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -39,15 +39,23 @@
 //
 // A stream begins without a record only at a version that is the sole one in the registry and in the
 // list of its VM. Any other version is registered before one of its streams passes on an event without
-// an acknowledged record. So if a stream has no record and the registry holds one version, the stream
-// began there; if it holds several, nobody knows where.
+// an acknowledged record, and stays so until its streams can't be taken up any more. So if a stream has
+// no record and the registry holds one version, the stream began there; if it holds several, nobody
+// knows where. Streams that may live longer than maxUnrecordedLifetime have a record or are unknown.
+//
+// This holds as long as callers take a stream up within the lifetime with which it began, and no VM list
+// lags by more than forgetAge less maxUnrecordedLifetime (75 s) while its VM reaches the store.
+//
+// BeginIn, ReplaceIn and FindIn are for streams of services. Begin, Find and Record.Replace of the
+// embedded Records know nothing of the registry.
 type Tracker struct {
 	*Records
 	opts    TrackerOptions
 	started time.Duration
-	// OnMixed is called when a service gets a second version, after which streams need records,
-	// those in progress too. It must be set before Run.
-	OnMixed func(service string)
+	// OnSecondVersion is called when the VM list shows several versions of a service that had one at
+	// most. Streams need records from then on, those in progress too. It must be set before
+	// RunRegistry, and may call BeginIn.
+	OnSecondVersion func(service string)
 
 	mu       sync.Mutex
 	registry *registry
@@ -55,7 +63,7 @@
 
 // NewTracker returns the tracker of a VM. The caller must call Run and RunRegistry.
 func NewTracker(o TrackerOptions) *Tracker {
-	t := &Tracker{Records: New(o.Options), opts: o, OnMixed: func(string) {}}
+	t := &Tracker{Records: New(o.Options), opts: o, OnSecondVersion: func(string) {}}
 	t.started = t.Records.opts.Now()
 	delay := time.Duration(0)
 	if o.FirstStart {
@@ -200,7 +208,7 @@
 	t.mu.Unlock()
 	for _, service := range mixed {
 		t.Records.opts.Log.Info("software_versions_mixed", zap.String("service", service), zap.Strings("versions", names(listed[service])))
-		t.OnMixed(service)
+		t.OnSecondVersion(service)
 	}
 }
 
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -21,7 +21,8 @@
 	// records, and refreshAge the age at which it reads it again.
 	maxKnownAge = 60 * time.Second
 	refreshAge  = 45 * time.Second
-	// maxUnrecordedLifetime bounds the lifetime of a stream that begins without a record.
+	// maxUnrecordedLifetime bounds the lifetime of a stream that begins without a record, and of one for
+	// which the registry answers.
 	maxUnrecordedLifetime = 45 * time.Second
 	// forgetAge is the time without a server of a version after which the version is removed. It covers
 	// what another VM has read before, the lifetime of its streams, and the lag of its list.
