--- a/streamorigin/registry_simulation_test.go
+++ b/streamorigin/registry_simulation_test.go
@@ -372,7 +372,7 @@
 		when := func(name string) time.Duration {
 			at := r.draw(name, length)
 			if len(times) > 0 && rapid.IntRange(0, 3).Draw(t, "near") > 0 {
-				at = rapid.SampledFrom(times).Draw(t, "time") + r.draw(name, 8*time.Second)
+				at = rapid.SampledFrom(times).Draw(t, "time") + r.draw(name, rapid.SampledFrom([]time.Duration{time.Second, 8 * time.Second}).Draw(t, "within"))
 				if rapid.Bool().Draw(t, "forgetAge after") {
 					at += forgetAge - 4*time.Second
 				}
