--- a/streamorigin/listing.go
+++ b/streamorigin/listing.go
@@ -121,7 +121,7 @@
 		}
 	}
 	if unknown {
-		return Origin{}, &UnknownError{Request: request}
+		return Origin{}, &UnknownError{Request: request, Recorded: len(latest) > 0}
 	}
 	return out, nil
 }
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/vanillaarch/vanillaarch/control"
@@ -152,13 +153,14 @@
 
 // FindIn is Records.Find for a stream of a service, of the lifetime with which it began. It calls the store
 // once more if there is no record and the registry is to answer: after longer lifetimes than
-// maxUnrecordedLifetime, the version may have left it.
+// maxUnrecordedLifetime, the version may have left it. A record that does not count is not the same as
+// none: the stream did not begin at a sole version.
 func (t *Tracker) FindIn(ctx context.Context, service, request string, lifetime time.Duration) (Origin, error) {
 	o, err := t.Find(ctx, request)
 	if err == nil && o.Version == unknownVersion {
-		return Origin{}, &UnknownError{Request: request}
+		return Origin{}, &UnknownError{Request: request, Recorded: true}
 	}
-	if !isA[*UnknownError](err) || lifetime > maxUnrecordedLifetime {
+	if unknown, ok := errors.Into[*UnknownError](err); !ok || unknown.Recorded || lifetime > maxUnrecordedLifetime {
 		return o, err
 	}
 	l, readErr := t.opts.Store.ListPage(ctx, RegistryPrefix, kv.Linearizable)
--- a/streamorigin/streamorigin.go
+++ b/streamorigin/streamorigin.go
@@ -54,7 +54,12 @@
 }
 
 // UnknownError reports that no record tells at which version a stream began.
-type UnknownError struct{ Request string }
+type UnknownError struct {
+	Request string
+	// Recorded is set if the stream has records, none of which counts. The registry of versions says
+	// nothing of it then.
+	Recorded bool
+}
 
 func (e *UnknownError) Error() string {
 	return fmt.Sprintf("streamorigin: the version at which request %q began is not known", e.Request)
