--- a/streamorigin/machine.go
+++ b/streamorigin/machine.go
@@ -499,5 +499,8 @@
 	}
 }
 
-// available reports whether the last call did not fail.
-func (m *machine) available() bool { return m.failures == 0 }
+// available reports whether the last call did not fail, or nothing waits for a further one: without a
+// record that waits, no call would show that the store is back.
+func (m *machine) available() bool {
+	return m.failures == 0 || !m.busy && len(m.fresh)+len(m.again) == 0
+}
--- a/streamorigin/origins_test.go
+++ b/streamorigin/origins_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/kv"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -61,3 +62,28 @@
 		t.Errorf("a stream without records: got %+v, error %v", o, err)
 	}
 }
+
+// Guards against a VM that refuses all streams at an unregistered version after one failed write, since
+// the refused ones cause no write that would show that the store is back.
+func TestStreamsBeginAgainAfterAFailedWrite(t *testing.T) {
+	tracker := NewTracker(TrackerOptions{Options: Options{Store: &listedStore{}}})
+	o := Origin{Version: "v1", Server: "server-1"}
+	record, err := tracker.BeginIn("svc", "first", o, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := tracker.machine
+	m.next(boottime.Now())
+	m.granted(boottime.Now(), 0, &kv.UnavailableError{Op: "grant"})
+	if _, err := tracker.BeginIn("svc", "second", o, time.Minute); !isA[*NotStoredError](err) {
+		t.Errorf("a stream beside one whose record waits: got %v", err)
+	}
+	record.End() // Its caller has left.
+	m.next(boottime.Now())
+	if _, err := tracker.BeginIn("svc", "third", o, time.Minute); err != nil {
+		t.Errorf("a stream while no record waits: %v", err)
+	}
+	if _, err := tracker.BeginIn("svc", "fourth", o, time.Minute); !isA[*NotStoredError](err) {
+		t.Errorf("a stream beside one whose record waits: got %v", err)
+	}
+}
--- a/streamorigin/records.go
+++ b/streamorigin/records.go
@@ -159,8 +159,8 @@
 	rec.records.machine.end(rec.entry)
 }
 
-// Available reports whether the last call to write records did not fail. Streams don't wait for
-// their record otherwise.
+// Available reports whether the last call to write records did not fail, or no record waits for another
+// one. Streams don't wait for their record otherwise.
 func (r *Records) Available() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
