--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		*at = nil
-		mismatch := s.software.Check(rc.vm)
+		mismatch := s.checkVersion(rc.vm)
 		if mismatch == nil && s.g.isLive(rc.vm) {
 			return rc
 		}
--- a/gateway/segment.go
+++ b/gateway/segment.go
@@ -83,7 +83,7 @@
 
 // beforeOpen checks that an engine may run the rest of the stream, and makes sure that no other works on it.
 func (s *stream) beforeOpen(vm vmlist.VM, source *connectedCopy) error {
-	if err := s.software.Check(vm); err != nil {
+	if err := s.checkVersion(vm); err != nil {
 		return &backend.NotSentError{Backend: vm.ID, Cause: err}
 	}
 	return s.leavePreviousEngines(vm, source)
--- a/gateway/software_version.go
+++ b/gateway/software_version.go
@@ -32,6 +32,8 @@
 	originStoreTime = 80 * time.Millisecond
 	// originFindTime bounds the search for the record of a stream that a caller takes up.
 	originFindTime = time.Second
+	// maxClockSkew is the difference between the clocks of VMs and servers that is allowed for.
+	maxClockSkew = 5 * time.Second
 )
 
 // takeUpRefusal is why a stream that a caller takes up is refused.
@@ -61,6 +63,34 @@
 	}
 }
 
+// beginning is the engine that made the first event of a stream, as it was listed, and when.
+type beginning struct {
+	vm vmlist.VM
+	at time.Time
+}
+
+// checkBeginning returns a *softwareversion.UnknownError if the list says by now that the engine which made the
+// first event may have been a later start, with another software version.
+func (s *stream) checkBeginning() error {
+	b := s.beginning.Load()
+	if b == nil {
+		return nil
+	}
+	now, listed := s.g.Snapshot().Backends[b.vm.ID]
+	if listed && isOtherVersion(now, b.vm.Incarnation, b.vm.SoftwareVersion) && now.Incarnation <= b.at.Add(maxClockSkew).UnixMilli() {
+		return &softwareversion.UnknownError{}
+	}
+	return nil
+}
+
+// checkVersion returns why an engine must not run the rest of the stream because of its software version.
+func (s *stream) checkVersion(vm vmlist.VM) error {
+	if err := s.software.Check(vm); err != nil {
+		return err
+	}
+	return s.checkBeginning()
+}
+
 // checkInService returns a *softwareversion.UnknownError or a *softwareversion.NotInServiceError if
 // no engine may go on with the stream, however long it waits.
 func (s *stream) checkInService() error {
@@ -71,6 +101,9 @@
 	if version == "" {
 		return &softwareversion.UnknownError{}
 	}
+	if err := s.checkBeginning(); err != nil {
+		return err
+	}
 	for _, vm := range s.engines() {
 		if vm.SoftwareVersion.Is(version) {
 			return nil
@@ -227,6 +260,7 @@
 	if now, listed := s.g.Snapshot().Backends[vm.ID]; listed && isOtherVersion(now, vm.Incarnation, version) {
 		version = "" // It has started again since the request was sent, or before.
 	}
+	s.beginning.Store(&beginning{vm, time.Now()})
 	s.software.Begin(version)
 	s.origin.mu.Lock()
 	record := s.origin.record
--- /dev/null
+++ b/gateway/software_version_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/internal/wait"
+	"github.com/vanillaarch/vanillaarch/route"
+	"github.com/vanillaarch/vanillaarch/vmlist"
+)
+
+// startAgain replaces the entry of a server by that of its next start, with another software version.
+func (r *gatewayRig) startAgain(id string, version vmlist.SoftwareVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snap := *r.current
+	snap.Backends = maps.Clone(r.current.Backends)
+	vm := snap.Backends[id]
+	vm.Incarnation++
+	vm.SoftwareVersion = version
+	snap.Backends[id] = vm
+	r.current = &snap
+}
+
+// takeStream sends a request for a stream that may be taken up.
+func (r *gatewayRig) takeStream(id string) (w *httptest.ResponseRecorder) {
+	request := httptest.NewRequest(http.MethodPost, "/stream/x", strings.NewReader("x"))
+	request.Host = "h"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Model", rigModel)
+	request.Header.Set("Deadline-Ms", "2000")
+	w = httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	r.ServeHTTP(w, request)
+	return w
+}
+
+// Guards against a stream that goes on at the version which its engine was listed with: the engine had
+// started again with another one before it made the first event, and the list names that start later.
+func TestStreamThatBeganAtAStartThatIsListedLater(t *testing.T) {
+	r := newGatewayRig(t, 2)
+	r.configure(1, "desk", "engines")
+	r.current.Routes = route.NewTable(route.TableSpec{
+		Routes: []route.Route{{
+			Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Resumable: true,
+			Targets: []route.Target{{Service: "engines"}}, Timeout: 4 * time.Second, MaxAttempts: 3,
+		}},
+		Services: []route.Service{{Name: "engines", Engine: &route.Engine{TokensPerEvent: 1}}},
+	})
+	lines := r.rigLog()
+	r.answer = func(id string, w http.ResponseWriter, _ *http.Request) bool {
+		if id != "engine-0" {
+			return false
+		}
+		w.Header().Set("Response-Signature", "s")
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write([]byte("id: 1\ndata: engine-0\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		if s := r.awaitRun(t.Context(), id); s != nil {
+			for !s.hasEvents() && wait.Sleep(t.Context(), time.Millisecond) {
+			}
+		}
+		r.startAgain(id, "v2")
+		panic(http.ErrAbortHandler)
+	}
+	w := r.takeStream("run")
+	if n := r.arrivalsAt("engine-1"); n != 0 {
+		t.Errorf("the stream goes on at engine-1: %q", w.Body)
+	}
+	if got := logLine(t, lines, "stream_cut"); got["no_next"] != string(noNextVersion) {
+		t.Errorf("got %v", got)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -60,6 +60,8 @@
 	noNext noNextReason
 	// software is the software version that the stream is bound to.
 	software softwareversion.Binding
+	// beginning is nil until the first event, and in a stream that the caller has taken up.
+	beginning atomic.Pointer[beginning]
 	// origin is the record of where the stream began.
 	origin originRecord
 	// unended holds the engines of previous segments that may still work on the run.
