--- a/gateway/software_version.go
+++ b/gateway/software_version.go
@@ -215,6 +215,21 @@
 	return nil
 }
 
+// recordUnknown replaces what the record of the stream says: the version of its engine is not known.
+func (s *stream) recordUnknown(vm vmlist.VM) error {
+	origin := streamorigin.Origin{Server: vm.ID, Incarnation: vm.Incarnation}
+	s.origin.mu.Lock()
+	defer s.origin.mu.Unlock()
+	switch {
+	case s.origin.record != nil:
+		s.origin.record.ReplaceByUnknown(origin)
+		return nil
+	case s.origin.unrecorded != nil:
+		return s.beginOrigin(origin)
+	}
+	return nil
+}
+
 // RecordOrigins begins records for the streams of a service that have none, since it has several software
 // versions now.
 func (g *Gateway) RecordOrigins(service string) {
@@ -259,6 +274,9 @@
 	version := vm.SoftwareVersion
 	if now, listed := s.g.Snapshot().Backends[vm.ID]; listed && isOtherVersion(now, vm.Incarnation, version) {
 		version = "" // It has started again since the request was sent, or before.
+		if err := s.recordUnknown(vm); err != nil {
+			return err
+		}
 	}
 	s.beginning.Store(&beginning{vm, time.Now()})
 	s.software.Begin(version)
--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -79,3 +79,23 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// Guards against a record that names the version with which an engine was listed when the request was sent,
+// although the list names another start with another version when the first event comes. Callers that take
+// the stream up later, when the engine is not listed any more, would be sent to the first version.
+func TestRecordOfAStartThatIsListedBeforeTheFirstEvent(t *testing.T) {
+	r := newGatewayRig(t, 2)
+	r.answer = func(id string, w http.ResponseWriter, _ *http.Request) bool {
+		if id == "engine-0" {
+			r.startAgain(id, "v2")
+		}
+		return false
+	}
+	w := r.takeStream("run")
+	if !strings.Contains(w.Body.String(), "data: engine-0") {
+		t.Fatalf("got %d %q", w.Code, w.Body)
+	}
+	if o, err := r.Origins.FindIn(t.Context(), "engines", "run"); err == nil {
+		t.Errorf("the stream may go on at %+v", o)
+	}
+}
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -142,6 +142,13 @@
 	return nil
 }
 
+// ReplaceByUnknown is Replace for a server whose version turns out not to be known. Events may be passed on
+// only once the store says so, if it may say otherwise.
+func (rec *Record) ReplaceByUnknown(o Origin) {
+	o.Version = unknownVersion
+	rec.Replace(o)
+}
+
 // RequireStored makes Settled wait until the record is stored.
 func (rec *Record) RequireStored() {
 	rec.records.mu.Lock()
