--- a/streamorigin/listing.go
+++ b/streamorigin/listing.go
@@ -112,7 +112,7 @@
 	unknown := len(latest) == 0
 	for _, d := range latest {
 		switch {
-		case d.Version == "" || !d.Passed && d.Era < l.Era:
+		case !isKnown(d.Version) || !d.Passed && d.Era < l.Era:
 			unknown = true
 		case out.Version == "":
 			out = d.origin()
--- a/streamorigin/machine.go
+++ b/streamorigin/machine.go
@@ -293,7 +293,7 @@
 		}
 		o, known = e.origin, true
 	}
-	if known && o.Version == "" {
+	if known && !isKnown(o.Version) {
 		return Origin{}, true, &UnknownError{Request: request, Recorded: true}
 	}
 	return o, known, nil
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -126,6 +126,9 @@
 	return t.registry.standing(t.now(), service, v, lifetime)
 }
 
+// isKnown reports whether a version in a record is known.
+func isKnown(v vmlist.SoftwareVersion) bool { return v != "" && v != unknownVersion }
+
 // recorded returns an origin as records have it.
 func recorded(o Origin) Origin {
 	if o.Version == "" {
@@ -164,7 +167,7 @@
 // none: the stream did not begin at a sole version.
 func (t *Tracker) FindIn(ctx context.Context, service, request string, lifetime time.Duration) (Origin, error) {
 	o, err := t.Find(ctx, request)
-	if err == nil && o.Version == unknownVersion {
+	if err == nil && !isKnown(o.Version) { // As other VMs have it.
 		return Origin{}, &UnknownError{Request: request, Recorded: true}
 	}
 	if unknown, ok := errors.Into[*UnknownError](err); !ok || unknown.Recorded || lifetime > maxUnrecordedLifetime {
