--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -124,8 +124,8 @@
 type standing int
 
 const (
-	// unregistered versions may be missing in the registry, now or before the stream is taken up. Their streams pass on events only once
-	// their record is stored.
+	// unregistered versions may be missing in the registry, now or before the stream is taken up. Their
+	// streams pass on events only once their record is stored.
 	unregistered standing = iota
 	// registered versions are in the registry. Their streams need records, but do not wait for them
 	// longer than for a short time: without one nobody knows where they began.
