--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -193,11 +193,15 @@
 	if lifetime > maxUnrecordedLifetime {
 		return registered // The registry is not asked for such a stream.
 	}
-	known := r.known.versions[service]
+	known, listed := r.known.versions[service], r.listed[service]
+	if len(known) == 0 && len(listed) == 1 && listed[0] == v {
+		// Without registered versions nobody knows where a stream without a record began, so streams need
+		// not wait for a store that is silent.
+		return registered
+	}
 	if r.readAt == 0 || !slices.Contains(known, v) {
 		return unregistered
 	}
-	listed := r.listed[service]
 	if r.known.complete(service) && now-r.readAt < maxKnownAge && len(known) == 1 && len(listed) == 1 && listed[0] == v {
 		return sole
 	}
