--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -212,14 +212,14 @@
 }
 
 // isConfirmed reports whether a registered version has been listed since confirmAge before the last read,
-// or since the read if it was the only one. One that came back later may have been removed from the
-// registry since.
+// or since the read if it was the only one, or is the only one in the list: others that are registered
+// have no servers then. One that came back later may have been removed from the registry since.
 func (r *registry) isConfirmed(service string, v vmlist.SoftwareVersion) bool {
 	since, ok := r.listedSince[registryKey(service, v)]
 	if !ok {
 		return false
 	}
-	if len(r.known.versions[service]) == 1 {
+	if len(r.known.versions[service]) == 1 || len(r.listed[service]) == 1 {
 		return r.readAt >= since
 	}
 	return r.readAt-since >= confirmAge
