--- a/claim/turns_test.go
+++ b/claim/turns_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -70,13 +71,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a.after == 0 {
+		// The next step begins at this instant, and may have arrivals already.
+		next := slices.DeleteFunc(slices.Clone(t.arrived), a.inStepOf)
+		t.arrived = slices.DeleteFunc(t.arrived, func(other *arrival) bool { return !a.inStepOf(other) })
 		slices.SortFunc(t.arrived, (*arrival).compare)
 		t.shuffle()
 		for _, other := range t.arrived {
 			t.taken++
 			other.after = time.Duration(t.taken)
 		}
-		t.arrived = nil
+		t.arrived = next
 	}
 	if a.after >= turnStep {
 		panic("claim: more operations than a simulation can tell apart")
@@ -84,6 +88,10 @@
 	return a.after
 }
 
+func (a *arrival) inStepOf(b *arrival) bool {
+	return a.at.Truncate(turnStep).Equal(b.at.Truncate(turnStep))
+}
+
 // compare orders the operations of a step before they are shuffled. It panics if
 // nothing tells two of them apart, since their order would not be repeatable.
 func (a *arrival) compare(b *arrival) int {
@@ -107,3 +115,30 @@
 		t.ties = t.ties[1:]
 	}
 }
+
+// TestTurnsOfOneStepDoNotDependOnTheNext guards against an order that depends on whether an operation
+// that arrives at the end of a step is counted with it: ties would be used up earlier or later.
+func TestTurnsOfOneStepDoNotDependOnTheNext(t *testing.T) {
+	begin := time.Unix(0, 0)
+	for name, nextArrives := range map[string]bool{"before the decision": true, "after the decision": false} {
+		t.Run(name, func(t *testing.T) {
+			simulation := turns{ties: []int{1}}
+			first := &arrival{at: begin, attempt: 2}
+			next := &arrival{at: begin.Add(turnStep), attempt: 1}
+			last := &arrival{at: next.at, attempt: 3}
+			simulation.arrived = []*arrival{first}
+			if nextArrives {
+				simulation.arrived = append(simulation.arrived, next)
+			}
+			simulation.decide(first)
+			if !nextArrives {
+				simulation.arrived = append(simulation.arrived, next)
+			}
+			simulation.arrived = append(simulation.arrived, last)
+			simulation.decide(next)
+			if first.after != 1 || last.after != 2 || next.after != 3 {
+				t.Errorf("turns %d, %d, %d, want 1, 2 and 3 for the operations of attempts 2, 3 and 1", first.after, last.after, next.after)
+			}
+		})
+	}
+}
