--- /dev/null
+++ b/streamorigin/registry_simulation_store_test.go
@@ -0,0 +1,118 @@
+package streamorigin
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/vanillaarch/vanillaarch/kv"
+)
+
+// tick is Tracker.perform.
+func (r *registrySimulation) tick(v *trackerVM) {
+	if v.vm.killed || r.deferred(v, false, func() { r.tick(v) }) {
+		return
+	}
+	r.after(dutyInterval/2, func() { r.tick(v) })
+	if v.busy || len(v.registry.listed[testService]) == 0 {
+		return
+	}
+	due, _ := v.registry.readDue(r.now)
+	if v.keeper && v.registry.readAt == 0 && r.now >= v.started+dutyInterval && v.registry.nextRead > r.now && !v.registry.failed() {
+		due = true
+	}
+	if due {
+		r.read(v)
+		return
+	}
+	r.keep(v)
+}
+
+func (r *registrySimulation) read(v *trackerVM) {
+	asked := r.now
+	var l kv.Listing
+	v.busy = true
+	execute := func() bool {
+		l = r.registryListing()
+		return true
+	}
+	r.call(v.vm, execute, func(o writeOutcome) {
+		v.busy = false
+		var err error
+		if o != writeAcknowledged {
+			err = &kv.UnavailableError{}
+		}
+		v.registry.read(asked, r.now, l, err)
+		r.keep(v)
+	})
+}
+
+func (r *registrySimulation) keep(v *trackerVM) {
+	if !v.keeper {
+		return
+	}
+	puts, deletes := v.registry.duties(r.now, v.opts.FirstStart)
+	if len(puts)+len(deletes) == 0 {
+		return
+	}
+	v.busy = true
+	execute := func() bool {
+		for _, p := range puts {
+			r.store.values[p.Key] = simValue{value: p.Value}
+		}
+		for _, key := range deletes {
+			delete(r.store.values, key)
+		}
+		r.logf("VM %d has written the registry: %v", v.vm.number, readRegistry(r.registryListing()))
+		r.checkAll()
+		return true
+	}
+	r.call(v.vm, execute, func(o writeOutcome) {
+		v.busy = false
+		var err error
+		if o != writeAcknowledged {
+			err = &kv.UnavailableError{}
+		}
+		v.registry.wrote(r.now, err)
+	})
+}
+
+func (r *registrySimulation) registryListing() kv.Listing {
+	l := kv.Listing{Era: r.store.era}
+	for _, key := range slices.Sorted(maps.Keys(r.store.values)) {
+		if strings.HasPrefix(key, RegistryPrefix) {
+			l.Entries = append(l.Entries, kv.Entry{Key: key, Value: r.store.values[key].value})
+		}
+	}
+	return l
+}
+
+// takeCopiesUntil takes copies of the store. It checks the streams too, since leases end.
+func (r *registrySimulation) takeCopiesUntil(end time.Duration) {
+	r.store.copies = append(r.store.copies, r.store.clone())
+	r.checkAll()
+	if r.now < end {
+		r.after(simCopyInterval, func() { r.takeCopiesUntil(end) })
+	}
+}
+
+func (r *registrySimulation) comeBack(age time.Duration) {
+	back := min(int(age/simCopyInterval), len(r.store.copies)-1)
+	r.store.simState = r.store.copies[len(r.store.copies)-1-back].clone()
+	r.store.copies = r.store.copies[:len(r.store.copies)-back]
+	r.store.era++
+	r.logf("the store comes back in era %d, from the copy %d before the latest", r.store.era, back)
+	r.checkAll()
+	for _, v := range r.trackers {
+		r.after(r.draw("era is seen", simEraPoll), func() { r.seeEra(v, r.store.era) })
+	}
+}
+
+func (r *registrySimulation) seeEra(v *trackerVM, era kv.Era) {
+	if v.vm.killed || r.deferred(v, true, func() { r.seeEra(v, era) }) {
+		return
+	}
+	v.eraRose(era)
+	r.pump(v.vm)
+}
