streamorigin: the simulations share the return of the store and its errors

The return of the simulated store from a copy stood twice, and the error of a call three times. Both simulations use one function for each now.

--- a/streamorigin/registry_simulation_store_test.go
+++ b/streamorigin/registry_simulation_store_test.go
@@ -39,11 +39,7 @@
 	}
 	r.call(v.vm, execute, func(o writeOutcome) {
 		v.busy = false
-		var err error
-		if o != writeAcknowledged {
-			err = &kv.UnavailableError{}
-		}
-		v.registry.read(asked, r.now, l, err)
+		v.registry.read(asked, r.now, l, storeError(o))
 		r.keep(v)
 	})
 }
@@ -70,11 +66,7 @@
 	}
 	r.call(v.vm, execute, func(o writeOutcome) {
 		v.busy = false
-		var err error
-		if o != writeAcknowledged {
-			err = &kv.UnavailableError{}
-		}
-		v.registry.wrote(r.now, err)
+		v.registry.wrote(r.now, storeError(o))
 	})
 }
 
@@ -98,11 +90,7 @@
 }
 
 func (r *registrySimulation) comeBack(age time.Duration) {
-	back := min(int(age/simCopyInterval), len(r.store.copies)-1)
-	r.store.simState = r.store.copies[len(r.store.copies)-1-back].clone()
-	r.store.copies = r.store.copies[:len(r.store.copies)-back]
-	r.store.era++
-	r.logf("the store comes back in era %d, from the copy %d before the latest", r.store.era, back)
+	r.rewindStore(age)
 	r.checkAll()
 	for _, v := range r.trackers {
 		r.after(r.draw("era is seen", simEraPoll), func() { r.seeEra(v, r.store.era) })
--- a/streamorigin/simulation_store_test.go
+++ b/streamorigin/simulation_store_test.go
@@ -94,13 +94,18 @@
 	}
 }
 
-// restore makes the store come back from a copy.
-func (s *simulation) restore(age time.Duration) {
+// rewindStore makes the store come back from a copy.
+func (s *simulation) rewindStore(age time.Duration) {
 	back := min(int(age/simCopyInterval), len(s.store.copies)-1)
 	s.store.simState = s.store.copies[len(s.store.copies)-1-back].clone()
 	s.store.copies = s.store.copies[:len(s.store.copies)-back]
 	s.store.era++
 	s.logf("the store comes back in era %d, from the copy %d before the latest", s.store.era, back)
+}
+
+// restore makes the store come back from a copy, which the VMs learn of one after the other.
+func (s *simulation) restore(age time.Duration) {
+	s.rewindStore(age)
 	s.check()
 	for place, vm := range s.vms {
 		s.after(s.draw("era is seen", simEraPoll), func() { s.see(vm, place) })
@@ -168,3 +173,11 @@
 		answer(simTrip, o, true)
 	})
 }
+
+// storeError returns the error of a call with an outcome, nil if it was acknowledged.
+func storeError(o writeOutcome) error {
+	if o == writeAcknowledged {
+		return nil
+	}
+	return &kv.UnavailableError{}
+}
--- a/streamorigin/simulation_test.go
+++ b/streamorigin/simulation_test.go
@@ -147,13 +147,7 @@
 			s.store.leases[id] = s.now + step.ttl
 			return true
 		}
-		s.call(vm, execute, func(o writeOutcome) {
-			var err error
-			if o != writeAcknowledged {
-				err = &kv.UnavailableError{}
-			}
-			vm.granted(s.now, id, err)
-		})
+		s.call(vm, execute, func(o writeOutcome) { vm.granted(s.now, id, storeError(o)) })
 	case stepWrite:
 		s.writes++
 		if len(step.puts) == 0 || len(step.puts) > batchSize {
