--- a/gateway/copy_failures_test.go
+++ b/gateway/copy_failures_test.go
@@ -62,19 +62,9 @@
 }
 
 // sendWithin is sendInOneSecond with another time limit.
-func (r *gatewayRig) sendWithin(id string, limit time.Duration) (w *httptest.ResponseRecorder) {
-	request := httptest.NewRequest(http.MethodPost, draftPath, strings.NewReader("x"))
-	request.Host = "h"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Model", rigModel)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
-	w = httptest.NewRecorder()
-	defer func() {
-		if p := recover(); p != nil && p != http.ErrAbortHandler {
-			panic(p)
-		}
-	}()
-	r.ServeHTTP(w, request)
+func (r *gatewayRig) sendWithin(id string, limit time.Duration) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r.serveRequest(w, rigRequest(draftPath, id, limit))
 	return w
 }
 
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -86,19 +86,7 @@
 	if c.leaves {
 		go c.evacuateFirst(ctx)
 	}
-	request := httptest.NewRequest(http.MethodPost, c.path, strings.NewReader("x"))
-	request.Host = "h"
-	request.Header.Set("Request-Id", "run")
-	request.Header.Set("Model", rigModel)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
-	func() {
-		defer func() {
-			if p := recover(); p != nil && p != http.ErrAbortHandler {
-				panic(p)
-			}
-		}()
-		c.ServeHTTP(c.writer, request)
-	}()
+	c.serveRequest(c.writer, rigRequest(c.path, "run", timeout))
 	cancel()
 	c.Gateway.Close()
 	return lines
--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -28,14 +28,7 @@
 
 // restart replaces the entry of a server by that of its next start.
 func (r *gatewayRig) restart(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	snap := *r.current
-	snap.Backends = maps.Clone(r.current.Backends)
-	vm := snap.Backends[id]
-	vm.Incarnation++
-	snap.Backends[id] = vm
-	r.current = &snap
+	r.changeEntry(id, func(vm *vmlist.VM) { vm.Incarnation++ })
 }
 
 // watch runs WatchEngines until the test ends. The returned function makes it check the list,
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -295,19 +295,9 @@
 
 // sendInOneSecond sends a request whose caller waits for a second, and returns what the
 // caller got, also if the connection was closed after that.
-func (r *gatewayRig) sendInOneSecond(path string) (w *httptest.ResponseRecorder) {
-	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("x"))
-	request.Host = "h"
-	request.Header.Set("Request-Id", "run")
-	request.Header.Set("Model", rigModel)
-	request.Header.Set("Deadline-Ms", "1000")
-	w = httptest.NewRecorder()
-	defer func() {
-		if p := recover(); p != nil && p != http.ErrAbortHandler {
-			panic(p)
-		}
-	}()
-	r.ServeHTTP(w, request)
+func (r *gatewayRig) sendInOneSecond(path string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r.serveRequest(w, rigRequest(path, "run", time.Second))
 	return w
 }
 
--- a/gateway/go_back_test.go
+++ b/gateway/go_back_test.go
@@ -116,12 +116,8 @@
 	}
 }
 
-// restartEntry gives the entry of a server another incarnation.
+// restartEntry replaces the entry of a server that leaves by that of its next start.
 func (r *gatewayRig) restartEntry(id string) {
 	r.setState(id, vmlist.StateLive)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	vm := r.current.Backends[id]
-	vm.Incarnation++
-	r.current.Backends[id] = vm
+	r.restart(id)
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -188,16 +188,41 @@
 
 // setState changes the state of a server in the list.
 func (r *gatewayRig) setState(id string, state vmlist.State) {
+	r.changeEntry(id, func(vm *vmlist.VM) { vm.State = state })
+}
+
+// changeEntry adopts a list with a changed entry of a server.
+func (r *gatewayRig) changeEntry(id string, change func(*vmlist.VM)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	snap := *r.current
 	snap.Backends = maps.Clone(r.current.Backends)
 	vm := snap.Backends[id]
-	vm.State = state
+	change(&vm)
 	snap.Backends[id] = vm
 	r.current = &snap
 }
 
+// rigRequest returns a request for a stream, whose caller waits for limit.
+func rigRequest(path, id string, limit time.Duration) *http.Request {
+	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("x"))
+	request.Host = "h"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Model", rigModel)
+	request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	return request
+}
+
+// serveRequest handles a request, also one whose connection the gateway closes before the end of the answer.
+func (r *gatewayRig) serveRequest(w http.ResponseWriter, request *http.Request) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	r.ServeHTTP(w, request)
+}
+
 // start starts a server that answers with a success.
 func (r *gatewayRig) start(id string, role vmlist.Role) vmlist.VM {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,31 +14,16 @@
 
 // startAgain replaces the entry of a server by that of its next start, with another software version.
 func (r *gatewayRig) startAgain(id string, version vmlist.SoftwareVersion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	snap := *r.current
-	snap.Backends = maps.Clone(r.current.Backends)
-	vm := snap.Backends[id]
-	vm.Incarnation++
-	vm.SoftwareVersion = version
-	snap.Backends[id] = vm
-	r.current = &snap
+	r.changeEntry(id, func(vm *vmlist.VM) {
+		vm.Incarnation++
+		vm.SoftwareVersion = version
+	})
 }
 
-// takeStream sends a request for a stream that may be taken up.
-func (r *gatewayRig) takeStream(id string) (w *httptest.ResponseRecorder) {
-	request := httptest.NewRequest(http.MethodPost, "/stream/x", strings.NewReader("x"))
-	request.Host = "h"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Model", rigModel)
-	request.Header.Set("Deadline-Ms", "2000")
-	w = httptest.NewRecorder()
-	defer func() {
-		if p := recover(); p != nil && p != http.ErrAbortHandler {
-			panic(p)
-		}
-	}()
-	r.ServeHTTP(w, request)
+// beginResumable sends a request for a stream that callers may take up.
+func (r *gatewayRig) beginResumable(id string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r.serveRequest(w, rigRequest("/stream/x", id, 2*time.Second))
 	return w
 }
 
@@ -71,7 +55,7 @@
 		r.startAgain(id, "v2")
 		panic(http.ErrAbortHandler)
 	}
-	w := r.takeStream("run")
+	w := r.beginResumable("run")
 	if n := r.arrivalsAt("engine-1"); n != 0 {
 		t.Errorf("the stream goes on at engine-1: %q", w.Body)
 	}
@@ -91,7 +75,7 @@
 		}
 		return false
 	}
-	w := r.takeStream("run")
+	w := r.beginResumable("run")
 	if !strings.Contains(w.Body.String(), "data: engine-0") {
 		t.Fatalf("got %d %q", w.Code, w.Body)
 	}
