streamorigin: copies evict and answer in functions of their own

keep stored a copy, evicted old ones and answered questions; these are three functions now. Names say what they are: copyCount, since "keeper" is the VM that keeps the registry; askTimeout; vmsFor; finalOrigin. No change of behaviour.

--- a/streamorigin/copies.go
+++ b/streamorigin/copies.go
@@ -12,18 +12,18 @@
 )
 
 const (
-	// keepers is the number of other VMs that keep a copy of an origin, and askedKeepers the number
-	// of those that are asked: a VM that has started since may own the request now.
-	keepers      = 2
-	askedKeepers = 3
+	// copyCount is the number of other VMs that keep a copy of an origin, and askedVMs the number of
+	// VMs that are asked for one: a VM that has started since may be among the first copyCount now.
+	copyCount = 2
+	askedVMs  = 3
 	// storeSilence is the time without an answer of the store after which VMs are asked. A sound
 	// store answers in 4 ms.
 	storeSilence = 50 * time.Millisecond
-	// askLimit bounds the time in which VMs answer. Zones are a few milliseconds apart.
-	askLimit = 150 * time.Millisecond
+	// askTimeout bounds the time in which VMs answer. Zones are a few milliseconds apart.
+	askTimeout = 150 * time.Millisecond
 	// maxCopies bounds the copies that a VM keeps for others, maxAsked the requests in one message
 	// and maxOriginBytes the length of the names in a copy.
-	maxCopies      = keepers * maxRecords
+	maxCopies      = copyCount * maxRecords
 	maxAsked       = 64
 	maxOriginBytes = 256
 )
@@ -69,18 +69,25 @@
 		kept := &originCopy{prefix: prefix, origin: o, until: now + min(remaining, maxLifetime)}
 		c.byPrefix[prefix] = kept
 		c.queue = append(c.queue, kept)
-		for len(c.queue) > maxCopies || now >= c.queue[0].until {
-			oldest := c.queue[0]
-			c.queue[0] = nil
-			c.queue = c.queue[1:]
-			if c.byPrefix[oldest.prefix] == oldest {
-				delete(c.byPrefix, oldest.prefix)
-			}
-			if len(c.queue) == 0 {
-				break
-			}
+		c.evict(now)
+	}
+	c.answer(prefix, o)
+}
+
+// evict removes the oldest copies that are past their lifetime or beyond maxCopies.
+func (c *copies) evict(now time.Duration) {
+	for len(c.queue) > 0 && (len(c.queue) > maxCopies || now >= c.queue[0].until) {
+		oldest := c.queue[0]
+		c.queue[0] = nil
+		c.queue = c.queue[1:]
+		if c.byPrefix[oldest.prefix] == oldest {
+			delete(c.byPrefix, oldest.prefix)
 		}
 	}
+}
+
+// answer answers all questions for an origin.
+func (c *copies) answer(prefix string, o Origin) {
 	for _, q := range c.questions[prefix] {
 		if !q.known {
 			q.origin, q.known = o, true
@@ -102,8 +109,8 @@
 	return kept.origin, true, nil
 }
 
-// unknown records that a VM that was asked knows nothing.
-func (c *copies) unknown(prefix string) {
+// answeredUnknown records that a VM that was asked has no copy.
+func (c *copies) answeredUnknown(prefix string) {
 	for _, q := range c.questions[prefix] {
 		if q.open--; q.open == 0 {
 			c.forget(prefix, q)
@@ -112,12 +119,14 @@
 	}
 }
 
+// ask adds a question that a number of VMs are asked.
 func (c *copies) ask(prefix string, vms int) *question {
 	q := &question{open: vms, done: make(chan struct{})}
 	c.questions[prefix] = append(c.questions[prefix], q)
 	return q
 }
 
+// forget removes a question.
 func (c *copies) forget(prefix string, q *question) {
 	var rest []*question
 	for _, other := range c.questions[prefix] {
@@ -132,8 +141,8 @@
 	c.questions[prefix] = rest
 }
 
-// others returns the VMs that may keep a copy of a request, without this one.
-func (r *Records) others(prefix string, n int) []string {
+// vmsFor returns the first n other VMs in the rendezvous order of a request.
+func (r *Records) vmsFor(prefix string, n int) []string {
 	if r.opts.Transport == nil {
 		return nil
 	}
@@ -160,7 +169,7 @@
 	if o.Version == "" || remaining <= 0 {
 		return
 	}
-	if vms := r.others(prefix, keepers); len(vms) > 0 {
+	if vms := r.vmsFor(prefix, copyCount); len(vms) > 0 {
 		r.send(vms, &peerpb.StreamOrigins{Kept: []*peerpb.StreamOrigin{encodeCopy(prefix, o, remaining)}})
 	}
 }
@@ -175,14 +184,14 @@
 		}
 	}
 	for _, request := range in.GetUnknown() {
-		r.copies.unknown(prefixOf(request))
+		r.copies.answeredUnknown(prefixOf(request))
 	}
 	answer := &peerpb.StreamOrigins{}
 	for i, request := range in.GetAsked() {
 		if i == maxAsked || len(request) != hashBytes {
 			break
 		}
-		if o, remaining, ok := r.final(now, prefixOf(request)); ok {
+		if o, remaining, ok := r.finalOrigin(now, prefixOf(request)); ok {
 			answer.Kept = append(answer.Kept, encodeCopy(prefixOf(request), o, remaining))
 		} else {
 			answer.Unknown = append(answer.Unknown, request)
@@ -194,9 +203,9 @@
 	}
 }
 
-// final returns the origin of a stream whose first event was passed on, and the rest of its
+// finalOrigin returns the origin of a stream whose first event was passed on, and the rest of its
 // lifetime.
-func (r *Records) final(now time.Duration, prefix string) (Origin, time.Duration, bool) {
+func (r *Records) finalOrigin(now time.Duration, prefix string) (Origin, time.Duration, bool) {
 	if kept := r.copies.byPrefix[prefix]; kept != nil && now < kept.until {
 		return kept.origin, kept.until - now, !kept.conflicts
 	}
@@ -210,7 +219,7 @@
 // askOthers asks the VMs that may keep a copy, until one knows the origin or none does.
 func (r *Records) askOthers(ctx context.Context, request string) (Origin, bool) {
 	prefix := requestPrefix(request)
-	vms := r.others(prefix, askedKeepers)
+	vms := r.vmsFor(prefix, askedVMs)
 	if len(vms) == 0 {
 		return Origin{}, false
 	}
@@ -218,7 +227,7 @@
 	q := r.copies.ask(prefix, len(vms))
 	r.mu.Unlock()
 	r.send(vms, &peerpb.StreamOrigins{Asked: [][]byte{hashOf(prefix)}})
-	timer := time.NewTimer(askLimit)
+	timer := time.NewTimer(askTimeout)
 	defer timer.Stop()
 	select {
 	case <-q.done:
@@ -231,8 +240,8 @@
 	return q.origin, q.known
 }
 
-// answerOfStore is what the store says of a stream.
-type answerOfStore struct {
+// storeAnswer is what the store says of a stream.
+type storeAnswer struct {
 	origin Origin
 	err    error
 }
@@ -244,10 +253,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answered := make(chan answerOfStore, 1)
+	answered := make(chan storeAnswer, 1)
 	go func() {
 		o, err := r.findInStore(ctx, request)
-		answered <- answerOfStore{o, err}
+		answered <- storeAnswer{o, err}
 	}()
 	timer := time.NewTimer(storeSilence)
 	defer timer.Stop()
--- a/streamorigin/copies_test.go
+++ b/streamorigin/copies_test.go
@@ -126,7 +126,7 @@
 			want := Origin{Version: "v1", Server: "server-1", Incarnation: 7}
 			f.vms["vm-0"].Begin("passed", want, time.Minute).FirstEventPassed()
 			f.vms["vm-0"].Begin("not passed", want, time.Minute)
-			if n := len(f.sent); n != keepers {
+			if n := len(f.sent); n != copyCount {
 				t.Errorf("%d messages for a stream", n)
 			}
 			f.kill("vm-0")
@@ -168,7 +168,7 @@
 	if err == nil || !isA[*UnavailableError](err) {
 		t.Errorf("%+v, %v", o, err)
 	}
-	if took := time.Since(begin); took > askLimit+time.Second {
+	if took := time.Since(begin); took > askTimeout+time.Second {
 		t.Errorf("took %v", took)
 	}
 }
@@ -221,7 +221,7 @@
 			case rapid.Bool().Draw(t, "asks"):
 				if r := f.vms[rapid.SampledFrom(ids).Draw(t, "asking")]; r != nil {
 					prefix := requestPrefix(request)
-					r.send(r.others(prefix, askedKeepers), &peerpb.StreamOrigins{Asked: [][]byte{hashOf(prefix)}})
+					r.send(r.vmsFor(prefix, askedVMs), &peerpb.StreamOrigins{Asked: [][]byte{hashOf(prefix)}})
 				}
 			default:
 				goOn(request)
@@ -266,7 +266,7 @@
 		if o, err := r.Find(t.Context(), request); err == nil {
 			t.Errorf("%q: %+v", request, o)
 		}
-		if _, _, ok := r.final(now, requestPrefix(request)); ok {
+		if _, _, ok := r.finalOrigin(now, requestPrefix(request)); ok {
 			t.Errorf("%q is passed to other VMs", request)
 		}
 	}
