streamorigin: queues and their conditions are named for what is to be done

fresh, again and passed were queues, isNew, isAgain and isPassed the conditions to stay in them. They are toWrite, toRewrite, toMarkPassed and needsWrite, needsRewrite, needsPassedMark. meaning, read, fails, loses and change are originFromRecords, decodeDocument, callFailed, markLost and wakeRun. The closure of takeBatch and the limit of waiting records are methods. No change of behaviour.

--- a/streamorigin/entries.go
+++ b/streamorigin/entries.go
@@ -30,14 +30,15 @@
 	inBatch bool
 }
 
-// isNew reports whether the current attempt is to be written.
-func (e *entry) isNew() bool { return !e.isStored && !e.ended && !e.removed }
+// needsWrite reports whether the current attempt waits for its first write.
+func (e *entry) needsWrite() bool { return !e.isStored && !e.ended && !e.removed }
 
-// isAgain reports whether the current attempt is to be written again.
-func (e *entry) isAgain() bool { return e.lost && !e.ended && !e.removed }
+// needsRewrite reports whether the record is to be written again, since the store may have lost it.
+func (e *entry) needsRewrite() bool { return e.lost && !e.ended && !e.removed }
 
-// isPassed reports whether the store is to learn that events were passed on.
-func (e *entry) isPassed() bool {
+// needsPassedMark reports whether the stored record is to be marked as that of a stream whose first
+// event was passed on.
+func (e *entry) needsPassedMark() bool {
 	return e.isStored && e.passed && !e.passedStored && !e.ended && !e.removed
 }
 
@@ -57,7 +58,7 @@
 	}
 	m.records = append(m.records, e)
 	m.byKey[e.prefix] = append(same, e)
-	m.setOrigin(e, o)
+	m.beginAttempt(e, o)
 	if len(m.records) > maxRecords {
 		var oldest *entry
 		oldest, m.records = pop(m.records)
@@ -79,27 +80,32 @@
 	return c
 }()
 
-// setOrigin begins an attempt.
-func (m *machine) setOrigin(e *entry, o Origin) {
+// beginAttempt sets the origin of an entry and queues its write.
+func (m *machine) beginAttempt(e *entry, o Origin) {
 	e.attempt++
 	e.origin = o
 	if o.Version == "" && e.sent == 0 && e.isSettled {
-		// No record says the same.
+		// Without a record, the version is unknown as well.
 		e.stored, e.isStored, e.settled, e.isSettled, e.passedStored = closed, true, closed, true, true
 		return
 	}
-	m.fresh = append(m.fresh, e)
-	for len(m.fresh) > maxWaiting {
+	m.toWrite = append(m.toWrite, e)
+	m.limitWaiting()
+}
+
+// limitWaiting gives up the oldest entries that wait for their first write if there are too many.
+func (m *machine) limitWaiting() {
+	for len(m.toWrite) > maxWaiting {
 		var oldest *entry
-		oldest, m.fresh = pop(m.fresh)
-		if oldest.isNew() && !oldest.inBatch { // One in a batch is queued again if the write fails.
+		oldest, m.toWrite = pop(m.toWrite)
+		if oldest.needsWrite() && !oldest.inBatch { // One in a batch is queued again if the write fails.
 			m.dropped++
 			oldest.ended = true
 		}
 	}
 }
 
-// replace begins an attempt, unless the version is the same.
+// replace changes the origin of an entry. It begins an attempt, unless the version is the same.
 func (m *machine) replace(e *entry, o Origin) {
 	if o.Version == e.origin.Version {
 		e.origin = o
@@ -117,7 +123,7 @@
 	if e.sent > 0 || !e.isSettled {
 		e.settled, e.isSettled = e.stored, false
 	}
-	m.setOrigin(e, o)
+	m.beginAttempt(e, o)
 }
 
 // firstEventPassed records that the first event was passed on.
@@ -126,16 +132,16 @@
 		return
 	}
 	e.passed = true
-	if e.isPassed() {
-		m.queuePassed(e)
+	if e.needsPassedMark() {
+		m.queuePassedMark(e)
 	}
 }
 
-func (m *machine) queuePassed(e *entry) {
-	if len(m.passed) >= maxRecords {
-		_, m.passed = pop(m.passed)
+func (m *machine) queuePassedMark(e *entry) {
+	if len(m.toMarkPassed) >= maxRecords {
+		_, m.toMarkPassed = pop(m.toMarkPassed)
 	}
-	m.passed = append(m.passed, e)
+	m.toMarkPassed = append(m.toMarkPassed, e)
 }
 
 func (m *machine) end(e *entry) { e.ended = true }
@@ -144,7 +150,7 @@
 	if e.removed {
 		return
 	}
-	if e.isNew() {
+	if e.needsWrite() {
 		m.dropped++
 	}
 	e.removed = true
@@ -184,13 +190,13 @@
 	return o, known, nil
 }
 
-// loses records that the record of an entry may be missing from the store.
-func (m *machine) loses(e *entry) {
+// markLost marks the record of an entry as one that may be missing from the store.
+func (m *machine) markLost(e *entry) {
 	if !e.isStored || e.lost || e.sent != e.attempt {
 		return
 	}
 	e.lost = true
-	if e.isAgain() {
-		m.again = append(m.again, e)
+	if e.needsRewrite() {
+		m.toRewrite = append(m.toRewrite, e)
 	}
 }
--- a/streamorigin/listing.go
+++ b/streamorigin/listing.go
@@ -31,7 +31,7 @@
 
 // shortened returns the part of a request id that is stored.
 func shortened(request string) string {
-	// The clone does not keep the memory of the whole id.
+	// A clone, since a part of the string would keep the whole id in memory.
 	return strings.ToValidUTF8(strings.Clone(request[:min(len(request), maxRequestBytes)]), "?")
 }
 
@@ -65,16 +65,16 @@
 	return Origin{Version: d.Version, Server: d.Server, Incarnation: d.Incarnation}
 }
 
-// countsBefore reports whether a document counts rather than another one of the same writer.
-func (d document) countsBefore(other document) bool {
+// supersedes reports whether a document counts in place of another one of the same writer.
+func (d document) supersedes(other document) bool {
 	if d.Passed != other.Passed {
 		return d.Passed
 	}
 	return cmp.Or(cmp.Compare(d.Attempt, other.Attempt), cmp.Compare(d.Era, other.Era)) > 0
 }
 
-// read returns the document of an entry. The error is an *AmbiguousError.
-func read(request string, e kv.Entry) (document, error) {
+// decodeDocument returns the document of an entry. The error is an *AmbiguousError.
+func decodeDocument(request string, e kv.Entry) (document, error) {
 	var d document
 	if err := json.Unmarshal(e.Value, &d); err != nil {
 		return document{}, &AmbiguousError{Request: request, Reason: "a record can't be read: " + err.Error()}
@@ -85,15 +85,15 @@
 	return d, nil
 }
 
-// meaning returns the origin of a stream from the listing of its records. The error is an
+// originFromRecords returns the origin of a stream from the listing of its records. The error is an
 // *UnknownError, an *AmbiguousError or an *UnavailableError.
-func meaning(request string, l kv.Listing) (Origin, error) {
+func originFromRecords(request string, l kv.Listing) (Origin, error) {
 	if l.Partial {
 		return Origin{}, &AmbiguousError{Request: request, Reason: "too many records"}
 	}
 	latest := map[string]document{}
 	for _, e := range l.Entries {
-		d, err := read(request, e)
+		d, err := decodeDocument(request, e)
 		if err != nil {
 			return Origin{}, err
 		}
@@ -104,7 +104,7 @@
 		if known && before.Passed && d.Passed && before.Version != d.Version {
 			return Origin{}, &AmbiguousError{Request: request, Reason: "events of two versions were passed on"}
 		}
-		if !known || d.countsBefore(before) {
+		if !known || d.supersedes(before) {
 			latest[d.Writer] = d
 		}
 	}
--- a/streamorigin/machine.go
+++ b/streamorigin/machine.go
@@ -10,8 +10,9 @@
 const (
 	// batchSize is the largest number of records in one write.
 	batchSize = 32
-	// minAgain is the part of a batch that is left to records that are written again.
-	minAgain = 8
+	// minRewrites is the number of records in a batch that first writes leave to those that are written
+	// again, so that neither starves the other.
+	minRewrites = 8
 	// leaseWindow is the time for which a lease is used for new records.
 	leaseWindow = 30 * time.Second
 	// maxLease is the longest lease that the store grants.
@@ -65,12 +66,14 @@
 	interval func() time.Duration
 	backoff  func(failures int) time.Duration
 
+	// begun counts the records of this machine.
 	begun   int
 	records []*entry            // the oldest first
 	byKey   map[string][]*entry // by prefix
-	// fresh holds the entries that wait for their first write, again those that are written again,
-	// and passed those of which the store is to learn that events were passed on.
-	fresh, again, passed []*entry
+	// toWrite holds the entries that wait for their first write, toRewrite those whose record the
+	// store may have lost, and toMarkPassed those of which the store is to learn that events were
+	// passed on.
+	toWrite, toRewrite, toMarkPassed []*entry
 
 	era      kv.Era
 	lifetime time.Duration // the longest so far
@@ -79,9 +82,11 @@
 	// lost since it began.
 	busy, outdated bool
 	batch          []batchEntry
-	callAt         time.Duration
-	// asked is the lifetime that the lease asked for covers.
-	asked    time.Duration
+	// callBegan is when the last call began.
+	callBegan time.Duration
+	// askedLifetime is the lifetime that the lease asked for covers.
+	askedLifetime time.Duration
+	// failures counts the failed calls since the last successful write.
 	failures int
 	// notBefore is when the next call may be made.
 	notBefore time.Duration
@@ -112,7 +117,7 @@
 	}
 	m.era, m.lease, m.outdated = era, heldLease{}, m.busy
 	for _, e := range m.records {
-		m.loses(e)
+		m.markLost(e)
 	}
 }
 
@@ -122,18 +127,18 @@
 		return step{kind: stepWait}
 	}
 	m.expire(now)
-	m.fresh = m.trim(now, m.fresh, (*entry).isNew)
-	m.again = m.trim(now, m.again, (*entry).isAgain)
+	m.toWrite = m.trim(now, m.toWrite, (*entry).needsWrite)
+	m.toRewrite = m.trim(now, m.toRewrite, (*entry).needsRewrite)
 	switch {
-	case len(m.fresh)+len(m.again) == 0:
+	case len(m.toWrite)+len(m.toRewrite) == 0:
 		return step{kind: stepWait}
 	case now < m.notBefore:
 		return step{kind: stepWait, until: m.notBefore}
 	}
-	m.busy, m.outdated, m.callAt = true, false, now
+	m.busy, m.outdated, m.callBegan = true, false, now
 	if m.lease.id == 0 || now >= m.lease.until || m.lease.lifetime < m.lifetime {
-		m.asked = m.lifetime
-		return step{kind: stepGrant, ttl: m.asked + leaseWindow}
+		m.askedLifetime = m.lifetime
+		return step{kind: stepGrant, ttl: m.askedLifetime + leaseWindow}
 	}
 	return step{kind: stepWrite, puts: m.takeBatch(now), lease: m.lease.id}
 }
@@ -141,5 +146,5 @@
 // available reports whether the last call did not fail, or nothing waits for a further one: without a
 // record that waits, no call would show that the store is back.
 func (m *machine) available() bool {
-	return m.failures == 0 || !m.busy && len(m.fresh)+len(m.again) == 0
+	return m.failures == 0 || !m.busy && len(m.toWrite)+len(m.toRewrite) == 0
 }
--- a/streamorigin/machine_test.go
+++ b/streamorigin/machine_test.go
@@ -59,9 +59,9 @@
 		}
 		m.eraChanged(kv.Era(i / 4000))
 	}
-	if len(m.records) > maxRecords || len(m.byKey) > maxRecords || len(m.fresh) > maxWaiting+batchSize ||
-		len(m.again) > maxRecords || len(m.passed) > maxRecords {
-		t.Errorf("%d records, %d keys, %d, %d and %d waiting", len(m.records), len(m.byKey), len(m.fresh), len(m.again), len(m.passed))
+	if len(m.records) > maxRecords || len(m.byKey) > maxRecords || len(m.toWrite) > maxWaiting+batchSize ||
+		len(m.toRewrite) > maxRecords || len(m.toMarkPassed) > maxRecords {
+		t.Errorf("%d records, %d keys, %d, %d and %d waiting", len(m.records), len(m.byKey), len(m.toWrite), len(m.toRewrite), len(m.toMarkPassed))
 	}
 	if want := int64(2*maxRecords - maxWaiting - batchSize); m.dropped < want || m.dropped > 2*maxRecords {
 		t.Errorf("%d records dropped, want %d", m.dropped, want)
@@ -74,8 +74,8 @@
 	for range 2 * maxRecords / batchSize {
 		act(writeAcknowledged)
 	}
-	if len(m.fresh)+len(m.again) != 0 {
-		t.Errorf("%d and %d still wait", len(m.fresh), len(m.again))
+	if len(m.toWrite)+len(m.toRewrite) != 0 {
+		t.Errorf("%d and %d still wait", len(m.toWrite), len(m.toRewrite))
 	}
 	runtime.KeepAlive(m)
 }
--- a/streamorigin/records.go
+++ b/streamorigin/records.go
@@ -24,7 +24,7 @@
 // Store is the part of the platform's store that holds the records.
 type Store interface {
 	kv.Writer
-	// GrantLease is that of kv.Leaser, and ListPage that of kv.Lister.
+	// GrantLease and ListPage are those of kv.Leaser and kv.Lister.
 	GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error)
 	ListPage(ctx context.Context, prefix string, c kv.Consistency) (kv.Listing, error)
 }
@@ -58,8 +58,8 @@
 	mu      sync.Mutex
 	machine *machine
 	copies  *copies
-	// droppedReported is the number of dropped records that are counted, and droppedLogged those
-	// in the log, the latest of which is of droppedLoggedAt.
+	// droppedReported is the number of dropped records that the metric counts, droppedLogged that of
+	// those in the log, and droppedLoggedAt the time of the last log line.
 	droppedReported, droppedLogged int64
 	droppedLoggedAt                time.Duration
 }
@@ -103,7 +103,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := &Record{r, r.machine.begin(r.opts.Now(), request, o, lifetime)}
-	r.change()
+	r.wakeRun()
 	return rec
 }
 
@@ -133,7 +133,7 @@
 	rec.records.mu.Lock()
 	defer rec.records.mu.Unlock()
 	rec.records.machine.replace(rec.entry, o)
-	rec.records.change()
+	rec.records.wakeRun()
 }
 
 // FirstEventPassed records that the first event was passed on, after which the origin is final. The
@@ -159,21 +159,21 @@
 	rec.records.machine.end(rec.entry)
 }
 
-// Available reports whether the last call to write records did not fail, or no record waits for another
-// one. Streams don't wait for their record otherwise.
+// Available reports whether streams are to wait for their record: the last call to write records did
+// not fail, or no record waits for another call.
 func (r *Records) Available() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.machine.available()
 }
 
-// EraChanged tells the era of the store, of which answers to other calls are the source. Records of
+// EraChanged tells Records the era of the store, as an answer to another call has shown it. Records of
 // streams in progress are written again when it rises.
 func (r *Records) EraChanged(era kv.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.machine.eraChanged(era)
-	r.change()
+	r.wakeRun()
 }
 
 // Find returns where the stream of a request began. The error is an *UnknownError, an
@@ -219,7 +219,7 @@
 	if era := r.era(); listing.Era < era {
 		return Origin{}, &UnavailableError{Request: request, Cause: &kv.EraError{Want: era, Got: listing.Era}}
 	}
-	return meaning(request, listing)
+	return originFromRecords(request, listing)
 }
 
 func (r *Records) era() kv.Era {
@@ -233,8 +233,8 @@
 	return ok
 }
 
-// change wakes Run. r.mu may be held.
-func (r *Records) change() {
+// wakeRun makes Run ask for the next step. r.mu may be held.
+func (r *Records) wakeRun() {
 	select {
 	case r.changed <- struct{}{}:
 	default:
--- a/streamorigin/registry_simulation_streams_test.go
+++ b/streamorigin/registry_simulation_streams_test.go
@@ -105,7 +105,7 @@
 	if !ok {
 		l.Era = r.store.era
 	}
-	o, err := meaning(st.request, l)
+	o, err := originFromRecords(st.request, l)
 	if unknown, ok := errors.Into[*UnknownError](err); ok && !unknown.Recorded {
 		return readRegistry(r.registryListing()).origin(testService)
 	}
--- a/streamorigin/simulation_streams_test.go
+++ b/streamorigin/simulation_streams_test.go
@@ -81,7 +81,7 @@
 		if st.passed == "" {
 			continue
 		}
-		if o, err := meaning(st.request, lists[st.entry.prefix]); err == nil && o.Version != st.passed {
+		if o, err := originFromRecords(st.request, lists[st.entry.prefix]); err == nil && o.Version != st.passed {
 			s.fatalf("%s began at %s and is found at %s", st.request, st.passed, o.Version)
 		}
 		if st.vm.killed {
@@ -95,7 +95,7 @@
 
 // isFound reports whether the store tells the version of a stream.
 func (s *simulation) isFound(st *simStream) bool {
-	o, err := meaning(st.request, s.store.lists()[st.entry.prefix])
+	o, err := originFromRecords(st.request, s.store.lists()[st.entry.prefix])
 	return err == nil && o.Version == st.passed
 }
 
--- a/streamorigin/writes.go
+++ b/streamorigin/writes.go
@@ -11,7 +11,8 @@
 	*entry
 	attempt int
 	passed  bool
-	first   bool
+	// first is set if no write of the attempt was acknowledged before.
+	first bool
 }
 
 // heldLease is a lease for new records.
@@ -36,61 +37,67 @@
 	return queue
 }
 
-// takeBatch begins a write.
-func (m *machine) takeBatch(now time.Duration) []kv.Put {
+// takeBatch takes the entries of the next write from the queues, and returns the write.
+func (m *machine) takeBatch(now time.Duration) (puts []kv.Put) {
 	m.batch = nil
-	var puts []kv.Put
-	take := func(queue []*entry, wanted func(*entry) bool, limit int) []*entry {
-		for len(queue) > 0 && len(puts) < limit {
-			var e *entry
-			e, queue = pop(queue)
-			if now >= e.until {
-				m.remove(e)
-			}
-			if e.inBatch || !wanted(e) {
-				continue
-			}
-			d := document{
-				Request: e.request, Writer: e.writer, Attempt: e.attempt, Version: e.origin.Version,
-				Server: e.origin.Server, Incarnation: e.origin.Incarnation, Era: m.era, Passed: e.passed,
-			}
-			put, err := d.put(e.prefix)
-			if err != nil {
-				continue // A document of strings and numbers can always be encoded.
-			}
-			puts = append(puts, put)
-			m.batch = append(m.batch, batchEntry{entry: e, attempt: e.attempt, passed: e.passed, first: !e.isStored})
-			e.inBatch, e.sent = true, e.attempt
+	m.toWrite, puts = m.fillBatch(now, puts, m.toWrite, (*entry).needsWrite, batchSize-min(len(m.toRewrite), minRewrites))
+	m.toRewrite, puts = m.fillBatch(now, puts, m.toRewrite, (*entry).needsRewrite, batchSize)
+	m.toWrite, puts = m.fillBatch(now, puts, m.toWrite, (*entry).needsWrite, batchSize)
+	m.toMarkPassed, puts = m.fillBatch(now, puts, m.toMarkPassed, (*entry).needsPassedMark, batchSize)
+	return puts
+}
+
+// fillBatch moves entries from the head of a queue to the batch until that holds limit entries. It
+// returns the rest of the queue and the puts.
+func (m *machine) fillBatch(now time.Duration, puts []kv.Put, queue []*entry, wanted func(*entry) bool, limit int) ([]*entry, []kv.Put) {
+	for len(queue) > 0 && len(puts) < limit {
+		var e *entry
+		e, queue = pop(queue)
+		if now >= e.until {
+			m.remove(e)
+		}
+		if e.inBatch || !wanted(e) {
+			continue
 		}
-		return queue
+		put, err := m.documentOf(e).put(e.prefix)
+		if err != nil {
+			continue // A document of strings and numbers can always be encoded.
+		}
+		puts = append(puts, put)
+		m.batch = append(m.batch, batchEntry{entry: e, attempt: e.attempt, passed: e.passed, first: !e.isStored})
+		e.inBatch, e.sent = true, e.attempt
+	}
+	return queue, puts
+}
+
+// documentOf returns the value of the record of an entry.
+func (m *machine) documentOf(e *entry) document {
+	return document{
+		Request: e.request, Writer: e.writer, Attempt: e.attempt, Version: e.origin.Version,
+		Server: e.origin.Server, Incarnation: e.origin.Incarnation, Era: m.era, Passed: e.passed,
 	}
-	m.fresh = take(m.fresh, (*entry).isNew, batchSize-min(len(m.again), minAgain))
-	m.again = take(m.again, (*entry).isAgain, batchSize)
-	m.fresh = take(m.fresh, (*entry).isNew, batchSize)
-	m.passed = take(m.passed, (*entry).isPassed, batchSize)
-	return puts
 }
 
-// granted ends the call for a lease.
+// granted handles the result of the call for a lease.
 func (m *machine) granted(now time.Duration, id kv.LeaseID, err error) {
 	m.busy = false
 	if err != nil {
-		m.fails(now)
+		m.callFailed(now)
 		return
 	}
 	if m.outdated {
 		return // The lease may be one of the earlier era, whose id is given out again.
 	}
-	m.lease = heldLease{id: id, until: m.callAt + leaseWindow, lifetime: m.asked}
+	m.lease = heldLease{id: id, until: m.callBegan + leaseWindow, lifetime: m.askedLifetime}
 }
 
-// fails plans the next call after a failed one.
-func (m *machine) fails(now time.Duration) {
+// callFailed sets the time of the next call after one that failed.
+func (m *machine) callFailed(now time.Duration) {
 	m.failures++
-	m.notBefore = max(m.callAt+m.interval(), now+m.backoff(m.failures))
+	m.notBefore = max(m.callBegan+m.interval(), now+m.backoff(m.failures))
 }
 
-// written ends a write. It returns the number of records that were acknowledged for the first time.
+// written handles the result of a write. It returns the number of records that were acknowledged for the first time.
 func (m *machine) written(now time.Duration, outcome writeOutcome) int {
 	m.busy = false
 	batch := m.batch
@@ -99,14 +106,14 @@
 		b.inBatch = false
 	}
 	if outcome != writeAcknowledged {
-		m.fails(now)
+		m.callFailed(now)
 		m.requeue(batch)
 		if outcome == writeLeaseMissing && !m.outdated {
 			m.leaseLost()
 		}
 		return 0
 	}
-	m.failures, m.notBefore = 0, m.callAt+m.interval()
+	m.failures, m.notBefore = 0, m.callBegan+m.interval()
 	count := 0
 	for _, b := range batch {
 		if b.first {
@@ -129,6 +136,7 @@
 	writeLeaseMissing
 )
 
+// acknowledged handles an entry of a write that took effect.
 func (m *machine) acknowledged(b batchEntry) {
 	e := b.entry
 	if b.attempt != e.attempt {
@@ -142,29 +150,29 @@
 	}
 	e.lost, e.passedStored = false, b.passed
 	if m.outdated {
-		m.loses(e)
+		m.markLost(e)
 	}
-	if e.isPassed() {
-		m.queuePassed(e)
+	if e.needsPassedMark() {
+		m.queuePassedMark(e)
 	}
 }
 
 // requeue puts the entries of a write that failed, or of an attempt that was replaced meanwhile,
 // back to the head of their queues.
 func (m *machine) requeue(batch []batchEntry) {
-	var fresh, again []*entry
+	var toWrite, toRewrite []*entry
 	for _, b := range batch {
 		switch {
-		case b.isNew():
-			fresh = append(fresh, b.entry)
-		case b.isAgain():
-			again = append(again, b.entry)
-		case b.isPassed():
-			m.queuePassed(b.entry)
+		case b.needsWrite():
+			toWrite = append(toWrite, b.entry)
+		case b.needsRewrite():
+			toRewrite = append(toRewrite, b.entry)
+		case b.needsPassedMark():
+			m.queuePassedMark(b.entry)
 		}
 	}
-	m.fresh = append(fresh, m.fresh...)
-	m.again = append(again, m.again...)
+	m.toWrite = append(toWrite, m.toWrite...)
+	m.toRewrite = append(toRewrite, m.toRewrite...)
 }
 
 // leaseLost is called when the store does not know the lease any more. Its records are gone, and
@@ -172,6 +180,6 @@
 func (m *machine) leaseLost() {
 	m.lease = heldLease{}
 	for _, e := range m.records {
-		m.loses(e)
+		m.markLost(e)
 	}
 }
