gateway: a request names the engines that its rule forbids

outside, allBut and unfit are forbiddenEngines, rejectedBy and forbidden: the list holds more than engines outside of a region now. The comment of engineRule says what it returns.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -14,12 +14,12 @@
 )
 
 // admissionRequest builds the dispatcher's admission request for the rest of the
-// stream: tokens already received count as prompt tokens. It is for no engine that is excluded or unfit.
-func (s *stream) admissionRequest(excluded, unfit []string) dispatch.AdmissionRequest {
+// stream: tokens already received count as prompt tokens. It is for no engine that is excluded or forbidden.
+func (s *stream) admissionRequest(excluded, forbidden []string) dispatch.AdmissionRequest {
 	request := dispatch.AdmissionRequest{
 		Organisation: route.Anonymous, Model: s.poolName(),
 		PromptTokens: s.info.PromptTokens + s.tokens(), MaxTokens: s.info.MaxTokens,
-		Excluded: slices.Concat(excluded, unfit), Zone: s.g.Zone,
+		Excluded: slices.Concat(excluded, forbidden), Zone: s.g.Zone,
 	}
 	if request.MaxTokens > 0 {
 		request.MaxTokens = max(request.MaxTokens-s.tokens(), 1)
@@ -36,7 +36,7 @@
 
 // runRequest builds the admission request for a run, which may wait in the dispatcher's queue.
 func (s *stream) runRequest() dispatch.AdmissionRequest {
-	request := s.admissionRequest(s.excluded, s.outside())
+	request := s.admissionRequest(s.excluded, s.forbiddenEngines())
 	request.Priority, request.Target, request.Deadline = s.priority(), s.firstEventDue(), dispatch.TimeLeft(s.remaining())
 	if s.identity != nil {
 		request.Identity = uint64(s.identity.Whole)
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -35,7 +35,7 @@
 	defer cancel()
 	// An engine that may still work on the run is asked to end it: not to hold its backup.
 	rule := s.mayHoldCopyOf(primary)
-	request := s.admissionRequest(append(s.unendedEngines(), primary.ID), s.allBut(rule))
+	request := s.admissionRequest(append(s.unendedEngines(), primary.ID), s.rejectedBy(rule))
 	request.Spare, request.Zone = true, primary.Zone
 	ticket, vm, err := s.acquireEngine(ctx, request, rule)
 	if err != nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -73,7 +73,7 @@
 	acquiring, cancel := context.WithTimeout(ctx, targetAcquireTimeout)
 	defer cancel()
 	rule := s.mayHoldCopyOf(source)
-	request := s.admissionRequest(excluded, s.allBut(rule))
+	request := s.admissionRequest(excluded, s.rejectedBy(rule))
 	// The same zone is preferred: a copy to another zone takes twice as long.
 	request.Zone, request.Resumed, request.Spare = source.Zone, true, mayStay
 	ticket, vm, err := s.acquireEngine(acquiring, request, rule)
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -100,22 +100,22 @@
 		"no backend server is in a home region of the request").WithRetryAfter(retryAfterDelay())
 }
 
-// engineRule tells which engines a request to the dispatcher is for. It returns why an engine is
-// none of them.
+// engineRule decides which engines a request to the dispatcher is for. It returns nil for such an engine,
+// and otherwise why the engine is not allowed.
 type engineRule func(vmlist.VM) error
 
-// outside returns the ids of the engines of the pool at which the rest of the stream must not run. Most
-// streams may run anywhere until they have begun, for which no engine is looked at: that takes 0.6 ms for
-// 12,000 engines.
-func (s *stream) outside() []string {
+// forbiddenEngines returns the ids of the engines of the pool at which the rest of the stream must not run. The
+// engines are not checked for a stream that has not begun and may run in any region, as most: checking
+// 12,000 engines takes 0.6 ms.
+func (s *stream) forbiddenEngines() []string {
 	if _, begun := s.software.Version(); !begun && s.regions.Any() {
 		return nil
 	}
-	return s.allBut(s.mayRunAt)
+	return s.rejectedBy(s.mayRunAt)
 }
 
-// allBut returns the ids of the engines of the pool for which a rule returns an error.
-func (s *stream) allBut(rule engineRule) []string {
+// rejectedBy returns the ids of the engines of the pool that a rule does not allow.
+func (s *stream) rejectedBy(rule engineRule) []string {
 	var ids []string
 	for _, vm := range s.g.Snapshot().Engines[s.poolName()] {
 		if rule(vm) != nil {
