--- a/gateway/cut.go
+++ b/gateway/cut.go
@@ -73,8 +73,8 @@
 	cutUnknown cutReason = "unknown"
 )
 
-// cutBy tells who ended a stream that is cut for a reason.
-var cutBy = map[cutReason]endedBy{
+// cutEndedBy holds, for each reason, who ended the stream.
+var cutEndedBy = map[cutReason]endedBy{
 	cutEngineBrokeOff: endedByServer, cutPartialEvent: endedByServer,
 	cutMoveRefused: endedBySwitchover, cutMoveUnreachable: endedBySwitchover, cutMoveUnanswered: endedBySwitchover,
 	cutMoveRejected: endedBySwitchover, cutMoveNotEnded: endedBySwitchover, cutEndTakenBack: endedBySwitchover,
@@ -129,7 +129,7 @@
 	}
 }
 
-// segmentReason returns the reason that an error of a segment shows by itself.
+// segmentReason returns the reason of an error that ended a segment, as far as the error alone shows it.
 func segmentReason(err error) cutReason {
 	_, memory := errors.Into[*membudget.ExceededError](err)
 	_, evicted := errors.Into[*membudget.EvictedError](err)
@@ -169,11 +169,11 @@
 	}
 }
 
-// noNextReason is why a stream is not sent to another engine.
+// noNextReason is why a stream that is cut was not sent to another engine.
 type noNextReason string
 
 const (
-	// noNextNone means that it is sent.
+	// noNextNone means that the stream was sent to another engine, or may be.
 	noNextNone noNextReason = ""
 	// noNextNotRepeatable means that the request must not run twice, and no copy could be used.
 	// What became of the copies is logged beside it.
@@ -200,7 +200,7 @@
 
 // cut ends a stream after its first event. err is the error of the last attempt to go on.
 func (s *stream) cut(reason cutReason, err error) {
-	s.ended = cutBy[reason]
+	s.ended = cutEndedBy[reason]
 	s.g.Metrics.countCut("streams_cut", string(reason))
 	if s.noNext != noNextNone {
 		s.g.Metrics.countCut("streams_not_resumed", string(s.noNext))
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -404,7 +404,7 @@
 			t.Errorf("%v: %s, want %s", test.err, reason, test.reason)
 		}
 		brokeOff := test.reason == cutEngineBrokeOff || test.reason == cutPartialEvent
-		if by := cutBy[reason]; (by == endedByServer) != brokeOff || by == "" {
+		if by := cutEndedBy[reason]; (by == endedByServer) != brokeOff || by == "" {
 			t.Errorf("%v: ended by %q", test.err, by)
 		}
 	}
