--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -40,9 +40,9 @@
 	// switchResult is set while a switchover to a copy is requested. It receives
 	// whether the run has left the engine.
 	switchResult chan bool
-	// goingOn is closed once the latest planned move has ended: the run goes on at the next engine,
-	// has gone back, or has ended. It is nil before the first one.
-	goingOn chan struct{}
+	// moveEnded is closed once the latest planned move has ended: the run goes on at the next engine,
+	// has gone back, or has ended. It is nil before the first move.
+	moveEnded chan struct{}
 }
 
 // runCopy is a copy of a run with the dispatch ticket of the engine that continues
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -42,7 +42,7 @@
 			s.log.Info("run_copied", fields...)
 		}
 		if err == nil && s.requestSwitch(ctx, vm.ID) {
-			if !s.comesBack(ctx, vm) {
+			if !s.awaitReturn(ctx, vm) {
 				return
 			}
 			returnedFrom = append(returnedFrom, rc.vm.ID)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,9 +35,9 @@
 	abandoned bool
 	// openSegment is nil if no segment is open.
 	openSegment *segment
-	// left is the place at the engine that the run has left in a planned move, until it goes on at
-	// the next one. It is nil otherwise.
-	left           dispatch.Ticket
+	// previousTicket is the ticket of the engine that the run has left in a planned move, until the run
+	// goes on at the next one. It is nil otherwise.
+	previousTicket dispatch.Ticket
 	excluded       []string
 	unsentAttempts int
 	// eventCount is the number of events of the response, firstEventAt the time of the
@@ -54,7 +54,7 @@
 	segmentEnd error
 	// moveErr is why the run did not go on from the copy for which it has left its last engine.
 	moveErr error
-	// endTakenBack is that of this segment.
+	// endTakenBack is that of the segment that segmentEnd is of.
 	endTakenBack bool
 	// noNext is why the stream is not sent to another engine.
 	noNext noNextReason
@@ -148,17 +148,18 @@
 	return err
 }
 
-// leaveTo ends a segment whose engine has ended the run, and opens the next one from source.
+// leaveTo ends a segment whose engine has ended the run, and opens the next one: from source, at the same
+// engine if source can't be used, or from another copy.
 func (s *stream) leaveTo(seg *segment, source *connectedCopy, cause error) (*segment, error) {
-	settled := s.leaveFor(seg.ticket)
-	defer settled()
+	endMove := s.keepPlace(seg.ticket)
+	defer endMove()
 	s.endSegment(seg, cause)
 	next, err := s.openCopy(source)
 	if err == nil || errors.Is(err, errResponded) {
 		return next, err
 	}
 	s.moveErr = err
-	s.releaseLeft() // The stream may wait for another engine.
+	s.releasePrevious() // The stream may wait for another engine.
 	return s.resume(seg, err)
 }
 
@@ -245,12 +246,14 @@
 }
 
 // mayResume reports whether the stream may continue on another engine without a
-// copy.
+// copy. It takes the retry from the retry budget.
 func (s *stream) mayResume(err error) bool {
 	s.noNext = s.whyNotResumed(err)
 	return s.noNext == noNextNone
 }
 
+// whyNotResumed returns why the stream may not continue on another engine after an error, noNextNone if it
+// may. It takes the retry from the retry budget, and counts attempts that were not sent.
 func (s *stream) whyNotResumed(err error) noNextReason {
 	if s.mayHaveRun && !s.route.Retryable() {
 		return noNextNotRepeatable
@@ -278,7 +281,7 @@
 	return noNextNone
 }
 
-// whyNoRetry tells the reasons of retryAllowed apart.
+// whyNoRetry returns why retryAllowed does not allow a retry.
 func (s *stream) whyNoRetry() noNextReason {
 	switch {
 	case s.remaining() <= 0:
@@ -292,7 +295,7 @@
 	}
 }
 
-// whyNotAcquired tells the reasons for which no engine was acquired apart.
+// whyNotAcquired returns the reason of an error of acquire.
 func whyNotAcquired(err error) noNextReason {
 	if _, refused := errors.Into[*quarantine.RefusedError](err); refused {
 		return noNextQuarantined
