internal/soak: one function draws a fault, and releases name their extent

Four schedules drew time, seed and duration of a fault in the same way. The course of a release was a number from 0 to 2. takeOff is unlist.

go test -race -run of TestReleasesAreDrawnApart, TestJoinedStreamsAreFound, TestScheduleFollowsFromItsSeed, TestOnlyKnownFaultsAreAllowed, TestCalmTimes and TestSoakWithReleases passes.

--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -38,9 +38,7 @@
 	}
 	var out []fault
 	for range n {
-		f := zoneEvacuations
-		f.at, f.seed, f.duration = time.Duration(r.Int64N(int64(length))), r.Uint64(), uniform(r, minEvacuationTime, maxEvacuationTime)
-		out = append(out, f)
+		out = append(out, zoneEvacuations.draw(r, length, minEvacuationTime, maxEvacuationTime))
 	}
 	return out
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -148,14 +148,18 @@
 	}
 	r := rand.New(rand.NewPCG(seed, 2))
 	for range r.IntN(maxReturns + 1) {
-		f := storeReturns
-		f.at, f.seed, f.duration = time.Duration(r.Int64N(int64(length))), r.Uint64(), uniform(r, minFaultDuration, maxFaultDuration)
-		out = append(out, f)
+		out = append(out, storeReturns.draw(r, length, minFaultDuration, maxFaultDuration))
 	}
 	slices.SortStableFunc(out, byTime)
 	return out
 }
 
+// draw returns the fault with its time within length, its seed and its duration, drawn in this order.
+func (f fault) draw(r *rand.Rand, length, minDuration, maxDuration time.Duration) fault {
+	f.at, f.seed, f.duration = time.Duration(r.Int64N(int64(length))), r.Uint64(), uniform(r, minDuration, maxDuration)
+	return f
+}
+
 // injectFaults applies the schedule and waits until all faults have ended.
 func (h *harness) injectFaults(ctx context.Context) {
 	start := time.Now()
--- a/internal/soak/releases.go
+++ b/internal/soak/releases.go
@@ -43,9 +43,7 @@
 	}
 	var out []fault
 	for range n {
-		f := releases
-		f.at, f.seed, f.duration = time.Duration(r.Int64N(int64(length))), r.Uint64(), uniform(r, minReleaseTime, maxReleaseTime)
-		out = append(out, f)
+		out = append(out, releases.draw(r, length, minReleaseTime, maxReleaseTime))
 	}
 	return out
 }
@@ -57,11 +55,23 @@
 	if !hasKind(kinds, killsOfAll) || len(kinds) > len(faultKinds) && r.IntN(seedsPerKillOfAll) > 0 {
 		return nil
 	}
-	f := killsOfAll
-	f.at, f.seed, f.duration = time.Duration(r.Int64N(int64(length))), r.Uint64(), uniform(r, minFaultDuration, maxRestartTime)
-	return []fault{f}
+	return []fault{killsOfAll.draw(r, length, minFaultDuration, maxRestartTime)}
 }
 
+// releaseExtent is how far a release goes.
+type releaseExtent int
+
+const (
+	// wholeRelease replaces all engines, halfRelease half of them.
+	wholeRelease releaseExtent = iota
+	halfRelease
+	// halfReleaseAndBack replaces half of the engines, and then these by ones of the version before.
+	halfReleaseAndBack
+)
+
+// releaseExtents names the extents in the record of faults.
+var releaseExtents = [...]string{wholeRelease: "whole", halfRelease: "half", halfReleaseAndBack: "half and back"}
+
 // release replaces the engines one after the other by engines of a further software version, unless
 // another release goes on. It may stop half way, or go back from there to the version before.
 func (h *harness) release(r *rand.Rand, d time.Duration) {
@@ -73,18 +83,18 @@
 	before := h.version
 	old := h.serversOfKind(true)
 	h.mu.Unlock()
-	next, course := fmt.Sprintf("build-%x", r.Uint32()), r.IntN(3)
-	h.recordFault("release of %s, %s", next, []string{"whole", "half", "half and back"}[course])
+	next, extent := fmt.Sprintf("build-%x", r.Uint32()), releaseExtent(r.IntN(len(releaseExtents)))
+	h.recordFault("release of %s, %s", next, releaseExtents[extent])
 	r.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
 	var ends sync.WaitGroup
 	defer ends.Wait()
-	if course == 0 {
+	if extent == wholeRelease {
 		h.replaceEngines(&ends, old, next, d)
 		h.setVersion(next)
 		return
 	}
 	started := h.replaceEngines(&ends, old[:(len(old)+1)/2], next, d)
-	if course == 2 {
+	if extent == halfReleaseAndBack {
 		h.replaceEngines(&ends, started, before, d)
 	}
 }
@@ -93,7 +103,7 @@
 // then leaves with notice, and returns the started ones. It takes the given time.
 func (h *harness) replaceEngines(ends *sync.WaitGroup, old []*server, version string, d time.Duration) (started []*server) {
 	for _, x := range old {
-		if !h.takeOff(x) {
+		if !h.unlist(x) {
 			continue // It left for another reason.
 		}
 		y, err := h.startServer(true, version)
@@ -116,8 +126,8 @@
 	return started
 }
 
-// takeOff takes an engine off the list, or reports that it is not on it.
-func (h *harness) takeOff(x *server) bool {
+// unlist removes an engine from the servers of the harness. It reports whether it was among them.
+func (h *harness) unlist(x *server) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i, y := range h.servers {
--- a/internal/soak/takeups.go
+++ b/internal/soak/takeups.go
@@ -29,8 +29,8 @@
 	last int
 }
 
-// brokenOff returns the stream that a response broke off, or nil if its caller does not ask for the
-// rest.
+// brokenOff returns the stream whose response broke off, as far as its caller has it, or nil if the caller
+// does not ask for the rest.
 func (r *request) brokenOff() *takenUp {
 	if r.kind != kindCheck || r.canceled || r.status != http.StatusOK || r.err == nil {
 		return nil
@@ -47,7 +47,8 @@
 }
 
 // takeUp asks for the rest of the stream of a request as long as it breaks off, at one VM after the
-// other, the next one first. It draws nothing from the caller's source.
+// other, the next one first. It takes no value from the caller's source of random numbers, so that the
+// requests of a seed stay the same.
 func (c *caller) takeUp(ctx, faultCtx context.Context, r *request) {
 	t := r.brokenOff()
 	at := slices.Index(c.harness.vms, r.vm)
