test/platform: leaveAndStop and refuseAllCalls stand once

Three rows of two tables left and stopped an engine in the same way, and two tests refused all calls of the store.

--- a/test/platform/software_version_lag_test.go
+++ b/test/platform/software_version_lag_test.go
@@ -12,7 +12,7 @@
 // Pause, it keeps the copies of runs at the engine, which takes parts of backups after its start as well.
 func (s *versionSite) restartUnseen(e *userplatform.Server, version string) {
 	s.t.Helper()
-	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	s.refuseAllCalls()
 	time.Sleep(100 * time.Millisecond)
 	e.Pause()
 	e.SetSoftwareVersion(version)
--- a/test/platform/software_version_takeup_test.go
+++ b/test/platform/software_version_takeup_test.go
@@ -179,9 +179,6 @@
 // Guards against a stream that goes on at some software version although that which began it is unknown.
 func TestTakenUpStreamOfUnknownSoftwareVersionIsRefused(t *testing.T) {
 	t.Parallel()
-	storeAway := func(s *versionSite) {
-		s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
-	}
 	nobodyKnows := func(header map[string]string) { header["Resumes"] = fmt.Sprint("unknown-", lastID.Add(1)) }
 	for name, c := range map[string]struct {
 		prepare, act func(*versionSite)
@@ -189,7 +186,7 @@
 	}{
 		"without Resumes":                    {change: func(header map[string]string) { delete(header, "Resumes") }},
 		"id that nobody knows":               {change: nobodyKnows},
-		"id that nobody knows, store away":   {change: nobodyKnows, act: storeAway},
+		"id that nobody knows, store away":   {change: nobodyKnows, act: (*versionSite).refuseAllCalls},
 		"its own id":                         {change: func(header map[string]string) { header["Resumes"] = header["Request-Id"] }},
 		"begun at engines without a version": {prepare: func(s *versionSite) { s.dropVersion(s.of(oldVersion)...) }},
 		"begun at engines without versions, again known": {
@@ -221,7 +218,7 @@
 		t.Parallel()
 		s := newVersionSite(t, 2, takeUpInterval, "abab")
 		streams := s.beginStreams(takenUpStreams, s.vms[0], oldVersion)
-		storeAway(s)
+		s.refuseAllCalls()
 		// The other VM may have learned the version of its peer.
 		s.takeUpAll(s.vms[1], streams, nil, func(st begun, got takenUp) error {
 			if err := goesOn(st, got); err != nil {
--- a/test/platform/software_version_test.go
+++ b/test/platform/software_version_test.go
@@ -69,6 +69,14 @@
 // stopTime is the time from the departure of an engine to its stop.
 const stopTime = time.Second
 
+// leaveAndStop makes an engine leave, and stops it after stopTime.
+func (s *versionSite) leaveAndStop(e *userplatform.Server) {
+	s.t.Helper()
+	s.leave(e)
+	time.Sleep(stopTime)
+	e.Crash()
+}
+
 // Guards against streams that must not be run again and that are joined from two software versions: by
 // their backups, by planned moves, by the evacuation of a zone, and after an engine that has started again
 // with another version.
@@ -81,11 +89,7 @@
 			engines: "ababab", act: func(s *versionSite) { first(s).Crash() },
 		},
 		"engine leaves and stops": {
-			engines: "ababab", act: func(s *versionSite) {
-				s.leave(first(s))
-				time.Sleep(stopTime)
-				first(s).Crash()
-			},
+			engines: "ababab", act: func(s *versionSite) { s.leaveAndStop(first(s)) },
 		},
 		"engine leaves, runs are moved": {
 			engines: "ababab", prepare: withoutBackups, act: func(s *versionSite) { s.leave(first(s)) },
@@ -94,11 +98,7 @@
 			engines: "abbb", prepare: withoutBackups, act: func(s *versionSite) { s.leave(first(s)) },
 		},
 		"last engine of its version leaves and stops": {
-			engines: "abbb", prepare: withoutBackups, want: cut, act: func(s *versionSite) {
-				s.leave(first(s))
-				time.Sleep(stopTime)
-				first(s).Crash()
-			},
+			engines: "abbb", prepare: withoutBackups, want: cut, act: func(s *versionSite) { s.leaveAndStop(first(s)) },
 		},
 		"last engine of its version crashes": {
 			engines: "abbb", want: cut, act: func(s *versionSite) { first(s).Crash() },
@@ -244,11 +244,7 @@
 			engines: "abbb", act: func(s *versionSite) { s.leave(first(s)) },
 		},
 		"last engine of its version leaves and stops": {
-			engines: "abbb", want: cut, act: func(s *versionSite) {
-				s.leave(first(s))
-				time.Sleep(stopTime)
-				first(s).Crash()
-			},
+			engines: "abbb", want: cut, act: func(s *versionSite) { s.leaveAndStop(first(s)) },
 		},
 		"others of its version leave": {
 			engines: "abab", want: cut, prepare: func(s *versionSite) { s.leave(second(s)) }, act: crashFirst,
