streamorigin: streams in progress get records when another version replaces theirs at once

Cause: setListed called a service mixed only if its list held several versions after one at most. Once v2 is registered beside v1, nobody knows where they began, and their take-ups are refused although servers of v1 may be in service again.

Change: setListed compares with the last versions that the service had, and reports any change from one version.

Measured: the new test fails before in the rows 'instead' and 'after none' and passes now. go test -race ./streamorigin passes.

--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -53,8 +53,8 @@
 	*Records
 	opts    TrackerOptions
 	started time.Duration
-	// OnSecondVersion is called when the VM list shows several versions of a service that had one at
-	// most. Streams need records from then on, those in progress too. It must be set before
+	// OnSecondVersion is called when the VM list shows another version of a service that had one at
+	// most, beside it or instead of it. Streams need records from then on, those in progress too. It must be set before
 	// RunRegistry, and may call BeginIn.
 	OnSecondVersion func(service string)
 
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -139,6 +139,9 @@
 // no network I/O. The current time is always an argument, on one monotonic clock.
 type registry struct {
 	listed map[string][]vmlist.SoftwareVersion
+	// lastListed holds the last versions of each service that was ever listed, also of those without a
+	// server now: streams that began before may be in progress.
+	lastListed map[string][]vmlist.SoftwareVersion
 	// listedSince holds, by key, since when a version is listed.
 	listedSince map[string]time.Duration
 	// missingSince holds, by key, since when a registered version is not listed while another one is
@@ -163,16 +166,21 @@
 }
 
 func newRegistry(firstRead time.Duration) *registry {
-	return &registry{missingSince: map[string]time.Duration{}, nextRead: firstRead, era: kv.NoEra}
+	return &registry{
+		lastListed: map[string][]vmlist.SoftwareVersion{}, missingSince: map[string]time.Duration{}, nextRead: firstRead, era: kv.NoEra,
+	}
 }
 
-// setListed adopts the versions of the servers in the VM list. It returns the services that have
-// several versions now and had one before.
+// setListed adopts the versions of the servers in the VM list. It returns the services that had one
+// version at most before, and have another one now, beside it or instead of it: a list may lack the state
+// between two others.
 func (r *registry) setListed(now time.Duration, listed map[string][]vmlist.SoftwareVersion) (mixed []string) {
 	for service, versions := range listed {
-		if len(versions) > 1 && len(r.listed[service]) <= 1 {
+		before := r.lastListed[service]
+		if len(before) == 0 && len(versions) > 1 || len(before) == 1 && !slices.Equal(versions, before) {
 			mixed = append(mixed, service)
 		}
+		r.lastListed[service] = versions
 	}
 	since := map[string]time.Duration{}
 	for service, versions := range listed {
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -451,3 +451,31 @@
 		t.Errorf("era %d", era)
 	}
 }
+
+// Guards against streams in progress that get no record when the list of a VM shows another version instead
+// of their own at once. Once both are registered, nobody knows where such a stream began.
+func TestStreamsInProgressGetRecordsWhenTheVersionChanges(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		lists [][]vmlist.SoftwareVersion
+		// mixed tells for each list whether streams in progress need records from then on.
+		mixed []bool
+	}{
+		{"beside", [][]vmlist.SoftwareVersion{{"v1"}, {"v1", "v2"}, {"v2"}}, []bool{false, true, false}},
+		{"instead", [][]vmlist.SoftwareVersion{{"v1"}, {"v2"}, {"v2"}, {"v1"}}, []bool{false, true, false, true}},
+		{"after none", [][]vmlist.SoftwareVersion{{"v1"}, {}, {"v2"}}, []bool{false, false, true}},
+		{"the same after none", [][]vmlist.SoftwareVersion{{"v1"}, {}, {"v1"}}, []bool{false, false, false}},
+		{"several from the start", [][]vmlist.SoftwareVersion{{"v1", "v2"}, {"v1", "v2", "v3"}, {"v3"}}, []bool{true, false, false}},
+	} {
+		r := newRegistry(0)
+		for i, versions := range row.lists {
+			listed := listedVersions(versions...)
+			if len(versions) == 0 {
+				listed = nil
+			}
+			if mixed := r.setListed(time.Duration(i)*time.Second, listed); len(mixed) > 0 != row.mixed[i] {
+				t.Errorf("%s, list %d: mixed %q", row.name, i, mixed)
+			}
+		}
+	}
+}
