streamorigin: look for engines once for each list, not on each pass

Cause: Tracker.perform went through all backend servers on each pass, once a second and after each change of the control loop, to see whether any is an engine.

Change: adopt, which goes through a new list anyway, notes it. No change of behaviour, so there is no new test.

--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -58,6 +58,9 @@
 	// RunRegistry, and may call BeginIn.
 	OnSecondVersion func(service string)
 
+	// hasEngines is set if the list holds engines. It belongs to RunRegistry.
+	hasEngines bool
+
 	mu       sync.Mutex
 	registry *registry
 }
@@ -216,6 +219,7 @@
 }
 
 func (t *Tracker) adopt(snap *control.Snapshot) {
+	t.hasEngines = hasEngines(snap.Backends)
 	listed := VersionsOf(snap.Backends)
 	t.mu.Lock()
 	mixed := t.registry.setListed(t.now(), listed)
@@ -226,6 +230,15 @@
 	}
 }
 
+func hasEngines(backends map[string]vmlist.VM) bool {
+	for _, vm := range backends {
+		if vm.Role == vmlist.RoleEngine {
+			return true
+		}
+	}
+	return false
+}
+
 func names(versions []vmlist.SoftwareVersion) []string {
 	out := make([]string, len(versions))
 	for i, v := range versions {
@@ -244,11 +257,7 @@
 // perform makes the calls that are due, and returns when to look again.
 func (t *Tracker) perform(ctx context.Context, snap *control.Snapshot) time.Duration {
 	keeper := rendezvous.Owner(RegistryPrefix, snap.EntryVMs) == t.opts.VM
-	hasEngines := false
-	for _, vm := range snap.Backends {
-		hasEngines = hasEngines || vm.Role == vmlist.RoleEngine
-	}
-	if !hasEngines {
+	if !t.hasEngines {
 		return dutyInterval // Nothing to know.
 	}
 	now := t.now()
