gateway: log why a run does not go back to its engine

A draft that is cut with move_refused has not gone back to the engine that ended its run. Four causes of that looked alike in the log: the engine has not named the memory of the run, it must get no work, the retry budget is exhausted; only an engine that could not be reached was logged.

run_not_returned names the reason now, and counters gateway.runs_not_returned.* count them. No decision changes. TestRunDoesNotGoBackToAnEngineThatWantsNoWork asserts the reason of each row, and has rows for the other two: before, its rows could not tell that a run stayed away for the stated reason.

--- a/gateway/go_back.go
+++ b/gateway/go_back.go
@@ -53,7 +53,7 @@
 	engine := source.end.engine
 	back, err := s.connectTo(&runCopy{ticket: s.previousTicket, vm: engine, source: engine, location: *kept})
 	if err != nil {
-		s.log.Info("run_not_returned", zap.String("backend", engine.ID), telemetry.Error(err))
+		s.logNotReturned(engine, notReturnedUnreachable, err)
 		return nil
 	}
 	if source.backupAcquired {
@@ -94,7 +94,8 @@
 	defer cancel()
 	source.end.awaitCopy(ctx) // The answer names the memory.
 	kept := source.end.keptCopy()
-	if kept == nil || !s.g.mayReturnTo(source.end.engine) || !s.g.budget.Allows(s.service.Name, boottime.Now()) {
+	if reason := s.whyNotReturned(source.end.engine, kept); reason != notReturnedNone {
+		s.logNotReturned(source.end.engine, reason, cause)
 		return nil
 	}
 	return kept
@@ -110,6 +111,38 @@
 	source.release()
 }
 
+// notReturnedReason is why a run does not go back to the engine that has ended it.
+type notReturnedReason string
+
+const (
+	notReturnedNone notReturnedReason = ""
+	// notReturnedNoMemory means that the engine has not named the memory of the run in time.
+	notReturnedNoMemory notReturnedReason = "no_memory"
+	// notReturnedNotAllowed means that the engine must get no work.
+	notReturnedNotAllowed notReturnedReason = "not_allowed"
+	// notReturnedBudget means that the retry budget of the service is exhausted.
+	notReturnedBudget      notReturnedReason = "retry_budget"
+	notReturnedUnreachable notReturnedReason = "unreachable"
+)
+
+func (s *stream) whyNotReturned(engine vmlist.VM, kept *edge.Copy) notReturnedReason {
+	switch {
+	case kept == nil:
+		return notReturnedNoMemory
+	case !s.g.mayReturnTo(engine):
+		return notReturnedNotAllowed
+	case !s.g.budget.Allows(s.service.Name, boottime.Now()):
+		return notReturnedBudget
+	default:
+		return notReturnedNone
+	}
+}
+
+func (s *stream) logNotReturned(engine vmlist.VM, reason notReturnedReason, err error) {
+	s.g.Metrics.countCut("runs_not_returned", string(reason))
+	s.log.Info("run_not_returned", zap.String("backend", engine.ID), zap.String("reason", string(reason)), telemetry.Error(err))
+}
+
 // mayReturnTo reports whether a run may go back to an engine: one that is not paused, and
 // is live or may still serve a run that goes on from its backup. That is no new work, but it must be sent
 // before a leaving engine must get none.
--- a/gateway/go_back_test.go
+++ b/gateway/go_back_test.go
@@ -79,12 +79,22 @@
 }
 
 // Guards against a run that is sent back to an engine which must get no work: one that has announced its
-// departure, pauses, or is in an evacuated zone, and against a copy that stays at such an engine.
+// departure, pauses, or is in an evacuated zone, and against a copy that stays at such an engine. The log
+// tells this from a run that is not sent back for another reason.
 func TestRunDoesNotGoBackToAnEngineThatWantsNoWork(t *testing.T) {
-	for name, before := range map[string]func(*gatewayRig, vmlist.VM){
-		"has announced its departure": func(r *gatewayRig, vm vmlist.VM) { r.known.announceLeaving(vm) },
-		"pauses":                      func(r *gatewayRig, vm vmlist.VM) { r.known.announcePause(vm, time.Minute) },
-		"restarts":                    func(r *gatewayRig, vm vmlist.VM) { r.restartEntry(vm.ID) },
+	for name, test := range map[string]struct {
+		before func(*gatewayRig, vmlist.VM)
+		handle string
+		reason notReturnedReason
+	}{
+		"has announced its departure": {func(r *gatewayRig, vm vmlist.VM) { r.known.announceLeaving(vm) }, "h2", notReturnedNotAllowed},
+		"pauses":                      {func(r *gatewayRig, vm vmlist.VM) { r.known.announcePause(vm, time.Minute) }, "h2", notReturnedNotAllowed},
+		"restarts":                    {func(r *gatewayRig, vm vmlist.VM) { r.restartEntry(vm.ID) }, "h2", notReturnedNotAllowed},
+		"names no memory":             {func(*gatewayRig, vmlist.VM) {}, "", notReturnedNoMemory},
+		"retry budget exhausted": {func(r *gatewayRig, _ vmlist.VM) {
+			for r.budget.Take("engines", boottime.Now()) {
+			}
+		}, "h2", notReturnedBudget},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newGatewayRig(t, 2)
@@ -93,11 +103,11 @@
 			lines := r.rigLog()
 			var made calls
 			engine := r.Snapshot().Backends["engine-0"]
-			e := &movingEngines{finalHandle: "h2", finalStatus: http.StatusOK}
+			e := &movingEngines{finalHandle: test.handle, finalStatus: http.StatusOK}
 			r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
 				if request.Header.Get("Kv-From") != "" {
 					made.add("ask " + id)
-					before(r, engine)
+					test.before(r, engine)
 					refuseCopy(w)
 					return true
 				}
@@ -112,6 +122,9 @@
 			if got := logLine(t, lines, "stream_cut"); got["reason"] != string(cutMoveRefused) {
 				t.Errorf("got %v", got)
 			}
+			if got := logLine(t, lines, "run_not_returned"); got["reason"] != string(test.reason) {
+				t.Errorf("got %v, want %s", got, test.reason)
+			}
 		})
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -117,7 +117,7 @@
 }
 
 // countCut counts something about streams that are cut after their first event: "streams_cut" by
-// cutReason, and "streams_not_resumed" by noNextReason.
+// cutReason, "streams_not_resumed" by noNextReason, and "runs_not_returned" by notReturnedReason.
 func (m *Metrics) countCut(what, reason string) {
 	metrics.GetOrRegisterCounter("gateway."+what+"."+reason, m.registry).Inc(1)
 }
