gateway: a stream whose time is up within a planned move is cut by its time limit

stream_cut named the move (move_unanswered, ended_by=switchover) when the time of the caller was up while the engine with the copy had not answered, since whyCut looked at the move before the time. On call one would look for a fault of the engine or of the move, and the counter of time limits was too low.

The new row 'time limit within a planned move' of TestEachCutStreamHasItsReason failed in 3 of 3 runs before (move_unanswered, want time_limit), and passes in 3 of 3 runs with -race. Only the reason changes, not when a stream is cut.

--- a/gateway/cut.go
+++ b/gateway/cut.go
@@ -98,7 +98,7 @@
 		return cutCallerClosedHere
 	case s.writeErr != nil:
 		return cutWriteFailed
-	case errors.Is(s.segmentEnd, errSwitchover):
+	case errors.Is(s.segmentEnd, errSwitchover) && !s.moveTimedOut():
 		return moveReason(s.moveErr)
 	case errors.Is(s.segmentEnd, context.DeadlineExceeded), s.remaining() <= 0:
 		return cutTimeLimit
@@ -110,6 +110,12 @@
 	return reason
 }
 
+// moveTimedOut reports whether the time of the stream was up while the engine with a moved copy was
+// asked to go on.
+func (s *stream) moveTimedOut() bool {
+	return s.remaining() <= 0 && errors.Is(s.moveErr, context.DeadlineExceeded)
+}
+
 // moveReason returns why a run did not go on from a moved copy.
 func moveReason(err error) cutReason {
 	if _, notEnded := errors.Into[*RunNotEndedError](err); notEnded {
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -259,6 +259,10 @@
 			func(c *cutRig) { c.answer = waitForEnd(c) },
 			300 * time.Millisecond, cutTimeLimit, endedByTimeLimit, noNextNotRepeatable,
 		},
+		"time limit within a planned move": {func(c *cutRig) {
+			c.leaves, c.answer = true, runOn
+			c.copyAnswer = func(http.ResponseWriter) { time.Sleep(3 * timeout) }
+		}, timeout, cutTimeLimit, endedByTimeLimit, noNextNotRepeatable},
 		"caller does not read": {func(c *cutRig) {
 			c.writer = &failingWriter{httptest.NewRecorder(), os.ErrDeadlineExceeded}
 			c.answer = runOn
