gateway: test that each reason of a cut is asserted by a test

Nothing failed if a cutReason was added without a row, or without a party in cutBy. TestEachCutReasonIsAsserted reads the constants from cut.go and looks for each in the rows of the three tests, whose tables are functions now; no row is taken out.

--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -163,17 +168,19 @@
 	c.current = &snap
 }
 
-// Guards against a stream that a VM ends while its engine is sound, and whose log blames the engine
-// or tells no cause: each way has a reason and a counter of its own.
-func TestEachCutStreamHasItsReason(t *testing.T) {
+// cutCase is a way in which a stream is cut, and what the log says of it.
+type cutCase struct {
+	prepare func(*cutRig)
+	timeout time.Duration
+	reason  cutReason
+	by      endedBy
+	noNext  noNextReason
+}
+
+// cutCases returns the ways that can be played on the rig.
+func cutCases(t *testing.T) map[string]cutCase {
 	const timeout = 1500 * time.Millisecond
-	for name, test := range map[string]struct {
-		prepare func(*cutRig)
-		timeout time.Duration
-		reason  cutReason
-		by      endedBy
-		noNext  noNextReason
-	}{
+	return map[string]cutCase{
 		// The engine ended the stream.
 		"engine breaks off": {
 			func(c *cutRig) { c.answer = breakOff(c) },
@@ -337,7 +344,13 @@
 			c.Quarantine = q
 			c.answer = func(w http.ResponseWriter, r *http.Request) { q.refuses.Store(true); breakOff(c)(w, r) }
 		}, timeout, cutEngineBrokeOff, endedByServer, noNextQuarantined},
-	} {
+	}
+}
+
+// Guards against a stream that a VM ends while its engine is sound, and whose log blames the engine
+// or tells no cause: each way has a reason and a counter of its own.
+func TestEachCutStreamHasItsReason(t *testing.T) {
+	for name, test := range cutCases(t) {
 		t.Run(name, func(t *testing.T) {
 			c := newCutRig(t)
 			test.prepare(c)
@@ -379,22 +392,26 @@
 	}
 }
 
-// Guards against an error of a segment that is taken for a fault of the engine: only one that shows that
-// the engine broke off is named so, and one that is not known is named unknown.
-func TestErrorsOfSegmentsNameTheEngineOnlyIfItBrokeOff(t *testing.T) {
+// reasonCase is an error and the reason that it shows.
+type reasonCase struct {
+	err    error
+	reason cutReason
+}
+
+// segmentErrors returns errors that end a segment.
+func segmentErrors() []reasonCase {
 	read := func(err error) error {
 		return &backend.UncertainError{Backend: "e", Cause: &net.OpError{Op: "read", Err: err}}
 	}
-	for _, test := range []struct {
-		err    error
-		reason cutReason
-	}{
+	return []reasonCase{
 		{read(syscall.ECONNRESET), cutEngineBrokeOff},
+		{read(syscall.EPIPE), cutEngineBrokeOff},
 		{read(io.ErrUnexpectedEOF), cutEngineBrokeOff},
 		{&backend.UncertainError{Cause: io.EOF}, cutEngineBrokeOff},
 		{&PartialEventError{Bytes: 3}, cutPartialEvent},
 		{read(syscall.ETIMEDOUT), cutEngineUnreachable},
 		{read(syscall.EHOSTUNREACH), cutEngineUnreachable},
+		{read(syscall.ENETUNREACH), cutEngineUnreachable},
 		{read(net.ErrClosed), cutClosedHere},
 		{&backend.UncertainError{Cause: context.Canceled}, cutCancelled},
 		{&backend.UncertainError{Cause: &membudget.EvictedError{}}, cutMemoryEvicted},
@@ -402,7 +419,13 @@
 		{&backend.UncertainError{Cause: &backend.MalformedBodyError{Cause: io.ErrNoProgress}}, cutMalformedBody},
 		{errors.New("not known"), cutUnknown},
 		{nil, cutUnknown},
-	} {
+	}
+}
+
+// Guards against an error of a segment that is taken for a fault of the engine: only one that shows that
+// the engine broke off is named so, and one that is not known is named unknown.
+func TestErrorsOfSegmentsNameTheEngineOnlyIfItBrokeOff(t *testing.T) {
+	for _, test := range segmentErrors() {
 		reason := segmentReason(test.err)
 		if reason != test.reason {
 			t.Errorf("%v: %s, want %s", test.err, reason, test.reason)
@@ -414,13 +437,9 @@
 	}
 }
 
-// Guards against a planned move that fails and whose log does not tell whether the next engine has
-// refused the run, was not reached, gave no usable answer, or was not asked.
-func TestErrorsOfMovesHaveReasons(t *testing.T) {
-	for _, test := range []struct {
-		err    error
-		reason cutReason
-	}{
+// moveErrors returns errors of the engine with a moved copy.
+func moveErrors() []reasonCase {
+	return []reasonCase{
 		{&RefusedError{Status: http.StatusServiceUnavailable}, cutMoveRefused},
 		{&backend.NotSentError{Cause: syscall.ECONNREFUSED}, cutMoveUnreachable},
 		{&backend.UncertainError{Cause: io.ErrUnexpectedEOF}, cutMoveUnanswered},
@@ -430,9 +449,65 @@
 		{&backend.UncertainError{Cause: &backend.ResponseMismatchError{}}, cutMoveRejected},
 		{&RunNotEndedError{Engine: "e"}, cutMoveNotEnded},
 		{nil, cutUnknown},
-	} {
+	}
+}
+
+// Guards against a planned move that fails and whose log does not tell whether the next engine has
+// refused the run, was not reached, gave no usable answer, or was not asked.
+func TestErrorsOfMovesHaveReasons(t *testing.T) {
+	for _, test := range moveErrors() {
 		if got := moveReason(test.err); got != test.reason {
 			t.Errorf("%v: %s, want %s", test.err, got, test.reason)
 		}
 	}
 }
+
+// Guards against a reason that no test asserts, or that blames nobody: one may be given wrongly, or be
+// missing in cutEndedBy, and nothing fails.
+func TestEachCutReasonIsAsserted(t *testing.T) {
+	asserted := map[cutReason]bool{}
+	for _, c := range cutCases(t) {
+		asserted[c.reason] = true
+	}
+	for _, c := range slices.Concat(segmentErrors(), moveErrors()) {
+		asserted[c.reason] = true
+	}
+	reasons := declaredCutReasons(t)
+	if len(reasons) != len(cutEndedBy) {
+		t.Errorf("%d reasons are declared, %d have a party in cutEndedBy", len(reasons), len(cutEndedBy))
+	}
+	for _, reason := range reasons {
+		if !asserted[reason] {
+			t.Errorf("no test asserts %s", reason)
+		}
+		if cutEndedBy[reason] == "" {
+			t.Errorf("cutEndedBy does not tell who ended a stream for %s", reason)
+		}
+	}
+}
+
+// declaredCutReasons returns the constants of the type cutReason in cut.go.
+func declaredCutReasons(t *testing.T) (all []cutReason) {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "cut.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 {
+			return true
+		}
+		typeName, typed := spec.Type.(*ast.Ident)
+		value, literal := spec.Values[0].(*ast.BasicLit)
+		if typed && literal && typeName.Name == "cutReason" {
+			text, err := strconv.Unquote(value.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, cutReason(text))
+		}
+		return true
+	})
+	return all
+}
