--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -79,12 +79,17 @@
 
 // writeSettings writes the settings file. The variant changes the memory limit,
 // so that the files of two variants differ.
-func (v *vm) writeSettings(variant int) error {
-	text := userplatform.Settings{
+func (v *vm) writeSettings(variant int) error { return v.writeSettingsOf(v.settingsOf(variant)) }
+
+func (v *vm) settingsOf(variant int) userplatform.Settings {
+	return userplatform.Settings{
 		VM: v.name, FrontAddress: v.callers, ReadyAddress: v.ready, ControlAddress: v.peers, StoreAddress: v.store.address(),
 		MemoryMB: memoryMB + variant, GraceSeconds: graceSeconds, Drain: drainBound, Apply: applyBound, Revoke: revokeBound,
-	}.YAML()
-	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+	}
+}
+
+func (v *vm) writeSettingsOf(s userplatform.Settings) error {
+	if err := os.WriteFile(v.settings, []byte(s.YAML()), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
 	return nil
