gateway, soak: failing tests for planned moves without retry budget

Callers see a draft without its end although its engine is sound: the entry of the engine is missing for half a second, the VM has the engine end the run, the next engine refuses the copy, and the run may not go back, since the retry budget of the service is used up. The budget is charged for each request for a copy and for the return, and is looked at for the return only.

--- a/gateway/go_back_test.go
+++ b/gateway/go_back_test.go
@@ -129,6 +129,28 @@
 	}
 }
 
+// Guards against a draft that is cut since the retry budget was used up by planned moves before it: this VM
+// has a sound engine end the run, the next engine refuses the copy, and the run may not go back.
+func TestPlannedMoveWithoutRetryBudgetCutsNoStream(t *testing.T) {
+	r := newGatewayRig(t, 2)
+	r.configure(1, "desk", "engines")
+	r.grantCopies(false, true)
+	lines := r.rigLog()
+	e := &movingEngines{finalHandle: "h2", finalStatus: http.StatusOK}
+	r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
+		if request.Header.Get("Kv-From") != "" && id == "engine-1" {
+			refuseCopy(w)
+			return true
+		}
+		return e.answer(id, w, request)
+	}
+	for r.budget.Take("engines", boottime.Now()) {
+	}
+	go r.leaveBehind(vmlist.StateLeaving)
+	requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+	r.Close()
+}
+
 // restartEntry replaces the entry of a server that leaves by that of its next start.
 func (r *gatewayRig) restartEntry(id string) {
 	r.setState(id, vmlist.StateLive)
--- a/internal/soak/reloads_test.go
+++ b/internal/soak/reloads_test.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// Guards against drafts that several VMs cut around SIGHUPs: the entries of their engines are missing for a
+// moment, so that the VMs have sound engines end the runs, and the next engines refuse the runs.
+func TestRunsOfVanishedEnginesLastBesideReloads(t *testing.T) {
+	t.Parallel()
+	playReloads(t, reloadCases["entries vanish, copies refused"])
+}
+
 func playReloads(t *testing.T, c reloadCase) {
 	c.engines, c.split, c.kept = reloadEngines, true, true
 	c.play = append(slices.Clone(c.play), (*versionLoad).reload)
