--- a/gateway/go_back.go
+++ b/gateway/go_back.go
@@ -7,7 +7,6 @@
 
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
-	"github.com/vanillaarch/vanillaarch/internal/boottime"
 	"github.com/vanillaarch/vanillaarch/telemetry"
 	"github.com/vanillaarch/vanillaarch/vmlist"
 )
@@ -16,8 +15,8 @@
 // go on from it there. The run goes back if the engine with the copy refuses the request or can't be
 // reached: the stream would be cut otherwise, although its engine is sound.
 
-// maxReturns is the number of returns after which an evacuation moves a run no more. Each counts twice
-// against the retry budget, without which a run can't go back, and pauses the stream.
+// maxReturns is the number of returns after which an evacuation moves a run no more. Each counts
+// against the retry budget, as does the request that was refused, and pauses the stream.
 const maxReturns = 1
 
 // keepPlace keeps the ticket of the engine that a run leaves in a planned move until the run goes on. The
@@ -119,20 +118,19 @@
 	// notReturnedNoMemory means that the engine has not named the memory of the run in time.
 	notReturnedNoMemory notReturnedReason = "no_memory"
 	// notReturnedNotAllowed means that the engine must get no work.
-	notReturnedNotAllowed notReturnedReason = "not_allowed"
-	// notReturnedBudget means that the retry budget of the service is exhausted.
-	notReturnedBudget      notReturnedReason = "retry_budget"
+	notReturnedNotAllowed  notReturnedReason = "not_allowed"
 	notReturnedUnreachable notReturnedReason = "unreachable"
 )
 
+// whyNotReturned returns why a run must not go back to the engine that has ended it. A return counts against
+// the retry budget, but needs none left: this VM has ended a sound run, and there is one return at most for
+// each copy that was refused.
 func (s *stream) whyNotReturned(engine vmlist.VM, kept *edge.Copy) notReturnedReason {
 	switch {
 	case kept == nil:
 		return notReturnedNoMemory
 	case !s.g.mayReturnTo(engine):
 		return notReturnedNotAllowed
-	case !s.g.budget.Allows(s.service.Name, boottime.Now()):
-		return notReturnedBudget
 	default:
 		return notReturnedNone
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -29,6 +29,13 @@
 	excluded := []string{vm.ID}
 	var returnedFrom []string
 	for try := 0; s.isOn(vm) && !s.mayStayOn(vm) && len(returnedFrom) <= maxReturns; try++ {
+		if len(returnedFrom) > 0 && !s.g.budget.Allows(s.service.Name, boottime.Now()) {
+			// A second move that fails would cost two more requests.
+			if !wait.Sleep(ctx, moveRetryInterval) {
+				return
+			}
+			continue
+		}
 		rc, err := s.copyTo(ctx, vm, excluded, false)
 		fields := []zap.Field{
 			zap.String("backend", vm.ID), zap.Bool("fits", scheduled.Fits), zap.Duration("planned", scheduled.CopiedAt),
