soak: report each draft that runs out of time beside SIGHUPs

TestReloadsCutNoStreamOfASoundEngine accepted a draft that ran out of time if the process of the callers and engines stood still for 3 s. The exception goes; the measured delay stays in the message.

--- a/internal/soak/reloads_test.go
+++ b/internal/soak/reloads_test.go
@@ -22,9 +22,6 @@
 	reloadsPerChange = 3
 	// vanishTime is how long the entry of an engine is missing.
 	vanishTime = 500 * time.Millisecond
-	// longStall is a time for which this process, which runs the callers and the engines, stands still and
-	// after which a draft may not end in time.
-	longStall = draftDeadline / 3
 	// reloadEngines is the number of engines of each service. Without two of them the others have room
 	// for all drafts.
 	reloadEngines = 5
@@ -182,7 +179,7 @@
 	case answered && r.status == http.StatusServiceUnavailable:
 		return "refused", len(l.fleet.Executions(r.id)) == 0
 	case r.ended.Sub(r.sent) > draftDeadline-noticedCut:
-		return "time-out", l.delays.longest(r.sent, r.ended) > longStall
+		return "time-out", false
 	case cut != nil:
 		return "cut: " + cut["ended_by"] + " " + cut["reason"], cut["reason"] == "engine_broke_off" && l.hasCrashed(cut["backend"], r)
 	case lost != nil:
