--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -223,6 +223,16 @@
 	r.ServeHTTP(w, request)
 }
 
+// setTimeLimit sets the time limit of the route of a path. It must be called before the first request.
+func (r *gatewayRig) setTimeLimit(path string, limit time.Duration) {
+	r.t.Helper()
+	matched, ok := r.Snapshot().Routes.Match("h", path)
+	if !ok {
+		r.t.Fatalf("no route for %s", path)
+	}
+	matched.Timeout = limit
+}
+
 // start starts a server that answers with a success.
 func (r *gatewayRig) start(id string, role vmlist.Role) vmlist.VM {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
