--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -24,9 +24,11 @@
 		// open answers of openBytes hold 0.75 MB each, as the sound one does, since a buffer
 		// and the next larger one exist together.
 		open, openBytes, soundBytes = 6, 400 << 10, 300 << 10
-		// heldBytes is what must be reserved before the sound request is sent, answerBytes what
-		// each open answer holds. The budget of the rig is 4 MB.
-		heldBytes, answerBytes = 3500 << 10, 750 << 10
+		// answerBytes is what each open answer holds, heldBytes what must be reserved before the
+		// last one is sent: all of the others, since with the last one still growing both could
+		// be refused. The budget of the rig is 4 MB.
+		answerBytes = 750 << 10
+		heldBytes   = (open - 1) * answerBytes
 	)
 	sound := strings.Repeat("x", soundBytes)
 	for kind, test := range map[string]struct {
@@ -52,32 +54,42 @@
 				}
 				return true
 			}
-			find := func(id string) vmlist.VM { return r.Snapshot().Backends[id] }
-			r.known.announcePause(find(test.sound), 500*time.Millisecond)
+			lines := r.rigLog()
+			r.setTimeLimit(test.path, rigTimeLimit)
+			both := r.Snapshot()
+			r.listOnly(test.faulty)
 			var group sync.WaitGroup
-			held := time.Now().Add(400 * time.Millisecond)
+			limit := time.Now().Add(rigTimeLimit / 2)
 			// One after the other: two that grow at once can both be refused for what the other holds.
 			for n := range open {
-				group.Go(func() { r.send(test.path) })
-				for r.answerBudget.Used() < min(int64(n+1)*answerBytes, heldBytes) && time.Now().Before(held) {
+				group.Go(func() { r.sendWhileRunning(test.path, limit) })
+				for r.answerBudget.Used() < min(int64(n+1)*answerBytes, heldBytes) && time.Now().Before(limit) {
 					time.Sleep(time.Millisecond)
 				}
 			}
 			if used := r.answerBudget.Used(); used < heldBytes {
 				t.Errorf("open answers hold %d bytes, want %d", used, heldBytes)
 			}
-			time.Sleep(time.Until(held.Add(150 * time.Millisecond)))
-			// The last answer was refused since its own server holds the most, which is a
+			// The last answer is refused since its own server holds the most, which is a
 			// failure of that server.
-			if r.mu.Lock(); kind == "event" && r.failed == 0 {
-				t.Error("no failure of the engine that exhausts the memory was reported")
+			for kind == "event" && r.failures() == 0 {
+				if time.Now().After(limit) {
+					t.Error("no failure of the engine that exhausts the memory was reported")
+					break
+				}
+				time.Sleep(time.Millisecond)
 			}
-			r.mu.Unlock()
+			r.setSnapshot(both)
+			find := func(id string) vmlist.VM { return r.Snapshot().Backends[id] }
 			r.known.announcePause(find(test.faulty), time.Minute)
-			got := r.send(test.path)
+			got := r.sendWhileRunning(test.path, limit)
 			if got.Code != http.StatusOK || got.Body.String() != test.answer {
 				t.Errorf("sound answer: status %d, %d bytes, want %d", got.Code, got.Body.Len(), len(test.answer))
 			}
+			// An answer that gave way is counted when its request ends, unless its server ends it first.
+			for r.Metrics.answersEvicted.Count() == 0 && time.Now().Before(limit) {
+				time.Sleep(time.Millisecond)
+			}
 			close(done)
 			group.Wait()
 			if used := r.answerBudget.Used(); used != 0 {
@@ -86,6 +98,9 @@
 			if n := r.Metrics.answersEvicted.Count(); n == 0 {
 				t.Error("no answer gave way")
 			}
+			if t.Failed() {
+				t.Log(lines.String())
+			}
 		})
 	}
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,7 @@
 	"github.com/vanillaarch/vanillaarch/dispatch"
 	"github.com/vanillaarch/vanillaarch/edge"
 	"github.com/vanillaarch/vanillaarch/internal/boottime"
+	"github.com/vanillaarch/vanillaarch/internal/stillness"
 	"github.com/vanillaarch/vanillaarch/platform"
 	"github.com/vanillaarch/vanillaarch/quarantine"
 	"github.com/vanillaarch/vanillaarch/ratelimit/permit"
@@ -223,6 +225,21 @@
 	r.ServeHTTP(w, request)
 }
 
+// listOnly removes all servers but one from the list.
+func (r *gatewayRig) listOnly(id string) {
+	snap := *r.Snapshot()
+	only := func(lists map[string][]vmlist.VM) map[string][]vmlist.VM {
+		out := map[string][]vmlist.VM{}
+		for name, vms := range lists {
+			out[name] = slices.DeleteFunc(slices.Clone(vms), func(vm vmlist.VM) bool { return vm.ID != id })
+		}
+		return out
+	}
+	snap.Services, snap.Engines = only(snap.Services), only(snap.Engines)
+	snap.Backends = map[string]vmlist.VM{id: snap.Backends[id]}
+	r.setSnapshot(&snap)
+}
+
 // setTimeLimit sets the time limit of the route of a path. It must be called before the first request.
 func (r *gatewayRig) setTimeLimit(path string, limit time.Duration) {
 	r.t.Helper()
@@ -291,6 +308,13 @@
 	return nil, &dispatch.NoBackendError{Model: a.Model}
 }
 
+// failures returns the number of failures of engines that were reported.
+func (r *gatewayRig) failures() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
 func (r *gatewayRig) recordFailure() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -310,6 +334,22 @@
 	return w
 }
 
+// sendWhileRunning sends a request, and again until a limit as long as the VM refuses it after the
+// process stood still: a dial ends after 300 ms on the clock.
+func (r *gatewayRig) sendWhileRunning(path string, limit time.Time) *httptest.ResponseRecorder {
+	const endsDials = 250 * time.Millisecond
+	meter := stillness.Start()
+	defer meter.Stop()
+	for {
+		begin := time.Now()
+		w := r.send(path)
+		now := time.Now()
+		if w.Code != http.StatusServiceUnavailable || meter.Between(begin, now) < endsDials || now.After(limit) {
+			return w
+		}
+	}
+}
+
 // announceWhenChosen makes each plain server but the last announce something between its
 // choice and the send. Servers are chosen in the order of the list.
 func (r *gatewayRig) announceWhenChosen(announce func(vmlist.VM)) {
