--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -74,6 +74,7 @@
 		delay = firstStartRead
 	}
 	t.registry = newRegistry(t.started + delay + rand.N(readJitter))
+	t.registry.firstStart = o.FirstStart
 	return t
 }
 
@@ -294,7 +295,7 @@
 // keep writes what is to change in the registry.
 func (t *Tracker) keep(ctx context.Context) {
 	t.mu.Lock()
-	puts, deletes := t.registry.duties(t.now(), t.opts.FirstStart)
+	puts, deletes := t.registry.duties(t.now())
 	t.mu.Unlock()
 	if len(puts)+len(deletes) == 0 {
 		return
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -142,6 +142,8 @@
 	// lastListed holds the last versions of each service that was ever listed, also of those without a
 	// server now: streams that began before may be in progress.
 	lastListed map[string][]vmlist.SoftwareVersion
+	// changed holds the services that have had other versions in the list before.
+	changed map[string]bool
 	// listedSince holds, by key, since when a version is listed.
 	listedSince map[string]time.Duration
 	// missingSince holds, by key, since when a registered version is not listed while another one is
@@ -163,11 +165,13 @@
 	eraSince time.Duration
 	// isFirstEra is set if the VM has seen no earlier era.
 	isFirstEra bool
+	// firstStart is set if the whole system has started for the first time with this VM.
+	firstStart bool
 }
 
 func newRegistry(firstRead time.Duration) *registry {
 	return &registry{
-		lastListed: map[string][]vmlist.SoftwareVersion{}, missingSince: map[string]time.Duration{}, nextRead: firstRead, era: kv.NoEra,
+		lastListed: map[string][]vmlist.SoftwareVersion{}, changed: map[string]bool{}, missingSince: map[string]time.Duration{}, nextRead: firstRead, era: kv.NoEra,
 	}
 }
 
@@ -180,6 +184,7 @@
 		if len(before) == 0 && len(versions) > 1 || len(before) == 1 && !slices.Equal(versions, before) {
 			mixed = append(mixed, service)
 		}
+		r.changed[service] = r.changed[service] || len(before) > 0 && !slices.Equal(versions, before)
 		r.lastListed[service] = versions
 	}
 	since := map[string]time.Duration{}
@@ -219,6 +224,12 @@
 	return registered
 }
 
+// isUnchangedSinceFirstStart reports whether the whole system has started for the first time with this VM,
+// and the list has shown no other versions of a service since.
+func (r *registry) isUnchangedSinceFirstStart(service string) bool {
+	return r.firstStart && !r.changed[service]
+}
+
 // isConfirmed reports whether a registered version has been listed since confirmAge before the last read,
 // or since the read if it was the only one, or is the only one in the list: others that are registered
 // have no servers then. One that came back later may have been removed from the registry since.
@@ -293,9 +304,8 @@
 }
 
 // duties returns what the VM that keeps the registry is to write: listed versions that are not
-// registered, and the keys of those of which no server was listed for forgetAge. first is set
-// if the whole system starts for the first time, when no stream can have begun before.
-func (r *registry) duties(now time.Duration, first bool) (puts []kv.Put, deletes []string) {
+// registered, and the keys of those of which no server was listed for forgetAge.
+func (r *registry) duties(now time.Duration) (puts []kv.Put, deletes []string) {
 	if r.readAt == 0 || now-r.readAt >= maxKnownAge || r.outdated {
 		return nil, nil
 	}
@@ -303,10 +313,11 @@
 		clear(r.missingSince)
 	}
 	r.dutiesAt = now
-	settled := first && r.isFirstEra || now-r.eraSince >= settleAge
 	missing := map[string]time.Duration{}
 	for service, listed := range r.listed {
 		known := r.known.versions[service]
+		// At the first start, streams may have begun at versions that were listed before.
+		settled := r.isFirstEra && r.isUnchangedSinceFirstStart(service) || now-r.eraSince >= settleAge
 		for _, v := range listed {
 			if slices.Contains(known, v) || len(puts) >= batchSize || len(known) >= maxVersions {
 				continue
--- a/streamorigin/registry_simulation_store_test.go
+++ b/streamorigin/registry_simulation_store_test.go
@@ -48,7 +48,7 @@
 	if !v.keeper {
 		return
 	}
-	puts, deletes := v.registry.duties(r.now, v.opts.FirstStart)
+	puts, deletes := v.registry.duties(r.now)
 	if len(puts)+len(deletes) == 0 {
 		return
 	}
--- a/streamorigin/registry_simulation_test.go
+++ b/streamorigin/registry_simulation_test.go
@@ -62,7 +62,7 @@
 	}
 	v := &trackerVM{vm: vm, list: -1, keeper: r.keeper == place}
 	v.Tracker = &Tracker{Records: records, started: r.now, registry: newRegistry(r.now + delay + r.draw("first read", readJitter))}
-	v.opts.FirstStart = first
+	v.opts.FirstStart, v.registry.firstStart = first, first
 	r.trackers[place] = v
 	r.after(r.draw("first list", 500*ms), func() { r.adopt(v, len(r.lists)-1) })
 	r.after(dutyInterval/2, func() { r.tick(v) })
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -109,7 +109,6 @@
 	now    time.Duration
 	store  map[string]kv.Entry
 	era    kv.Era
-	first  bool
 	writes int
 }
 
@@ -139,7 +138,7 @@
 		if due, _ := k.readDue(k.now); due {
 			k.read(k.now, k.now, k.listing(), nil)
 		}
-		puts, deletes := k.duties(k.now, k.first)
+		puts, deletes := k.duties(k.now)
 		if len(puts)+len(deletes) == 0 {
 			continue
 		}
@@ -269,6 +268,9 @@
 	}{
 		{name: "first start", first: true},
 		{name: "later start", lost: true},
+		{name: "first start, another version was listed before the first read", first: true, lost: true, prepare: func(k *keeperRig) {
+			k.setListed(k.now, listedVersions("v1"))
+		}},
 		{name: "empty copy", first: true, lost: true, prepare: func(k *keeperRig) {
 			k.run(10*time.Second, "v1")
 			k.era, k.store = 1, map[string]kv.Entry{}
@@ -281,7 +283,7 @@
 		{name: "new service", prepare: func(k *keeperRig) { k.run(settleAge + time.Second) }},
 	} {
 		k := newKeeperRig(t)
-		k.first = row.first
+		k.firstStart = row.first
 		if row.prepare != nil {
 			row.prepare(k)
 		}
@@ -422,7 +424,8 @@
 	if due, _ := r.readDue(now); !due {
 		t.Error("what was written is not read")
 	}
-	if puts, deletes := r.duties(now, true); len(puts)+len(deletes) != 0 {
+	r.firstStart = true
+	if puts, deletes := r.duties(now); len(puts)+len(deletes) != 0 {
 		t.Error("written again before a read")
 	}
 }
