--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	record := t.Begin(request, recorded(o), lifetime)
-	if known == unregistered {
+	if t.mustBeStored(known) {
 		record.RequireStored()
 	}
 	return record, nil
@@ -114,7 +114,7 @@
 		return err
 	}
 	rec.Replace(recorded(o))
-	if known == unregistered {
+	if t.mustBeStored(known) {
 		rec.RequireStored()
 	}
 	return nil
@@ -149,6 +149,11 @@
 	return nil
 }
 
+// mustBeStored reports whether a stream passes on events only once its record is stored.
+func (t *Tracker) mustBeStored(known standing) bool {
+	return known == unregistered || known == unread && t.Available()
+}
+
 // ReplaceByUnknown is Replace for a server whose version turns out not to be known. Events may be passed on
 // only once the store says so, if it may say otherwise.
 func (rec *Record) ReplaceByUnknown(o Origin) {
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -127,6 +127,10 @@
 	// unregistered versions may be missing in the registry, now or before the stream is taken up. Their
 	// streams pass on events only once their record is stored.
 	unregistered standing = iota
+	// unread versions are the only listed ones at a VM that has read nothing of the registry, or an empty
+	// one. It may hold another version alone, so their streams wait for their record, unless the store
+	// fails.
+	unread
 	// registered versions are in the registry. Their streams need records, but do not wait for them
 	// longer than for a short time: without one nobody knows where they began.
 	registered
@@ -208,9 +212,10 @@
 	}
 	known, listed := r.known.versions[service], r.listed[service]
 	if len(known) == 0 && len(listed) == 1 && listed[0] == v {
-		// Without registered versions nobody knows where a stream without a record began, so streams need
-		// not wait for a store that is silent.
-		return registered
+		if r.isUnchangedSinceFirstStart(service) {
+			return registered // No other version can have begun a stream.
+		}
+		return unread
 	}
 	if r.readAt == 0 || !slices.Contains(known, v) {
 		return unregistered
