--- a/streamorigin/entries.go
+++ b/streamorigin/entries.go
@@ -19,6 +19,8 @@
 	// events may be passed on. They may be the same channel.
 	stored, settled     chan struct{}
 	isStored, isSettled bool
+	// settlesOnFailure is set while the entry settles as well if a call of the machine fails.
+	settlesOnFailure bool
 	// passed is set once the first event was passed on, and passedStored once the record in the
 	// store says so.
 	passed, passedStored bool
@@ -101,6 +103,7 @@
 		if oldest.needsWrite() && !oldest.inBatch { // One in a batch is queued again if the write fails.
 			m.dropped++
 			oldest.ended = true
+			m.notStored(oldest)
 		}
 	}
 }
@@ -115,17 +118,47 @@
 		// Nothing is written any more. What is stored may be wrong, so nothing may be passed on.
 		if e.sent > 0 {
 			e.stored, e.settled, e.isStored, e.isSettled = make(chan struct{}), make(chan struct{}), false, false
+			e.settlesOnFailure = false
 		}
 		e.origin = o
 		return
 	}
 	e.stored, e.isStored, e.lost, e.passedStored = make(chan struct{}), false, false, false
 	if e.sent > 0 || !e.isSettled {
-		e.settled, e.isSettled = e.stored, false
+		m.requireStored(e)
 	}
 	m.beginAttempt(e, o)
 }
 
+// requireStored makes the entry settle once it is stored.
+func (m *machine) requireStored(e *entry) {
+	if !e.isStored {
+		e.settled, e.isSettled, e.settlesOnFailure = e.stored, false, false
+	}
+}
+
+// preferStored makes the entry settle once it is stored or a call has failed, unless it waits already.
+func (m *machine) preferStored(e *entry) {
+	if !e.isStored && e.isSettled && m.available() {
+		e.settled, e.isSettled, e.settlesOnFailure = make(chan struct{}), false, true
+	}
+}
+
+// notStored settles an entry that does not have to be stored, since the store does not take it for now.
+func (m *machine) notStored(e *entry) {
+	if e.settlesOnFailure {
+		m.settle(e)
+	}
+}
+
+// settle lets the events of the entry pass on.
+func (m *machine) settle(e *entry) {
+	if e.settlesOnFailure {
+		close(e.settled)
+	}
+	e.isSettled, e.settlesOnFailure = true, false
+}
+
 // firstEventPassed records that the first event was passed on.
 func (m *machine) firstEventPassed(e *entry) {
 	if e.passed {
@@ -154,6 +187,7 @@
 		m.dropped++
 	}
 	e.removed = true
+	m.notStored(e)
 	rest := slices.DeleteFunc(m.byKey[e.prefix], func(other *entry) bool { return other == e })
 	if len(rest) == 0 {
 		delete(m.byKey, e.prefix)
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -100,9 +100,7 @@
 		return nil, err
 	}
 	record := t.Begin(request, recorded(o), lifetime)
-	if t.mustBeStored(known) {
-		record.RequireStored()
-	}
+	record.awaitFor(known)
 	return record, nil
 }
 
@@ -114,9 +112,7 @@
 		return err
 	}
 	rec.Replace(recorded(o))
-	if t.mustBeStored(known) {
-		rec.RequireStored()
-	}
+	rec.awaitFor(known)
 	return nil
 }
 
@@ -149,11 +145,6 @@
 	return nil
 }
 
-// mustBeStored reports whether a stream passes on events only once its record is stored.
-func (t *Tracker) mustBeStored(known standing) bool {
-	return known == unregistered || known == unread && t.Available()
-}
-
 // ReplaceByUnknown is Replace for a server whose version turns out not to be known. Events may be passed on
 // only once the store says so, if it may say otherwise.
 func (rec *Record) ReplaceByUnknown(o Origin) {
@@ -161,12 +152,17 @@
 	rec.Replace(o)
 }
 
-// RequireStored makes Settled wait until the record is stored.
-func (rec *Record) RequireStored() {
+// awaitFor makes Settled wait for what is stored of the record, if what is known of its version asks for it.
+func (rec *Record) awaitFor(known standing) {
+	m := rec.records.machine
 	rec.records.mu.Lock()
 	defer rec.records.mu.Unlock()
-	if e := rec.entry; !e.isStored {
-		e.settled, e.isSettled = e.stored, false
+	switch known {
+	case unregistered:
+		m.requireStored(rec.entry)
+	case unread:
+		m.preferStored(rec.entry)
+	case registered, sole:
 	}
 }
 
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -59,7 +59,7 @@
 
 // Guards against a stream at the only listed version that passes on events without a stored record at a VM
 // that has started later than the system and has read nothing of the registry: that may hold another version
-// alone, as all VMs were killed beside a release. At the first start, and while the store fails, streams do
+// alone, as all VMs were killed beside a release. At the first start, and from a failed call on, streams do
 // not wait.
 func TestUnreadVersionWaitsForItsRecord(t *testing.T) {
 	for _, row := range []struct {
@@ -94,6 +94,12 @@
 		if settled := isSettledNow(rec); settled == row.waits {
 			t.Errorf("%s: may pass on events without a stored record: %v", row.name, settled)
 		}
+		if s, _ := tracker.next(); s.kind == stepGrant {
+			tracker.granted(0, &kv.UnavailableError{})
+		}
+		if !isSettledNow(rec) {
+			t.Errorf("%s: waits on although the store fails", row.name)
+		}
 	}
 }
 
--- a/streamorigin/writes.go
+++ b/streamorigin/writes.go
@@ -95,6 +95,9 @@
 func (m *machine) callFailed(now time.Duration) {
 	m.failures++
 	m.notBefore = max(m.callBegan+m.interval(), now+m.backoff(m.failures))
+	for _, e := range m.records {
+		m.notStored(e)
+	}
 }
 
 // written handles the result of a write. It returns the number of records that were acknowledged for the first time.
@@ -146,7 +149,7 @@
 	if !e.isStored {
 		e.isStored = true
 		close(e.stored)
-		e.isSettled = true
+		m.settle(e)
 	}
 	e.lost, e.passedStored = false, b.passed
 	if m.outdated {
