--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// dutyInterval is how often the VM that keeps the registry compares it with the VM list.
-	dutyInterval = time.Second
+	// updateInterval is how often the VM that keeps the registry compares it with the VM list.
+	updateInterval = time.Second
 	// firstStartRead is the time after the first start of the whole system at which VMs other than
 	// the keeper read the registry, and readJitter the time over which their reads are spread.
 	firstStartRead = 4 * time.Second
@@ -92,38 +92,38 @@
 // BeginIn is Records.Begin for a stream of a service. It returns nil if the stream needs no record, and a
 // *NotStoredError if the stream must not begin.
 func (t *Tracker) BeginIn(service, request string, o Origin, lifetime time.Duration) (*Record, error) {
-	known := t.standing(service, o.Version, lifetime)
-	if known == sole || known == registered && o.Version == "" {
+	state := t.registrationState(service, o.Version, lifetime)
+	if state == sole || state == registered && o.Version == "" {
 		return nil, nil // What the registry says is enough.
 	}
-	if err := t.mayBegin(known, o.Version); err != nil {
+	if err := t.mayBegin(state, o.Version); err != nil {
 		return nil, err
 	}
 	record := t.Begin(request, recorded(o), lifetime)
-	record.awaitFor(known)
+	record.awaitFor(state)
 	return record, nil
 }
 
 // ReplaceIn is Record.Replace for a stream of a service. It returns a *NotStoredError if the stream must
 // not begin at the origin; the record is unchanged then.
 func (t *Tracker) ReplaceIn(service string, rec *Record, o Origin, lifetime time.Duration) error {
-	known := t.standing(service, o.Version, lifetime)
-	if err := t.mayBegin(known, o.Version); err != nil {
+	state := t.registrationState(service, o.Version, lifetime)
+	if err := t.mayBegin(state, o.Version); err != nil {
 		return err
 	}
 	rec.Replace(recorded(o))
-	rec.awaitFor(known)
+	rec.awaitFor(state)
 	return nil
 }
 
-func (t *Tracker) standing(service string, v vmlist.SoftwareVersion, lifetime time.Duration) standing {
+func (t *Tracker) registrationState(service string, v vmlist.SoftwareVersion, lifetime time.Duration) registrationState {
 	era := t.era()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.registry.readAt > 0 {
 		t.registry.eraChanged(t.now(), era) // A record may have met it first.
 	}
-	return t.registry.standing(t.now(), service, v, lifetime)
+	return t.registry.registrationState(t.now(), service, v, lifetime)
 }
 
 // isKnown reports whether a version in a record is known.
@@ -138,8 +138,8 @@
 }
 
 // mayBegin returns a *NotStoredError if a stream must not begin at a version.
-func (t *Tracker) mayBegin(known standing, v vmlist.SoftwareVersion) error {
-	if known == unregistered && !t.Available() {
+func (t *Tracker) mayBegin(state registrationState, v vmlist.SoftwareVersion) error {
+	if state == unregistered && !t.Available() {
 		return &NotStoredError{Version: v}
 	}
 	return nil
@@ -153,11 +153,11 @@
 }
 
 // awaitFor makes Settled wait for what is stored of the record, if what is known of its version asks for it.
-func (rec *Record) awaitFor(known standing) {
+func (rec *Record) awaitFor(state registrationState) {
 	m := rec.records.machine
 	rec.records.mu.Lock()
 	defer rec.records.mu.Unlock()
-	switch known {
+	switch state {
 	case unregistered:
 		m.requireStored(rec.entry)
 	case unread:
@@ -206,7 +206,7 @@
 			t.eraRose(kv.Era(snap.Era))
 		}
 		last = snap
-		wait := t.perform(ctx, snap)
+		wait := t.runDue(ctx, snap)
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
@@ -256,16 +256,16 @@
 	t.registry.eraChanged(t.now(), era)
 }
 
-// perform makes the calls that are due, and returns when to look again.
-func (t *Tracker) perform(ctx context.Context, snap *control.Snapshot) time.Duration {
+// runDue makes the calls that are due, and returns when to look again.
+func (t *Tracker) runDue(ctx context.Context, snap *control.Snapshot) time.Duration {
 	keeper := rendezvous.Owner(RegistryPrefix, snap.EntryVMs) == t.opts.VM
 	if !t.hasEngines {
-		return dutyInterval // Nothing to know.
+		return updateInterval // Nothing to know.
 	}
 	now := t.now()
 	t.mu.Lock()
 	due, at := t.registry.readDue(now)
-	if keeper && t.registry.readAt == 0 && now >= t.started+dutyInterval && t.registry.nextRead > now && !t.registry.failed() {
+	if keeper && t.registry.readAt == 0 && now >= t.started+updateInterval && t.registry.nextRead > now && !t.registry.failed() {
 		due = true // The others read what the keeper writes.
 	}
 	t.mu.Unlock()
@@ -273,8 +273,8 @@
 		t.readRegistry(ctx)
 	}
 	if keeper {
-		t.keep(ctx)
-		return dutyInterval
+		t.updateRegistry(ctx)
+		return updateInterval
 	}
 	return max(at-now, 10*time.Millisecond)
 }
@@ -293,10 +293,10 @@
 	}
 }
 
-// keep writes what is to change in the registry.
-func (t *Tracker) keep(ctx context.Context) {
+// updateRegistry writes what is to change in the registry.
+func (t *Tracker) updateRegistry(ctx context.Context) {
 	t.mu.Lock()
-	puts, deletes := t.registry.duties(t.now())
+	puts, deletes := t.registry.pendingWrites(t.now())
 	t.mu.Unlock()
 	if len(puts)+len(deletes) == 0 {
 		return
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -38,9 +38,9 @@
 	// registered. It covers a removal in progress: the lag of the keeper's list, and a write that the
 	// store executes late.
 	confirmAge = 10 * time.Second
-	// maxDutyGap is the time between two calls of duties after which the VM may have missed versions
+	// maxUpdateGap is the time between two calls of pendingWrites after which the VM may have missed versions
 	// that came and went.
-	maxDutyGap = 10 * time.Second
+	maxUpdateGap = 10 * time.Second
 	// maxVersions bounds the versions of a service that are registered.
 	maxVersions = 64
 )
@@ -120,13 +120,13 @@
 	return versions[0], versions[0] != ""
 }
 
-// standing is what a VM knows of a version of a service.
-type standing int
+// registrationState is what a VM knows of a version of a service.
+type registrationState int
 
 const (
 	// unregistered versions may be missing in the registry, now or before the stream is taken up. Their
 	// streams pass on events only once their record is stored.
-	unregistered standing = iota
+	unregistered registrationState = iota
 	// unread versions are the only listed ones at a VM that has read nothing of the registry, or an empty
 	// one. It may hold another version alone, so their streams wait for their record, unless the store
 	// fails.
@@ -152,9 +152,9 @@
 	listedSince map[string]time.Duration
 	// missingSince holds, by key, since when a registered version is not listed while another one is
 	// registered. It starts anew after a failed call or a gap: this VM may have been cut off, or may
-	// not have kept the registry. dutiesAt is when it was last updated.
-	missingSince map[string]time.Duration
-	dutiesAt     time.Duration
+	// not have kept the registry. missingUpdatedAt is when it was last brought up to date.
+	missingSince     map[string]time.Duration
+	missingUpdatedAt time.Duration
 
 	known registryContents
 	// readAt is when the last successful read began, 0 if there was none, nextRead when the next
@@ -205,8 +205,8 @@
 	return mixed
 }
 
-// standing returns what is known of a version at which a stream is to begin.
-func (r *registry) standing(now time.Duration, service string, v vmlist.SoftwareVersion, lifetime time.Duration) standing {
+// registrationState returns what is known of a version at which a stream is to begin.
+func (r *registry) registrationState(now time.Duration, service string, v vmlist.SoftwareVersion, lifetime time.Duration) registrationState {
 	if lifetime > maxUnrecordedLifetime {
 		return registered // The registry is not asked for such a stream.
 	}
@@ -308,16 +308,16 @@
 	r.known, r.readAt, r.nextRead = registryContents{}, 0, now
 }
 
-// duties returns what the VM that keeps the registry is to write: listed versions that are not
+// pendingWrites returns what the VM that keeps the registry is to write: listed versions that are not
 // registered, and the keys of those of which no server was listed for forgetAge.
-func (r *registry) duties(now time.Duration) (puts []kv.Put, deletes []string) {
+func (r *registry) pendingWrites(now time.Duration) (puts []kv.Put, deletes []string) {
 	if r.readAt == 0 || now-r.readAt >= maxKnownAge || r.outdated {
 		return nil, nil
 	}
-	if now-r.dutiesAt > maxDutyGap {
+	if now-r.missingUpdatedAt > maxUpdateGap {
 		clear(r.missingSince)
 	}
-	r.dutiesAt = now
+	r.missingUpdatedAt = now
 	missing := map[string]time.Duration{}
 	for service, listed := range r.listed {
 		known := r.known.versions[service]
@@ -372,7 +372,7 @@
 	return append(puts, put)
 }
 
-// wrote adopts the result of a write of duties.
+// wrote adopts the result of writing what pendingWrites has returned.
 func (r *registry) wrote(now time.Duration, err error) {
 	r.nextRead = now
 	if err != nil {
--- a/streamorigin/registry_simulation_store_test.go
+++ b/streamorigin/registry_simulation_store_test.go
@@ -9,24 +9,24 @@
 	"github.com/vanillaarch/vanillaarch/kv"
 )
 
-// tick is Tracker.perform.
-func (r *registrySimulation) tick(v *trackerVM) {
-	if v.vm.killed || r.deferred(v, false, func() { r.tick(v) }) {
+// runDue is Tracker.runDue.
+func (r *registrySimulation) runDue(v *trackerVM) {
+	if v.vm.killed || r.deferred(v, false, func() { r.runDue(v) }) {
 		return
 	}
-	r.after(dutyInterval/2, func() { r.tick(v) })
+	r.after(updateInterval/2, func() { r.runDue(v) })
 	if v.busy || len(v.registry.listed[testService]) == 0 {
 		return
 	}
 	due, _ := v.registry.readDue(r.now)
-	if v.keeper && v.registry.readAt == 0 && r.now >= v.started+dutyInterval && v.registry.nextRead > r.now && !v.registry.failed() {
+	if v.keeper && v.registry.readAt == 0 && r.now >= v.started+updateInterval && v.registry.nextRead > r.now && !v.registry.failed() {
 		due = true
 	}
 	if due {
 		r.read(v)
 		return
 	}
-	r.keep(v)
+	r.updateRegistry(v)
 }
 
 func (r *registrySimulation) read(v *trackerVM) {
@@ -40,15 +40,15 @@
 	r.call(v.vm, execute, func(o writeOutcome) {
 		v.busy = false
 		v.registry.read(asked, r.now, l, storeError(o))
-		r.keep(v)
+		r.updateRegistry(v)
 	})
 }
 
-func (r *registrySimulation) keep(v *trackerVM) {
+func (r *registrySimulation) updateRegistry(v *trackerVM) {
 	if !v.keeper {
 		return
 	}
-	puts, deletes := v.registry.duties(r.now)
+	puts, deletes := v.registry.pendingWrites(r.now)
 	if len(puts)+len(deletes) == 0 {
 		return
 	}
--- a/streamorigin/registry_simulation_streams_test.go
+++ b/streamorigin/registry_simulation_streams_test.go
@@ -30,13 +30,13 @@
 	}
 	st := &trackerStream{request: fmt.Sprint("request-", number), at: v, began: r.now}
 	st.version = rapid.SampledFrom(listed).Draw(r.t, "version")
-	known := v.standing(testService, st.version, registryLifetime)
+	state := v.registrationState(testService, st.version, registryLifetime)
 	rec, err := v.BeginIn(testService, st.request, Origin{Version: st.version}, registryLifetime)
-	r.logf("VM %d begins %s at %q, standing %v: record %v, %v", place, st.request, st.version, known, rec != nil, err)
+	r.logf("VM %d begins %s at %q, registration state %v: record %v, %v", place, st.request, st.version, state, rec != nil, err)
 	if err != nil {
 		return
 	}
-	switch known {
+	switch state {
 	case sole:
 		r.sole++
 	case registered:
--- a/streamorigin/registry_simulation_test.go
+++ b/streamorigin/registry_simulation_test.go
@@ -65,7 +65,7 @@
 	v.opts.FirstStart, v.registry.firstStart = first, first
 	r.trackers[place] = v
 	r.after(r.draw("first list", 500*ms), func() { r.adopt(v, len(r.lists)-1) })
-	r.after(dutyInterval/2, func() { r.tick(v) })
+	r.after(updateInterval/2, func() { r.runDue(v) })
 }
 
 // deferred reports whether a VM is frozen, or cut off if that counts, and calls again afterwards.
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -184,7 +184,7 @@
 		if due, _ := k.readDue(k.now); due {
 			k.read(k.now, k.now, k.listing(), nil)
 		}
-		puts, deletes := k.duties(k.now)
+		puts, deletes := k.pendingWrites(k.now)
 		if len(puts)+len(deletes) == 0 {
 			continue
 		}
@@ -340,13 +340,13 @@
 		}
 		k.want(row.name, want...)
 		k.run(forgetAge-10*time.Second, "v2")
-		if row.lost && k.standing(k.now, testService, "v2", time.Second) != registered {
+		if row.lost && k.registrationState(k.now, testService, "v2", time.Second) != registered {
 			t.Errorf("%s: streams at a registered version wait for their records", row.name)
 		}
 		k.want(row.name+", before forgetAge", want...)
 		k.run(20*time.Second, "v2")
 		k.want(row.name+", after it", "v2")
-		if k.standing(k.now, testService, "v2", time.Second) != sole {
+		if k.registrationState(k.now, testService, "v2", time.Second) != sole {
 			t.Errorf("%s: streams need records for good", row.name)
 		}
 	}
@@ -357,19 +357,19 @@
 func TestKnowledgeOfAnEarlierEraDoesNotCount(t *testing.T) {
 	k := newKeeperRig(t, "v1")
 	k.run(10*time.Second, "v1")
-	if got := k.standing(k.now, testService, "v1", time.Second); got != sole {
-		t.Fatalf("standing %v", got)
+	if got := k.registrationState(k.now, testService, "v1", time.Second); got != sole {
+		t.Fatalf("registration state %v", got)
 	}
 	old := k.listing()
 	k.eraChanged(k.now, 1)
 	k.read(k.now, k.now, old, nil)
-	if got := k.standing(k.now, testService, "v1", time.Second); got != unread {
-		t.Errorf("standing %v", got)
+	if got := k.registrationState(k.now, testService, "v1", time.Second); got != unread {
+		t.Errorf("registration state %v", got)
 	}
 	k.setListed(k.now, listedVersions("v1", "v2"))
 	for _, v := range []vmlist.SoftwareVersion{"v1", "v2"} {
-		if got := k.standing(k.now, testService, v, time.Second); got != unregistered {
-			t.Errorf("two versions are listed, standing of %s %v", v, got)
+		if got := k.registrationState(k.now, testService, v, time.Second); got != unregistered {
+			t.Errorf("two versions are listed, registration state of %s %v", v, got)
 		}
 	}
 	if due, _ := k.readDue(k.now); !due {
@@ -384,10 +384,10 @@
 	r := newRegistry(0)
 	now := time.Minute
 	r.setListed(now, listedVersions("v1", "v2"))
-	want := func(what string, v vmlist.SoftwareVersion, lifetime time.Duration, want standing) {
+	want := func(what string, v vmlist.SoftwareVersion, lifetime time.Duration, want registrationState) {
 		t.Helper()
-		if got := r.standing(now, testService, v, lifetime); got != want {
-			t.Errorf("%s: standing %v, want %v", what, got, want)
+		if got := r.registrationState(now, testService, v, lifetime); got != want {
+			t.Errorf("%s: registration state %v, want %v", what, got, want)
 		}
 	}
 	read := func() { r.read(now, now, registryListing(t, 0, "v1", "v2"), nil) }
@@ -422,7 +422,7 @@
 	now := time.Minute
 	want := func(what string, lifetime time.Duration, isSole bool) {
 		t.Helper()
-		if got := r.standing(now, testService, "v1", lifetime) == sole; got != isSole {
+		if got := r.registrationState(now, testService, "v1", lifetime) == sole; got != isSole {
 			t.Errorf("%s: sole is %v", what, got)
 		}
 	}
@@ -431,12 +431,12 @@
 	}
 	r.setListed(now, listedVersions("v1"))
 	want("not read", time.Second, false)
-	if got := r.standing(now, testService, "v1", time.Second); got != unread {
-		t.Errorf("not read: standing %v", got)
+	if got := r.registrationState(now, testService, "v1", time.Second); got != unread {
+		t.Errorf("not read: registration state %v", got)
 	}
 	r.setListed(now, listedVersions("v1", "v2"))
-	if got := r.standing(now, testService, "v1", time.Second); got != unregistered {
-		t.Errorf("not read, two versions: standing %v", got)
+	if got := r.registrationState(now, testService, "v1", time.Second); got != unregistered {
+		t.Errorf("not read, two versions: registration state %v", got)
 	}
 	r.setListed(now, listedVersions("v1"))
 	read()
@@ -462,7 +462,7 @@
 	r.read(now, now, kv.Listing{}, &kv.UnavailableError{})
 	now++
 	want("after maxKnownAge", time.Second, false)
-	if got := r.standing(now, testService, "v1", time.Second); got != registered {
+	if got := r.registrationState(now, testService, "v1", time.Second); got != registered {
 		t.Errorf("streams at the only version wait for records while the store is away: %v", got)
 	}
 	r.wrote(now, nil)
@@ -471,7 +471,7 @@
 		t.Error("what was written is not read")
 	}
 	r.firstStart = true
-	if puts, deletes := r.duties(now); len(puts)+len(deletes) != 0 {
+	if puts, deletes := r.pendingWrites(now); len(puts)+len(deletes) != 0 {
 		t.Error("written again before a read")
 	}
 }
