--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -263,12 +263,7 @@
 		return updateInterval // Nothing to know.
 	}
 	now := t.now()
-	t.mu.Lock()
-	due, at := t.registry.readDue(now)
-	if keeper && t.registry.readAt == 0 && now >= t.started+updateInterval && t.registry.nextRead > now && !t.registry.failed() {
-		due = true // The others read what the keeper writes.
-	}
-	t.mu.Unlock()
+	due, at := t.readDue(now, keeper)
 	if due {
 		t.readRegistry(ctx)
 	}
@@ -279,6 +274,16 @@
 	return max(at-now, 10*time.Millisecond)
 }
 
+// readDue is registry.readDue. The keeper's first read does not wait for nextRead unless a read has failed,
+// since the others are to read what it writes then.
+func (t *Tracker) readDue(now time.Duration, keeper bool) (due bool, at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	due, at = t.registry.readDue(now)
+	isFirst := t.registry.readAt == 0 && !t.registry.readFailed
+	return due || keeper && isFirst && now >= t.started+updateInterval, at
+}
+
 func (t *Tracker) readRegistry(ctx context.Context) {
 	asked := t.now()
 	l, err := t.opts.Store.ListPage(ctx, RegistryPrefix, kv.Linearizable)
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -162,7 +162,7 @@
 	readAt, nextRead time.Duration
 	// outdated is set if this VM has written to the registry since.
 	outdated bool
-	// readFailed is set if the first reads have failed.
+	// readFailed is set once a read has failed.
 	readFailed bool
 	// era is that of the last read, and eraSince when this VM first saw it.
 	era      kv.Era
@@ -381,6 +381,3 @@
 	}
 	r.outdated = true
 }
-
-// failed reports whether reads have failed and none has succeeded.
-func (r *registry) failed() bool { return r.readFailed }
--- a/streamorigin/registry_simulation_store_test.go
+++ b/streamorigin/registry_simulation_store_test.go
@@ -18,11 +18,7 @@
 	if v.busy || len(v.registry.listed[testService]) == 0 {
 		return
 	}
-	due, _ := v.registry.readDue(r.now)
-	if v.keeper && v.registry.readAt == 0 && r.now >= v.started+updateInterval && v.registry.nextRead > r.now && !v.registry.failed() {
-		due = true
-	}
-	if due {
+	if due, _ := v.readDue(r.now, v.keeper); due {
 		r.read(v)
 		return
 	}
