--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -318,7 +318,11 @@
 		clear(r.missingSince)
 	}
 	r.missingUpdatedAt = now
-	missing := map[string]time.Duration{}
+	return r.unregisteredVersions(now), r.expiredKeys(now)
+}
+
+// unregisteredVersions returns the writes of listed versions that are not registered.
+func (r *registry) unregisteredVersions(now time.Duration) (puts []kv.Put) {
 	for service, listed := range r.listed {
 		known := r.known.versions[service]
 		// At the first start, streams may have begun at versions that were listed before.
@@ -335,6 +339,13 @@
 			puts = r.register(puts, service, v)
 		}
 	}
+	return puts
+}
+
+// expiredKeys updates missingSince, and returns the keys of versions of which no server was listed for
+// forgetAge.
+func (r *registry) expiredKeys(now time.Duration) (keys []string) {
+	missing := map[string]time.Duration{}
 	for service, known := range r.known.versions {
 		candidates := r.known.stale[service]
 		if len(known) > 1 { // The last version of a service stays until another one is registered.
@@ -350,13 +361,13 @@
 				since = now
 			}
 			missing[key] = since
-			if now-since >= forgetAge && len(deletes) < batchSize {
-				deletes = append(deletes, key)
+			if now-since >= forgetAge && len(keys) < batchSize {
+				keys = append(keys, key)
 			}
 		}
 	}
 	r.missingSince = missing
-	return puts, deletes
+	return keys
 }
 
 // register adds the write of a registration.
