--- a/gateway/software_version.go
+++ b/gateway/software_version.go
@@ -63,21 +63,22 @@
 	}
 }
 
-// beginning is the engine that made the first event of a stream, as it was listed, and when.
-type beginning struct {
+// firstEventOrigin is where the first event of a stream came from.
+type firstEventOrigin struct {
+	// vm is the engine as it was listed, and at the time of the event.
 	vm vmlist.VM
 	at time.Time
 }
 
-// checkBeginning returns a *softwareversion.UnknownError if the list says by now that the engine which made the
+// checkFirstEventOrigin returns a *softwareversion.UnknownError if the list says by now that the engine which made the
 // first event may have been a later start, with another software version.
-func (s *stream) checkBeginning() error {
-	b := s.beginning.Load()
-	if b == nil {
+func (s *stream) checkFirstEventOrigin() error {
+	first := s.firstEventOrigin.Load()
+	if first == nil {
 		return nil
 	}
-	now, listed := s.g.Snapshot().Backends[b.vm.ID]
-	if listed && isOtherVersion(now, b.vm.Incarnation, b.vm.SoftwareVersion) && now.Incarnation <= b.at.Add(maxClockSkew).UnixMilli() {
+	now, listed := s.g.Snapshot().Backends[first.vm.ID]
+	if listed && isOtherVersion(now, first.vm.Incarnation, first.vm.SoftwareVersion) && now.Incarnation <= first.at.Add(maxClockSkew).UnixMilli() {
 		return &softwareversion.UnknownError{}
 	}
 	return nil
@@ -88,7 +89,7 @@
 	if err := s.software.Check(vm); err != nil {
 		return err
 	}
-	return s.checkBeginning()
+	return s.checkFirstEventOrigin()
 }
 
 // checkInService returns a *softwareversion.UnknownError or a *softwareversion.NotInServiceError if
@@ -101,7 +102,7 @@
 	if version == "" {
 		return &softwareversion.UnknownError{}
 	}
-	if err := s.checkBeginning(); err != nil {
+	if err := s.checkFirstEventOrigin(); err != nil {
 		return err
 	}
 	for _, vm := range s.engines() {
@@ -112,8 +113,9 @@
 	return &softwareversion.NotInServiceError{Version: version}
 }
 
-// takeUp finds the software version that began a stream which the caller takes up.
-func (s *stream) takeUp() error {
+// resolveTakeUp binds a stream that the caller takes up to the software version that began it. It does
+// nothing for a new stream, and returns a problem if the stream can't be taken up now.
+func (s *stream) resolveTakeUp() error {
 	if s.lastEvent == 0 {
 		return nil
 	}
@@ -235,12 +237,13 @@
 func (g *Gateway) RecordOrigins(service string) {
 	for _, s := range g.runs.streams() {
 		if s.service.Name == service {
-			s.recordLate()
+			s.recordInProgress()
 		}
 	}
 }
 
-func (s *stream) recordLate() {
+// recordInProgress begins the record of a stream that has been sent to an engine without one.
+func (s *stream) recordInProgress() {
 	s.origin.mu.Lock()
 	defer s.origin.mu.Unlock()
 	if s.origin.unrecorded == nil {
@@ -278,7 +281,7 @@
 			return err
 		}
 	}
-	s.beginning.Store(&beginning{vm, time.Now()})
+	s.firstEventOrigin.Store(&firstEventOrigin{vm, time.Now()})
 	s.software.Begin(version)
 	s.origin.mu.Lock()
 	record := s.origin.record
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -60,8 +60,8 @@
 	noNext noNextReason
 	// software is the software version that the stream is bound to.
 	software softwareversion.Binding
-	// beginning is nil until the first event, and in a stream that the caller has taken up.
-	beginning atomic.Pointer[beginning]
+	// firstEventOrigin is nil until the first event, and in a stream that the caller has taken up.
+	firstEventOrigin atomic.Pointer[firstEventOrigin]
 	// origin is the record of where the stream began.
 	origin originRecord
 	// unended holds the engines of previous segments that may still work on the run.
@@ -100,7 +100,7 @@
 		}
 		s.lastEvent = n
 	}
-	if err := s.takeUp(); err != nil {
+	if err := s.resolveTakeUp(); err != nil {
 		return err
 	}
 	err := s.run()
