--- a/streamorigin/copies.go
+++ b/streamorigin/copies.go
@@ -61,7 +61,7 @@
 	return &copies{byPrefix: map[string]*originCopy{}, questions: map[string][]*question{}}
 }
 
-// keep keeps an origin and answers the questions for it.
+// keep stores an origin that another VM has sent, and answers the questions for it.
 func (c *copies) keep(now time.Duration, prefix string, o Origin, remaining time.Duration) {
 	if known := c.byPrefix[prefix]; known != nil && now < known.until {
 		known.conflicts = known.conflicts || known.origin.Version != o.Version
--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -54,8 +54,8 @@
 	opts    TrackerOptions
 	started time.Duration
 	// OnSecondVersion is called when the VM list shows another version of a service that had one at
-	// most, beside it or instead of it. Streams need records from then on, those in progress too. It must be set before
-	// RunRegistry, and may call BeginIn.
+	// most, beside it or instead of it. Streams need records from then on, those in progress too. It
+	// must be set before RunRegistry, and may call BeginIn.
 	OnSecondVersion func(service string)
 
 	// hasEngines is set if the list holds engines. It belongs to RunRegistry.
@@ -116,12 +116,13 @@
 	return nil
 }
 
+// registrationState returns what the registry knows of a version at which a stream is to begin.
 func (t *Tracker) registrationState(service string, v vmlist.SoftwareVersion, lifetime time.Duration) registrationState {
 	era := t.era()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.registry.readAt > 0 {
-		t.registry.eraChanged(t.now(), era) // A record may have met it first.
+		t.registry.eraChanged(t.now(), era) // The write of a record may have shown it first.
 	}
 	return t.registry.registrationState(t.now(), service, v, lifetime)
 }
@@ -220,6 +221,7 @@
 	}
 }
 
+// adopt takes the versions of the engines from a snapshot, and reports services that have a further one.
 func (t *Tracker) adopt(snap *control.Snapshot) {
 	t.hasEngines = hasEngines(snap.Backends)
 	listed := VersionsOf(snap.Backends)
@@ -249,6 +251,7 @@
 	return out
 }
 
+// eraRose is called when a snapshot shows a later era of the store.
 func (t *Tracker) eraRose(era kv.Era) {
 	t.EraChanged(era)
 	t.mu.Lock()
@@ -260,7 +263,7 @@
 func (t *Tracker) runDue(ctx context.Context, snap *control.Snapshot) time.Duration {
 	keeper := rendezvous.Owner(RegistryPrefix, snap.EntryVMs) == t.opts.VM
 	if !t.hasEngines {
-		return updateInterval // Nothing to know.
+		return updateInterval // Only engines have versions in the registry.
 	}
 	now := t.now()
 	due, at := t.readDue(now, keeper)
--- a/streamorigin/streamorigin.go
+++ b/streamorigin/streamorigin.go
@@ -3,8 +3,9 @@
 // after all VMs were killed at once.
 //
 // A record is written in the background from the moment at which the request is sent to a server,
-// and is removed by the end of its lease. No record means that the version is unknown, which is
-// not the same as any version: the stream must not go on then.
+// and is removed by the end of its lease. Without a record the version is unknown, unless the registry
+// of versions tells it (see Tracker). An unknown version is not the same as any version: the stream must
+// not go on then.
 //
 // # Why a record is never wrong
 //
