--- a/gateway/copy_failures_test.go
+++ b/gateway/copy_failures_test.go
@@ -61,13 +61,6 @@
 	}
 }
 
-// sendWithin is sendInOneSecond with another time limit.
-func (r *gatewayRig) sendWithin(id string, limit time.Duration) *httptest.ResponseRecorder {
-	w := httptest.NewRecorder()
-	r.serveRequest(w, rigRequest(draftPath, id, limit))
-	return w
-}
-
 func requireEnd(t *testing.T, got *httptest.ResponseRecorder, lines fmt.Stringer) {
 	t.Helper()
 	if body := got.Body.String(); !strings.Contains(body, "data: end") {
@@ -103,7 +96,7 @@
 		return e.answer(id, w, request)
 	}
 	go r.evacuateFirst(t.Context())
-	requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+	requireEnd(t, r.sendWithin(draftPath, 5*time.Second), lines)
 	r.Close()
 	got := made.all()
 	ended, asked := slices.Index(got, "end engine-1"), slices.Index(got, "ask engine-2")
--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -101,7 +101,7 @@
 				}
 				return e.answer(id, w, request)
 			}
-			got := r.sendWithin("run", 5*time.Second)
+			got := r.sendWithin(draftPath, 5*time.Second)
 			r.Close()
 			if test.want {
 				requireEnd(t, got, lines)
@@ -138,7 +138,7 @@
 		}
 		return e.answer(id, w, request)
 	}
-	requireEnd(t, r.sendWithin("run", 3*time.Second), lines)
+	requireEnd(t, r.sendWithin(draftPath, 3*time.Second), lines)
 	r.Close()
 }
 
--- a/gateway/end_run_test.go
+++ b/gateway/end_run_test.go
@@ -376,7 +376,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	begin := time.Now()
-	r.sendWithin("run", 10*time.Second)
+	r.sendWithin(draftPath, 10*time.Second)
 	if took := time.Since(begin); took > 2*refusedAskDelay {
 		t.Errorf("cut after %v\n%s", took, lines)
 	}
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -264,7 +264,7 @@
 				}()
 			}
 			meter, begin := stillness.Start(), time.Now()
-			r.sendUntilCut(test.path, rigTimeLimit)
+			r.sendWithin(test.path, rigTimeLimit)
 			took, still := time.Since(begin), meter.Between(begin, time.Now())
 			meter.Stop()
 			if test.timeLimit == 0 && took-still > maxTime {
@@ -310,14 +310,14 @@
 	_, _ = w.Write([]byte(`{"handle":"h1","createdRev":1}`))
 }
 
-// sendInOneSecond sends a request whose caller waits for a second, and returns what the
-// caller got, also if the connection was closed after that.
+// sendInOneSecond is sendWithin a limit of a second.
 func (r *gatewayRig) sendInOneSecond(path string) *httptest.ResponseRecorder {
-	return r.sendUntilCut(path, time.Second)
+	return r.sendWithin(path, time.Second)
 }
 
-// sendUntilCut is sendInOneSecond with another time that the caller waits.
-func (r *gatewayRig) sendUntilCut(path string, limit time.Duration) *httptest.ResponseRecorder {
+// sendWithin sends a request whose caller waits for limit, and returns what the caller got, also if the
+// connection was closed after that.
+func (r *gatewayRig) sendWithin(path string, limit time.Duration) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	r.serveRequest(w, rigRequest(path, "run", limit))
 	return w
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -38,7 +38,7 @@
 		return e.answer(id, w, request)
 	}
 	go r.evacuateFirst(t.Context())
-	requireEnd(t, r.sendWithin("run", 10*time.Second), lines)
+	requireEnd(t, r.sendWithin(draftPath, 10*time.Second), lines)
 	r.Close()
 }
 
@@ -84,7 +84,7 @@
 		}
 		set("engine-1", vmlist.StateLeaving)
 	}()
-	requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+	requireEnd(t, r.sendWithin(draftPath, 5*time.Second), lines)
 	cancel()
 	watch.Wait()
 	r.Close()
--- a/gateway/go_back_test.go
+++ b/gateway/go_back_test.go
@@ -61,7 +61,7 @@
 				return e.answer(id, w, request)
 			}
 			go r.leaveBehind(vmlist.StateLeaving)
-			requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+			requireEnd(t, r.sendWithin(draftPath, 5*time.Second), lines)
 			r.Close()
 			if got := strings.Join(asked.all(), " "); got != test.used {
 				t.Errorf("the first engine was asked to go on from %q, want %q", got, test.used)
@@ -110,7 +110,7 @@
 				return e.answer(id, w, request)
 			}
 			go r.leaveBehind(vmlist.StateLeaving)
-			r.sendWithin("run", 2*time.Second)
+			r.sendWithin(draftPath, 2*time.Second)
 			r.Close()
 			if at, ok := made.first("ask engine-0"); ok {
 				t.Errorf("engine-0 was asked at %v: %v", at, made.all())
@@ -148,7 +148,7 @@
 	for r.budget.Take("engines", boottime.Now()) {
 	}
 	go r.leaveBehind(vmlist.StateLeaving)
-	requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+	requireEnd(t, r.sendWithin(draftPath, 5*time.Second), lines)
 	r.Close()
 	if back := slices.DeleteFunc(made.all(), func(name string) bool { return name != "ask engine-0" }); len(back) != 1 {
 		t.Errorf("the run went back %d times: %v", len(back), made.all())
--- a/gateway/open_copy_test.go
+++ b/gateway/open_copy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -29,7 +30,7 @@
 		return e.answer(id, w, request)
 	}
 	go r.evacuateFirst(t.Context())
-	requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+	requireEnd(t, r.sendWithin(draftPath, 5*time.Second), lines)
 	r.Close()
 	refused, _ := made.first("ask engine-1")
 	used, ok := made.first("ask engine-2")
@@ -67,7 +68,7 @@
 				}
 				return e.answer(id, w, request)
 			}
-			requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+			requireEnd(t, r.sendWithin(draftPath, 5*time.Second), lines)
 			r.Close()
 		})
 	}
@@ -100,7 +101,9 @@
 	time.AfterFunc(300*time.Millisecond, func() { close(stop) })
 	var all sync.WaitGroup
 	for i := range runs {
-		all.Go(func() { r.sendWithin(fmt.Sprint("run-", i), 5*time.Second) })
+		all.Go(func() {
+			r.serveRequest(httptest.NewRecorder(), rigRequest(draftPath, fmt.Sprint("run-", i), 5*time.Second))
+		})
 	}
 	all.Wait()
 	r.Close()
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 )
@@ -76,10 +75,7 @@
 
 // sendStream sends a request for a short stream.
 func (r *gatewayRig) sendStream(id string) *httptest.ResponseRecorder {
-	request := httptest.NewRequest(http.MethodPost, streamPath, strings.NewReader("x"))
-	request.Host = "h"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Model", rigModel)
+	request := rigRequest(streamPath, id, 0)
 	request.Header.Set("Token-Count", "10,1")
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, request)
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -205,13 +205,15 @@
 	r.current = &snap
 }
 
-// rigRequest returns a request for a stream, whose caller waits for limit.
+// rigRequest returns a request whose caller waits for limit, and names no limit if that is 0.
 func rigRequest(path, id string, limit time.Duration) *http.Request {
 	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("x"))
 	request.Host = "h"
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Model", rigModel)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	if limit > 0 {
+		request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	}
 	return request
 }
 
@@ -325,26 +327,23 @@
 
 // send sends a request to the gateway.
 func (r *gatewayRig) send(path string) *httptest.ResponseRecorder {
-	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("x"))
-	request.Host = "h"
-	request.Header.Set("Request-Id", "request-"+strconv.FormatInt(rigRequests.Add(1), 10))
-	request.Header.Set("Model", rigModel)
 	w := httptest.NewRecorder()
-	r.ServeHTTP(w, request)
+	r.ServeHTTP(w, rigRequest(path, "request-"+strconv.FormatInt(rigRequests.Add(1), 10), 0))
 	return w
 }
 
 // sendWhileRunning sends a request, and again until a limit as long as the VM refuses it after the
 // process stood still: a dial ends after 300 ms on the clock.
 func (r *gatewayRig) sendWhileRunning(path string, limit time.Time) *httptest.ResponseRecorder {
-	const endsDials = 250 * time.Millisecond
+	// minStall is the shortest stall after which the request is sent again.
+	const minStall = 250 * time.Millisecond
 	meter := stillness.Start()
 	defer meter.Stop()
 	for {
 		begin := time.Now()
 		w := r.send(path)
 		now := time.Now()
-		if w.Code != http.StatusServiceUnavailable || meter.Between(begin, now) < endsDials || now.After(limit) {
+		if w.Code != http.StatusServiceUnavailable || meter.Between(begin, now) < minStall || now.After(limit) {
 			return w
 		}
 	}
--- a/gateway/software_version_test.go
+++ b/gateway/software_version_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -20,13 +19,6 @@
 	})
 }
 
-// beginResumable sends a request for a stream that callers may take up.
-func (r *gatewayRig) beginResumable(id string) *httptest.ResponseRecorder {
-	w := httptest.NewRecorder()
-	r.serveRequest(w, rigRequest("/stream/x", id, 2*time.Second))
-	return w
-}
-
 // Guards against a stream that goes on at the version which its engine was listed with: the engine had
 // started again with another one before it made the first event, and the list names that start later.
 func TestStreamThatBeganAtAStartThatIsListedLater(t *testing.T) {
@@ -55,7 +47,7 @@
 		r.startAgain(id, "v2")
 		panic(http.ErrAbortHandler)
 	}
-	w := r.beginResumable("run")
+	w := r.sendWithin("/stream/x", 2*time.Second)
 	if n := r.arrivalsAt("engine-1"); n != 0 {
 		t.Errorf("the stream goes on at engine-1: %q", w.Body)
 	}
@@ -75,7 +67,7 @@
 		}
 		return false
 	}
-	w := r.beginResumable("run")
+	w := r.sendWithin("/stream/x", 2*time.Second)
 	if !strings.Contains(w.Body.String(), "data: engine-0") {
 		t.Fatalf("got %d %q", w.Code, w.Body)
 	}
--- a/gateway/zone_moves_test.go
+++ b/gateway/zone_moves_test.go
@@ -75,7 +75,7 @@
 				return r.engines.answer(id, w, request)
 			}
 			time.AfterFunc(200*time.Millisecond, r.evacuate)
-			requireEnd(t, r.sendWithin("run", 5*time.Second), lines)
+			requireEnd(t, r.sendWithin(draftPath, 5*time.Second), lines)
 			// The move is counted after the run has gone on, which may end before that.
 			for deadline := time.Now().Add(2 * time.Second); r.Metrics.runsMovedOut.Count() == 0 && time.Now().Before(deadline); {
 				time.Sleep(time.Millisecond)
@@ -115,7 +115,7 @@
 				return true
 			}
 			time.AfterFunc(200*time.Millisecond, r.evacuate)
-			w := r.sendWithin("run", 5*time.Second)
+			w := r.sendWithin(draftPath, 5*time.Second)
 			if w.Code != http.StatusOK || r.Metrics.runsMovedOut.Count() != 0 {
 				t.Errorf("status %d, %d moves\n%s", w.Code, r.Metrics.runsMovedOut.Count(), lines)
 			}
