--- a/internal/stillness/stillness.go
+++ b/internal/stillness/stillness.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// period is the time between two looks at the clock.
+	// period is the time between two readings of the clock.
 	period = 5 * time.Millisecond
-	// tolerance is the delay of a look that is not counted, since timers are late by up to some
+	// tolerance is the delay of a reading that is not counted, since timers are late by up to some
 	// milliseconds on an idle machine as well.
 	tolerance = 5 * time.Millisecond
 )
@@ -24,7 +24,7 @@
 	done sync.WaitGroup
 
 	mu sync.Mutex
-	// last is the time of the last look at the clock.
+	// last is the last reading of the clock.
 	last      time.Time
 	intervals []interval
 }
@@ -37,21 +37,21 @@
 }
 
 func (m *Meter) run() {
-	ticker := time.NewTimer(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(period)
+	defer timer.Stop()
 	for {
 		select {
 		case <-m.end:
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		m.look(time.Now())
-		ticker.Reset(period)
+		m.record(time.Now())
+		timer.Reset(period)
 	}
 }
 
-// look records the time since the last look as far as it exceeds the period.
-func (m *Meter) look(now time.Time) {
+// record adopts a reading of the clock. The process stood still for what exceeds the period since the last one.
+func (m *Meter) record(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if due := m.last.Add(period); now.Sub(due) > tolerance {
@@ -77,7 +77,7 @@
 	return total
 }
 
-// current returns the interval that has not ended, which is empty if the last look was in time.
+// current returns the interval that has not ended, which is empty if the next reading is not late.
 func (m *Meter) current() interval {
 	now, due := time.Now(), m.last.Add(period)
 	if now.Sub(due) <= tolerance {
--- a/internal/stillness/stillness_test.go
+++ b/internal/stillness/stillness_test.go
@@ -17,7 +17,7 @@
 			t.Errorf("stood still for %v while the process waited for 1 s", still)
 		}
 		m.Stop()
-		m.look(m.last.Add(period + 300*time.Millisecond))
+		m.record(m.last.Add(period + 300*time.Millisecond))
 		to := m.last
 		for _, c := range []struct{ from, to, want time.Duration }{
 			{time.Second, 0, 300 * time.Millisecond},
