--- a/test/platform/config_test.go
+++ b/test/platform/config_test.go
@@ -76,7 +76,7 @@
 func TestStoreOutageFailsClosed(t *testing.T) {
 	const bound = 1500 * time.Millisecond
 	s := newSite(t, options{vms: 2, plainServers: 1, bounds: func(b *config.Bounds) { b.Revoke = bound }})
-	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	s.refuseAllCalls()
 	began := time.Now()
 	for time.Since(began) < bound+700*time.Millisecond {
 		got := s.send(s.vms[0], book())
@@ -104,7 +104,7 @@
 // configuration.
 func TestVMWithoutConfiguration(t *testing.T) {
 	s := newSite(t, options{plainServers: 1})
-	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	s.refuseAllCalls()
 	v := s.mustStartVM("vm-0")
 	if got := s.send(v, book()); got.status != http.StatusServiceUnavailable {
 		t.Errorf("%+v", got)
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -79,6 +79,11 @@
 	return &site{Site: s, t: t, store: s.Store, fleet: s.Fleet, engines: s.Engines, plainServers: s.PlainServers, vms: s.VMs}
 }
 
+// refuseAllCalls makes the store refuse the calls of all VMs.
+func (s *site) refuseAllCalls() {
+	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+}
+
 func (s *site) mustStartVM(name string) *localsite.VM {
 	s.t.Helper()
 	v, err := s.StartVM(name)
--- a/test/platform/restored_test.go
+++ b/test/platform/restored_test.go
@@ -31,7 +31,7 @@
 
 // returnAfter makes the store go away for a time and come back from a copy.
 func (s *site) returnAfter(away time.Duration, from *userplatform.StoreCopy, rewriteAfter time.Duration) {
-	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	s.refuseAllCalls()
 	time.Sleep(away)
 	s.store.Restore(from, rewriteAfter)
 	s.store.SetFaults(userplatform.StoreFaults{})
@@ -309,7 +309,7 @@
 	s.store.SetFaults(userplatform.StoreFaults{})
 	returned()
 	time.Sleep(1300 * time.Millisecond)
-	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
+	s.refuseAllCalls()
 	for time.Since(revoked) < localsite.DefaultBounds().Revoke {
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/test/platform/software_version_harness_test.go
+++ b/test/platform/software_version_harness_test.go
@@ -135,11 +135,6 @@
 	s.awaitEntries("the versions are unknown", func(vm vmlist.VM, _ bool) bool { return vm.SoftwareVersion == "" }, engines...)
 }
 
-// refuseAllCalls makes the store refuse the calls of all VMs.
-func (s *versionSite) refuseAllCalls() {
-	s.store.SetFaults(userplatform.StoreFaults{Refuse: []string{"*"}, RefuseStatus: http.StatusServiceUnavailable})
-}
-
 // evacuate evacuates a zone, and waits until all VMs know it.
 func (s *versionSite) evacuate(zone string) {
 	s.t.Helper()
--- a/test/platform/software_version_takeup_test.go
+++ b/test/platform/software_version_takeup_test.go
@@ -186,7 +186,7 @@
 	}{
 		"without Resumes":                    {change: func(header map[string]string) { delete(header, "Resumes") }},
 		"id that nobody knows":               {change: nobodyKnows},
-		"id that nobody knows, store away":   {change: nobodyKnows, act: (*versionSite).refuseAllCalls},
+		"id that nobody knows, store away":   {change: nobodyKnows, act: func(s *versionSite) { s.refuseAllCalls() }},
 		"its own id":                         {change: func(header map[string]string) { header["Resumes"] = header["Request-Id"] }},
 		"begun at engines without a version": {prepare: func(s *versionSite) { s.dropVersion(s.of(oldVersion)...) }},
 		"begun at engines without versions, again known": {
