--- a/gateway/go_back.go
+++ b/gateway/go_back.go
@@ -19,9 +19,9 @@
 // against the retry budget, as does the request that was refused, and pauses the stream.
 const maxReturns = 1
 
-// keepPlace keeps the ticket of the engine that a run leaves in a planned move until the run goes on. The
-// returned function ends the move.
-func (s *stream) keepPlace(ticket dispatch.Ticket) (endMove func()) {
+// beginMove begins a planned move. The ticket of the engine that the run leaves is kept until the run goes on.
+// The returned function ends the move.
+func (s *stream) beginMove(ticket dispatch.Ticket) (endMove func()) {
 	ended := make(chan struct{})
 	s.copies.mu.Lock()
 	s.copies.moveEnded = ended
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -151,7 +151,7 @@
 // leaveTo ends a segment whose engine has ended the run, and opens the next one: from source, at the same
 // engine if source can't be used, or from another copy.
 func (s *stream) leaveTo(seg *segment, source *connectedCopy, cause error) (*segment, error) {
-	endMove := s.keepPlace(seg.ticket)
+	endMove := s.beginMove(seg.ticket)
 	defer endMove()
 	s.endSegment(seg, cause)
 	next, err := s.openCopy(source)
