--- a/gateway/move.go
+++ b/gateway/move.go
@@ -37,16 +37,11 @@
 			continue
 		}
 		rc, err := s.copyTo(ctx, vm, excluded, false)
-		fields := []zap.Field{
-			zap.String("backend", vm.ID), zap.Bool("fits", scheduled.Fits), zap.Duration("planned", scheduled.CopiedAt),
-			zap.Duration("since_notice", boottime.Now()-noticedAt), telemetry.Error(err),
-		}
 		if rc != nil {
-			fields = append(fields, zap.String("target", rc.vm.ID), zap.Bool("same_zone", rc.vm.Zone == vm.Zone))
 			excluded = append(excluded, rc.vm.ID)
 		}
 		if try == 0 || err == nil {
-			s.log.Info("run_copied", fields...)
+			s.logCopied(vm, scheduled, noticedAt, rc, err)
 		}
 		if err == nil && s.requestSwitch(ctx, vm.ID) {
 			if !s.awaitReturn(ctx, vm) {
@@ -68,6 +63,18 @@
 	}
 }
 
+// logCopied logs the copy of a run for the departure of its engine. rc is nil if no other engine had capacity.
+func (s *stream) logCopied(engine vmlist.VM, scheduled relocation.ScheduledCopy, noticedAt time.Duration, rc *runCopy, err error) {
+	fields := []zap.Field{
+		zap.String("backend", engine.ID), zap.Bool("fits", scheduled.Fits), zap.Duration("planned", scheduled.CopiedAt),
+		zap.Duration("since_notice", boottime.Now()-noticedAt), telemetry.Error(err),
+	}
+	if rc != nil {
+		fields = append(fields, zap.String("target", rc.vm.ID), zap.Bool("same_zone", rc.vm.Zone == engine.Zone))
+	}
+	s.log.Info("run_copied", fields...)
+}
+
 // copyTo copies the run to another engine. If mayStay is set, the run may also stay where it is, and
 // gets a place only if that delays no waiting request. If the copy fails after an engine was
 // acquired, it returns that engine together with the error.
