--- a/streamorigin/origins.go
+++ b/streamorigin/origins.go
@@ -153,7 +153,8 @@
 	rec.Replace(o)
 }
 
-// awaitFor makes Settled wait for what is stored of the record, if what is known of its version asks for it.
+// awaitFor makes Settled wait as a version in the given state requires: until the record is stored, until it is
+// stored or a call to the store has failed, or not at all.
 func (rec *Record) awaitFor(state registrationState) {
 	m := rec.records.machine
 	rec.records.mu.Lock()
--- a/streamorigin/registry.go
+++ b/streamorigin/registry.go
@@ -128,8 +128,8 @@
 	// streams pass on events only once their record is stored.
 	unregistered registrationState = iota
 	// unread versions are the only listed ones at a VM that has read nothing of the registry, or an empty
-	// one. It may hold another version alone, so their streams wait for their record, unless the store
-	// fails.
+	// one. It may hold another version alone, so their streams wait for their record until a call to the
+	// store fails.
 	unread
 	// registered versions are in the registry. Their streams need records, but do not wait for them
 	// longer than for a short time: without one nobody knows where they began.
