--- a/streamorigin/entries.go
+++ b/streamorigin/entries.go
@@ -124,6 +124,9 @@
 		return
 	}
 	e.stored, e.isStored, e.lost, e.passedStored = make(chan struct{}), false, false, false
+	if e.sent == 0 {
+		m.notStored(e) // The store can't hold another version, so the new one alone decides.
+	}
 	if e.sent > 0 || !e.isSettled {
 		m.requireStored(e)
 	}
--- a/streamorigin/registry_test.go
+++ b/streamorigin/registry_test.go
@@ -103,6 +103,34 @@
 	}
 }
 
+// Guards against a stream that waits for its record while the store is silent, since it was sent to another
+// server before the first write: nothing in the store names the first server then.
+func TestReplacementBeforeTheFirstWriteWaitsAsItsVersionAsks(t *testing.T) {
+	now := time.Minute
+	tracker := NewTracker(TrackerOptions{Options: Options{
+		Store: &memoryStore{entries: map[string][]byte{}}, Now: func() time.Duration { return now },
+	}})
+	tracker.registry.setListed(now, listedVersions("v1"))
+	rec, err := tracker.BeginIn(testService, "request", Origin{Version: "v1"}, 30*time.Second)
+	if err != nil || rec == nil {
+		t.Fatalf("BeginIn: %v, %v", rec, err)
+	}
+	tracker.registry.setListed(now, listedVersions("v2"))
+	if err := tracker.ReplaceIn(testService, rec, Origin{Version: "v2"}, 30*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if isSettledNow(rec) {
+		t.Error("does not wait for its record")
+	}
+	if s, _ := tracker.next(); s.kind != stepGrant {
+		t.Fatalf("step %v", s.kind)
+	}
+	tracker.granted(0, &kv.UnavailableError{})
+	if !isSettledNow(rec) {
+		t.Error("waits on although the store fails")
+	}
+}
+
 // Guards against events of a second server, of a version that is not registered or not known, that are
 // passed on without a stored record: a look-up finds the registered version of the first server then.
 func TestReplacementByUnregisteredVersionWaitsForItsRecord(t *testing.T) {
