--- a/gateway/go_back_test.go
+++ b/gateway/go_back_test.go
@@ -155,6 +155,54 @@
 	}
 }
 
+// Guards against a draft that is cut since the retry budget is used up: a planned move has had its engine, which
+// leaves and gets no work any more, end the run, and the next engine is full for a moment or resets the connection.
+// It is asked again with a budget. Guards as well against an engine that refuses and is asked without end.
+func TestPlannedMoveWithoutRetryBudgetAsksTheNextEngineAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		failures, asked int
+		fail            func(http.ResponseWriter)
+		whole           bool
+	}{
+		"refuses once":             {1, 2, refuseCopy, true},
+		"resets three connections": {maxReconnects, maxReconnects + 1, func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, true},
+		"refuses always":           {10, 2, refuseCopy, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newGatewayRig(t, 2)
+			r.configure(1, "desk", "engines")
+			r.grantCopies(false, true)
+			lines := r.rigLog()
+			var made calls
+			engine := r.Snapshot().Backends["engine-0"]
+			e := &movingEngines{finalHandle: "h2", finalStatus: http.StatusOK}
+			r.answer = func(id string, w http.ResponseWriter, request *http.Request) bool {
+				if request.Header.Get("Kv-From") == "" {
+					return e.answer(id, w, request)
+				}
+				r.known.announceLeaving(engine)
+				made.add("ask " + id)
+				if len(made.all()) <= test.failures {
+					test.fail(w)
+					return true
+				}
+				return e.answer(id, w, request)
+			}
+			for r.budget.Take("engines", boottime.Now()) {
+			}
+			go r.leaveBehind(vmlist.StateLeaving)
+			got := r.sendWithin(draftPath, 5*time.Second)
+			r.Close()
+			if whole := strings.Contains(got.Body.String(), "data: end"); whole != test.whole {
+				t.Errorf("whole draft: %v\n%s", whole, lines)
+			}
+			if asked := made.all(); len(asked) != test.asked || slices.Contains(asked, "ask engine-0") {
+				t.Errorf("requests for the copy: %v", asked)
+			}
+		})
+	}
+}
+
 // restartEntry replaces the entry of a server that leaves by that of its next start.
 func (r *gatewayRig) restartEntry(id string) {
 	r.setState(id, vmlist.StateLive)
--- a/gateway/open_copy.go
+++ b/gateway/open_copy.go
@@ -89,7 +89,7 @@
 func (s *stream) askAgain(source *connectedCopy, err error, attempt int) *connectedCopy {
 	delay, ok := delayOfNextAsk(err, attempt)
 	_, refused := errors.Into[*RefusedError](err)
-	if !ok || refused && (!s.hasEvents() || s.hasCopyBeside(source)) || !s.g.budget.Allows(s.service.Name, boottime.Now()) {
+	if !ok || refused && (!s.hasEvents() || s.hasCopyBeside(source)) || !s.mayAskAgain() {
 		return nil
 	}
 	delay = max(delay, s.g.pausedFor(source.vm))
@@ -99,6 +99,12 @@
 	return s.connectAgain(source, err)
 }
 
+// mayAskAgain reports whether the retry budget lets the engine with a copy be asked again. A run in a planned move
+// needs no budget left: this VM has ended it at a sound engine, and delayOfNextAsk bounds the requests.
+func (s *stream) mayAskAgain() bool {
+	return s.previousTicket != nil || s.g.budget.Allows(s.service.Name, boottime.Now())
+}
+
 // delayOfNextAsk returns the time after which the engine with a copy may be asked again, and
 // false if it must not be. An engine that is full refuses a run that goes on from its backup,
 // and has room again when another run ends.
